--- a/src/chervilstall/agent/claims.py
+++ b/src/chervilstall/agent/claims.py
@@ -24,9 +24,9 @@
     MemberUpdate,
     ReportAnswer,
 )
-from chervilstall.platform.contract import Store, StoreFailed
 from chervilstall.settings.agents import IdempotencySettings, LeaseSettings
 from chervilstall.settings.option import Address
+from chervilstall.store.contract import Store, StoreFailed
 from chervilstall.telemetry.logs import PartLog
 
 log = PartLog("homes")
--- a/src/chervilstall/agent/roles.py
+++ b/src/chervilstall/agent/roles.py
@@ -16,9 +16,9 @@
 from chervilstall.lease.holder import LeaseHolder, LeaseState, Tenure
 from chervilstall.membership.table import MemberTable
 from chervilstall.peer.messages import Role
-from chervilstall.platform.contract import Store
 from chervilstall.rendezvous import rendezvous_score
 from chervilstall.settings.agents import LeaseSettings
+from chervilstall.store.contract import Store
 from chervilstall.tasks import repeat
 from chervilstall.telemetry.logs import PartLog
 
--- a/src/chervilstall/agent/runtime.py
+++ b/src/chervilstall/agent/runtime.py
@@ -32,7 +32,6 @@
     ReportAnswer,
     ShareRequests,
 )
-from chervilstall.platform.contract import Store, StoreFailed, VmList
 from chervilstall.settings.agents import (
     IdempotencySettings,
     LeaseSettings,
@@ -41,6 +40,7 @@
     StoreSettings,
 )
 from chervilstall.settings.processes import LimitSettings, MetricsSettings, VmSettings
+from chervilstall.store.contract import Store, StoreFailed, VmList
 from chervilstall.telemetry.logs import PartLog
 
 log = PartLog("agent")
--- a/src/chervilstall/agent/spread.py
+++ b/src/chervilstall/agent/spread.py
@@ -40,16 +40,16 @@
     TreeDelta,
     TreeWhole,
 )
-from chervilstall.platform.contract import (
+from chervilstall.rendezvous import rendezvous_score
+from chervilstall.settings.agents import PeerSettings
+from chervilstall.settings.option import Address
+from chervilstall.store.contract import (
     Store,
     StoreFailed,
     VmList,
     VmRecord,
     WatchAnswer,
 )
-from chervilstall.rendezvous import rendezvous_score
-from chervilstall.settings.agents import PeerSettings
-from chervilstall.settings.option import Address
 from chervilstall.tasks import repeat
 from chervilstall.telemetry.logs import PartLog
 
--- a/src/chervilstall/commands/agent.py
+++ b/src/chervilstall/commands/agent.py
@@ -12,7 +12,7 @@
 from chervilstall.agent.runtime import AgentRuntime, AgentSettings
 from chervilstall.commands.start import ExitCode
 from chervilstall.peer.keys import create_keys
-from chervilstall.platform.client import HttpStore
+from chervilstall.store.client import HttpStore
 from chervilstall.settings.agents import AGENT_SECTIONS
 
 
--- a/src/chervilstall/commands/planner.py
+++ b/src/chervilstall/commands/planner.py
@@ -10,7 +10,7 @@
 
 from chervilstall.commands.start import ExitCode
 from chervilstall.planner.runtime import Planner, PlannerProcessSettings
-from chervilstall.platform.client import HttpStore
+from chervilstall.store.client import HttpStore
 from chervilstall.settings.agents import PLANNER_SECTIONS
 
 
--- a/src/chervilstall/commands/standin.py
+++ b/src/chervilstall/commands/standin.py
@@ -12,7 +12,7 @@
 
 from chervilstall.commands.start import ExitCode
 from chervilstall.configuration.treefile import document_text, read_tree_file
-from chervilstall.platform.contract import VmRecord
+from chervilstall.store.contract import VmRecord
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.settings.ini import MistakeLog, parse_ini, read_section
 from chervilstall.settings.option import Address, option
--- a/src/chervilstall/commands/start.py
+++ b/src/chervilstall/commands/start.py
@@ -82,3 +82,8 @@
     """Call `handler` in a task of its own at each SIGTERM and SIGINT."""
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, gevent.spawn, handler)
+
+
+def on_reload_signal(handler: Callable[[], object]) -> None:
+    """Call `handler` in a task of its own at each SIGHUP."""
+    gevent.signal_handler(signal.SIGHUP, gevent.spawn, handler)
--- a/src/chervilstall/configuration/writer.py
+++ b/src/chervilstall/configuration/writer.py
@@ -26,7 +26,7 @@
 from chervilstall.configuration.tree import Tree
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import ChangeId, Revision
-from chervilstall.platform.contract import ABSENT_VERSION, Store, StoreFailed
+from chervilstall.store.contract import ABSENT_VERSION, Store, StoreFailed
 
 CHANGES_PER_SNAPSHOT = 64
 HEAD_MAX_BYTES = 400_000
--- /dev/null
+++ b/src/chervilstall/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Passing callers' requests on to targets, and answers back."""
--- /dev/null
+++ b/src/chervilstall/edge/app.py
@@ -0,0 +1,270 @@
+"""The WSGI application in front of the targets: route, admit, relay, answer."""
+
+import time
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+import gevent
+import msgspec
+
+from chervilstall.edge.budget import RepeatBudget
+from chervilstall.edge.caller import CallerWatch
+from chervilstall.edge.exchange import WholeAnswer
+from chervilstall.edge.plain import PlainRelay
+from chervilstall.edge.request import EdgeRequest
+from chervilstall.edge.splits import choose_service
+from chervilstall.edge.streams import StreamBroken, StreamContext, StreamRelay
+from chervilstall.errors import ChervilstallError, ErrorKind
+from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.fleet.records import Configuration, Route
+from chervilstall.ids import WorkspaceName
+from chervilstall.platform import names
+from chervilstall.platform.messages import (
+    AnswerHead,
+    HeaderFields,
+    RequestFields,
+    read_request_fields,
+)
+from chervilstall.telemetry.edge_metrics import EdgeMetrics, Outcome
+from chervilstall.telemetry.story import Story
+from chervilstall.wsgi import (
+    HEADERS_KEY,
+    SOCKET_KEY,
+    TARGET_KEY,
+    Environ,
+    Reply,
+    StartResponse,
+    status_line,
+)
+
+story = Story("edge")
+
+START_UP_S = 0.5
+
+
+class ErrorText(msgspec.Struct, frozen=True):
+    """Body of an answer of the router's own."""
+
+    error: str
+    message: str
+
+
+def error_reply(error: ChervilstallError, request: str = "") -> Reply:
+    """Return the answer of an error, with the time to come back where that helps."""
+    headers = [("Content-Type", "application/json")]
+    if request:
+        headers.append((names.REQUEST_ID, request))
+    if error.answer.is_retry_useful:
+        headers.append((names.RETRY_AFTER, f"{error.retry_after_s:.2f}"))
+    body = msgspec.json.encode(ErrorText(error.kind.value, error.message))
+    return Reply(error.answer.status, body, tuple(headers))
+
+
+@dataclass
+class EdgeApplication:
+    """Answers callers' requests from what is believed of the fleet."""
+
+    beliefs: FleetBeliefs
+    plain: PlainRelay
+    streams: StreamContext
+    budget: RepeatBudget
+    metrics: EdgeMetrics
+    is_draining: bool = False
+    running: int = 0
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        self.running += 1
+        try:
+            yield from self._answer(environ, start_response)
+        finally:
+            self.running -= 1
+
+    def _answer(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterator[bytes]:
+        arrived_s = time.monotonic()
+        fields = read_request_fields(environ[HEADERS_KEY])
+        request = None
+        try:
+            request = self._admit(environ, fields, arrived_s)
+            watch = CallerWatch(environ[SOCKET_KEY], request).start()
+            try:
+                yield from self._relay(request, start_response)
+            finally:
+                watch.stop()
+        except ChervilstallError as error:
+            yield from self._refuse(fields, request, error, start_response, arrived_s)
+
+    def _refuse(
+        self,
+        fields: RequestFields,
+        request: EdgeRequest | None,
+        error: ChervilstallError,
+        start_response: StartResponse,
+        arrived_s: float,
+    ) -> Iterator[bytes]:
+        if request is not None and request.has_caller_left:
+            self._record(request, Outcome.CALLER_LEFT)
+            raise BrokenPipeError(32, "the caller left")
+        story.warning(
+            "refused",
+            request=fields.request,
+            kind=error.kind.value,
+            status=error.answer.status,
+            why=error.message,
+            after_ms=round((time.monotonic() - arrived_s) * 1e3, 1),
+            sends=request.sends if request is not None else 0,
+            route=request.route.name if request is not None else "",
+            retry_after_s=error.retry_after_s if error.answer.is_retry_useful else None,
+        )
+        if request is not None:
+            self._record(request, Outcome.REFUSED)
+        reply = error_reply(error, fields.request)
+        start_response(*self._start(reply.status, reply.headers, len(reply.body)))
+        yield reply.body
+
+    # Admission
+
+    def _admit(
+        self, environ: Environ, fields: RequestFields, arrived_s: float
+    ) -> EdgeRequest:
+        configuration = self.beliefs.configuration
+        if configuration is None:
+            raise ChervilstallError(
+                ErrorKind.NOT_READY, "no configuration is known yet", START_UP_S
+            )
+        size = sum(len(name) + len(value) + 4 for name, value in environ[HEADERS_KEY])
+        if size > configuration.limits.header_bytes:
+            raise ChervilstallError(ErrorKind.HEADERS_TOO_LARGE, f"{size} bytes")
+        target = environ[TARGET_KEY]
+        host = fields.host.rpartition(":")[0] or fields.host
+        route = configuration.route_of(host.lower(), target.partition("?")[0])
+        if route is None:
+            raise ChervilstallError(ErrorKind.NOT_FOUND, "no route matches")
+        workspace = self._workspace(configuration, route, fields)
+        service = configuration.services.get(choose_service(route, fields.request))
+        if service is None:
+            raise ChervilstallError(ErrorKind.NO_TARGET, "the service is not known")
+        body = self._read_body(environ, configuration)
+        deadline_s = arrived_s + route.timeout_s
+        if fields.wait_s is not None:
+            deadline_s = min(deadline_s, arrived_s + fields.wait_s)
+        self.budget.note_request(service.name)
+        return EdgeRequest(
+            fields,
+            environ["REQUEST_METHOD"],
+            target,
+            body,
+            route,
+            service,
+            workspace,
+            arrived_s,
+            deadline_s,
+        )
+
+    def _workspace(
+        self, configuration: Configuration, route: Route, fields: RequestFields
+    ) -> WorkspaceName | None:
+        if not configuration.has_workspaces or route.is_public:
+            return None
+        workspace = configuration.workspaces.get(fields.key)
+        if workspace is None:
+            raise ChervilstallError(ErrorKind.UNAUTHENTICATED, "the key is not known")
+        return workspace
+
+    def _read_body(self, environ: Environ, configuration: Configuration) -> bytes:
+        limits = configuration.limits
+        told = environ.get("CONTENT_LENGTH")
+        if told and int(told) > limits.body_bytes:
+            raise ChervilstallError(ErrorKind.BODY_TOO_LARGE, f"{told} bytes")
+        try:
+            with gevent.Timeout(limits.idle_timeout_s, TimeoutError):
+                body = environ["wsgi.input"].read(limits.body_bytes + 1)
+        except TimeoutError as error:
+            raise ChervilstallError(
+                ErrorKind.REQUEST_TIMEOUT, "the body did not arrive in time"
+            ) from error
+        if len(body) > limits.body_bytes:
+            raise ChervilstallError(ErrorKind.BODY_TOO_LARGE, f"{len(body)} bytes")
+        return body
+
+    # Answers
+
+    def _relay(
+        self, request: EdgeRequest, start_response: StartResponse
+    ) -> Iterator[bytes]:
+        if request.service.pipeline is None:
+            answer = self.plain.answer(request)
+            yield from self._pass_whole(request, answer, start_response)
+            return
+        relay = StreamRelay(self.streams, request)
+        try:
+            begun = relay.begin()
+            if isinstance(begun, WholeAnswer):
+                yield from self._pass_whole(request, begun, start_response)
+                return
+            yield from self._pass_stream(request, relay, begun, start_response)
+        finally:
+            relay.close()
+
+    def _pass_whole(
+        self, request: EdgeRequest, answer: WholeAnswer, start_response: StartResponse
+    ) -> Iterator[bytes]:
+        head = answer.head
+        self._record(request, Outcome.of_status(head.status))
+        start_response(*self._start(head.status, head.headers, len(answer.body)))
+        yield answer.body
+
+    def _pass_stream(
+        self,
+        request: EdgeRequest,
+        relay: StreamRelay,
+        head: AnswerHead,
+        start_response: StartResponse,
+    ) -> Iterator[bytes]:
+        start_response(*self._start(head.status, head.headers, None))
+        self.metrics.first_event(request, time.monotonic() - request.arrived_s)
+        try:
+            yield from relay.events()
+        except StreamBroken as error:
+            outcome = Outcome.BROKEN
+            if request.has_caller_left:
+                outcome = Outcome.CALLER_LEFT
+            self._record(request, outcome)
+            story.warning(
+                "stream broken off",
+                request=request.name,
+                why=str(error),
+                events_passed=request.events_passed,
+                caller_left=request.has_caller_left,
+            )
+            raise BrokenPipeError(32, str(error)) from error
+        self._record(request, Outcome.SERVED)
+
+    def _start(
+        self, status: int, headers: HeaderFields, length: int | None
+    ) -> tuple[str, list[tuple[str, str]]]:
+        """Return status line and headers of an answer of this connection."""
+        fields = list(headers)
+        if length is not None:
+            fields.append(("Content-Length", str(length)))
+        if self.is_draining:
+            fields.append(("Connection", "close"))
+        return status_line(status), fields
+
+    def _record(self, request: EdgeRequest, outcome: Outcome) -> None:
+        elapsed_s = time.monotonic() - request.arrived_s
+        self.metrics.finished(request, outcome, elapsed_s)
+        story.routine(
+            "finished",
+            request=request.name,
+            outcome=outcome.value,
+            route=request.route.name,
+            workspace=request.workspace,
+            after_ms=round(elapsed_s * 1e3, 1),
+            sends=request.sends,
+            events_passed=request.events_passed,
+        )
--- /dev/null
+++ b/src/chervilstall/edge/budget.py
@@ -0,0 +1,60 @@
+"""This router's share of what the fleet may send more than once.
+
+The fleet keeps to a bound without talking: each router may repeat a ratio of its own
+requests and an equal part of the fixed extra, counted over the same sliding window.
+"""
+
+import time
+from collections import defaultdict, deque
+from dataclasses import dataclass, field
+
+from chervilstall.ids import ServiceName
+from chervilstall.settings.node import NodeBounds
+
+SAFETY = 0.9
+"""Part of the share that is used; the rest covers clocks and late arrivals."""
+
+
+@dataclass
+class _Window:
+    requests: deque[float] = field(default_factory=deque)
+    repeats: deque[float] = field(default_factory=deque)
+
+    def forget_before(self, moment_s: float) -> None:
+        for times in (self.requests, self.repeats):
+            while times and times[0] < moment_s:
+                times.popleft()
+
+
+@dataclass
+class RepeatBudget:
+    """Counts requests and repeats of each service in a sliding window.
+
+    `routers` is the number of routers that share the fixed part; it must not be lower
+    than the number that run.
+    """
+
+    bounds: NodeBounds
+    routers: int
+    _windows: dict[ServiceName, _Window] = field(
+        default_factory=lambda: defaultdict(_Window)
+    )
+
+    def note_request(self, service: ServiceName) -> None:
+        """Count a caller's request for a service."""
+        self._window(service).requests.append(time.monotonic())
+
+    def spend(self, service: ServiceName) -> bool:
+        """Take one repeat; False where the window's share is used up."""
+        window = self._window(service)
+        share = self.bounds.retry_extra / max(1, self.routers)
+        allowed = self.bounds.retry_ratio * len(window.requests) + share
+        if len(window.repeats) + 1 > allowed * SAFETY:
+            return False
+        window.repeats.append(time.monotonic())
+        return True
+
+    def _window(self, service: ServiceName) -> _Window:
+        window = self._windows[service]
+        window.forget_before(time.monotonic() - self.bounds.retry_window_s)
+        return window
--- /dev/null
+++ b/src/chervilstall/edge/live.py
@@ -0,0 +1,193 @@
+"""Streams in progress, and the watch that finds the ones that stand still.
+
+A target in the middle of a path that dies lets every request behind it wait for
+seconds. One task looks at all streams, asks the first target of a silent one what it
+waits for, and leads the streams around the target at fault. Where that cannot be done
+the exchange is ended, and its relay goes on over another path.
+"""
+
+import time
+from dataclasses import dataclass, field
+
+import gevent
+
+from chervilstall.edge.exchange import Exchange, Failure
+from chervilstall.edge.request import EdgeRequest
+from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.fleet.records import Target, TargetState
+from chervilstall.ids import RequestId, TargetId
+from chervilstall.paths.choice import PathChooser, PathRequest
+from chervilstall.paths.records import Path
+from chervilstall.platform.targets import (
+    RepathOrder,
+    TargetReport,
+    fetch_report,
+    give_order,
+)
+from chervilstall.telemetry.story import Story
+
+story = Story("edge")
+
+TICK_S = 0.025
+EVENT_SILENCE_S = 0.12
+"""A stream without an event for so long is looked at."""
+
+FIRST_SILENCE_S = 0.35
+"""The same before the first event, while prompts are read."""
+
+ASK_AGAIN_S = 0.1
+HOPELESS_S = 1.2
+"""Silence after which a stream is moved though no target is known to be at fault."""
+
+
+@dataclass
+class LiveStream:
+    """A stream in progress over one exchange. Times are monotonic seconds."""
+
+    request: EdgeRequest
+    exchange: Exchange
+    path: Path
+    last_event_s: float
+    has_event: bool = False
+    is_moving: bool = False
+
+    @property
+    def silence_limit_s(self) -> float:
+        """Return how long the stream may be silent before it is looked at."""
+        return EVENT_SILENCE_S if self.has_event else FIRST_SILENCE_S
+
+    def passes(self, target: Target) -> bool:
+        """Return whether the stream's path goes through a target."""
+        return any(part.target.life == target.life for part in self.path.parts)
+
+
+@dataclass
+class StreamWatch:
+    """Looks after the streams of one router."""
+
+    beliefs: FleetBeliefs
+    chooser: PathChooser
+    streams: dict[RequestId, LiveStream] = field(default_factory=dict)
+    _asking: set[TargetId] = field(default_factory=set)
+    _asked_at_s: dict[TargetId, float] = field(default_factory=dict)
+    _generation: int = -1
+
+    def run(self) -> None:
+        """Look at all streams for the life of the process; one task runs this."""
+        while True:
+            gevent.sleep(TICK_S)
+            self.step()
+
+    def step(self) -> None:
+        """Look at all streams once."""
+        now_s = time.monotonic()
+        for stream in list(self.streams.values()):
+            if stream.request.deadline_s <= now_s:
+                stream.exchange.abort(Failure.TIMEOUT)
+                continue
+            silence_s = now_s - stream.last_event_s
+            if silence_s > HOPELESS_S and not stream.is_moving:
+                self._note_silent(stream, silence_s)
+                stream.exchange.abort(Failure.STALLED)
+                continue
+            if silence_s > stream.silence_limit_s:
+                self._ask(stream.path.first, now_s)
+        if self._generation != self.beliefs.generation:
+            self._generation = self.beliefs.generation
+            self._move_from_leaving()
+
+    def _note_silent(self, stream: LiveStream, silence_s: float) -> None:
+        story.warning(
+            "stream silent",
+            request=stream.request.name,
+            target=stream.path.first.target,
+            silent_s=round(silence_s, 3),
+        )
+
+    def _ask(self, first: Target, now_s: float) -> None:
+        if first.target in self._asking:
+            return
+        if now_s - self._asked_at_s.get(first.target, 0.0) < ASK_AGAIN_S:
+            return
+        self._asking.add(first.target)
+        gevent.spawn(self._find_fault, first)
+
+    def _find_fault(self, first: Target) -> None:
+        try:
+            report = fetch_report(first.address)
+        finally:
+            self._asking.discard(first.target)
+            self._asked_at_s[first.target] = time.monotonic()
+        if report is None:
+            self.beliefs.suspect(first, "gives no report")
+            self._end_streams_of(first)
+            return
+        self._blame(first, report)
+
+    def _end_streams_of(self, first: Target) -> None:
+        now_s = time.monotonic()
+        for stream in list(self.streams.values()):
+            is_silent = now_s - stream.last_event_s > EVENT_SILENCE_S
+            if stream.path.first.life == first.life and is_silent:
+                stream.exchange.abort(Failure.STALLED)
+
+    def _blame(self, first: Target, report: TargetReport) -> None:
+        for address in {each.address for each in report.stalled}:
+            target = self.beliefs.by_address(str(address))
+            if target is None:
+                continue
+            self.beliefs.suspect(target, f"stalls requests at {first.target}")
+            self.move_around(target)
+
+    def move_around(self, target: Target) -> None:
+        """Lead every stream that passes through a target around it."""
+        for stream in list(self.streams.values()):
+            if stream.passes(target) and not stream.is_moving:
+                stream.is_moving = True
+                gevent.spawn(self._move, stream, target)
+
+    def _move_from_leaving(self) -> None:
+        for target in self.beliefs.targets.values():
+            if target.state is not TargetState.DRAINING:
+                continue
+            for stream in list(self.streams.values()):
+                is_first = stream.path.first.life == target.life
+                if stream.passes(target) and not is_first and not stream.is_moving:
+                    stream.is_moving = True
+                    gevent.spawn(self._move, stream, target)
+
+    def _move(self, stream: LiveStream, around: Target) -> None:
+        try:
+            self._move_once(stream, around)
+        finally:
+            stream.is_moving = False
+
+    def _move_once(self, stream: LiveStream, around: Target) -> None:
+        first = stream.path.first
+        is_leaving = around.state is TargetState.DRAINING
+        path = None
+        if first.life != around.life:
+            wanted = PathRequest(
+                stream.request.tokens, frozenset({around.target}), first.target
+            )
+            path = self.chooser.choose(stream.request.service, wanted)
+        if path is None:
+            if not is_leaving:
+                stream.exchange.abort(Failure.STALLED)
+            return
+        answer = give_order(first.address, RepathOrder(stream.request.name, path))
+        story.warning(
+            "stream led around a target",
+            request=stream.request.name,
+            around=around.target,
+            first=first.target,
+            status=answer.status,
+        )
+        if answer.is_accepted:
+            tokens = stream.request.tokens
+            self.chooser.load.remove(stream.path, tokens)
+            stream.path = path
+            self.chooser.load.add(path, tokens)
+            stream.last_event_s = time.monotonic()
+        elif not is_leaving:
+            stream.exchange.abort(Failure.STALLED)
--- /dev/null
+++ b/src/chervilstall/edge/members.py
@@ -0,0 +1,118 @@
+"""How many routers run, so that each can take its share of what all may do."""
+
+import random
+import time
+from dataclasses import dataclass, field
+
+import gevent
+
+from chervilstall.edge.budget import RepeatBudget
+from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.ids import VmId
+from chervilstall.paths.choice import PathChooser
+from chervilstall.platform import names
+from chervilstall.platform.kv import (
+    Entry,
+    Lease,
+    LeaseEnded,
+    PlatformStore,
+)
+from chervilstall.platform.suspects import Suspect, decode_suspect, encode_suspect
+from chervilstall.store.contract import StoreFailed
+from chervilstall.telemetry.story import Story
+
+story = Story("members")
+
+MEMBERS_PREFIX = names.OWN_PREFIX + "routers/"
+SUSPECTS_PREFIX = names.OWN_PREFIX + "suspects/"
+LEASE_S = 60.0
+"""A router that died counts for so long, which only makes shares smaller."""
+
+RENEW_S = 20.0
+RETRY_S = 2.0
+ROUTERS_UNKNOWN = 16
+"""Assumed number of routers until it is known; too many is the safe side."""
+
+
+@dataclass
+class Members:
+    """Registers this router and counts the others.
+
+    The number used never shrinks faster than the leases of routers end. Suspicions of
+    targets are shared the same way, so that the planner and every router know of a
+    dead target that one router has found.
+    """
+
+    vm: VmId
+    store: PlatformStore
+    beliefs: FleetBeliefs
+    budget: RepeatBudget
+    chooser: PathChooser
+    _present: set[str] = field(default_factory=set)
+    _lease: Lease | None = None
+
+    def run(self) -> None:
+        """Register and renew for the life of the process; one task runs this."""
+        while True:
+            try:
+                self._step()
+                gevent.sleep(RENEW_S * random.uniform(0.9, 1.1))
+            except StoreFailed as error:
+                story.warning("not registered", why=error.message)
+                gevent.sleep(RETRY_S * random.uniform(0.7, 1.3))
+
+    def _step(self) -> None:
+        if self._lease is not None:
+            try:
+                self.store.renew_lease(self._lease)
+                return
+            except LeaseEnded:
+                self._lease = None
+        lease = self.store.open_lease(LEASE_S)
+        self.store.write(MEMBERS_PREFIX + self.vm, b"", None, lease.number)
+        self._lease = lease
+
+    def take(self, entry: Entry) -> None:
+        """Take in a change below the product's own prefix."""
+        if entry.key.startswith(MEMBERS_PREFIX):
+            if entry.value is None:
+                self._present.discard(entry.key)
+            else:
+                self._present.add(entry.key)
+            self._share()
+        elif entry.key.startswith(SUSPECTS_PREFIX) and entry.value is not None:
+            self._doubt(entry.value)
+
+    def take_all(self, keys: list[str]) -> None:
+        """Take in a whole reading of the product's own prefix."""
+        self._present = {key for key in keys if key.startswith(MEMBERS_PREFIX)}
+        self._share()
+
+    def _share(self) -> None:
+        routers = max(1, len(self._present))
+        self.budget.routers = routers
+        self.chooser.routers = routers
+
+    def _doubt(self, content: bytes) -> None:
+        suspect = decode_suspect(content)
+        if suspect is None or suspect.reporter == self.vm:
+            return
+        target = self.beliefs.targets.get(suspect.target)
+        if target is None or target.started_at_ms != suspect.started_at_ms:
+            return
+        self.beliefs.suspect(target, f"reported by {suspect.reporter}", shared=False)
+
+    def tell(self, suspect: Suspect) -> None:
+        """Share a suspicion with the other routers; failure is only logged."""
+        key = SUSPECTS_PREFIX + suspect.target
+        lease = self._lease.number if self._lease is not None else 0
+        started_s = time.monotonic()
+        try:
+            self.store.write(key, encode_suspect(suspect), None, lease)
+        except StoreFailed as error:
+            story.warning(
+                "suspicion not shared",
+                target=suspect.target,
+                why=error.message,
+                after_s=round(time.monotonic() - started_s, 2),
+            )
--- /dev/null
+++ b/src/chervilstall/edge/server.py
@@ -0,0 +1,256 @@
+"""A router on one VM: its listeners, its tasks and its orderly end."""
+
+import gc
+import os
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import gevent
+from gevent.event import Event
+
+from chervilstall.edge.app import EdgeApplication, error_reply
+from chervilstall.edge.budget import RepeatBudget
+from chervilstall.edge.live import StreamWatch
+from chervilstall.edge.members import ROUTERS_UNKNOWN, Members
+from chervilstall.edge.plain import PlainChooser, PlainRelay
+from chervilstall.edge.streams import StreamContext
+from chervilstall.errors import ChervilstallError, ErrorKind
+from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.fleet.records import Target
+from chervilstall.lease.holder import LeaseHolder
+from chervilstall.paths.choice import PathChooser
+from chervilstall.placement.runner import Planner
+from chervilstall.platform import names
+from chervilstall.platform.follow import (
+    Follower,
+    configuration_follower,
+    target_follower,
+)
+from chervilstall.platform.kv import PlatformStore
+from chervilstall.platform.leases import PlatformLeases
+from chervilstall.platform.node import read_node
+from chervilstall.platform.suspects import Suspect
+from chervilstall.settings.agents import LeaseSettings
+from chervilstall.settings.ini import SettingsErrors
+from chervilstall.settings.node import NodeSettings
+from chervilstall.settings.option import Address
+from chervilstall.telemetry.collector import tune_collector
+from chervilstall.telemetry.edge_metrics import EdgeMetrics
+from chervilstall.telemetry.story import Story, writer
+from chervilstall.wsgi import Environ, Reply, Server, StartResponse, json_reply
+
+story = Story("router")
+
+PLANNER_LEASE = "planner"
+PLANNER_TTL_S = 4.0
+PLANNER_MARGIN_S = 0.8
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+HOUSEKEEPING_S = 0.5
+BALANCER_S = 3.0
+"""Time in which the balancer sees that a router is no longer ready."""
+
+GRACE_SHARE = 0.92
+DRAIN_TICK_S = 0.05
+MALFORMED_KINDS = {
+    408: ErrorKind.REQUEST_TIMEOUT,
+    413: ErrorKind.BODY_TOO_LARGE,
+    414: ErrorKind.HEADERS_TOO_LARGE,
+    431: ErrorKind.HEADERS_TOO_LARGE,
+    500: ErrorKind.INTERNAL,
+}
+
+
+def malformed_reply(status: int) -> Reply:
+    """Return the answer to a request that HTTP parsing refused."""
+    kind = MALFORMED_KINDS.get(status, ErrorKind.BAD_REQUEST)
+    return error_reply(ChervilstallError(kind, "the request is malformed"))
+
+
+@dataclass
+class Operations:
+    """Readiness for the balancer, and metrics for operators."""
+
+    server: "EdgeServer"
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
+        """Answer one question."""
+        return self._reply(environ["PATH_INFO"]).start(start_response)
+
+    def _reply(self, path: str) -> Reply:
+        match path:
+            case names.READY_PATH:
+                is_ready = self.server.is_ready
+                return json_reply(200 if is_ready else 503, {"ready": is_ready})
+            case "/metrics":
+                text = self.server.exposition().encode()
+                return Reply(200, text, (("Content-Type", "text/plain"),))
+        return json_reply(404, {"error": "no such path"})
+
+
+class EdgeServer:
+    """Everything that one router holds, wired together from its settings."""
+
+    def __init__(self, settings: NodeSettings, settings_path: Path) -> None:
+        self.settings = settings
+        self.settings_path = settings_path
+        self.beliefs = FleetBeliefs(settings.bounds.drain_s)
+        self.store = PlatformStore(settings.store)
+        self.budget = RepeatBudget(settings.bounds, ROUTERS_UNKNOWN)
+        self.chooser = PathChooser(self.beliefs, settings.zone)
+        self.watch = StreamWatch(self.beliefs, self.chooser)
+        self.metrics = EdgeMetrics()
+        self.app = self._application()
+        self.members = Members(
+            settings.vm, self.store, self.beliefs, self.budget, self.chooser
+        )
+        self.lease = LeaseHolder(
+            PlatformLeases(self.store),
+            PLANNER_LEASE,
+            f"{settings.vm}/{os.getpid()}",
+            LeaseSettings(ttl_s=PLANNER_TTL_S, margin_s=PLANNER_MARGIN_S),
+        )
+        self.planner = Planner(self.beliefs, self.lease)
+        self.callers = self._caller_listener()
+        operations = Operations(self)
+        self.ready = Server(settings.ready, operations)
+        self.metrics_listener = Server(
+            Address(settings.ready.host, METRICS_PORT), operations
+        )
+        self.beliefs.tell = self._tell
+        self.is_draining = False
+        self._stopped = Event()
+        self._settings_text = b""
+
+    def _application(self) -> EdgeApplication:
+        plain = PlainRelay(
+            PlainChooser(self.beliefs, self.settings.zone), self.beliefs, self.budget
+        )
+        streams = StreamContext(self.beliefs, self.chooser, self.budget, self.watch)
+        return EdgeApplication(self.beliefs, plain, streams, self.budget, self.metrics)
+
+    def _caller_listener(self) -> Server:
+        return Server(self.settings.callers, self.app, malformed_reply=malformed_reply)
+
+    def _tell(self, target: Target, reason: str) -> None:
+        suspect = Suspect(target.target, target.started_at_ms, self.settings.vm, reason)
+        gevent.spawn(self.members.tell, suspect)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether new callers should come here."""
+        return (
+            not self.is_draining
+            and self.beliefs.configuration is not None
+            and self.beliefs.are_targets_known
+        )
+
+    def start(self) -> None:
+        """Start every task, and serve."""
+        writer.common["vm"] = self.settings.vm
+        gevent.spawn(writer.run)
+        story.info("started", zone=self.settings.zone, pid=os.getpid())
+        own = Follower(
+            self.store,
+            names.OWN_PREFIX,
+            self.beliefs,
+            self.members.take,
+            self.members.take_all,
+        )
+        followers = (
+            configuration_follower(self.store, self.beliefs),
+            target_follower(self.store, self.beliefs),
+            own,
+        )
+        for follower in followers:
+            gevent.spawn(follower.run)
+        self.callers.start()
+        self.ready.start()
+        self.metrics_listener.start()
+        gevent.spawn(self.members.run)
+        gevent.spawn(self.lease.run)
+        gevent.spawn(self.planner.run)
+        gevent.spawn(self.watch.run)
+        gevent.spawn(self._keep_house)
+        tune_collector()
+
+    def _keep_house(self) -> None:
+        while True:
+            gevent.sleep(HOUSEKEEPING_S)
+            self.beliefs.expire()
+            self._apply_limits()
+            self._reread_settings()
+
+    def _apply_limits(self) -> None:
+        configuration = self.beliefs.configuration
+        if configuration is not None:
+            self.callers.header_timeout_s = configuration.limits.header_timeout_s
+            self.callers.idle_timeout_s = configuration.limits.idle_timeout_s
+
+    def reload(self) -> None:
+        """Read the settings again at once."""
+        story.info("reload asked for")
+        self._reread_settings()
+
+    def _reread_settings(self) -> None:
+        """Take in bounds that changed; addresses hold until the next start."""
+        try:
+            text = self.settings_path.read_bytes()
+            if text == self._settings_text:
+                return
+            is_first = not self._settings_text
+            self._settings_text = text
+            settings = read_node(self.settings_path)
+        except (OSError, SettingsErrors) as error:
+            story.error("settings not read", why=str(error))
+            return
+        self.settings = settings
+        self.budget.bounds = settings.bounds
+        self.beliefs.drain_s = settings.bounds.drain_s
+        self.store.settings = settings.store
+        if not is_first:
+            story.info("settings read again")
+
+    def exposition(self) -> str:
+        """Return the metrics as text."""
+        gauges = self.metrics.gauges
+        configuration = self.beliefs.configuration
+        gauges["configuration_version"] = configuration.version if configuration else 0
+        gauges["targets"] = len(self.beliefs.targets)
+        gauges["streams"] = len(self.watch.streams)
+        gauges["requests_running"] = self.app.running
+        gauges["store_calls_total"] = self.store.calls
+        gauges["orders_total"] = self.planner.orders
+        gauges["collections"] = sum(each["collections"] for each in gc.get_stats())
+        return self.metrics.exposition()
+
+    def drain_and_stop(self) -> None:
+        """Stop taking callers, finish what was read, and end."""
+        if self.is_draining:
+            return
+        started_s = time.monotonic()
+        end_s = started_s + self.settings.bounds.grace_s * GRACE_SHARE
+        self.is_draining = True
+        self.app.is_draining = True
+        story.info("draining", running=self.app.running)
+        self.lease.stop()
+        balancer_end_s = min(started_s + BALANCER_S, end_s)
+        while time.monotonic() < balancer_end_s:
+            gevent.sleep(DRAIN_TICK_S)
+        self.callers.close()
+        self.callers.close_idle()
+        while self.app.running and time.monotonic() < end_s:
+            gevent.sleep(DRAIN_TICK_S)
+        story.info(
+            "stopped",
+            unfinished=self.app.running,
+            after_s=round(time.monotonic() - started_s, 2),
+        )
+        self.callers.kill_connections()
+        writer.flush()
+        self._stopped.set()
+
+    def wait(self) -> None:
+        """Wait until the router has stopped."""
+        self._stopped.wait()
--- a/src/chervilstall/errors.py
+++ b/src/chervilstall/errors.py
@@ -36,6 +36,7 @@
     TARGET_REFUSED = "target_refused"
     HOME_UNAVAILABLE = "home_unavailable"
     SHUTTING_DOWN = "shutting_down"
+    NOT_READY = "not_ready"
     OUTCOME_UNKNOWN = "outcome_unknown"
     STREAM_BROKEN = "stream_broken"
     OUTCOME_TOO_LARGE = "outcome_too_large"
@@ -78,6 +79,7 @@
     ErrorKind.TARGET_REFUSED: Answer(503, Ran.NO, True),
     ErrorKind.HOME_UNAVAILABLE: Answer(503, Ran.NO, True),
     ErrorKind.SHUTTING_DOWN: Answer(503, Ran.NO, True),
+    ErrorKind.NOT_READY: Answer(503, Ran.NO, True),
     ErrorKind.OUTCOME_UNKNOWN: Answer(502, Ran.UNKNOWN, False),
     ErrorKind.STREAM_BROKEN: Answer(502, Ran.UNKNOWN, False),
     ErrorKind.OUTCOME_TOO_LARGE: Answer(409, Ran.YES, False),
--- /dev/null
+++ b/src/chervilstall/fleet/beliefs.py
@@ -0,0 +1,215 @@
+"""The present belief about configuration and targets, with the age of each part."""
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from chervilstall.fleet.records import Configuration, Life, Target, TargetState
+from chervilstall.ids import ServiceName, TargetId
+from chervilstall.telemetry.story import Story
+
+story = Story("fleet")
+
+DRAIN_USE_SHARE = 0.5
+"""Share of the drain bound during which a leaving target may still finish a path."""
+
+LAPSE_S = 2.2
+"""Time that a target gets to register again after the store was away."""
+
+SUSPICION_S = 4.0
+"""Longest time a target is avoided on one failure without a later sign of life."""
+
+OUTAGE_MEMORY_S = 3.0
+
+
+@dataclass
+class Suspicion:
+    """Why and until when a target is avoided. `until_s` is in monotonic seconds."""
+
+    reason: str
+    until_s: float
+
+
+@dataclass
+class FleetBeliefs:
+    """What this process holds to be true of the fleet.
+
+    Configurations never go back to a lower version. `generation` grows with every
+    change that may alter a choice of targets, so that choices can be kept until then.
+    """
+
+    drain_s: float
+    configuration: Configuration | None = None
+    targets: dict[TargetId, Target] = field(default_factory=dict)
+    generation: int = 0
+    are_targets_known: bool = False
+    tell: Callable[[Target, str], None] | None = None
+    _suspicions: dict[Life, Suspicion] = field(default_factory=dict)
+    _draining_at_s: dict[Life, float] = field(default_factory=dict)
+    _lapsed_at_s: dict[TargetId, float] = field(default_factory=dict)
+    _outage_end_s: float = float("-inf")
+
+    # Configuration
+
+    def take_configuration(self, configuration: Configuration, revision: int) -> None:
+        """Put a configuration in force unless a newer one is already."""
+        known = self.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self.configuration = configuration
+        self.generation += 1
+        story.info(
+            "configuration in force",
+            version=configuration.version,
+            revision=revision,
+            routes=len(configuration.routes),
+        )
+
+    # Targets
+
+    def take_target(self, target: Target) -> None:
+        """Take in what a target says of itself now."""
+        known = self.targets.get(target.target)
+        if known is not None and known.revision >= target.revision:
+            return
+        self.targets[target.target] = target
+        self._lapsed_at_s.pop(target.target, None)
+        self.generation += 1
+        if target.state is TargetState.DRAINING:
+            self._draining_at_s.setdefault(target.life, time.monotonic())
+        else:
+            self._draining_at_s.pop(target.life, None)
+        if known is not None and known.life == target.life:
+            # A changed entry is a sign of life.
+            self._suspicions.pop(target.life, None)
+        if known is None or known.state is not target.state:
+            self._tell(target)
+
+    def _tell(self, target: Target) -> None:
+        story.info(
+            "target " + target.state.value,
+            target=target.target,
+            address=str(target.address),
+            zone=target.zone,
+            started_at_ms=target.started_at_ms,
+            revision=target.revision,
+        )
+
+    def drop_target(self, name: TargetId) -> None:
+        """Forget a target whose entry is gone.
+
+        Entries lapse while the store is away though their targets live. Just after
+        an outage a lost entry therefore counts only once it stays lost.
+        """
+        if name not in self.targets:
+            return
+        now_s = time.monotonic()
+        if now_s < self._outage_end_s + OUTAGE_MEMORY_S:
+            self._lapsed_at_s.setdefault(name, now_s)
+            return
+        self._forget(name)
+
+    def _forget(self, name: TargetId) -> None:
+        target = self.targets.pop(name)
+        self._lapsed_at_s.pop(name, None)
+        self._draining_at_s.pop(target.life, None)
+        self._suspicions.pop(target.life, None)
+        self.generation += 1
+        story.info("target gone", target=name, address=str(target.address))
+
+    def keep_only(self, names: Iterable[TargetId]) -> None:
+        """Drop every target that a whole reading of the store did not show."""
+        present = set(names)
+        for name in list(self.targets):
+            if name not in present:
+                self.drop_target(name)
+        self.are_targets_known = True
+
+    def note_outage(self) -> None:
+        """Remember that the store does not answer at this moment."""
+        self._outage_end_s = time.monotonic()
+
+    def expire(self) -> None:
+        """Forget lapsed targets and ended suspicions; called about once a second."""
+        now_s = time.monotonic()
+        for name, lapsed_at_s in list(self._lapsed_at_s.items()):
+            if now_s - lapsed_at_s > LAPSE_S:
+                self._forget(name)
+        for life, suspicion in list(self._suspicions.items()):
+            if now_s >= suspicion.until_s:
+                del self._suspicions[life]
+                self.generation += 1
+
+    # Doubt
+
+    def suspect(
+        self,
+        target: Target,
+        reason: str,
+        for_s: float = SUSPICION_S,
+        shared: bool = True,
+    ) -> bool:
+        """Avoid a target for a while; True where it was not yet avoided.
+
+        With `shared`, a long suspicion that is new is told to the other routers.
+        """
+        is_new = target.life not in self._suspicions
+        until_s = time.monotonic() + for_s
+        self._suspicions[target.life] = Suspicion(reason, until_s)
+        if is_new:
+            self.generation += 1
+            story.warning(
+                "target suspected",
+                target=target.target,
+                address=str(target.address),
+                reason=reason,
+            )
+            if shared and for_s >= SUSPICION_S and self.tell is not None:
+                self.tell(target, reason)
+        return is_new
+
+    def trust(self, target: Target) -> None:
+        """Take a target's answer as a sign of life."""
+        if self._suspicions.pop(target.life, None) is not None:
+            self.generation += 1
+            story.info("target trusted", target=target.target)
+
+    def is_suspect(self, target: Target) -> bool:
+        """Return whether a target is avoided at present."""
+        return target.life in self._suspicions
+
+    # Choice
+
+    def targets_of(self, service: ServiceName) -> list[Target]:
+        """Return the targets of a service that may get new work."""
+        return [
+            target
+            for target in self.targets.values()
+            if target.service == service and self.is_open(target)
+        ]
+
+    def is_open(self, target: Target) -> bool:
+        """Return whether a target may get new work by its own word."""
+        return self.targets.get(target.target) == target and (
+            target.state is TargetState.READY
+        )
+
+    def is_usable(self, target: Target) -> bool:
+        """Return whether a target may take part in new work if nothing else can.
+
+        A target that is leaving stays usable for a part of the time that it promised
+        to go on.
+        """
+        if self.targets.get(target.target) != target:
+            return False
+        if target.state is TargetState.READY:
+            return True
+        draining_at_s = self._draining_at_s.get(target.life, float("-inf"))
+        return time.monotonic() - draining_at_s < self.drain_s * DRAIN_USE_SHARE
+
+    def by_address(self, address: str) -> Target | None:
+        """Return the newest target at an address."""
+        found = [
+            target for target in self.targets.values() if str(target.address) == address
+        ]
+        return max(found, key=lambda target: target.started_at_ms, default=None)
--- a/src/chervilstall/idempotency/home.py
+++ b/src/chervilstall/idempotency/home.py
@@ -38,9 +38,9 @@
     Repeated,
     Unavailable,
 )
-from chervilstall.platform.contract import Store, StoreFailed
 from chervilstall.rendezvous import rendezvous_choice
 from chervilstall.settings.agents import IdempotencySettings
+from chervilstall.store.contract import Store, StoreFailed
 
 CLEANING_INTERVAL_S = 5.0
 CLOCK_SKEW_S = 2.0
--- a/src/chervilstall/idempotency/log.py
+++ b/src/chervilstall/idempotency/log.py
@@ -16,7 +16,7 @@
     segment_prefix,
 )
 from chervilstall.ids import ChangeId, SlotName, new_change_id
-from chervilstall.platform.contract import ABSENT_VERSION, Store, StoreFailed
+from chervilstall.store.contract import ABSENT_VERSION, Store, StoreFailed
 
 RETRY_S = 0.05
 DELETES_PER_CLEANING = 50
--- a/src/chervilstall/lease/holder.py
+++ b/src/chervilstall/lease/holder.py
@@ -15,8 +15,8 @@
 
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import Epoch
-from chervilstall.platform.contract import LeaseRecord, Store, StoreFailed
 from chervilstall.settings.agents import LeaseSettings
+from chervilstall.store.contract import LeaseRecord, LeaseStore, StoreFailed
 
 RENEWALS_PER_TTL = 3
 Clock = Callable[[], float]
@@ -57,7 +57,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: LeaseStore,
         name: str,
         holder: str,
         settings: LeaseSettings,
--- a/src/chervilstall/measure/agents.py
+++ b/src/chervilstall/measure/agents.py
@@ -17,10 +17,10 @@
 
 from chervilstall.agent.runtime import AgentRuntime, AgentSettings
 from chervilstall.ids import Revision, VmId, ZoneName
-from chervilstall.platform.client import HttpStore
 from chervilstall.settings.agents import PeerSettings, StoreSettings
 from chervilstall.settings.option import Address, parse_address
 from chervilstall.settings.processes import VmSettings
+from chervilstall.store.client import HttpStore
 
 ANY = Address("127.0.0.1", 0)
 SOCKETS_MAX = 16_000
--- a/src/chervilstall/measure/control.py
+++ b/src/chervilstall/measure/control.py
@@ -19,10 +19,10 @@
 from chervilstall.ids import VmId, ZoneName, new_change_id
 from chervilstall.measure.figures import percentile, rounded, slope
 from chervilstall.measure.processes import HelperProcess, start_helper
-from chervilstall.platform.client import HttpStore
-from chervilstall.platform.contract import VmRecord
 from chervilstall.settings.agents import StoreSettings
 from chervilstall.settings.option import Address, parse_address
+from chervilstall.store.client import HttpStore
+from chervilstall.store.contract import VmRecord
 
 ZONES = 3
 AGENTS_PER_PROCESS = 40
--- a/src/chervilstall/membership/table.py
+++ b/src/chervilstall/membership/table.py
@@ -10,8 +10,8 @@
 
 from chervilstall.ids import InstanceId, VmId, ZoneName
 from chervilstall.peer.messages import MemberState, MemberUpdate, Role
-from chervilstall.platform.contract import VmRecord, VmState
 from chervilstall.settings.option import Address
+from chervilstall.store.contract import VmRecord, VmState
 
 UPDATES_PER_MESSAGE = 8
 RETELLINGS_FACTOR = 3
--- /dev/null
+++ b/src/chervilstall/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing the targets that a request of a model pipeline passes through."""
--- /dev/null
+++ b/src/chervilstall/paths/choice.py
@@ -0,0 +1,209 @@
+"""The cheapest path of a request through targets that hold parts of a model.
+
+Cost is counted in milliseconds per token step: the pass time of each part, a hop for
+each target, and penalties for leaving an availability zone, for targets short of
+memory and for targets that are leaving. The search goes from layer to layer and keeps
+the cheapest way to finish a boundary on each target, so that its work grows with the
+targets and not with the paths.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.fleet.records import (
+    BYTES_PER_MB,
+    LayerRange,
+    Pipeline,
+    Service,
+    Target,
+    TargetState,
+)
+from chervilstall.ids import TargetId, ZoneName
+from chervilstall.paths.load import LoadBook
+from chervilstall.paths.records import Path, PathPart
+
+HOP_MS = 0.3
+ZONE_CHANGE_MS = 8.0
+LEAVING_MS = 60.0
+REQUEST_MS = 0.02
+"""Added per request of this router already at the target."""
+
+FULL_MS = 40.0
+"""Added where a target's memory is expected to be used up."""
+
+PARTS_MAX = 32
+UNKNOWN_STEP_FACTOR = 20.0
+MEMORY_ROUNDING = 1e-9
+
+
+@dataclass(frozen=True)
+class PathRequest:
+    """What a request needs: its tokens, targets to avoid, and its first target."""
+
+    tokens: float
+    avoid: frozenset[TargetId] = frozenset()
+    first: TargetId | None = None
+
+
+@dataclass
+class _Step:
+    """The cheapest way found to run all layers up to a boundary, ending on a target."""
+
+    cost_ms: float
+    part: PathPart
+    before: "_Step | None"
+
+
+@dataclass
+class PathChooser:
+    """Chooses paths for the requests of one router."""
+
+    beliefs: FleetBeliefs
+    zone: ZoneName
+    routers: int = 1
+    load: LoadBook = field(default_factory=LoadBook)
+
+    def choose(self, service: Service, request: PathRequest) -> Path | None:
+        """Return the cheapest path, or None where the layers are not covered."""
+        assert service.pipeline is not None
+        targets = self._targets(service, request)
+        path = self._search(service.pipeline, targets, request, may_leave_early=True)
+        if path is not None and not _is_sound(path):
+            path = self._search(
+                service.pipeline, targets, request, may_leave_early=False
+            )
+        if path is None or not _is_sound(path):
+            return None
+        return path
+
+    def _targets(self, service: Service, request: PathRequest) -> list[Target]:
+        chosen: list[Target] = []
+        for target in self.beliefs.targets.values():
+            if target.service != service.name or not len(target.layers):
+                continue
+            if target.target in request.avoid or self.beliefs.is_suspect(target):
+                continue
+            if self.beliefs.is_usable(target):
+                chosen.append(target)
+        return chosen
+
+    def _search(
+        self,
+        pipeline: Pipeline,
+        targets: list[Target],
+        request: PathRequest,
+        may_leave_early: bool,
+    ) -> Path | None:
+        boundaries = _boundaries(targets, pipeline.layers)
+        layer_ms = {
+            target.target: self._layer_ms(pipeline, target) for target in targets
+        }
+        fixed_ms = {
+            target.target: self._fixed_ms(pipeline, target, request.tokens)
+            for target in targets
+        }
+        reached: dict[int, dict[TargetId, _Step]] = defaultdict(dict)
+        for boundary in boundaries:
+            if boundary >= pipeline.layers:
+                break
+            for target in targets:
+                if not target.layers.first <= boundary < target.layers.end:
+                    continue
+                entry = self._entry(boundary, target, reached[boundary], request)
+                if entry is None:
+                    continue
+                entry_ms, before = entry
+                entry_ms += fixed_ms[target.target]
+                for end in _exits(boundary, target, boundaries, may_leave_early):
+                    layers = LayerRange(boundary, min(end, pipeline.layers))
+                    cost_ms = entry_ms + len(layers) * layer_ms[target.target]
+                    known = reached[layers.end].get(target.target)
+                    if known is None or cost_ms < known.cost_ms:
+                        step = _Step(cost_ms, PathPart(target, layers), before)
+                        reached[layers.end][target.target] = step
+        ends = reached[pipeline.layers].values()
+        best = min(ends, key=lambda step: step.cost_ms, default=None)
+        return None if best is None else Path(_parts(best))
+
+    def _entry(
+        self,
+        boundary: int,
+        target: Target,
+        finished: dict[TargetId, _Step],
+        request: PathRequest,
+    ) -> tuple[float, _Step | None] | None:
+        """Return the cheapest cost of entering a target at a boundary."""
+        if boundary == 0:
+            if request.first is not None and target.target != request.first:
+                return None
+            is_away = target.zone != self.zone
+            return (ZONE_CHANGE_MS if is_away else 0.0), None
+        best: tuple[float, _Step | None] | None = None
+        for name, step in finished.items():
+            if name == target.target:
+                continue
+            cost_ms = step.cost_ms
+            if step.part.target.zone != target.zone:
+                cost_ms += ZONE_CHANGE_MS
+            if best is None or cost_ms < best[0]:
+                best = cost_ms, step
+        return best
+
+    def _layer_ms(self, pipeline: Pipeline, target: Target) -> float:
+        kind = pipeline.kinds.get(target.kind)
+        factor = kind.step_factor if kind is not None else UNKNOWN_STEP_FACTOR
+        return pipeline.step_ms * factor / pipeline.layers
+
+    def _fixed_ms(self, pipeline: Pipeline, target: Target, tokens: float) -> float:
+        cost_ms = HOP_MS + REQUEST_MS * self.load.requests.get(target.life, 0)
+        if target.state is TargetState.DRAINING:
+            cost_ms += LEAVING_MS
+        if self.load.is_full(target.life):
+            cost_ms += FULL_MS
+        capacity = token_capacity(pipeline, target)
+        own_tokens = self.load.tokens.get(target.life, 0.0) + tokens
+        use = own_tokens * self.routers / max(capacity, 1.0)
+        return cost_ms + FULL_MS * max(0.0, use - 0.5) ** 2
+
+
+def token_capacity(pipeline: Pipeline, target: Target) -> float:
+    """Return the tokens of requests that fit beside the layers a target holds."""
+    kind = pipeline.kinds.get(target.kind)
+    held = len(target.layers)
+    if kind is None or not held:
+        return 0.0
+    free_mb = kind.memory_mb - held * pipeline.layer_mb
+    token_mb = pipeline.token_bytes / pipeline.layers * held / BYTES_PER_MB
+    return max(0.0, free_mb / max(token_mb, MEMORY_ROUNDING))
+
+
+def _boundaries(targets: Iterable[Target], layers: int) -> list[int]:
+    found = {0, layers}
+    for target in targets:
+        found.add(target.layers.first)
+        found.add(target.layers.end)
+    return sorted(found)
+
+
+def _exits(
+    boundary: int, target: Target, boundaries: list[int], may_leave_early: bool
+) -> list[int]:
+    if not may_leave_early:
+        return [target.layers.end]
+    return [end for end in boundaries if boundary < end <= target.layers.end]
+
+
+def _parts(step: _Step) -> tuple[PathPart, ...]:
+    parts: list[PathPart] = []
+    current: _Step | None = step
+    while current is not None:
+        parts.append(current.part)
+        current = current.before
+    return tuple(reversed(parts))
+
+
+def _is_sound(path: Path) -> bool:
+    names = {part.target.target for part in path.parts}
+    return len(names) == len(path.parts) <= PARTS_MAX
--- /dev/null
+++ b/src/chervilstall/paths/load.py
@@ -0,0 +1,41 @@
+"""Work of this router's own requests at each target, and what targets refused."""
+
+import time
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from chervilstall.fleet.records import Life
+from chervilstall.paths.records import Path
+
+
+@dataclass
+class LoadBook:
+    """Counts of own requests in flight and of their tokens, by start of a target."""
+
+    requests: dict[Life, int] = field(default_factory=lambda: defaultdict(int))
+    tokens: dict[Life, float] = field(default_factory=lambda: defaultdict(float))
+    _full_until_s: dict[Life, float] = field(default_factory=dict)
+
+    def add(self, path: Path, tokens: float) -> None:
+        """Count a request that begins on `path`."""
+        for part in path.parts:
+            self.requests[part.target.life] += 1
+            self.tokens[part.target.life] += tokens
+
+    def remove(self, path: Path, tokens: float) -> None:
+        """Count a request off that had begun on `path`."""
+        for part in path.parts:
+            life = part.target.life
+            self.requests[life] -= 1
+            self.tokens[life] -= tokens
+            if self.requests[life] <= 0:
+                del self.requests[life]
+                del self.tokens[life]
+
+    def note_full(self, life: Life, for_s: float) -> None:
+        """Remember that a target had no room just now."""
+        self._full_until_s[life] = time.monotonic() + for_s
+
+    def is_full(self, life: Life) -> bool:
+        """Return whether a target had no room a moment ago."""
+        return self._full_until_s.get(life, 0.0) > time.monotonic()
--- /dev/null
+++ b/src/chervilstall/paths/records.py
@@ -0,0 +1,31 @@
+"""Paths of requests through the parts of a model pipeline."""
+
+from dataclasses import dataclass
+
+from chervilstall.fleet.records import LayerRange, Target
+from chervilstall.settings.option import Address
+
+
+@dataclass(frozen=True)
+class PathPart:
+    """One target of a path and the layers that it runs for the request."""
+
+    target: Target
+    layers: LayerRange
+
+    @property
+    def address(self) -> Address:
+        """Return the target's address."""
+        return self.target.address
+
+
+@dataclass(frozen=True)
+class Path:
+    """Targets that together run every layer once and in order."""
+
+    parts: tuple[PathPart, ...]
+
+    @property
+    def first(self) -> Target:
+        """Return the target that receives the request."""
+        return self.parts[0].target
--- a/src/chervilstall/peer/messages.py
+++ b/src/chervilstall/peer/messages.py
@@ -21,7 +21,7 @@
     Unavailable,
 )
 from chervilstall.peer.shares import ShareGrant, ShareRequest
-from chervilstall.platform.contract import VmRecord
+from chervilstall.store.contract import VmRecord
 
 
 class MemberState(Enum):
--- /dev/null
+++ b/src/chervilstall/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Deciding which layers each target holds, and seeing that it does."""
--- /dev/null
+++ b/src/chervilstall/placement/plan.py
@@ -0,0 +1,244 @@
+"""Which layers each target of a model should hold.
+
+Each availability zone that has the memory covers the whole model by itself, so that a
+zone that is cut off goes on. What is left over holds second copies. A missing range
+is filled from targets that are empty or hold what others hold too, then by growing
+the neighbours of the gap. Nothing else moves.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from chervilstall.fleet.records import NO_LAYERS, LayerRange, Pipeline
+from chervilstall.ids import TargetId, ZoneName
+
+ROOM_MIN_REQUESTS = 20.0
+"""Requests of usual size that a cover must hold at once to be worth its loads."""
+
+ROOM_STEPS = 40
+
+
+@dataclass(frozen=True)
+class Holder:
+    """A target that can hold layers, with what it holds or was just told to hold."""
+
+    target: TargetId
+    zone: ZoneName
+    memory_mb: float
+    layers: LayerRange
+
+
+@dataclass(frozen=True)
+class Placement:
+    """A target and the layers that it should hold from now on."""
+
+    target: TargetId
+    layers: LayerRange
+
+
+@dataclass
+class GroupPlan:
+    """Work on one group of targets that covers the model by itself."""
+
+    pipeline: Pipeline
+    holders: list[Holder]
+    room_tokens: float
+    changes: dict[TargetId, LayerRange] = field(default_factory=dict)
+
+    def layers_of(self, holder: Holder) -> LayerRange:
+        """Return what a target holds after the changes so far."""
+        return self.changes.get(holder.target, holder.layers)
+
+    def counts(self) -> list[int]:
+        """Return how many targets hold each layer after the changes so far."""
+        counts = [0] * self.pipeline.layers
+        for holder in self.holders:
+            layers = self.layers_of(holder)
+            for layer in range(layers.first, min(layers.end, len(counts))):
+                counts[layer] += 1
+        return counts
+
+    def size_of(self, holder: Holder) -> int:
+        """Return how many layers a target should hold beside its requests."""
+        return self.pipeline.layers_max(holder.memory_mb, self.room_tokens)
+
+
+def plan(pipeline: Pipeline, holders: Iterable[Holder]) -> list[Placement]:
+    """Return the changes that restore the covers and their second copies."""
+    changes: list[Placement] = []
+    for group in groups(pipeline, holders):
+        work = GroupPlan(pipeline, group, room_tokens(pipeline, group))
+        _fill_gaps(work)
+        _copy_with_the_rest(work)
+        for name, layers in work.changes.items():
+            changes.append(Placement(name, layers))
+    return changes
+
+
+def groups(pipeline: Pipeline, holders: Iterable[Holder]) -> list[list[Holder]]:
+    """Split targets into groups that can each cover the model.
+
+    A zone is a group of its own where its memory allows; the others join.
+    """
+    zones: dict[ZoneName, list[Holder]] = defaultdict(list)
+    for holder in holders:
+        zones[holder.zone].append(holder)
+    found: list[list[Holder]] = []
+    joined: list[Holder] = []
+    for zone in sorted(zones):
+        members = sorted(zones[zone], key=lambda each: each.target)
+        if _total_layers(pipeline, members, _room_min(pipeline)) >= pipeline.layers:
+            found.append(members)
+        else:
+            joined.extend(members)
+    if joined:
+        found.append(joined)
+    return found
+
+
+def _room_min(pipeline: Pipeline) -> float:
+    return ROOM_MIN_REQUESTS * pipeline.usual_tokens
+
+
+def _total_layers(pipeline: Pipeline, holders: Iterable[Holder], tokens: float) -> int:
+    return sum(pipeline.layers_max(each.memory_mb, tokens) for each in holders)
+
+
+def room_tokens(pipeline: Pipeline, holders: list[Holder]) -> float:
+    """Return the tokens of requests that every target keeps memory for.
+
+    It is the most with which the group still covers the model after the loss of its
+    largest target, or, where that leaves too little, with which it covers it at all.
+    """
+    room_min = _room_min(pipeline)
+    for spare in (True, False):
+        room = 0.0
+        for step in range(ROOM_STEPS, 0, -1):
+            tokens = room_min * 8.0 * step / ROOM_STEPS
+            sizes = [pipeline.layers_max(each.memory_mb, tokens) for each in holders]
+            needed = pipeline.layers + (max(sizes, default=0) if spare else 0)
+            if sum(sizes) >= needed:
+                room = tokens
+                break
+        if room >= room_min:
+            return room
+    return room
+
+
+def gaps(counts: list[int]) -> list[LayerRange]:
+    """Return the ranges of layers that nobody holds."""
+    found: list[LayerRange] = []
+    first = None
+    for layer, count in enumerate([*counts, 1]):
+        if count == 0 and first is None:
+            first = layer
+        if count and first is not None:
+            found.append(LayerRange(first, layer))
+            first = None
+    return found
+
+
+def _fill_gaps(work: GroupPlan) -> None:
+    missing = gaps(work.counts())
+    if not missing:
+        return
+    free = _free(work)
+    for gap in missing:
+        _fill(work, gap, free)
+
+
+def _free(work: GroupPlan) -> list[Holder]:
+    """Return targets that can take other layers, the largest last.
+
+    Empty targets come first in use, then those whose layers others hold as well.
+    """
+    counts = work.counts()
+    empty: list[Holder] = []
+    spare: list[Holder] = []
+    for holder in work.holders:
+        layers = work.layers_of(holder)
+        if not work.size_of(holder):
+            continue
+        if not len(layers):
+            empty.append(holder)
+            continue
+        if all(counts[layer] > 1 for layer in range(layers.first, layers.end)):
+            spare.append(holder)
+            for layer in range(layers.first, layers.end):
+                counts[layer] -= 1
+    return sorted(spare, key=work.size_of) + sorted(empty, key=work.size_of)
+
+
+def _fill(work: GroupPlan, gap: LayerRange, free: list[Holder]) -> None:
+    """Fill one gap, from its first layer on."""
+    first = gap.first
+    while first < gap.end and free:
+        holder = _best_fit(work, free, gap.end - first)
+        free.remove(holder)
+        end = min(gap.end, first + work.size_of(holder))
+        work.changes[holder.target] = LayerRange(first, end)
+        first = end
+    if first < gap.end:
+        _grow_neighbours(work, LayerRange(first, gap.end))
+
+
+def _best_fit(work: GroupPlan, free: list[Holder], needed: int) -> Holder:
+    """Return the smallest target that closes the gap, else the largest one."""
+    closing = [holder for holder in free if work.size_of(holder) >= needed]
+    if closing:
+        return min(closing, key=work.size_of)
+    return max(free, key=work.size_of)
+
+
+def _grow_neighbours(work: GroupPlan, gap: LayerRange) -> None:
+    """Let targets beside a gap hold more, down to the least memory for requests."""
+    first, end = gap.first, gap.end
+    for holder in work.holders:
+        layers = work.layers_of(holder)
+        most = work.pipeline.layers_max(
+            holder.memory_mb, _room_min(work.pipeline) / 2.0
+        )
+        extra = most - len(layers)
+        if extra <= 0 or not len(layers) or first >= end:
+            continue
+        if layers.end == first:
+            taken = min(extra, end - first)
+            work.changes[holder.target] = LayerRange(layers.first, first + taken)
+            first += taken
+        elif layers.first == end:
+            taken = min(extra, end - first)
+            work.changes[holder.target] = LayerRange(end - taken, layers.end)
+            end -= taken
+
+
+def _copy_with_the_rest(work: GroupPlan) -> None:
+    """Give empty targets second copies of what only one target holds."""
+    if gaps(work.counts()):
+        return
+    empty = [each for each in work.holders if not len(work.layers_of(each))]
+    for holder in sorted(empty, key=work.size_of, reverse=True):
+        size = work.size_of(holder)
+        if size:
+            work.changes[holder.target] = _copy_range(work, size)
+
+
+def _copy_range(work: GroupPlan, size: int) -> LayerRange:
+    """Return the range of `size` layers that is held by the fewest targets.
+
+    It begins where another target's range begins, so that paths can use it.
+    """
+    counts = work.counts()
+    starts = {work.layers_of(each).first for each in work.holders}
+    starts.add(0)
+    best = NO_LAYERS
+    best_rank: tuple[float, int] | None = None
+    for start in sorted(starts):
+        end = min(start + size, work.pipeline.layers)
+        if end <= start:
+            continue
+        mean = sum(counts[start:end]) / (end - start)
+        rank = (mean, start)
+        if best_rank is None or rank < best_rank:
+            best, best_rank = LayerRange(start, end), rank
+    return best
--- /dev/null
+++ b/src/chervilstall/placement/runner.py
@@ -0,0 +1,200 @@
+"""Carrying placements out: one holder of a lease gives orders to targets."""
+
+import time
+from dataclasses import dataclass, field
+
+import gevent
+
+from chervilstall.errors import ChervilstallError
+from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.fleet.records import (
+    LayerRange,
+    Life,
+    Pipeline,
+    Service,
+    Target,
+    TargetState,
+)
+from chervilstall.lease.holder import LeaseHolder, Tenure
+from chervilstall.placement.plan import Holder, Placement, plan
+from chervilstall.platform.targets import PlaceOrder, fetch_report, give_order
+from chervilstall.telemetry.story import Story
+
+story = Story("planner")
+
+TICK_S = 0.05
+IDLE_S = 1.0
+ARRIVAL_GAP_S = 0.8
+ARRIVAL_MAX_S = 5.0
+REST_S = 1.0
+ORDER_BEGUN = 202
+ORDER_SLACK_S = 2.0
+"""Time beyond the expected load after which an order counts as lost."""
+
+
+@dataclass(frozen=True)
+class PendingOrder:
+    """An order that was given and is not yet seen in the target's own entry."""
+
+    layers: LayerRange
+    until_s: float
+
+
+@dataclass
+class Planner:
+    """Keeps the layers of every model service placed while it holds the lease."""
+
+    beliefs: FleetBeliefs
+    lease: LeaseHolder
+    orders: int = 0
+    _pending: dict[Life, PendingOrder] = field(default_factory=dict)
+    _orders_begun: dict[Life, int] = field(default_factory=dict)
+    _rest_until_s: dict[Life, float] = field(default_factory=dict)
+    _targets_seen: set[Life] = field(default_factory=set)
+    _arrived_at_s: float = field(default_factory=time.monotonic)
+    _first_seen_s: float = field(default_factory=time.monotonic)
+    _generation: int = -1
+    _planned_at_s: float = float("-inf")
+
+    def run(self) -> None:
+        """Plan for the life of the process; one task runs this."""
+        while True:
+            gevent.sleep(TICK_S)
+            self.step()
+
+    def step(self) -> None:
+        """Plan once where something changed and the lease is held."""
+        configuration = self.beliefs.configuration
+        if configuration is None or not self.beliefs.are_targets_known:
+            return
+        is_due = time.monotonic() - self._planned_at_s > IDLE_S
+        if self._generation == self.beliefs.generation and not is_due:
+            return
+        try:
+            tenure = self.lease.check()
+        except ChervilstallError:
+            # Another router plans.
+            self._pending.clear()
+            self._orders_begun.clear()
+            return
+        if self._is_arriving():
+            return
+        self._generation = self.beliefs.generation
+        self._planned_at_s = time.monotonic()
+        for service in configuration.services.values():
+            if service.pipeline is not None:
+                self._plan_service(service, service.pipeline, tenure)
+
+    def _is_arriving(self) -> bool:
+        """Return whether a fleet that holds nothing yet is still registering.
+
+        A plan for the first few targets of a fleet would be a bad one for all.
+        """
+        now_s = time.monotonic()
+        present = {target.life for target in self.beliefs.targets.values()}
+        if not present <= self._targets_seen:
+            self._arrived_at_s = now_s
+        self._targets_seen = present
+        if now_s - self._first_seen_s > ARRIVAL_MAX_S:
+            return False
+        if any(len(target.layers) for target in self.beliefs.targets.values()):
+            return False
+        return now_s - self._arrived_at_s < ARRIVAL_GAP_S
+
+    def _plan_service(
+        self, service: Service, pipeline: Pipeline, tenure: Tenure
+    ) -> None:
+        targets = {
+            target.target: target
+            for target in self.beliefs.targets.values()
+            if target.service == service.name
+            and target.state is TargetState.READY
+            and not self.beliefs.is_suspect(target)
+            and target.kind in pipeline.kinds
+            and self._rest_until_s.get(target.life, 0.0) < time.monotonic()
+        }
+        holders = [
+            Holder(
+                target.target,
+                target.zone,
+                pipeline.kinds[target.kind].memory_mb,
+                self._held(target),
+            )
+            for target in targets.values()
+        ]
+        changes = plan(pipeline, holders)
+        for placement in changes:
+            target = targets[placement.target]
+            if placement.layers == self._held(target):
+                continue
+            self._remember(target, placement, pipeline, len(changes))
+            gevent.spawn(self._order, target, placement, tenure)
+
+    def _held(self, target: Target) -> LayerRange:
+        """Return what a target holds, or will hold by the last order."""
+        pending = self._pending.get(target.life)
+        if pending is None:
+            return target.layers
+        is_over = time.monotonic() > pending.until_s
+        if is_over or pending.layers == target.layers:
+            del self._pending[target.life]
+            return target.layers
+        return pending.layers
+
+    def _remember(
+        self, target: Target, placement: Placement, pipeline: Pipeline, loads: int
+    ) -> None:
+        rounds = max(1.0, loads / pipeline.loads_at_once)
+        share = len(placement.layers) / pipeline.layers
+        load_s = pipeline.load_s * share * rounds
+        until_s = time.monotonic() + load_s + ORDER_SLACK_S
+        self._pending[target.life] = PendingOrder(placement.layers, until_s)
+
+    def _order(self, target: Target, placement: Placement, tenure: Tenure) -> None:
+        try:
+            self.lease.check()
+        except ChervilstallError as error:
+            story.warning("order not given", target=target.target, why=error.message)
+            return
+        orders_begun = self._count_orders(target)
+        if orders_begun is None:
+            self._give_up(target)
+            return
+        order = PlaceOrder(placement.layers, orders_begun, tenure.epoch)
+        self.orders += 1
+        answer = give_order(target.address, order)
+        story.info(
+            "order given",
+            target=target.target,
+            first=placement.layers.first,
+            end=placement.layers.end,
+            expected_orders=orders_begun,
+            fence=tenure.epoch,
+            status=answer.status,
+            text=answer.text,
+        )
+        if answer.status == ORDER_BEGUN:
+            self._orders_begun[target.life] = orders_begun + 1
+        elif answer.status == 0:
+            # The order may be carried out, now or later.
+            self._orders_begun.pop(target.life, None)
+        elif not answer.is_accepted:
+            self._give_up(target)
+
+    def _count_orders(self, target: Target) -> int | None:
+        """Return how many orders a target began, asking it where that is not known."""
+        known = self._orders_begun.get(target.life)
+        if known is not None:
+            return known
+        report = fetch_report(target.address)
+        if report is None:
+            self.beliefs.suspect(target, "gives no report")
+            return None
+        self._orders_begun[target.life] = report.orders_begun
+        return report.orders_begun
+
+    def _give_up(self, target: Target) -> None:
+        """Leave a target alone for a while after an order that it refused."""
+        self._pending.pop(target.life, None)
+        self._orders_begun.pop(target.life, None)
+        self._rest_until_s[target.life] = time.monotonic() + REST_S
--- a/src/chervilstall/planner/runtime.py
+++ b/src/chervilstall/planner/runtime.py
@@ -21,11 +21,11 @@
     Step,
     plan_steps,
 )
-from chervilstall.platform.contract import Store
 from chervilstall.settings.agents import LeaseSettings, PlannerSettings, StoreSettings
 from chervilstall.settings.documents import TargetDocument, TargetKind
 from chervilstall.settings.ini import MistakeLog, SettingsErrors, parse_ini
 from chervilstall.settings.processes import TargetSettings, VmSettings
+from chervilstall.store.contract import Store
 from chervilstall.target.contract import FencedOrder, OrderKind, TargetState
 from chervilstall.target.engine_client import HttpEngineClient
 from chervilstall.telemetry.logs import PartLog
--- a/src/chervilstall/platform/__init__.py
+++ b/src/chervilstall/platform/__init__.py
@@ -1,1 +1,4 @@
-"""Contracts and clients of the platform: its key-value store and its VM list."""
+"""The platform's names, formats and calls, decoded into the project's own types.
+
+Nothing here decides anything, and no name of the wire is used outside.
+"""
--- /dev/null
+++ b/src/chervilstall/platform/config.py
@@ -0,0 +1,169 @@
+"""The operator's configuration, as the store holds it."""
+
+import msgspec
+
+from chervilstall.fleet.records import (
+    CallerLimits,
+    Configuration,
+    Pipeline,
+    Route,
+    RouteKind,
+    Service,
+    SplitPart,
+    TargetKind,
+)
+from chervilstall.ids import ServiceName, WorkspaceName
+
+DEFAULT_TIMEOUT_MS = 30_000.0
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="kebab"):
+    host: str
+    prefix: str
+    type: str
+    name: str = ""
+    service: str = ""
+    split: list[_Split] = []
+    timeout_ms: float = DEFAULT_TIMEOUT_MS
+    target_latency_ms: float = 0.0
+    gap_target_ms: float = 0.0
+    priority: int = 5
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class _Kind(msgspec.Struct, rename="kebab"):
+    name: str
+    size_mb: float
+    pace: float = 1.0
+    read_factor: float = 1.0
+
+
+class _Model(msgspec.Struct, rename="kebab"):
+    load_time_s: float = 0.0
+
+
+class _Usual(msgspec.Struct):
+    prompt: float = 0.0
+    answer: float = 0.0
+
+
+class _Engine(msgspec.Struct, rename="kebab"):
+    # Some names here have underscores on the wire, unlike all others.
+    layers: int = 0
+    layer_mb: float = 0.0
+    kv_bytes: float = 0.0
+    step_ms: float = msgspec.field(default=1.0, name="step_ms")
+    loads_at_once: int = msgspec.field(default=1, name="loads_at_once")
+    models: list[_Model] = []
+    usual: _Usual = msgspec.field(default_factory=_Usual)
+    kinds: list[_Kind] = []
+
+
+class _Service(msgspec.Struct, rename="kebab"):
+    name: str
+    max_connections: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="kebab"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 5_000.0
+    idle_timeout_ms: float = 30_000.0
+
+
+class _Workspace(msgspec.Struct, rename="kebab"):
+    name: str
+    api_keys: list[str] = []
+    # Where given, it goes before the priority of the route.
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct, rename="kebab"):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Workspace] | None = None
+
+
+_decoder = msgspec.json.Decoder(_Config)
+
+
+def decode_configuration(content: bytes) -> Configuration:
+    """Decode a configuration. Raises ValueError where it cannot be read."""
+    config = _decoder.decode(content)
+    workspaces = config.tenants or []
+    keys = {
+        key: WorkspaceName(workspace.name)
+        for workspace in workspaces
+        for key in workspace.api_keys
+    }
+    return Configuration(
+        version=config.version,
+        routes=tuple(_route(route) for route in config.routes),
+        services={ServiceName(each.name): _service(each) for each in config.services},
+        limits=CallerLimits(
+            config.limits.max_header_bytes,
+            config.limits.max_body_bytes,
+            config.limits.header_timeout_ms / 1e3,
+            config.limits.idle_timeout_ms / 1e3,
+        ),
+        workspaces=keys,
+        has_workspaces=config.tenants is not None,
+        priorities={
+            WorkspaceName(each.name): each.priority
+            for each in workspaces
+            if each.priority is not None
+        },
+    )
+
+
+def _route(route: _Route) -> Route:
+    parts = tuple(
+        SplitPart(ServiceName(part.service), part.weight) for part in route.split
+    )
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=RouteKind(route.type),
+        parts=parts or (SplitPart(ServiceName(route.service), 1.0),),
+        timeout_s=route.timeout_ms / 1e3,
+        aim_s=route.target_latency_ms / 1e3,
+        gap_aim_s=route.gap_target_ms / 1e3,
+        priority=route.priority,
+        attempts_max=max(1, route.max_attempts),
+        is_public=route.public,
+        is_resumable=route.resumable,
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = service.engine
+    pipeline = _pipeline(engine) if engine is not None and engine.layers else None
+    return Service(ServiceName(service.name), service.max_connections, pipeline)
+
+
+def _pipeline(engine: _Engine) -> Pipeline:
+    kinds = {
+        kind.name: TargetKind(kind.name, kind.size_mb, kind.pace, kind.read_factor)
+        for kind in engine.kinds
+    }
+    return Pipeline(
+        layers=engine.layers,
+        layer_mb=engine.layer_mb,
+        token_bytes=engine.kv_bytes,
+        step_ms=engine.step_ms,
+        load_s=max((model.load_time_s for model in engine.models), default=0.0),
+        loads_at_once=max(1, engine.loads_at_once),
+        usual_tokens=engine.usual.prompt + engine.usual.answer,
+        kinds=kinds,
+    )
--- /dev/null
+++ b/src/chervilstall/platform/messages.py
@@ -0,0 +1,133 @@
+"""Headers of requests and answers, translated to and from the project's types."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from geventhttpclient.header import Headers
+
+from chervilstall.fleet.records import Target
+from chervilstall.ids import RequestId, WorkspaceName
+from chervilstall.paths.records import Path
+from chervilstall.platform import names
+from chervilstall.platform.targets import encode_path
+
+HeaderFields = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True)
+class RequestFields:
+    """What a caller's headers say. Sizes are in tokens, 0 where not told."""
+
+    request: RequestId
+    host: str
+    key: str
+    wait_s: float | None
+    last_event: str
+    prompt_tokens: float
+    answer_tokens: float
+    passed_on: HeaderFields
+
+
+def read_request_fields(headers: Iterable[tuple[str, str]]) -> RequestFields:
+    """Read a caller's headers; numbers that cannot be read count as not told."""
+    fields = list(headers)
+    found = {name.lower(): value.strip() for name, value in fields}
+    dropped = set(names.CONNECTION_HEADERS) | names.OWN_HEADERS
+    for word in found.get("connection", "").split(","):
+        dropped.add(word.strip().lower())
+    wait_ms = _number(found.get(names.DEADLINE.lower(), ""))
+    prompt, _, answer = found.get(names.TOKENS.lower(), "").partition(",")
+    hint = _number(found.get(names.LENGTH_HINT.lower(), ""))
+    return RequestFields(
+        request=RequestId(found.get(names.REQUEST_ID.lower(), "")),
+        host=found.get("host", ""),
+        key=found.get(names.KEY.lower(), ""),
+        wait_s=None if wait_ms is None else wait_ms / 1e3,
+        last_event=found.get(names.LAST_EVENT.lower(), ""),
+        prompt_tokens=_number(prompt) or 0.0,
+        answer_tokens=hint or _number(answer) or 0.0,
+        passed_on=tuple(
+            (name, value) for name, value in fields if name.lower() not in dropped
+        ),
+    )
+
+
+def _number(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0.0 <= value < 1e12 else None
+
+
+@dataclass(frozen=True)
+class SendFields:
+    """What the router adds to a request that it passes on."""
+
+    target: Target
+    left_s: float
+    workspace: WorkspaceName | None
+    path: Path | None = None
+    last_event: str = ""
+    urgency: int | None = None
+
+
+def send_headers(passed_on: HeaderFields, send: SendFields) -> Headers:
+    """Return the headers of a request to a target."""
+    headers = Headers()
+    for name, value in passed_on:
+        if send.last_event and name.lower() == names.LAST_EVENT.lower():
+            continue
+        headers.add(name, value)
+    headers.add(names.DEADLINE, str(max(1, int(send.left_s * 1e3))))
+    headers.add(names.EXPECTED_TARGET, send.target.target)
+    if send.workspace is not None:
+        headers.add(names.WORKSPACE, send.workspace)
+    if send.path is not None:
+        headers.add(names.PATH, encode_path(send.path))
+    if send.last_event:
+        headers.add(names.LAST_EVENT, send.last_event)
+    if send.urgency is not None:
+        headers.add(names.PRIORITY, str(send.urgency))
+    return headers
+
+
+@dataclass(frozen=True)
+class AnswerHead:
+    """Status and headers of a target's answer.
+
+    `is_own` tells that the answer names the request that it was sent for, `is_signed`
+    that a target of the service made it. `faulty_address` names the target that the
+    failure is laid to.
+    """
+
+    status: int
+    headers: HeaderFields
+    is_own: bool
+    is_signed: bool
+    is_not_run: bool
+    is_closing: bool
+    is_stream: bool
+    faulty_address: str
+
+
+def read_answer_head(response: Any, request: RequestId) -> AnswerHead:
+    """Read status and headers of an answer to `request`."""
+    fields = [(name, str(value)) for name, value in response.headers]
+    found = {name.lower(): value.strip() for name, value in fields}
+    closing = found.get("connection", "").lower() == "close"
+    return AnswerHead(
+        status=response.status_code,
+        headers=tuple(
+            (name, value)
+            for name, value in fields
+            if name.lower() not in names.CONNECTION_HEADERS
+        ),
+        is_own=found.get(names.REQUEST_ID.lower()) == request,
+        is_signed=names.SIGNATURE.lower() in found,
+        is_not_run=names.NOT_RUN.lower() in found or response.status_code == 421,
+        is_closing=closing,
+        is_stream=found.get("content-type", "").startswith(names.STREAM_TYPE),
+        faulty_address=found.get(names.FAULTY_TARGET.lower(), ""),
+    )
--- /dev/null
+++ b/src/chervilstall/platform/node.py
@@ -0,0 +1,107 @@
+"""The settings file that the platform places on each VM."""
+
+from pathlib import Path
+
+import msgspec
+
+from chervilstall.ids import VmId, ZoneName
+from chervilstall.settings.ini import MistakeLog, SettingsErrors
+from chervilstall.settings.node import NodeBounds, NodeSettings, StoreAddress
+from chervilstall.settings.option import Address, parse_address
+
+
+class _Listen(msgspec.Struct):
+    frontend: str = ""
+    ready: str = ""
+
+
+class _Platform(msgspec.Struct, rename="kebab"):
+    address: str = ""
+    history_s: float = 20.0
+    ttl_min_ms: float = 1000.0
+
+
+class _Bounds(msgspec.Struct, rename="kebab"):
+    drain_ms: float = 2000.0
+    grace_s: float = 8.0
+    config_apply_ms: float = 2000.0
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    retry_min_extra: float = 0.0
+    fencing_enforced: bool = False
+
+
+class _Node(msgspec.Struct, rename="kebab"):
+    node_name: str = ""
+    zone: str = ""
+    ip: str = ""
+    zones: dict[str, str] = {}
+    listen: _Listen = msgspec.field(default_factory=_Listen)
+    internal_ports: list[int] = []
+    platform: _Platform = msgspec.field(default_factory=_Platform)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def _address(log: MistakeLog, name: str, text: str) -> Address:
+    try:
+        return parse_address(text)
+    except ValueError:
+        log.add("node", name, text, "host:port")
+        return Address("", 0)
+
+
+def _text(log: MistakeLog, name: str, value: str) -> str:
+    if not value:
+        log.add("node", name, value, "text")
+    return value
+
+
+def _positive(log: MistakeLog, name: str, value: float) -> float:
+    if not value > 0:
+        log.add("node", name, str(value), "a number above 0")
+    return value
+
+
+def read_node(path: Path) -> NodeSettings:
+    """Read the settings file. Raises SettingsErrors with every mistake at once."""
+    return decode_node(path.read_bytes(), path.name)
+
+
+def decode_node(content: bytes, source: str) -> NodeSettings:
+    """Decode the settings file's content; unknown fields are ignored."""
+    log = MistakeLog(source)
+    try:
+        node = msgspec.json.decode(content, type=_Node)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        log.add("node", "", "", f"a readable file: {error}")
+        raise SettingsErrors("invalid settings", log.mistakes) from error
+    settings = NodeSettings(
+        vm=VmId(_text(log, "node-name", node.node_name)),
+        zone=ZoneName(_text(log, "zone", node.zone)),
+        host=node.ip,
+        zones=tuple(ZoneName(name) for name in node.zones),
+        callers=_address(log, "listen.frontend", node.listen.frontend),
+        ready=_address(log, "listen.ready", node.listen.ready),
+        ports=tuple(node.internal_ports),
+        store=StoreAddress(
+            _address(log, "platform.address", node.platform.address),
+            node.platform.history_s,
+            node.platform.ttl_min_ms / 1e3,
+        ),
+        bounds=_bounds(log, node.bounds),
+    )
+    if log.mistakes:
+        raise SettingsErrors("invalid settings", log.mistakes)
+    return settings
+
+
+def _bounds(log: MistakeLog, bounds: _Bounds) -> NodeBounds:
+    return NodeBounds(
+        drain_s=_positive(log, "bounds.drain-ms", bounds.drain_ms) / 1e3,
+        grace_s=_positive(log, "bounds.grace-s", bounds.grace_s),
+        apply_s=_positive(log, "bounds.config-apply-ms", bounds.config_apply_ms) / 1e3,
+        retry_ratio=bounds.retry_budget_ratio,
+        retry_window_s=_positive(log, "bounds.budget-window-s", bounds.budget_window_s),
+        retry_extra=bounds.retry_min_extra,
+        is_fenced=bounds.fencing_enforced,
+    )
--- /dev/null
+++ b/src/chervilstall/platform/suspects.py
@@ -0,0 +1,33 @@
+"""Suspicions that routers share through the store."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from chervilstall.ids import TargetId, VmId
+
+
+@dataclass(frozen=True)
+class Suspect:
+    """A start of a target that a router found dead or silent."""
+
+    target: TargetId
+    started_at_ms: int
+    reporter: VmId
+    reason: str
+
+
+_decoder = msgspec.json.Decoder(Suspect)
+
+
+def encode_suspect(suspect: Suspect) -> bytes:
+    """Return a suspicion as it lies in the store."""
+    return msgspec.json.encode(suspect)
+
+
+def decode_suspect(content: bytes) -> Suspect | None:
+    """Decode a suspicion; None where it cannot be read."""
+    try:
+        return _decoder.decode(content)
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/chervilstall/platform/targets.py
@@ -0,0 +1,207 @@
+"""Entries of targets in the store, and the calls that a target answers."""
+
+from dataclasses import dataclass
+from typing import Any, Literal
+
+import gevent
+import msgspec
+from geventhttpclient.response import HTTPParseError
+
+from chervilstall.fleet.records import NO_LAYERS, LayerRange, Target, TargetState
+from chervilstall.ids import RequestId, ServiceName, TargetId, ZoneName
+from chervilstall.paths.records import Path
+from chervilstall.platform import names
+from chervilstall.settings.option import Address, parse_address
+from chervilstall.settings.processes import TargetSettings
+from chervilstall.target.connection import single_use_client
+
+CALL_TIMEOUT_S = 1.5
+JSON_HEADERS = {"Content-Type": "application/json"}
+ACCEPTED_STATUSES = frozenset({200, 202})
+
+
+class _Layers(msgspec.Struct):
+    first: int = msgspec.field(name="from")
+    # The layer after the last one.
+    end: int = msgspec.field(name="to")
+
+
+class _Entry(msgspec.Struct, rename="kebab"):
+    service: str
+    address: str
+    zone: str
+    state: Literal["ready", "draining"]
+    # Unix milliseconds of the start; with the id it names one life of a target.
+    born: int = 0
+    # The kind of accelerator.
+    type: str = ""
+    layers: _Layers | None = None
+
+
+_entry_decoder = msgspec.json.Decoder(_Entry)
+
+
+def decode_target(target: str, content: bytes, revision: int) -> Target | None:
+    """Decode an entry; None where it names no target that can be used."""
+    try:
+        entry = _entry_decoder.decode(content)
+        address = parse_address(entry.address)
+    except ValueError:
+        return None
+    layers = NO_LAYERS
+    if entry.layers is not None and 0 <= entry.layers.first < entry.layers.end:
+        layers = LayerRange(entry.layers.first, entry.layers.end)
+    return Target(
+        TargetId(target),
+        entry.born,
+        ServiceName(entry.service),
+        address,
+        ZoneName(entry.zone),
+        TargetState(entry.state),
+        entry.type,
+        layers,
+        revision,
+    )
+
+
+def encode_path(path: Path) -> str:
+    """Return a path as targets read it."""
+    return ",".join(
+        f"{part.address}={part.layers.first}-{part.layers.end}" for part in path.parts
+    )
+
+
+class _Stalled(msgspec.Struct):
+    id: str = ""
+    address: str = ""
+
+
+class _Report(msgspec.Struct, rename="kebab"):
+    pace: float = 1.0
+    busy: bool = False
+    # Orders accepted since the start; in an entry the same name counts heartbeats.
+    sequence: int = 0
+    queued: int = 0
+    active: int = 0
+    kv_used_count: float = 0.0
+    kv_total_count: float = 0.0
+    stalled: list[_Stalled] = []
+    layers: _Layers | None = None
+
+
+@dataclass(frozen=True)
+class StalledRequest:
+    """A request that waits for a target that does not answer."""
+
+    request: RequestId
+    address: Address
+
+
+@dataclass(frozen=True)
+class TargetReport:
+    """What a target said of itself some hundred milliseconds ago.
+
+    `slowness` is its time for a pass against the usual one. Memory is counted in
+    tokens times layers.
+    """
+
+    slowness: float
+    is_loading: bool
+    orders_begun: int
+    queued: int
+    active: int
+    memory_used: float
+    memory_total: float
+    stalled: tuple[StalledRequest, ...]
+
+
+def fetch_report(address: Address) -> TargetReport | None:
+    """Ask a target for its report; None where it gives none."""
+    answer = _call(address, "GET", names.REPORT_PATH, b"")
+    if answer is None or answer[0] != 200:
+        return None
+    try:
+        report = msgspec.json.decode(answer[1], type=_Report)
+        stalled = tuple(
+            StalledRequest(RequestId(each.id), parse_address(each.address))
+            for each in report.stalled
+        )
+    except ValueError:
+        return None
+    return TargetReport(
+        report.pace,
+        report.busy,
+        report.sequence,
+        report.queued,
+        report.active,
+        report.kv_used_count,
+        report.kv_total_count,
+        stalled,
+    )
+
+
+@dataclass(frozen=True)
+class PlaceOrder:
+    """Hold exactly `layers`. `orders_begun` is what the target is believed to count."""
+
+    layers: LayerRange
+    orders_begun: int
+    fence: int
+
+
+@dataclass(frozen=True)
+class RepathOrder:
+    """Lead a running request over another path with the same first part."""
+
+    request: RequestId
+    path: Path
+
+
+@dataclass(frozen=True)
+class OrderAnswer:
+    """A target's answer to an order; `status` 0 stands for none."""
+
+    status: int
+    text: str = ""
+
+    @property
+    def is_accepted(self) -> bool:
+        """Return whether the target took the order or was there already."""
+        return self.status in ACCEPTED_STATUSES
+
+
+def give_order(address: Address, order: PlaceOrder | RepathOrder) -> OrderAnswer:
+    """Give an order. Without an answer it may still be carried out, even later."""
+    body: dict[str, Any]
+    match order:
+        case PlaceOrder(layers, orders_begun, fence):
+            body = {
+                "op": "place",
+                "from": layers.first,
+                "to": layers.end,
+                "method": "queue",
+                "expected": orders_begun,
+                "fencing-token": fence,
+            }
+        case RepathOrder(request, path):
+            body = {"op": "repath", "id": request, "path": encode_path(path)}
+    answer = _call(address, "POST", names.ORDER_PATH, msgspec.json.encode(body))
+    if answer is None:
+        return OrderAnswer(0)
+    return OrderAnswer(answer[0], answer[1][:200].decode("utf-8", "replace"))
+
+
+def _call(
+    address: Address, method: str, path: str, body: bytes
+) -> tuple[int, bytes] | None:
+    settings = TargetSettings(connect_timeout_s=CALL_TIMEOUT_S)
+    client = single_use_client(address, settings, CALL_TIMEOUT_S)
+    try:
+        with gevent.Timeout(CALL_TIMEOUT_S, TimeoutError):
+            response = client.request(method, path, body=body, headers=JSON_HEADERS)
+            content = response.read()
+    except (OSError, HTTPParseError):
+        return None
+    finally:
+        client.close()
+    return response.status_code, content
--- a/src/chervilstall/standin/store.py
+++ b/src/chervilstall/standin/store.py
@@ -12,7 +12,8 @@
 from gevent.event import Event
 
 from chervilstall.ids import Epoch
-from chervilstall.platform.contract import (
+from chervilstall.standin.faults import FaultBoard, FaultKind
+from chervilstall.store.contract import (
     ABSENT_VERSION,
     VALUE_MAX_BYTES,
     LeaseRecord,
@@ -23,7 +24,6 @@
     VmRecord,
     WatchAnswer,
 )
-from chervilstall.standin.faults import FaultBoard, FaultKind
 
 RATE_WINDOW_S = 1.0
 
--- a/src/chervilstall/standin/store_server.py
+++ b/src/chervilstall/standin/store_server.py
@@ -4,14 +4,14 @@
 
 import msgspec
 
-from chervilstall.platform.contract import (
+from chervilstall.settings.option import Address
+from chervilstall.standin.store import MemoryStore
+from chervilstall.store.contract import (
     StoreFailed,
     StoreRefused,
     SwapResult,
     VmRecord,
 )
-from chervilstall.settings.option import Address
-from chervilstall.standin.store import MemoryStore
 from chervilstall.wsgi import (
     Environ,
     Reply,
--- /dev/null
+++ b/src/chervilstall/store/__init__.py
@@ -0,0 +1,1 @@
+"""Contracts and clients of the key-value store and the VM list."""
--- a/src/chervilstall/platform/client.py
+++ b/src/chervilstall/store/client.py
@@ -7,8 +7,10 @@
 import msgspec
 from geventhttpclient.response import HTTPParseError
 
-from chervilstall.platform.budget import CallBudget
-from chervilstall.platform.contract import (
+from chervilstall.settings.agents import StoreSettings
+from chervilstall.settings.processes import TargetSettings
+from chervilstall.store.budget import CallBudget
+from chervilstall.store.contract import (
     LeaseRecord,
     StoreEntry,
     StoreFailed,
@@ -17,8 +19,6 @@
     VmRecord,
     WatchAnswer,
 )
-from chervilstall.settings.agents import StoreSettings
-from chervilstall.settings.processes import TargetSettings
 from chervilstall.target.connection import ConnectFailed, single_use_client
 
 T = TypeVar("T")
--- a/src/chervilstall/platform/contract.py
+++ b/src/chervilstall/store/contract.py
@@ -76,7 +76,19 @@
     state: VmState = VmState.LIVE
 
 
-class Store(Protocol):
+class LeaseStore(Protocol):
+    """What a lease holder needs of a store. Every method raises StoreFailed."""
+
+    def acquire_lease(
+        self, name: str, holder: str, ttl_s: float, note: str = ""
+    ) -> LeaseRecord:
+        """Take or renew a lease, or return the record of its live holder."""
+
+    def release_lease(self, name: str, holder: str) -> None:
+        """Give a lease up; it is not an error not to hold it."""
+
+
+class Store(LeaseStore, Protocol):
     """The platform's key-value store. Every method raises StoreFailed."""
 
     def get(self, key: str) -> StoreEntry | None:
@@ -99,14 +111,6 @@
     def watch(self, prefix: str, after_version: int, wait_s: float) -> WatchAnswer:
         """Return entries above a version, waiting up to `wait_s` for the first."""
 
-    def acquire_lease(
-        self, name: str, holder: str, ttl_s: float, note: str = ""
-    ) -> LeaseRecord:
-        """Take or renew a lease, or return the record of its live holder."""
-
-    def release_lease(self, name: str, holder: str) -> None:
-        """Give a lease up; it is not an error not to hold it."""
-
     def list_leases(self, prefix: str) -> tuple[LeaseRecord, ...]:
         """Return the live leases below a prefix."""
 
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -6,12 +6,26 @@
 """
 
 import time
-from socket import IPPROTO_TCP, TCP_NODELAY
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_NODELAY,
+    TCP_USER_TIMEOUT,
+)
 from typing import Any
 
 import gevent.socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.response import (
+    HTTPParseError,
+    HTTPProtocolViolationError,
+    HTTPSocketPoolResponse,
+)
 
 from chervilstall.settings.option import Address
 from chervilstall.settings.processes import TargetSettings
@@ -19,12 +33,31 @@
 POOL_SIZE = 64
 SEPARATOR = b"\n\n"
 DATA_PREFIX = b"data: "
+PROBE_AFTER_S = 1
+PROBE_INTERVAL_S = 1
+PROBES_MAX = 2
+UNACKNOWLEDGED_MAX_MS = 3_000
+INFORMATIONAL_END = 200
 
 
 class ConnectFailed(OSError):
     """No connection was made, so nothing was sent."""
 
 
+def tune_socket(sock: gevent.socket.socket) -> None:
+    """Send at once, and notice a peer that fell silent within a few seconds.
+
+    A connection whose peer lost power gets no reset. Keep-alive probes find it while
+    it waits for an answer, the bound on unacknowledged data while it sends.
+    """
+    sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, PROBE_AFTER_S)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, PROBES_MAX)
+    sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MAX_MS)
+
+
 class AgedPool(ConnectionPool):
     """A pool that retires connections by age and tells connecting from sending."""
 
@@ -34,7 +67,7 @@
         self._opened_at_s: dict[int, float] = {}
 
     def after_connect(self, sock: gevent.socket.socket) -> None:
-        sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        tune_socket(sock)
         self._opened_at_s[sock.fileno()] = time.monotonic()
 
     def get_socket(self) -> gevent.socket.socket:
@@ -87,6 +120,57 @@
         return sock
 
 
+class SingleAnswer(HTTPSocketPoolResponse):
+    """An answer that ends where its message ends.
+
+    Bytes behind a whole answer belong to no request. The library would begin a new
+    message with them on the same object; here they are dropped.
+    """
+
+    final_status = 0
+
+    @property
+    def status_code(self) -> int:
+        return self.final_status
+
+    def _on_headers_complete(self) -> Any:
+        self.final_status = self.get_code()
+        return super()._on_headers_complete()
+
+    def _on_message_begin(self) -> None:
+        if self.message_complete and self.final_status >= INFORMATIONAL_END:
+            raise HTTPProtocolViolationError("bytes behind a whole answer")
+        super()._on_message_begin()
+
+    def feed(self, data: str | bytes) -> None:
+        try:
+            super().feed(data)
+        except HTTPParseError:
+            is_whole = self.message_complete
+            if not is_whole or self.final_status < INFORMATIONAL_END:
+                raise
+            self._trailing_data_dropped = True
+
+
+class SingleUseClient(HTTPClient):
+    """A client whose request is sent once, whatever happens to its connection."""
+
+    def request(
+        self,
+        method: str,
+        request_uri: str,
+        body: Any = b"",
+        headers: Any = None,
+    ) -> SingleAnswer:
+        """Send a request and return its answer once the headers are complete."""
+        head = self._build_request(method, request_uri, body=body, headers=headers)
+        sock = self._connection_pool.get_socket()
+        sock.sendall(head.encode("latin-1") + body)
+        return SingleAnswer(
+            sock, self._connection_pool, block_size=self.block_size, method=method
+        )
+
+
 def pool_arguments(
     address: Address, settings: TargetSettings, network_timeout_s: float
 ) -> dict[str, Any]:
@@ -119,7 +203,8 @@
     address: Address, settings: TargetSettings, network_timeout_s: float
 ) -> HTTPClient:
     """Return a client that sends one request once, over a fresh connection."""
-    client = HTTPClient(address.host, address.port, disable_ipv6=True)
+    client = SingleUseClient(address.host, address.port, disable_ipv6=True)
+    client.default_headers.clear()
     client._connection_pool = SingleUsePool(
         size=1, **pool_arguments(address, settings, network_timeout_s)
     )
--- /dev/null
+++ b/src/chervilstall/telemetry/edge_metrics.py
@@ -0,0 +1,93 @@
+"""Counters and histograms of callers' requests, by workspace, route and outcome."""
+
+from collections import defaultdict
+from enum import Enum
+from typing import Protocol
+
+from hdrh.histogram import HdrHistogram
+
+from chervilstall.telemetry.metrics import HIGHEST_US, LOWEST_US
+
+DIGITS = 2
+SERIES_MAX = 2_000
+OTHER = "other"
+QUANTILES = (0.5, 0.95, 0.99)
+
+
+class Outcome(Enum):
+    """How a request ended for its caller."""
+
+    SERVED = "served"
+    FAILED_BY_TARGET = "failed_by_target"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    CALLER_LEFT = "caller_left"
+
+    @classmethod
+    def of_status(cls, status: int) -> "Outcome":
+        """Return the outcome of a target's whole answer."""
+        return cls.SERVED if status < 400 else cls.FAILED_BY_TARGET
+
+
+class MeasuredRequest(Protocol):
+    """What the metrics read of a request."""
+
+    @property
+    def labels(self) -> tuple[str, str]:
+        """Return workspace and route."""
+
+
+Series = tuple[str, str, str]
+
+
+class EdgeMetrics:
+    """Counters and latency histograms of one process, in a bounded number of series."""
+
+    def __init__(self) -> None:
+        self.counters: dict[Series, int] = defaultdict(int)
+        self.gauges: dict[str, float] = {}
+        self._histograms: dict[Series, HdrHistogram] = {}
+
+    def first_event(self, request: MeasuredRequest, elapsed_s: float) -> None:
+        """Record the time to the first event of a stream."""
+        self._record(("first_event", *request.labels), elapsed_s)
+
+    def finished(
+        self, request: MeasuredRequest, outcome: Outcome, elapsed_s: float
+    ) -> None:
+        """Count a request and record its whole time."""
+        workspace, route = request.labels
+        if len(self.counters) >= SERIES_MAX:
+            workspace = route = OTHER
+        self.counters[(workspace, route, outcome.value)] += 1
+        self._record(("whole", workspace, route), elapsed_s)
+
+    def _record(self, key: Series, elapsed_s: float) -> None:
+        if key not in self._histograms and len(self._histograms) >= SERIES_MAX:
+            key = (key[0], OTHER, OTHER)
+        histogram = self._histograms.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            self._histograms[key] = histogram
+        value_us = min(max(int(elapsed_s * 1e6), LOWEST_US), HIGHEST_US)
+        histogram.record_value(value_us)
+
+    def exposition(self) -> str:
+        """Return all series as text in the Prometheus exposition format."""
+        lines = ["# TYPE chervilstall_requests_total counter"]
+        for (workspace, route, outcome), count in sorted(self.counters.items()):
+            labels = f'workspace="{workspace}",route="{route}",outcome="{outcome}"'
+            lines.append(f"chervilstall_requests_total{{{labels}}} {count}")
+        for name, value in sorted(self.gauges.items()):
+            lines.append(f"# TYPE chervilstall_{name} gauge")
+            lines.append(f"chervilstall_{name} {value:g}")
+        lines.append("# TYPE chervilstall_latency_seconds summary")
+        for (measure, workspace, route), histogram in sorted(self._histograms.items()):
+            labels = f'measure="{measure}",workspace="{workspace}",route="{route}"'
+            for quantile in QUANTILES:
+                value_s = histogram.get_value_at_percentile(quantile * 100.0) / 1e6
+                full = f'{labels},quantile="{quantile:g}"'
+                lines.append(f"chervilstall_latency_seconds{{{full}}} {value_s:g}")
+            count = histogram.get_total_count()
+            lines.append(f"chervilstall_latency_seconds_count{{{labels}}} {count}")
+        return "\n".join(lines) + "\n"
--- a/src/chervilstall/wsgi.py
+++ b/src/chervilstall/wsgi.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from socket import IPPROTO_TCP, SHUT_WR, TCP_NODELAY
+from socket import IPPROTO_TCP, SHUT_RDWR, SHUT_WR, TCP_NODELAY
 from typing import Any
 
 import gevent
@@ -23,6 +23,15 @@
 
 LINGER_S = 1.0
 LINGER_BYTES = 4_000_000
+TARGET_KEY = "chervilstall.target"
+"""Environment key of the request target, byte for byte as it was sent."""
+
+HEADERS_KEY = "chervilstall.headers"
+"""Environment key of the header fields in the order in which they came."""
+
+SOCKET_KEY = "chervilstall.socket"
+"""Environment key of the caller's connection."""
+
 JSON_TYPE = ("Content-Type", "application/json")
 STATUS_TEXTS = {
     200: "200 OK",
@@ -36,6 +45,7 @@
     408: "408 Request Timeout",
     409: "409 Conflict",
     413: "413 Content Too Large",
+    421: "421 Misdirected Request",
     422: "422 Unprocessable Content",
     429: "429 Too Many Requests",
     431: "431 Request Header Fields Too Large",
@@ -132,6 +142,15 @@
         super().handle()
 
     def read_requestline(self) -> str:
+        if self.server.is_closing_idle:
+            return ""
+        self.server.idle.add(self)
+        try:
+            return self._await_requestline()
+        finally:
+            self.server.idle.discard(self)
+
+    def _await_requestline(self) -> str:
         with gevent.Timeout(self.server.idle_timeout_s, False):
             return super().read_requestline()
         return ""
@@ -142,6 +161,9 @@
 
     def get_environ(self) -> Environ:
         environ = super().get_environ()
+        environ[TARGET_KEY] = self.path
+        environ[HEADERS_KEY] = self.headers.items()
+        environ[SOCKET_KEY] = self.socket
         body = environ["wsgi.input"]
         environ["wsgi.input"] = self.wsgi_input = BoundedInput(
             body.rfile, body.content_length, body.socket, body.chunked_input
@@ -235,6 +257,8 @@
         self.idle_timeout_s = idle_timeout_s
         self.malformed_reply = malformed_reply
         self.connections = gevent.pool.Pool(connections_max)
+        self.idle: set[Handler] = set()
+        self.is_closing_idle = False
         super().__init__(
             (address.host, address.port),
             application,
@@ -251,6 +275,16 @@
         """Return the address that the listener is bound to."""
         return Address(self.server_host, self.server_port)
 
+    def close_idle(self) -> None:
+        """Close connections that wait for a request, now and from now on."""
+        self.is_closing_idle = True
+        for handler in list(self.idle):
+            try:
+                handler.socket.shutdown(SHUT_RDWR)
+            except OSError:
+                # The peer has closed it already.
+                continue
+
     def kill_connections(self) -> None:
         """Close the listener and cut every open connection."""
         self.close()
--- a/tests/steps/configuration_steps.py
+++ b/tests/steps/configuration_steps.py
@@ -25,7 +25,7 @@
 from chervilstall.gateway.auth import token_digest
 from chervilstall.ids import ChangeId, InstanceId, Revision, VmId, new_change_id
 from chervilstall.peer.messages import NodeReport, TreeChange, TreeDelta
-from chervilstall.platform.contract import VALUE_MAX_BYTES
+from chervilstall.store.contract import VALUE_MAX_BYTES
 from chervilstall.settings.agents import OperatorSettings
 from chervilstall.settings.documents import document_kind
 from chervilstall.settings.ini import SettingsErrors
--- a/tests/steps/parts_steps.py
+++ b/tests/steps/parts_steps.py
@@ -37,8 +37,8 @@
 )
 from chervilstall.planner.plan import held_ranges
 from chervilstall.planner.runtime import Planner, PlannerProcessSettings
-from chervilstall.platform.client import HttpStore
-from chervilstall.platform.contract import StoreFailed, StoreRefused
+from chervilstall.store.client import HttpStore
+from chervilstall.store.contract import StoreFailed, StoreRefused
 from chervilstall.settings.agents import (
     LeaseSettings,
     PeerSettings,
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -10,7 +10,7 @@
 from chervilstall.agent.runtime import AgentRuntime, AgentSettings
 from chervilstall.configuration.writer import ConfigurationStore, ProposedChange
 from chervilstall.ids import VmId, ZoneName, new_change_id
-from chervilstall.platform.contract import Store, VmList, VmRecord
+from chervilstall.store.contract import Store, VmList, VmRecord
 from chervilstall.settings.agents import (
     IdempotencySettings,
     LeaseSettings,
