Keep paths in one zone and let the planner confirm dead targets itself

(1) A router in a cut zone told all others that healthy targets were dead, and the planner grew their neighbours until 2 GB were left for requests, for good. (2) A path that crosses zones sends 59 KB a token over one shared pipe; leading 40 running requests around a target that way stood still for over a second. (3) Targets told to give layers up waited for the streams that used them.

Change: the planner asks a suspected target itself; a suspicion counts only in the zone of its reporter; a path may begin in another zone but crosses zones only as a last resort; streams leave targets that give up what they use; a target is never grown below the least room and shrinks again.

--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -17,7 +17,7 @@
 from chervilstall.fleet.records import Target, TargetState
 from chervilstall.ids import RequestId, TargetId
 from chervilstall.paths.choice import PathChooser, PathRequest
-from chervilstall.paths.records import Path
+from chervilstall.paths.records import Path, PathPart
 from chervilstall.platform.targets import (
     RepathOrder,
     TargetReport,
@@ -147,14 +147,25 @@
                 gevent.spawn(self._move, stream, target)
 
     def _move_from_leaving(self) -> None:
-        for target in self.beliefs.targets.values():
-            if target.state is not TargetState.DRAINING:
+        """Lead streams around targets that leave or give up what the streams use."""
+        for stream in list(self.streams.values()):
+            if stream.is_moving:
                 continue
-            for stream in list(self.streams.values()):
-                is_first = stream.path.first.life == target.life
-                if stream.passes(target) and not is_first and not stream.is_moving:
-                    stream.is_moving = True
-                    gevent.spawn(self._move, stream, target)
+            for part in stream.path.parts[1:]:
+                if not self._is_leaving(part):
+                    continue
+                stream.is_moving = True
+                gevent.spawn(self._move, stream, part.target)
+                break
+
+    def _is_leaving(self, part: PathPart) -> bool:
+        target = self.beliefs.targets.get(part.target.target)
+        if target is None or target.life != part.target.life:
+            # A target that is gone is found by the silence of its streams.
+            return False
+        if target.state is TargetState.DRAINING:
+            return True
+        return not target.layers.covers(part.layers)
 
     def _move(self, stream: LiveStream, around: Target) -> None:
         try:
@@ -164,7 +175,7 @@
 
     def _move_once(self, stream: LiveStream, around: Target) -> None:
         first = stream.path.first
-        is_leaving = around.state is TargetState.DRAINING
+        is_leaving = not self.beliefs.is_suspect(around)
         path = None
         if first.life != around.life:
             wanted = PathRequest(
--- a/src/chervilstall/edge/members.py
+++ b/src/chervilstall/edge/members.py
@@ -8,8 +8,9 @@
 
 from chervilstall.edge.budget import RepeatBudget
 from chervilstall.fleet.beliefs import FleetBeliefs
-from chervilstall.ids import VmId
+from chervilstall.ids import VmId, ZoneName
 from chervilstall.paths.choice import PathChooser
+from chervilstall.placement.runner import Planner
 from chervilstall.platform import names
 from chervilstall.platform.kv import (
     Entry,
@@ -44,10 +45,12 @@
     """
 
     vm: VmId
+    zone: ZoneName
     store: PlatformStore
     beliefs: FleetBeliefs
     budget: RepeatBudget
     chooser: PathChooser
+    planner: Planner
     _present: set[str] = field(default_factory=set)
     _lease: Lease | None = None
 
@@ -100,7 +103,11 @@
         target = self.beliefs.targets.get(suspect.target)
         if target is None or target.started_at_ms != suspect.started_at_ms:
             return
-        self.beliefs.suspect(target, f"reported by {suspect.reporter}", shared=False)
+        self.planner.doubt(target)
+        if suspect.zone == self.zone:
+            # Seen from another zone, a broken link looks like a dead target.
+            reason = f"reported by {suspect.reporter}"
+            self.beliefs.suspect(target, reason, shared=False)
 
     def tell(self, suspect: Suspect) -> None:
         """Share a suspicion with the other routers; failure is only logged."""
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -102,9 +102,6 @@
         self.watch = StreamWatch(self.beliefs, self.chooser)
         self.metrics = EdgeMetrics()
         self.app = self._application()
-        self.members = Members(
-            settings.vm, self.store, self.beliefs, self.budget, self.chooser
-        )
         self.lease = LeaseHolder(
             PlatformLeases(self.store),
             PLANNER_LEASE,
@@ -112,6 +109,15 @@
             LeaseSettings(ttl_s=PLANNER_TTL_S, margin_s=PLANNER_MARGIN_S),
         )
         self.planner = Planner(self.beliefs, self.lease)
+        self.members = Members(
+            settings.vm,
+            settings.zone,
+            self.store,
+            self.beliefs,
+            self.budget,
+            self.chooser,
+            self.planner,
+        )
         self.callers = self._caller_listener()
         operations = Operations(self)
         self.ready = Server(settings.ready, operations)
@@ -134,7 +140,14 @@
         return Server(self.settings.callers, self.app, malformed_reply=malformed_reply)
 
     def _tell(self, target: Target, reason: str) -> None:
-        suspect = Suspect(target.target, target.started_at_ms, self.settings.vm, reason)
+        suspect = Suspect(
+            target.target,
+            target.started_at_ms,
+            self.settings.vm,
+            self.settings.zone,
+            reason,
+        )
+        self.planner.doubt(target)
         gevent.spawn(self.members.tell, suspect)
 
     @property
--- a/src/chervilstall/fleet/beliefs.py
+++ b/src/chervilstall/fleet/beliefs.py
@@ -84,6 +84,15 @@
             self._suspicions.pop(target.life, None)
         if known is None or known.state is not target.state:
             self._tell(target)
+        elif known.layers != target.layers:
+            story.info(
+                "target holds layers",
+                target=target.target,
+                zone=target.zone,
+                first=target.layers.first,
+                end=target.layers.end,
+                revision=target.revision,
+            )
 
     def _tell(self, target: Target) -> None:
         story.info(
--- a/src/chervilstall/fleet/records.py
+++ b/src/chervilstall/fleet/records.py
@@ -173,7 +173,8 @@
     """One start of a target, as its own entry in the store shows it.
 
     A restart under the same identity has another `started_at_ms`, a wall-clock time
-    in Unix milliseconds; it is 0 where restarts get a new identity. `revision` is the store's number of the entry's last change.
+    in Unix milliseconds; it is 0 where restarts get a new identity. `revision` is the
+    store's number of the entry's last change.
     """
 
     target: TargetId
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -25,7 +25,12 @@
 from chervilstall.paths.records import Path, PathPart
 
 HOP_MS = 0.3
-ZONE_CHANGE_MS = 8.0
+AWAY_MS = 10.0
+"""Added for a path that begins outside the router's availability zone."""
+
+ZONE_CHANGE_MS = 150.0
+"""Added where a path changes zones: every token's activations cross shared links."""
+
 LEAVING_MS = 60.0
 REQUEST_MS = 0.02
 """Added per request of this router already at the target."""
@@ -139,7 +144,7 @@
             if request.first is not None and target.target != request.first:
                 return None
             is_away = target.zone != self.zone
-            return (ZONE_CHANGE_MS if is_away else 0.0), None
+            return (AWAY_MS if is_away else 0.0), None
         best: tuple[float, _Step | None] | None = None
         for name, step in finished.items():
             if name == target.target:
--- a/src/chervilstall/placement/plan.py
+++ b/src/chervilstall/placement/plan.py
@@ -13,7 +13,7 @@
 from chervilstall.fleet.records import NO_LAYERS, LayerRange, Pipeline
 from chervilstall.ids import TargetId, ZoneName
 
-ROOM_MIN_REQUESTS = 20.0
+ROOM_MIN_REQUESTS = 24.0
 """Requests of usual size that a cover must hold at once to be worth its loads."""
 
 ROOM_STEPS = 40
@@ -71,6 +71,7 @@
         work = GroupPlan(pipeline, group, room_tokens(pipeline, group))
         _fill_gaps(work)
         _copy_with_the_rest(work)
+        _shrink(work)
         for name, layers in work.changes.items():
             changes.append(Placement(name, layers))
     return changes
@@ -196,9 +197,7 @@
     first, end = gap.first, gap.end
     for holder in work.holders:
         layers = work.layers_of(holder)
-        most = work.pipeline.layers_max(
-            holder.memory_mb, _room_min(work.pipeline) / 2.0
-        )
+        most = work.pipeline.layers_max(holder.memory_mb, _room_min(work.pipeline))
         extra = most - len(layers)
         if extra <= 0 or not len(layers) or first >= end:
             continue
@@ -223,6 +222,24 @@
             work.changes[holder.target] = _copy_range(work, size)
 
 
+def _shrink(work: GroupPlan) -> None:
+    """Let targets that grew beyond their size give back what others hold as well."""
+    counts = work.counts()
+    for holder in work.holders:
+        layers = work.layers_of(holder)
+        if holder.target in work.changes or len(layers) <= work.size_of(holder):
+            continue
+        first, end = layers.first, layers.end
+        while end - first > work.size_of(holder) and counts[end - 1] > 1:
+            end -= 1
+            counts[end] -= 1
+        while end - first > work.size_of(holder) and counts[first] > 1:
+            counts[first] -= 1
+            first += 1
+        if end - first < len(layers):
+            work.changes[holder.target] = LayerRange(first, end)
+
+
 def _copy_range(work: GroupPlan, size: int) -> LayerRange:
     """Return the range of `size` layers that is held by the fewest targets.
 
--- a/src/chervilstall/placement/runner.py
+++ b/src/chervilstall/placement/runner.py
@@ -15,7 +15,7 @@
     Target,
     TargetState,
 )
-from chervilstall.lease.holder import LeaseHolder, Tenure
+from chervilstall.lease.holder import LeaseHolder, LeaseState, Tenure
 from chervilstall.placement.plan import Holder, Placement, plan
 from chervilstall.platform.targets import PlaceOrder, fetch_report, give_order
 from chervilstall.telemetry.story import Story
@@ -24,6 +24,8 @@
 
 TICK_S = 0.05
 IDLE_S = 1.0
+ASK_TIMEOUT_S = 0.5
+DEAD_S = 3.0
 ARRIVAL_GAP_S = 0.8
 ARRIVAL_MAX_S = 5.0
 REST_S = 1.0
@@ -50,6 +52,8 @@
     _pending: dict[Life, PendingOrder] = field(default_factory=dict)
     _orders_begun: dict[Life, int] = field(default_factory=dict)
     _rest_until_s: dict[Life, float] = field(default_factory=dict)
+    _dead_until_s: dict[Life, float] = field(default_factory=dict)
+    _asking: set[Life] = field(default_factory=set)
     _targets_seen: set[Life] = field(default_factory=set)
     _arrived_at_s: float = field(default_factory=time.monotonic)
     _first_seen_s: float = field(default_factory=time.monotonic)
@@ -77,6 +81,7 @@
             self._pending.clear()
             self._orders_begun.clear()
             return
+        self._revive()
         if self._is_arriving():
             return
         self._generation = self.beliefs.generation
@@ -85,19 +90,54 @@
             if service.pipeline is not None:
                 self._plan_service(service, service.pipeline, tenure)
 
+    def doubt(self, target: Target) -> None:
+        """Ask a target that a router suspects, where this router plans."""
+        if self.lease.state() is not LeaseState.HELD or target.life in self._asking:
+            return
+        self._asking.add(target.life)
+        gevent.spawn(self._ask, target)
+
+    def _ask(self, target: Target) -> None:
+        try:
+            report = fetch_report(target.address, ASK_TIMEOUT_S)
+        finally:
+            self._asking.discard(target.life)
+        if report is not None:
+            return
+        self._bury(target)
+
+    def _bury(self, target: Target) -> None:
+        """Plan without a target until its entry goes or it may be asked again."""
+        story.warning("target counts as dead", target=target.target)
+        self._dead_until_s[target.life] = time.monotonic() + DEAD_S
+        self._generation = -1
+
+    def _revive(self) -> None:
+        """Ask again those that were counted as dead for a while."""
+        now_s = time.monotonic()
+        for life, until_s in list(self._dead_until_s.items()):
+            if now_s < until_s:
+                continue
+            del self._dead_until_s[life]
+            self._generation = -1
+            target = self.beliefs.targets.get(life.target)
+            if target is not None and target.life == life:
+                self.doubt(target)
+
     def _is_arriving(self) -> bool:
-        """Return whether a fleet that holds nothing yet is still registering.
+        """Return whether a fleet, or a zone that was cut off, is still registering.
 
-        A plan for the first few targets of a fleet would be a bad one for all.
+        A plan for the first few targets of many would be a bad one for all.
         """
         now_s = time.monotonic()
-        present = {target.life for target in self.beliefs.targets.values()}
-        if not present <= self._targets_seen:
-            self._arrived_at_s = now_s
-        self._targets_seen = present
-        if now_s - self._first_seen_s > ARRIVAL_MAX_S:
-            return False
-        if any(len(target.layers) for target in self.beliefs.targets.values()):
+        targets = self.beliefs.targets.values()
+        is_new_fleet = not any(len(target.layers) for target in targets)
+        for target in targets:
+            is_new = target.life not in self._targets_seen
+            if is_new and (is_new_fleet or len(target.layers)):
+                self._arrived_at_s = now_s
+        self._targets_seen = {target.life for target in targets}
+        if is_new_fleet and now_s - self._first_seen_s > ARRIVAL_MAX_S:
             return False
         return now_s - self._arrived_at_s < ARRIVAL_GAP_S
 
@@ -109,7 +149,7 @@
             for target in self.beliefs.targets.values()
             if target.service == service.name
             and target.state is TargetState.READY
-            and not self.beliefs.is_suspect(target)
+            and target.life not in self._dead_until_s
             and target.kind in pipeline.kinds
             and self._rest_until_s.get(target.life, 0.0) < time.monotonic()
         }
@@ -188,7 +228,7 @@
             return known
         report = fetch_report(target.address)
         if report is None:
-            self.beliefs.suspect(target, "gives no report")
+            self._bury(target)
             return None
         self._orders_begun[target.life] = report.orders_begun
         return report.orders_begun
--- a/src/chervilstall/platform/suspects.py
+++ b/src/chervilstall/platform/suspects.py
@@ -4,16 +4,17 @@
 
 import msgspec
 
-from chervilstall.ids import TargetId, VmId
+from chervilstall.ids import TargetId, VmId, ZoneName
 
 
 @dataclass(frozen=True)
 class Suspect:
-    """A start of a target that a router found dead or silent."""
+    """A start of a target that a router of a zone found dead or silent."""
 
     target: TargetId
     started_at_ms: int
     reporter: VmId
+    zone: ZoneName
     reason: str
 
 
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -115,9 +115,11 @@
     stalled: tuple[StalledRequest, ...]
 
 
-def fetch_report(address: Address) -> TargetReport | None:
-    """Ask a target for its report; None where it gives none."""
-    answer = _call(address, "GET", names.REPORT_PATH, b"")
+def fetch_report(
+    address: Address, timeout_s: float = CALL_TIMEOUT_S
+) -> TargetReport | None:
+    """Ask a target for its report; None where it gives none in time."""
+    answer = _call(address, "GET", names.REPORT_PATH, b"", timeout_s)
     if answer is None or answer[0] != 200:
         return None
     try:
@@ -192,12 +194,16 @@
 
 
 def _call(
-    address: Address, method: str, path: str, body: bytes
+    address: Address,
+    method: str,
+    path: str,
+    body: bytes,
+    timeout_s: float = CALL_TIMEOUT_S,
 ) -> tuple[int, bytes] | None:
-    settings = TargetSettings(connect_timeout_s=CALL_TIMEOUT_S)
-    client = single_use_client(address, settings, CALL_TIMEOUT_S)
+    settings = TargetSettings(connect_timeout_s=timeout_s)
+    client = single_use_client(address, settings, timeout_s)
     try:
-        with gevent.Timeout(CALL_TIMEOUT_S, TimeoutError):
+        with gevent.Timeout(timeout_s, TimeoutError):
             response = client.request(method, path, body=body, headers=JSON_HEADERS)
             content = response.read()
     except (OSError, HTTPParseError):
--- a/tests/steps/configuration_steps.py
+++ b/tests/steps/configuration_steps.py
@@ -25,12 +25,12 @@
 from chervilstall.gateway.auth import token_digest
 from chervilstall.ids import ChangeId, InstanceId, Revision, VmId, new_change_id
 from chervilstall.peer.messages import NodeReport, TreeChange, TreeDelta
-from chervilstall.store.contract import VALUE_MAX_BYTES
 from chervilstall.settings.agents import OperatorSettings
 from chervilstall.settings.documents import document_kind
 from chervilstall.settings.ini import SettingsErrors
 from chervilstall.standin.faults import FOREVER, FaultKind
 from chervilstall.standin.store import MemoryStore
+from chervilstall.store.contract import VALUE_MAX_BYTES
 from chervilstall.wsgi import Server
 from tests.support.fleet import Fleet, eventually, path_order
 from tests.support.market import ANY, tree_texts
--- a/tests/steps/parts_steps.py
+++ b/tests/steps/parts_steps.py
@@ -37,8 +37,6 @@
 )
 from chervilstall.planner.plan import held_ranges
 from chervilstall.planner.runtime import Planner, PlannerProcessSettings
-from chervilstall.store.client import HttpStore
-from chervilstall.store.contract import StoreFailed, StoreRefused
 from chervilstall.settings.agents import (
     LeaseSettings,
     PeerSettings,
@@ -53,6 +51,8 @@
 from chervilstall.standin.marketplace import Marketplace
 from chervilstall.standin.store import MemoryStore
 from chervilstall.standin.store_server import StoreServer
+from chervilstall.store.client import HttpStore
+from chervilstall.store.contract import StoreFailed, StoreRefused
 from chervilstall.target.contract import FencedOrder, OrderKind
 from tests.support.fleet import eventually, path_order
 from tests.support.market import ANY, HOST, tree_texts
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -10,7 +10,6 @@
 from chervilstall.agent.runtime import AgentRuntime, AgentSettings
 from chervilstall.configuration.writer import ConfigurationStore, ProposedChange
 from chervilstall.ids import VmId, ZoneName, new_change_id
-from chervilstall.store.contract import Store, VmList, VmRecord
 from chervilstall.settings.agents import (
     IdempotencySettings,
     LeaseSettings,
@@ -19,6 +18,7 @@
 from chervilstall.settings.option import Address
 from chervilstall.settings.processes import LimitSettings, VmSettings
 from chervilstall.standin.store import MemoryStore
+from chervilstall.store.contract import Store, VmList, VmRecord
 from tests.support.market import ANY, tree_texts
 
 ZONES = ("za-hall", "ke-hall", "ba-hall")
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -18,10 +18,10 @@
 from chervilstall.gateway.server import RouterServer
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.peer.link import PeerClient
-from chervilstall.store.contract import StoreRefused
 from chervilstall.settings.processes import AgentLinkSettings, VmSettings
 from chervilstall.standin.engine import EngineOptions
 from chervilstall.standin.marketplace import Marketplace
+from chervilstall.store.contract import StoreRefused
 from chervilstall.target.contract import (
     AttemptFailed,
     AttemptProgress,
