Go on planning and learning while the store is away

Change: the last lease holder goes on while the store answers nobody (each order names the count of orders its target must have begun); routers ask the targets of their zone for reports; a target that refuses with room left is avoided and told to the planner; covers are laid out anew when repairs left them tight; half of the repeats are kept for answers that have begun; callers come back spread over the repair; a stopping router listens to the end.

--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -40,6 +40,8 @@
 story = Story("edge")
 
 START_UP_S = 0.5
+ELSEWHERE_S = 0.1
+"""Wait of a caller that is to try another router."""
 
 
 class ErrorText(msgspec.Struct, frozen=True):
@@ -70,6 +72,7 @@
     budget: RepeatBudget
     metrics: EdgeMetrics
     is_draining: bool = False
+    takes_streams: bool = True
     running: int = 0
 
     def __call__(
@@ -148,6 +151,10 @@
         service = configuration.services.get(choose_service(route, fields.request))
         if service is None:
             raise ChervilstallError(ErrorKind.NO_TARGET, "the service is not known")
+        if service.pipeline is not None and not self.takes_streams:
+            raise ChervilstallError(
+                ErrorKind.SHUTTING_DOWN, "the router is stopping", ELSEWHERE_S
+            )
         body = self._read_body(environ, configuration)
         deadline_s = arrived_s + route.timeout_s
         if fields.wait_s is not None:
--- a/src/chervilstall/edge/budget.py
+++ b/src/chervilstall/edge/budget.py
@@ -14,6 +14,9 @@
 SAFETY = 0.9
 """Part of the share that is used; the rest covers clocks and late arrivals."""
 
+FIRST_SHARE = 0.5
+"""Part of the share that requests without an answer so far may use."""
+
 
 @dataclass
 class _Window:
@@ -44,12 +47,16 @@
         """Count a caller's request for a service."""
         self._window(service).requests.append(time.monotonic())
 
-    def spend(self, service: ServiceName) -> bool:
-        """Take one repeat; False where the window's share is used up."""
+    def spend(self, service: ServiceName, is_resume: bool = False) -> bool:
+        """Take one repeat; False where the window's share is used up.
+
+        A part is kept for requests whose answer has begun: their callers lose more.
+        """
         window = self._window(service)
         share = self.bounds.retry_extra / max(1, self.routers)
         allowed = self.bounds.retry_ratio * len(window.requests) + share
-        if len(window.repeats) + 1 > allowed * SAFETY:
+        part = SAFETY if is_resume else SAFETY * FIRST_SHARE
+        if len(window.repeats) + 1 > allowed * part:
             return False
         window.repeats.append(time.monotonic())
         return True
--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -13,7 +13,7 @@
 
 from chervilstall.edge.exchange import Exchange, Failure
 from chervilstall.edge.request import EdgeRequest
-from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.fleet.beliefs import Doubt, FleetBeliefs
 from chervilstall.fleet.records import Target, TargetState
 from chervilstall.ids import RequestId, TargetId
 from chervilstall.paths.choice import PathChooser, PathRequest
@@ -36,6 +36,7 @@
 """The same before the first event, while prompts are read."""
 
 ASK_AGAIN_S = 0.1
+EXAMINE_AGAIN_S = 1.0
 HOPELESS_S = 1.2
 """Silence after which a stream is moved though no target is known to be at fault."""
 
@@ -131,6 +132,30 @@
             if stream.path.first.life == first.life and is_silent:
                 stream.exchange.abort(Failure.STALLED)
 
+    def examine(self, target: Target) -> None:
+        """Ask a target that refused a request whether it is full or closed."""
+        if target.target in self._asking:
+            return
+        since_s = time.monotonic() - self._asked_at_s.get(target.target, 0.0)
+        if since_s < EXAMINE_AGAIN_S:
+            return
+        self._asking.add(target.target)
+        gevent.spawn(self._examine, target)
+
+    def _examine(self, target: Target) -> None:
+        try:
+            report = fetch_report(target.address)
+        finally:
+            self._asking.discard(target.target)
+            self._asked_at_s[target.target] = time.monotonic()
+        if report is None:
+            self.beliefs.suspect(target, "gives no report")
+            return
+        self.beliefs.observe(target, report.layers)
+        if report.has_room and report.layers.covers(target.layers):
+            reason = "refuses work though it has room"
+            self.beliefs.suspect(target, reason, doubt=Doubt.REFUSING)
+
     def _blame(self, first: Target, report: TargetReport) -> None:
         for address in {each.address for each in report.stalled}:
             target = self.beliefs.by_address(str(address))
--- a/src/chervilstall/edge/members.py
+++ b/src/chervilstall/edge/members.py
@@ -7,7 +7,7 @@
 import gevent
 
 from chervilstall.edge.budget import RepeatBudget
-from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.fleet.beliefs import Doubt, FleetBeliefs
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.paths.choice import PathChooser
 from chervilstall.placement.runner import Planner
@@ -103,11 +103,11 @@
         target = self.beliefs.targets.get(suspect.target)
         if target is None or target.started_at_ms != suspect.started_at_ms:
             return
-        self.planner.doubt(target)
-        if suspect.zone == self.zone:
+        self.planner.doubt(target, suspect.doubt)
+        if suspect.zone == self.zone or suspect.doubt is Doubt.REFUSING:
             # Seen from another zone, a broken link looks like a dead target.
             reason = f"reported by {suspect.reporter}"
-            self.beliefs.suspect(target, reason, shared=False)
+            self.beliefs.suspect(target, reason, shared=False, doubt=suspect.doubt)
 
     def tell(self, suspect: Suspect) -> None:
         """Share a suspicion with the other routers; failure is only logged."""
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -15,8 +15,9 @@
 from chervilstall.edge.members import ROUTERS_UNKNOWN, Members
 from chervilstall.edge.plain import PlainChooser, PlainRelay
 from chervilstall.edge.streams import StreamContext
+from chervilstall.edge.survey import Survey
 from chervilstall.errors import ChervilstallError, ErrorKind
-from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.fleet.beliefs import Doubt, FleetBeliefs
 from chervilstall.fleet.records import Target
 from chervilstall.lease.holder import LeaseHolder
 from chervilstall.paths.choice import PathChooser
@@ -52,6 +53,9 @@
 """Time in which the balancer sees that a router is no longer ready."""
 
 GRACE_SHARE = 0.92
+LAST_CALL_S = 0.6
+"""Time before the end after which no new connection is taken."""
+
 DRAIN_TICK_S = 0.05
 MALFORMED_KINDS = {
     408: ErrorKind.REQUEST_TIMEOUT,
@@ -109,6 +113,7 @@
             LeaseSettings(ttl_s=PLANNER_TTL_S, margin_s=PLANNER_MARGIN_S),
         )
         self.planner = Planner(self.beliefs, self.lease)
+        self.survey = Survey(self.beliefs, settings.zone, self.planner)
         self.members = Members(
             settings.vm,
             settings.zone,
@@ -139,15 +144,15 @@
     def _caller_listener(self) -> Server:
         return Server(self.settings.callers, self.app, malformed_reply=malformed_reply)
 
-    def _tell(self, target: Target, reason: str) -> None:
+    def _tell(self, target: Target, doubt: Doubt) -> None:
         suspect = Suspect(
             target.target,
             target.started_at_ms,
             self.settings.vm,
             self.settings.zone,
-            reason,
+            doubt,
         )
-        self.planner.doubt(target)
+        self.planner.doubt(target, doubt)
         gevent.spawn(self.members.tell, suspect)
 
     @property
@@ -185,6 +190,7 @@
         gevent.spawn(self.lease.run)
         gevent.spawn(self.planner.run)
         gevent.spawn(self.watch.run)
+        gevent.spawn(self.survey.run)
         gevent.spawn(self._keep_house)
         tune_collector()
 
@@ -251,8 +257,12 @@
         balancer_end_s = min(started_s + BALANCER_S, end_s)
         while time.monotonic() < balancer_end_s:
             gevent.sleep(DRAIN_TICK_S)
-        self.callers.close()
+        # The balancer may still send callers here where too few others are ready.
+        self.app.takes_streams = False
         self.callers.close_idle()
+        while time.monotonic() < end_s - LAST_CALL_S and self.app.running:
+            gevent.sleep(DRAIN_TICK_S)
+        self.callers.close()
         while self.app.running and time.monotonic() < end_s:
             gevent.sleep(DRAIN_TICK_S)
         story.info(
--- a/src/chervilstall/edge/streams.py
+++ b/src/chervilstall/edge/streams.py
@@ -5,6 +5,7 @@
 behind the last event that it passed, within the same answer.
 """
 
+import random
 import re
 import time
 from collections.abc import Iterator
@@ -28,9 +29,15 @@
 SENDS_MAX = 6
 SUSPECT_S = 1.5
 BUSY_S = 0.3
-REPAIR_S = 1.0
+REPAIR_S = 1.5
 """Time in which a missing part of a model is usually loaded again."""
 
+RETURN_SPREAD_S = 2.5
+"""Callers are asked back over this time, so that they do not return all at once."""
+
+RETURN_SHARE = 0.3
+"""Part of the time left that a caller may be asked to wait."""
+
 EVENT_ID = re.compile(rb"^id:\s*(\d+)\s*$", re.MULTILINE)
 
 
@@ -113,7 +120,9 @@
         path = self._choose()
         if path is None:
             raise self._refusal(self._why)
-        if request.sends and not self.context.budget.spend(request.service.name):
+        is_begun = self.head is not None
+        budget = self.context.budget
+        if request.sends and not budget.spend(request.service.name, is_begun):
             raise self._refusal("the budget for repeats is used up")
         return path
 
@@ -194,6 +203,7 @@
         )
         self._refusers.add(faulty.target)
         self.context.chooser.load.note_full(faulty.life, BUSY_S)
+        self.context.watch.examine(faulty)
 
     @staticmethod
     def _target_at(path: Path, address: str) -> Target | None:
@@ -224,11 +234,16 @@
 
     def _refusal(self, why: str) -> ChervilstallError:
         if not self._may_have_run:
-            return ChervilstallError(ErrorKind.NO_TARGET, why, REPAIR_S)
+            return ChervilstallError(ErrorKind.NO_TARGET, why, self._return_s())
         if self.request.left_s <= 0.0:
             return ChervilstallError(ErrorKind.DEADLINE_UNKNOWN, why)
         return ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, why)
 
+    def _return_s(self) -> float:
+        """Return when the caller should come back."""
+        wait_s = REPAIR_S + RETURN_SPREAD_S * random.random()
+        return min(wait_s, max(0.0, self.request.caller_left_s) * RETURN_SHARE)
+
     # Passing on
 
     def events(self) -> Iterator[bytes]:
--- /dev/null
+++ b/src/chervilstall/edge/survey.py
@@ -0,0 +1,69 @@
+"""Looking at targets directly while the store cannot be followed.
+
+Loads end and targets die also while the store is away. A router then asks the targets
+of its own zone for their reports, one after the other, and the router that plans asks
+those of every zone.
+"""
+
+import time
+from dataclasses import dataclass
+
+import gevent
+
+from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.fleet.records import Target
+from chervilstall.ids import ZoneName
+from chervilstall.placement.runner import Planner
+from chervilstall.platform.targets import fetch_report
+
+BLIND_S = 1.0
+"""Time without the store after which targets are asked directly."""
+
+ROUND_S = 2.0
+TICK_S = 0.25
+
+
+@dataclass
+class Survey:
+    """Asks targets for what they hold while the store is away."""
+
+    beliefs: FleetBeliefs
+    zone: ZoneName
+    planner: Planner
+
+    def run(self) -> None:
+        """Ask round by round for the life of the process; one task runs this."""
+        while True:
+            gevent.sleep(TICK_S)
+            if self._is_blind():
+                self._round()
+
+    def _is_blind(self) -> bool:
+        since_s = self.beliefs.blind_since_s
+        return since_s is not None and time.monotonic() - since_s > BLIND_S
+
+    def _round(self) -> None:
+        targets = self._targets()
+        for target in targets:
+            if not self._is_blind():
+                return
+            gevent.spawn(self._ask, target)
+            gevent.sleep(ROUND_S / len(targets))
+
+    def _targets(self) -> list[Target]:
+        configuration = self.beliefs.configuration
+        if configuration is None:
+            return []
+        chosen: list[Target] = []
+        for target in list(self.beliefs.targets.values()):
+            service = configuration.services.get(target.service)
+            if service is None or service.pipeline is None:
+                continue
+            if target.zone == self.zone or self.planner.is_planning:
+                chosen.append(target)
+        return chosen
+
+    def _ask(self, target: Target) -> None:
+        report = fetch_report(target.address, ROUND_S / 2.0)
+        if report is not None:
+            self.beliefs.observe(target, report.layers)
--- a/src/chervilstall/fleet/beliefs.py
+++ b/src/chervilstall/fleet/beliefs.py
@@ -2,9 +2,16 @@
 
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-
-from chervilstall.fleet.records import Configuration, Life, Target, TargetState
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from chervilstall.fleet.records import (
+    Configuration,
+    LayerRange,
+    Life,
+    Target,
+    TargetState,
+)
 from chervilstall.ids import ServiceName, TargetId
 from chervilstall.telemetry.story import Story
 
@@ -22,11 +29,18 @@
 OUTAGE_MEMORY_S = 3.0
 
 
+class Doubt(Enum):
+    """Why a target is avoided."""
+
+    SILENT = "silent"
+    REFUSING = "refusing"
+
+
 @dataclass
 class Suspicion:
     """Why and until when a target is avoided. `until_s` is in monotonic seconds."""
 
-    reason: str
+    doubt: Doubt
     until_s: float
 
 
@@ -43,7 +57,8 @@
     targets: dict[TargetId, Target] = field(default_factory=dict)
     generation: int = 0
     are_targets_known: bool = False
-    tell: Callable[[Target, str], None] | None = None
+    blind_since_s: float | None = None
+    tell: Callable[[Target, Doubt], None] | None = None
     _suspicions: dict[Life, Suspicion] = field(default_factory=dict)
     _draining_at_s: dict[Life, float] = field(default_factory=dict)
     _lapsed_at_s: dict[TargetId, float] = field(default_factory=dict)
@@ -104,6 +119,22 @@
             revision=target.revision,
         )
 
+    def observe(self, target: Target, layers: LayerRange) -> None:
+        """Take in what a target reports to hold while its entry cannot be read."""
+        known = self.targets.get(target.target)
+        if known is None or known.life != target.life or known.layers == layers:
+            return
+        self.targets[target.target] = replace(known, layers=layers)
+        self.generation += 1
+        story.info(
+            "target holds layers",
+            target=target.target,
+            zone=target.zone,
+            first=layers.first,
+            end=layers.end,
+            by="report",
+        )
+
     def drop_target(self, name: TargetId) -> None:
         """Forget a target whose entry is gone.
 
@@ -138,6 +169,15 @@
         """Remember that the store does not answer at this moment."""
         self._outage_end_s = time.monotonic()
 
+    def begin_outage(self) -> None:
+        """Remember since when entries of targets cannot be followed."""
+        if self.blind_since_s is None:
+            self.blind_since_s = time.monotonic()
+
+    def end_outage(self) -> None:
+        """Take entries of targets as followed again."""
+        self.blind_since_s = None
+
     def expire(self) -> None:
         """Forget lapsed targets and ended suspicions; called about once a second."""
         now_s = time.monotonic()
@@ -157,6 +197,7 @@
         reason: str,
         for_s: float = SUSPICION_S,
         shared: bool = True,
+        doubt: Doubt = Doubt.SILENT,
     ) -> bool:
         """Avoid a target for a while; True where it was not yet avoided.
 
@@ -164,7 +205,7 @@
         """
         is_new = target.life not in self._suspicions
         until_s = time.monotonic() + for_s
-        self._suspicions[target.life] = Suspicion(reason, until_s)
+        self._suspicions[target.life] = Suspicion(doubt, until_s)
         if is_new:
             self.generation += 1
             story.warning(
@@ -174,7 +215,7 @@
                 reason=reason,
             )
             if shared and for_s >= SUSPICION_S and self.tell is not None:
-                self.tell(target, reason)
+                self.tell(target, doubt)
         return is_new
 
     def trust(self, target: Target) -> None:
--- a/src/chervilstall/lease/holder.py
+++ b/src/chervilstall/lease/holder.py
@@ -73,6 +73,7 @@
         self._store = store
         self._clock = clock
         self._acts_until_s = float("-inf")
+        self._unanswered_since_s: float | None = None
         self._tenure: Tenure | None = None
         self._stopped = Event()
 
@@ -84,7 +85,10 @@
                 self.name, self.holder, self.settings.ttl_s, self.note
             )
         except StoreFailed:
+            if self._unanswered_since_s is None:
+                self._unanswered_since_s = asked_at_s
             return self.state()
+        self._unanswered_since_s = None
         self.record = record
         if record.holder != self.holder:
             self._lose()
@@ -111,6 +115,17 @@
             return LeaseState.ELSEWHERE
         return LeaseState.FREE
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether the last call to the store failed."""
+        return self._unanswered_since_s is not None
+
+    def unanswered_s(self) -> float:
+        """Return for how long the store has answered no call of this holder."""
+        if self._unanswered_since_s is None:
+            return 0.0
+        return self._clock() - self._unanswered_since_s
+
     def remaining_s(self) -> float:
         """Return how long the holder may still act without renewing."""
         return max(0.0, self._acts_until_s - self._clock())
--- a/src/chervilstall/placement/plan.py
+++ b/src/chervilstall/placement/plan.py
@@ -8,25 +8,20 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from chervilstall.fleet.records import NO_LAYERS, LayerRange, Pipeline
 from chervilstall.ids import TargetId, ZoneName
+from chervilstall.placement.group import GroupPlan, Holder
+from chervilstall.placement.relief import relieve
 
 ROOM_MIN_REQUESTS = 24.0
 """Requests of usual size that a cover must hold at once to be worth its loads."""
 
-ROOM_STEPS = 40
+ROOM_AMPLE_REQUESTS = 48.0
+"""Requests at once beyond which more copies are worth more than more room."""
 
-
-@dataclass(frozen=True)
-class Holder:
-    """A target that can hold layers, with what it holds or was just told to hold."""
-
-    target: TargetId
-    zone: ZoneName
-    memory_mb: float
-    layers: LayerRange
+ROOM_STEPS = 16
 
 
 @dataclass(frozen=True)
@@ -37,33 +32,6 @@
     layers: LayerRange
 
 
-@dataclass
-class GroupPlan:
-    """Work on one group of targets that covers the model by itself."""
-
-    pipeline: Pipeline
-    holders: list[Holder]
-    room_tokens: float
-    changes: dict[TargetId, LayerRange] = field(default_factory=dict)
-
-    def layers_of(self, holder: Holder) -> LayerRange:
-        """Return what a target holds after the changes so far."""
-        return self.changes.get(holder.target, holder.layers)
-
-    def counts(self) -> list[int]:
-        """Return how many targets hold each layer after the changes so far."""
-        counts = [0] * self.pipeline.layers
-        for holder in self.holders:
-            layers = self.layers_of(holder)
-            for layer in range(layers.first, min(layers.end, len(counts))):
-                counts[layer] += 1
-        return counts
-
-    def size_of(self, holder: Holder) -> int:
-        """Return how many layers a target should hold beside its requests."""
-        return self.pipeline.layers_max(holder.memory_mb, self.room_tokens)
-
-
 def plan(pipeline: Pipeline, holders: Iterable[Holder]) -> list[Placement]:
     """Return the changes that restore the covers and their second copies."""
     changes: list[Placement] = []
@@ -71,7 +39,8 @@
         work = GroupPlan(pipeline, group, room_tokens(pipeline, group))
         _fill_gaps(work)
         _copy_with_the_rest(work)
-        _shrink(work)
+        if not work.changes:
+            relieve(work)
         for name, layers in work.changes.items():
             changes.append(Placement(name, layers))
     return changes
@@ -116,7 +85,7 @@
     for spare in (True, False):
         room = 0.0
         for step in range(ROOM_STEPS, 0, -1):
-            tokens = room_min * 8.0 * step / ROOM_STEPS
+            tokens = ROOM_AMPLE_REQUESTS * pipeline.usual_tokens * step / ROOM_STEPS
             sizes = [pipeline.layers_max(each.memory_mb, tokens) for each in holders]
             needed = pipeline.layers + (max(sizes, default=0) if spare else 0)
             if sum(sizes) >= needed:
@@ -222,24 +191,6 @@
             work.changes[holder.target] = _copy_range(work, size)
 
 
-def _shrink(work: GroupPlan) -> None:
-    """Let targets that grew beyond their size give back what others hold as well."""
-    counts = work.counts()
-    for holder in work.holders:
-        layers = work.layers_of(holder)
-        if holder.target in work.changes or len(layers) <= work.size_of(holder):
-            continue
-        first, end = layers.first, layers.end
-        while end - first > work.size_of(holder) and counts[end - 1] > 1:
-            end -= 1
-            counts[end] -= 1
-        while end - first > work.size_of(holder) and counts[first] > 1:
-            counts[first] -= 1
-            first += 1
-        if end - first < len(layers):
-            work.changes[holder.target] = LayerRange(first, end)
-
-
 def _copy_range(work: GroupPlan, size: int) -> LayerRange:
     """Return the range of `size` layers that is held by the fewest targets.
 
--- a/src/chervilstall/placement/runner.py
+++ b/src/chervilstall/placement/runner.py
@@ -6,7 +6,7 @@
 import gevent
 
 from chervilstall.errors import ChervilstallError
-from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.fleet.beliefs import Doubt, FleetBeliefs
 from chervilstall.fleet.records import (
     LayerRange,
     Life,
@@ -15,8 +15,9 @@
     Target,
     TargetState,
 )
-from chervilstall.lease.holder import LeaseHolder, LeaseState, Tenure
-from chervilstall.placement.plan import Holder, Placement, plan
+from chervilstall.lease.holder import LeaseHolder, Tenure
+from chervilstall.placement.group import Holder
+from chervilstall.placement.plan import Placement, plan
 from chervilstall.platform.targets import PlaceOrder, fetch_report, give_order
 from chervilstall.telemetry.story import Story
 
@@ -26,6 +27,9 @@
 IDLE_S = 1.0
 ASK_TIMEOUT_S = 0.5
 DEAD_S = 3.0
+UNANSWERED_MAX_S = 20.0
+"""Longest time that a holder goes on planning without an answer of the store."""
+
 ARRIVAL_GAP_S = 0.8
 ARRIVAL_MAX_S = 5.0
 REST_S = 1.0
@@ -57,6 +61,7 @@
     _targets_seen: set[Life] = field(default_factory=set)
     _arrived_at_s: float = field(default_factory=time.monotonic)
     _first_seen_s: float = field(default_factory=time.monotonic)
+    _tenure: Tenure | None = None
     _generation: int = -1
     _planned_at_s: float = float("-inf")
 
@@ -74,9 +79,8 @@
         is_due = time.monotonic() - self._planned_at_s > IDLE_S
         if self._generation == self.beliefs.generation and not is_due:
             return
-        try:
-            tenure = self.lease.check()
-        except ChervilstallError:
+        tenure = self._tenure = self._present_tenure()
+        if tenure is None:
             # Another router plans.
             self._pending.clear()
             self._orders_begun.clear()
@@ -90,9 +94,21 @@
             if service.pipeline is not None:
                 self._plan_service(service, service.pipeline, tenure)
 
-    def doubt(self, target: Target) -> None:
-        """Ask a target that a router suspects, where this router plans."""
-        if self.lease.state() is not LeaseState.HELD or target.life in self._asking:
+    @property
+    def is_planning(self) -> bool:
+        """Return whether this router planned at its last step."""
+        return self._tenure is not None
+
+    def doubt(self, target: Target, doubt: Doubt = Doubt.SILENT) -> None:
+        """Look into a target that a router suspects, where this router plans.
+
+        A silent target is asked, since it may only be out of that router's reach.
+        One that refuses has said so itself.
+        """
+        if self._tenure is None or target.life in self._asking:
+            return
+        if doubt is Doubt.REFUSING:
+            self._bury(target)
             return
         self._asking.add(target.life)
         gevent.spawn(self._ask, target)
@@ -141,6 +157,22 @@
             return False
         return now_s - self._arrived_at_s < ARRIVAL_GAP_S
 
+    def _present_tenure(self) -> Tenure | None:
+        """Return the tenure under which orders may be given now.
+
+        While the store answers nobody, no other router can take the lease. The last
+        holder then goes on: each order names the count of orders that its target
+        must have begun, so that an order that comes late or twice is refused.
+        """
+        try:
+            return self.lease.check()
+        except ChervilstallError:
+            if self._tenure is None or not self.lease.is_unanswered:
+                return None
+            if self.lease.unanswered_s() > UNANSWERED_MAX_S:
+                return None
+            return self._tenure
+
     def _plan_service(
         self, service: Service, pipeline: Pipeline, tenure: Tenure
     ) -> None:
@@ -191,10 +223,8 @@
         self._pending[target.life] = PendingOrder(placement.layers, until_s)
 
     def _order(self, target: Target, placement: Placement, tenure: Tenure) -> None:
-        try:
-            self.lease.check()
-        except ChervilstallError as error:
-            story.warning("order not given", target=target.target, why=error.message)
+        if self._present_tenure() is None:
+            story.warning("order not given", target=target.target, why="lease lost")
             return
         orders_begun = self._count_orders(target)
         if orders_begun is None:
--- a/src/chervilstall/platform/follow.py
+++ b/src/chervilstall/platform/follow.py
@@ -80,6 +80,8 @@
         self._retry_s = RETRY_FIRST_S
         if self._is_lost:
             self._is_lost = False
+            if self.prefix == names.TARGETS_PREFIX:
+                self.beliefs.end_outage()
             self.beliefs.note_outage()
             story.info("store regained", prefix=self.prefix, at=self.revision)
 
@@ -87,6 +89,8 @@
         self.beliefs.note_outage()
         if not self._is_lost:
             self._is_lost = True
+            if self.prefix == names.TARGETS_PREFIX:
+                self.beliefs.begin_outage()
             story.warning("store lost", prefix=self.prefix, why=error.message)
 
 
--- a/src/chervilstall/platform/suspects.py
+++ b/src/chervilstall/platform/suspects.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from chervilstall.fleet.beliefs import Doubt
 from chervilstall.ids import TargetId, VmId, ZoneName
 
 
@@ -15,7 +16,7 @@
     started_at_ms: int
     reporter: VmId
     zone: ZoneName
-    reason: str
+    doubt: Doubt
 
 
 _decoder = msgspec.json.Decoder(Suspect)
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -17,6 +17,9 @@
 
 CALL_TIMEOUT_S = 1.5
 JSON_HEADERS = {"Content-Type": "application/json"}
+ROOM_SHARE = 0.85
+"""Part of the memory for requests beyond which a target counts as full."""
+
 ACCEPTED_STATUSES = frozenset({200, 202})
 
 
@@ -48,9 +51,6 @@
         address = parse_address(entry.address)
     except ValueError:
         return None
-    layers = NO_LAYERS
-    if entry.layers is not None and 0 <= entry.layers.first < entry.layers.end:
-        layers = LayerRange(entry.layers.first, entry.layers.end)
     return Target(
         TargetId(target),
         entry.born,
@@ -59,11 +59,17 @@
         ZoneName(entry.zone),
         TargetState(entry.state),
         entry.type,
-        layers,
+        _layers(entry.layers),
         revision,
     )
 
 
+def _layers(layers: _Layers | None) -> LayerRange:
+    if layers is None or not 0 <= layers.first < layers.end:
+        return NO_LAYERS
+    return LayerRange(layers.first, layers.end)
+
+
 def encode_path(path: Path) -> str:
     """Return a path as targets read it."""
     return ",".join(
@@ -113,6 +119,12 @@
     memory_used: float
     memory_total: float
     stalled: tuple[StalledRequest, ...]
+    layers: LayerRange
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether memory for requests is not nearly used up."""
+        return self.memory_used < ROOM_SHARE * self.memory_total
 
 
 def fetch_report(
@@ -139,6 +151,7 @@
         report.kv_used_count,
         report.kv_total_count,
         stalled,
+        _layers(report.layers),
     )
 
 
--- a/src/chervilstall/wsgi.py
+++ b/src/chervilstall/wsgi.py
@@ -118,6 +118,7 @@
 
     wsgi_input: BoundedInput
     _held: bytearray | None = None
+    _has_served = False
 
     def log_request(self) -> None:
         """Log nothing here; parts log for themselves."""
@@ -142,8 +143,9 @@
         super().handle()
 
     def read_requestline(self) -> str:
-        if self.server.is_closing_idle:
+        if self.server.is_closing_idle and self._has_served:
             return ""
+        self._has_served = True
         self.server.idle.add(self)
         try:
             return self._await_requestline()
@@ -276,7 +278,10 @@
         return Address(self.server_host, self.server_port)
 
     def close_idle(self) -> None:
-        """Close connections that wait for a request, now and from now on."""
+        """Close connections that wait for a request, now and from now on.
+
+        A new connection still gets its first request answered.
+        """
         self.is_closing_idle = True
         for handler in list(self.idle):
             try:
