Find slow targets by their reports, and take over planning within two seconds

Change: a target that was just given an order is not dead; covers are laid out anew only after three quiet seconds; pauses that grow make the router ask the targets of a path for their pace; the planner's lease lasts 2 s and the watch tells of its end.

--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -35,6 +35,13 @@
 FIRST_SILENCE_S = 0.35
 """The same before the first event, while prompts are read."""
 
+GAP_WEIGHT = 0.2
+SLOW_RATIO = 2.0
+"""Pause between events against the quickest streams' from which a path is slow."""
+
+SLOW_CHECK_S = 0.5
+PACE_DRIFT = 0.02
+SLOW_MEMORY_S = 3.0
 ASK_AGAIN_S = 0.1
 EXAMINE_AGAIN_S = 1.0
 HOPELESS_S = 1.2
@@ -50,6 +57,7 @@
     path: Path
     last_event_s: float
     has_event: bool = False
+    gap_s: float = 0.0
     is_moving: bool = False
 
     @property
@@ -57,6 +65,15 @@
         """Return how long the stream may be silent before it is looked at."""
         return EVENT_SILENCE_S if self.has_event else FIRST_SILENCE_S
 
+    def note_event(self) -> None:
+        """Count an event and the pause before it."""
+        now_s = time.monotonic()
+        if self.has_event:
+            gap_s = now_s - self.last_event_s
+            self.gap_s += GAP_WEIGHT * (gap_s - self.gap_s)
+        self.last_event_s = now_s
+        self.has_event = True
+
     def passes(self, target: Target) -> bool:
         """Return whether the stream's path goes through a target."""
         return any(part.target.life == target.life for part in self.path.parts)
@@ -72,6 +89,9 @@
     _asking: set[TargetId] = field(default_factory=set)
     _asked_at_s: dict[TargetId, float] = field(default_factory=dict)
     _generation: int = -1
+    _pace: float = 0.0
+    _checked_at_s: float = 0.0
+    _paced_at_s: dict[TargetId, float] = field(default_factory=dict)
 
     def run(self) -> None:
         """Look at all streams for the life of the process; one task runs this."""
@@ -96,6 +116,49 @@
         if self._generation != self.beliefs.generation:
             self._generation = self.beliefs.generation
             self._move_from_leaving()
+        if now_s - self._checked_at_s > SLOW_CHECK_S:
+            self._checked_at_s = now_s
+            self._find_slow()
+
+    def _find_slow(self) -> None:
+        """Ask the targets of paths on which events come much slower than usual.
+
+        The pace of the quickest stream, against the time that its path should take,
+        is what is usual here.
+        """
+        paces: dict[RequestId, float] = {}
+        for name, stream in self.streams.items():
+            pipeline = stream.request.service.pipeline
+            if pipeline is None or not stream.gap_s:
+                continue
+            step_ms = self.chooser.step_ms(pipeline, stream.path)
+            paces[name] = stream.gap_s * 1e3 / step_ms
+        if not paces:
+            return
+        quickest = min(paces.values())
+        if not self._pace or quickest < self._pace:
+            self._pace = quickest
+        else:
+            self._pace += PACE_DRIFT * (quickest - self._pace)
+        for name, pace in paces.items():
+            if pace > SLOW_RATIO * self._pace:
+                for part in self.streams[name].path.parts:
+                    self._ask_pace(part.target)
+        for target in list(self.beliefs.targets.values()):
+            if target.life in self.beliefs.slowness:
+                self._ask_pace(target)
+
+    def _ask_pace(self, target: Target) -> None:
+        now_s = time.monotonic()
+        if now_s - self._paced_at_s.get(target.target, -SLOW_MEMORY_S) < SLOW_MEMORY_S:
+            return
+        self._paced_at_s[target.target] = now_s
+        gevent.spawn(self._note_pace, target)
+
+    def _note_pace(self, target: Target) -> None:
+        report = fetch_report(target.address)
+        if report is not None:
+            self.beliefs.note_slowness(target, report.slowness)
 
     def _note_silent(self, stream: LiveStream, silence_s: float) -> None:
         story.warning(
@@ -152,7 +215,8 @@
             self.beliefs.suspect(target, "gives no report")
             return
         self.beliefs.observe(target, report.layers)
-        if report.has_room and report.layers.covers(target.layers):
+        is_idle = not report.is_loading and not report.queued
+        if is_idle and report.has_room and report.layers.covers(target.layers):
             reason = "refuses work though it has room"
             self.beliefs.suspect(target, reason, doubt=Doubt.REFUSING)
 
--- a/src/chervilstall/edge/members.py
+++ b/src/chervilstall/edge/members.py
@@ -18,6 +18,7 @@
     LeaseEnded,
     PlatformStore,
 )
+from chervilstall.platform.leases import lease_key
 from chervilstall.platform.suspects import Suspect, decode_suspect, encode_suspect
 from chervilstall.store.contract import StoreFailed
 from chervilstall.telemetry.story import Story
@@ -83,6 +84,8 @@
             else:
                 self._present.add(entry.key)
             self._share()
+        elif entry.key == lease_key(self.planner.lease.name) and entry.value is None:
+            self.planner.lease.wake()
         elif entry.key.startswith(SUSPECTS_PREFIX) and entry.value is not None:
             self._doubt(entry.value)
 
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -44,8 +44,9 @@
 story = Story("router")
 
 PLANNER_LEASE = "planner"
-PLANNER_TTL_S = 4.0
-PLANNER_MARGIN_S = 0.8
+PLANNER_TTL_S = 2.0
+PLANNER_MARGIN_S = 0.4
+PLANNER_STANDBY_S = 10.0
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 HOUSEKEEPING_S = 0.5
@@ -111,6 +112,7 @@
             PLANNER_LEASE,
             f"{settings.vm}/{os.getpid()}",
             LeaseSettings(ttl_s=PLANNER_TTL_S, margin_s=PLANNER_MARGIN_S),
+            standby_s=PLANNER_STANDBY_S,
         )
         self.planner = Planner(self.beliefs, self.lease)
         self.survey = Survey(self.beliefs, settings.zone, self.planner)
--- a/src/chervilstall/edge/streams.py
+++ b/src/chervilstall/edge/streams.py
@@ -275,8 +275,7 @@
     def _read_event(self) -> bytes | None:
         assert self._exchange is not None and self._stream is not None
         event = self._exchange.read_event()
-        self._stream.last_event_s = time.monotonic()
-        self._stream.has_event = True
+        self._stream.note_event()
         return event
 
     def _resume(self) -> None:
--- a/src/chervilstall/fleet/beliefs.py
+++ b/src/chervilstall/fleet/beliefs.py
@@ -27,6 +27,10 @@
 """Longest time a target is avoided on one failure without a later sign of life."""
 
 OUTAGE_MEMORY_S = 3.0
+SLOW_FROM = 1.5
+"""Pass time against the usual one from which a target counts as slow."""
+
+SLOW_STEP = 0.5
 
 
 class Doubt(Enum):
@@ -57,6 +61,7 @@
     targets: dict[TargetId, Target] = field(default_factory=dict)
     generation: int = 0
     are_targets_known: bool = False
+    slowness: dict[Life, float] = field(default_factory=dict)
     blind_since_s: float | None = None
     tell: Callable[[Target, Doubt], None] | None = None
     _suspicions: dict[Life, Suspicion] = field(default_factory=dict)
@@ -135,6 +140,21 @@
             by="report",
         )
 
+    def note_slowness(self, target: Target, slowness: float) -> None:
+        """Take in how much longer a target needs for a pass than usual."""
+        known = self.slowness.get(target.life, 1.0)
+        if slowness <= SLOW_FROM:
+            if self.slowness.pop(target.life, None) is not None:
+                self.generation += 1
+                story.info("target fast again", target=target.target)
+            return
+        self.slowness[target.life] = slowness
+        if abs(slowness - known) > SLOW_STEP:
+            self.generation += 1
+            story.warning(
+                "target slow", target=target.target, slowness=round(slowness, 2)
+            )
+
     def drop_target(self, name: TargetId) -> None:
         """Forget a target whose entry is gone.
 
@@ -154,6 +174,7 @@
         self._lapsed_at_s.pop(name, None)
         self._draining_at_s.pop(target.life, None)
         self._suspicions.pop(target.life, None)
+        self.slowness.pop(target.life, None)
         self.generation += 1
         story.info("target gone", target=name, address=str(target.address))
 
--- a/src/chervilstall/lease/holder.py
+++ b/src/chervilstall/lease/holder.py
@@ -46,6 +46,9 @@
 class LeaseHolder:
     """Acquires, renews and checks one lease.
 
+    While another holds it, the holder asks again after the lease's life, or after
+    `standby_s` where `wake` tells it of the end.
+
     `step` makes one store call; `run` repeats it until stopped. A holder acts only
     between a successful `check` and the end of the margin.
 
@@ -63,11 +66,13 @@
         settings: LeaseSettings,
         clock: Clock = boot_clock_s,
         note: str = "",
+        standby_s: float | None = None,
     ) -> None:
         self.name = name
         self.holder = holder
         self.settings = settings
         self.note = note
+        self.standby_s = standby_s
         self.record: LeaseRecord | None = None
         self.losses = 0
         self._store = store
@@ -76,6 +81,7 @@
         self._unanswered_since_s: float | None = None
         self._tenure: Tenure | None = None
         self._stopped = Event()
+        self._woken = Event()
 
     def step(self) -> LeaseState:
         """Acquire or renew once; a store failure leaves the present life as it is."""
@@ -142,18 +148,26 @@
         """Acquire and renew until `stop`; one task runs this."""
         while not self._stopped.is_set():
             self.step()
-            self._stopped.wait(self._wait_s() * (1.0 + jitter()))
+            self._woken.wait(self._wait_s() * (1.0 + jitter()))
+            self._woken.clear()
+
+    def wake(self) -> None:
+        """Ask at once, because the lease of another may have ended."""
+        self._woken.set()
 
     def _wait_s(self) -> float:
         interval_s = self.settings.ttl_s / RENEWALS_PER_TTL
         if self.record is None or self.state() is not LeaseState.ELSEWHERE:
             return interval_s
+        if self.standby_s is not None:
+            return self.standby_s
         # Another holder has just renewed; asking before its end is of no use.
         return max(interval_s, min(self.record.remaining_s, self.settings.ttl_s))
 
     def stop(self, release: bool = True) -> None:
         """Stop renewing and give the lease up."""
         self._stopped.set()
+        self._woken.set()
         was_held = self._tenure is not None
         self._lose()
         if not release or not was_held:
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -38,6 +38,7 @@
 FULL_MS = 40.0
 """Added where a target's memory is expected to be used up."""
 
+SLOW_MS = 15.0
 PARTS_MAX = 32
 UNKNOWN_STEP_FACTOR = 20.0
 MEMORY_ROUNDING = 1e-9
@@ -159,10 +160,23 @@
     def _layer_ms(self, pipeline: Pipeline, target: Target) -> float:
         kind = pipeline.kinds.get(target.kind)
         factor = kind.step_factor if kind is not None else UNKNOWN_STEP_FACTOR
-        return pipeline.step_ms * factor / pipeline.layers
+        slowness = self.beliefs.slowness.get(target.life, 1.0)
+        return pipeline.step_ms * factor * slowness / pipeline.layers
+
+    def step_ms(self, pipeline: Pipeline, path: Path) -> float:
+        """Return the expected time of one step over a path with no target slow."""
+        total_ms = 0.0
+        for part in path.parts:
+            kind = pipeline.kinds.get(part.target.kind)
+            factor = kind.step_factor if kind is not None else UNKNOWN_STEP_FACTOR
+            share = len(part.layers) / pipeline.layers
+            total_ms += HOP_MS + pipeline.step_ms * factor * share
+        return total_ms
 
     def _fixed_ms(self, pipeline: Pipeline, target: Target, tokens: float) -> float:
         cost_ms = HOP_MS + REQUEST_MS * self.load.requests.get(target.life, 0)
+        if target.life in self.beliefs.slowness:
+            cost_ms += SLOW_MS
         if target.state is TargetState.DRAINING:
             cost_ms += LEAVING_MS
         if self.load.is_full(target.life):
--- a/src/chervilstall/placement/plan.py
+++ b/src/chervilstall/placement/plan.py
@@ -32,14 +32,20 @@
     layers: LayerRange
 
 
-def plan(pipeline: Pipeline, holders: Iterable[Holder]) -> list[Placement]:
-    """Return the changes that restore the covers and their second copies."""
+def plan(
+    pipeline: Pipeline, holders: Iterable[Holder], is_settled: bool = True
+) -> list[Placement]:
+    """Return the changes that restore the covers and their second copies.
+
+    Where the targets have been the same for a while, `is_settled`, covers that repairs
+    left with little room are also laid out anew.
+    """
     changes: list[Placement] = []
     for group in groups(pipeline, holders):
         work = GroupPlan(pipeline, group, room_tokens(pipeline, group))
         _fill_gaps(work)
         _copy_with_the_rest(work)
-        if not work.changes:
+        if is_settled and not work.changes:
             relieve(work)
         for name, layers in work.changes.items():
             changes.append(Placement(name, layers))
--- a/src/chervilstall/placement/runner.py
+++ b/src/chervilstall/placement/runner.py
@@ -15,6 +15,7 @@
     Target,
     TargetState,
 )
+from chervilstall.ids import TargetId
 from chervilstall.lease.holder import LeaseHolder, Tenure
 from chervilstall.placement.group import Holder
 from chervilstall.placement.plan import Placement, plan
@@ -32,6 +33,9 @@
 
 ARRIVAL_GAP_S = 0.8
 ARRIVAL_MAX_S = 5.0
+SETTLED_S = 3.0
+"""Time without a change of targets after which covers are laid out anew."""
+
 REST_S = 1.0
 ORDER_BEGUN = 202
 ORDER_SLACK_S = 2.0
@@ -61,6 +65,8 @@
     _targets_seen: set[Life] = field(default_factory=set)
     _arrived_at_s: float = field(default_factory=time.monotonic)
     _first_seen_s: float = field(default_factory=time.monotonic)
+    _settled_names: set[TargetId] = field(default_factory=set)
+    _settled_at_s: float = field(default_factory=time.monotonic)
     _tenure: Tenure | None = None
     _generation: int = -1
     _planned_at_s: float = float("-inf")
@@ -107,6 +113,9 @@
         """
         if self._tenure is None or target.life in self._asking:
             return
+        if target.life in self._pending:
+            # It was told to change what it holds, and refuses meanwhile.
+            return
         if doubt is Doubt.REFUSING:
             self._bury(target)
             return
@@ -194,7 +203,8 @@
             )
             for target in targets.values()
         ]
-        changes = plan(pipeline, holders)
+        is_settled = not self._pending and self._is_settled(set(targets))
+        changes = plan(pipeline, holders, is_settled)
         for placement in changes:
             target = targets[placement.target]
             if placement.layers == self._held(target):
@@ -202,6 +212,14 @@
             self._remember(target, placement, pipeline, len(changes))
             gevent.spawn(self._order, target, placement, tenure)
 
+    def _is_settled(self, names: set[TargetId]) -> bool:
+        """Return whether the same targets have been there for some time."""
+        now_s = time.monotonic()
+        if names != self._settled_names:
+            self._settled_names = names
+            self._settled_at_s = now_s
+        return now_s - self._settled_at_s > SETTLED_S
+
     def _held(self, target: Target) -> LayerRange:
         """Return what a target holds, or will hold by the last order."""
         pending = self._pending.get(target.life)
--- a/src/chervilstall/platform/leases.py
+++ b/src/chervilstall/platform/leases.py
@@ -10,6 +10,11 @@
 PREFIX = names.OWN_PREFIX + "leases/"
 
 
+def lease_key(name: str) -> str:
+    """Return the key that lives as long as a lease."""
+    return PREFIX + name
+
+
 @dataclass(frozen=True)
 class _Held:
     lease: Lease
@@ -37,14 +42,13 @@
                 return LeaseRecord(name, holder, held.epoch, held.lease.ttl_s, note)
             except LeaseEnded:
                 del self._held[name]
-        present = self.store.get(PREFIX + name)
+        present = self.store.get(lease_key(name))
         if present is not None and present.value is not None:
             return LeaseRecord(
                 name, present.value.decode(), Epoch(present.revision), ttl_s / 2.0
             )
         lease = self.store.open_lease(ttl_s)
-        key = PREFIX + name
-        revision = self.store.write(key, holder.encode(), 0, lease.number)
+        revision = self.store.write(lease_key(name), holder.encode(), 0, lease.number)
         if revision is None:
             self.store.end_lease(lease)
             return LeaseRecord(name, "", Epoch(0), ttl_s / 2.0)
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -17,8 +17,8 @@
 
 CALL_TIMEOUT_S = 1.5
 JSON_HEADERS = {"Content-Type": "application/json"}
-ROOM_SHARE = 0.85
-"""Part of the memory for requests beyond which a target counts as full."""
+ROOM_SHARE = 0.5
+"""Part of the memory for requests up to which a target surely takes another one."""
 
 ACCEPTED_STATUSES = frozenset({200, 202})
 
@@ -123,7 +123,7 @@
 
     @property
     def has_room(self) -> bool:
-        """Return whether memory for requests is not nearly used up."""
+        """Return whether there is surely memory for another request."""
         return self.memory_used < ROOM_SHARE * self.memory_total
 
 
