Answer requests that have arrived when idle connections are closed

Ruled out: a second close elsewhere (the run at the target ended well). Change: idle connections are shut for reading only; what has arrived is read and answered.

--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -39,6 +39,9 @@
 SLOW_RATIO = 2.0
 """Pause between events against the quickest streams' from which a path is slow."""
 
+SLOW_SHARE = 0.4
+"""Part of the longest useful pause from which a slow path is looked into."""
+
 SLOW_CHECK_S = 0.5
 PACE_DRIFT = 0.02
 SLOW_MEMORY_S = 3.0
@@ -141,8 +144,10 @@
         else:
             self._pace += PACE_DRIFT * (quickest - self._pace)
         for name, pace in paces.items():
-            if pace > SLOW_RATIO * self._pace:
-                for part in self.streams[name].path.parts:
+            stream = self.streams[name]
+            is_late = stream.gap_s > stream.request.route.gap_aim_s * SLOW_SHARE
+            if is_late and pace > SLOW_RATIO * self._pace:
+                for part in stream.path.parts:
                     self._ask_pace(part.target)
         for target in list(self.beliefs.targets.values()):
             if target.life in self.beliefs.slowness:
--- a/src/chervilstall/wsgi.py
+++ b/src/chervilstall/wsgi.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from socket import IPPROTO_TCP, SHUT_RDWR, SHUT_WR, TCP_NODELAY
+from socket import IPPROTO_TCP, SHUT_RD, SHUT_WR, TCP_NODELAY
 from typing import Any
 
 import gevent
@@ -285,7 +285,8 @@
         self.is_closing_idle = True
         for handler in list(self.idle):
             try:
-                handler.socket.shutdown(SHUT_RDWR)
+                # What has arrived can still be read, and be answered.
+                handler.socket.shutdown(SHUT_RD)
             except OSError:
                 # The peer has closed it already.
                 continue
