Close only idle connections on which nothing has arrived

Change: an idle connection on which bytes wait is left to its task, which answers and closes it. Test: tests/edge/shutdown.feature; tests/edge/requests.feature and streams.feature prove the path on the stand-ins of the platform.

--- a/src/chervilstall/commands/edge.py
+++ b/src/chervilstall/commands/edge.py
@@ -8,11 +8,13 @@
 from typing import Annotated
 
 import cappa
+import gevent
 
 from chervilstall.commands.start import ExitCode
 from chervilstall.edge.server import EdgeServer
 from chervilstall.platform.names import SETTINGS_VARIABLE
 from chervilstall.platform.node import read_node
+from chervilstall.telemetry.story import writer
 
 
 @cappa.command(
@@ -41,11 +43,14 @@
     if command.check:
         print("The settings are valid.")
         return ExitCode.DONE
+    writer.common["vm"] = settings.vm
+    gevent.spawn(writer.run)
     server = EdgeServer(settings, path)
     server.start()
     start.on_stop_signals(server.drain_and_stop)
     start.on_reload_signal(server.reload)
     server.wait()
+    writer.flush()
     return ExitCode.DONE
 
 
--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -93,7 +93,8 @@
         request = None
         try:
             request = self._admit(environ, fields, arrived_s)
-            watch = CallerWatch(environ[SOCKET_KEY], request).start()
+            watch = CallerWatch(environ[SOCKET_KEY], request)
+            watch.start()
             try:
                 yield from self._relay(request, start_response)
             finally:
--- a/src/chervilstall/edge/caller.py
+++ b/src/chervilstall/edge/caller.py
@@ -9,7 +9,7 @@
 
 
 class CallerWatch:
-    """Watches a caller's connection for its end; use it as a context manager.
+    """Watches a caller's connection for its end.
 
     Nothing else may read the connection meanwhile. Bytes that arrive belong to the
     next request and end the watch.
@@ -20,10 +20,9 @@
         self._request = request
         self._task: gevent.Greenlet | None = None
 
-    def start(self) -> "CallerWatch":
+    def start(self) -> None:
         """Start watching."""
         self._task = gevent.spawn(self._wait)
-        return self
 
     def stop(self) -> None:
         """Stop, so that the connection can be read again."""
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -38,7 +38,7 @@
 from chervilstall.settings.option import Address
 from chervilstall.telemetry.collector import tune_collector
 from chervilstall.telemetry.edge_metrics import EdgeMetrics
-from chervilstall.telemetry.story import Story, writer
+from chervilstall.telemetry.story import Story
 from chervilstall.wsgi import Environ, Reply, Server, StartResponse, json_reply
 
 story = Story("router")
@@ -97,7 +97,12 @@
 class EdgeServer:
     """Everything that one router holds, wired together from its settings."""
 
-    def __init__(self, settings: NodeSettings, settings_path: Path) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        settings_path: Path,
+        metrics_port: int = METRICS_PORT,
+    ) -> None:
         self.settings = settings
         self.settings_path = settings_path
         self.beliefs = FleetBeliefs(settings.bounds.drain_s)
@@ -129,11 +134,12 @@
         operations = Operations(self)
         self.ready = Server(settings.ready, operations)
         self.metrics_listener = Server(
-            Address(settings.ready.host, METRICS_PORT), operations
+            Address(settings.ready.host, metrics_port), operations
         )
         self.beliefs.tell = self._tell
         self.is_draining = False
         self._stopped = Event()
+        self._tasks: list[gevent.Greenlet] = []
         self._settings_text = b""
 
     def _application(self) -> EdgeApplication:
@@ -168,8 +174,6 @@
 
     def start(self) -> None:
         """Start every task, and serve."""
-        writer.common["vm"] = self.settings.vm
-        gevent.spawn(writer.run)
         story.info("started", zone=self.settings.zone, pid=os.getpid())
         own = Follower(
             self.store,
@@ -183,17 +187,13 @@
             target_follower(self.store, self.beliefs),
             own,
         )
-        for follower in followers:
-            gevent.spawn(follower.run)
         self.callers.start()
         self.ready.start()
         self.metrics_listener.start()
-        gevent.spawn(self.members.run)
-        gevent.spawn(self.lease.run)
-        gevent.spawn(self.planner.run)
-        gevent.spawn(self.watch.run)
-        gevent.spawn(self.survey.run)
-        gevent.spawn(self._keep_house)
+        runners = [follower.run for follower in followers]
+        runners += [self.members.run, self.lease.run, self.planner.run]
+        runners += [self.watch.run, self.survey.run, self._keep_house]
+        self._tasks = [gevent.spawn(runner) for runner in runners]
         tune_collector()
 
     def _keep_house(self) -> None:
@@ -272,8 +272,14 @@
             unfinished=self.app.running,
             after_s=round(time.monotonic() - started_s, 2),
         )
+        self.stop()
+
+    def stop(self) -> None:
+        """End every task and connection at once."""
+        gevent.killall(self._tasks, block=False)
         self.callers.kill_connections()
-        writer.flush()
+        self.ready.kill_connections()
+        self.metrics_listener.kill_connections()
         self._stopped.set()
 
     def wait(self) -> None:
--- a/src/chervilstall/wsgi.py
+++ b/src/chervilstall/wsgi.py
@@ -7,7 +7,14 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from socket import IPPROTO_TCP, SHUT_RD, SHUT_WR, TCP_NODELAY
+from socket import (
+    IPPROTO_TCP,
+    MSG_DONTWAIT,
+    MSG_PEEK,
+    SHUT_RDWR,
+    SHUT_WR,
+    TCP_NODELAY,
+)
 from typing import Any
 
 import gevent
@@ -152,6 +159,13 @@
         finally:
             self.server.idle.discard(self)
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that no task has read yet."""
+        try:
+            return bool(self.socket._sock.recv(1, MSG_PEEK | MSG_DONTWAIT))
+        except BlockingIOError:
+            return False
+
     def _await_requestline(self) -> str:
         with gevent.Timeout(self.server.idle_timeout_s, False):
             return super().read_requestline()
@@ -285,8 +299,8 @@
         self.is_closing_idle = True
         for handler in list(self.idle):
             try:
-                # What has arrived can still be read, and be answered.
-                handler.socket.shutdown(SHUT_RD)
+                if not handler.has_unread_bytes():
+                    handler.socket.shutdown(SHUT_RDWR)
             except OSError:
                 # The peer has closed it already.
                 continue
--- /dev/null
+++ b/tests/edge/requests.feature
@@ -0,0 +1,83 @@
+Feature: Each caller gets its own whole answer, and "not run" is true
+
+  Scenario Outline: A <kind> request whose first target would <behaviour> gets <status>
+    Given a platform with lookups in both zones
+    And the target of the own zone would <behaviour>
+    When a <kind> request is sent
+    Then the answer is <status> and <runs> targets ran the request
+
+    Examples:
+      | kind           | behaviour              | status | runs |
+      | idempotent     | serve                  | 200    | 1    |
+      | idempotent     | fail                   | 200    | 2    |
+      | idempotent     | refuse                 | 200    | 1    |
+      | idempotent     | lose the answer        | 200    | 2    |
+      | idempotent     | hang                   | 200    | 2    |
+      | idempotent     | cut the answer         | 200    | 2    |
+      | idempotent     | answer another request | 200    | 2    |
+      | idempotent     | answer twice           | 200    | 1    |
+      | non_idempotent | fail                   | 500    | 1    |
+      | non_idempotent | refuse                 | 200    | 1    |
+      | non_idempotent | lose the answer        | 502    | 1    |
+      | non_idempotent | hang                   | 504    | 1    |
+      | non_idempotent | cut the answer         | 502    | 1    |
+      | non_idempotent | answer another request | 502    | 1    |
+      | non_idempotent | answer twice           | 200    | 1    |
+
+  Scenario: A request that nobody can run is refused at once with the time to come back
+    Given a platform with lookups in both zones
+    And every target would refuse
+    When a non_idempotent request is sent
+    Then the answer is 503 and 0 targets ran the request
+    And the answer says when to come back
+
+  Scenario: A target that is gone is not taken for a refusal
+    Given a platform with lookups in both zones
+    And the target of the own zone has stopped
+    When a non_idempotent request is sent
+    Then the answer is 200 and 1 targets ran the request
+
+  Scenario: A request goes on as it came, with what the router sets itself
+    Given a platform with lookups in both zones
+    When a request with odd path, body and a forged workspace is sent
+    Then the target saw path, query, host and body unchanged
+    And it saw the workspace of the key and not the key
+    And it was handed less time than the caller waits
+
+  Scenario Outline: <what> is answered <status> and reaches no target
+    Given a platform with lookups in both zones
+    When <what> is sent
+    Then the answer is <status> and 0 targets ran the request
+
+    Examples:
+      | what                      | status |
+      | a request without a route | 404    |
+      | a request with a wrong key | 401   |
+      | a body over the limit     | 413    |
+      | headers over the limit    | 431    |
+
+  Scenario: A public route needs no key
+    Given a platform with lookups in both zones
+    When a request without a key is sent on a public route
+    Then the answer is 200 and 1 targets ran the request
+
+  Scenario: A route's timeout ends a request that may have run as unknown
+    Given a platform with lookups in both zones
+    And every target would hang
+    When a request is sent on a route with a timeout of 150 ms
+    Then the answer is 504 within 400 ms
+
+  Scenario: Without a configuration requests are refused, and the router is not ready
+    Given a store that answers nobody
+    When a router starts and a request is sent
+    Then the answer is 503 and 0 targets ran the request
+    And the router is not ready
+
+  Scenario: A target under a reused address does not run what was meant for another
+    Given a platform with lookups in both zones
+    And the target of the own zone was replaced by another at its address
+    When a non_idempotent request is sent
+    Then the answer is 200 and 1 targets ran the request
+
+  Scenario: A split route divides requests by weight and stably
+    Then 2000 requests are divided 90 to 10 within 3 in 100, each always alike
--- /dev/null
+++ b/tests/edge/streams.feature
@@ -0,0 +1,46 @@
+Feature: Streams are whole and in order over any paths
+
+  Scenario: Every layer runs once and in order
+    Given a platform with a model in parts in both zones
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And the path covered every layer once and in order within one zone
+
+  Scenario Outline: A stream that would <behaviour> goes on in the same answer
+    Given a platform with a model in parts in both zones
+    And the first targets of the own zone would <behaviour> after <events> events
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+
+    Examples:
+      | behaviour        | events |
+      | break the stream | 0      |
+      | break the stream | 1      |
+      | break the stream | 5      |
+      | break the stream | 9      |
+
+  Scenario: A stalled stream is led around the target at fault
+    Given a platform with a model in parts in both zones
+    And a second copy of the last part in the own zone
+    And the first target stalls on the last part after 4 events
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And the first target was told another path
+
+  Scenario: A model with a missing part is refused at once
+    Given a platform with a model in parts in both zones
+    And nobody holds the last part
+    When a draft of 10 events is asked for
+    Then the answer is 503 and 0 targets ran the request
+    And the answer says when to come back
+
+  Scenario: A caller that leaves ends its work at the target
+    Given a platform with a model in parts in both zones
+    When a caller leaves a draft of 500 events after the first
+    Then its work at the target ends within 500 ms
+
+  Scenario: A stream that may not be resumed is broken off, not joined
+    Given a platform whose drafts may not be resumed
+    And the first targets of the own zone would break the stream after 3 events
+    When a draft of 10 events is asked for
+    Then the answer is incomplete after event 3
--- /dev/null
+++ b/tests/steps/edge_steps.py
@@ -0,0 +1,407 @@
+"""Steps about the router on the platform."""
+
+import http.client
+import random
+import time
+
+import gevent
+from behave import given, then, when
+from behave.runner import Context
+
+from chervilstall.edge.splits import choose_service
+from chervilstall.fleet.records import LayerRange, Route, RouteKind, SplitPart
+from chervilstall.ids import RequestId, ServiceName
+from chervilstall.standin.platform_target import Behaviour
+from tests.support.fleet import eventually
+from tests.support.market import Response
+from tests.support.platform import (
+    CALLER_HOST,
+    KEY,
+    LAYERS,
+    ZONES,
+    Platform,
+    configuration,
+    open_connection,
+    raw_request,
+    route,
+    send,
+)
+
+PATHS = {"idempotent": "/lookup/a", "non_idempotent": "/hold/a"}
+
+
+def start_platform(context: Context, config: dict | None = None) -> Platform:
+    """Start a platform that ends with the scenario."""
+    context.platform = Platform()
+    context.stoppables.append(context.platform)
+    context.platform.start(config)
+    return context.platform
+
+
+@given("a platform with lookups in both zones")
+def lookups(context: Context) -> None:
+    platform = start_platform(context)
+    for zone in ZONES:
+        platform.add_target(f"lookup-{zone}", "lookups", zone)
+    context.router = platform.add_router()
+
+
+@given("the target of the own zone would {behaviour}")
+def own_target_would(context: Context, behaviour: str) -> None:
+    target = context.platform.targets[f"lookup-{ZONES[0]}"]
+    target.behaviour = Behaviour(behaviour)
+
+
+@given("every target would {behaviour}")
+def every_target_would(context: Context, behaviour: str) -> None:
+    for target in context.platform.targets.values():
+        target.behaviour = Behaviour(behaviour)
+
+
+@given("the target of the own zone has stopped")
+def own_target_stopped(context: Context) -> None:
+    context.platform.targets[f"lookup-{ZONES[0]}"].stop()
+
+
+@given("the target of the own zone was replaced by another at its address")
+def own_target_replaced(context: Context) -> None:
+    context.platform.targets[f"lookup-{ZONES[0]}"].name = "somebody-else"
+
+
+@when("a {kind:w} request is sent")
+def send_kind(context: Context, kind: str) -> None:
+    context.response = send(context.router, PATHS[kind])
+
+
+@then("the answer is {status:d} and {runs:d} targets ran the request")
+def check_answer(context: Context, status: int, runs: int) -> None:
+    assert context.response.status == status, (
+        context.response,
+        context.platform.runs(),
+    )
+    assert len(context.platform.runs()) == runs, context.platform.runs()
+    if status == 200:
+        assert context.response.body == b"answer to r1", context.response.body
+
+
+@then("the answer says when to come back")
+def check_return(context: Context) -> None:
+    assert 0.0 < float(context.response.headers["Retry-After"]) <= 5.0 / 3.0
+
+
+@when("a request with odd path, body and a forged workspace is sent")
+def send_odd(context: Context) -> None:
+    context.response = send(
+        context.router,
+        "/lookup/%7Ea%2Fb//c?x=1&&y=%20",
+        body=b"\x00\xff body",
+        Tenant="forged",
+        X_Note="kept",
+    )
+
+
+@then("the target saw path, query, host and body unchanged")
+def check_unchanged(context: Context) -> None:
+    run = context.platform.targets[f"lookup-{ZONES[0]}"].log.runs[0]
+    assert run.target == "/lookup/%7Ea%2Fb//c?x=1&&y=%20", run.target
+    assert run.body == b"\x00\xff body"
+    assert run.headers["host"] == CALLER_HOST
+    assert run.headers["x-note"] == "kept"
+    assert run.method == "POST"
+
+
+@then("it saw the workspace of the key and not the key")
+def check_workspace(context: Context) -> None:
+    run = context.platform.targets[f"lookup-{ZONES[0]}"].log.runs[0]
+    assert run.headers["tenant"] == "depot"
+    assert "credential" not in run.headers
+    assert KEY not in str(run.headers)
+
+
+@then("it was handed less time than the caller waits")
+def check_deadline(context: Context) -> None:
+    run = context.platform.targets[f"lookup-{ZONES[0]}"].log.runs[0]
+    assert 4000 < int(run.headers["deadline-ms"]) <= 5000
+
+
+@when("a request without a route is sent")
+def send_no_route(context: Context) -> None:
+    context.response = send(context.router, "/nowhere/a")
+
+
+@when("a request with a wrong key is sent")
+def send_wrong_key(context: Context) -> None:
+    context.response = send(context.router, "/lookup/a", Credential="wrong")
+
+
+@when("a body over the limit is sent")
+def send_big_body(context: Context) -> None:
+    context.response = send(context.router, "/lookup/a", body=b"x" * 6000)
+
+
+@when("headers over the limit is sent")
+def send_big_headers(context: Context) -> None:
+    context.response = send(context.router, "/lookup/a", X_Big="x" * 3000)
+
+
+@when("a request without a key is sent on a public route")
+def send_public(context: Context) -> None:
+    context.response = send(context.router, "/open/a", Credential="")
+
+
+@when("a request is sent on a route with a timeout of 150 ms")
+def send_brief(context: Context) -> None:
+    started_s = time.monotonic()
+    context.response = send(context.router, "/brief/a")
+    context.elapsed_s = time.monotonic() - started_s
+
+
+@then("the answer is {status:d} within {most_ms:d} ms")
+def check_within(context: Context, status: int, most_ms: int) -> None:
+    assert context.response.status == status, context.response
+    assert context.elapsed_s * 1e3 < most_ms, context.elapsed_s
+
+
+@given("a store that answers nobody")
+def failing_store(context: Context) -> None:
+    start_platform(context).store.state.failing_status = 503
+
+
+@when("a router starts and a request is sent")
+def start_and_send(context: Context) -> None:
+    context.router = context.platform.add_router(wait=False)
+    context.response = send(context.router, "/lookup/a")
+
+
+@then("the router is not ready")
+@then("it is not ready at once")
+def check_not_ready(context: Context) -> None:
+    address = context.router.ready.bound_address
+    connection = http.client.HTTPConnection(address.host, address.port, timeout=5)
+    connection.request("GET", "/chervilstall/readyz")
+    status = connection.getresponse().status
+    connection.close()
+    assert status == 503, status
+
+
+@then("2000 requests are divided 90 to 10 within 3 in 100, each always alike")
+def check_split(context: Context) -> None:
+    parts = (
+        SplitPart(ServiceName("many"), 90.0),
+        SplitPart(ServiceName("few"), 10.0),
+    )
+    kind = RouteKind.IDEMPOTENT
+    split = Route("r", "h", "/", kind, parts, 1.0, 1.0, 1.0, 1, 1, False, False)
+    rng = random.Random(5)
+    names = [RequestId(f"{rng.getrandbits(64):x}") for _ in range(2000)]
+    chosen = [choose_service(split, name) for name in names]
+    assert chosen == [choose_service(split, name) for name in names]
+    share = chosen.count(ServiceName("few")) / len(names)
+    assert 0.07 < share < 0.13, share
+
+
+# Streams
+
+
+def add_model(platform: Platform) -> None:
+    """Add two parts of a model in each zone."""
+    half = LAYERS // 2
+    for zone in ZONES:
+        platform.add_target(f"a-{zone}", "drafts", zone, LayerRange(0, half))
+        platform.add_target(f"b-{zone}", "drafts", zone, LayerRange(half, LAYERS))
+
+
+@given("a platform with a model in parts in both zones")
+def model(context: Context) -> None:
+    platform = start_platform(context)
+    add_model(platform)
+    context.router = platform.add_router()
+
+
+@given("a platform whose drafts may not be resumed")
+def model_without_resume(context: Context) -> None:
+    draft = route("/draft/", "streaming", "drafts", resumable=False)
+    platform = start_platform(context, configuration(routes=[draft]))
+    add_model(platform)
+    context.router = platform.add_router()
+
+
+@given("the first targets of the own zone would {behaviour} after {events:d} events")
+def first_would(context: Context, behaviour: str, events: int) -> None:
+    target = context.platform.targets[f"a-{ZONES[0]}"]
+    target.behaviour = Behaviour(behaviour)
+    target.breaks_after = events
+
+
+@given("a second copy of the last part in the own zone")
+def second_copy(context: Context) -> None:
+    layers = LayerRange(LAYERS // 2, LAYERS)
+    context.platform.add_target(f"c-{ZONES[0]}", "drafts", ZONES[0], layers)
+    beliefs = context.router.beliefs
+    eventually(lambda: len(beliefs.targets) == 5)
+
+
+@given("the first target stalls on the last part after {events:d} events")
+def first_stalls(context: Context, events: int) -> None:
+    platform = context.platform
+    first = platform.targets[f"a-{ZONES[0]}"]
+    first.behaviour = Behaviour.STALL_STREAM
+    first.breaks_after = events
+    context.stalled_on = platform.targets[f"b-{ZONES[0]}"]
+    first.stalled_on = str(context.stalled_on.address)
+    # The path that the router prefers is the one that will stall.
+    copy = context.router.beliefs.targets[f"c-{ZONES[0]}"]
+    context.router.chooser.load.note_full(copy.life, 0.3)
+
+
+@given("nobody holds the last part")
+def no_last_part(context: Context) -> None:
+    for zone in ZONES:
+        context.platform.store.state.remove(f"servers/b-{zone}")
+    # The planner would place the part anew.
+    context.router.lease.stop()
+    eventually(lambda: len(context.router.beliefs.targets) == 2)
+
+
+@when("a draft of {events:d} events is asked for")
+def ask_draft(context: Context, events: int) -> None:
+    try:
+        context.response = send(context.router, "/draft/x", Token_Count=f"100,{events}")
+    except http.client.IncompleteRead as error:
+        context.response = Response(200, {}, error.partial)
+        context.is_incomplete = True
+
+
+def event_numbers(body: bytes) -> list[int]:
+    """Return the numbers of the events of a body."""
+    lines = body.decode().splitlines()
+    return [int(line.split(": ")[1]) for line in lines if line.startswith("id: ")]
+
+
+@then("the events 1 to {last:d} arrive once and in order")
+def check_events(context: Context, last: int) -> None:
+    assert context.response.status == 200, context.response
+    numbers = event_numbers(context.response.body)
+    assert numbers == list(range(1, last + 1)), numbers
+
+
+@then("the answer is incomplete after event {last:d}")
+def check_incomplete(context: Context, last: int) -> None:
+    assert context.is_incomplete
+    assert event_numbers(context.response.body) == list(range(1, last + 1))
+
+
+@then("the path covered every layer once and in order within one zone")
+def check_path(context: Context) -> None:
+    runs = [
+        run for target in context.platform.targets.values() for run in target.log.runs
+    ]
+    parts = runs[0].headers["hop-count"].split(",")
+    reached = 0
+    for part in parts:
+        first, end = part.split("=")[1].split("-")
+        assert int(first) == reached, parts
+        reached = int(end)
+    assert reached == LAYERS, parts
+    own = [str(context.platform.targets[f"{name}-{ZONES[0]}"].address) for name in "ab"]
+    assert [part.split("=")[0] for part in parts] == own, parts
+
+
+@then("the first target was told another path")
+def check_repath(context: Context) -> None:
+    first = context.platform.targets[f"a-{ZONES[0]}"]
+    orders = [order for order in first.log.orders if order["op"] == "repath"]
+    assert orders and orders[0]["id"] == "r1", first.log.orders
+    assert str(context.stalled_on.address) not in orders[0]["path"]
+    assert len(context.platform.runs()) == 1, "the stream was sent once"
+
+
+@when("a caller leaves a draft of {events:d} events after the first")
+def leave_draft(context: Context, events: int) -> None:
+    head = raw_request("/draft/x").decode()
+    text = head.replace("\r\n\r\n", f"\r\nToken-Count: 100,{events}\r\n\r\n")
+    target = context.platform.targets[f"a-{ZONES[0]}"]
+    target.breaks_after = events
+    connection = open_connection(context.router.callers.bound_address)
+    connection.sendall(text.encode())
+    received = b""
+    while b"id: 1" not in received:
+        received += connection.recv(4096)
+    connection.close()
+    context.left_at_s = time.monotonic()
+
+
+@then("its work at the target ends within {most_ms:d} ms")
+def check_work_ends(context: Context, most_ms: int) -> None:
+    target = context.platform.targets[f"a-{ZONES[0]}"]
+    eventually(lambda: target.log.stopped_early == 1, most_ms / 1e3)
+
+
+# Shutdown
+
+
+@given("a kept connection")
+def kept_connection(context: Context) -> None:
+    context.connection = open_connection(context.router.callers.bound_address)
+    context.connection.sendall(raw_request("/lookup/a", "r0"))
+    read_answer(context.connection)
+    eventually(lambda: context.router.callers.idle)
+
+
+def read_answer(connection: object) -> bytes:
+    """Read one answer with a length from a plain connection."""
+    received = b""
+    while b"\r\n\r\n" not in received:
+        chunk = connection.recv(4096)
+        assert chunk, f"the connection ended after {received!r}"
+        received += chunk
+    head, _, body = received.partition(b"\r\n\r\n")
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            length = int(line.split(b":")[1])
+    while len(body) < length:
+        body += connection.recv(4096)
+    return head + b"\r\n\r\n" + body
+
+
+@when("a request arrives on it just before idle connections are closed")
+def request_before_close(context: Context) -> None:
+    # Neither call lets the listener's task run in between.
+    context.connection.send(raw_request("/lookup/a", "r1"))
+    context.router.callers.close_idle()
+
+
+@then("it is answered in full")
+def check_answered(context: Context) -> None:
+    assert read_answer(context.connection).endswith(b"answer to r1")
+
+
+@when("idle connections are closed")
+def close_idle(context: Context) -> None:
+    context.router.callers.close_idle()
+
+
+@then("the connection ends within {most_ms:d} ms")
+def check_ends(context: Context, most_ms: int) -> None:
+    with gevent.Timeout(most_ms / 1e3):
+        assert context.connection.recv(1) == b""
+
+
+@when("the router is told to stop")
+def stop_router(context: Context) -> None:
+    context.stop_started_s = time.monotonic()
+    context.stopping = gevent.spawn(context.router.drain_and_stop)
+    gevent.sleep(0.05)
+
+
+@then("a request on a new connection is answered in full and the connection closes")
+def check_new_connection(context: Context) -> None:
+    response = send(context.router, "/lookup/a")
+    assert response.status == 200, response
+    assert response.headers["Connection"] == "close", response.headers
+
+
+@then("the router ends within its grace")
+def check_ends_in_grace(context: Context) -> None:
+    with gevent.Timeout(context.router.settings.bounds.grace_s):
+        context.router.wait()
