--- a/src/chervilstall/standin/platform_store.py
+++ b/src/chervilstall/standin/platform_store.py
@@ -74,9 +74,11 @@
         self.changed.clear()
 
     def forget_history(self) -> None:
-        """Drop the history, so that watches from the past are refused."""
+        """Drop the history; watches from the past are cut and refused."""
         self.history.clear()
         self.oldest = self.revision
+        self.changed.set()
+        self.changed.clear()
 
     def describe(self, key: str) -> dict[str, Any]:
         """Return a key as it goes over the wire."""
@@ -185,10 +187,10 @@
     def _watch(self, query: dict[str, str]) -> tuple[int, object]:
         state = self.state
         after = int(query["after"])
-        if after < state.oldest:
-            return 410, {}
         deadline_s = time.monotonic() + int(query["wait-ms"]) / 1e3
         while True:
+            if after < state.oldest:
+                return 410, {}
             events = [
                 event
                 for event in state.history
--- /dev/null
+++ b/tests/fleet/beliefs.feature
@@ -0,0 +1,55 @@
+Feature: Beliefs follow the store and never go back
+
+  Scenario: A lower version of the configuration is never taken
+    Given beliefs with configuration 7
+    When configuration 5 arrives
+    Then configuration 7 is in force
+
+  Scenario: Entries that lapsed during an outage are kept until they stay away
+    Given beliefs with a target
+    When the store was away and the target's entry is gone
+    Then the target is still used
+    And it is dropped once it stays away
+
+  Scenario: An entry that goes while the store is well is dropped at once
+    Given beliefs with a target
+    When the target's entry is gone
+    Then the target is not used
+
+  Scenario: A restart under the same identity begins without suspicion
+    Given beliefs with a target
+    When the target is suspected and starts again under the same identity
+    Then it is not suspected
+
+  Scenario Outline: An entry with <fault> names no target
+    Given a followed store with one good target
+    When an entry with <fault> is written
+    Then the good target is known and the other is not
+
+    Examples:
+      | fault              |
+      | bytes that are no text |
+      | a missing address  |
+      | a number as zone   |
+      | an unknown state   |
+      | an address without port |
+      | nothing in it      |
+
+  Scenario: History that is gone is read again, with what vanished
+    Given a followed store with one good target
+    When the target leaves while the history is forgotten
+    Then the target is not known
+
+  Scenario: An unreadable configuration leaves the present one in force
+    Given a followed store with one good target
+    When an unreadable configuration is written
+    Then the earlier configuration is in force
+
+  Scenario: Changes are in force on every router within the bound
+    Given a followed store with one good target
+    When 20 configurations are written in quick succession
+    Then the last one is in force within 1 second
+
+  Scenario: Settings with mistakes are refused with all of them
+    Then a settings file with three mistakes names all three
+    And a settings file with unknown fields is read
--- /dev/null
+++ b/tests/paths/choice.feature
@@ -0,0 +1,34 @@
+Feature: Paths run every layer once, over the targets that suit best
+
+  Scenario: Every path of drawn fleets is exact
+    Then for 200 drawn fleets a path covers every layer once or none exists
+
+  Scenario: A path stays in the router's zone
+    Given covers in both zones
+    Then the path stays in the own zone
+
+  Scenario Outline: A target that <state> is passed by
+    Given covers in both zones and a second copy in the own zone
+    When the target "b" <state>
+    Then the path goes over "c" instead
+
+    Examples:
+      | state             |
+      | is suspected      |
+      | had no room       |
+      | is slow           |
+      | is leaving        |
+      | is to be avoided  |
+
+  Scenario: Without a cover in the own zone the whole path begins elsewhere
+    Given covers in both zones
+    When the target "b" is suspected
+    Then the path stays in the other zone
+
+  Scenario: A leaving target finishes paths only for a part of its time
+    Given covers in the own zone only
+    When the target "b" is leaving
+    Then a path exists now and none after the bound
+
+  Scenario: Choice of a path in a large fleet
+    Then a path over 98 targets takes less work than 30,000 steps of the search
--- /dev/null
+++ b/tests/placement/runner.feature
@@ -0,0 +1,37 @@
+Feature: One router gives orders, and each takes effect at most once
+
+  Scenario: An empty fleet is placed
+    Given a platform with four empty model targets in a zone
+    When a router starts
+    Then the targets cover every layer
+
+  Scenario: Of several routers one plans
+    Given a platform with four empty model targets in a zone
+    When two routers start
+    Then the targets cover every layer
+    And each target began one order
+
+  Scenario: An order that was carried out late is not given twice
+    Given a platform with four empty model targets in a zone
+    And one target already began an order that no entry shows
+    When a router starts
+    Then every order named the count that its target had begun
+
+  Scenario: Planning goes on while the store is away
+    Given a platform with four empty model targets in a zone
+    When a router starts
+    Then the targets cover every layer
+    When the store answers nobody and a target dies
+    Then the remaining targets cover every layer again
+    And requests are still served
+
+  Scenario: A paused holder does not act when it wakes
+    Given a planner whose lease another router has taken meanwhile
+    Then it gives no order
+
+  Scenario: A suspicion from another zone alone moves nothing
+    Given a platform with four empty model targets in a zone
+    When a router starts
+    Then the targets cover every layer
+    When a router of another zone suspects a healthy target
+    Then no further order is given
--- /dev/null
+++ b/tests/steps/fleet_steps.py
@@ -0,0 +1,558 @@
+"""Steps about beliefs, paths, budgets, logs and settings of the router."""
+
+import dataclasses
+import json
+import os
+import random
+import time
+
+import gevent
+from behave import given, then, when
+from behave.runner import Context
+
+from chervilstall.edge.budget import RepeatBudget
+from chervilstall.fleet.beliefs import LAPSE_S, FleetBeliefs
+from chervilstall.fleet.records import (
+    Configuration,
+    LayerRange,
+    Pipeline,
+    Service,
+    Target,
+    TargetKind,
+    TargetState,
+)
+from chervilstall.ids import ServiceName, TargetId, ZoneName
+from chervilstall.paths import choice
+from chervilstall.paths.choice import PathChooser, PathRequest
+from chervilstall.platform.config import decode_configuration
+from chervilstall.platform.follow import configuration_follower, target_follower
+from chervilstall.platform.kv import PlatformStore
+from chervilstall.platform.node import decode_node
+from chervilstall.settings.ini import SettingsErrors
+from chervilstall.settings.node import StoreAddress
+from chervilstall.settings.option import Address
+from chervilstall.telemetry.edge_metrics import EdgeMetrics, Outcome
+from chervilstall.telemetry.story import StoryWriter, Weight
+from tests.support.fleet import eventually
+from tests.support.platform import BOUNDS, Platform, configuration
+
+LAYERS = 8
+PIPELINE = Pipeline(
+    layers=LAYERS,
+    layer_mb=1000.0,
+    token_bytes=800_000.0,
+    step_ms=1.0,
+    load_s=1.0,
+    loads_at_once=6,
+    usual_tokens=100.0,
+    kinds={"card": TargetKind("card", 20_000.0, 1.0, 1.0)},
+)
+SERVICE = Service(ServiceName("drafts"), 100, PIPELINE)
+OWN, OTHER = ZoneName("own"), ZoneName("other")
+
+
+def make_target(name: str, zone: str, first: int, end: int) -> Target:
+    """Return a ready target that holds layers."""
+    return Target(
+        TargetId(name),
+        1,
+        SERVICE.name,
+        Address("127.0.0.1", 1000 + len(name) + first),
+        ZoneName(zone),
+        TargetState.READY,
+        "card",
+        LayerRange(first, end),
+        revision=1,
+    )
+
+
+def make_chooser(*targets: Target) -> PathChooser:
+    """Return a chooser of the own zone over targets."""
+    beliefs = FleetBeliefs(drain_s=2.0)
+    for target in targets:
+        beliefs.take_target(target)
+    return PathChooser(beliefs, OWN)
+
+
+def is_exact(path: choice.Path, layers: int) -> bool:
+    """Return whether a path runs every layer once, in order, where it is held."""
+    reached = 0
+    for part in path.parts:
+        if part.layers.first != reached or not part.target.layers.covers(part.layers):
+            return False
+        reached = part.layers.end
+    names = {part.target.target for part in path.parts}
+    return reached == layers and len(names) == len(path.parts)
+
+
+# Paths
+
+
+@then("for 200 drawn fleets a path covers every layer once or none exists")
+def check_exact(context: Context) -> None:
+    rng = random.Random(11)
+    found = 0
+    for _ in range(200):
+        targets = []
+        for number in range(rng.randint(2, 14)):
+            first = rng.randrange(LAYERS)
+            end = rng.randint(first + 1, LAYERS)
+            zone = rng.choice([OWN, OTHER])
+            targets.append(make_target(f"t{number}", zone, first, end))
+        chooser = make_chooser(*targets)
+        path = chooser.choose(SERVICE, PathRequest(100.0))
+        held = [False] * LAYERS
+        for target in targets:
+            for layer in range(target.layers.first, target.layers.end):
+                held[layer] = True
+        if path is None:
+            assert not all(held), "the layers are held, but no path was found"
+            continue
+        found += 1
+        assert is_exact(path, LAYERS), path
+    assert found > 50, found
+
+
+@given("covers in both zones")
+def two_covers(context: Context) -> None:
+    context.chooser = make_chooser(
+        make_target("a", OWN, 0, 4),
+        make_target("b", OWN, 4, 8),
+        make_target("x", OTHER, 0, 4),
+        make_target("y", OTHER, 4, 8),
+    )
+    context.avoid = frozenset()
+
+
+@given("covers in both zones and a second copy in the own zone")
+def covers_and_copy(context: Context) -> None:
+    two_covers(context)
+    context.chooser.beliefs.take_target(make_target("c", OWN, 4, 8))
+
+
+@given("covers in the own zone only")
+def one_cover(context: Context) -> None:
+    context.chooser = make_chooser(
+        make_target("a", OWN, 0, 4), make_target("b", OWN, 4, 8)
+    )
+    context.avoid = frozenset()
+
+
+@when('the target "{name}" {state}')
+def target_becomes(context: Context, name: str, state: str) -> None:
+    beliefs = context.chooser.beliefs
+    target = beliefs.targets[name]
+    match state:
+        case "is suspected":
+            beliefs.suspect(target, "test", shared=False)
+        case "had no room":
+            context.chooser.load.note_full(target.life, 5.0)
+        case "is slow":
+            beliefs.note_slowness(target, 12.0)
+        case "is leaving":
+            leaving = dataclasses.replace(
+                target, state=TargetState.DRAINING, revision=2
+            )
+            beliefs.take_target(leaving)
+        case "is to be avoided":
+            context.avoid = frozenset({target.target})
+
+
+def names_of(context: Context) -> list[str]:
+    """Return the targets of the path that is chosen now."""
+    path = context.chooser.choose(SERVICE, PathRequest(100.0, context.avoid))
+    assert path is not None
+    assert is_exact(path, LAYERS)
+    return [part.target.target for part in path.parts]
+
+
+@then("the path stays in the own zone")
+def check_own(context: Context) -> None:
+    assert names_of(context) == ["a", "b"]
+
+
+@then("the path stays in the other zone")
+def check_other(context: Context) -> None:
+    assert names_of(context) == ["x", "y"]
+
+
+@then('the path goes over "c" instead')
+def check_copy(context: Context) -> None:
+    assert names_of(context) == ["a", "c"]
+
+
+@then("a path exists now and none after the bound")
+def check_leaving(context: Context) -> None:
+    assert names_of(context) == ["a", "b"]
+    context.chooser.beliefs.drain_s = 0.0
+    assert context.chooser.choose(SERVICE, PathRequest(100.0)) is None
+
+
+@then("a path over 98 targets takes less work than 30,000 steps of the search")
+def check_search_work(context: Context) -> None:
+    steps = 0
+    real = choice._Step
+
+    def counted(*arguments: object) -> object:
+        nonlocal steps
+        steps += 1
+        return real(*arguments)
+
+    pipeline = dataclasses.replace(PIPELINE, layers=80)
+    service = dataclasses.replace(SERVICE, pipeline=pipeline)
+    targets = [
+        make_target(f"t{number}", OWN, number * 9 % 72, number * 9 % 72 + 8)
+        for number in range(98)
+    ]
+    chooser = make_chooser(*targets)
+    choice._Step = counted
+    try:
+        path = chooser.choose(service, PathRequest(100.0))
+    finally:
+        choice._Step = real
+    assert path is None or is_exact(path, 80)
+    assert steps < 30_000, steps
+
+
+# Beliefs
+
+
+def config_of(version: int) -> Configuration:
+    """Return a configuration with a version."""
+    return decode_configuration(json.dumps(configuration(version)).encode())
+
+
+@given("beliefs with configuration 7")
+def beliefs_with_config(context: Context) -> None:
+    context.beliefs = FleetBeliefs(drain_s=2.0)
+    context.beliefs.take_configuration(config_of(7), 1)
+
+
+@when("configuration 5 arrives")
+def lower_config(context: Context) -> None:
+    context.beliefs.take_configuration(config_of(5), 2)
+
+
+@then("configuration 7 is in force")
+def check_config(context: Context) -> None:
+    assert context.beliefs.configuration.version == 7
+
+
+@given("beliefs with a target")
+def beliefs_with_target(context: Context) -> None:
+    context.beliefs = FleetBeliefs(drain_s=2.0)
+    context.target = make_target("a", OWN, 0, 8)
+    context.beliefs.take_target(context.target)
+
+
+@when("the store was away and the target's entry is gone")
+def lapse(context: Context) -> None:
+    context.beliefs.note_outage()
+    context.beliefs.drop_target(context.target.target)
+
+
+@then("the target is still used")
+def check_used(context: Context) -> None:
+    assert context.beliefs.targets_of(SERVICE.name) == [context.target]
+
+
+@then("it is dropped once it stays away")
+def check_dropped(context: Context) -> None:
+    context.beliefs.expire()
+    check_used(context)
+    name = context.target.target
+    context.beliefs._lapsed_at_s[name] -= LAPSE_S + 0.1
+    context.beliefs.expire()
+    check_unused(context)
+
+
+@when("the target's entry is gone")
+def entry_gone(context: Context) -> None:
+    context.beliefs.drop_target(context.target.target)
+
+
+@then("the target is not used")
+def check_unused(context: Context) -> None:
+    assert context.beliefs.targets_of(SERVICE.name) == []
+
+
+@when("the target is suspected and starts again under the same identity")
+def restart(context: Context) -> None:
+    context.beliefs.suspect(context.target, "test", shared=False)
+    context.target = dataclasses.replace(context.target, started_at_ms=2, revision=2)
+    context.beliefs.take_target(context.target)
+
+
+@then("it is not suspected")
+def check_unsuspected(context: Context) -> None:
+    assert not context.beliefs.is_suspect(context.target)
+
+
+@given("a followed store with one good target")
+def followed(context: Context) -> None:
+    platform = context.platform = Platform()
+    context.stoppables.append(platform)
+    platform.start()
+    platform.add_target("good", "lookups", "ba-hall")
+    context.beliefs = FleetBeliefs(drain_s=2.0)
+    store = PlatformStore(StoreAddress(platform.store.address, 20.0, 1.0))
+    for follower in (
+        configuration_follower(store, context.beliefs),
+        target_follower(store, context.beliefs),
+    ):
+        context.stoppables.append(Stopper(gevent.spawn(follower.run)))
+    eventually(lambda: "good" in context.beliefs.targets)
+    eventually(lambda: context.beliefs.configuration is not None)
+
+
+@dataclasses.dataclass
+class Stopper:
+    """Ends a task at the end of a scenario."""
+
+    task: gevent.Greenlet
+
+    def stop(self) -> None:
+        """End the task."""
+        self.task.kill()
+
+
+FAULTY_ENTRIES = {
+    "bytes that are no text": b"\xff\xfe",
+    "a missing address": b'{"service":"lookups","zone":"z","state":"ready"}',
+    "a number as zone": (
+        b'{"service":"lookups","address":"1.2.3.4:5","zone":7,"state":"ready"}'
+    ),
+    "an unknown state": (
+        b'{"service":"lookups","address":"1.2.3.4:5","zone":"z","state":"odd"}'
+    ),
+    "an address without port": (
+        b'{"service":"lookups","address":"1.2.3.4","zone":"z","state":"ready"}'
+    ),
+    "nothing in it": b"",
+}
+
+
+@when("an entry with {fault} is written")
+def write_faulty(context: Context, fault: str) -> None:
+    context.platform.store.state.put("servers/odd", FAULTY_ENTRIES[fault])
+    context.platform.store.state.put("servers/next", b"")
+    gevent.sleep(0.2)
+
+
+@then("the good target is known and the other is not")
+def check_good(context: Context) -> None:
+    assert set(context.beliefs.targets) == {"good"}, context.beliefs.targets
+
+
+@when("the target leaves while the history is forgotten")
+def forget(context: Context) -> None:
+    state = context.platform.store.state
+    state.items.pop("servers/good")
+    state.revision += 5
+    state.forget_history()
+
+
+@then("the target is not known")
+def check_unknown(context: Context) -> None:
+    eventually(lambda: "good" not in context.beliefs.targets)
+
+
+@when("an unreadable configuration is written")
+def write_unreadable(context: Context) -> None:
+    context.platform.store.state.put("op/config", b'{"version": "odd"}')
+    gevent.sleep(0.2)
+
+
+@then("the earlier configuration is in force")
+def check_earlier(context: Context) -> None:
+    assert context.beliefs.configuration.version == 1
+
+
+@when("20 configurations are written in quick succession")
+def storm(context: Context) -> None:
+    for version in range(2, 22):
+        context.platform.write_config(configuration(version))
+        gevent.sleep(0.01)
+
+
+@then("the last one is in force within 1 second")
+def check_last(context: Context) -> None:
+    eventually(lambda: context.beliefs.configuration.version == 21, 1.0)
+
+
+# Settings
+
+NODE = {
+    "node-name": "edge-1",
+    "zone": "ba-hall",
+    "ip": "10.0.0.1",
+    "listen": {"frontend": "10.0.0.1:80", "ready": "10.0.0.1:81"},
+    "platform": {"address": "10.0.0.9:82"},
+    "bounds": {"grace-s": 8},
+}
+
+
+@then("a settings file with three mistakes names all three")
+def check_mistakes(context: Context) -> None:
+    wrong = {**NODE, "zone": "", "bounds": {"grace-s": 0}}
+    wrong["listen"] = {"frontend": "nowhere", "ready": "10.0.0.1:81"}
+    try:
+        decode_node(json.dumps(wrong).encode(), "boot.json")
+    except SettingsErrors as errors:
+        names = sorted(mistake.name for mistake in errors.exceptions)
+        assert names == ["bounds.grace-s", "listen.frontend", "zone"], names
+        return
+    raise AssertionError("the mistakes were not refused")
+
+
+@then("a settings file with unknown fields is read")
+def check_unknown_fields(context: Context) -> None:
+    content = json.dumps({**NODE, "later": {"more": 1}}).encode()
+    assert decode_node(content, "boot.json").bounds.grace_s == 8.0
+
+
+# Budget
+
+
+@then("for 50 drawn fleets no window has more repeats than the bound allows")
+def check_windows(context: Context) -> None:
+    rng = random.Random(3)
+    service = ServiceName("drafts")
+    real = time.monotonic
+    for _ in range(50):
+        now_s = 1000.0
+        time.monotonic = lambda: now_s
+        try:
+            routers = rng.randint(1, 12)
+            budgets = [RepeatBudget(BOUNDS, routers) for _ in range(routers)]
+            requests: list[float] = []
+            repeats: list[float] = []
+            for _ in range(800):
+                now_s += rng.expovariate(20.0)
+                budget = rng.choice(budgets)
+                if rng.random() < 0.5:
+                    budget.note_request(service)
+                    requests.append(now_s)
+                if budget.spend(service, rng.random() < 0.5):
+                    repeats.append(now_s)
+        finally:
+            time.monotonic = real
+        for end_s in repeats:
+            first_s = end_s - BOUNDS.retry_window_s
+            sent = sum(first_s < moment_s <= end_s for moment_s in requests)
+            again = sum(first_s < moment_s <= end_s for moment_s in repeats)
+            bound = BOUNDS.retry_ratio * sent + BOUNDS.retry_extra
+            assert again <= bound, (again, bound)
+
+
+@given("a budget whose first part is used up")
+def used_budget(context: Context) -> None:
+    context.budget = RepeatBudget(BOUNDS, 1)
+    while context.budget.spend(SERVICE.name):
+        pass
+
+
+@then("a request without an answer is refused a repeat and a begun one is not")
+def check_parts(context: Context) -> None:
+    assert not context.budget.spend(SERVICE.name)
+    assert context.budget.spend(SERVICE.name, is_resume=True)
+
+
+# Logs
+
+
+def log_lines(writer: StoryWriter, routine: int, warnings: int) -> None:
+    """Log lines of two weights."""
+    for number in range(routine):
+        writer.add(Weight.ROUTINE, {"event": "sent", "number": number})
+    for number in range(warnings):
+        writer.add(Weight.WARNING, {"event": "refused", "number": number})
+
+
+def start_writer(context: Context) -> None:
+    """Start a log writer into a new pipe."""
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    context.reader = reader
+    context.writer = StoryWriter(writer)
+    context.stoppables.append(Stopper(gevent.spawn(context.writer.run)))
+    context.received = b""
+
+
+@given("logs into a pipe that nobody reads")
+def unread_logs(context: Context) -> None:
+    start_writer(context)
+    # Lines large enough to fill the pipe.
+    context.writer.common["padding"] = "x" * 500
+
+
+@given("logs into a pipe that is read")
+def read_logs(context: Context) -> None:
+    start_writer(context)
+
+
+@when("{routine:d} routine lines and {warnings:d} warnings are logged")
+def log_many(context: Context, routine: int, warnings: int) -> None:
+    context.writer.dropped = 0
+    started_s = time.monotonic()
+    log_lines(context.writer, routine, warnings)
+    if routine > 10_000:
+        for _ in range(5_000):
+            context.writer.add(Weight.WARNING, {"event": "refused"})
+    context.elapsed_s = time.monotonic() - started_s
+    gevent.sleep(0.2)
+
+
+@then("logging took less than 2 seconds and lines were dropped")
+def check_unblocked(context: Context) -> None:
+    assert context.elapsed_s < 2.0, context.elapsed_s
+    assert context.writer.dropped > 0
+
+
+def drain(context: Context) -> list[dict]:
+    """Read what the pipe holds now."""
+    for _ in range(400):
+        try:
+            context.received += os.read(context.reader, 65_536)
+        except BlockingIOError:
+            gevent.sleep(0.01)
+    lines = context.received.split(b"\n")[:-1]
+    return [json.loads(line) for line in lines]
+
+
+@when("the reader reads on")
+def read_on(context: Context) -> None:
+    drain(context)
+    context.writer.add(Weight.WARNING, {"event": "refused"})
+
+
+@then("the count of dropped lines is told")
+def check_told(context: Context) -> None:
+    lines = drain(context)
+    assert lines[-1]["dropped_lines"] > 0, lines[-1]
+
+
+@then("at most 80 routine lines and all 10 warnings arrive")
+def check_sampled(context: Context) -> None:
+    events = [line["event"] for line in drain(context)]
+    assert events.count("sent") <= 80, events.count("sent")
+    assert events.count("refused") == 10, events.count("refused")
+
+
+@dataclasses.dataclass(frozen=True)
+class LabelledRequest:
+    """What the metrics read of a request."""
+
+    labels: tuple[str, str]
+
+
+@then("5000 workspaces make at most 2001 series and quantiles are given")
+def check_series(context: Context) -> None:
+    metrics = EdgeMetrics()
+    for number in range(5000):
+        request = LabelledRequest((f"workspace-{number}", "r"))
+        metrics.finished(request, Outcome.SERVED, 0.1)
+    assert len(metrics.counters) <= 2001, len(metrics.counters)
+    text = metrics.exposition()
+    assert 'quantile="0.95"' in text
+    assert sum(metrics.counters.values()) == 5000
