Count only targets that may have run a stream as its attempts

Change: a target that says it has not run counts no more. chervilstallctl explain reads log files and names the cause; timeline prints changes of belief. Test: tests/edge/streams.feature, which fails without the change.

--- a/src/chervilstall/commands/ctl.py
+++ b/src/chervilstall/commands/ctl.py
@@ -19,6 +19,13 @@
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import new_change_id
 from chervilstall.settings.option import parse_address
+from chervilstall.telemetry.reading import (
+    LogLine,
+    cause_of,
+    parse_lines,
+    story_of,
+    timeline,
+)
 
 TOKEN_VARIABLE = "CHERVILSTALL_TOKEN"
 TIMEOUT_S = 90.0
@@ -124,9 +131,23 @@
 
 @dataclass
 class Explain:
-    """Print why a request went where it did."""
+    """Print why a request went where it did.
+
+    With log files, `-` for standard input, print its story over all VMs and the line
+    that explains its failure; else ask the router.
+    """
 
     request: str
+    logs: Annotated[tuple[str, ...], cappa.Arg(num_args=-1)] = ()
+
+
+@dataclass
+class Timeline:
+    """Print what VMs came to believe around a moment, from their logs."""
+
+    at_s: Annotated[float, cappa.Arg(help="Unix time in seconds.")]
+    logs: Annotated[tuple[str, ...], cappa.Arg(num_args=-1)] = ("-",)
+    span: Annotated[float, cappa.Arg(long=True, help="Seconds on either side.")] = 5.0
 
 
 @dataclass
@@ -157,6 +178,7 @@
     | Status
     | Drain
     | Explain
+    | Timeline
     | Bound
     | Histograms
     | State
@@ -243,6 +265,11 @@
             start.print_json(call(agent, "GET", "/v1/status"))
         case Drain(target, undo):
             return drain_target(agent, target, undo)
+        case Explain(request, logs) if logs:
+            return explain_from_logs(request, logs)
+        case Timeline(at_s, logs, span):
+            for line in timeline(read_logs(logs), at_s, span):
+                print(line)
         case Explain(request):
             start.print_json(call(router, "GET", f"/explain/{request}"))
         case Bound():
@@ -255,6 +282,29 @@
     return ExitCode.DONE
 
 
+def read_logs(names: tuple[str, ...]) -> list[LogLine]:
+    """Read the lines of log files; `-` is standard input."""
+    texts: list[str] = []
+    for name in names:
+        text = sys.stdin.read() if name == "-" else Path(name).read_text()
+        texts.extend(text.splitlines())
+    return parse_lines(texts)
+
+
+def explain_from_logs(request: str, names: tuple[str, ...]) -> ExitCode:
+    """Print a request's story and its cause."""
+    lines = read_logs(names)
+    story = story_of(lines, request)
+    if not story:
+        print(f"error: no line names the request {request}", file=sys.stderr)
+        return ExitCode.FAILED
+    for line in story:
+        print(line)
+    cause = cause_of(lines, request)
+    print(f"cause: {cause}" if cause is not None else "nothing failed")
+    return ExitCode.DONE
+
+
 def put_document(agent: str, put: Put) -> ExitCode:
     """Write a document and, where asked, wait until it is in force."""
     text = sys.stdin.read() if put.file == "-" else Path(put.file).read_text()
--- a/src/chervilstall/edge/streams.py
+++ b/src/chervilstall/edge/streams.py
@@ -174,7 +174,8 @@
             after_event=last_event,
         )
         head = exchange.open(request.left_s)
-        self._firsts.add(path.first.target)
+        if not head.is_not_run:
+            self._firsts.add(path.first.target)
         return head
 
     def _judge(self, path: Path, head: AnswerHead) -> WholeAnswer | None:
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -44,3 +44,10 @@
     And the first targets of the own zone would break the stream after 3 events
     When a draft of 10 events is asked for
     Then the answer is incomplete after event 3
+
+  Scenario: Targets that refuse do not use up the attempts of a stream
+    Given a platform with a model in parts in both zones
+    And two more first parts in the other zone that would refuse
+    And the first targets of the own zone would break the stream after 1 events
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -241,6 +241,21 @@
     eventually(lambda: len(beliefs.targets) == 5)
 
 
+@given("two more first parts in the other zone that would refuse")
+def refusing_firsts(context: Context) -> None:
+    platform = context.platform
+    # They come before the sound one in every order of equal paths.
+    for name in ("a0", "a1"):
+        layers = LayerRange(0, LAYERS // 2)
+        target = platform.add_target(f"{name}", "drafts", ZONES[1], layers)
+        target.behaviour = Behaviour.REFUSE
+    beliefs = context.router.beliefs
+    eventually(lambda: len(beliefs.targets) == 6)
+    sound = beliefs.targets[f"a-{ZONES[1]}"]
+    # A used target is chosen after unused ones.
+    context.router.chooser.load.requests[sound.life] += 20
+
+
 @given("the first target stalls on the last part after {events:d} events")
 def first_stalls(context: Context, events: int) -> None:
     platform = context.platform
