--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -51,3 +51,4 @@
     And the first targets of the own zone would break the stream after 1 events
     When a draft of 10 events is asked for
     Then the events 1 to 10 arrive once and in order
+    And targets ran it 2 times
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -322,6 +322,11 @@
     assert [part.split("=")[0] for part in parts] == own, parts
 
 
+@then("targets ran it {runs:d} times")
+def check_runs(context: Context, runs: int) -> None:
+    assert len(context.platform.runs()) == runs, context.platform.runs()
+
+
 @then("the first target was told another path")
 def check_repath(context: Context) -> None:
     first = context.platform.targets[f"a-{ZONES[0]}"]
