--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import gevent
-from geventhttpclient.response import HTTPParseError
+from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
 
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.records import Target
@@ -89,10 +89,10 @@
             raise self._failed(Failure.NO_CONNECTION, was_sent=False) from error
         except TimeoutError as error:
             raise self._failed(Failure.TIMEOUT, self._is_connected()) from error
+        except (OSError, HTTPConnectionClosed) as error:
+            raise self._failed(Failure.CLOSED) from error
         except HTTPParseError as error:
             raise self._failed(Failure.MALFORMED) from error
-        except OSError as error:
-            raise self._failed(Failure.CLOSED) from error
         head = read_answer_head(self._response, request.name)
         if head.status < 200 or not (head.is_own or head.is_not_run):
             raise self._failed(Failure.MALFORMED)
--- a/src/chervilstall/platform/follow.py
+++ b/src/chervilstall/platform/follow.py
@@ -19,7 +19,7 @@
 WATCH_S = 20.0
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 1.0
-SETTLE_S = 0.05
+SETTLE_S = 0.1
 """Pause after a change, so that a burst of changes costs few calls."""
 
 
--- a/src/chervilstall/telemetry/reading.py
+++ b/src/chervilstall/telemetry/reading.py
@@ -7,6 +7,15 @@
 
 FAILURES = frozenset({"warning", "error"})
 BELIEF_PARTS = frozenset({"fleet", "store", "planner", "members", "router"})
+TROUBLES = frozenset(
+    {
+        "target draining",
+        "target gone",
+        "target suspected",
+        "target slow",
+        "target counts as dead",
+    }
+)
 TARGET_MEMORY_S = 10.0
 """Time before a failure in which a change of its target may explain it."""
 
@@ -71,21 +80,21 @@
 def cause_of(lines: list[LogLine], request: str) -> LogLine | None:
     """Return the line that best explains why a request went wrong.
 
-    It is the last change of belief about the target of the request's first failure,
-    or that failure itself where nothing was known of the target. None where nothing
-    failed.
+    It is the last trouble known of the target of the request's first failure, or that
+    failure itself where none was known. None where nothing failed.
     """
     failures = [each for each in story_of(lines, request) if each.level in FAILURES]
     if not failures:
         return None
     first = failures[0]
+    before = lines[: lines.index(first)]
     changes = [
         line
-        for line in lines
+        for line in before
         if first.target
         and line.target == first.target
-        and line.part in BELIEF_PARTS
-        and 0.0 <= first.at_s - line.at_s <= TARGET_MEMORY_S
+        and line.event in TROUBLES
+        and first.at_s - line.at_s <= TARGET_MEMORY_S
     ]
     return changes[-1] if changes else first
 
--- /dev/null
+++ b/tests/steps/operations_steps.py
@@ -0,0 +1,68 @@
+"""Steps about explaining a failure from logs."""
+
+from behave import given, then
+from behave.runner import Context
+
+from chervilstall.telemetry.reading import (
+    LogLine,
+    cause_of,
+    parse_lines,
+    story_of,
+    timeline,
+)
+from chervilstall.telemetry.story import writer
+from tests.support.fleet import eventually
+from tests.support.platform import ZONES
+
+
+@given("logs are kept")
+def keep_logs(context: Context) -> None:
+    writer._lines.clear()
+
+
+def kept_lines() -> list[LogLine]:
+    """Return the lines that were logged, as they would be written."""
+    return parse_lines(line.decode() for line in writer._lines)
+
+
+@given("no other target holds the first part")
+def no_other_first(context: Context) -> None:
+    context.platform.store.state.remove(f"servers/a-{ZONES[1]}")
+    context.router.lease.stop()
+    eventually(lambda: len(context.router.beliefs.targets) == 3)
+
+
+@then('explaining it names "{event}" with "{why}"')
+def check_cause(context: Context, event: str, why: str) -> None:
+    lines = kept_lines()
+    cause = cause_of(lines, "r1")
+    assert cause is not None
+    assert (cause.event, cause.fields.get("why")) == (event, why), str(cause)
+
+
+@then('the story tells "{event}"')
+def check_story(context: Context, event: str) -> None:
+    events = [line.event for line in story_of(kept_lines(), "r1")]
+    assert event in events, events
+
+
+@then('the timeline around it tells "{event}"')
+def check_timeline(context: Context, event: str) -> None:
+    at_s = story_of(kept_lines(), "r1")[0].at_s
+    eventually(
+        lambda: event in [line.event for line in timeline(kept_lines(), at_s, 5.0)]
+    )
+
+
+@then("a log with foreign lines and prefixes gives its own lines in order")
+def check_foreign(context: Context) -> None:
+    own = '{"at_s":%s,"level":"info","part":"fleet","event":"%s"}'
+    texts = [
+        "a line of another program",
+        "2026-12-03 vm-1 " + own % (2.0, "second"),
+        own % (1.0, "first"),
+        '{"at_s": "soon", "event": 1}',
+        "{broken",
+        "",
+    ]
+    assert [line.event for line in parse_lines(texts)] == ["first", "second"]
