Let a broken stream wait for its missing part while its caller does

Change: a stream whose answer has begun is tried again until callers would give it up, 1.9 s after its last event. Test: tests/edge/streams.feature, which fails without the change.

--- a/src/chervilstall/edge/streams.py
+++ b/src/chervilstall/edge/streams.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+import gevent
+
 from chervilstall.edge.budget import RepeatBudget
 from chervilstall.edge.exchange import Exchange, ExchangeFailed, Failure, WholeAnswer
 from chervilstall.edge.live import LiveStream, StreamWatch
@@ -35,6 +37,10 @@
 RETURN_SPREAD_S = 2.5
 """Callers are asked back over this time, so that they do not return all at once."""
 
+RESUME_PAUSE_S = 0.1
+RESUME_WITHIN_S = 1.9
+"""Pause between events after which callers give a stream up."""
+
 RETURN_SHARE = 0.3
 """Part of the time left that a caller may be asked to wait."""
 
@@ -78,6 +84,7 @@
         self._refusers: set[TargetId] = set()
         self._firsts: set[TargetId] = set()
         self._may_have_run = False
+        self._passed_at_s = time.monotonic()
         self._why = "no path covers the model"
         self._exchange: Exchange | None = None
         self._stream: LiveStream | None = None
@@ -268,6 +275,7 @@
             if number is None or self.last_number is None or number > self.last_number:
                 self.last_number = self.last_number if number is None else number
                 self.request.events_passed += 1
+                self._passed_at_s = time.monotonic()
                 yield event
             event = self._read_event()
         if self._exchange is not None and self._exchange.abort_reason is not None:
@@ -287,7 +295,10 @@
             try:
                 answer = self._try_once()
             except ChervilstallError as error:
-                raise StreamBroken(error.message) from error
+                if not self._may_wait():
+                    raise StreamBroken(error.message) from error
+                gevent.sleep(RESUME_PAUSE_S)
+                continue
             if isinstance(answer, AnswerHead):
                 story.warning(
                     "stream resumed",
@@ -298,6 +309,19 @@
             if answer is not None:
                 raise StreamBroken("a resumed stream got another answer")
 
+    def _may_wait(self) -> bool:
+        """Return whether a later try could still reach the caller in time.
+
+        A missing part of a model is loaded again within a second or two, and callers
+        wait a little for the next event.
+        """
+        request = self.request
+        if request.has_caller_left or request.left_s <= RESUME_PAUSE_S:
+            return False
+        if request.sends >= SENDS_MAX:
+            return False
+        return time.monotonic() - self._passed_at_s < RESUME_WITHIN_S
+
     # Ending
 
     def _end_exchange(self) -> None:
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -52,3 +52,10 @@
     When a draft of 10 events is asked for
     Then the events 1 to 10 arrive once and in order
     And targets ran it 2 times
+
+  Scenario: A stream waits a moment for a missing part to be loaded again
+    Given a platform with a model in parts in both zones
+    And only the own zone holds the first part, and it would break the stream after 3 events
+    And the first part moves to another target a second later
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -241,6 +241,34 @@
     eventually(lambda: len(beliefs.targets) == 5)
 
 
+@given(
+    "only the own zone holds the first part, and it would break the stream after "
+    "3 events"
+)
+def only_first(context: Context) -> None:
+    first_would(context, "break the stream", 3)
+    context.platform.store.state.remove(f"servers/a-{ZONES[1]}")
+    context.router.lease.stop()
+    eventually(lambda: len(context.router.beliefs.targets) == 3)
+
+
+@given("the first part moves to another target a second later")
+def first_moves(context: Context) -> None:
+    platform = context.platform
+    broken = platform.targets[f"a-{ZONES[0]}"]
+
+    def move() -> None:
+        eventually(lambda: broken.log.runs)
+        gevent.sleep(0.05)
+        broken.stop()
+        platform.store.state.remove(f"servers/a-{ZONES[0]}")
+        gevent.sleep(1.0)
+        layers = LayerRange(0, LAYERS // 2)
+        platform.add_target("a-new", "drafts", ZONES[0], layers)
+
+    context.mover = gevent.spawn(move)
+
+
 @given("two more first parts in the other zone that would refuse")
 def refusing_firsts(context: Context) -> None:
     platform = context.platform
