Use a target whose entry lapsed no longer than one that leaves

Change: only an entry that is gone within half a second of an outage's end may have lapsed, and such a target is used for 0.8 of the drain bound at most. Test: tests/fleet/beliefs.feature, two scenarios that fail without the change.

--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -44,8 +44,12 @@
 
 SLOW_CHECK_S = 0.5
 PACE_DRIFT = 0.02
-SLOW_MEMORY_S = 3.0
+SLOW_MEMORY_S = 5.0
 ASK_AGAIN_S = 0.1
+ASK_PAUSE_MAX_S = 1.6
+ASK_FORGET_S = 4.0
+"""Time without a silent stream after which a target is asked at once again."""
+
 EXAMINE_AGAIN_S = 1.0
 HOPELESS_S = 1.2
 """Silence after which a stream is moved though no target is known to be at fault."""
@@ -91,6 +95,7 @@
     streams: dict[RequestId, LiveStream] = field(default_factory=dict)
     _asking: set[TargetId] = field(default_factory=set)
     _asked_at_s: dict[TargetId, float] = field(default_factory=dict)
+    _ask_pause_s: dict[TargetId, float] = field(default_factory=dict)
     _generation: int = -1
     _pace: float = 0.0
     _checked_at_s: float = 0.0
@@ -176,7 +181,10 @@
     def _ask(self, first: Target, now_s: float) -> None:
         if first.target in self._asking:
             return
-        if now_s - self._asked_at_s.get(first.target, 0.0) < ASK_AGAIN_S:
+        since_s = now_s - self._asked_at_s.get(first.target, 0.0)
+        if since_s > ASK_FORGET_S:
+            self._ask_pause_s[first.target] = ASK_AGAIN_S
+        if since_s < self._ask_pause_s.get(first.target, ASK_AGAIN_S):
             return
         self._asking.add(first.target)
         gevent.spawn(self._find_fault, first)
@@ -191,6 +199,11 @@
             self.beliefs.suspect(first, "gives no report")
             self._end_streams_of(first)
             return
+        pause_s = self._ask_pause_s.get(first.target, ASK_AGAIN_S)
+        if not report.stalled:
+            # The target is only slow; asking it more often would not help.
+            pause_s = min(pause_s * 2.0, ASK_PAUSE_MAX_S)
+        self._ask_pause_s[first.target] = pause_s
         self._blame(first, report)
 
     def _end_streams_of(self, first: Target) -> None:
--- a/src/chervilstall/fleet/beliefs.py
+++ b/src/chervilstall/fleet/beliefs.py
@@ -20,13 +20,15 @@
 DRAIN_USE_SHARE = 0.5
 """Share of the drain bound during which a leaving target may still finish a path."""
 
-LAPSE_S = 2.2
-"""Time that a target gets to register again after the store was away."""
+LAPSE_SHARE = 0.8
+"""Share of the drain bound that a target gets to register again after an outage."""
 
 SUSPICION_S = 4.0
 """Longest time a target is avoided on one failure without a later sign of life."""
 
-OUTAGE_MEMORY_S = 3.0
+OUTAGE_MEMORY_S = 0.5
+"""Time after an outage in which a lost entry may only have lapsed meanwhile."""
+
 SLOW_FROM = 1.5
 """Pass time against the usual one from which a target counts as slow."""
 
@@ -169,6 +171,17 @@
             return
         self._forget(name)
 
+    def _has_lapsed(self, name: TargetId) -> bool:
+        """Return whether a target's entry has been away for too long.
+
+        It may also have been removed because the target leaves, so the target is not
+        used for longer than one that leaves may be.
+        """
+        lapsed_at_s = self._lapsed_at_s.get(name)
+        if lapsed_at_s is None:
+            return False
+        return time.monotonic() - lapsed_at_s > LAPSE_SHARE * self.drain_s
+
     def _forget(self, name: TargetId) -> None:
         target = self.targets.pop(name)
         self._lapsed_at_s.pop(name, None)
@@ -202,8 +215,8 @@
     def expire(self) -> None:
         """Forget lapsed targets and ended suspicions; called about once a second."""
         now_s = time.monotonic()
-        for name, lapsed_at_s in list(self._lapsed_at_s.items()):
-            if now_s - lapsed_at_s > LAPSE_S:
+        for name in list(self._lapsed_at_s):
+            if self._has_lapsed(name):
                 self._forget(name)
         for life, suspicion in list(self._suspicions.items()):
             if now_s >= suspicion.until_s:
@@ -261,9 +274,11 @@
 
     def is_open(self, target: Target) -> bool:
         """Return whether a target may get new work by its own word."""
-        return self.targets.get(target.target) == target and (
-            target.state is TargetState.READY
-        )
+        if self.targets.get(target.target) != target:
+            return False
+        if self._has_lapsed(target.target):
+            return False
+        return target.state is TargetState.READY
 
     def is_usable(self, target: Target) -> bool:
         """Return whether a target may take part in new work if nothing else can.
@@ -271,10 +286,12 @@
         A target that is leaving stays usable for a part of the time that it promised
         to go on.
         """
+        if self.is_open(target):
+            return True
         if self.targets.get(target.target) != target:
             return False
         if target.state is TargetState.READY:
-            return True
+            return False
         draining_at_s = self._draining_at_s.get(target.life, float("-inf"))
         return time.monotonic() - draining_at_s < self.drain_s * DRAIN_USE_SHARE
 
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -62,6 +62,14 @@
     before: "_Step | None"
 
 
+@dataclass(frozen=True)
+class _Found:
+    """A path and its cost with every penalty."""
+
+    path: Path
+    cost_ms: float
+
+
 @dataclass
 class PathChooser:
     """Chooses paths for the requests of one router."""
@@ -75,14 +83,27 @@
         """Return the cheapest path, or None where the layers are not covered."""
         assert service.pipeline is not None
         targets = self._targets(service, request)
-        path = self._search(service.pipeline, targets, request, may_leave_early=True)
-        if path is not None and not _is_sound(path):
-            path = self._search(
-                service.pipeline, targets, request, may_leave_early=False
-            )
-        if path is None or not _is_sound(path):
-            return None
-        return path
+        near = [target for target in targets if target.zone == self.zone]
+        found = self._sound(service.pipeline, near, request)
+        if found is not None:
+            # Most requests end here, without a look at the other zones.
+            usual_ms = self.step_ms(service.pipeline, found.path)
+            if found.cost_ms - usual_ms < AWAY_MS:
+                return found.path
+        found = self._sound(service.pipeline, targets, request)
+        return None if found is None else found.path
+
+    def _sound(
+        self, pipeline: Pipeline, targets: list[Target], request: PathRequest
+    ) -> "_Found | None":
+        """Return the cheapest path that names no target twice and is not too long."""
+        for may_leave_early in (True, False):
+            found = self._search(pipeline, targets, request, may_leave_early)
+            if found is None:
+                return None
+            if _is_sound(found.path):
+                return found
+        return None
 
     def _targets(self, service: Service, request: PathRequest) -> list[Target]:
         chosen: list[Target] = []
@@ -101,8 +122,9 @@
         targets: list[Target],
         request: PathRequest,
         may_leave_early: bool,
-    ) -> Path | None:
+    ) -> "_Found | None":
         boundaries = _boundaries(targets, pipeline.layers)
+        starts = sorted({target.layers.first for target in targets})
         layer_ms = {
             target.target: self._layer_ms(pipeline, target) for target in targets
         }
@@ -122,7 +144,7 @@
                     continue
                 entry_ms, before = entry
                 entry_ms += fixed_ms[target.target]
-                for end in _exits(boundary, target, boundaries, may_leave_early):
+                for end in _exits(boundary, target, starts, may_leave_early):
                     layers = LayerRange(boundary, min(end, pipeline.layers))
                     cost_ms = entry_ms + len(layers) * layer_ms[target.target]
                     known = reached[layers.end].get(target.target)
@@ -131,7 +153,7 @@
                         reached[layers.end][target.target] = step
         ends = reached[pipeline.layers].values()
         best = min(ends, key=lambda step: step.cost_ms, default=None)
-        return None if best is None else Path(_parts(best))
+        return None if best is None else _Found(Path(_parts(best)), best.cost_ms)
 
     def _entry(
         self,
@@ -207,11 +229,13 @@
 
 
 def _exits(
-    boundary: int, target: Target, boundaries: list[int], may_leave_early: bool
+    boundary: int, target: Target, starts: list[int], may_leave_early: bool
 ) -> list[int]:
+    """Return where a path may leave a target: at its end, or where another begins."""
+    end = target.layers.end
     if not may_leave_early:
-        return [target.layers.end]
-    return [end for end in boundaries if boundary < end <= target.layers.end]
+        return [end]
+    return [start for start in starts if boundary < start < end] + [end]
 
 
 def _parts(step: _Step) -> tuple[PathPart, ...]:
--- a/tests/fleet/beliefs.feature
+++ b/tests/fleet/beliefs.feature
@@ -11,6 +11,17 @@
     Then the target is still used
     And it is dropped once it stays away
 
+  Scenario: An entry that goes a second after an outage is dropped at once
+    Given beliefs with a target
+    When the store has been back for a second and the target's entry is gone
+    Then the target is not used
+
+  Scenario: A target whose entry lapsed is used no longer than one that leaves
+    Given beliefs with a target
+    When the store was away and the target's entry is gone
+    And the drain bound has passed
+    Then the target is not used
+
   Scenario: An entry that goes while the store is well is dropped at once
     Given beliefs with a target
     When the target's entry is gone
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -11,7 +11,7 @@
 from behave.runner import Context
 
 from chervilstall.edge.budget import RepeatBudget
-from chervilstall.fleet.beliefs import LAPSE_S, FleetBeliefs
+from chervilstall.fleet.beliefs import FleetBeliefs
 from chervilstall.fleet.records import (
     Configuration,
     LayerRange,
@@ -261,11 +261,23 @@
     context.beliefs.expire()
     check_used(context)
     name = context.target.target
-    context.beliefs._lapsed_at_s[name] -= LAPSE_S + 0.1
+    context.beliefs._lapsed_at_s[name] -= 2.0
     context.beliefs.expire()
     check_unused(context)
 
 
+@when("the store has been back for a second and the target's entry is gone")
+def late_removal(context: Context) -> None:
+    context.beliefs.note_outage()
+    context.beliefs._outage_end_s -= 1.0
+    context.beliefs.drop_target(context.target.target)
+
+
+@when("the drain bound has passed")
+def drain_passes(context: Context) -> None:
+    context.beliefs._lapsed_at_s[context.target.target] -= context.beliefs.drain_s
+
+
 @when("the target's entry is gone")
 def entry_gone(context: Context) -> None:
     context.beliefs.drop_target(context.target.target)
