Spread requests by room over targets that can replace each other

Change: a random part of a target's cost, smaller where it has more room; own requests count as if at most 8 routers did the same; routers pause longer after a change of the store the more of them follow it; a refusal is looked into only once the target's report can show it.

--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -51,6 +51,7 @@
 """Time without a silent stream after which a target is asked at once again."""
 
 EXAMINE_AGAIN_S = 1.0
+REPORT_AGE_S = 0.4
 HOPELESS_S = 1.2
 """Silence after which a stream is moved though no target is known to be at fault."""
 
@@ -224,6 +225,8 @@
         gevent.spawn(self._examine, target)
 
     def _examine(self, target: Target) -> None:
+        # A report is some hundred milliseconds old, and the refusal is news.
+        gevent.sleep(REPORT_AGE_S)
         try:
             report = fetch_report(target.address)
         finally:
@@ -233,6 +236,8 @@
             self.beliefs.suspect(target, "gives no report")
             return
         self.beliefs.observe(target, report.layers)
+        if self.beliefs.targets.get(target.target) != target:
+            return
         is_idle = not report.is_loading and not report.queued
         if is_idle and report.has_room and report.layers.covers(target.layers):
             reason = "refuses work though it has room"
--- a/src/chervilstall/edge/members.py
+++ b/src/chervilstall/edge/members.py
@@ -12,6 +12,7 @@
 from chervilstall.paths.choice import PathChooser
 from chervilstall.placement.runner import Planner
 from chervilstall.platform import names
+from chervilstall.platform.follow import Follower
 from chervilstall.platform.kv import (
     Entry,
     Lease,
@@ -52,6 +53,7 @@
     budget: RepeatBudget
     chooser: PathChooser
     planner: Planner
+    followers: list[Follower] = field(default_factory=list)
     _present: set[str] = field(default_factory=set)
     _lease: Lease | None = None
 
@@ -91,13 +93,15 @@
 
     def take_all(self, keys: list[str]) -> None:
         """Take in a whole reading of the product's own prefix."""
-        self._present = {key for key in keys if key.startswith(MEMBERS_PREFIX)}
+        self._present &= set(keys)
         self._share()
 
     def _share(self) -> None:
         routers = max(1, len(self._present))
         self.budget.routers = routers
         self.chooser.routers = routers
+        for follower in self.followers:
+            follower.pace(len(self._present))
 
     def _doubt(self, content: bytes) -> None:
         suspect = decode_suspect(content)
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -190,6 +190,7 @@
         self.callers.start()
         self.ready.start()
         self.metrics_listener.start()
+        self.members.followers = list(followers)
         runners = [follower.run for follower in followers]
         runners += [self.members.run, self.lease.run, self.planner.run]
         runners += [self.watch.run, self.survey.run, self._keep_house]
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -7,6 +7,7 @@
 targets and not with the paths.
 """
 
+import random
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -35,8 +36,27 @@
 REQUEST_MS = 0.02
 """Added per request of this router already at the target."""
 
+SPREAD_MS = 2.0
+"""Mean of the random part of a target's cost.
+
+Routers know the same and would all choose the same targets; with it, targets that
+can replace each other get requests in proportion to their room for them.
+"""
+
+SPREAD_MAX = 3.0
 FULL_MS = 40.0
-"""Added where a target's memory is expected to be used up."""
+"""Added where a target had no room for a request a moment ago."""
+
+USE_FREE = 0.5
+USE_MS = 40.0
+"""Added per square of the part of a target's memory in use beyond `USE_FREE`.
+
+The use is estimated as if the other routers did the same as this one. Requests so
+spread over zones well before targets run out of memory and preempt.
+"""
+
+ALIKE_MAX = 8
+"""Routers that are taken to do the same; with more, own counts say too little."""
 
 SLOW_MS = 15.0
 PARTS_MAX = 32
@@ -77,6 +97,7 @@
     beliefs: FleetBeliefs
     zone: ZoneName
     routers: int = 1
+    rng: random.Random = field(default_factory=random.Random)
     load: LoadBook = field(default_factory=LoadBook)
 
     def choose(self, service: Service, request: PathRequest) -> Path | None:
@@ -88,7 +109,8 @@
         if found is not None:
             # Most requests end here, without a look at the other zones.
             usual_ms = self.step_ms(service.pipeline, found.path)
-            if found.cost_ms - usual_ms < AWAY_MS:
+            spread_ms = SPREAD_MS * len(found.path.parts)
+            if found.cost_ms - usual_ms - spread_ms < AWAY_MS:
                 return found.path
         found = self._sound(service.pipeline, targets, request)
         return None if found is None else found.path
@@ -128,10 +150,7 @@
         layer_ms = {
             target.target: self._layer_ms(pipeline, target) for target in targets
         }
-        fixed_ms = {
-            target.target: self._fixed_ms(pipeline, target, request.tokens)
-            for target in targets
-        }
+        fixed_ms = self._fixed_costs(pipeline, targets, request.tokens)
         reached: dict[int, dict[TargetId, _Step]] = defaultdict(dict)
         for boundary in boundaries:
             if boundary >= pipeline.layers:
@@ -195,6 +214,21 @@
             total_ms += HOP_MS + pipeline.step_ms * factor * share
         return total_ms
 
+    def _fixed_costs(
+        self, pipeline: Pipeline, targets: list[Target], tokens: float
+    ) -> dict[TargetId, float]:
+        rooms = {
+            target.target: max(1.0, token_capacity(pipeline, target))
+            for target in targets
+        }
+        mean = sum(rooms.values()) / max(1, len(rooms))
+        costs: dict[TargetId, float] = {}
+        for target in targets:
+            spread = self.rng.expovariate(1.0) * mean / rooms[target.target]
+            cost_ms = self._fixed_ms(pipeline, target, tokens)
+            costs[target.target] = cost_ms + SPREAD_MS * min(spread, SPREAD_MAX)
+        return costs
+
     def _fixed_ms(self, pipeline: Pipeline, target: Target, tokens: float) -> float:
         cost_ms = HOP_MS + REQUEST_MS * self.load.requests.get(target.life, 0)
         if target.life in self.beliefs.slowness:
@@ -205,8 +239,9 @@
             cost_ms += FULL_MS
         capacity = token_capacity(pipeline, target)
         own_tokens = self.load.tokens.get(target.life, 0.0) + tokens
-        use = own_tokens * self.routers / max(capacity, 1.0)
-        return cost_ms + FULL_MS * max(0.0, use - 0.5) ** 2
+        alike = min(self.routers, ALIKE_MAX)
+        use = own_tokens * alike / max(capacity, 1.0)
+        return cost_ms + USE_MS * max(0.0, use - USE_FREE) ** 2
 
 
 def token_capacity(pipeline: Pipeline, target: Target) -> float:
--- a/src/chervilstall/platform/follow.py
+++ b/src/chervilstall/platform/follow.py
@@ -20,7 +20,13 @@
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 1.0
 SETTLE_S = 0.1
-"""Pause after a change, so that a burst of changes costs few calls."""
+SETTLE_PER_ROUTER_S = 0.008
+SETTLE_MAX_S = 0.8
+"""Pause after a change, so that a burst of changes costs few calls.
+
+It grows with the routers that follow, since the store's rates are shared by all; even
+the longest leaves most of the time in which a change has to be in force.
+"""
 
 
 class Follower:
@@ -43,11 +49,16 @@
         self.prefix = prefix
         self.beliefs = beliefs
         self.revision = 0
+        self.settle_s = SETTLE_S
         self._take = take
         self._take_all = take_all
         self._retry_s = RETRY_FIRST_S
         self._is_lost = False
 
+    def pace(self, routers: int) -> None:
+        """Set the pause after a change by the number of routers that follow."""
+        self.settle_s = min(SETTLE_S + SETTLE_PER_ROUTER_S * routers, SETTLE_MAX_S)
+
     def run(self) -> None:
         """Follow for the life of the process."""
         while True:
@@ -73,7 +84,7 @@
             for entry in found.entries:
                 self._take(entry)
             if found.entries:
-                gevent.sleep(SETTLE_S)
+                gevent.sleep(self.settle_s)
         self.revision = max(self.revision, found.revision)
 
     def _note_answer(self) -> None:
