Go on planning while a renewal waits for a silent store

Change: a renewal that waits counts as unanswered; a planner that stood still for over a second drops its tenure; doubts last 10 s while entries cannot be followed. Test: tests/placement/runner.feature, which fails without the change; a silent store beside one that refuses.

--- a/src/chervilstall/fleet/beliefs.py
+++ b/src/chervilstall/fleet/beliefs.py
@@ -26,6 +26,9 @@
 SUSPICION_S = 4.0
 """Longest time a target is avoided on one failure without a later sign of life."""
 
+BLIND_SUSPICION_S = 10.0
+"""The same while entries cannot be followed."""
+
 OUTAGE_MEMORY_S = 0.5
 """Time after an outage in which a lost entry may only have lapsed meanwhile."""
 
@@ -238,6 +241,9 @@
         With `shared`, a long suspicion that is new is told to the other routers.
         """
         is_new = target.life not in self._suspicions
+        if self.blind_since_s is not None:
+            # No entry can tell that the target left or is back.
+            for_s = max(for_s, BLIND_SUSPICION_S)
         until_s = time.monotonic() + for_s
         self._suspicions[target.life] = Suspicion(doubt, until_s)
         if is_new:
--- a/src/chervilstall/lease/holder.py
+++ b/src/chervilstall/lease/holder.py
@@ -86,13 +86,13 @@
     def step(self) -> LeaseState:
         """Acquire or renew once; a store failure leaves the present life as it is."""
         asked_at_s = self._clock()
+        if self._unanswered_since_s is None:
+            self._unanswered_since_s = asked_at_s
         try:
             record = self._store.acquire_lease(
                 self.name, self.holder, self.settings.ttl_s, self.note
             )
         except StoreFailed:
-            if self._unanswered_since_s is None:
-                self._unanswered_since_s = asked_at_s
             return self.state()
         self._unanswered_since_s = None
         self.record = record
@@ -123,7 +123,7 @@
 
     @property
     def is_unanswered(self) -> bool:
-        """Return whether the last call to the store failed."""
+        """Return whether the last call to the store failed or still waits."""
         return self._unanswered_since_s is not None
 
     def unanswered_s(self) -> float:
--- a/src/chervilstall/placement/runner.py
+++ b/src/chervilstall/placement/runner.py
@@ -16,7 +16,7 @@
     TargetState,
 )
 from chervilstall.ids import TargetId
-from chervilstall.lease.holder import LeaseHolder, Tenure
+from chervilstall.lease.holder import LeaseHolder, Tenure, boot_clock_s
 from chervilstall.placement.group import Holder
 from chervilstall.placement.plan import Placement, plan
 from chervilstall.platform.targets import PlaceOrder, fetch_report, give_order
@@ -28,6 +28,7 @@
 IDLE_S = 1.0
 ASK_TIMEOUT_S = 0.5
 DEAD_S = 3.0
+PAUSE_S = 1.0
 UNANSWERED_MAX_S = 20.0
 """Longest time that a holder goes on planning without an answer of the store."""
 
@@ -68,6 +69,7 @@
     _settled_names: set[TargetId] = field(default_factory=set)
     _settled_at_s: float = field(default_factory=time.monotonic)
     _tenure: Tenure | None = None
+    _stepped_at_s: float = field(default_factory=boot_clock_s)
     _generation: int = -1
     _planned_at_s: float = float("-inf")
 
@@ -79,6 +81,11 @@
 
     def step(self) -> None:
         """Plan once where something changed and the lease is held."""
+        now_s = boot_clock_s()
+        if now_s - self._stepped_at_s > PAUSE_S:
+            # The process stood still; another router may have taken the lease.
+            self._tenure = None
+        self._stepped_at_s = now_s
         configuration = self.beliefs.configuration
         if configuration is None or not self.beliefs.are_targets_known:
             return
--- a/src/chervilstall/standin/platform_store.py
+++ b/src/chervilstall/standin/platform_store.py
@@ -22,6 +22,7 @@
 
 HISTORY_MAX = 1_000
 SWEEP_S = 0.05
+SILENCE_S = 60.0
 
 
 @dataclass
@@ -40,7 +41,10 @@
 
 @dataclass
 class PlatformStoreState:
-    """Keys, leases and history. A `failing_status` other than 0 answers every call."""
+    """Keys, leases and history.
+
+    A `failing_status` other than 0 answers every call; a silent store answers none.
+    """
 
     revision: int = 1
     items: dict[str, _Item] = field(default_factory=dict)
@@ -48,6 +52,7 @@
     history: list[dict[str, Any]] = field(default_factory=list)
     oldest: int = 0
     failing_status: int = 0
+    is_silent: bool = False
     calls: list[str] = field(default_factory=list)
     changed: Event = field(default_factory=Event)
 
@@ -141,6 +146,8 @@
         """Answer one call."""
         path = environ["PATH_INFO"].removeprefix("/chervilstall/")
         self.state.calls.append(path)
+        if self.state.is_silent:
+            gevent.sleep(SILENCE_S)
         if self.state.failing_status:
             reply = json_reply(self.state.failing_status, {})
             return reply.start(start_response)
--- a/tests/placement/runner.feature
+++ b/tests/placement/runner.feature
@@ -17,18 +17,27 @@
     When a router starts
     Then every order named the count that its target had begun
 
-  Scenario: Planning goes on while the store is away
+  Scenario Outline: Planning goes on while the store <trouble>
     Given a platform with four empty model targets in a zone
     When a router starts
     Then the targets cover every layer
-    When the store answers nobody and a target dies
+    When the store <trouble> and a target dies
     Then the remaining targets cover every layer again
     And requests are still served
 
+    Examples:
+      | trouble        |
+      | answers nobody |
+      | is silent      |
+
   Scenario: A paused holder does not act when it wakes
     Given a planner whose lease another router has taken meanwhile
     Then it gives no order
 
+  Scenario: A holder whose renewal still waits for an answer goes on
+    Given a planner whose renewal waits while its lease runs out
+    Then it may give orders
+
   Scenario: A suspicion from another zone alone moves nothing
     Given a platform with four empty model targets in a zone
     When a router starts
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -263,9 +263,10 @@
     assert [order["expected"] for order in orders] == [3], orders
 
 
-@when("the store answers nobody and a target dies")
-def store_and_target_die(context: Context) -> None:
+@when("the store {trouble} and a target dies")
+def store_and_target_die(context: Context, trouble: str) -> None:
     state = context.platform.store.state
+    state.is_silent = trouble == "is silent"
     state.failing_status = 503
     state.changed.set()
     # The lease runs out meanwhile; nobody else can take it.
@@ -322,6 +323,39 @@
     store.holder = "another"
 
 
+@given("a planner whose renewal waits while its lease runs out")
+def waiting_planner(context: Context) -> None:
+    clock = [0.0]
+
+    class Store:
+        is_silent = False
+
+        def acquire_lease(self, name, holder, ttl_s, note=""):
+            if self.is_silent:
+                gevent.sleep(60.0)
+            return LeaseRecord(name, holder, Epoch(1), ttl_s)
+
+        def release_lease(self, name, holder):
+            return None
+
+    store = Store()
+    settings = LeaseSettings(ttl_s=2.0, margin_s=0.4)
+    lease = LeaseHolder(store, "planner", "me", settings, clock=lambda: clock[0])
+    lease.step()
+    context.planner = Planner(FleetBeliefs(2.0), lease)
+    context.planner._tenure = context.planner._present_tenure()
+    store.is_silent = True
+    context.renewal = gevent.spawn(lease.step)
+    gevent.sleep(0)
+    clock[0] = 3.0
+
+
+@then("it may give orders")
+def check_may_order(context: Context) -> None:
+    assert context.planner._present_tenure() is not None
+    context.renewal.kill()
+
+
 @then("it gives no order")
 def check_no_order(context: Context) -> None:
     # Woken by chance before and after the lease was asked for again.
