Avoid a target longer each time it shows no sign of life

Change: each doubt without a sign of life in between lasts twice as long, up to 30 s; a target that refused is asked at once whether it lives. Test: tests/fleet/beliefs.feature.

--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -225,10 +225,12 @@
         gevent.spawn(self._examine, target)
 
     def _examine(self, target: Target) -> None:
-        # A report is some hundred milliseconds old, and the refusal is news.
-        gevent.sleep(REPORT_AGE_S)
         try:
-            report = fetch_report(target.address)
+            report = fetch_report(target.address, REPORT_AGE_S)
+            if report is not None:
+                # A report is some hundred milliseconds old, and the refusal is news.
+                gevent.sleep(REPORT_AGE_S)
+                report = fetch_report(target.address)
         finally:
             self._asking.discard(target.target)
             self._asked_at_s[target.target] = time.monotonic()
--- a/src/chervilstall/fleet/beliefs.py
+++ b/src/chervilstall/fleet/beliefs.py
@@ -26,6 +26,7 @@
 SUSPICION_S = 4.0
 """Longest time a target is avoided on one failure without a later sign of life."""
 
+SUSPICION_MAX_S = 30.0
 BLIND_SUSPICION_S = 10.0
 """The same while entries cannot be followed."""
 
@@ -70,6 +71,7 @@
     blind_since_s: float | None = None
     tell: Callable[[Target, Doubt], None] | None = None
     _suspicions: dict[Life, Suspicion] = field(default_factory=dict)
+    _doubts: dict[Life, int] = field(default_factory=dict)
     _draining_at_s: dict[Life, float] = field(default_factory=dict)
     _lapsed_at_s: dict[TargetId, float] = field(default_factory=dict)
     _outage_end_s: float = float("-inf")
@@ -107,6 +109,7 @@
         if known is not None and known.life == target.life:
             # A changed entry is a sign of life.
             self._suspicions.pop(target.life, None)
+            self._doubts.pop(target.life, None)
         if known is None or known.state is not target.state:
             self._tell(target)
         elif known.layers != target.layers:
@@ -190,6 +193,7 @@
         self._lapsed_at_s.pop(name, None)
         self._draining_at_s.pop(target.life, None)
         self._suspicions.pop(target.life, None)
+        self._doubts.pop(target.life, None)
         self.slowness.pop(target.life, None)
         self.generation += 1
         story.info("target gone", target=name, address=str(target.address))
@@ -241,6 +245,11 @@
         With `shared`, a long suspicion that is new is told to the other routers.
         """
         is_new = target.life not in self._suspicions
+        if is_new and for_s >= SUSPICION_S:
+            # Without a sign of life in between, each doubt lasts longer.
+            doubts = self._doubts.get(target.life, 0)
+            self._doubts[target.life] = doubts + 1
+            for_s = min(for_s * 2.0**doubts, SUSPICION_MAX_S)
         if self.blind_since_s is not None:
             # No entry can tell that the target left or is back.
             for_s = max(for_s, BLIND_SUSPICION_S)
@@ -260,6 +269,7 @@
 
     def trust(self, target: Target) -> None:
         """Take a target's answer as a sign of life."""
+        self._doubts.pop(target.life, None)
         if self._suspicions.pop(target.life, None) is not None:
             self.generation += 1
             story.info("target trusted", target=target.target)
--- a/tests/fleet/beliefs.feature
+++ b/tests/fleet/beliefs.feature
@@ -27,6 +27,10 @@
     When the target's entry is gone
     Then the target is not used
 
+  Scenario: Each doubt without a sign of life lasts longer
+    Given beliefs with a target
+    Then it is avoided for 4, 8 and 16 seconds in turn, and for 4 again once trusted
+
   Scenario: A restart under the same identity begins without suspicion
     Given beliefs with a target
     When the target is suspected and starts again under the same identity
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -295,6 +295,22 @@
     context.beliefs.take_target(context.target)
 
 
+@then("it is avoided for 4, 8 and 16 seconds in turn, and for 4 again once trusted")
+def check_longer(context: Context) -> None:
+    beliefs, target = context.beliefs, context.target
+    lengths_s = []
+    for turn in range(4):
+        if turn == 3:
+            beliefs.trust(target)
+        beliefs.suspect(target, "test", shared=False)
+        suspicion = beliefs._suspicions[target.life]
+        lengths_s.append(round(suspicion.until_s - time.monotonic()))
+        suspicion.until_s = 0.0
+        beliefs.expire()
+        assert not beliefs.is_suspect(target)
+    assert lengths_s == [4, 8, 16, 4], lengths_s
+
+
 @then("it is not suspected")
 def check_unsuspected(context: Context) -> None:
     assert not context.beliefs.is_suspect(context.target)
