Call logs, doubts and housekeeping by their usual names, and split the selector

Change: EventLog, mark_dead, on_suspect, share; routing/placement.py; routine log lines leave half of the buffer to the others. No behaviour of requests changes.

--- a/src/chervilstall/commands/ctl.py
+++ b/src/chervilstall/commands/ctl.py
@@ -23,7 +23,7 @@
     LogLine,
     cause_of,
     parse_lines,
-    story_of,
+    lines_of,
     timeline,
 )
 
@@ -133,7 +133,7 @@
 class Explain:
     """Print why a request went where it did.
 
-    With log files, `-` for standard input, print its story over all VMs and the line
+    With log files, `-` for standard input, print its lines over all VMs and the line
     that explains its failure; else ask the router.
     """
 
@@ -292,13 +292,13 @@
 
 
 def explain_from_logs(request: str, names: tuple[str, ...]) -> ExitCode:
-    """Print a request's story and its cause."""
+    """Print a request's lines and its cause."""
     lines = read_logs(names)
-    story = story_of(lines, request)
-    if not story:
+    found = lines_of(lines, request)
+    if not found:
         print(f"error: no line names the request {request}", file=sys.stderr)
         return ExitCode.FAILED
-    for line in story:
+    for line in found:
         print(line)
     cause = cause_of(lines, request)
     print(f"cause: {cause}" if cause is not None else "nothing failed")
--- a/src/chervilstall/commands/edge.py
+++ b/src/chervilstall/commands/edge.py
@@ -14,7 +14,7 @@
 from chervilstall.edge.server import EdgeServer
 from chervilstall.platform.names import SETTINGS_VARIABLE
 from chervilstall.platform.node import read_node
-from chervilstall.telemetry.story import writer
+from chervilstall.telemetry.events import writer
 
 
 @cappa.command(
--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -26,7 +26,7 @@
     read_request_fields,
 )
 from chervilstall.telemetry.edge_metrics import EdgeMetrics, Outcome
-from chervilstall.telemetry.story import Story
+from chervilstall.telemetry.events import EventLog
 from chervilstall.wsgi import (
     HEADERS_KEY,
     SOCKET_KEY,
@@ -37,7 +37,7 @@
     status_line,
 )
 
-story = Story("edge")
+log = EventLog("edge")
 
 START_UP_S = 0.5
 ELSEWHERE_S = 0.1
@@ -113,7 +113,7 @@
         if request is not None and request.has_caller_left:
             self._record(request, Outcome.CALLER_LEFT)
             raise BrokenPipeError(32, "the caller left")
-        story.warning(
+        log.warning(
             "refused",
             request=fields.request,
             kind=error.kind.value,
@@ -242,7 +242,7 @@
             if request.has_caller_left:
                 outcome = Outcome.CALLER_LEFT
             self._record(request, outcome)
-            story.warning(
+            log.warning(
                 "stream broken off",
                 request=request.name,
                 why=str(error),
@@ -266,7 +266,7 @@
     def _record(self, request: EdgeRequest, outcome: Outcome) -> None:
         elapsed_s = time.monotonic() - request.arrived_s
         self.metrics.finished(request, outcome, elapsed_s)
-        story.routine(
+        log.routine(
             "finished",
             request=request.name,
             outcome=outcome.value,
--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -24,9 +24,9 @@
     fetch_report,
     give_order,
 )
-from chervilstall.telemetry.story import Story
+from chervilstall.telemetry.events import EventLog
 
-story = Story("edge")
+log = EventLog("edge")
 
 TICK_S = 0.025
 EVENT_SILENCE_S = 0.12
@@ -172,7 +172,7 @@
             self.beliefs.note_slowness(target, report.slowness)
 
     def _note_silent(self, stream: LiveStream, silence_s: float) -> None:
-        story.warning(
+        log.warning(
             "stream silent",
             request=stream.request.name,
             target=stream.path.first.target,
@@ -301,7 +301,7 @@
                 stream.exchange.abort(Failure.STALLED)
             return
         answer = give_order(first.address, RepathOrder(stream.request.name, path))
-        story.warning(
+        log.warning(
             "stream led around a target",
             request=stream.request.name,
             around=around.target,
--- a/src/chervilstall/edge/members.py
+++ b/src/chervilstall/edge/members.py
@@ -22,9 +22,9 @@
 from chervilstall.platform.leases import lease_key
 from chervilstall.platform.suspects import Suspect, decode_suspect, encode_suspect
 from chervilstall.store.contract import StoreFailed
-from chervilstall.telemetry.story import Story
+from chervilstall.telemetry.events import EventLog
 
-story = Story("members")
+log = EventLog("members")
 
 MEMBERS_PREFIX = names.OWN_PREFIX + "routers/"
 SUSPECTS_PREFIX = names.OWN_PREFIX + "suspects/"
@@ -64,7 +64,7 @@
                 self._step()
                 gevent.sleep(RENEW_S * random.uniform(0.9, 1.1))
             except StoreFailed as error:
-                story.warning("not registered", why=error.message)
+                log.warning("not registered", why=error.message)
                 gevent.sleep(RETRY_S * random.uniform(0.7, 1.3))
 
     def _step(self) -> None:
@@ -85,7 +85,7 @@
                 self._present.discard(entry.key)
             else:
                 self._present.add(entry.key)
-            self._share()
+            self._count()
         elif entry.key == lease_key(self.planner.lease.name) and entry.value is None:
             self.planner.lease.wake()
         elif entry.key.startswith(SUSPECTS_PREFIX) and entry.value is not None:
@@ -94,9 +94,9 @@
     def take_all(self, keys: list[str]) -> None:
         """Take in a whole reading of the product's own prefix."""
         self._present &= set(keys)
-        self._share()
+        self._count()
 
-    def _share(self) -> None:
+    def _count(self) -> None:
         routers = max(1, len(self._present))
         self.budget.routers = routers
         self.chooser.routers = routers
@@ -116,7 +116,7 @@
             reason = f"reported by {suspect.reporter}"
             self.beliefs.suspect(target, reason, shared=False, doubt=suspect.doubt)
 
-    def tell(self, suspect: Suspect) -> None:
+    def share(self, suspect: Suspect) -> None:
         """Share a suspicion with the other routers; failure is only logged."""
         key = SUSPECTS_PREFIX + suspect.target
         lease = self._lease.number if self._lease is not None else 0
@@ -124,7 +124,7 @@
         try:
             self.store.write(key, encode_suspect(suspect), None, lease)
         except StoreFailed as error:
-            story.warning(
+            log.warning(
                 "suspicion not shared",
                 target=suspect.target,
                 why=error.message,
--- a/src/chervilstall/edge/plain.py
+++ b/src/chervilstall/edge/plain.py
@@ -11,9 +11,9 @@
 from chervilstall.fleet.records import Life, Service, Target
 from chervilstall.ids import TargetId, ZoneName
 from chervilstall.platform.messages import SendFields
-from chervilstall.telemetry.story import Story
+from chervilstall.telemetry.events import EventLog
 
-story = Story("edge")
+log = EventLog("edge")
 
 SENDS_MAX = 4
 """Bound on tries, those that never reached a target included."""
@@ -134,7 +134,7 @@
         if answer.head.status < 300 and not answer.head.is_signed:
             raise ExchangeFailed(Failure.MALFORMED, was_sent=True)
         self.chooser.answered_at_s[target.life] = time.monotonic()
-        story.routine(
+        log.routine(
             "answered",
             request=request.name,
             target=target.target,
@@ -154,7 +154,7 @@
     def _note(
         self, request: EdgeRequest, target: Target, error: ExchangeFailed
     ) -> None:
-        story.warning(
+        log.warning(
             "send failed",
             request=request.name,
             target=target.target,
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -38,10 +38,10 @@
 from chervilstall.settings.option import Address
 from chervilstall.telemetry.collector import tune_collector
 from chervilstall.telemetry.edge_metrics import EdgeMetrics
-from chervilstall.telemetry.story import Story
+from chervilstall.telemetry.events import EventLog
 from chervilstall.wsgi import Environ, Reply, Server, StartResponse, json_reply
 
-story = Story("router")
+log = EventLog("router")
 
 PLANNER_LEASE = "planner"
 PLANNER_TTL_S = 2.0
@@ -136,7 +136,7 @@
         self.metrics_listener = Server(
             Address(settings.ready.host, metrics_port), operations
         )
-        self.beliefs.tell = self._tell
+        self.beliefs.on_suspect = self._share_suspicion
         self.is_draining = False
         self._stopped = Event()
         self._tasks: list[gevent.Greenlet] = []
@@ -152,7 +152,7 @@
     def _caller_listener(self) -> Server:
         return Server(self.settings.callers, self.app, malformed_reply=malformed_reply)
 
-    def _tell(self, target: Target, doubt: Doubt) -> None:
+    def _share_suspicion(self, target: Target, doubt: Doubt) -> None:
         suspect = Suspect(
             target.target,
             target.started_at_ms,
@@ -161,7 +161,7 @@
             doubt,
         )
         self.planner.doubt(target, doubt)
-        gevent.spawn(self.members.tell, suspect)
+        gevent.spawn(self.members.share, suspect)
 
     @property
     def is_ready(self) -> bool:
@@ -174,7 +174,7 @@
 
     def start(self) -> None:
         """Start every task, and serve."""
-        story.info("started", zone=self.settings.zone, pid=os.getpid())
+        log.info("started", zone=self.settings.zone, pid=os.getpid())
         own = Follower(
             self.store,
             names.OWN_PREFIX,
@@ -193,11 +193,11 @@
         self.members.followers = list(followers)
         runners = [follower.run for follower in followers]
         runners += [self.members.run, self.lease.run, self.planner.run]
-        runners += [self.watch.run, self.survey.run, self._keep_house]
+        runners += [self.watch.run, self.survey.run, self._run_housekeeping]
         self._tasks = [gevent.spawn(runner) for runner in runners]
         tune_collector()
 
-    def _keep_house(self) -> None:
+    def _run_housekeeping(self) -> None:
         while True:
             gevent.sleep(HOUSEKEEPING_S)
             self.beliefs.expire()
@@ -212,7 +212,7 @@
 
     def reload(self) -> None:
         """Read the settings again at once."""
-        story.info("reload asked for")
+        log.info("reload asked for")
         self._reread_settings()
 
     def _reread_settings(self) -> None:
@@ -225,14 +225,14 @@
             self._settings_text = text
             settings = read_node(self.settings_path)
         except (OSError, SettingsErrors) as error:
-            story.error("settings not read", why=str(error))
+            log.error("settings not read", why=str(error))
             return
         self.settings = settings
         self.budget.bounds = settings.bounds
         self.beliefs.drain_s = settings.bounds.drain_s
         self.store.settings = settings.store
         if not is_first:
-            story.info("settings read again")
+            log.info("settings read again")
 
     def exposition(self) -> str:
         """Return the metrics as text."""
@@ -255,7 +255,7 @@
         end_s = started_s + self.settings.bounds.grace_s * GRACE_SHARE
         self.is_draining = True
         self.app.is_draining = True
-        story.info("draining", running=self.app.running)
+        log.info("draining", running=self.app.running)
         self.lease.stop()
         balancer_end_s = min(started_s + BALANCER_S, end_s)
         while time.monotonic() < balancer_end_s:
@@ -268,7 +268,7 @@
         self.callers.close()
         while self.app.running and time.monotonic() < end_s:
             gevent.sleep(DRAIN_TICK_S)
-        story.info(
+        log.info(
             "stopped",
             unfinished=self.app.running,
             after_s=round(time.monotonic() - started_s, 2),
--- a/src/chervilstall/edge/streams.py
+++ b/src/chervilstall/edge/streams.py
@@ -24,9 +24,9 @@
 from chervilstall.paths.choice import PathChooser, PathRequest
 from chervilstall.paths.records import Path
 from chervilstall.platform.messages import AnswerHead, SendFields
-from chervilstall.telemetry.story import Story
+from chervilstall.telemetry.events import EventLog
 
-story = Story("edge")
+log = EventLog("edge")
 
 SENDS_MAX = 6
 SUSPECT_S = 1.5
@@ -173,7 +173,7 @@
         self._stream = LiveStream(request, exchange, path, time.monotonic())
         self.context.watch.streams[request.name] = self._stream
         self.context.chooser.load.add(path, request.tokens)
-        story.routine(
+        log.routine(
             "sent",
             request=request.name,
             path=[part.target.target for part in path.parts],
@@ -203,7 +203,7 @@
 
     def _note_refusal(self, path: Path, head: AnswerHead) -> None:
         faulty = self._target_at(path, head.faulty_address) or path.first
-        story.warning(
+        log.warning(
             "target refused",
             request=self.request.name,
             target=faulty.target,
@@ -227,7 +227,7 @@
             self._firsts.add(path.first.target)
         if error.failure is Failure.CALLER_LEFT:
             return
-        story.warning(
+        log.warning(
             "send failed",
             request=self.request.name,
             target=path.first.target,
@@ -300,7 +300,7 @@
                 gevent.sleep(RESUME_PAUSE_S)
                 continue
             if isinstance(answer, AnswerHead):
-                story.warning(
+                log.warning(
                     "stream resumed",
                     request=self.request.name,
                     after_event=self.last_number,
--- a/src/chervilstall/fleet/beliefs.py
+++ b/src/chervilstall/fleet/beliefs.py
@@ -13,9 +13,9 @@
     TargetState,
 )
 from chervilstall.ids import ServiceName, TargetId
-from chervilstall.telemetry.story import Story
+from chervilstall.telemetry.events import EventLog
 
-story = Story("fleet")
+log = EventLog("fleet")
 
 DRAIN_USE_SHARE = 0.5
 """Share of the drain bound during which a leaving target may still finish a path."""
@@ -69,7 +69,7 @@
     are_targets_known: bool = False
     slowness: dict[Life, float] = field(default_factory=dict)
     blind_since_s: float | None = None
-    tell: Callable[[Target, Doubt], None] | None = None
+    on_suspect: Callable[[Target, Doubt], None] | None = None
     _suspicions: dict[Life, Suspicion] = field(default_factory=dict)
     _doubts: dict[Life, int] = field(default_factory=dict)
     _draining_at_s: dict[Life, float] = field(default_factory=dict)
@@ -85,7 +85,7 @@
             return
         self.configuration = configuration
         self.generation += 1
-        story.info(
+        log.info(
             "configuration in force",
             version=configuration.version,
             revision=revision,
@@ -111,9 +111,9 @@
             self._suspicions.pop(target.life, None)
             self._doubts.pop(target.life, None)
         if known is None or known.state is not target.state:
-            self._tell(target)
+            self._log_state(target)
         elif known.layers != target.layers:
-            story.info(
+            log.info(
                 "target holds layers",
                 target=target.target,
                 zone=target.zone,
@@ -122,8 +122,8 @@
                 revision=target.revision,
             )
 
-    def _tell(self, target: Target) -> None:
-        story.info(
+    def _log_state(self, target: Target) -> None:
+        log.info(
             "target " + target.state.value,
             target=target.target,
             address=str(target.address),
@@ -139,7 +139,7 @@
             return
         self.targets[target.target] = replace(known, layers=layers)
         self.generation += 1
-        story.info(
+        log.info(
             "target holds layers",
             target=target.target,
             zone=target.zone,
@@ -154,12 +154,12 @@
         if slowness <= SLOW_FROM:
             if self.slowness.pop(target.life, None) is not None:
                 self.generation += 1
-                story.info("target fast again", target=target.target)
+                log.info("target fast again", target=target.target)
             return
         self.slowness[target.life] = slowness
         if abs(slowness - known) > SLOW_STEP:
             self.generation += 1
-            story.warning(
+            log.warning(
                 "target slow", target=target.target, slowness=round(slowness, 2)
             )
 
@@ -196,7 +196,7 @@
         self._doubts.pop(target.life, None)
         self.slowness.pop(target.life, None)
         self.generation += 1
-        story.info("target gone", target=name, address=str(target.address))
+        log.info("target gone", target=name, address=str(target.address))
 
     def keep_only(self, names: Iterable[TargetId]) -> None:
         """Drop every target that a whole reading of the store did not show."""
@@ -257,14 +257,14 @@
         self._suspicions[target.life] = Suspicion(doubt, until_s)
         if is_new:
             self.generation += 1
-            story.warning(
+            log.warning(
                 "target suspected",
                 target=target.target,
                 address=str(target.address),
                 reason=reason,
             )
-            if shared and for_s >= SUSPICION_S and self.tell is not None:
-                self.tell(target, doubt)
+            if shared and for_s >= SUSPICION_S and self.on_suspect is not None:
+                self.on_suspect(target, doubt)
         return is_new
 
     def trust(self, target: Target) -> None:
@@ -272,7 +272,7 @@
         self._doubts.pop(target.life, None)
         if self._suspicions.pop(target.life, None) is not None:
             self.generation += 1
-            story.info("target trusted", target=target.target)
+            log.info("target trusted", target=target.target)
 
     def is_suspect(self, target: Target) -> bool:
         """Return whether a target is avoided at present."""
--- a/src/chervilstall/measure/baselines.py
+++ b/src/chervilstall/measure/baselines.py
@@ -7,7 +7,8 @@
 from chervilstall.ids import TargetId, ZoneName
 from chervilstall.measure.shapes import CAPABILITY, LAYERS, Shape
 from chervilstall.routing.fleet import EngineTarget
-from chervilstall.routing.selector import ChainSelector, Placement, PlacementRequest
+from chervilstall.routing.placement import Placement, PlacementRequest
+from chervilstall.routing.selector import ChainSelector
 from chervilstall.settings.processes import RoutingSettings
 from chervilstall.target.contract import Hop, Priority
 
--- a/src/chervilstall/measure/scale.py
+++ b/src/chervilstall/measure/scale.py
@@ -30,7 +30,8 @@
 from chervilstall.peer.messages import MemberState, MemberUpdate
 from chervilstall.peer.shares import ShareRequest
 from chervilstall.routing.fleet import build_fleet, is_fleet_same
-from chervilstall.routing.selector import ChainSelector, PlacementRequest
+from chervilstall.routing.placement import PlacementRequest
+from chervilstall.routing.selector import ChainSelector
 from chervilstall.settings.agents import IdempotencySettings
 from chervilstall.settings.processes import LimitSettings, RoutingSettings
 from chervilstall.standin.store import MemoryStore
--- a/src/chervilstall/placement/runner.py
+++ b/src/chervilstall/placement/runner.py
@@ -20,9 +20,9 @@
 from chervilstall.placement.group import Holder
 from chervilstall.placement.plan import Placement, plan
 from chervilstall.platform.targets import PlaceOrder, fetch_report, give_order
-from chervilstall.telemetry.story import Story
+from chervilstall.telemetry.events import EventLog
 
-story = Story("planner")
+log = EventLog("planner")
 
 TICK_S = 0.05
 IDLE_S = 1.0
@@ -98,7 +98,7 @@
             self._pending.clear()
             self._orders_begun.clear()
             return
-        self._revive()
+        self._ask_dead_again()
         if self._is_arriving():
             return
         self._generation = self.beliefs.generation
@@ -124,7 +124,7 @@
             # It was told to change what it holds, and refuses meanwhile.
             return
         if doubt is Doubt.REFUSING:
-            self._bury(target)
+            self._mark_dead(target)
             return
         self._asking.add(target.life)
         gevent.spawn(self._ask, target)
@@ -136,15 +136,15 @@
             self._asking.discard(target.life)
         if report is not None:
             return
-        self._bury(target)
+        self._mark_dead(target)
 
-    def _bury(self, target: Target) -> None:
+    def _mark_dead(self, target: Target) -> None:
         """Plan without a target until its entry goes or it may be asked again."""
-        story.warning("target counts as dead", target=target.target)
+        log.warning("target counts as dead", target=target.target)
         self._dead_until_s[target.life] = time.monotonic() + DEAD_S
         self._generation = -1
 
-    def _revive(self) -> None:
+    def _ask_dead_again(self) -> None:
         """Ask again those that were counted as dead for a while."""
         now_s = time.monotonic()
         for life, until_s in list(self._dead_until_s.items()):
@@ -249,7 +249,7 @@
 
     def _order(self, target: Target, placement: Placement, tenure: Tenure) -> None:
         if self._present_tenure() is None:
-            story.warning("order not given", target=target.target, why="lease lost")
+            log.warning("order not given", target=target.target, why="lease lost")
             return
         orders_begun = self._count_orders(target)
         if orders_begun is None:
@@ -258,7 +258,7 @@
         order = PlaceOrder(placement.layers, orders_begun, tenure.epoch)
         self.orders += 1
         answer = give_order(target.address, order)
-        story.info(
+        log.info(
             "order given",
             target=target.target,
             first=placement.layers.first,
@@ -283,7 +283,7 @@
             return known
         report = fetch_report(target.address)
         if report is None:
-            self._bury(target)
+            self._mark_dead(target)
             return None
         self._orders_begun[target.life] = report.orders_begun
         return report.orders_begun
--- a/src/chervilstall/platform/follow.py
+++ b/src/chervilstall/platform/follow.py
@@ -12,9 +12,9 @@
 from chervilstall.platform.kv import Entry, HistoryGone, PlatformStore
 from chervilstall.platform.targets import decode_target
 from chervilstall.store.contract import StoreFailed
-from chervilstall.telemetry.story import Story
+from chervilstall.telemetry.events import EventLog
 
-story = Story("store")
+log = EventLog("store")
 
 WATCH_S = 20.0
 RETRY_FIRST_S = 0.1
@@ -66,7 +66,7 @@
                 self._step()
                 self._note_answer()
             except HistoryGone:
-                story.warning("history gone", prefix=self.prefix, at=self.revision)
+                log.warning("history gone", prefix=self.prefix, at=self.revision)
                 self.revision = 0
             except StoreFailed as error:
                 self._note_failure(error)
@@ -94,7 +94,7 @@
             if self.prefix == names.TARGETS_PREFIX:
                 self.beliefs.end_outage()
             self.beliefs.note_outage()
-            story.info("store regained", prefix=self.prefix, at=self.revision)
+            log.info("store regained", prefix=self.prefix, at=self.revision)
 
     def _note_failure(self, error: StoreFailed) -> None:
         self.beliefs.note_outage()
@@ -102,7 +102,7 @@
             self._is_lost = True
             if self.prefix == names.TARGETS_PREFIX:
                 self.beliefs.begin_outage()
-            story.warning("store lost", prefix=self.prefix, why=error.message)
+            log.warning("store lost", prefix=self.prefix, why=error.message)
 
 
 def configuration_follower(store: PlatformStore, beliefs: FleetBeliefs) -> Follower:
@@ -114,7 +114,7 @@
         try:
             configuration = decode_configuration(entry.value)
         except ValueError as error:
-            story.error("configuration unreadable", at=entry.revision, why=str(error))
+            log.error("configuration unreadable", at=entry.revision, why=str(error))
             return
         beliefs.take_configuration(configuration, entry.revision)
 
@@ -132,7 +132,7 @@
             return
         target = decode_target(name, entry.value, entry.revision)
         if target is None:
-            story.warning("entry names no target", key=entry.key, at=entry.revision)
+            log.warning("entry names no target", key=entry.key, at=entry.revision)
             beliefs.drop_target(name)
             return
         beliefs.take_target(target)
--- a/src/chervilstall/routing/selector.py
+++ b/src/chervilstall/routing/selector.py
@@ -25,6 +25,7 @@
 from chervilstall.routing.flow import ChainTemplate, FlowPlan, StageSlice, solve_flow
 from chervilstall.routing.instances import InstanceSelector
 from chervilstall.routing.load import LoadTable, TargetLoad
+from chervilstall.routing.placement import Placement, PlacementRequest
 from chervilstall.routing.spill import SpillOver
 from chervilstall.routing.subset import choose_subset
 from chervilstall.settings.processes import RoutingSettings
@@ -33,37 +34,6 @@
 CHOICES = 2
 
 
-@dataclass(frozen=True)
-class PlacementRequest:
-    """What a request needs: `tokens` is its expected size, in tokens."""
-
-    capability: Capability
-    priority: Priority
-    tokens: float
-    prefixes: tuple[int, ...] = ()
-    avoid: frozenset[TargetId] = frozenset()
-
-
-@dataclass
-class Placement:
-    """A chosen chain with its room taken; give it back by `ChainSelector.release`."""
-
-    capability: Capability
-    priority: Priority
-    hops: tuple[Hop, ...]
-    loads: tuple[TargetLoad, ...]
-    works: tuple[float, ...]
-    started_at_s: float
-    is_spilling: bool
-    reason: str
-    is_released: bool = False
-
-    @property
-    def targets(self) -> tuple[TargetId, ...]:
-        """Return the stages' targets, in order."""
-        return tuple(hop.target for hop in self.hops)
-
-
 @dataclass
 class _Candidate:
     template: ChainTemplate
--- a/src/chervilstall/standin/ledger.py
+++ b/src/chervilstall/standin/ledger.py
@@ -66,12 +66,6 @@
             count += position == 0 and self.prompts.get(request) == prompt
         return count
 
-    def has_run(self, request: RequestId) -> bool:
-        """Return whether anything ran for a request."""
-        if any(run.request == request for run in self.service_runs):
-            return True
-        return any(run.request == request for run in self.layer_runs)
-
 
 def check_layers(ledger: Ledger, layers: int) -> list[str]:
     """Return every breach of "each layer once per token, in order".
--- a/src/chervilstall/standin/marketplace.py
+++ b/src/chervilstall/standin/marketplace.py
@@ -82,11 +82,6 @@
             options[option] = value
             self.texts[path] = document_text(section, options)
 
-    def set_option(self, path: str, option: str, value: str) -> str:
-        """Change one option of a document and return the document's text."""
-        self._set_option(path, option, value)
-        return self.texts[path]
-
     def stop(self) -> None:
         """Stop every stand-in."""
         for engine in self.engines.values():
--- a/src/chervilstall/stream/relay.py
+++ b/src/chervilstall/stream/relay.py
@@ -25,7 +25,8 @@
 )
 from chervilstall.routing.explanation import Explanation, RouteStep
 from chervilstall.routing.fleet import Capability
-from chervilstall.routing.selector import ChainSelector, Placement, PlacementRequest
+from chervilstall.routing.placement import Placement, PlacementRequest
+from chervilstall.routing.selector import ChainSelector
 from chervilstall.settings.documents import RequestClass
 from chervilstall.settings.processes import RetrySettings, TargetSettings
 from chervilstall.stream.decision import Decision, decide, final_kind
--- a/src/chervilstall/telemetry/story.py
+++ b/src/chervilstall/telemetry/events.py
@@ -17,6 +17,9 @@
 
 STDOUT = 1
 BUFFER_LINES = 4_000
+ROUTINE_MAX = BUFFER_LINES // 2
+"""Lines from which routine ones are dropped, to leave room for the others."""
+
 ROUTINE_LINES_PER_S = 40
 WRITE_PAUSE_S = 0.05
 BATCH_LINES = 200
@@ -31,7 +34,7 @@
     ERROR = "error"
 
 
-class StoryWriter:
+class EventWriter:
     """Buffers lines of one process and writes them without ever blocking it."""
 
     def __init__(self, file_number: int = STDOUT) -> None:
@@ -45,10 +48,11 @@
 
     def add(self, weight: Weight, fields: dict[str, object]) -> None:
         """Take one line, or count it as dropped."""
-        if weight is Weight.ROUTINE and self._is_sampled_out(str(fields["event"])):
+        is_routine = weight is Weight.ROUTINE
+        if is_routine and self._is_sampled_out(str(fields["event"])):
             self.dropped += 1
             return
-        if len(self._lines) >= BUFFER_LINES:
+        if len(self._lines) >= (ROUTINE_MAX if is_routine else BUFFER_LINES):
             self.dropped += 1
             return
         if self.dropped:
@@ -93,13 +97,13 @@
             return
 
 
-writer = StoryWriter()
+writer = EventWriter()
 
 
-class Story:
+class EventLog:
     """Log of one part.
 
-    >>> Story("edge").encode("refused", {"request": "r1", "status": 503})
+    >>> EventLog("edge").encode("refused", {"request": "r1", "status": 503})
     {'part': 'edge', 'event': 'refused', 'request': 'r1', 'status': 503}
     """
 
--- a/src/chervilstall/telemetry/reading.py
+++ b/src/chervilstall/telemetry/reading.py
@@ -1,4 +1,4 @@
-"""Reading structured logs back: the story of one request, and what changed when."""
+"""Reading structured logs back: the lines of one request, and what changed when."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -72,7 +72,7 @@
     return sorted(found, key=lambda line: line.at_s)
 
 
-def story_of(lines: list[LogLine], request: str) -> list[LogLine]:
+def lines_of(lines: list[LogLine], request: str) -> list[LogLine]:
     """Return the lines about one request, over all VMs, by time."""
     return [line for line in lines if line.request == request]
 
@@ -83,7 +83,7 @@
     It is the last trouble known of the target of the request's first failure, or that
     failure itself where none was known. None where nothing failed.
     """
-    failures = [each for each in story_of(lines, request) if each.level in FAILURES]
+    failures = [each for each in lines_of(lines, request) if each.level in FAILURES]
     if not failures:
         return None
     first = failures[0]
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -32,7 +32,7 @@
 from chervilstall.settings.node import StoreAddress
 from chervilstall.settings.option import Address
 from chervilstall.telemetry.edge_metrics import EdgeMetrics, Outcome
-from chervilstall.telemetry.story import StoryWriter, Weight
+from chervilstall.telemetry.events import EventWriter, Weight
 from tests.support.fleet import eventually
 from tests.support.platform import BOUNDS, Platform, configuration
 
@@ -489,7 +489,7 @@
 # Logs
 
 
-def log_lines(writer: StoryWriter, routine: int, warnings: int) -> None:
+def log_lines(writer: EventWriter, routine: int, warnings: int) -> None:
     """Log lines of two weights."""
     for number in range(routine):
         writer.add(Weight.ROUTINE, {"event": "sent", "number": number})
@@ -502,7 +502,7 @@
     reader, writer = os.pipe()
     os.set_blocking(reader, False)
     context.reader = reader
-    context.writer = StoryWriter(writer)
+    context.writer = EventWriter(writer)
     context.stoppables.append(Stopper(gevent.spawn(context.writer.run)))
     context.received = b""
 
--- a/tests/steps/operations_steps.py
+++ b/tests/steps/operations_steps.py
@@ -3,14 +3,14 @@
 from behave import given, then
 from behave.runner import Context
 
+from chervilstall.telemetry.events import writer
 from chervilstall.telemetry.reading import (
     LogLine,
     cause_of,
+    lines_of,
     parse_lines,
-    story_of,
     timeline,
 )
-from chervilstall.telemetry.story import writer
 from tests.support.fleet import eventually
 from tests.support.platform import ZONES
 
@@ -42,13 +42,13 @@
 
 @then('the story tells "{event}"')
 def check_story(context: Context, event: str) -> None:
-    events = [line.event for line in story_of(kept_lines(), "r1")]
+    events = [line.event for line in lines_of(kept_lines(), "r1")]
     assert event in events, events
 
 
 @then('the timeline around it tells "{event}"')
 def check_timeline(context: Context, event: str) -> None:
-    at_s = story_of(kept_lines(), "r1")[0].at_s
+    at_s = lines_of(kept_lines(), "r1")[0].at_s
     eventually(
         lambda: event in [line.event for line in timeline(kept_lines(), at_s, 5.0)]
     )
--- a/tests/steps/routing_steps.py
+++ b/tests/steps/routing_steps.py
@@ -30,7 +30,8 @@
 )
 from chervilstall.routing.flow import solve_flow
 from chervilstall.routing.load import Health, LoadTable
-from chervilstall.routing.selector import ChainSelector, PlacementRequest
+from chervilstall.routing.placement import PlacementRequest
+from chervilstall.routing.selector import ChainSelector
 from chervilstall.routing.spill import SpillOver
 from chervilstall.routing.subset import choose_subset
 from chervilstall.settings.documents import RequestClass
