Make short calls and histograms in one place each

Cause: reading the whole change: one call over a connection of its own stood four times (both stores, engines, targets of the platform), the bounds of a histogram twice; leading a stream away and noting an asked target twice. Change: call_once, new_histogram, record_seconds, _start_move, _note_asked; constants and fields that nothing read are gone; imports of the programs are in order. Behaviour stays as it is.

--- a/src/chervilstall/commands/agent.py
+++ b/src/chervilstall/commands/agent.py
@@ -12,8 +12,8 @@
 from chervilstall.agent.runtime import AgentRuntime, AgentSettings
 from chervilstall.commands.start import ExitCode
 from chervilstall.peer.keys import create_keys
-from chervilstall.store.client import HttpStore
 from chervilstall.settings.agents import AGENT_SECTIONS
+from chervilstall.store.client import HttpStore
 
 
 @cappa.command(
--- a/src/chervilstall/commands/ctl.py
+++ b/src/chervilstall/commands/ctl.py
@@ -22,8 +22,8 @@
 from chervilstall.telemetry.reading import (
     LogLine,
     cause_of,
-    parse_lines,
     lines_of,
+    parse_lines,
     timeline,
 )
 
--- a/src/chervilstall/commands/planner.py
+++ b/src/chervilstall/commands/planner.py
@@ -10,8 +10,8 @@
 
 from chervilstall.commands.start import ExitCode
 from chervilstall.planner.runtime import Planner, PlannerProcessSettings
-from chervilstall.store.client import HttpStore
 from chervilstall.settings.agents import PLANNER_SECTIONS
+from chervilstall.store.client import HttpStore
 
 
 @cappa.command(
--- a/src/chervilstall/commands/standin.py
+++ b/src/chervilstall/commands/standin.py
@@ -12,7 +12,6 @@
 
 from chervilstall.commands.start import ExitCode
 from chervilstall.configuration.treefile import document_text, read_tree_file
-from chervilstall.store.contract import VmRecord
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.settings.ini import MistakeLog, parse_ini, read_section
 from chervilstall.settings.option import Address, option
@@ -20,6 +19,7 @@
 from chervilstall.standin.marketplace import Marketplace
 from chervilstall.standin.store import MemoryStore
 from chervilstall.standin.store_server import StoreServer
+from chervilstall.store.contract import VmRecord
 
 
 @dataclass(frozen=True)
--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -1,5 +1,6 @@
 """The WSGI application in front of the targets: route, admit, relay, answer."""
 
+import errno
 import time
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
@@ -112,7 +113,7 @@
     ) -> Iterator[bytes]:
         if request is not None and request.has_caller_left:
             self._record(request, Outcome.CALLER_LEFT)
-            raise BrokenPipeError(32, "the caller left")
+            raise BrokenPipeError(errno.EPIPE, "the caller left")
         log.warning(
             "refused",
             request=fields.request,
@@ -249,7 +250,7 @@
                 events_passed=request.events_passed,
                 caller_left=request.has_caller_left,
             )
-            raise BrokenPipeError(32, str(error)) from error
+            raise BrokenPipeError(errno.EPIPE, str(error)) from error
         self._record(request, Outcome.SERVED)
 
     def _start(
--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -1,7 +1,6 @@
 """One sending of a request to one target, and its answer."""
 
 import socket
-import time
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -68,7 +67,6 @@
         self.request = request
         self.send = send
         self.target: Target = send.target
-        self.started_s = time.monotonic()
         self.abort_reason: Failure | None = None
         settings = TargetSettings(connect_timeout_s=CONNECT_TIMEOUT_S)
         self._client = single_use_client(self.target.address, settings, SILENCE_MAX_S)
--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -190,12 +190,15 @@
         self._asking.add(first.target)
         gevent.spawn(self._find_fault, first)
 
+    def _note_asked(self, target: Target) -> None:
+        self._asking.discard(target.target)
+        self._asked_at_s[target.target] = time.monotonic()
+
     def _find_fault(self, first: Target) -> None:
         try:
             report = fetch_report(first.address)
         finally:
-            self._asking.discard(first.target)
-            self._asked_at_s[first.target] = time.monotonic()
+            self._note_asked(first)
         if report is None:
             self.beliefs.suspect(first, "gives no report")
             self._end_streams_of(first)
@@ -232,8 +235,7 @@
                 gevent.sleep(REPORT_AGE_S)
                 report = fetch_report(target.address)
         finally:
-            self._asking.discard(target.target)
-            self._asked_at_s[target.target] = time.monotonic()
+            self._note_asked(target)
         if report is None:
             self.beliefs.suspect(target, "gives no report")
             return
@@ -256,21 +258,16 @@
     def move_around(self, target: Target) -> None:
         """Lead every stream that passes through a target around it."""
         for stream in list(self.streams.values()):
-            if stream.passes(target) and not stream.is_moving:
-                stream.is_moving = True
-                gevent.spawn(self._move, stream, target)
+            if stream.passes(target):
+                self._start_move(stream, target)
 
     def _move_from_leaving(self) -> None:
         """Lead streams around targets that leave or give up what the streams use."""
         for stream in list(self.streams.values()):
-            if stream.is_moving:
-                continue
             for part in stream.path.parts[1:]:
-                if not self._is_leaving(part):
-                    continue
-                stream.is_moving = True
-                gevent.spawn(self._move, stream, part.target)
-                break
+                if self._is_leaving(part):
+                    self._start_move(stream, part.target)
+                    break
 
     def _is_leaving(self, part: PathPart) -> bool:
         target = self.beliefs.targets.get(part.target.target)
@@ -281,6 +278,11 @@
             return True
         return not target.layers.covers(part.layers)
 
+    def _start_move(self, stream: LiveStream, around: Target) -> None:
+        if not stream.is_moving:
+            stream.is_moving = True
+            gevent.spawn(self._move, stream, around)
+
     def _move(self, stream: LiveStream, around: Target) -> None:
         try:
             self._move_once(stream, around)
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -48,7 +48,6 @@
 PLANNER_MARGIN_S = 0.4
 PLANNER_STANDBY_S = 10.0
 METRICS_PORT = 9464
-METRICS_PATH = "/metrics"
 HOUSEKEEPING_S = 0.5
 BALANCER_S = 3.0
 """Time in which the balancer sees that a router is no longer ready."""
--- a/src/chervilstall/edge/streams.py
+++ b/src/chervilstall/edge/streams.py
@@ -29,7 +29,6 @@
 log = EventLog("edge")
 
 SENDS_MAX = 6
-SUSPECT_S = 1.5
 BUSY_S = 0.3
 REPAIR_S = 1.5
 """Time in which a missing part of a model is usually loaded again."""
--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -5,14 +5,18 @@
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
-import gevent
 import msgspec
 from geventhttpclient.response import HTTPParseError
 
 from chervilstall.settings.node import StoreAddress
 from chervilstall.settings.processes import TargetSettings
 from chervilstall.store.contract import StoreFailed, StoreRefused
-from chervilstall.target.connection import ConnectFailed, single_use_client
+from chervilstall.target.connection import (
+    JSON_HEADERS,
+    CallAnswer,
+    ConnectFailed,
+    call_once,
+)
 
 T = TypeVar("T")
 CALL_TIMEOUT_S = 2.0
@@ -22,7 +26,6 @@
 HTTP_HISTORY_GONE = 410
 HTTP_CONFLICT = 412
 REFUSING_STATUSES = frozenset({429, 503})
-JSON_HEADERS = {"Content-Type": "application/json"}
 
 
 class HistoryGone(StoreFailed):
@@ -117,10 +120,10 @@
     def get(self, key: str) -> Entry | None:
         """Return a key's entry, or None where it is absent."""
         path = f"/chervilstall/kv-key?{urlencode({'key': key})}"
-        status, content = self._call("GET", path, None)
-        if status == HTTP_ABSENT:
+        answer = self._call("GET", path, None)
+        if answer.status == HTTP_ABSENT:
             return None
-        return _entry(_decode(status, content, _Item))
+        return _entry(_decode(answer, _Item))
 
     def watch(self, prefix: str, after: int, wait_s: float) -> Entries:
         """Wait for changes after a revision. Raises HistoryGone where they are lost."""
@@ -145,27 +148,28 @@
             "writes": [{"key": key, "value": text, "lease": lease}],
             "remove": [],
         }
-        status, content = self._call("POST", "/chervilstall/kv-txn", body)
-        if status == HTTP_CONFLICT:
+        answer = self._call("POST", "/chervilstall/kv-txn", body)
+        if answer.status == HTTP_CONFLICT:
             return None
-        if status == HTTP_ABSENT:
+        if answer.status == HTTP_ABSENT:
             raise LeaseEnded("the lease of a write has ended")
-        return _decode(status, content, _WriteAnswer).revision
+        return _decode(answer, _WriteAnswer).revision
 
     def open_lease(self, ttl_s: float) -> Lease:
         """Open a lease."""
         body = {"ttl-ms": int(ttl_s * 1e3)}
-        status, content = self._call("POST", "/chervilstall/kv-lease", body)
-        answer = _decode(status, content, _LeaseAnswer)
+        answer = _decode(
+            self._call("POST", "/chervilstall/kv-lease", body), _LeaseAnswer
+        )
         return Lease(answer.lease, answer.ttl_ms / 1e3)
 
     def renew_lease(self, lease: Lease) -> None:
         """Renew a lease. Raises LeaseEnded where it is over."""
         path = f"/chervilstall/kv-keep/{lease.number}"
-        status, content = self._call("POST", path, {})
-        if status == HTTP_ABSENT:
+        answer = self._call("POST", path, {})
+        if answer.status == HTTP_ABSENT:
             raise LeaseEnded("the lease has ended")
-        _decode(status, content, _LeaseAnswer)
+        _decode(answer, _LeaseAnswer)
 
     def end_lease(self, lease: Lease) -> None:
         """End a lease and remove its keys."""
@@ -175,32 +179,33 @@
     def _get(
         self, path: str, query: dict[str, Any], kind: type[T], extra_s: float = 0.0
     ) -> T:
-        status, content = self._call("GET", f"{path}?{urlencode(query)}", None, extra_s)
-        return _decode(status, content, kind)
+        answer = self._call("GET", f"{path}?{urlencode(query)}", None, extra_s)
+        return _decode(answer, kind)
 
     def _call(
         self, method: str, path: str, body: object, extra_s: float = 0.0
-    ) -> tuple[int, bytes]:
+    ) -> CallAnswer:
         self.calls += 1
         timeout_s = CALL_TIMEOUT_S + extra_s
         address = self.settings.address
-        client = single_use_client(address, self._connections, timeout_s)
         content = b"" if body is None else msgspec.json.encode(body)
         try:
-            with gevent.Timeout(timeout_s, TimeoutError):
-                response = client.request(
-                    method, path, body=content, headers=JSON_HEADERS
-                )
-                answer = response.read()
+            answer = call_once(
+                address,
+                self._connections,
+                timeout_s,
+                method,
+                path,
+                content,
+                JSON_HEADERS,
+            )
         except ConnectFailed as error:
             raise StoreRefused(f"no connection to the store: {error}") from error
         except (OSError, HTTPParseError) as error:
             raise StoreFailed(f"no answer from the store: {error!r}") from error
-        finally:
-            client.close()
-        if response.status_code in REFUSING_STATUSES:
-            raise StoreRefused(f"the store answered {response.status_code}")
-        return response.status_code, answer
+        if answer.status in REFUSING_STATUSES:
+            raise StoreRefused(f"the store answered {answer.status}")
+        return answer
 
 
 def _entry(item: _Item) -> Entry:
@@ -214,12 +219,12 @@
     return Entry(item.key, value, item.revision)
 
 
-def _decode(status: int, content: bytes, kind: type[T]) -> T:
-    if status == HTTP_HISTORY_GONE:
+def _decode(answer: CallAnswer, kind: type[T]) -> T:
+    if answer.status == HTTP_HISTORY_GONE:
         raise HistoryGone("the store's history no longer reaches back that far")
-    if status != HTTP_OK:
-        raise StoreFailed(f"the store answered {status}")
+    if answer.status != HTTP_OK:
+        raise StoreFailed(f"the store answered {answer.status}")
     try:
-        return msgspec.json.decode(content, type=kind)
+        return msgspec.json.decode(answer.body, type=kind)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise StoreFailed(f"the store's answer is malformed: {error}") from error
--- a/src/chervilstall/platform/messages.py
+++ b/src/chervilstall/platform/messages.py
@@ -70,7 +70,6 @@
     workspace: WorkspaceName | None
     path: Path | None = None
     last_event: str = ""
-    urgency: int | None = None
 
 
 def send_headers(passed_on: HeaderFields, send: SendFields) -> Headers:
@@ -88,8 +87,6 @@
         headers.add(names.PATH, encode_path(send.path))
     if send.last_event:
         headers.add(names.LAST_EVENT, send.last_event)
-    if send.urgency is not None:
-        headers.add(names.PRIORITY, str(send.urgency))
     return headers
 
 
@@ -107,7 +104,6 @@
     is_own: bool
     is_signed: bool
     is_not_run: bool
-    is_closing: bool
     is_stream: bool
     faulty_address: str
 
@@ -116,7 +112,6 @@
     """Read status and headers of an answer to `request`."""
     fields = [(name, str(value)) for name, value in response.headers]
     found = {name.lower(): value.strip() for name, value in fields}
-    closing = found.get("connection", "").lower() == "close"
     return AnswerHead(
         status=response.status_code,
         headers=tuple(
@@ -127,7 +122,6 @@
         is_own=found.get(names.REQUEST_ID.lower()) == request,
         is_signed=names.SIGNATURE.lower() in found,
         is_not_run=names.NOT_RUN.lower() in found or response.status_code == 421,
-        is_closing=closing,
         is_stream=found.get("content-type", "").startswith(names.STREAM_TYPE),
         faulty_address=found.get(names.FAULTY_TARGET.lower(), ""),
     )
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 from typing import Any, Literal
 
-import gevent
 import msgspec
 from geventhttpclient.response import HTTPParseError
 
@@ -13,10 +12,9 @@
 from chervilstall.platform import names
 from chervilstall.settings.option import Address, parse_address
 from chervilstall.settings.processes import TargetSettings
-from chervilstall.target.connection import single_use_client
+from chervilstall.target.connection import JSON_HEADERS, CallAnswer, call_once
 
 CALL_TIMEOUT_S = 1.5
-JSON_HEADERS = {"Content-Type": "application/json"}
 ROOM_SHARE = 0.5
 """Part of the memory for requests up to which a target surely takes another one."""
 
@@ -132,10 +130,10 @@
 ) -> TargetReport | None:
     """Ask a target for its report; None where it gives none in time."""
     answer = _call(address, "GET", names.REPORT_PATH, b"", timeout_s)
-    if answer is None or answer[0] != 200:
+    if answer is None or answer.status != 200:
         return None
     try:
-        report = msgspec.json.decode(answer[1], type=_Report)
+        report = msgspec.json.decode(answer.body, type=_Report)
         stalled = tuple(
             StalledRequest(RequestId(each.id), parse_address(each.address))
             for each in report.stalled
@@ -203,7 +201,7 @@
     answer = _call(address, "POST", names.ORDER_PATH, msgspec.json.encode(body))
     if answer is None:
         return OrderAnswer(0)
-    return OrderAnswer(answer[0], answer[1][:200].decode("utf-8", "replace"))
+    return OrderAnswer(answer.status, answer.body[:200].decode("utf-8", "replace"))
 
 
 def _call(
@@ -212,15 +210,9 @@
     path: str,
     body: bytes,
     timeout_s: float = CALL_TIMEOUT_S,
-) -> tuple[int, bytes] | None:
+) -> CallAnswer | None:
     settings = TargetSettings(connect_timeout_s=timeout_s)
-    client = single_use_client(address, settings, timeout_s)
     try:
-        with gevent.Timeout(timeout_s, TimeoutError):
-            response = client.request(method, path, body=body, headers=JSON_HEADERS)
-            content = response.read()
+        return call_once(address, settings, timeout_s, method, path, body, JSON_HEADERS)
     except (OSError, HTTPParseError):
         return None
-    finally:
-        client.close()
-    return response.status_code, content
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -1,5 +1,6 @@
 """Stand-ins of the platform's targets: plain servers and parts of a model."""
 
+import errno
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -167,19 +168,19 @@
             case Behaviour.FAIL:
                 start_response(status_line(500), head)
             case Behaviour.LOSE_ANSWER:
-                raise BrokenPipeError(32, "the answer is lost")
+                raise BrokenPipeError(errno.EPIPE, "the answer is lost")
             case Behaviour.HANG:
                 gevent.sleep(30.0)
             case Behaviour.CUT:
                 start_response(status_line(200), head)
                 yield answer[:4]
-                raise BrokenPipeError(32, "the answer is cut")
+                raise BrokenPipeError(errno.EPIPE, "the answer is cut")
             case Behaviour.ANSWER_TWICE:
                 whole = b"HTTP/1.1 200 OK\r\n" + b"".join(
                     f"{name}: {value}\r\n".encode() for name, value in head
                 )
                 connection.sendall((whole + b"\r\n" + answer) * 2)
-                raise BrokenPipeError(32, "both answers are sent")
+                raise BrokenPipeError(errno.EPIPE, "both answers are sent")
             case Behaviour.ANSWER_OTHER:
                 head[0] = ("Attempt-Id", "another")
                 start_response(status_line(200), head)
@@ -211,7 +212,7 @@
     def _break(self) -> None:
         match self.behaviour:
             case Behaviour.BREAK_STREAM:
-                raise BrokenPipeError(32, "the stream breaks")
+                raise BrokenPipeError(errno.EPIPE, "the stream breaks")
             case Behaviour.STALL_STREAM:
                 while self.stalled_on:
                     gevent.sleep(EVENT_PAUSE_S)
--- a/src/chervilstall/store/client.py
+++ b/src/chervilstall/store/client.py
@@ -3,7 +3,6 @@
 from typing import TypeVar
 from urllib.parse import quote
 
-import gevent
 import msgspec
 from geventhttpclient.response import HTTPParseError
 
@@ -19,7 +18,7 @@
     VmRecord,
     WatchAnswer,
 )
-from chervilstall.target.connection import ConnectFailed, single_use_client
+from chervilstall.target.connection import ConnectFailed, call_once
 
 T = TypeVar("T")
 HTTP_OK = 200
@@ -97,25 +96,23 @@
     ) -> bytes | None:
         self.budget.spend()
         timeout_s = self.settings.timeout_s + extra_s
-        client = single_use_client(self.settings.address, self._connections, timeout_s)
+        address = self.settings.address
         try:
-            with gevent.Timeout(timeout_s, TimeoutError):
-                response = client.request(method, path, body=body)
-                answer = response.read()
+            answer = call_once(
+                address, self._connections, timeout_s, method, path, body
+            )
         except ConnectFailed as error:
             raise StoreRefused(f"no connection to the store: {error}") from error
         except (OSError, HTTPParseError) as error:
             raise StoreFailed(f"no answer from the store: {error}") from error
-        finally:
-            client.close()
-        status = response.status_code
+        status = answer.status
         if status == HTTP_ABSENT:
             return None
         if status in REFUSING_STATUSES:
             raise StoreRefused(f"the store answered {status}")
         if status != HTTP_OK:
             raise StoreFailed(f"the store answered {status}")
-        return answer
+        return answer.body
 
 
 def _decode(body: bytes, kind: type[T]) -> T:
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -6,6 +6,7 @@
 """
 
 import time
+from dataclasses import dataclass
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -18,6 +19,7 @@
 )
 from typing import Any
 
+import gevent
 import gevent.socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
@@ -33,6 +35,7 @@
 POOL_SIZE = 64
 SEPARATOR = b"\n\n"
 DATA_PREFIX = b"data: "
+JSON_HEADERS = {"Content-Type": "application/json"}
 PROBE_AFTER_S = 1
 PROBE_INTERVAL_S = 1
 PROBES_MAX = 2
@@ -211,6 +214,38 @@
     return client
 
 
+@dataclass(frozen=True)
+class CallAnswer:
+    """Status and whole body of an answer to a short call."""
+
+    status: int
+    body: bytes
+
+
+def call_once(
+    address: Address,
+    settings: TargetSettings,
+    timeout_s: float,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> CallAnswer:
+    """Make one short call over a connection of its own, within `timeout_s` in all.
+
+    Raises ConnectFailed where nothing was sent, and another OSError or an
+    HTTPParseError where no whole answer came.
+    """
+    client = single_use_client(address, settings, timeout_s)
+    try:
+        with gevent.Timeout(timeout_s, TimeoutError):
+            response = client.request(method, path, body=body, headers=headers)
+            content = response.read()
+    finally:
+        client.close()
+    return CallAnswer(response.status_code, content)
+
+
 def read_server_event(response: Any) -> bytes | None:
     """Return the data of the next server-sent event, or None at the end.
 
--- a/src/chervilstall/target/engine_client.py
+++ b/src/chervilstall/target/engine_client.py
@@ -3,14 +3,15 @@
 import time
 from typing import Any, TypeVar
 
-import gevent
 import msgspec
 from geventhttpclient.response import HTTPParseError
 
 from chervilstall.settings.option import Address
 from chervilstall.settings.processes import TargetSettings
 from chervilstall.target.connection import (
+    JSON_HEADERS,
     ConnectFailed,
+    call_once,
     read_server_event,
     single_use_client,
 )
@@ -36,7 +37,6 @@
 
 EVENT_MAX_BYTES = 65_536
 LENGTH_FINISH = "length"
-JSON_HEADERS = {"Content-Type": "application/json"}
 HTTP_OK = 200
 HTTP_REFUSED = 503
 SHORT_CALL_TIMEOUT_S = 1.0
@@ -255,13 +255,16 @@
     def _call(
         self, address: Address, method: str, path: str, body: bytes
     ) -> bytes | None:
-        client = single_use_client(address, self.settings, SHORT_CALL_TIMEOUT_S)
         try:
-            with gevent.Timeout(SHORT_CALL_TIMEOUT_S, TimeoutError):
-                response = client.request(method, path, body=body, headers=JSON_HEADERS)
-                answer = response.read()
+            answer = call_once(
+                address,
+                self.settings,
+                SHORT_CALL_TIMEOUT_S,
+                method,
+                path,
+                body,
+                JSON_HEADERS,
+            )
         except (OSError, HTTPParseError):
             return None
-        finally:
-            client.close()
-        return answer if response.status_code == HTTP_OK else None
+        return answer.body if answer.status == HTTP_OK else None
--- a/src/chervilstall/telemetry/edge_metrics.py
+++ b/src/chervilstall/telemetry/edge_metrics.py
@@ -6,9 +6,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from chervilstall.telemetry.metrics import HIGHEST_US, LOWEST_US
+from chervilstall.telemetry.metrics import new_histogram, record_seconds
 
-DIGITS = 2
 SERIES_MAX = 2_000
 OTHER = "other"
 QUANTILES = (0.5, 0.95, 0.99)
@@ -67,10 +66,9 @@
             key = (key[0], OTHER, OTHER)
         histogram = self._histograms.get(key)
         if histogram is None:
-            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            histogram = new_histogram()
             self._histograms[key] = histogram
-        value_us = min(max(int(elapsed_s * 1e6), LOWEST_US), HIGHEST_US)
-        histogram.record_value(value_us)
+        record_seconds(histogram, elapsed_s)
 
     def exposition(self) -> str:
         """Return all series as text in the Prometheus exposition format."""
--- a/src/chervilstall/telemetry/metrics.py
+++ b/src/chervilstall/telemetry/metrics.py
@@ -38,6 +38,17 @@
     measure: Measure
 
 
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+def record_seconds(histogram: HdrHistogram, seconds: float) -> None:
+    """Record a duration, within the bounds of the histogram."""
+    value_us = min(max(int(seconds * 1e6), LOWEST_US), HIGHEST_US)
+    histogram.record_value(value_us)
+
+
 class Metrics:
     """Counters and histograms of one process.
 
@@ -79,14 +90,13 @@
                 key = HistogramKey("other", key.request_class, key.measure)
                 if key in self._histograms:
                     return self._histograms[key]
-            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            histogram = new_histogram()
             self._histograms[key] = histogram
         return histogram
 
     def record(self, key: HistogramKey, seconds: float) -> None:
         """Record a duration in seconds."""
-        value_us = min(max(int(seconds * 1e6), LOWEST_US), HIGHEST_US)
-        self.histogram(key).record_value(value_us)
+        record_seconds(self.histogram(key), seconds)
         if self._statsd is not None:
             name = f"{key.measure.value}.{key.workspace}.{key.request_class}"
             self._statsd.timing(name, seconds * 1e3)
