End the target pollers with their router

Cause: RouterRuntime.stop killed the task that starts one poller per engine, not the pollers. They went on asking the old addresses for ever. In the tests such a poller asked a port that a plain service of a later scenario had taken over: the stand-in answers /v1/load without recording it, so the poller went on to /v1/cache/index, which the ledger records as a run. Beside load scenarios last longer, so more polls fall into them. Ruled out: an address shared by two runs (each process has its own), a real send of the refused request (it would carry a request id and its own path). Change: gateway/polling.py owns the pollers in a group; stop ends all of them.

--- a/src/chervilstall/gateway/runtime.py
+++ b/src/chervilstall/gateway/runtime.py
@@ -13,6 +13,7 @@
 from chervilstall.configuration.tree import Tree
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.gateway.auth import Authenticator
+from chervilstall.gateway.polling import TargetPolling
 from chervilstall.idempotency.contract import ClaimService
 from chervilstall.routing.explanation import ExplanationLog
 from chervilstall.routing.fleet import build_fleet, is_fleet_same
@@ -113,6 +114,9 @@
         self.selector = ChainSelector(settings.routing, settings.vm.zone, name)
         self.engines = HttpEngineClient(settings.target)
         self.services = HttpServiceClient(settings.target)
+        self.polling = TargetPolling(
+            settings.target, settings.routing, self.selector, self.engines
+        )
         self.limits = RouterLimits(settings.limits, name, shares)
         self.relay = RelayContext(
             self.selector,
@@ -156,7 +160,7 @@
     def start(self) -> None:
         """Start the background tasks."""
         self._tasks = [
-            gevent.spawn(self._poll_targets),
+            gevent.spawn(self.polling.run),
             gevent.spawn(self._renew_shares),
             gevent.spawn(self._watch_stalls),
             gevent.spawn(self._pump),
@@ -166,6 +170,7 @@
         """Stop the background tasks."""
         self.state = RouterState.STOPPED
         gevent.killall(self._tasks, block=False)
+        self.polling.stop()
 
     def _pump(self) -> None:
         # Room also appears without an event of ours: an ejection ends, a limit grows.
@@ -188,49 +193,6 @@
             stall_s = time.monotonic() - slept_at_s - STALL_TICK_S
             self.longest_stall_s = max(self.longest_stall_s, stall_s)
 
-    def _poll_targets(self) -> None:
-        pollers: dict[str, gevent.Greenlet] = {}
-        while True:
-            known = {engine.target for engine in self.selector.engines()}
-            for engine in self.selector.engines():
-                if engine.target not in pollers:
-                    pollers[engine.target] = gevent.spawn(
-                        self._poll_target, engine.target
-                    )
-            for target in set(pollers) - known:
-                pollers.pop(target).kill(block=False)
-            gevent.sleep(self.settings.target.poll_interval_s)
-
-    def _poll_target(self, target: str) -> None:
-        """Read one engine's load and cache events for as long as it is in use."""
-        while True:
-            engine = self.selector.engine(target)
-            if engine is None:
-                return
-            report = self.engines.load(engine.address)
-            if report is not None:
-                self.selector.table.report(engine.target, report)
-                self._read_cache(engine.target, report.cache_sequence)
-            gevent.sleep(self.settings.target.poll_interval_s)
-
-    def _read_cache(self, target: str, sequence: int) -> None:
-        affinity = self.selector.affinity
-        engine = self.selector.engine(target)
-        if engine is None or not self.settings.routing.affinity_entries:
-            return
-        affinity.note_sequence(engine.target, sequence)
-        if affinity.has_gap(engine.target):
-            whole = self.engines.cache_index(engine.address)
-            if whole is not None:
-                affinity.replace(engine.target, whole)
-            return
-        after = affinity.sequence(engine.target)
-        if sequence <= after:
-            return
-        events = self.engines.cache_events(engine.address, after)
-        if events is not None:
-            affinity.apply(engine.target, events)
-
     # Shutdown
 
     def drain(self) -> bool:
--- a/tests/gateway/shutdown.feature
+++ b/tests/gateway/shutdown.feature
@@ -28,3 +28,8 @@
     When the caller streams 8 tokens from "assistant"
     Then the request's explanation names every stage
     And the histograms count the request
+
+  Scenario: A stopped router asks its targets nothing more
+    Given a marketplace
+    When the router has read the engines' load and is stopped
+    Then no engine is asked for its load in the next 0.5 seconds
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -339,3 +339,26 @@
             return
         gevent.sleep(0.02)
     raise AssertionError("an engine still works for a caller that left")
+
+
+@when("the router has read the engines' load and is stopped")
+def stop_after_reading(context: Context) -> None:
+    context.loads_read = loads_read = []
+    for server in context.market.engines.values():
+        engine = server.engine
+
+        def counted(report=engine.load_report, name=engine.target):
+            loads_read.append(name)
+            return report()
+
+        engine.load_report = counted
+    eventually(lambda: len(set(loads_read)) == len(context.market.engines))
+    context.market.router.server.stop()
+    gevent.sleep(0)
+    loads_read.clear()
+
+
+@then("no engine is asked for its load in the next {seconds:f} seconds")
+def check_not_read(context: Context, seconds: float) -> None:
+    gevent.sleep(seconds)
+    assert not context.loads_read, context.loads_read
