Notice within about two seconds that the store or a watch fell silent

Change: one watch over all keys instead of three, so that any change shows whether it is alive; a stale-allowed range read a second (a tenth of a call's price) that interrupts the watch when the store fails, answers again, or has moved on without the watch. Outages count from the last answer. Beside it: a report ends a suspicion of silence while entries cannot be followed, but not one of refusals or stalls, which are now kept apart.

--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -252,7 +252,8 @@
             target = self.beliefs.by_address(str(address))
             if target is None:
                 continue
-            self.beliefs.suspect(target, f"stalls requests at {first.target}")
+            reason = f"stalls requests at {first.target}"
+            self.beliefs.suspect(target, reason, doubt=Doubt.STALLING)
             self.move_around(target)
 
     def move_around(self, target: Target) -> None:
--- a/src/chervilstall/edge/members.py
+++ b/src/chervilstall/edge/members.py
@@ -53,7 +53,7 @@
     budget: RepeatBudget
     chooser: PathChooser
     planner: Planner
-    followers: list[Follower] = field(default_factory=list)
+    follower: Follower | None = None
     _present: set[str] = field(default_factory=set)
     _lease: Lease | None = None
 
@@ -75,9 +75,14 @@
             except LeaseEnded:
                 self._lease = None
         lease = self.store.open_lease(LEASE_S)
-        self.store.write(MEMBERS_PREFIX + self.vm, b"", None, lease.number)
+        self.store.write(self.key, b"", None, lease.number)
         self._lease = lease
 
+    @property
+    def key(self) -> str:
+        """Return the key under which this router is registered."""
+        return MEMBERS_PREFIX + self.vm
+
     def take(self, entry: Entry) -> None:
         """Take in a change below the product's own prefix."""
         if entry.key.startswith(MEMBERS_PREFIX):
@@ -100,8 +105,8 @@
         routers = max(1, len(self._present))
         self.budget.routers = routers
         self.chooser.routers = routers
-        for follower in self.followers:
-            follower.pace(len(self._present))
+        if self.follower is not None:
+            self.follower.pace(len(self._present))
 
     def _doubt(self, content: bytes) -> None:
         suspect = decode_suspect(content)
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -14,6 +14,7 @@
 from chervilstall.edge.live import StreamWatch
 from chervilstall.edge.members import ROUTERS_UNKNOWN, Members
 from chervilstall.edge.plain import PlainChooser, PlainRelay
+from chervilstall.edge.pulse import StorePulse
 from chervilstall.edge.streams import StreamContext
 from chervilstall.edge.survey import Survey
 from chervilstall.errors import ChervilstallError, ErrorKind
@@ -25,8 +26,9 @@
 from chervilstall.platform import names
 from chervilstall.platform.follow import (
     Follower,
-    configuration_follower,
-    target_follower,
+    Reader,
+    configuration_reader,
+    target_reader,
 )
 from chervilstall.platform.kv import PlatformStore
 from chervilstall.platform.leases import PlatformLeases
@@ -129,6 +131,8 @@
             self.chooser,
             self.planner,
         )
+        self.follower = self.members.follower = self._follower()
+        self.pulse = StorePulse(self.store, self.follower, self.members.key)
         self.callers = self._caller_listener()
         operations = Operations(self)
         self.ready = Server(settings.ready, operations)
@@ -148,6 +152,15 @@
         streams = StreamContext(self.beliefs, self.chooser, self.budget, self.watch)
         return EdgeApplication(self.beliefs, plain, streams, self.budget, self.metrics)
 
+    def _follower(self) -> Follower:
+        own = Reader(names.OWN_PREFIX, self.members.take, self.members.take_all)
+        readers = (
+            configuration_reader(self.beliefs),
+            target_reader(self.beliefs),
+            own,
+        )
+        return Follower(self.store, self.beliefs, readers)
+
     def _caller_listener(self) -> Server:
         return Server(self.settings.callers, self.app, malformed_reply=malformed_reply)
 
@@ -174,23 +187,10 @@
     def start(self) -> None:
         """Start every task, and serve."""
         log.info("started", zone=self.settings.zone, pid=os.getpid())
-        own = Follower(
-            self.store,
-            names.OWN_PREFIX,
-            self.beliefs,
-            self.members.take,
-            self.members.take_all,
-        )
-        followers = (
-            configuration_follower(self.store, self.beliefs),
-            target_follower(self.store, self.beliefs),
-            own,
-        )
         self.callers.start()
         self.ready.start()
         self.metrics_listener.start()
-        self.members.followers = list(followers)
-        runners = [follower.run for follower in followers]
+        runners = [self.follower.run, self.pulse.run]
         runners += [self.members.run, self.lease.run, self.planner.run]
         runners += [self.watch.run, self.survey.run, self._run_housekeeping]
         self._tasks = [gevent.spawn(runner) for runner in runners]
--- a/src/chervilstall/fleet/beliefs.py
+++ b/src/chervilstall/fleet/beliefs.py
@@ -40,10 +40,11 @@
 
 
 class Doubt(Enum):
-    """Why a target is avoided."""
+    """Why a target is avoided: no answer, refusals, or others that wait for it."""
 
     SILENT = "silent"
     REFUSING = "refusing"
+    STALLING = "stalling"
 
 
 @dataclass
@@ -133,9 +134,18 @@
         )
 
     def observe(self, target: Target, layers: LayerRange) -> None:
-        """Take in what a target reports to hold while its entry cannot be read."""
+        """Take in what a target reports to hold while its entry cannot be read.
+
+        A report is a sign of life, so it ends a suspicion of silence. It says nothing
+        of the target's links to others.
+        """
         known = self.targets.get(target.target)
-        if known is None or known.life != target.life or known.layers == layers:
+        if known is None or known.life != target.life:
+            return
+        suspicion = self._suspicions.get(target.life)
+        if suspicion is not None and suspicion.doubt is Doubt.SILENT:
+            self.trust(target)
+        if known.layers == layers:
             return
         self.targets[target.target] = replace(known, layers=layers)
         self.generation += 1
@@ -210,10 +220,10 @@
         """Remember that the store does not answer at this moment."""
         self._outage_end_s = time.monotonic()
 
-    def begin_outage(self) -> None:
-        """Remember since when entries of targets cannot be followed."""
+    def begin_outage(self, since_s: float) -> None:
+        """Remember the monotonic time since which entries cannot be followed."""
         if self.blind_since_s is None:
-            self.blind_since_s = time.monotonic()
+            self.blind_since_s = since_s
 
     def end_outage(self) -> None:
         """Take entries of targets as followed again."""
--- a/src/chervilstall/platform/follow.py
+++ b/src/chervilstall/platform/follow.py
@@ -1,15 +1,18 @@
-"""Tasks that keep beliefs in step with the platform's store."""
+"""The task that keeps beliefs in step with the platform's store."""
 
 import random
+import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import gevent
+from gevent.event import AsyncResult, Event
 
 from chervilstall.fleet.beliefs import FleetBeliefs
 from chervilstall.ids import TargetId
 from chervilstall.platform import names
 from chervilstall.platform.config import decode_configuration
-from chervilstall.platform.kv import Entry, HistoryGone, PlatformStore
+from chervilstall.platform.kv import Entries, Entry, HistoryGone, PlatformStore
 from chervilstall.platform.targets import decode_target
 from chervilstall.store.contract import StoreFailed
 from chervilstall.telemetry.events import EventLog
@@ -17,6 +20,9 @@
 log = EventLog("store")
 
 WATCH_S = 20.0
+CHECK_S = 0.1
+"""Length of a watch that only finds out whether the store answers again."""
+
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 1.0
 SETTLE_S = 0.1
@@ -28,37 +34,54 @@
 the longest leaves most of the time in which a change has to be in force.
 """
 
+EVERYTHING = ""
 
-class Follower:
-    """Reads a prefix once and then follows its changes; one task runs this.
+
+@dataclass(frozen=True)
+class Reader:
+    """Who takes in the entries below a prefix.
 
     `take` gets every entry that is new, `take_all` the keys of a whole reading, so
-    that what vanished unseen can be dropped. A watch goes on from the revision that
-    it had reached; only where the store forgot that far back is all read again.
+    that what vanished unseen can be dropped.
+    """
+
+    prefix: str
+    take: Callable[[Entry], None]
+    take_all: Callable[[list[str]], None]
+
+
+class Follower:
+    """Reads the store once and then follows its changes; one task runs this.
+
+    One watch serves all readers, so that any change shows whether it is alive. It
+    goes on from the revision that it had reached; only where the store forgot that
+    far back is all read again.
     """
 
     def __init__(
-        self,
-        store: PlatformStore,
-        prefix: str,
-        beliefs: FleetBeliefs,
-        take: Callable[[Entry], None],
-        take_all: Callable[[list[str]], None],
+        self, store: PlatformStore, beliefs: FleetBeliefs, readers: tuple[Reader, ...]
     ) -> None:
         self.store = store
-        self.prefix = prefix
         self.beliefs = beliefs
+        self.readers = readers
         self.revision = 0
         self.settle_s = SETTLE_S
-        self._take = take
-        self._take_all = take_all
+        self.answered_s = time.monotonic()
+        self.is_lost = False
         self._retry_s = RETRY_FIRST_S
-        self._is_lost = False
+        self._woken = Event()
+        self._answer: AsyncResult | None = None
 
     def pace(self, routers: int) -> None:
         """Set the pause after a change by the number of routers that follow."""
         self.settle_s = min(SETTLE_S + SETTLE_PER_ROUTER_S * routers, SETTLE_MAX_S)
 
+    def interrupt(self, reason: str) -> None:
+        """Give up the call that waits, or the pause before the next, and ask anew."""
+        self._woken.set()
+        if self._answer is not None:
+            self._answer.set_exception(StoreFailed(reason))
+
     def run(self) -> None:
         """Follow for the life of the process."""
         while True:
@@ -66,47 +89,75 @@
                 self._step()
                 self._note_answer()
             except HistoryGone:
-                log.warning("history gone", prefix=self.prefix, at=self.revision)
+                log.warning("history gone", at=self.revision)
                 self.revision = 0
             except StoreFailed as error:
                 self._note_failure(error)
-                gevent.sleep(self._retry_s * random.uniform(0.7, 1.3))
+                self._woken.wait(self._retry_s * random.uniform(0.7, 1.3))
                 self._retry_s = min(self._retry_s * 2.0, RETRY_MAX_S)
 
     def _step(self) -> None:
+        self._woken.clear()
         if self.revision == 0:
-            found = self.store.list_entries(self.prefix)
-            for entry in found.entries:
-                self._take(entry)
-            self._take_all([entry.key for entry in found.entries])
-        else:
-            found = self.store.watch(self.prefix, self.revision, WATCH_S)
-            for entry in found.entries:
-                self._take(entry)
-            if found.entries:
-                gevent.sleep(self.settle_s)
+            self._read_all()
+            return
+        found = self._await_changes()
+        for entry in found.entries:
+            self._take(entry)
         self.revision = max(self.revision, found.revision)
+        if found.entries:
+            gevent.sleep(self.settle_s)
+
+    def _read_all(self) -> None:
+        found = self.store.list_entries(EVERYTHING)
+        for entry in found.entries:
+            self._take(entry)
+        keys = [entry.key for entry in found.entries]
+        for reader in self.readers:
+            reader.take_all([key for key in keys if key.startswith(reader.prefix)])
+        self.revision = found.revision
+
+    def _take(self, entry: Entry) -> None:
+        for reader in self.readers:
+            if entry.key.startswith(reader.prefix):
+                reader.take(entry)
+
+    def _await_changes(self) -> Entries:
+        """Watch in a task of its own, so that `interrupt` can end the wait."""
+        answer = self._answer = AsyncResult()
+        call = gevent.spawn(self._watch, answer)
+        try:
+            return answer.get()
+        finally:
+            self._answer = None
+            call.kill(block=False)
+
+    def _watch(self, answer: AsyncResult) -> None:
+        wait_s = CHECK_S if self.is_lost else WATCH_S
+        try:
+            answer.set(self.store.watch(EVERYTHING, self.revision, wait_s))
+        except StoreFailed as error:
+            answer.set_exception(error)
 
     def _note_answer(self) -> None:
         self._retry_s = RETRY_FIRST_S
-        if self._is_lost:
-            self._is_lost = False
-            if self.prefix == names.TARGETS_PREFIX:
-                self.beliefs.end_outage()
+        self.answered_s = time.monotonic()
+        if self.is_lost:
+            self.is_lost = False
+            self.beliefs.end_outage()
             self.beliefs.note_outage()
-            log.info("store regained", prefix=self.prefix, at=self.revision)
+            log.info("store regained", at=self.revision)
 
     def _note_failure(self, error: StoreFailed) -> None:
         self.beliefs.note_outage()
-        if not self._is_lost:
-            self._is_lost = True
-            if self.prefix == names.TARGETS_PREFIX:
-                self.beliefs.begin_outage()
-            log.warning("store lost", prefix=self.prefix, why=error.message)
+        if not self.is_lost:
+            self.is_lost = True
+            self.beliefs.begin_outage(self.answered_s)
+            log.warning("store lost", at=self.revision, why=error.message)
 
 
-def configuration_follower(store: PlatformStore, beliefs: FleetBeliefs) -> Follower:
-    """Return the follower of the operator's configuration."""
+def configuration_reader(beliefs: FleetBeliefs) -> Reader:
+    """Return the reader of the operator's configuration."""
 
     def take(entry: Entry) -> None:
         if entry.value is None or entry.key != names.CONFIG_KEY:
@@ -118,11 +169,11 @@
             return
         beliefs.take_configuration(configuration, entry.revision)
 
-    return Follower(store, names.CONFIG_KEY, beliefs, take, lambda keys: None)
+    return Reader(names.CONFIG_KEY, take, lambda keys: None)
 
 
-def target_follower(store: PlatformStore, beliefs: FleetBeliefs) -> Follower:
-    """Return the follower of the targets' own entries."""
+def target_reader(beliefs: FleetBeliefs) -> Reader:
+    """Return the reader of the targets' own entries."""
     skip = len(names.TARGETS_PREFIX)
 
     def take(entry: Entry) -> None:
@@ -140,4 +191,4 @@
     def take_all(keys: list[str]) -> None:
         beliefs.keep_only(TargetId(key[skip:]) for key in keys)
 
-    return Follower(store, names.TARGETS_PREFIX, beliefs, take, take_all)
+    return Reader(names.TARGETS_PREFIX, take, take_all)
--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -117,6 +117,16 @@
                 return Entries(tuple(found), revision)
             after = page.items[-1].key
 
+    def recent_revision(self, key: str, timeout_s: float) -> int:
+        """Return a revision that the store had some seconds ago or later.
+
+        The answer holds one key at most, and the store may serve it from a copy that
+        lags; such a call costs little.
+        """
+        query = {"prefix": key, "allow-stale": 1}
+        path = "/chervilstall/kv-range"
+        return self._get(path, query, _RangeAnswer, timeout_s).at
+
     def get(self, key: str) -> Entry | None:
         """Return a key's entry, or None where it is absent."""
         path = f"/chervilstall/kv-key?{urlencode({'key': key})}"
@@ -129,7 +139,7 @@
         """Wait for changes after a revision. Raises HistoryGone where they are lost."""
         query = {"prefix": prefix, "after": after, "wait-ms": int(wait_s * 1e3)}
         path = "/chervilstall/kv-watch"
-        answer = self._get(path, query, _WatchAnswer, wait_s)
+        answer = self._get(path, query, _WatchAnswer, CALL_TIMEOUT_S + wait_s)
         return Entries(tuple(_entry(item) for item in answer.events), answer.at)
 
     def write(
@@ -177,16 +187,23 @@
         self._call("DELETE", path, None)
 
     def _get(
-        self, path: str, query: dict[str, Any], kind: type[T], extra_s: float = 0.0
+        self,
+        path: str,
+        query: dict[str, Any],
+        kind: type[T],
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> T:
-        answer = self._call("GET", f"{path}?{urlencode(query)}", None, extra_s)
+        answer = self._call("GET", f"{path}?{urlencode(query)}", None, timeout_s)
         return _decode(answer, kind)
 
     def _call(
-        self, method: str, path: str, body: object, extra_s: float = 0.0
+        self,
+        method: str,
+        path: str,
+        body: object,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> CallAnswer:
         self.calls += 1
-        timeout_s = CALL_TIMEOUT_S + extra_s
         address = self.settings.address
         content = b"" if body is None else msgspec.json.encode(body)
         try:
--- a/src/chervilstall/standin/platform_store.py
+++ b/src/chervilstall/standin/platform_store.py
@@ -43,7 +43,8 @@
 class PlatformStoreState:
     """Keys, leases and history.
 
-    A `failing_status` other than 0 answers every call; a silent store answers none.
+    A `failing_status` other than 0 answers every call; a silent store answers none,
+    and watches that waited when it fell silent are never answered.
     """
 
     revision: int = 1
@@ -55,6 +56,11 @@
     is_silent: bool = False
     calls: list[str] = field(default_factory=list)
     changed: Event = field(default_factory=Event)
+    watches_lost: int = 0
+
+    def lose_watches(self) -> None:
+        """Never answer the watches that wait now."""
+        self.watches_lost += 1
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write a key and return its revision."""
@@ -153,7 +159,9 @@
             return reply.start(start_response)
         query = {
             name: values[0]
-            for name, values in parse_qs(environ["QUERY_STRING"]).items()
+            for name, values in parse_qs(
+                environ["QUERY_STRING"], keep_blank_values=True
+            ).items()
         }
         status, body = self._answer(environ, path, query)
         return json_reply(status, body).start(start_response)
@@ -194,6 +202,7 @@
     def _watch(self, query: dict[str, str]) -> tuple[int, object]:
         state = self.state
         after = int(query["after"])
+        watches_lost = state.watches_lost
         deadline_s = time.monotonic() + int(query["wait-ms"]) / 1e3
         while True:
             if after < state.oldest:
@@ -208,6 +217,10 @@
             if events or left_s <= 0.0:
                 return 200, {"events": events, "at": state.revision}
             state.changed.wait(left_s)
+            if state.is_silent:
+                state.lose_watches()
+            if state.watches_lost != watches_lost:
+                gevent.sleep(SILENCE_S)
 
     def _transact(self, body: dict[str, Any]) -> tuple[int, object]:
         state = self.state
--- a/tests/fleet/beliefs.feature
+++ b/tests/fleet/beliefs.feature
@@ -31,6 +31,18 @@
     Given beliefs with a target
     Then it is avoided for 4, 8 and 16 seconds in turn, and for 4 again once trusted
 
+  Scenario Outline: A report while the store is away ends a doubt of <doubt>: <ends>
+    Given beliefs with a target
+    When the store is away and the target is doubted as <doubt>
+    And the target gives a report
+    Then the doubt has ended: <ends>
+
+    Examples:
+      | doubt    | ends |
+      | silent   | yes  |
+      | refusing | no   |
+      | stalling | no   |
+
   Scenario: A restart under the same identity begins without suspicion
     Given beliefs with a target
     When the target is suspected and starts again under the same identity
@@ -55,6 +67,17 @@
     When the target leaves while the history is forgotten
     Then the target is not known
 
+  Scenario Outline: A change is noticed though <trouble>
+    Given a platform with one router and one target
+    When <trouble>
+    And a configuration and a target are written
+    Then the router believes in both
+
+    Examples:
+      | trouble                                       |
+      | the answers of waiting watches are lost       |
+      | the store is silent while watches wait        |
+
   Scenario: An unreadable configuration leaves the present one in force
     Given a followed store with one good target
     When an unreadable configuration is written
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -11,7 +11,7 @@
 from behave.runner import Context
 
 from chervilstall.edge.budget import RepeatBudget
-from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.fleet.beliefs import Doubt, FleetBeliefs
 from chervilstall.fleet.records import (
     Configuration,
     LayerRange,
@@ -25,7 +25,11 @@
 from chervilstall.paths import choice
 from chervilstall.paths.choice import PathChooser, PathRequest
 from chervilstall.platform.config import decode_configuration
-from chervilstall.platform.follow import configuration_follower, target_follower
+from chervilstall.platform.follow import (
+    Follower,
+    configuration_reader,
+    target_reader,
+)
 from chervilstall.platform.kv import PlatformStore
 from chervilstall.platform.node import decode_node
 from chervilstall.settings.ini import SettingsErrors
@@ -311,6 +315,22 @@
     assert lengths_s == [4, 8, 16, 4], lengths_s
 
 
+@when("the store is away and the target is doubted as {doubt}")
+def doubt_while_away(context: Context, doubt: str) -> None:
+    context.beliefs.begin_outage(time.monotonic())
+    context.beliefs.suspect(context.target, "test", shared=False, doubt=Doubt(doubt))
+
+
+@when("the target gives a report")
+def give_report(context: Context) -> None:
+    context.beliefs.observe(context.target, context.target.layers)
+
+
+@then("the doubt has ended: {ends}")
+def check_doubt_ended(context: Context, ends: str) -> None:
+    assert context.beliefs.is_suspect(context.target) is (ends == "no")
+
+
 @then("it is not suspected")
 def check_unsuspected(context: Context) -> None:
     assert not context.beliefs.is_suspect(context.target)
@@ -324,11 +344,9 @@
     platform.add_target("good", "lookups", "ba-hall")
     context.beliefs = FleetBeliefs(drain_s=2.0)
     store = PlatformStore(StoreAddress(platform.store.address, 20.0, 1.0))
-    for follower in (
-        configuration_follower(store, context.beliefs),
-        target_follower(store, context.beliefs),
-    ):
-        context.stoppables.append(Stopper(gevent.spawn(follower.run)))
+    readers = (configuration_reader(context.beliefs), target_reader(context.beliefs))
+    follower = Follower(store, context.beliefs, readers)
+    context.stoppables.append(Stopper(gevent.spawn(follower.run)))
     eventually(lambda: "good" in context.beliefs.targets)
     eventually(lambda: context.beliefs.configuration is not None)
 
@@ -380,6 +398,45 @@
     state.forget_history()
 
 
+@given("a platform with one router and one target")
+def one_router(context: Context) -> None:
+    platform = context.platform = Platform()
+    context.stoppables.append(platform)
+    platform.start()
+    platform.add_target("good", "lookups", "ba-hall")
+    context.router = platform.add_router()
+    eventually(lambda: "good" in context.router.beliefs.targets)
+    # Long enough for every watch to wait.
+    gevent.sleep(0.5)
+
+
+@when("the answers of waiting watches are lost")
+def lose_watches(context: Context) -> None:
+    context.platform.store.state.lose_watches()
+
+
+@when("the store is silent while watches wait")
+def silent_for_a_second(context: Context) -> None:
+    state = context.platform.store.state
+    state.is_silent = True
+    state.put("other/key", b"")
+    gevent.sleep(1.0)
+    state.is_silent = False
+
+
+@when("a configuration and a target are written")
+def write_both(context: Context) -> None:
+    context.platform.write_config(configuration(version=99))
+    context.platform.add_target("second", "lookups", "ba-hall")
+
+
+@then("the router believes in both")
+def check_both(context: Context) -> None:
+    beliefs = context.router.beliefs
+    eventually(lambda: beliefs.configuration.version == 99)
+    eventually(lambda: "second" in beliefs.targets)
+
+
 @then("the target is not known")
 def check_unknown(context: Context) -> None:
     eventually(lambda: "good" not in context.beliefs.targets)
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -20,6 +20,7 @@
 from chervilstall.standin.platform_target import PlatformTarget
 from chervilstall.store.contract import LeaseRecord
 from tests.support.fleet import eventually
+from tests.support.market import Response
 from tests.support.platform import LAYERS, Platform, send
 
 MODEL = Pipeline(
@@ -293,10 +294,19 @@
 
 @then("requests are still served")
 def check_served(context: Context) -> None:
-    def is_served() -> bool:
-        return send(context.router, "/draft/x", Token_Count="100,3").status == 200
+    answers: list[Response] = []
 
-    eventually(is_served)
+    def is_served() -> bool:
+        answers.append(send(context.router, "/draft/x", Token_Count="100,3"))
+        return answers[-1].status == 200
+
+    try:
+        eventually(is_served)
+    except AssertionError:
+        beliefs = context.router.beliefs
+        doubted = [name for name, t in beliefs.targets.items() if beliefs.is_suspect(t)]
+        held = {name: str(target.layers) for name, target in beliefs.targets.items()}
+        raise AssertionError(f"{answers[-1]}, avoided {doubted}, held {held}") from None
 
 
 @given("a planner whose lease another router has taken meanwhile")
