--- a/src/chervilstall/edge/pulse.py
+++ b/src/chervilstall/edge/pulse.py
@@ -24,8 +24,8 @@
     """Asks the store for its revision and interrupts a follower that hears nothing.
 
     A store that fails a call interrupts the follower once; one that answers while the
-    follower still counts it as lost ends the follower's pause. A revision that the follower has not reached one call later
-    means that its watch is dead.
+    follower still counts it as lost ends the follower's pause. A revision that the
+    follower has not reached one call later means that its watch is dead.
     """
 
     store: PlatformStore
