Ask targets for their health while the store is away

Routers found each leaving target by its refusals (20.8 s and later), and the planner gave layers to three targets that were leaving themselves, so layers 43 to 51 had one holder until 26.5 s. Ruled out: memory (the refusing targets had room), the retry budget. Change: the survey of targets, which runs only while the store is away, asks each for its health too; one that says it is closed is avoided and planned away. Being full or another target at the address says nothing. Test that fails before: 'A target that leaves while the store is silent is found by asking it'.

--- a/src/chervilstall/edge/survey.py
+++ b/src/chervilstall/edge/survey.py
@@ -1,8 +1,8 @@
 """Looking at targets directly while the store cannot be followed.
 
-Loads end and targets die also while the store is away. A router then asks the targets
-of its own zone for their reports, one after the other, and the router that plans asks
-those of every zone.
+Loads end and targets die or leave also while the store is away. A router then asks the
+targets of its own zone for their reports and their health, one after the other, and the
+router that plans asks those of every zone.
 """
 
 import time
@@ -10,11 +10,11 @@
 
 import gevent
 
-from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.fleet.beliefs import Doubt, FleetBeliefs
 from chervilstall.fleet.records import Target
 from chervilstall.ids import ZoneName
 from chervilstall.placement.runner import Planner
-from chervilstall.platform.targets import fetch_report
+from chervilstall.platform.targets import Health, fetch_health, fetch_report
 
 BLIND_S = 1.0
 """Time without the store after which targets are asked directly."""
@@ -65,5 +65,20 @@
 
     def _ask(self, target: Target) -> None:
         report = fetch_report(target.address, ROUND_S / 2.0)
-        if report is not None:
-            self.beliefs.observe(target, report.layers)
+        if report is None:
+            return
+        self.beliefs.observe(target, report.layers)
+        path = self._health_path(target)
+        if path and fetch_health(target, path, ROUND_S / 2.0) is Health.CLOSED:
+            # It leaves or fails, and no entry can tell which.
+            self.beliefs.suspect(
+                target, "says it is closed", shared=False, doubt=Doubt.REFUSING
+            )
+            self.planner.doubt(target, Doubt.REFUSING)
+
+    def _health_path(self, target: Target) -> str:
+        configuration = self.beliefs.configuration
+        if configuration is None:
+            return ""
+        service = configuration.services.get(target.service)
+        return service.health_path if service is not None else ""
--- a/src/chervilstall/fleet/records.py
+++ b/src/chervilstall/fleet/records.py
@@ -99,6 +99,7 @@
 
     name: ServiceName
     connections_max: int
+    health_path: str
     pipeline: Pipeline | None
 
 
--- a/src/chervilstall/platform/config.py
+++ b/src/chervilstall/platform/config.py
@@ -69,6 +69,7 @@
 class _Service(msgspec.Struct, rename="kebab"):
     name: str
     max_connections: int = 0
+    health_path: str = ""
     engine: _Engine | None = None
 
 
@@ -149,7 +150,12 @@
 def _service(service: _Service) -> Service:
     engine = service.engine
     pipeline = _pipeline(engine) if engine is not None and engine.layers else None
-    return Service(ServiceName(service.name), service.max_connections, pipeline)
+    return Service(
+        ServiceName(service.name),
+        service.max_connections,
+        service.health_path,
+        pipeline,
+    )
 
 
 def _pipeline(engine: _Engine) -> Pipeline:
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -1,6 +1,7 @@
 """Entries of targets in the store, and the calls that a target answers."""
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any, Literal
 
 import msgspec
@@ -153,6 +154,35 @@
     )
 
 
+class Health(Enum):
+    """What a target says of its readiness for new work."""
+
+    OPEN = "open"
+    CLOSED = "closed"
+    UNKNOWN = "unknown"
+
+
+def fetch_health(
+    target: Target, path: str, timeout_s: float = CALL_TIMEOUT_S
+) -> Health:
+    """Ask a target whether it is well and stays.
+
+    The question takes the place of a request. One that is refused for want of room,
+    or answered by another target at the same address, tells nothing.
+    """
+    answer = _call(target.address, "GET", path, b"", timeout_s)
+    if answer is None or names.NOT_RUN.lower() in answer.headers:
+        return Health.UNKNOWN
+    if answer.headers.get(names.ANSWERING_TARGET.lower()) != target.target:
+        return Health.UNKNOWN
+    match answer.status:
+        case 200:
+            return Health.OPEN
+        case 503:
+            return Health.CLOSED
+    return Health.UNKNOWN
+
+
 @dataclass(frozen=True)
 class PlaceOrder:
     """Hold exactly `layers`. `orders_begun` is what the target is believed to count."""
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -16,6 +16,7 @@
     SOCKET_KEY,
     TARGET_KEY,
     Environ,
+    Reply,
     Server,
     StartResponse,
     json_reply,
@@ -76,6 +77,7 @@
         self.orders_begun = 0
         self.breaks_after = 3
         self.stalled_on: str = ""
+        self.is_leaving = False
         self.server = Server(address, self)
 
     @property
@@ -100,6 +102,10 @@
                 return json_reply(200, self._report()).start(start_response)
             case "/chervilstall/order":
                 return self._order(environ, start_response)
+            case "/healthz":
+                status = 503 if self.is_leaving else 200
+                named = (("Instance-Id", self.name),)
+                return Reply(status, b"{}", named).start(start_response)
         return self._serve(environ, start_response)
 
     def _report(self) -> dict[str, Any]:
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -216,10 +216,11 @@
 
 @dataclass(frozen=True)
 class CallAnswer:
-    """Status and whole body of an answer to a short call."""
+    """Status, whole body and headers, by lower-case name, of a short call's answer."""
 
     status: int
     body: bytes
+    headers: dict[str, str]
 
 
 def call_once(
@@ -243,7 +244,8 @@
             content = response.read()
     finally:
         client.close()
-    return CallAnswer(response.status_code, content)
+    headers = {name.lower(): str(value) for name, value in response.headers}
+    return CallAnswer(response.status_code, content, headers)
 
 
 def read_server_event(response: Any) -> bytes | None:
--- a/tests/placement/runner.feature
+++ b/tests/placement/runner.feature
@@ -30,6 +30,14 @@
       | answers nobody |
       | is silent      |
 
+  Scenario: A target that leaves while the store is silent is found by asking it
+    Given a platform with four empty model targets in a zone
+    When a router starts
+    Then the targets cover every layer
+    When the store is silent and a target leaves
+    Then the router avoids it before any request
+    And requests are still served
+
   Scenario: A paused holder does not act when it wakes
     Given a planner whose lease another router has taken meanwhile
     Then it gives no order
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -51,7 +51,7 @@
     usual_tokens=100.0,
     kinds={"card": TargetKind("card", 20_000.0, 1.0, 1.0)},
 )
-SERVICE = Service(ServiceName("drafts"), 100, PIPELINE)
+SERVICE = Service(ServiceName("drafts"), 100, "/healthz", PIPELINE)
 OWN, OTHER = ZoneName("own"), ZoneName("other")
 
 
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -17,7 +17,7 @@
 from chervilstall.placement.runner import Planner
 from chervilstall.platform.suspects import Suspect, encode_suspect
 from chervilstall.settings.agents import LeaseSettings
-from chervilstall.standin.platform_target import PlatformTarget
+from chervilstall.standin.platform_target import Behaviour, PlatformTarget
 from chervilstall.store.contract import LeaseRecord
 from tests.support.fleet import eventually
 from tests.support.market import Response
@@ -280,6 +280,23 @@
     context.router.beliefs.suspect(target, "test")
 
 
+@when("the store is silent and a target leaves")
+def store_silent_and_leaving(context: Context) -> None:
+    state = context.platform.store.state
+    state.is_silent = True
+    state.changed.set()
+    context.leaving = context.platform.targets["m0"]
+    context.leaving.is_leaving = True
+    context.leaving.behaviour = Behaviour.REFUSE
+
+
+@then("the router avoids it before any request")
+def check_avoided(context: Context) -> None:
+    beliefs = context.router.beliefs
+    target = beliefs.targets[context.leaving.name]
+    eventually(lambda: beliefs.is_suspect(target))
+
+
 def _is_copied(targets: dict[str, PlatformTarget], name: str) -> bool:
     others = [each for other, each in targets.items() if other != name]
     return is_covered(others)
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -72,8 +72,13 @@
             route("/draft/", "streaming", "drafts"),
         ],
         "services": [
-            {"name": "lookups", "max-connections": 50},
-            {"name": "drafts", "max-connections": 500, "engine": engine},
+            {"name": "lookups", "max-connections": 50, "health-path": "/healthz"},
+            {
+                "name": "drafts",
+                "max-connections": 500,
+                "health-path": "/healthz",
+                "engine": engine,
+            },
         ],
         "limits": {
             "max-header-bytes": 2000,
