Do not suspect a first target that names itself as stalling

At 33.84 s the report of the zone's only holder of the first layers listed stalled requests under its own address. The router suspected it, ended all its streams (13), and had no path for 6 s: 75 requests refused. A target that has just reported is alive. Ruled out: a part in another zone (all ten parts of those paths stood in ke-hall). Change: a target is never blamed on its own report; only the streams that it lists under its own address, if silent, go on over another path. Test that fails before: 'A first target that names itself as the one at fault is still used'.

--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -248,7 +248,11 @@
             self.beliefs.suspect(target, reason, doubt=Doubt.REFUSING)
 
     def _blame(self, first: Target, report: TargetReport) -> None:
-        for address in {each.address for each in report.stalled}:
+        for each in report.stalled:
+            if each.address == first.address:
+                self._give_up(each.request)
+        # A target that has just reported is alive, also where it names itself.
+        for address in {each.address for each in report.stalled} - {first.address}:
             target = self.beliefs.by_address(str(address))
             if target is None:
                 continue
@@ -256,6 +260,14 @@
             self.beliefs.suspect(target, reason, doubt=Doubt.STALLING)
             self.move_around(target)
 
+    def _give_up(self, name: RequestId) -> None:
+        """End a stalled stream's exchange, so that it goes on over another path."""
+        stream = self.streams.get(name)
+        if stream is None:
+            return
+        if time.monotonic() - stream.last_event_s > stream.silence_limit_s:
+            stream.exchange.abort(Failure.STALLED)
+
     def move_around(self, target: Target) -> None:
         """Lead every stream that passes through a target around it."""
         for stream in list(self.streams.values()):
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -27,6 +27,13 @@
     Then the events 1 to 10 arrive once and in order
     And the first target was told another path
 
+  Scenario: A first target that names itself as the one at fault is still used
+    Given a platform with a model in parts in both zones
+    And the first target stalls on itself after 4 events
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And the first target is not suspected
+
   Scenario: A model with a missing part is refused at once
     Given a platform with a model in parts in both zones
     And nobody holds the last part
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -297,6 +297,21 @@
     context.router.chooser.load.note_full(copy.life, 0.3)
 
 
+@given("the first target stalls on itself after {events:d} events")
+def first_stalls_itself(context: Context, events: int) -> None:
+    first = context.platform.targets[f"a-{ZONES[0]}"]
+    first.behaviour = Behaviour.STALL_STREAM
+    first.breaks_after = events
+    first.stalled_on = str(first.address)
+    context.doubts = []
+    context.router.beliefs.on_suspect = lambda *doubt: context.doubts.append(doubt)
+
+
+@then("the first target is not suspected")
+def check_no_doubt(context: Context) -> None:
+    assert not context.doubts, context.doubts
+
+
 @given("nobody holds the last part")
 def no_last_part(context: Context) -> None:
     for zone in ZONES:
