Avoid a zone of which no target answers as a whole

Its router went on choosing paths whose later parts stand in other zones: each dead part was found alone, by a refusal, a report that did not come (1.5 s) or a connection that timed out (0.6 s), and the refusals used up the budget for repeats (55 requests refused or broken off for it, 34 to 38 s). Ruled out: no path of its own (the zone held every layer twice in most parts).

--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -7,6 +7,7 @@
 """
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import gevent
@@ -94,6 +95,7 @@
     beliefs: FleetBeliefs
     chooser: PathChooser
     streams: dict[RequestId, LiveStream] = field(default_factory=dict)
+    on_silence: Callable[[Target], None] = lambda target: None
     _asking: set[TargetId] = field(default_factory=set)
     _asked_at_s: dict[TargetId, float] = field(default_factory=dict)
     _ask_pause_s: dict[TargetId, float] = field(default_factory=dict)
@@ -120,8 +122,13 @@
                 self._note_silent(stream, silence_s)
                 stream.exchange.abort(Failure.STALLED)
                 continue
-            if silence_s > stream.silence_limit_s:
-                self._ask(stream.path.first, now_s)
+            if silence_s <= stream.silence_limit_s:
+                continue
+            if stream.path.first.zone in self.beliefs.lost_zones:
+                stream.exchange.abort(Failure.STALLED)
+                continue
+            self._ask(stream.path.first, now_s)
+            self.on_silence(stream.path.first)
         if self._generation != self.beliefs.generation:
             self._generation = self.beliefs.generation
             self._move_from_leaving()
@@ -289,6 +296,8 @@
             return False
         if target.state is TargetState.DRAINING:
             return True
+        if target.zone in self.beliefs.lost_zones:
+            return True
         return not target.layers.covers(part.layers)
 
     def _start_move(self, stream: LiveStream, around: Target) -> None:
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -15,6 +15,7 @@
 from chervilstall.edge.members import ROUTERS_UNKNOWN, Members
 from chervilstall.edge.plain import PlainChooser, PlainRelay
 from chervilstall.edge.pulse import StorePulse
+from chervilstall.edge.reach import ZoneReach
 from chervilstall.edge.streams import StreamContext
 from chervilstall.edge.survey import Survey
 from chervilstall.errors import ChervilstallError, ErrorKind
@@ -121,6 +122,8 @@
             standby_s=PLANNER_STANDBY_S,
         )
         self.planner = Planner(self.beliefs, self.lease)
+        self.reach = ZoneReach(self.beliefs, settings.zone)
+        self.watch.on_silence = self.reach.doubt
         self.survey = Survey(self.beliefs, settings.zone, self.planner)
         self.members = Members(
             settings.vm,
@@ -173,6 +176,8 @@
             doubt,
         )
         self.planner.doubt(target, doubt)
+        if doubt is not Doubt.REFUSING:
+            self.reach.doubt(target)
         gevent.spawn(self.members.share, suspect)
 
     @property
@@ -192,7 +197,12 @@
         self.metrics_listener.start()
         runners = [self.follower.run, self.pulse.run]
         runners += [self.members.run, self.lease.run, self.planner.run]
-        runners += [self.watch.run, self.survey.run, self._run_housekeeping]
+        runners += [
+            self.watch.run,
+            self.survey.run,
+            self.reach.run,
+            self._run_housekeeping,
+        ]
         self._tasks = [gevent.spawn(runner) for runner in runners]
         tune_collector()
 
--- a/src/chervilstall/fleet/beliefs.py
+++ b/src/chervilstall/fleet/beliefs.py
@@ -12,7 +12,7 @@
     Target,
     TargetState,
 )
-from chervilstall.ids import ServiceName, TargetId
+from chervilstall.ids import ServiceName, TargetId, ZoneName
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("fleet")
@@ -69,6 +69,7 @@
     generation: int = 0
     are_targets_known: bool = False
     slowness: dict[Life, float] = field(default_factory=dict)
+    lost_zones: set[ZoneName] = field(default_factory=set)
     blind_since_s: float | None = None
     on_suspect: Callable[[Target, Doubt], None] | None = None
     _suspicions: dict[Life, Suspicion] = field(default_factory=dict)
@@ -286,7 +287,19 @@
 
     def is_suspect(self, target: Target) -> bool:
         """Return whether a target is avoided at present."""
-        return target.life in self._suspicions
+        return target.life in self._suspicions or target.zone in self.lost_zones
+
+    def lose_zone(self, zone: ZoneName) -> None:
+        """Avoid every target of a zone that is out of reach."""
+        self.lost_zones.add(zone)
+        self.generation += 1
+        log.warning("zone lost", zone=zone)
+
+    def regain_zone(self, zone: ZoneName) -> None:
+        """Use the targets of a zone again."""
+        self.lost_zones.discard(zone)
+        self.generation += 1
+        log.warning("zone regained", zone=zone)
 
     # Choice
 
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -25,6 +25,7 @@
 )
 
 EVENT_PAUSE_S = 0.01
+DARK_S = 60.0
 SIGNATURE = "stand-in.1"
 
 
@@ -78,6 +79,7 @@
         self.breaks_after = 3
         self.stalled_on: str = ""
         self.is_leaving = False
+        self.is_dark = False
         self.server = Server(address, self)
 
     @property
@@ -97,6 +99,8 @@
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer one request."""
+        if self.is_dark:
+            gevent.sleep(DARK_S)
         match environ["PATH_INFO"]:
             case "/chervilstall/report":
                 return json_reply(200, self._report()).start(start_response)
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -34,6 +34,24 @@
     Then the events 1 to 10 arrive once and in order
     And the first target is not suspected
 
+  Scenario: A zone of which no target answers is avoided until one does
+    Given a platform with a model in parts in both zones
+    When the other zone goes dark and one of its targets is doubted
+    Then the whole zone is avoided
+    When the other zone answers again
+    Then the whole zone is used
+
+  Scenario: A single silent target costs its zone nothing
+    Given a platform with a model in parts in both zones
+    When one target of the other zone goes dark and is doubted
+    Then only that target is avoided a second later
+
+  Scenario: Streams that run through a zone that goes dark go on elsewhere
+    Given a platform with a model in parts in both zones
+    And the own zone's targets refuse work for a moment
+    When the other zone goes dark under a draft of 200 events
+    Then the events 1 to 200 arrive once and in order
+
   Scenario: A model with a missing part is refused at once
     Given a platform with a model in parts in both zones
     And nobody holds the last part
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -312,6 +312,78 @@
     assert not context.doubts, context.doubts
 
 
+def other_zone(context: Context) -> list[str]:
+    return [f"a-{ZONES[1]}", f"b-{ZONES[1]}"]
+
+
+def doubt_other(context: Context, dark: list[str]) -> None:
+    for name in dark:
+        context.platform.targets[name].is_dark = True
+    beliefs = context.router.beliefs
+    beliefs.suspect(beliefs.targets[dark[0]], "test")
+
+
+def is_avoided(context: Context, name: str) -> bool:
+    beliefs = context.router.beliefs
+    return beliefs.is_suspect(beliefs.targets[name])
+
+
+@when("the other zone goes dark and one of its targets is doubted")
+def zone_goes_dark(context: Context) -> None:
+    doubt_other(context, other_zone(context))
+
+
+@then("the whole zone is avoided")
+def check_zone_avoided(context: Context) -> None:
+    eventually(lambda: all(is_avoided(context, each) for each in other_zone(context)))
+
+
+@when("the other zone answers again")
+def zone_answers(context: Context) -> None:
+    for name in other_zone(context):
+        context.platform.targets[name].is_dark = False
+
+
+@then("the whole zone is used")
+def check_zone_used(context: Context) -> None:
+    beliefs = context.router.beliefs
+    eventually(lambda: not beliefs.lost_zones)
+    beliefs.trust(beliefs.targets[f"a-{ZONES[1]}"])
+    assert not any(is_avoided(context, each) for each in other_zone(context))
+
+
+@when("one target of the other zone goes dark and is doubted")
+def one_goes_dark(context: Context) -> None:
+    doubt_other(context, other_zone(context)[:1])
+
+
+@then("only that target is avoided a second later")
+def check_one_avoided(context: Context) -> None:
+    gevent.sleep(1.0)
+    assert [is_avoided(context, each) for each in other_zone(context)] == [True, False]
+
+
+@given("the own zone's targets refuse work for a moment")
+def own_refuses(context: Context) -> None:
+    beliefs = context.router.beliefs
+    for name in (f"a-{ZONES[0]}", f"b-{ZONES[0]}"):
+        beliefs.suspect(beliefs.targets[name], "test", for_s=1.0, shared=False)
+
+
+@when("the other zone goes dark under a draft of {events:d} events")
+def dark_under_draft(context: Context, events: int) -> None:
+    draft = gevent.spawn(ask_draft, context, events)
+    first = context.platform.targets[f"a-{ZONES[1]}"]
+    eventually(lambda: first.log.runs)
+    first.behaviour = Behaviour.STALL_STREAM
+    beliefs = context.router.beliefs
+    for name in (f"a-{ZONES[0]}", f"b-{ZONES[0]}"):
+        beliefs.trust(beliefs.targets[name])
+    for name in other_zone(context):
+        context.platform.targets[name].is_dark = True
+    draft.join()
+
+
 @given("nobody holds the last part")
 def no_last_part(context: Context) -> None:
     for zone in ZONES:
