--- a/tests/edge/requests.feature
+++ b/tests/edge/requests.feature
@@ -56,6 +56,18 @@
       | a body over the limit     | 413    |
       | headers over the limit    | 431    |
 
+  Scenario Outline: Targets are told how urgent a request is
+    Given a platform with lookups in both zones
+    And a route of priority <route> and a workspace of priority <workspace>
+    When a request is sent on that route
+    Then the target was told the priority <told>
+
+    Examples:
+      | route | workspace | told |
+      | 3     | none      | 3    |
+      | 3     | 1         | 1    |
+      | 12    | none      | 9    |
+
   Scenario: A public route needs no key
     Given a platform with lookups in both zones
     When a request without a key is sent on a public route
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -110,6 +110,28 @@
     assert run.method == "POST"
 
 
+@given("a route of priority {priority:d} and a workspace of priority {workspace}")
+def set_priorities(context: Context, priority: int, workspace: str) -> None:
+    config = configuration(version=2)
+    config["routes"] = [route("/urgent/", "idempotent", "lookups", priority=priority)]
+    if workspace != "none":
+        config["tenants"][0]["priority"] = int(workspace)
+    context.platform.write_config(config)
+    eventually(lambda: context.router.beliefs.configuration.version == 2)
+
+
+@when("a request is sent on that route")
+def send_urgent(context: Context) -> None:
+    context.response = send(context.router, "/urgent/a", Request_Priority="0")
+
+
+@then("the target was told the priority {priority:d}")
+def check_priority(context: Context, priority: int) -> None:
+    assert context.response.status == 200, context.response
+    runs = [run for each in context.platform.targets.values() for run in each.log.runs]
+    assert [run.headers["request-priority"] for run in runs] == [str(priority)]
+
+
 @then("it saw the workspace of the key and not the key")
 def check_workspace(context: Context) -> None:
     run = context.platform.targets[f"lookup-{ZONES[0]}"].log.runs[0]
@@ -552,3 +574,117 @@
 def check_ends_in_grace(context: Context) -> None:
     with gevent.Timeout(context.router.settings.bounds.grace_s):
         context.router.wait()
+
+
+# Recovery
+
+
+@given("a platform with a model and lookups")
+def model_and_lookups(context: Context) -> None:
+    platform = start_platform(context)
+    add_model(platform)
+    for zone in ZONES:
+        platform.add_target(f"l-{zone}", "lookups", zone)
+
+
+@given("a router that has given orders, sent requests and doubted targets")
+def busy_router(context: Context) -> None:
+    router = context.router = context.platform.add_router()
+    context.targets_known = list(router.beliefs.targets.values())
+    assert send(router, "/lookup/x", request="l1").status == 200
+    assert send(router, "/draft/x", request="d1").status == 200
+    for target in router.beliefs.targets.values():
+        router.beliefs.suspect(target, "test", shared=False)
+        router.chooser.load.note_full(target.life, 0.1)
+        router.watch._ask(target, time.monotonic())
+        router.watch._ask_pace(target)
+        router.planner._orders_begun[target.life] = 1
+        router.planner._mark_dead(target)
+    assert kept_of_targets(context)
+
+
+def kept_of_targets(context: Context) -> list[object]:
+    """Return every key by target that the router's parts hold."""
+    router = context.router
+    holders = (
+        router.beliefs,
+        router.watch,
+        router.planner,
+        router.chooser.load,
+        router.app.plain.chooser,
+    )
+    names = {target.target for target in context.targets_known}
+    lives = {target.life for target in context.targets_known}
+    found: list[object] = []
+    for holder in holders:
+        for kept in vars(holder).values():
+            if isinstance(kept, dict | set):
+                found += [key for key in kept if key in names or key in lives]
+    return found
+
+
+@when("every target is gone")
+def all_gone(context: Context) -> None:
+    state = context.platform.store.state
+    for name in context.platform.targets:
+        state.remove(f"servers/{name}")
+    eventually(lambda: not context.router.beliefs.targets)
+    # Questions that are under way end first.
+    eventually(lambda: not context.router.watch._asking)
+    context.router.forget_departed()
+
+
+@then("the router keeps nothing of them")
+def check_nothing_kept(context: Context) -> None:
+    assert not kept_of_targets(context), kept_of_targets(context)
+
+
+@given("a configuration that was acknowledged just before every router was killed")
+def kill_all_routers(context: Context) -> None:
+    platform = context.platform
+    for _ in range(2):
+        platform.add_router()
+    leases = "chervilstall/leases/"
+    eventually(
+        lambda: any(key.startswith(leases) for key in platform.store.state.items)
+    )
+    platform.write_config(configuration(version=7))
+    for router in platform.routers:
+        # As a kill would: no lease is ended.
+        router.stop()
+
+
+@given("a store in which nothing else happened")
+def calm_store(context: Context) -> None:
+    assert not context.platform.store.state.is_silent
+
+
+@given("a store in which a dead router still holds the planning")
+def held_planning(context: Context) -> None:
+    state = context.platform.store.state
+    holders = [key for key in state.items if key.startswith("chervilstall/leases/")]
+    assert holders, sorted(state.items)
+    for lease in state.leases.values():
+        lease.ends_at_s += 60.0
+
+
+@given("a store in which the history was forgotten")
+def forgotten(context: Context) -> None:
+    context.platform.store.state.forget_history()
+
+
+@when("a router starts with an empty memory")
+def start_empty(context: Context) -> None:
+    context.router = context.platform.add_router(wait=False)
+
+
+@then("a draft and a lookup sent at once are served")
+def check_served_at_once(context: Context) -> None:
+    draft = send(context.router, "/draft/x", request="d1")
+    lookup = send(context.router, "/lookup/x", request="l1")
+    assert (draft.status, lookup.status) == (200, 200), (draft, lookup)
+
+
+@then("the newest configuration is in force")
+def check_newest(context: Context) -> None:
+    assert context.router.beliefs.configuration.version == 7
