Tell targets how urgent a request is; forget targets that are gone

Cause: the priority of routes and workspaces was read and used nowhere, so a target at its limit admitted in order of arrival. Change: each send carries the workspace's priority, else the route's, within 0 to 9. Twice a minute what is kept of departed targets is dropped (fleet/pruning).

--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -184,6 +184,7 @@
             route,
             service,
             workspace,
+            configuration.priority(route, workspace),
             arrived_s,
             deadline_s,
         )
--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -7,7 +7,7 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass, field
 
 import gevent
@@ -15,6 +15,7 @@
 from chervilstall.edge.exchange import Exchange, Failure
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.beliefs import Doubt, FleetBeliefs
+from chervilstall.fleet.pruning import keep_only
 from chervilstall.fleet.records import Target, TargetState
 from chervilstall.ids import RequestId, TargetId
 from chervilstall.paths.choice import PathChooser, PathRequest
@@ -110,6 +111,11 @@
             gevent.sleep(TICK_S)
             self.step()
 
+    def forget(self, present: Container[TargetId]) -> None:
+        """Drop what is kept of targets that are gone."""
+        for kept in (self._asked_at_s, self._ask_pause_s, self._paced_at_s):
+            keep_only(kept, present)
+
     def step(self) -> None:
         """Look at all streams once."""
         now_s = time.monotonic()
--- a/src/chervilstall/edge/plain.py
+++ b/src/chervilstall/edge/plain.py
@@ -1,6 +1,7 @@
 """Requests to plain services: one answer, read whole before it is passed on."""
 
 import time
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 from chervilstall.edge.budget import RepeatBudget
@@ -8,6 +9,7 @@
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.beliefs import FleetBeliefs
+from chervilstall.fleet.pruning import keep_only
 from chervilstall.fleet.records import Life, Service, Target
 from chervilstall.ids import TargetId, ZoneName
 from chervilstall.platform.messages import SendFields
@@ -53,6 +55,10 @@
         """Count a request that begins at a target."""
         self.in_flight[target.life] = self.in_flight.get(target.life, 0) + 1
 
+    def forget(self, present: Container[Life]) -> None:
+        """Drop what is kept of targets that are gone."""
+        keep_only(self.answered_at_s, present)
+
     def end(self, target: Target) -> None:
         """Count a request off."""
         left = self.in_flight.get(target.life, 1) - 1
@@ -121,7 +127,9 @@
         return self.budget.spend(request.service.name)
 
     def _send(self, request: EdgeRequest, target: Target) -> WholeAnswer:
-        send = SendFields(target, request.caller_left_s, request.workspace)
+        send = SendFields(
+            target, request.caller_left_s, request.workspace, request.priority
+        )
         exchange = Exchange(request, send)
         self.chooser.begin(target)
         timeout_s = self._timeout_s(request)
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -14,7 +14,8 @@
     """A request that a route and a workspace allow.
 
     `target` is the request target byte for byte. `deadline_s` is the monotonic time
-    at which the route or the caller stops waiting. `aborts` are called when the
+    at which the route or the caller stops waiting. A lower `priority` is more urgent.
+    `aborts` are called when the
     caller leaves.
     """
 
@@ -25,6 +26,7 @@
     route: Route
     service: Service
     workspace: WorkspaceName | None
+    priority: int
     arrived_s: float
     deadline_s: float
     has_caller_left: bool = False
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -52,6 +52,7 @@
 PLANNER_STANDBY_S = 10.0
 METRICS_PORT = 9464
 HOUSEKEEPING_S = 0.5
+FORGET_TURNS = 60
 BALANCER_S = 3.0
 """Time in which the balancer sees that a router is no longer ready."""
 
@@ -207,12 +208,25 @@
         tune_collector()
 
     def _run_housekeeping(self) -> None:
+        turn = 0
         while True:
             gevent.sleep(HOUSEKEEPING_S)
+            turn += 1
+            if turn % FORGET_TURNS == 0:
+                self.forget_departed()
             self.beliefs.expire()
             self._apply_limits()
             self._reread_settings()
 
+    def forget_departed(self) -> None:
+        """Drop what is kept of targets that are gone, so that nothing grows."""
+        targets = self.beliefs.targets
+        lives = {target.life for target in targets.values()}
+        self.watch.forget(targets)
+        self.planner.forget(lives)
+        self.chooser.load.forget(lives)
+        self.app.plain.chooser.forget(lives)
+
     def _apply_limits(self) -> None:
         configuration = self.beliefs.configuration
         if configuration is not None:
--- a/src/chervilstall/edge/streams.py
+++ b/src/chervilstall/edge/streams.py
@@ -165,7 +165,12 @@
         if self.last_number is not None:
             last_event = str(self.last_number)
         send = SendFields(
-            path.first, request.caller_left_s, request.workspace, path, last_event
+            path.first,
+            request.caller_left_s,
+            request.workspace,
+            request.priority,
+            path,
+            last_event,
         )
         exchange = Exchange(request, send)
         self._exchange = exchange
--- a/src/chervilstall/fleet/records.py
+++ b/src/chervilstall/fleet/records.py
@@ -130,6 +130,12 @@
     priorities: dict[WorkspaceName, int] = field(default_factory=dict)
     _by_host: dict[str, list[Route]] = field(default_factory=dict, compare=False)
 
+    def priority(self, route: Route, workspace: WorkspaceName | None) -> int:
+        """Return how urgent a workspace's requests on a route are."""
+        if workspace is None:
+            return route.priority
+        return self.priorities.get(workspace, route.priority)
+
     def __post_init__(self) -> None:
         for route in self.routes:
             self._by_host.setdefault(route.host, []).append(route)
--- a/src/chervilstall/paths/load.py
+++ b/src/chervilstall/paths/load.py
@@ -2,8 +2,10 @@
 
 import time
 from collections import defaultdict
+from collections.abc import Container
 from dataclasses import dataclass, field
 
+from chervilstall.fleet.pruning import keep_only
 from chervilstall.fleet.records import Life
 from chervilstall.paths.records import Path
 
@@ -36,6 +38,10 @@
         """Remember that a target had no room just now."""
         self._full_until_s[life] = time.monotonic() + for_s
 
+    def forget(self, present: Container[Life]) -> None:
+        """Drop what is kept of targets that are gone."""
+        keep_only(self._full_until_s, present)
+
     def is_full(self, life: Life) -> bool:
         """Return whether a target had no room a moment ago."""
         return self._full_until_s.get(life, 0.0) > time.monotonic()
--- a/src/chervilstall/placement/runner.py
+++ b/src/chervilstall/placement/runner.py
@@ -1,12 +1,14 @@
 """Carrying placements out: one holder of a lease gives orders to targets."""
 
 import time
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 import gevent
 
 from chervilstall.errors import ChervilstallError
 from chervilstall.fleet.beliefs import Doubt, FleetBeliefs
+from chervilstall.fleet.pruning import keep_only
 from chervilstall.fleet.records import (
     LayerRange,
     Life,
@@ -107,6 +109,17 @@
             if service.pipeline is not None:
                 self._plan_service(service, service.pipeline, tenure)
 
+    def forget(self, present: Container[Life]) -> None:
+        """Drop what is kept of targets that are gone."""
+        for kept in (
+            self._pending,
+            self._orders_begun,
+            self._rest_until_s,
+            self._dead_until_s,
+        ):
+            keep_only(kept, present)
+        self._targets_seen = {life for life in self._targets_seen if life in present}
+
     @property
     def is_planning(self) -> bool:
         """Return whether this router planned at its last step."""
--- a/src/chervilstall/platform/messages.py
+++ b/src/chervilstall/platform/messages.py
@@ -12,6 +12,9 @@
 from chervilstall.platform import names
 from chervilstall.platform.targets import encode_path
 
+PRIORITY_MAX = 9
+"""The least urgent priority that a target knows; 0 is the most urgent."""
+
 HeaderFields = tuple[tuple[str, str], ...]
 
 
@@ -68,6 +71,7 @@
     target: Target
     left_s: float
     workspace: WorkspaceName | None
+    priority: int
     path: Path | None = None
     last_event: str = ""
 
@@ -81,6 +85,7 @@
         headers.add(name, value)
     headers.add(names.DEADLINE, str(max(1, int(send.left_s * 1e3))))
     headers.add(names.EXPECTED_TARGET, send.target.target)
+    headers.add(names.PRIORITY, str(min(max(send.priority, 0), PRIORITY_MAX)))
     if send.workspace is not None:
         headers.add(names.WORKSPACE, send.workspace)
     if send.path is not None:
