Bound the bodies of requests that a router holds at once

Cause: bodies are read whole before they are sent, 4 MB at most each and without a bound on all together; some seventy large ones at once would end a VM of 300 MB. Change: edge/bodies reserves memory before a body is read (64 MB in all, the largest size where the length is not told) and gives it back with the answer; what does not fit is refused with 503, not run, come back in a second. Test that fails before: 'Bodies beyond the memory for them are refused, and room comes back' (2).

--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -8,6 +8,7 @@
 import gevent
 import msgspec
 
+from chervilstall.edge.bodies import BodyRoom, BodyShare
 from chervilstall.edge.budget import RepeatBudget
 from chervilstall.edge.caller import CallerWatch
 from chervilstall.edge.exchange import WholeAnswer
@@ -82,6 +83,7 @@
     is_draining: bool = False
     takes_streams: bool = True
     running: int = 0
+    bodies: BodyRoom = field(default_factory=BodyRoom)
     wait_until_s: float = field(default_factory=lambda: time.monotonic() + START_WAIT_S)
 
     def __call__(
@@ -101,13 +103,16 @@
         fields = read_request_fields(environ[HEADERS_KEY])
         request = None
         try:
-            request = self._admit(environ, fields, arrived_s)
-            watch = CallerWatch(environ[SOCKET_KEY], request)
-            watch.start()
-            try:
-                yield from self._relay(request, start_response)
-            finally:
-                watch.stop()
+            configuration = self._present_configuration()
+            with self._reserve(environ, configuration) as share:
+                request = self._admit(environ, fields, arrived_s, configuration)
+                share.shrink(len(request.body))
+                watch = CallerWatch(environ[SOCKET_KEY], request)
+                watch.start()
+                try:
+                    yield from self._relay(request, start_response)
+                finally:
+                    watch.stop()
         except ChervilstallError as error:
             yield from self._refuse(fields, request, error, start_response, arrived_s)
 
@@ -152,9 +157,12 @@
         return configuration
 
     def _admit(
-        self, environ: Environ, fields: RequestFields, arrived_s: float
+        self,
+        environ: Environ,
+        fields: RequestFields,
+        arrived_s: float,
+        configuration: Configuration,
     ) -> EdgeRequest:
-        configuration = self._present_configuration()
         size = sum(len(name) + len(value) + 4 for name, value in environ[HEADERS_KEY])
         if size > configuration.limits.header_bytes:
             raise ChervilstallError(ErrorKind.HEADERS_TOO_LARGE, f"{size} bytes")
@@ -199,11 +207,19 @@
             raise ChervilstallError(ErrorKind.UNAUTHENTICATED, "the key is not known")
         return workspace
 
-    def _read_body(self, environ: Environ, configuration: Configuration) -> bytes:
+    def _reserve(self, environ: Environ, configuration: Configuration) -> BodyShare:
+        """Reserve memory for a body; one of unknown length may be the largest."""
         limits = configuration.limits
         told = environ.get("CONTENT_LENGTH")
         if told and int(told) > limits.body_bytes:
             raise ChervilstallError(ErrorKind.BODY_TOO_LARGE, f"{told} bytes")
+        if told:
+            return self.bodies.reserve(int(told))
+        is_chunked = "HTTP_TRANSFER_ENCODING" in environ
+        return self.bodies.reserve(limits.body_bytes if is_chunked else 0)
+
+    def _read_body(self, environ: Environ, configuration: Configuration) -> bytes:
+        limits = configuration.limits
         try:
             with gevent.Timeout(limits.idle_timeout_s, TimeoutError):
                 body = environ["wsgi.input"].read(limits.body_bytes + 1)
--- a/tests/edge/requests.feature
+++ b/tests/edge/requests.feature
@@ -68,6 +68,19 @@
       | 3     | 1         | 1    |
       | 12    | none      | 9    |
 
+  Scenario Outline: Bodies beyond the memory for them are refused, and room comes back
+    Given a platform with lookups in both zones
+    And a router with memory for 6000 bytes of bodies
+    And every target would hang
+    When <count> requests with a <kind> body of 2000 bytes are sent at once
+    Then <served> of them reach a target and the others are told to come back
+    And all of the memory for bodies is free again
+
+    Examples:
+      | count | kind    | served |
+      | 5     | whole   | 3      |
+      | 5     | chunked | 1      |
+
   Scenario: A public route needs no key
     Given a platform with lookups in both zones
     When a request without a key is sent on a public route
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -58,6 +58,36 @@
         target.behaviour = Behaviour(behaviour)
 
 
+@given("a router with memory for {size:d} bytes of bodies")
+def small_room(context: Context, size: int) -> None:
+    context.router.app.bodies.bytes_max = size
+
+
+@when("{count:d} requests with a {kind} body of {size:d} bytes are sent at once")
+def send_bodies(context: Context, count: int, kind: str, size: int) -> None:
+    def send_one(number: int) -> Response:
+        whole = b"x" * size
+        body = whole if kind == "whole" else iter([whole])
+        return send(context.router, "/brief/x", body=body, request=f"r{number}")
+
+    tasks = [gevent.spawn(send_one, number) for number in range(count)]
+    context.responses = [task.get() for task in tasks]
+
+
+@then("{served:d} of them reach a target and the others are told to come back")
+def check_bodies(context: Context, served: int) -> None:
+    reached = [each for each in context.responses if each.status == 504]
+    refused = [each for each in context.responses if each.status == 503]
+    assert len(reached) == served, context.responses
+    assert len(reached) + len(refused) == len(context.responses), context.responses
+    assert all("Retry-After" in each.headers for each in refused), refused
+
+
+@then("all of the memory for bodies is free again")
+def check_room(context: Context) -> None:
+    eventually(lambda: context.router.app.bodies.used_bytes == 0)
+
+
 @given("the target of the own zone has stopped")
 def own_target_stopped(context: Context) -> None:
     context.platform.targets[f"lookup-{ZONES[0]}"].stop()
