--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -75,7 +75,7 @@
     def open(self, timeout_s: float) -> AnswerHead:
         """Send the request and return the head of the answer."""
         request = self.request
-        request.sends += 1
+        request.note_send()
         request.aborts.add(self._abort_for_caller)
         headers = send_headers(request.fields.passed_on, self.send)
         try:
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -14,9 +14,9 @@
     """A request that a route and a workspace allow.
 
     `target` is the request target byte for byte. `deadline_s` is the monotonic time
-    at which the route or the caller stops waiting. A lower `priority` is more urgent.
-    `aborts` are called when the
-    caller leaves.
+    at which the route or the caller stops waiting. `queued_s` and `longest_gap_s` are
+    the wait for the first send and the longest pause of a stream. A lower `priority`
+    is more urgent. `aborts` are called when the caller leaves.
     """
 
     fields: RequestFields
@@ -31,6 +31,8 @@
     deadline_s: float
     has_caller_left: bool = False
     sends: int = 0
+    queued_s: float | None = None
+    longest_gap_s: float | None = None
     events_passed: int = 0
     aborts: set[Callable[[], None]] = field(default_factory=set)
 
@@ -66,6 +68,16 @@
         pipeline = self.service.pipeline
         return pipeline.usual_tokens if pipeline is not None else 0.0
 
+    def note_send(self) -> None:
+        """Count a send, and how long the request waited for its first."""
+        self.sends += 1
+        if self.queued_s is None:
+            self.queued_s = time.monotonic() - self.arrived_s
+
+    def note_gap(self, gap_s: float) -> None:
+        """Take in a pause between two events that were passed on."""
+        self.longest_gap_s = max(gap_s, self.longest_gap_s or 0.0)
+
     def leave(self) -> None:
         """Stop the work because the caller is gone."""
         self.has_caller_left = True
--- a/src/chervilstall/edge/streams.py
+++ b/src/chervilstall/edge/streams.py
@@ -278,8 +278,11 @@
             number = event_number(event)
             if number is None or self.last_number is None or number > self.last_number:
                 self.last_number = self.last_number if number is None else number
+                now_s = time.monotonic()
+                if self.request.events_passed:
+                    self.request.note_gap(now_s - self._passed_at_s)
                 self.request.events_passed += 1
-                self._passed_at_s = time.monotonic()
+                self._passed_at_s = now_s
                 yield event
             event = self._read_event()
         if self._exchange is not None and self._exchange.abort_reason is not None:
--- a/src/chervilstall/telemetry/edge_metrics.py
+++ b/src/chervilstall/telemetry/edge_metrics.py
@@ -9,6 +9,9 @@
 from chervilstall.telemetry.metrics import new_histogram, record_seconds
 
 SERIES_MAX = 2_000
+HISTOGRAMS_MAX = 1_000
+"""About 27 KB each."""
+
 OTHER = "other"
 QUANTILES = (0.5, 0.95, 0.99)
 
@@ -29,12 +32,20 @@
 
 
 class MeasuredRequest(Protocol):
-    """What the metrics read of a request."""
+    """What the metrics read of a request that has ended."""
 
     @property
     def labels(self) -> tuple[str, str]:
         """Return workspace and route."""
 
+    @property
+    def queued_s(self) -> float | None:
+        """Return the time from arrival to the first send; None where none was made."""
+
+    @property
+    def longest_gap_s(self) -> float | None:
+        """Return the longest pause between two events; None without two."""
+
 
 Series = tuple[str, str, str]
 
@@ -55,14 +66,18 @@
         self, request: MeasuredRequest, outcome: Outcome, elapsed_s: float
     ) -> None:
         """Count a request and record its whole time."""
-        workspace, route = request.labels
-        if len(self.counters) >= SERIES_MAX:
-            workspace = route = OTHER
-        self.counters[(workspace, route, outcome.value)] += 1
-        self._record(("whole", workspace, route), elapsed_s)
+        key = (*request.labels, outcome.value)
+        if key not in self.counters and len(self.counters) >= SERIES_MAX:
+            key = (OTHER, OTHER, outcome.value)
+        self.counters[key] += 1
+        self._record(("whole", *request.labels), elapsed_s)
+        if request.queued_s is not None:
+            self._record(("queue", *request.labels), request.queued_s)
+        if request.longest_gap_s is not None:
+            self._record(("gap", *request.labels), request.longest_gap_s)
 
     def _record(self, key: Series, elapsed_s: float) -> None:
-        if key not in self._histograms and len(self._histograms) >= SERIES_MAX:
+        if key not in self._histograms and len(self._histograms) >= HISTOGRAMS_MAX:
             key = (key[0], OTHER, OTHER)
         histogram = self._histograms.get(key)
         if histogram is None:
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -34,6 +34,11 @@
     Then the events 1 to 10 arrive once and in order
     And the first target is not suspected
 
+  Scenario: The metrics tell the wait before, the first event and the pauses of streams
+    Given a platform with a model in parts in both zones
+    When a draft of 10 events is asked for
+    Then the metrics count 1 request by queue, first_event, gap and whole
+
   Scenario: A zone of which no target answers is avoided until one does
     Given a platform with a model in parts in both zones
     When the other zone goes dark and one of its targets is doubted
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -376,6 +376,15 @@
     assert not context.doubts, context.doubts
 
 
+@then("the metrics count 1 request by queue, first_event, gap and whole")
+def check_measures(context: Context) -> None:
+    text = context.router.exposition()
+    for measure in ("queue", "first_event", "gap", "whole"):
+        labels = f'measure="{measure}",workspace="depot",route="rdraft"'
+        line = f"chervilstall_latency_seconds_count{{{labels}}} 1"
+        assert line in text, text
+
+
 def other_zone(context: Context) -> list[str]:
     return [f"a-{ZONES[1]}", f"b-{ZONES[1]}"]
 
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -629,6 +629,8 @@
     """What the metrics read of a request."""
 
     labels: tuple[str, str]
+    queued_s: float | None = 0.001
+    longest_gap_s: float | None = 0.2
 
 
 @then("5000 workspaces make at most 2001 series and quantiles are given")
@@ -638,6 +640,10 @@
         request = LabelledRequest((f"workspace-{number}", "r"))
         metrics.finished(request, Outcome.SERVED, 0.1)
     assert len(metrics.counters) <= 2001, len(metrics.counters)
+    assert len(metrics._histograms) <= 1003, len(metrics._histograms)
     text = metrics.exposition()
     assert 'quantile="0.95"' in text
     assert sum(metrics.counters.values()) == 5000
+    known = LabelledRequest(("workspace-1", "r"))
+    metrics.finished(known, Outcome.SERVED, 0.1)
+    assert metrics.counters[("workspace-1", "r", "served")] == 2
