Draw nothing from a timeout that left a target too little time

Change: a send that timed out counts against its target only after 0.2 s, the least time that a try gets, and where the target has answered nothing since that send began. Test that fails before: 'A request whose own time is short says nothing about its target'.

--- a/src/chervilstall/edge/plain.py
+++ b/src/chervilstall/edge/plain.py
@@ -88,11 +88,12 @@
             if target is None or not self._may_send(request, target, reached):
                 break
             tried.add(target.target)
+            started_s = time.monotonic()
             try:
                 answer = self._send(request, target)
             except ExchangeFailed as error:
                 why = error.failure.value
-                self._note(request, target, error)
+                self._note(request, target, error, started_s)
                 if error.was_sent:
                     may_have_run = True
                     reached.add(target.target)
@@ -160,7 +161,11 @@
         return min(left_s, max(TRY_MIN_S, request.route.aim_s))
 
     def _note(
-        self, request: EdgeRequest, target: Target, error: ExchangeFailed
+        self,
+        request: EdgeRequest,
+        target: Target,
+        error: ExchangeFailed,
+        started_s: float,
     ) -> None:
         log.warning(
             "send failed",
@@ -169,13 +174,21 @@
             why=error.failure.value,
             was_sent=error.was_sent,
         )
-        answered_at_s = self.chooser.answered_at_s.get(target.life, 0.0)
-        if error.failure is Failure.TIMEOUT and answered_at_s > request.arrived_s:
-            # The target answers others; this request just took longer.
+        if error.failure is Failure.TIMEOUT and not self._tells(target, started_s):
             return
         if error.failure is not Failure.CALLER_LEFT:
             self.beliefs.suspect(target, error.failure.value, SUSPECT_S)
 
+    def _tells(self, target: Target, started_s: float) -> bool:
+        """Return whether the timeout of a send says something about its target.
+
+        It does not where the target has answered another request meanwhile, or where
+        the time that was left was too short for any target.
+        """
+        if self.chooser.answered_at_s.get(target.life, 0.0) > started_s:
+            return False
+        return time.monotonic() - started_s >= TRY_MIN_S
+
     def _refusal(
         self, request: EdgeRequest, may_have_run: bool, why: str
     ) -> ChervilstallError:
--- a/tests/edge/requests.feature
+++ b/tests/edge/requests.feature
@@ -92,6 +92,14 @@
     When a request is sent on a route with a timeout of 150 ms
     Then the answer is 504 within 400 ms
 
+  Scenario: A request whose own time is short says nothing about its target
+    Given a platform with lookups in both zones
+    And every target would hang
+    When a request is sent on a route with a timeout of 150 ms
+    Then no target is avoided
+    When a non_idempotent request is sent
+    Then a target is avoided
+
   Scenario: Without a configuration requests are refused, and the router is not ready
     Given a store that answers nobody
     When a router starts and a request is sent
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -58,6 +58,21 @@
         target.behaviour = Behaviour(behaviour)
 
 
+def avoided_targets(context: Context) -> list[str]:
+    beliefs = context.router.beliefs
+    return [name for name, each in beliefs.targets.items() if beliefs.is_suspect(each)]
+
+
+@then("no target is avoided")
+def check_none_avoided(context: Context) -> None:
+    assert not avoided_targets(context), avoided_targets(context)
+
+
+@then("a target is avoided")
+def check_some_avoided(context: Context) -> None:
+    assert avoided_targets(context)
+
+
 @given("a router with memory for {size:d} bytes of bodies")
 def small_room(context: Context, size: int) -> None:
     context.router.app.bodies.bytes_max = size
