Keep a silent stream while no repeat is left for it

Nine targets are replaced from 3 to 14 s; at 9.5 and 11.5 s some ninety streams stood still for 1.2 s. The watch ended each, so that it goes on elsewhere, and on champ-mars-2 the budget for repeats was then used up: eight streams were broken off by the router itself, beside a change of the configuration. Ruled out: the configuration (only a timeout changed), the wait for a missing part (a refused repeat is no missing part). Change: the repeat of a stream that has begun is taken from the budget before its exchange is ended; where none is left the exchange stays, and its targets may go on or end it themselves. Test that fails before: 'A silent stream is not ended while no repeat is left for it'.

--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -12,6 +12,7 @@
 
 import gevent
 
+from chervilstall.edge.budget import RepeatBudget
 from chervilstall.edge.exchange import Exchange, Failure
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.beliefs import Doubt, FleetBeliefs
@@ -95,6 +96,7 @@
 
     beliefs: FleetBeliefs
     chooser: PathChooser
+    budget: RepeatBudget
     streams: dict[RequestId, LiveStream] = field(default_factory=dict)
     on_silence: Callable[[Target], None] = lambda target: None
     _asking: set[TargetId] = field(default_factory=set)
@@ -125,13 +127,12 @@
                 continue
             silence_s = now_s - stream.last_event_s
             if silence_s > HOPELESS_S and not stream.is_moving:
-                self._note_silent(stream, silence_s)
-                stream.exchange.abort(Failure.STALLED)
+                self._end(stream, silence_s)
                 continue
             if silence_s <= stream.silence_limit_s:
                 continue
             if stream.path.first.zone in self.beliefs.lost_zones:
-                stream.exchange.abort(Failure.STALLED)
+                self._end(stream, silence_s)
                 continue
             self._ask(stream.path.first, now_s)
             self.on_silence(stream.path.first)
@@ -184,13 +185,24 @@
         if report is not None:
             self.beliefs.note_slowness(target, report.slowness)
 
-    def _note_silent(self, stream: LiveStream, silence_s: float) -> None:
+    def _end(self, stream: LiveStream, silence_s: float) -> None:
+        """End a silent stream's exchange, so that it goes on over another path.
+
+        The repeat of a stream that has begun is paid for first. Where the budget has
+        none left, ending it would lose it for certain, and its targets may go on.
+        """
+        request = stream.request
+        if request.events_passed and not request.repeats_paid:
+            if not self.budget.spend(request.service.name, is_resume=True):
+                return
+            request.repeats_paid += 1
         log.warning(
             "stream silent",
-            request=stream.request.name,
+            request=request.name,
             target=stream.path.first.target,
             silent_s=round(silence_s, 3),
         )
+        stream.exchange.abort(Failure.STALLED)
 
     def _ask(self, first: Target, now_s: float) -> None:
         if first.target in self._asking:
@@ -228,7 +240,7 @@
         for stream in list(self.streams.values()):
             is_silent = now_s - stream.last_event_s > EVENT_SILENCE_S
             if stream.path.first.life == first.life and is_silent:
-                stream.exchange.abort(Failure.STALLED)
+                self._end(stream, now_s - stream.last_event_s)
 
     def examine(self, target: Target) -> None:
         """Ask a target that refused a request whether it is full or closed."""
@@ -278,8 +290,9 @@
         stream = self.streams.get(name)
         if stream is None:
             return
-        if time.monotonic() - stream.last_event_s > stream.silence_limit_s:
-            stream.exchange.abort(Failure.STALLED)
+        silence_s = time.monotonic() - stream.last_event_s
+        if silence_s > stream.silence_limit_s:
+            self._end(stream, silence_s)
 
     def move_around(self, target: Target) -> None:
         """Lead every stream that passes through a target around it."""
@@ -328,7 +341,7 @@
             path = self.chooser.choose(stream.request.service, wanted)
         if path is None:
             if not is_leaving:
-                stream.exchange.abort(Failure.STALLED)
+                self._end(stream, time.monotonic() - stream.last_event_s)
             return
         answer = give_order(first.address, RepathOrder(stream.request.name, path))
         log.warning(
@@ -345,4 +358,4 @@
             self.chooser.load.add(path, tokens)
             stream.last_event_s = time.monotonic()
         elif not is_leaving:
-            stream.exchange.abort(Failure.STALLED)
+            self._end(stream, time.monotonic() - stream.last_event_s)
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -14,7 +14,8 @@
     """A request that a route and a workspace allow.
 
     `target` is the request target byte for byte. `deadline_s` is the monotonic time
-    at which the route or the caller stops waiting. `queued_s` and `longest_gap_s` are
+    at which the route or the caller stops waiting. `repeats_paid` counts repeats taken
+    from the budget and not yet made. `queued_s` and `longest_gap_s` are
     the wait for the first send and the longest pause of a stream. A lower `priority`
     is more urgent. `aborts` are called when the caller leaves.
     """
@@ -31,6 +32,7 @@
     deadline_s: float
     has_caller_left: bool = False
     sends: int = 0
+    repeats_paid: int = 0
     queued_s: float | None = None
     longest_gap_s: float | None = None
     events_passed: int = 0
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -112,7 +112,7 @@
         self.store = PlatformStore(settings.store)
         self.budget = RepeatBudget(settings.bounds, ROUTERS_UNKNOWN)
         self.chooser = PathChooser(self.beliefs, settings.zone)
-        self.watch = StreamWatch(self.beliefs, self.chooser)
+        self.watch = StreamWatch(self.beliefs, self.chooser, self.budget)
         self.metrics = EdgeMetrics()
         self.app = self._application()
         self.lease = LeaseHolder(
--- a/src/chervilstall/edge/streams.py
+++ b/src/chervilstall/edge/streams.py
@@ -126,12 +126,19 @@
         path = self._choose()
         if path is None:
             raise self._refusal(self._why)
-        is_begun = self.head is not None
-        budget = self.context.budget
-        if request.sends and not budget.spend(request.service.name, is_begun):
+        if request.sends and not self._pay_repeat():
             raise self._refusal("the budget for repeats is used up")
         return path
 
+    def _pay_repeat(self) -> bool:
+        """Take one repeat from the budget unless one was taken for this request."""
+        request = self.request
+        if request.repeats_paid:
+            request.repeats_paid -= 1
+            return True
+        is_begun = self.head is not None
+        return self.context.budget.spend(request.service.name, is_begun)
+
     def _choose(self) -> Path | None:
         request = self.request
         is_bound = len(self._firsts) >= request.route.attempts_max
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -42,6 +42,7 @@
     ANSWER_OTHER = "answer another request"
     BREAK_STREAM = "break the stream"
     STALL_STREAM = "stall the stream"
+    PAUSE_STREAM = "pause the stream"
 
 
 @dataclass(frozen=True)
@@ -77,6 +78,7 @@
         self.layers = NO_LAYERS
         self.orders_begun = 0
         self.breaks_after = 3
+        self.pause_s = 0.0
         self.stalled_on: str = ""
         self.is_leaving = False
         self.is_dark = False
@@ -212,6 +214,8 @@
         try:
             for number in range(first, count + 1):
                 gevent.sleep(EVENT_PAUSE_S)
+                if number - first == self.breaks_after:
+                    self._pause()
                 if number - first >= self.breaks_after:
                     self._break()
                 yield f"id: {number}\ndata: {self.name}\n\n".encode()
@@ -219,6 +223,10 @@
             self.log.stopped_early += 1
             raise
 
+    def _pause(self) -> None:
+        if self.behaviour is Behaviour.PAUSE_STREAM:
+            gevent.sleep(self.pause_s)
+
     def _break(self) -> None:
         match self.behaviour:
             case Behaviour.BREAK_STREAM:
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -39,6 +39,12 @@
     When a draft of 10 events is asked for
     Then the metrics count 1 request by queue, first_event, gap and whole
 
+  Scenario: A silent stream is not ended while no repeat is left for it
+    Given a platform with a model in parts in both zones
+    And no repeats are left
+    When a draft of 10 events stands still for 2 seconds after 4 events
+    Then the events 1 to 10 arrive once and in order
+
   Scenario: A zone of which no target answers is avoided until one does
     Given a platform with a model in parts in both zones
     When the other zone goes dark and one of its targets is doubted
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -400,6 +400,23 @@
         assert line in text, text
 
 
+@given("no repeats are left")
+def no_repeats(context: Context) -> None:
+    context.router.budget.spend = lambda service, is_resume=False: False
+
+
+@when(
+    "a draft of {events:d} events stands still for {pause_s:d} seconds after 4 events"
+)
+def draft_stands_still(context: Context, events: int, pause_s: int) -> None:
+    targets = context.platform.targets
+    for target in targets.values():
+        target.behaviour = Behaviour.PAUSE_STREAM
+        target.breaks_after = 4
+        target.pause_s = float(pause_s)
+    ask_draft(context, events)
+
+
 def other_zone(context: Context) -> list[str]:
     return [f"a-{ZONES[1]}", f"b-{ZONES[1]}"]
 
