--- a/tests/steps/routing_steps.py
+++ b/tests/steps/routing_steps.py
@@ -48,6 +48,7 @@
     Priority,
 )
 from tests.steps.gateway_steps import CHAT, chat_body
+from tests.support.fleet import eventually
 
 LAYERS = 16
 CAPABILITY = Capability(ModelName("m"), "v1", "")
@@ -341,7 +342,7 @@
     for name, count in [("large", 200)] + [(f"small-{n}", 10) for n in range(9)]:
         for _ in range(count):
             gevent.spawn(ask, name)
-    gevent.sleep(0.1)
+    eventually(lambda: queue.waiting(RequestClass.DRAFT) == 290)
     is_open[0] = True
     queue.pump()
     context.order = order
