Share the store's call, derive what was kept twice, look kinds and room up once

Found in a last read of the whole change; behaviour stays as it is. - HttpStore and PlatformStore each turned a failed call into the store's errors and decoded answers: store/calls does it for both.

--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -19,7 +19,7 @@
 from chervilstall.settings.processes import TargetSettings
 from chervilstall.target.connection import ConnectFailed, single_use_client
 
-CONNECT_TIMEOUT_S = 0.6
+CONNECTIONS = TargetSettings(connect_timeout_s=0.6)
 SILENCE_MAX_S = 60.0
 """Upper bound of one read; deadlines and stalls end exchanges long before."""
 
@@ -68,8 +68,9 @@
         self.send = send
         self.target: Target = send.target
         self.abort_reason: Failure | None = None
-        settings = TargetSettings(connect_timeout_s=CONNECT_TIMEOUT_S)
-        self._client = single_use_client(self.target.address, settings, SILENCE_MAX_S)
+        self._client = single_use_client(
+            self.target.address, CONNECTIONS, SILENCE_MAX_S
+        )
         self._response: Any = None
 
     def open(self, timeout_s: float) -> AnswerHead:
--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -76,6 +76,11 @@
         """Return how long the stream may be silent before it is looked at."""
         return EVENT_SILENCE_S if self.has_event else FIRST_SILENCE_S
 
+    @property
+    def silence_s(self) -> float:
+        """Return the time since the last event, or since the stream was sent."""
+        return time.monotonic() - self.last_event_s
+
     def note_event(self) -> None:
         """Count an event and the pause before it."""
         now_s = time.monotonic()
@@ -125,14 +130,14 @@
             if stream.request.deadline_s <= now_s:
                 stream.exchange.abort(Failure.TIMEOUT)
                 continue
-            silence_s = now_s - stream.last_event_s
+            silence_s = stream.silence_s
             if silence_s > HOPELESS_S and not stream.is_moving:
-                self._end(stream, silence_s)
+                self._end(stream)
                 continue
             if silence_s <= stream.silence_limit_s:
                 continue
             if stream.path.first.zone in self.beliefs.lost_zones:
-                self._end(stream, silence_s)
+                self._end(stream)
                 continue
             self._ask(stream.path.first, now_s)
             self.on_silence(stream.path.first)
@@ -185,7 +190,7 @@
         if report is not None:
             self.beliefs.note_slowness(target, report.slowness)
 
-    def _end(self, stream: LiveStream, silence_s: float) -> None:
+    def _end(self, stream: LiveStream) -> None:
         """End a silent stream's exchange, so that it goes on over another path.
 
         The repeat of a stream that has begun is paid for first. Where the budget has
@@ -200,7 +205,7 @@
             "stream silent",
             request=request.name,
             target=stream.path.first.target,
-            silent_s=round(silence_s, 3),
+            silent_s=round(stream.silence_s, 3),
         )
         stream.exchange.abort(Failure.STALLED)
 
@@ -236,11 +241,10 @@
         self._blame(first, report)
 
     def _end_streams_of(self, first: Target) -> None:
-        now_s = time.monotonic()
         for stream in list(self.streams.values()):
-            is_silent = now_s - stream.last_event_s > EVENT_SILENCE_S
+            is_silent = stream.silence_s > EVENT_SILENCE_S
             if stream.path.first.life == first.life and is_silent:
-                self._end(stream, now_s - stream.last_event_s)
+                self._end(stream)
 
     def examine(self, target: Target) -> None:
         """Ask a target that refused a request whether it is full or closed."""
@@ -288,11 +292,8 @@
     def _give_up(self, name: RequestId) -> None:
         """End a stalled stream's exchange, so that it goes on over another path."""
         stream = self.streams.get(name)
-        if stream is None:
-            return
-        silence_s = time.monotonic() - stream.last_event_s
-        if silence_s > stream.silence_limit_s:
-            self._end(stream, silence_s)
+        if stream is not None and stream.silence_s > stream.silence_limit_s:
+            self._end(stream)
 
     def move_around(self, target: Target) -> None:
         """Lead every stream that passes through a target around it."""
@@ -341,7 +342,7 @@
             path = self.chooser.choose(stream.request.service, wanted)
         if path is None:
             if not is_leaving:
-                self._end(stream, time.monotonic() - stream.last_event_s)
+                self._end(stream)
             return
         answer = give_order(first.address, RepathOrder(stream.request.name, path))
         log.warning(
@@ -358,4 +359,4 @@
             self.chooser.load.add(path, tokens)
             stream.last_event_s = time.monotonic()
         elif not is_leaving:
-            self._end(stream, time.monotonic() - stream.last_event_s)
+            self._end(stream)
--- a/src/chervilstall/edge/survey.py
+++ b/src/chervilstall/edge/survey.py
@@ -11,7 +11,7 @@
 import gevent
 
 from chervilstall.fleet.beliefs import Doubt, FleetBeliefs
-from chervilstall.fleet.records import Target
+from chervilstall.fleet.records import Service, Target
 from chervilstall.ids import ZoneName
 from chervilstall.placement.runner import Planner
 from chervilstall.platform.targets import Health, fetch_health, fetch_report
@@ -44,41 +44,36 @@
 
     def _round(self) -> None:
         targets = self._targets()
-        for target in targets:
+        for target, service in targets:
             if not self._is_blind():
                 return
-            gevent.spawn(self._ask, target)
+            gevent.spawn(self._ask, target, service.health_path)
             gevent.sleep(ROUND_S / len(targets))
 
-    def _targets(self) -> list[Target]:
+    def _targets(self) -> list[tuple[Target, Service]]:
+        """Return the targets to ask, each with its service."""
         configuration = self.beliefs.configuration
         if configuration is None:
             return []
-        chosen: list[Target] = []
+        chosen: list[tuple[Target, Service]] = []
         for target in list(self.beliefs.targets.values()):
             service = configuration.services.get(target.service)
             if service is None or service.pipeline is None:
                 continue
             if target.zone == self.zone or self.planner.is_planning:
-                chosen.append(target)
+                chosen.append((target, service))
         return chosen
 
-    def _ask(self, target: Target) -> None:
+    def _ask(self, target: Target, health_path: str) -> None:
         report = fetch_report(target.address, ROUND_S / 2.0)
         if report is None:
             return
         self.beliefs.observe(target, report.layers)
-        path = self._health_path(target)
-        if path and fetch_health(target, path, ROUND_S / 2.0) is Health.CLOSED:
+        if not health_path:
+            return
+        if fetch_health(target, health_path, ROUND_S / 2.0) is Health.CLOSED:
             # It leaves or fails, and no entry can tell which.
             self.beliefs.suspect(
                 target, "says it is closed", shared=False, doubt=Doubt.REFUSING
             )
             self.planner.doubt(target, Doubt.REFUSING)
-
-    def _health_path(self, target: Target) -> str:
-        configuration = self.beliefs.configuration
-        if configuration is None:
-            return ""
-        service = configuration.services.get(target.service)
-        return service.health_path if service is not None else ""
--- a/src/chervilstall/fleet/beliefs.py
+++ b/src/chervilstall/fleet/beliefs.py
@@ -233,8 +233,7 @@
 
     def begin_outage(self, since_s: float) -> None:
         """Remember the monotonic time since which entries cannot be followed."""
-        if self.blind_since_s is None:
-            self.blind_since_s = since_s
+        self.blind_since_s = since_s
 
     def end_outage(self) -> None:
         """Take entries of targets as followed again."""
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -199,17 +199,15 @@
         return best
 
     def _layer_ms(self, pipeline: Pipeline, target: Target) -> float:
-        kind = pipeline.kinds.get(target.kind)
-        factor = kind.step_factor if kind is not None else UNKNOWN_STEP_FACTOR
         slowness = self.beliefs.slowness.get(target.life, 1.0)
+        factor = _step_factor(pipeline, target)
         return pipeline.step_ms * factor * slowness / pipeline.layers
 
     def step_ms(self, pipeline: Pipeline, path: Path) -> float:
         """Return the expected time of one step over a path with no target slow."""
         total_ms = 0.0
         for part in path.parts:
-            kind = pipeline.kinds.get(part.target.kind)
-            factor = kind.step_factor if kind is not None else UNKNOWN_STEP_FACTOR
+            factor = _step_factor(pipeline, part.target)
             share = len(part.layers) / pipeline.layers
             total_ms += HOP_MS + pipeline.step_ms * factor * share
         return total_ms
@@ -224,12 +222,13 @@
         mean = sum(rooms.values()) / max(1, len(rooms))
         costs: dict[TargetId, float] = {}
         for target in targets:
-            spread = self.rng.expovariate(1.0) * mean / rooms[target.target]
-            cost_ms = self._fixed_ms(pipeline, target, tokens)
+            room = rooms[target.target]
+            spread = self.rng.expovariate(1.0) * mean / room
+            cost_ms = self._fixed_ms(target, tokens, room)
             costs[target.target] = cost_ms + SPREAD_MS * min(spread, SPREAD_MAX)
         return costs
 
-    def _fixed_ms(self, pipeline: Pipeline, target: Target, tokens: float) -> float:
+    def _fixed_ms(self, target: Target, tokens: float, room_tokens: float) -> float:
         cost_ms = HOP_MS + REQUEST_MS * self.load.requests.get(target.life, 0)
         if target.life in self.beliefs.slowness:
             cost_ms += SLOW_MS
@@ -237,13 +236,18 @@
             cost_ms += LEAVING_MS
         if self.load.is_full(target.life):
             cost_ms += FULL_MS
-        capacity = token_capacity(pipeline, target)
         own_tokens = self.load.tokens.get(target.life, 0.0) + tokens
         alike = min(self.routers, ALIKE_MAX)
-        use = own_tokens * alike / max(capacity, 1.0)
+        use = own_tokens * alike / room_tokens
         return cost_ms + USE_MS * max(0.0, use - USE_FREE) ** 2
 
 
+def _step_factor(pipeline: Pipeline, target: Target) -> float:
+    """Return a target's time for a step against the fastest kind's."""
+    kind = pipeline.kinds.get(target.kind)
+    return kind.step_factor if kind is not None else UNKNOWN_STEP_FACTOR
+
+
 def token_capacity(pipeline: Pipeline, target: Target) -> float:
     """Return the tokens of requests that fit beside the layers a target holds."""
     kind = pipeline.kinds.get(target.kind)
--- a/src/chervilstall/platform/follow.py
+++ b/src/chervilstall/platform/follow.py
@@ -67,11 +67,15 @@
         self.revision = 0
         self.settle_s = SETTLE_S
         self.answered_s = time.monotonic()
-        self.is_lost = False
         self._retry_s = RETRY_FIRST_S
         self._woken = Event()
         self._answer: AsyncResult | None = None
 
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the last call failed, so that entries are not followed."""
+        return self.beliefs.blind_since_s is not None
+
     def pace(self, routers: int) -> None:
         """Set the pause after a change by the number of routers that follow."""
         self.settle_s = min(SETTLE_S + SETTLE_PER_ROUTER_S * routers, SETTLE_MAX_S)
@@ -143,7 +147,6 @@
         self._retry_s = RETRY_FIRST_S
         self.answered_s = time.monotonic()
         if self.is_lost:
-            self.is_lost = False
             self.beliefs.end_outage()
             self.beliefs.note_outage()
             log.info("store regained", at=self.revision)
@@ -151,7 +154,6 @@
     def _note_failure(self, error: StoreFailed) -> None:
         self.beliefs.note_outage()
         if not self.is_lost:
-            self.is_lost = True
             self.beliefs.begin_outage(self.answered_s)
             log.warning("store lost", at=self.revision, why=error.message)
 
--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -6,26 +6,23 @@
 from urllib.parse import urlencode
 
 import msgspec
-from geventhttpclient.response import HTTPParseError
 
 from chervilstall.settings.node import StoreAddress
 from chervilstall.settings.processes import TargetSettings
-from chervilstall.store.contract import StoreFailed, StoreRefused
-from chervilstall.target.connection import (
-    JSON_HEADERS,
-    CallAnswer,
-    ConnectFailed,
-    call_once,
+from chervilstall.store.calls import (
+    HTTP_ABSENT,
+    call_store,
+    decode_body,
+    require_ok,
 )
+from chervilstall.store.contract import StoreFailed
+from chervilstall.target.connection import JSON_HEADERS, CallAnswer
 
 T = TypeVar("T")
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
-HTTP_OK = 200
-HTTP_ABSENT = 404
 HTTP_HISTORY_GONE = 410
 HTTP_CONFLICT = 412
-REFUSING_STATUSES = frozenset({429, 503})
 
 
 class HistoryGone(StoreFailed):
@@ -206,23 +203,9 @@
         self.calls += 1
         address = self.settings.address
         content = b"" if body is None else msgspec.json.encode(body)
-        try:
-            answer = call_once(
-                address,
-                self._connections,
-                timeout_s,
-                method,
-                path,
-                content,
-                JSON_HEADERS,
-            )
-        except ConnectFailed as error:
-            raise StoreRefused(f"no connection to the store: {error}") from error
-        except (OSError, HTTPParseError) as error:
-            raise StoreFailed(f"no answer from the store: {error!r}") from error
-        if answer.status in REFUSING_STATUSES:
-            raise StoreRefused(f"the store answered {answer.status}")
-        return answer
+        return call_store(
+            address, self._connections, timeout_s, method, path, content, JSON_HEADERS
+        )
 
 
 def _entry(item: _Item) -> Entry:
@@ -239,9 +222,5 @@
 def _decode(answer: CallAnswer, kind: type[T]) -> T:
     if answer.status == HTTP_HISTORY_GONE:
         raise HistoryGone("the store's history no longer reaches back that far")
-    if answer.status != HTTP_OK:
-        raise StoreFailed(f"the store answered {answer.status}")
-    try:
-        return msgspec.json.decode(answer.body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise StoreFailed(f"the store's answer is malformed: {error}") from error
+    require_ok(answer)
+    return decode_body(answer.body, kind)
--- a/src/chervilstall/store/client.py
+++ b/src/chervilstall/store/client.py
@@ -1,29 +1,23 @@
 """HTTP client of the platform's store and VM list."""
 
-from typing import TypeVar
 from urllib.parse import quote
 
-import msgspec
-from geventhttpclient.response import HTTPParseError
-
 from chervilstall.settings.agents import StoreSettings
 from chervilstall.settings.processes import TargetSettings
 from chervilstall.store.budget import CallBudget
+from chervilstall.store.calls import (
+    HTTP_ABSENT,
+    call_store,
+    decode_body,
+    require_ok,
+)
 from chervilstall.store.contract import (
     LeaseRecord,
     StoreEntry,
-    StoreFailed,
-    StoreRefused,
     SwapResult,
     VmRecord,
     WatchAnswer,
 )
-from chervilstall.target.connection import ConnectFailed, call_once
-
-T = TypeVar("T")
-HTTP_OK = 200
-HTTP_ABSENT = 404
-REFUSING_STATUSES = frozenset({429, 503})
 
 
 class HttpStore:
@@ -41,24 +35,24 @@
     def get(self, key: str) -> StoreEntry | None:
         """Return a key's entry, or None."""
         body = self._call("GET", f"/v1/keys/{quote(key)}")
-        return None if body is None else _decode(body, StoreEntry)
+        return None if body is None else decode_body(body, StoreEntry)
 
     def list_entries(self, prefix: str) -> tuple[StoreEntry, ...]:
         """Return the entries below a prefix."""
         body = self._call("GET", f"/v1/list?prefix={quote(prefix)}")
-        return _decode(body or b"", tuple[StoreEntry, ...])
+        return decode_body(body or b"", tuple[StoreEntry, ...])
 
     def put(self, key: str, value: bytes) -> int:
         """Write a key."""
         body = self._call("PUT", f"/v1/keys/{quote(key)}", value)
-        return _decode(body or b"", SwapResult).version
+        return decode_body(body or b"", SwapResult).version
 
     def compare_and_swap(
         self, key: str, value: bytes, expected_version: int
     ) -> SwapResult:
         """Write a key if its version is the expected one."""
         path = f"/v1/keys/{quote(key)}?expected={expected_version}"
-        return _decode(self._call("PUT", path, value) or b"", SwapResult)
+        return decode_body(self._call("PUT", path, value) or b"", SwapResult)
 
     def delete(self, key: str) -> None:
         """Delete a key."""
@@ -68,7 +62,7 @@
         """Wait for entries above a version."""
         query = f"prefix={quote(prefix)}&after={after_version}&wait_s={wait_s}"
         body = self._call("GET", f"/v1/watch?{query}", extra_s=wait_s)
-        return _decode(body or b"", WatchAnswer)
+        return decode_body(body or b"", WatchAnswer)
 
     def acquire_lease(
         self, name: str, holder: str, ttl_s: float, note: str = ""
@@ -76,7 +70,7 @@
         """Take or renew a lease."""
         query = f"holder={quote(holder)}&ttl_s={ttl_s}&note={quote(note)}"
         body = self._call("POST", f"/v1/leases/{quote(name)}?{query}")
-        return _decode(body or b"", LeaseRecord)
+        return decode_body(body or b"", LeaseRecord)
 
     def release_lease(self, name: str, holder: str) -> None:
         """Give a lease up."""
@@ -85,38 +79,21 @@
     def list_leases(self, prefix: str) -> tuple[LeaseRecord, ...]:
         """Return the live leases below a prefix."""
         body = self._call("GET", f"/v1/leases?prefix={quote(prefix)}")
-        return _decode(body or b"", tuple[LeaseRecord, ...])
+        return decode_body(body or b"", tuple[LeaseRecord, ...])
 
     def list_vms(self) -> tuple[VmRecord, ...]:
         """Return the VM list."""
-        return _decode(self._call("GET", "/v1/vms") or b"", tuple[VmRecord, ...])
+        return decode_body(self._call("GET", "/v1/vms") or b"", tuple[VmRecord, ...])
 
     def _call(
         self, method: str, path: str, body: bytes = b"", extra_s: float = 0.0
     ) -> bytes | None:
         self.budget.spend()
         timeout_s = self.settings.timeout_s + extra_s
-        address = self.settings.address
-        try:
-            answer = call_once(
-                address, self._connections, timeout_s, method, path, body
-            )
-        except ConnectFailed as error:
-            raise StoreRefused(f"no connection to the store: {error}") from error
-        except (OSError, HTTPParseError) as error:
-            raise StoreFailed(f"no answer from the store: {error}") from error
-        status = answer.status
-        if status == HTTP_ABSENT:
+        answer = call_store(
+            self.settings.address, self._connections, timeout_s, method, path, body
+        )
+        if answer.status == HTTP_ABSENT:
             return None
-        if status in REFUSING_STATUSES:
-            raise StoreRefused(f"the store answered {status}")
-        if status != HTTP_OK:
-            raise StoreFailed(f"the store answered {status}")
+        require_ok(answer)
         return answer.body
-
-
-def _decode(body: bytes, kind: type[T]) -> T:
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
-        raise StoreFailed(f"the store's answer is malformed: {error}") from error
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -326,6 +326,17 @@
         raise AssertionError(f"{answers[-1]}, avoided {doubted}, held {held}") from None
 
 
+def start_planner(context: Context, store: object, clock: list[float]) -> LeaseHolder:
+    """Start a planner that holds a lease of 2 s and has planned under it."""
+    settings = LeaseSettings(ttl_s=2.0, margin_s=0.4)
+    lease = LeaseHolder(store, "planner", "me", settings, clock=lambda: clock[0])
+    lease.step()
+    context.planner = Planner(FleetBeliefs(2.0), lease)
+    context.planner._tenure = context.planner._present_tenure()
+    assert context.planner._tenure is not None
+    return lease
+
+
 @given("a planner whose lease another router has taken meanwhile")
 def paused_planner(context: Context) -> None:
     clock = [0.0]
@@ -340,12 +351,7 @@
             return None
 
     store = Store()
-    settings = LeaseSettings(ttl_s=2.0, margin_s=0.4)
-    lease = LeaseHolder(store, "planner", "me", settings, clock=lambda: clock[0])
-    lease.step()
-    context.planner = Planner(FleetBeliefs(2.0), lease)
-    assert context.planner._present_tenure() is not None
-    context.planner._tenure = context.planner._present_tenure()
+    start_planner(context, store, clock)
     clock[0] = 10.0
     store.holder = "another"
 
@@ -366,11 +372,7 @@
             return None
 
     store = Store()
-    settings = LeaseSettings(ttl_s=2.0, margin_s=0.4)
-    lease = LeaseHolder(store, "planner", "me", settings, clock=lambda: clock[0])
-    lease.step()
-    context.planner = Planner(FleetBeliefs(2.0), lease)
-    context.planner._tenure = context.planner._present_tenure()
+    lease = start_planner(context, store, clock)
     store.is_silent = True
     context.renewal = gevent.spawn(lease.step)
     gevent.sleep(0)
