Build whole second covers, and count own load for all routers of a zone

Cause: on the grown sites a zone has memory for almost three covers, but the copies of the plan began only where ranges of the first cover began. Each of 62 routers counted its own requests for at most 8 routers and saw no load.

Ruled out: too little memory (about 1,900 requests would fit over all zones), too little processor in the routers (0.03 of a core).

Change: where two covers fit with room for 48 requests, the plan gives room for up to 96 and continues copies where other copies end. A router takes its own load for that of all routers that a zone has on average.

--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -116,7 +116,9 @@
         self.beliefs = FleetBeliefs(settings.bounds.drain_s)
         self.store = PlatformStore(settings.store)
         self.budget = RepeatBudget(settings.bounds, ROUTERS_UNKNOWN)
-        self.chooser = PathChooser(self.beliefs, settings.zone)
+        self.chooser = PathChooser(
+            self.beliefs, settings.zone, max(1, len(settings.zones))
+        )
         self.watch = StreamWatch(self.beliefs, self.chooser, self.budget)
         self.metrics = EdgeMetrics()
         self.app = self._application()
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -56,7 +56,7 @@
 """
 
 ALIKE_MAX = 8
-"""Routers that are taken to do the same; with more, own counts say too little."""
+"""Routers that are taken to do the same, where a zone has no more than these."""
 
 SLOW_MS = 15.0
 PARTS_MAX = 32
@@ -96,6 +96,7 @@
 
     beliefs: FleetBeliefs
     zone: ZoneName
+    zones: int = 1
     routers: int = 1
     rng: random.Random = field(default_factory=random.Random)
     load: LoadBook = field(default_factory=LoadBook)
@@ -237,10 +238,14 @@
         if self.load.is_full(target.life):
             cost_ms += FULL_MS
         own_tokens = self.load.tokens.get(target.life, 0.0) + tokens
-        alike = min(self.routers, ALIKE_MAX)
-        use = own_tokens * alike / room_tokens
+        use = own_tokens * self._alike / room_tokens
         return cost_ms + USE_MS * max(0.0, use - USE_FREE) ** 2
 
+    @property
+    def _alike(self) -> float:
+        """Return how many routers are taken to use a target as this one does."""
+        return min(self.routers, max(ALIKE_MAX, self.routers / self.zones))
+
 
 def _step_factor(pipeline: Pipeline, target: Target) -> float:
     """Return a target's time for a step against the fastest kind's."""
--- a/src/chervilstall/placement/group.py
+++ b/src/chervilstall/placement/group.py
@@ -20,12 +20,14 @@
 class GroupPlan:
     """Work on one group of targets that covers the model by itself.
 
-    `room_tokens` is the room for requests beside the layers of each target.
+    `room_tokens` is the room for requests beside the layers of each target. With
+    `is_double` the group is to cover the model twice.
     """
 
     pipeline: Pipeline
     holders: list[Holder]
     room_tokens: float
+    is_double: bool = False
     changes: dict[TargetId, LayerRange] = field(default_factory=dict)
 
     def layers_of(self, holder: Holder) -> LayerRange:
--- a/src/chervilstall/placement/plan.py
+++ b/src/chervilstall/placement/plan.py
@@ -7,7 +7,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from chervilstall.fleet.records import NO_LAYERS, LayerRange, Pipeline
@@ -21,6 +21,9 @@
 ROOM_AMPLE_REQUESTS = 48.0
 """Requests at once beyond which more copies are worth more than more room."""
 
+ROOM_DOUBLE_REQUESTS = 96.0
+"""The same where two whole covers fit; targets take hardly more at once as firsts."""
+
 ROOM_STEPS = 16
 
 
@@ -42,7 +45,7 @@
     """
     changes: list[Placement] = []
     for group in groups(pipeline, holders):
-        work = GroupPlan(pipeline, group, room_tokens(pipeline, group))
+        work = group_plan(pipeline, group)
         _fill_gaps(work)
         _copy_with_the_rest(work)
         if is_settled and not work.changes:
@@ -81,25 +84,45 @@
     return sum(pipeline.layers_max(each.memory_mb, tokens) for each in holders)
 
 
-def room_tokens(pipeline: Pipeline, holders: list[Holder]) -> float:
-    """Return the tokens of requests that every target keeps memory for.
+def group_plan(pipeline: Pipeline, holders: list[Holder]) -> GroupPlan:
+    """Return the work on a group, with the memory that its targets keep for requests.
 
-    It is the most with which the group still covers the model after the loss of its
+    Where the group can hold two whole covers with ample room, it gets them. Otherwise
+    the room is the most with which it still covers the model after the loss of its
     largest target, or, where that leaves too little, with which it covers it at all.
     """
-    room_min = _room_min(pipeline)
-    for spare in (True, False):
-        room = 0.0
-        for step in range(ROOM_STEPS, 0, -1):
-            tokens = ROOM_AMPLE_REQUESTS * pipeline.usual_tokens * step / ROOM_STEPS
-            sizes = [pipeline.layers_max(each.memory_mb, tokens) for each in holders]
-            needed = pipeline.layers + (max(sizes, default=0) if spare else 0)
-            if sum(sizes) >= needed:
-                room = tokens
-                break
-        if room >= room_min:
-            return room
-    return room
+    double = _largest_room(
+        pipeline, holders, ROOM_DOUBLE_REQUESTS, lambda sizes: 2 * pipeline.layers
+    )
+    if double >= ROOM_AMPLE_REQUESTS * pipeline.usual_tokens:
+        return GroupPlan(pipeline, holders, double, is_double=True)
+    spared = _largest_room(
+        pipeline,
+        holders,
+        ROOM_AMPLE_REQUESTS,
+        lambda sizes: pipeline.layers + max(sizes),
+    )
+    if spared >= _room_min(pipeline):
+        return GroupPlan(pipeline, holders, spared)
+    single = _largest_room(
+        pipeline, holders, ROOM_AMPLE_REQUESTS, lambda sizes: pipeline.layers
+    )
+    return GroupPlan(pipeline, holders, single)
+
+
+def _largest_room(
+    pipeline: Pipeline,
+    holders: list[Holder],
+    requests_max: float,
+    needed: Callable[[list[int]], int],
+) -> float:
+    """Return the most tokens a target with which the group holds the layers needed."""
+    for step in range(ROOM_STEPS, 0, -1):
+        tokens = requests_max * pipeline.usual_tokens * step / ROOM_STEPS
+        sizes = [pipeline.layers_max(each.memory_mb, tokens) for each in holders]
+        if sizes and sum(sizes) >= needed(sizes):
+            return tokens
+    return 0.0
 
 
 def gaps(counts: list[int]) -> list[LayerRange]:
@@ -200,10 +223,13 @@
 def _copy_range(work: GroupPlan, size: int) -> LayerRange:
     """Return the range of `size` layers that is held by the fewest targets.
 
-    It begins where another target's range begins, so that paths can use it.
+    It begins where another target's range begins, so that paths can use it. Where a
+    second cover is built it may also begin where another range ends.
     """
     counts = work.counts()
     starts = {work.layers_of(each).first for each in work.holders}
+    if work.is_double:
+        starts |= {work.layers_of(each).end for each in work.holders}
     starts.add(0)
     best = NO_LAYERS
     best_rank: tuple[float, int] | None = None
--- a/tests/paths/choice.feature
+++ b/tests/paths/choice.feature
@@ -32,3 +32,8 @@
 
   Scenario: Choice of a path in a large fleet
     Then a path over 98 targets takes less work than 30,000 steps of the search
+
+  Scenario: Many routers of a zone do not all fill its fastest target
+    Given a fast target and a slow cover in the own zone, and 60 routers in 4 zones
+    When this router begins its part of twice the requests that the fast target holds
+    Then no more than its part of what the fast target holds goes there
--- a/tests/placement/plan.feature
+++ b/tests/placement/plan.feature
@@ -11,6 +11,12 @@
     When the plan is carried out
     Then after the loss of any one target its zone covers every layer again
 
+  Scenario: A zone with ample memory covers the model twice
+    Given a zone with the memory for two covers
+    When the plan is carried out
+    Then after the loss of any one target every layer is still held
+    And every target has room for 48 requests
+
   Scenario: Nothing moves without a cause
     Given three zones of mixed targets
     When the plan is carried out
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -23,7 +23,7 @@
 )
 from chervilstall.ids import ServiceName, TargetId, ZoneName
 from chervilstall.paths import choice
-from chervilstall.paths.choice import PathChooser, PathRequest
+from chervilstall.paths.choice import PathChooser, PathRequest, token_capacity
 from chervilstall.platform.config import decode_configuration
 from chervilstall.platform.follow import (
     Follower,
@@ -218,6 +218,41 @@
     assert steps < 30_000, steps
 
 
+@given("a fast target and a slow cover in the own zone, and 60 routers in 4 zones")
+def fast_and_slow(context: Context) -> None:
+    kinds = {
+        "fast": TargetKind("fast", 20_000.0, 1.4, 1.0),
+        "slow": TargetKind("slow", 20_000.0, 15.0, 15.0),
+    }
+    pipeline = dataclasses.replace(PIPELINE, kinds=kinds)
+    context.service = dataclasses.replace(SERVICE, pipeline=pipeline)
+    fast = dataclasses.replace(make_target("f", OWN, 0, 8), kind="fast")
+    slow = [
+        dataclasses.replace(make_target(name, OWN, first, first + 4), kind="slow")
+        for name, first in (("s", 0), ("t", 4))
+    ]
+    context.chooser = make_chooser(fast, *slow)
+    context.chooser.routers = 60
+    context.chooser.zones = 4
+    context.fast = fast
+
+
+@when("this router begins its part of twice the requests that the fast target holds")
+def begin_part(context: Context) -> None:
+    tokens = 300.0
+    holds = token_capacity(context.service.pipeline, context.fast) / tokens
+    context.part = holds / (60 / 4)
+    for _ in range(round(2 * context.part)):
+        path = context.chooser.choose(context.service, PathRequest(tokens))
+        context.chooser.load.add(path, tokens)
+
+
+@then("no more than its part of what the fast target holds goes there")
+def check_part(context: Context) -> None:
+    there = context.chooser.load.requests[context.fast.life]
+    assert 0 < there <= context.part, (there, context.part)
+
+
 # Beliefs
 
 
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -82,6 +82,25 @@
     context.fleet = make_fleet({"one": [MIDDLE] * 3, "two": [MIDDLE] * 3})
 
 
+@given("a zone with the memory for two covers")
+def large_zone(context: Context) -> None:
+    sizes = [LARGE] + [MIDDLE] * 2 + [SMALL] * 12 + [LEAST] * 14
+    context.fleet = make_fleet({"one": sizes})
+
+
+@then("after the loss of any one target every layer is still held")
+def check_held_twice(context: Context) -> None:
+    assert min(counts(context.fleet)) >= 2, counts(context.fleet)
+
+
+@then("every target has room for {requests:d} requests")
+def check_room_for(context: Context, requests: int) -> None:
+    tokens = requests * MODEL.usual_tokens
+    for holder in context.fleet.values():
+        most = MODEL.layers_max(holder.memory_mb, tokens)
+        assert len(holder.layers) <= most, holder
+
+
 @when("the plan is carried out")
 def carry_out_once(context: Context) -> None:
     carry_out(context.fleet)
