Avoid first targets that hang, end silent streams only where a repeat is left

Change: a first target that has begun no request since a stream was sent 1.2 s ago, and reports no queue, is avoided, and the others are told. A silent stream that has not begun is ended only where its repeat can be paid; at a target that gives no report it is ended at once, so that the caller hears of it. Requests that wait in a queue keep their place, and new ones avoid that target for half a second.

`finished` tells the time to the first event and the longest gap.

--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -60,6 +60,10 @@
     message: str
 
 
+def _milliseconds(time_s: float | None) -> float | None:
+    return None if time_s is None else round(time_s * 1e3, 1)
+
+
 def error_reply(error: ChervilstallError, request: str = "") -> Reply:
     """Return the answer of an error, with the time to come back where that helps."""
     headers = [("Content-Type", "application/json")]
@@ -133,7 +137,7 @@
             kind=error.kind.value,
             status=error.answer.status,
             why=error.message,
-            after_ms=round((time.monotonic() - arrived_s) * 1e3, 1),
+            after_ms=_milliseconds(time.monotonic() - arrived_s),
             sends=request.sends if request is not None else 0,
             route=request.route.name if request is not None else "",
             retry_after_s=error.retry_after_s if error.answer.is_retry_useful else None,
@@ -266,7 +270,8 @@
         start_response: StartResponse,
     ) -> Iterator[bytes]:
         start_response(*self._start(head.status, head.headers, None))
-        self.metrics.first_event(request, time.monotonic() - request.arrived_s)
+        request.first_event_s = time.monotonic() - request.arrived_s
+        self.metrics.first_event(request, request.first_event_s)
         try:
             yield from relay.events()
         except StreamBroken as error:
@@ -304,7 +309,9 @@
             outcome=outcome.value,
             route=request.route.name,
             workspace=request.workspace,
-            after_ms=round(elapsed_s * 1e3, 1),
+            after_ms=_milliseconds(elapsed_s),
             sends=request.sends,
             events_passed=request.events_passed,
+            first_event_ms=_milliseconds(request.first_event_s),
+            longest_gap_ms=_milliseconds(request.longest_gap_s),
         )
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -16,7 +16,8 @@
     `target` is the request target byte for byte. `deadline_s` is the monotonic time
     at which the route or the caller stops waiting. `repeats_paid` counts repeats taken
     from the budget and not yet made. `queued_s` and `longest_gap_s` are
-    the wait for the first send and the longest pause of a stream. A lower `priority`
+    the wait for the first send and the longest pause of a stream, `first_event_s` the
+    time from the arrival to its first event. A lower `priority`
     is more urgent. `aborts` are called when the caller leaves.
     """
 
@@ -34,6 +35,7 @@
     sends: int = 0
     repeats_paid: int = 0
     queued_s: float | None = None
+    first_event_s: float | None = None
     longest_gap_s: float | None = None
     events_passed: int = 0
     aborts: set[Callable[[], None]] = field(default_factory=set)
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -12,13 +12,14 @@
 
 from chervilstall.edge.app import EdgeApplication, error_reply
 from chervilstall.edge.budget import RepeatBudget
-from chervilstall.edge.live import StreamWatch
 from chervilstall.edge.members import ROUTERS_UNKNOWN, Members
+from chervilstall.edge.pace import PaceWatch
 from chervilstall.edge.plain import PlainChooser, PlainRelay
 from chervilstall.edge.pulse import StorePulse
 from chervilstall.edge.reach import ZoneReach
 from chervilstall.edge.streams import StreamContext
 from chervilstall.edge.survey import Survey
+from chervilstall.edge.watch import StreamWatch
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.beliefs import Doubt, FleetBeliefs
 from chervilstall.fleet.records import Target
@@ -119,7 +120,12 @@
         self.chooser = PathChooser(
             self.beliefs, settings.zone, max(1, len(settings.zones))
         )
-        self.watch = StreamWatch(self.beliefs, self.chooser, self.budget)
+        self.watch = StreamWatch(
+            self.beliefs,
+            self.chooser,
+            self.budget,
+            PaceWatch(self.beliefs, self.chooser),
+        )
         self.metrics = EdgeMetrics()
         self.app = self._application()
         self.lease = LeaseHolder(
--- a/src/chervilstall/edge/streams.py
+++ b/src/chervilstall/edge/streams.py
@@ -15,8 +15,9 @@
 
 from chervilstall.edge.budget import RepeatBudget
 from chervilstall.edge.exchange import Exchange, ExchangeFailed, Failure, WholeAnswer
-from chervilstall.edge.live import LiveStream, StreamWatch
+from chervilstall.edge.live import LiveStream
 from chervilstall.edge.request import EdgeRequest
+from chervilstall.edge.watch import StreamWatch
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.beliefs import FleetBeliefs
 from chervilstall.fleet.records import Target
@@ -104,6 +105,7 @@
             head = self._open(path)
             if head.status == 200 and head.is_stream and head.is_signed:
                 self._pending = self._read_event()
+                self.context.watch.note_begun(path.first)
                 self.head = head
                 return head
             return self._judge(path, head)
--- /dev/null
+++ b/src/chervilstall/edge/watch.py
@@ -0,0 +1,318 @@
+"""The watch over all streams, which finds the ones that stand still.
+
+A target in the middle of a path that dies lets every request behind it wait for
+seconds. One task looks at all streams, asks the first target of a silent one what it
+waits for, and leads the streams around the target at fault. Where that cannot be done
+the exchange is ended, and its relay goes on over another path.
+"""
+
+import time
+from collections.abc import Callable, Container
+from dataclasses import dataclass, field
+
+import gevent
+
+from chervilstall.edge.budget import RepeatBudget
+from chervilstall.edge.exchange import Failure
+from chervilstall.edge.live import EVENT_SILENCE_S, LiveStream
+from chervilstall.edge.pace import PaceWatch
+from chervilstall.fleet.beliefs import Doubt, FleetBeliefs
+from chervilstall.fleet.pruning import keep_only
+from chervilstall.fleet.records import Target, TargetState
+from chervilstall.ids import RequestId, TargetId
+from chervilstall.paths.choice import PathChooser, PathRequest
+from chervilstall.paths.records import PathPart
+from chervilstall.platform.targets import (
+    RepathOrder,
+    TargetReport,
+    fetch_report,
+    give_order,
+)
+from chervilstall.telemetry.events import EventLog
+
+log = EventLog("edge")
+
+TICK_S = 0.025
+ASK_AGAIN_S = 0.1
+ASK_PAUSE_MAX_S = 1.6
+ASK_FORGET_S = 4.0
+"""Time without a silent stream after which a target is asked at once again."""
+
+EXAMINE_AGAIN_S = 1.0
+REPORT_AGE_S = 0.4
+HOPELESS_S = 1.2
+"""Silence after which a stream is moved though no target is known to be at fault."""
+
+QUEUE_MEMORY_S = 2.5
+"""Time for which a target's word holds that requests wait there for room."""
+
+QUEUE_FULL_S = 0.5
+"""Time for which new requests rather avoid a target at which requests wait."""
+
+
+@dataclass
+class StreamWatch:
+    """Looks after the streams of one router."""
+
+    beliefs: FleetBeliefs
+    chooser: PathChooser
+    budget: RepeatBudget
+    pace: PaceWatch
+    streams: dict[RequestId, LiveStream] = field(default_factory=dict)
+    on_silence: Callable[[Target], None] = lambda target: None
+    _asking: set[TargetId] = field(default_factory=set)
+    _asked_at_s: dict[TargetId, float] = field(default_factory=dict)
+    _ask_pause_s: dict[TargetId, float] = field(default_factory=dict)
+    _queued_at_s: dict[TargetId, float] = field(default_factory=dict)
+    _began_at_s: dict[TargetId, float] = field(default_factory=dict)
+    _generation: int = -1
+
+    def run(self) -> None:
+        """Look at all streams for the life of the process; one task runs this."""
+        while True:
+            gevent.sleep(TICK_S)
+            self.step()
+
+    def forget(self, present: Container[TargetId]) -> None:
+        """Drop what is kept of targets that are gone."""
+        for kept in (
+            self._asked_at_s,
+            self._ask_pause_s,
+            self._queued_at_s,
+            self._began_at_s,
+        ):
+            keep_only(kept, present)
+        self.pace.forget(present)
+
+    def step(self) -> None:
+        """Look at all streams once."""
+        now_s = time.monotonic()
+        for stream in list(self.streams.values()):
+            if stream.request.deadline_s <= now_s:
+                stream.exchange.abort(Failure.TIMEOUT)
+                continue
+            silence_s = stream.silence_s
+            if silence_s <= stream.silence_limit_s:
+                continue
+            if self._is_hopeless(stream, now_s):
+                self._doubt_first(stream)
+                if self._end(stream):
+                    continue
+            self._ask(stream.path.first, now_s)
+            self.on_silence(stream.path.first)
+        if self._generation != self.beliefs.generation:
+            self._generation = self.beliefs.generation
+            self._move_from_leaving()
+        self.pace.step(self.streams, now_s)
+
+    def _is_hopeless(self, stream: LiveStream, now_s: float) -> bool:
+        """Return whether a silent stream should go on elsewhere without more news."""
+        if stream.path.first.zone in self.beliefs.lost_zones:
+            return True
+        if stream.is_moving or stream.silence_s <= HOPELESS_S:
+            return False
+        return not self._is_queued(stream, now_s)
+
+    def _is_queued(self, stream: LiveStream, now_s: float) -> bool:
+        """Return whether a stream only waits for room at a target that is alive.
+
+        It would lose its place in the queue if it were sent to another.
+        """
+        if stream.has_event:
+            return False
+        queued_at_s = self._queued_at_s.get(stream.path.first.target, float("-inf"))
+        return now_s - queued_at_s < QUEUE_MEMORY_S
+
+    def _doubt_first(self, stream: LiveStream) -> None:
+        """Avoid a first target that begins no request though it says it is well.
+
+        A target under load begins some requests; one that hangs begins none.
+        """
+        first = stream.path.first
+        if stream.has_event or first.zone in self.beliefs.lost_zones:
+            return
+        if self._began_at_s.get(first.target, 0.0) < stream.last_event_s:
+            reason = "begins no requests"
+            self.beliefs.suspect(first, reason, doubt=Doubt.REFUSING)
+
+    def note_begun(self, first: Target) -> None:
+        """Remember that a first target has begun a request."""
+        self._began_at_s[first.target] = time.monotonic()
+
+    def _end(self, stream: LiveStream, is_first_lost: bool = False) -> bool:
+        """End a silent stream's exchange, so that it goes on over another path.
+
+        The repeat is paid for first. Where the budget has none left, ending the
+        exchange would lose the request for certain, and its targets may go on; it is
+        kept then, and False returned. A request that a lost first target has not begun
+        is ended in any case, so that its caller hears of it at once.
+        """
+        request = stream.request
+        is_begun = request.events_passed > 0
+        if not request.repeats_paid and (is_begun or not is_first_lost):
+            if not self.budget.spend(request.service.name, is_resume=is_begun):
+                return False
+            request.repeats_paid += 1
+        log.warning(
+            "stream silent",
+            request=request.name,
+            target=stream.path.first.target,
+            silent_s=round(stream.silence_s, 3),
+        )
+        stream.exchange.abort(Failure.STALLED)
+        return True
+
+    def _ask(self, first: Target, now_s: float) -> None:
+        if first.target in self._asking:
+            return
+        since_s = now_s - self._asked_at_s.get(first.target, 0.0)
+        if since_s > ASK_FORGET_S:
+            self._ask_pause_s[first.target] = ASK_AGAIN_S
+        if since_s < self._ask_pause_s.get(first.target, ASK_AGAIN_S):
+            return
+        self._asking.add(first.target)
+        gevent.spawn(self._find_fault, first)
+
+    def _note_asked(self, target: Target) -> None:
+        self._asking.discard(target.target)
+        self._asked_at_s[target.target] = time.monotonic()
+
+    def _find_fault(self, first: Target) -> None:
+        try:
+            report = fetch_report(first.address)
+        finally:
+            self._note_asked(first)
+        if report is None:
+            self.beliefs.suspect(first, "gives no report")
+            self._end_streams_of(first)
+            return
+        pause_s = self._ask_pause_s.get(first.target, ASK_AGAIN_S)
+        if not report.stalled:
+            # The target is only slow; asking it more often would not help.
+            pause_s = min(pause_s * 2.0, ASK_PAUSE_MAX_S)
+        self._ask_pause_s[first.target] = pause_s
+        if report.queued:
+            self._queued_at_s[first.target] = time.monotonic()
+            self.chooser.load.note_full(first.life, QUEUE_FULL_S)
+        self._blame(first, report)
+
+    def _end_streams_of(self, first: Target) -> None:
+        for stream in list(self.streams.values()):
+            is_silent = stream.silence_s > EVENT_SILENCE_S
+            if stream.path.first.life == first.life and is_silent:
+                self._end(stream, is_first_lost=True)
+
+    def examine(self, target: Target) -> None:
+        """Ask a target that refused a request whether it is full or closed."""
+        if target.target in self._asking:
+            return
+        since_s = time.monotonic() - self._asked_at_s.get(target.target, 0.0)
+        if since_s < EXAMINE_AGAIN_S:
+            return
+        self._asking.add(target.target)
+        gevent.spawn(self._examine, target)
+
+    def _examine(self, target: Target) -> None:
+        try:
+            report = fetch_report(target.address, REPORT_AGE_S)
+            if report is not None:
+                # A report is some hundred milliseconds old, and the refusal is news.
+                gevent.sleep(REPORT_AGE_S)
+                report = fetch_report(target.address)
+        finally:
+            self._note_asked(target)
+        if report is None:
+            self.beliefs.suspect(target, "gives no report")
+            return
+        self.beliefs.observe(target, report.layers)
+        if self.beliefs.targets.get(target.target) != target:
+            return
+        is_idle = not report.is_loading and not report.queued
+        if is_idle and report.has_room and report.layers.covers(target.layers):
+            reason = "refuses work though it has room"
+            self.beliefs.suspect(target, reason, doubt=Doubt.REFUSING)
+
+    def _blame(self, first: Target, report: TargetReport) -> None:
+        for each in report.stalled:
+            if each.address == first.address:
+                self._give_up(each.request)
+        # A target that has just reported is alive, also where it names itself.
+        for address in {each.address for each in report.stalled} - {first.address}:
+            target = self.beliefs.by_address(str(address))
+            if target is None:
+                continue
+            reason = f"stalls requests at {first.target}"
+            self.beliefs.suspect(target, reason, doubt=Doubt.STALLING)
+            self.move_around(target)
+
+    def _give_up(self, name: RequestId) -> None:
+        """End a stalled stream's exchange, so that it goes on over another path."""
+        stream = self.streams.get(name)
+        if stream is not None and stream.silence_s > stream.silence_limit_s:
+            self._end(stream)
+
+    def move_around(self, target: Target) -> None:
+        """Lead every stream that passes through a target around it."""
+        for stream in list(self.streams.values()):
+            if stream.passes(target):
+                self._start_move(stream, target)
+
+    def _move_from_leaving(self) -> None:
+        """Lead streams around targets that leave or give up what the streams use."""
+        for stream in list(self.streams.values()):
+            for part in stream.path.parts[1:]:
+                if self._is_leaving(part):
+                    self._start_move(stream, part.target)
+                    break
+
+    def _is_leaving(self, part: PathPart) -> bool:
+        target = self.beliefs.targets.get(part.target.target)
+        if target is None or target.life != part.target.life:
+            # A target that is gone is found by the silence of its streams.
+            return False
+        if target.state is TargetState.DRAINING:
+            return True
+        if target.zone in self.beliefs.lost_zones:
+            return True
+        return not target.layers.covers(part.layers)
+
+    def _start_move(self, stream: LiveStream, around: Target) -> None:
+        if not stream.is_moving:
+            stream.is_moving = True
+            gevent.spawn(self._move, stream, around)
+
+    def _move(self, stream: LiveStream, around: Target) -> None:
+        try:
+            self._move_once(stream, around)
+        finally:
+            stream.is_moving = False
+
+    def _move_once(self, stream: LiveStream, around: Target) -> None:
+        first = stream.path.first
+        is_leaving = not self.beliefs.is_suspect(around)
+        path = None
+        if first.life != around.life:
+            wanted = PathRequest(
+                stream.request.tokens, frozenset({around.target}), first.target
+            )
+            path = self.chooser.choose(stream.request.service, wanted)
+        if path is None:
+            if not is_leaving:
+                self._end(stream)
+            return
+        answer = give_order(first.address, RepathOrder(stream.request.name, path))
+        log.warning(
+            "stream led around a target",
+            request=stream.request.name,
+            around=around.target,
+            first=first.target,
+            status=answer.status,
+        )
+        if answer.is_accepted:
+            tokens = stream.request.tokens
+            self.chooser.load.remove(stream.path, tokens)
+            stream.path = path
+            self.chooser.load.add(path, tokens)
+            stream.last_event_s = time.monotonic()
+        elif not is_leaving:
+            self._end(stream)
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -80,6 +80,7 @@
         self.breaks_after = 3
         self.pause_s = 0.0
         self.stalled_on: str = ""
+        self.queued = 0
         self.is_leaving = False
         self.is_dark = False
         self.server = Server(address, self)
@@ -124,7 +125,7 @@
             "pace": 1.0,
             "busy": False,
             "sequence": self.orders_begun,
-            "queued": 0,
+            "queued": self.queued,
             "active": 0,
             "kv-used-count": 0,
             "kv-total-count": 1000,
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -45,6 +45,35 @@
     When a draft of 10 events stands still for 2 seconds after 4 events
     Then the events 1 to 10 arrive once and in order
 
+  Scenario: A request that waits in a queue keeps its place there
+    Given a platform with a model in parts in both zones
+    And the first target of the own zone is full and lets a draft wait for 2 seconds
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And targets ran it 1 times
+    And new requests rather avoid the target that is full
+
+  Scenario: A first target that hangs while it says it is well is avoided by all
+    Given a platform with a model in parts in both zones
+    And the first target of the own zone begins no draft
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And targets ran it 2 times
+    And the hanging target is avoided
+
+  Scenario: A silent draft that has not begun is not ended while no repeat is left
+    Given a platform with a model in parts in both zones
+    And no repeats are left
+    When a draft of 10 events stands still for 2 seconds after 0 events
+    Then the events 1 to 10 arrive once and in order
+
+  Scenario: A draft at a first target that is lost is answered at once without a repeat
+    Given a platform with a model in parts in both zones
+    And no repeats are left
+    And the first target of the own zone goes dark as it gets a draft
+    When a draft of 10 events is asked for
+    Then the answer is 502 and 1 targets ran the request
+
   Scenario: A zone of which no target answers is avoided until one does
     Given a platform with a model in parts in both zones
     When the other zone goes dark and one of its targets is doubted
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -9,9 +9,9 @@
 from behave.runner import Context
 
 from chervilstall.edge.splits import choose_service
-from chervilstall.fleet.records import LayerRange, Route, RouteKind, SplitPart
+from chervilstall.fleet.records import LayerRange, Life, Route, RouteKind, SplitPart
 from chervilstall.ids import RequestId, ServiceName
-from chervilstall.standin.platform_target import Behaviour
+from chervilstall.standin.platform_target import Behaviour, PlatformTarget
 from tests.support.fleet import eventually
 from tests.support.market import Response
 from tests.support.platform import (
@@ -406,17 +406,70 @@
 
 
 @when(
-    "a draft of {events:d} events stands still for {pause_s:d} seconds after 4 events"
+    "a draft of {events:d} events stands still for {pause_s:d} seconds after {after:d} "
+    "events"
 )
-def draft_stands_still(context: Context, events: int, pause_s: int) -> None:
+def draft_stands_still(context: Context, events: int, pause_s: int, after: int) -> None:
     targets = context.platform.targets
     for target in targets.values():
         target.behaviour = Behaviour.PAUSE_STREAM
-        target.breaks_after = 4
+        target.breaks_after = after
         target.pause_s = float(pause_s)
     ask_draft(context, events)
 
 
+def own_first(context: Context) -> PlatformTarget:
+    """Return the target of the own zone that gets drafts first."""
+    return context.platform.targets[f"a-{ZONES[0]}"]
+
+
+@given("the first target of the own zone is full and lets a draft wait for 2 seconds")
+def first_is_full(context: Context) -> None:
+    target = own_first(context)
+    target.queued = 3
+    target.behaviour = Behaviour.PAUSE_STREAM
+    target.breaks_after = 0
+    target.pause_s = 2.0
+    context.marked_full = []
+    note_full = context.router.chooser.load.note_full
+
+    def noted(life: Life, for_s: float) -> None:
+        context.marked_full.append(life.target)
+        note_full(life, for_s)
+
+    context.router.chooser.load.note_full = noted
+
+
+@then("new requests rather avoid the target that is full")
+def check_marked_full(context: Context) -> None:
+    assert own_first(context).name in context.marked_full, context.marked_full
+
+
+@given("the first target of the own zone begins no draft")
+def first_hangs(context: Context) -> None:
+    target = own_first(context)
+    target.behaviour = Behaviour.PAUSE_STREAM
+    target.breaks_after = 0
+    target.pause_s = 30.0
+
+
+@then("the hanging target is avoided")
+def check_hanging_avoided(context: Context) -> None:
+    assert avoided_targets(context) == [own_first(context).name]
+
+
+@given("the first target of the own zone goes dark as it gets a draft")
+def first_goes_dark(context: Context) -> None:
+    target = own_first(context)
+    first_hangs(context)
+
+    def go_dark() -> None:
+        eventually(lambda: target.log.runs)
+        target.is_dark = True
+
+    gevent.spawn(go_dark)
+
+
 def other_zone(context: Context) -> list[str]:
     return [f"a-{ZONES[1]}", f"b-{ZONES[1]}"]
 
@@ -668,7 +721,7 @@
         router.beliefs.suspect(target, "test", shared=False)
         router.chooser.load.note_full(target.life, 0.1)
         router.watch._ask(target, time.monotonic())
-        router.watch._ask_pace(target)
+        router.watch.pace.ask(target)
         router.planner._orders_begun[target.life] = 1
         router.planner._mark_dead(target)
     assert kept_of_targets(context)
@@ -680,6 +733,7 @@
     holders = (
         router.beliefs,
         router.watch,
+        router.watch.pace,
         router.planner,
         router.chooser.load,
         router.app.plain.chooser,
