Let streams stay on targets that give up layers

The planner lays tight covers out anew then; the router saw ranges shrink and led every stream around the targets (20 and more within 40 ms), and their new parts read all prompts again first.

Ruled out: the orders themselves (a target that gives layers up waits for what passes).

Change: only targets that drain or are out of reach are led around.

Scenario with a giving-up and a leaving target; the first fails before.

--- a/src/chervilstall/edge/watch.py
+++ b/src/chervilstall/edge/watch.py
@@ -258,7 +258,11 @@
                 self._start_move(stream, target)
 
     def _move_from_leaving(self) -> None:
-        """Lead streams around targets that leave or give up what the streams use."""
+        """Lead streams around targets that leave.
+
+        A target that gives layers up waits for what passes through them, and moving
+        many streams at once lets them all wait while their prompts are read again.
+        """
         for stream in list(self.streams.values()):
             for part in stream.path.parts[1:]:
                 if self._is_leaving(part):
@@ -272,9 +276,7 @@
             return False
         if target.state is TargetState.DRAINING:
             return True
-        if target.zone in self.beliefs.lost_zones:
-            return True
-        return not target.layers.covers(part.layers)
+        return target.zone in self.beliefs.lost_zones
 
     def _start_move(self, stream: LiveStream, around: Target) -> None:
         if not stream.is_moving:
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -27,6 +27,18 @@
     Then the events 1 to 10 arrive once and in order
     And the first target was told another path
 
+  Scenario Outline: A stream <moves> a target that <changes> while it passes
+    Given a platform with a model in parts in both zones
+    And a second copy of the last part in the own zone
+    When a draft of 100 events is asked for and a part of its path <changes>
+    Then the events 1 to 100 arrive once and in order
+    And the stream <moves> that target
+
+    Examples:
+      | changes                 | moves        |
+      | gives up a layer of it  | stays on     |
+      | leaves                  | is led around |
+
   Scenario: A first target that names itself as the one at fault is still used
     Given a platform with a model in parts in both zones
     And the first target stalls on itself after 4 events
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -376,6 +376,36 @@
     context.router.chooser.load.note_full(copy.life, 0.3)
 
 
+@when("a draft of {events:d} events is asked for and a part of its path {changes}")
+def change_under_draft(context: Context, events: int, changes: str) -> None:
+    first = own_first(context)
+
+    def change() -> None:
+        eventually(lambda: first.log.runs)
+        path = first.log.runs[0].headers["hop-count"]
+        name = next(
+            name
+            for name, target in context.platform.targets.items()
+            if path.endswith(f"{target.address}={LAYERS // 2}-{LAYERS}")
+        )
+        target = context.platform.targets[name]
+        if changes == "leaves":
+            context.platform.register(name, "drafts", ZONES[0], state="draining")
+            return
+        target.layers = LayerRange(LAYERS // 2, LAYERS - 1)
+        context.platform.register(name, "drafts", ZONES[0])
+
+    changing = gevent.spawn(change)
+    ask_draft(context, events)
+    changing.get()
+
+
+@then("the stream {moves} that target")
+def check_moves(context: Context, moves: str) -> None:
+    orders = own_first(context).log.orders
+    assert bool(orders) == (moves == "is led around"), orders
+
+
 @given("the first target stalls on itself after {events:d} events")
 def first_stalls_itself(context: Context, events: int) -> None:
     first = context.platform.targets[f"a-{ZONES[0]}"]
