Count a target that stands still among a stream's attempts

The first had its stream cut, the second began nothing and was avoided for it; a target that is avoided counted as gone, and a third was tried.

Change: only a target that gives no answer, or whose entry is gone, counts no more.

--- a/src/chervilstall/edge/streams.py
+++ b/src/chervilstall/edge/streams.py
@@ -160,11 +160,14 @@
         return None
 
     def _are_firsts_gone(self) -> bool:
-        """Return whether a target that was tried is dead, so that it counts no more."""
+        """Return whether a target that was tried is dead, so that it counts no more.
+
+        One that only stands still may have run the request.
+        """
         targets = self.context.beliefs.targets
         for name in self._firsts:
             target = targets.get(name)
-            if target is None or self.context.beliefs.is_suspect(target):
+            if target is None or self.context.beliefs.is_silent(target):
                 return True
         return False
 
--- a/src/chervilstall/fleet/beliefs.py
+++ b/src/chervilstall/fleet/beliefs.py
@@ -298,6 +298,12 @@
         """Return whether a target is avoided at present."""
         return target.life in self._suspicions or target.zone in self.lost_zones
 
+    def is_silent(self, target: Target) -> bool:
+        """Return whether a target gave no answer when it was last asked."""
+        suspicion = self._suspicions.get(target.life)
+        is_dead = suspicion is not None and suspicion.doubt is Doubt.SILENT
+        return is_dead or target.zone in self.lost_zones
+
     def lose_zone(self, zone: ZoneName) -> None:
         """Avoid every target of a zone that is out of reach."""
         self.lost_zones.add(zone)
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -130,6 +130,14 @@
     Then the events 1 to 10 arrive once and in order
     And targets ran it 2 times
 
+  Scenario: A target that hangs uses up an attempt of a stream
+    Given a platform with a model in parts in both zones
+    And a second copy of the first part in the other zone
+    And the first targets of the own zone would break the stream after 1 events
+    And the first targets of the other zone begin no draft
+    When a draft of 10 events is asked for
+    Then no more than 2 different targets ran it
+
   Scenario: A stream waits a moment for a missing part to be loaded again
     Given a platform with a model in parts in both zones
     And only the own zone holds the first part, and it would break the stream after 3 events
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -483,6 +483,22 @@
     target.pause_s = 30.0
 
 
+@given("a second copy of the first part in the other zone")
+def second_first(context: Context) -> None:
+    layers = LayerRange(0, LAYERS // 2)
+    context.platform.add_target(f"c-{ZONES[1]}", "drafts", ZONES[1], layers)
+    eventually(lambda: len(context.router.beliefs.targets) == 5)
+
+
+@given("the first targets of the other zone begin no draft")
+def other_firsts_hang(context: Context) -> None:
+    for name in (f"a-{ZONES[1]}", f"c-{ZONES[1]}"):
+        target = context.platform.targets[name]
+        target.behaviour = Behaviour.PAUSE_STREAM
+        target.breaks_after = 0
+        target.pause_s = 30.0
+
+
 @then("the hanging target is avoided")
 def check_hanging_avoided(context: Context) -> None:
     assert avoided_targets(context) == [own_first(context).name]
@@ -630,6 +646,13 @@
     assert len(context.platform.runs()) == runs, context.platform.runs()
 
 
+@then("no more than {most:d} different targets ran it")
+def check_different(context: Context, most: int) -> None:
+    targets = context.platform.targets
+    ran = [name for name, target in targets.items() if target.log.runs]
+    assert len(ran) <= most, ran
+
+
 @then("the first target was told another path")
 def check_repath(context: Context) -> None:
     first = context.platform.targets[f"a-{ZONES[0]}"]
