Count waits for prompts and pipes; resume crowded streams elsewhere

Cause: a target that goes dark in the middle of a path leaves 40 and more streams to be led around it at once.

Ruled out: the finding of the fault (0.35 s), orders refused (all 200), loads.

Change: the chooser counts the prompts that its targets are about to read, and those that go from zone to zone, for all routers alike. Paths behind long waits cost more. A stream whose other path would let it wait for 0.12 s, and more than twice as long as another first target would, is resumed there if a repeat is left.

Scenarios: a target that reads 100 prompts is passed by; a stalled stream with a long prompt is not led over another zone (was told another path before).

--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -72,6 +72,11 @@
         pipeline = self.service.pipeline
         return pipeline.usual_tokens if pipeline is not None else 0.0
 
+    @property
+    def prompt_tokens(self) -> float:
+        """Return the tokens of the prompt and of the events that were passed on."""
+        return self.fields.prompt_tokens + self.events_passed
+
     def note_send(self) -> None:
         """Count a send, and how long the request waited for its first."""
         self.sends += 1
--- a/src/chervilstall/edge/streams.py
+++ b/src/chervilstall/edge/streams.py
@@ -189,6 +189,10 @@
         self._stream = LiveStream(request, exchange, path, time.monotonic())
         self.context.watch.streams[request.name] = self._stream
         self.context.chooser.load.add(path, request.tokens)
+        assert request.service.pipeline is not None
+        self.context.chooser.note_reading(
+            request.service.pipeline, path, request.prompt_tokens
+        )
         log.routine(
             "sent",
             request=request.name,
--- a/src/chervilstall/edge/watch.py
+++ b/src/chervilstall/edge/watch.py
@@ -21,7 +21,7 @@
 from chervilstall.fleet.records import Target, TargetState
 from chervilstall.ids import RequestId, TargetId
 from chervilstall.paths.choice import PathChooser, PathRequest
-from chervilstall.paths.records import PathPart
+from chervilstall.paths.records import Path, PathPart
 from chervilstall.platform.targets import (
     RepathOrder,
     TargetReport,
@@ -43,6 +43,9 @@
 HOPELESS_S = 1.2
 """Silence after which a stream is moved though no target is known to be at fault."""
 
+CROWDED_S = 0.12
+"""Wait for a prompt to be read again from which another first target is considered."""
+
 QUEUE_MEMORY_S = 2.5
 """Time for which a target's word holds that requests wait there for room."""
 
@@ -302,19 +305,48 @@
             if not is_leaving:
                 self._end(stream)
             return
-        answer = give_order(first.address, RepathOrder(stream.request.name, path))
+        if not is_leaving and self._is_crowded(stream, path) and self._end(stream):
+            return
+        self._give_path(stream, path, around)
+
+    def _is_crowded(self, stream: LiveStream, path: Path) -> bool:
+        """Return whether a stream would stand still for less elsewhere.
+
+        All streams of a lost target would go on over the same few others, which read
+        one prompt after the other, or over another zone, to which they share a pipe.
+        """
+        request = stream.request
+        pipeline = request.service.pipeline
+        assert pipeline is not None
+        tokens = request.prompt_tokens
+        wait_s = self.chooser.reading_wait_s(pipeline, path, tokens, stream.path)
+        if wait_s < CROWDED_S or not request.route.is_resumable:
+            return False
+        wanted = PathRequest(request.tokens, frozenset({stream.path.first.target}))
+        other = self.chooser.choose(request.service, wanted)
+        if other is None:
+            return False
+        return self.chooser.reading_wait_s(pipeline, other, tokens) < wait_s / 2.0
+
+    def _give_path(self, stream: LiveStream, path: Path, around: Target) -> None:
+        first = stream.path.first
+        request = stream.request
+        assert request.service.pipeline is not None
+        self.chooser.note_reading(
+            request.service.pipeline, path, request.prompt_tokens, stream.path
+        )
+        answer = give_order(first.address, RepathOrder(request.name, path))
         log.warning(
             "stream led around a target",
-            request=stream.request.name,
+            request=request.name,
             around=around.target,
             first=first.target,
             status=answer.status,
         )
         if answer.is_accepted:
-            tokens = stream.request.tokens
-            self.chooser.load.remove(stream.path, tokens)
+            self.chooser.load.remove(stream.path, request.tokens)
             stream.path = path
-            self.chooser.load.add(path, tokens)
+            self.chooser.load.add(path, request.tokens)
             stream.last_event_s = time.monotonic()
-        elif not is_leaving:
+        elif self.beliefs.is_suspect(around):
             self._end(stream)
--- a/src/chervilstall/fleet/records.py
+++ b/src/chervilstall/fleet/records.py
@@ -60,6 +60,24 @@
         return self.kind is RouteKind.IDEMPOTENT
 
 
+@dataclass(frozen=True)
+class LayerRange:
+    """Layers `first` to `end`, `end` not included."""
+
+    first: int
+    end: int
+
+    def __len__(self) -> int:
+        return self.end - self.first
+
+    def covers(self, other: "LayerRange") -> bool:
+        """Return whether every layer of `other` is in this range."""
+        return self.first <= other.first and other.end <= self.end
+
+
+NO_LAYERS = LayerRange(0, 0)
+
+
 @dataclass(frozen=True)
 class TargetKind:
     """A kind of accelerator: memory, and step and prompt times against the fastest."""
@@ -74,19 +92,29 @@
 class Pipeline:
     """A model that is served in parts, each target holding a range of layers.
 
-    `token_bytes` is the memory one token needs over all layers. `load_s` is the time
-    to load all layers on one target with no other load running.
+    `token_bytes` is the memory one token needs over all layers. The fastest kind reads
+    `prompt_tokens_per_s` through all layers. `load_s` is the time to load all layers on
+    one target with no other load running. Between zones a token takes `token_pipe_s` of
+    a pipe that all requests share.
     """
 
     layers: int
     layer_mb: float
     token_bytes: float
     step_ms: float
+    prompt_tokens_per_s: float
+    token_pipe_s: float
     load_s: float
     loads_at_once: int
     usual_tokens: float
     kinds: dict[str, TargetKind]
 
+    def reading_s(self, kind: str, layers: LayerRange, tokens: float) -> float:
+        """Return the time in which a kind reads a prompt through a range of layers."""
+        factor = self.kinds[kind].prompt_factor if kind in self.kinds else 1.0
+        share = len(layers) / self.layers
+        return tokens / self.prompt_tokens_per_s * factor * share
+
     def layers_max(self, memory_mb: float, tokens: float = 0.0) -> int:
         """Return how many layers fit beside `tokens` tokens of requests."""
         token_mb = self.token_bytes / self.layers / BYTES_PER_MB
@@ -157,24 +185,6 @@
     DRAINING = "draining"
 
 
-@dataclass(frozen=True)
-class LayerRange:
-    """Layers `first` to `end`, `end` not included."""
-
-    first: int
-    end: int
-
-    def __len__(self) -> int:
-        return self.end - self.first
-
-    def covers(self, other: "LayerRange") -> bool:
-        """Return whether every layer of `other` is in this range."""
-        return self.first <= other.first and other.end <= self.end
-
-
-NO_LAYERS = LayerRange(0, 0)
-
-
 @dataclass(frozen=True)
 class Target:
     """One start of a target, as its own entry in the store shows it.
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -58,6 +58,9 @@
 ALIKE_MAX = 8
 """Routers that are taken to do the same, where a zone has no more than these."""
 
+READ_WEIGHT = 0.1
+"""Cost of a wait behind prompts that are read, against a lasting delay of each step."""
+
 SLOW_MS = 15.0
 PARTS_MAX = 32
 UNKNOWN_STEP_FACTOR = 20.0
@@ -213,6 +216,34 @@
             total_ms += HOP_MS + pipeline.step_ms * factor * share
         return total_ms
 
+    def reading_wait_s(
+        self, pipeline: Pipeline, path: Path, tokens: float, before: Path | None = None
+    ) -> float:
+        """Return how long a prompt takes until it is read at every part of a path.
+
+        Parts that the path shares with the one `before` it have read it already. The
+        other routers are taken to send as many, since they see what this one sees.
+        """
+        longest_s = 0.0
+        for part in _new_parts(path, before):
+            own_s = pipeline.reading_s(part.target.kind, part.layers, tokens)
+            wait_s = self.load.reading_s(part.target.life) + own_s * self._alike
+            longest_s = max(longest_s, wait_s)
+        piped_s = self._piped_s(pipeline, path, tokens)
+        return max(longest_s, piped_s and self.load.piping_s() + piped_s)
+
+    def note_reading(
+        self, pipeline: Pipeline, path: Path, tokens: float, before: Path | None = None
+    ) -> None:
+        """Count the prompt of a request that begins on a path, here and elsewhere."""
+        for part in _new_parts(path, before):
+            own_s = pipeline.reading_s(part.target.kind, part.layers, tokens)
+            self.load.add_reading(part.target.life, own_s * self._alike)
+        self.load.add_piping(self._piped_s(pipeline, path, tokens))
+
+    def _piped_s(self, pipeline: Pipeline, path: Path, tokens: float) -> float:
+        return path.zone_changes * pipeline.token_pipe_s * tokens * self._alike
+
     def _fixed_costs(
         self, pipeline: Pipeline, targets: list[Target], tokens: float
     ) -> dict[TargetId, float]:
@@ -231,6 +262,7 @@
 
     def _fixed_ms(self, target: Target, tokens: float, room_tokens: float) -> float:
         cost_ms = HOP_MS + REQUEST_MS * self.load.requests.get(target.life, 0)
+        cost_ms += READ_WEIGHT * self.load.reading_s(target.life) * 1e3
         if target.life in self.beliefs.slowness:
             cost_ms += SLOW_MS
         if target.state is TargetState.DRAINING:
@@ -247,6 +279,12 @@
         return min(self.routers, max(ALIKE_MAX, self.routers / self.zones))
 
 
+def _new_parts(path: Path, before: Path | None) -> list[PathPart]:
+    if before is None:
+        return list(path.parts)
+    return [part for part in path.parts if part not in before.parts]
+
+
 def _step_factor(pipeline: Pipeline, target: Target) -> float:
     """Return a target's time for a step against the fastest kind's."""
     kind = pipeline.kinds.get(target.kind)
--- a/src/chervilstall/paths/load.py
+++ b/src/chervilstall/paths/load.py
@@ -17,6 +17,8 @@
     requests: dict[Life, int] = field(default_factory=lambda: defaultdict(int))
     tokens: dict[Life, float] = field(default_factory=lambda: defaultdict(float))
     _full_until_s: dict[Life, float] = field(default_factory=dict)
+    _read_until_s: dict[Life, float] = field(default_factory=dict)
+    _piped_until_s: float = 0.0
 
     def add(self, path: Path, tokens: float) -> None:
         """Count a request that begins on `path`."""
@@ -34,6 +36,25 @@
                 del self.requests[life]
                 del self.tokens[life]
 
+    def add_reading(self, life: Life, time_s: float) -> None:
+        """Count a prompt that a target is about to read behind those before it."""
+        now_s = time.monotonic()
+        self._read_until_s[life] = (
+            max(now_s, self._read_until_s.get(life, 0.0)) + time_s
+        )
+
+    def reading_s(self, life: Life) -> float:
+        """Return how long a target still reads the prompts that were counted."""
+        return max(0.0, self._read_until_s.get(life, 0.0) - time.monotonic())
+
+    def add_piping(self, time_s: float) -> None:
+        """Count a prompt whose activations go from zone to zone."""
+        self._piped_until_s = max(time.monotonic(), self._piped_until_s) + time_s
+
+    def piping_s(self) -> float:
+        """Return how long the pipes between zones carry the prompts counted."""
+        return max(0.0, self._piped_until_s - time.monotonic())
+
     def note_full(self, life: Life, for_s: float) -> None:
         """Remember that a target had no room just now."""
         self._full_until_s[life] = time.monotonic() + for_s
@@ -41,6 +62,7 @@
     def forget(self, present: Container[Life]) -> None:
         """Drop what is kept of targets that are gone."""
         keep_only(self._full_until_s, present)
+        keep_only(self._read_until_s, present)
 
     def is_full(self, life: Life) -> bool:
         """Return whether a target had no room a moment ago."""
--- a/src/chervilstall/paths/records.py
+++ b/src/chervilstall/paths/records.py
@@ -1,6 +1,7 @@
 """Paths of requests through the parts of a model pipeline."""
 
 from dataclasses import dataclass
+from itertools import pairwise
 
 from chervilstall.fleet.records import LayerRange, Target
 from chervilstall.settings.option import Address
@@ -29,3 +30,9 @@
     def first(self) -> Target:
         """Return the target that receives the request."""
         return self.parts[0].target
+
+    @property
+    def zone_changes(self) -> int:
+        """Return how often the path goes from one zone to another."""
+        zones = [part.target.zone for part in self.parts]
+        return sum(one != other for one, other in pairwise(zones))
--- a/src/chervilstall/platform/config.py
+++ b/src/chervilstall/platform/config.py
@@ -1,5 +1,7 @@
 """The operator's configuration, as the store holds it."""
 
+import math
+
 import msgspec
 
 from chervilstall.fleet.records import (
@@ -15,6 +17,8 @@
 from chervilstall.ids import ServiceName, WorkspaceName
 
 DEFAULT_TIMEOUT_MS = 30_000.0
+BITS_PER_BYTE = 8
+BITS_PER_MEGABIT = 1e6
 
 
 class _Split(msgspec.Struct):
@@ -59,7 +63,10 @@
     layers: int = 0
     layer_mb: float = 0.0
     kv_bytes: float = 0.0
+    activation_bytes: float = 0.0
+    pipe_mbps: float = 0.0
     step_ms: float = msgspec.field(default=1.0, name="step_ms")
+    read_per_s: float = msgspec.field(default=0.0, name="read_per_s")
     loads_at_once: int = msgspec.field(default=1, name="loads_at_once")
     models: list[_Model] = []
     usual: _Usual = msgspec.field(default_factory=_Usual)
@@ -168,8 +175,19 @@
         layer_mb=engine.layer_mb,
         token_bytes=engine.kv_bytes,
         step_ms=engine.step_ms,
+        token_pipe_s=_pipe_s(engine),
+        prompt_tokens_per_s=engine.read_per_s or math.inf,
         load_s=max((model.load_time_s for model in engine.models), default=0.0),
         loads_at_once=max(1, engine.loads_at_once),
         usual_tokens=engine.usual.prompt + engine.usual.answer,
         kinds=kinds,
     )
+
+
+def _pipe_s(engine: _Engine) -> float:
+    """Return the time that the activations of one token take between zones."""
+    if not engine.pipe_mbps:
+        return 0.0
+    return (
+        engine.activation_bytes * BITS_PER_BYTE / (engine.pipe_mbps * BITS_PER_MEGABIT)
+    )
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -27,6 +27,18 @@
     Then the events 1 to 10 arrive once and in order
     And the first target was told another path
 
+  Scenario Outline: A stalled stream of <prompt> prompt tokens goes on <how>
+    Given a platform with a model in parts in both zones
+    And the first target stalls on the last part after 4 events
+    When a draft of 10 events and <prompt> prompt tokens is asked for
+    Then the events 1 to 10 arrive once and in order
+    And the first target was told <orders> other paths
+
+    Examples: the only other holder of the last part is in the other zone
+      | prompt | how                                          | orders |
+      | 100    | over the other zone from its first target    | 1      |
+      | 6000   | all in the other zone, not over a full pipe  | 0      |
+
   Scenario Outline: A stream <moves> a target that <changes> while it passes
     Given a platform with a model in parts in both zones
     And a second copy of the last part in the own zone
--- a/tests/paths/choice.feature
+++ b/tests/paths/choice.feature
@@ -15,6 +15,7 @@
     Examples:
       | state             |
       | is suspected      |
+      | reads 100 prompts |
       | had no room       |
       | is slow           |
       | is leaving        |
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -24,6 +24,7 @@
 from chervilstall.ids import ServiceName, TargetId, ZoneName
 from chervilstall.paths import choice
 from chervilstall.paths.choice import PathChooser, PathRequest, token_capacity
+from chervilstall.paths.records import PathPart
 from chervilstall.platform.config import decode_configuration
 from chervilstall.platform.follow import (
     Follower,
@@ -46,6 +47,8 @@
     layer_mb=1000.0,
     token_bytes=800_000.0,
     step_ms=1.0,
+    prompt_tokens_per_s=200_000.0,
+    token_pipe_s=43e-6,
     load_s=1.0,
     loads_at_once=6,
     usual_tokens=100.0,
@@ -151,6 +154,10 @@
             beliefs.suspect(target, "test", shared=False)
         case "had no room":
             context.chooser.load.note_full(target.life, 5.0)
+        case "reads 100 prompts":
+            path = choice.Path((PathPart(target, target.layers),))
+            for _ in range(100):
+                context.chooser.note_reading(PIPELINE, path, 800.0)
         case "is slow":
             beliefs.note_slowness(target, 12.0)
         case "is leaving":
