Read the newest state, not every version, of a large configuration

A version is 0.7 MB on the wire, a router's link 10 Mbit/s at the least; a watch returns every version in between, 11 MB. At 36.6 s edge-za-hall-5 still answered 404 for a route that was there, and a call that does not end within 2 s was begun anew.

Ruled out: decoding (tens of ms), the store's own rates (reads are far below them).

Change: after an outage, and as long as a value of 100 kB or more goes on changing, the follower reads all entries as they are instead of their history: one version and about 40 kB. Entries that are missing after an outage count as lapsed first, as before.

Both scenarios read all 20 versions before.

--- a/src/chervilstall/platform/follow.py
+++ b/src/chervilstall/platform/follow.py
@@ -20,9 +20,6 @@
 log = EventLog("store")
 
 WATCH_S = 20.0
-CHECK_S = 0.1
-"""Length of a watch that only finds out whether the store answers again."""
-
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 1.0
 SETTLE_S = 0.1
@@ -34,6 +31,9 @@
 the longest leaves most of the time in which a change has to be in force.
 """
 
+BULKY_BYTES = 100_000
+"""Size of a value from which its versions are not read one after the other."""
+
 EVERYTHING = ""
 
 
@@ -54,8 +54,9 @@
     """Reads the store once and then follows its changes; one task runs this.
 
     One watch serves all readers, so that any change shows whether it is alive. It
-    goes on from the revision that it had reached; only where the store forgot that
-    far back is all read again.
+    goes on from the revision that it had reached. All is read again where the store
+    forgot that far back, and where a watch would return many versions of a large
+    value: after an outage, and as long as such a value goes on changing.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         self.settle_s = SETTLE_S
         self.answered_s = time.monotonic()
         self._retry_s = RETRY_FIRST_S
+        self._is_bulky = False
         self._woken = Event()
         self._answer: AsyncResult | None = None
 
@@ -102,46 +104,54 @@
 
     def _step(self) -> None:
         self._woken.clear()
-        if self.revision == 0:
+        if self.revision == 0 or self.is_lost or self._is_bulky:
             self._read_all()
             return
-        found = self._await_changes()
+        found = self._await(self._watch)
         for entry in found.entries:
             self._take(entry)
         self.revision = max(self.revision, found.revision)
+        self._is_bulky = any(_is_bulky(entry) for entry in found.entries)
         if found.entries:
             gevent.sleep(self.settle_s)
 
     def _read_all(self) -> None:
-        found = self.store.list_entries(EVERYTHING)
+        found = self._await(self._list)
+        if self.is_lost:
+            # Entries may have lapsed meanwhile, though their targets live.
+            self.beliefs.note_outage()
+        before = self.beliefs.configuration
         for entry in found.entries:
             self._take(entry)
         keys = [entry.key for entry in found.entries]
         for reader in self.readers:
             reader.take_all([key for key in keys if key.startswith(reader.prefix)])
         self.revision = found.revision
+        has_changed = before is not self.beliefs.configuration
+        self._is_bulky = has_changed and any(map(_is_bulky, found.entries))
+        if self._is_bulky:
+            gevent.sleep(self.settle_s)
 
     def _take(self, entry: Entry) -> None:
         for reader in self.readers:
             if entry.key.startswith(reader.prefix):
                 reader.take(entry)
 
-    def _await_changes(self) -> Entries:
-        """Watch in a task of its own, so that `interrupt` can end the wait."""
+    def _await(self, call: Callable[[], Entries]) -> Entries:
+        """Make a call in a task of its own, so that `interrupt` can end the wait."""
         answer = self._answer = AsyncResult()
-        call = gevent.spawn(self._watch, answer)
+        task = gevent.spawn(_answer, call, answer)
         try:
             return answer.get()
         finally:
             self._answer = None
-            call.kill(block=False)
+            task.kill(block=False)
 
-    def _watch(self, answer: AsyncResult) -> None:
-        wait_s = CHECK_S if self.is_lost else WATCH_S
-        try:
-            answer.set(self.store.watch(EVERYTHING, self.revision, wait_s))
-        except StoreFailed as error:
-            answer.set_exception(error)
+    def _watch(self) -> Entries:
+        return self.store.watch(EVERYTHING, self.revision, WATCH_S)
+
+    def _list(self) -> Entries:
+        return self.store.list_entries(EVERYTHING)
 
     def _note_answer(self) -> None:
         self._retry_s = RETRY_FIRST_S
@@ -158,6 +168,17 @@
             log.warning("store lost", at=self.revision, why=error.message)
 
 
+def _answer(call: Callable[[], Entries], answer: AsyncResult) -> None:
+    try:
+        answer.set(call())
+    except StoreFailed as error:
+        answer.set_exception(error)
+
+
+def _is_bulky(entry: Entry) -> bool:
+    return entry.value is not None and len(entry.value) > BULKY_BYTES
+
+
 def configuration_reader(beliefs: FleetBeliefs) -> Reader:
     """Return the reader of the operator's configuration."""
 
--- /dev/null
+++ b/src/chervilstall/standin/platform_fleet.py
@@ -0,0 +1,139 @@
+"""What the operator and targets write for a small fleet of stand-ins."""
+
+import json
+from typing import Any
+
+from chervilstall.fleet.records import LayerRange
+from chervilstall.standin.platform_store import PlatformStoreState
+
+LAYERS = 8
+CALLER_HOST = "counter.example"
+KEY = "key-of-depot"
+WORKSPACE = "depot"
+
+
+def route(prefix: str, kind: str, service: str, **fields: object) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    return {
+        "name": f"r{prefix.strip('/')}",
+        "host": CALLER_HOST,
+        "prefix": prefix,
+        "type": kind,
+        "service": service,
+        "timeout-ms": 3000,
+        "target-latency-ms": 300,
+        "gap-target-ms": 200,
+        "priority": 1,
+        "max-attempts": 2,
+        "public": False,
+        "resumable": kind == "streaming",
+        **fields,
+    }
+
+
+def configuration(version: int = 1, **fields: object) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    engine = {
+        "layers": LAYERS,
+        "layer-mb": 1000.0,
+        "kv-bytes": 800_000,
+        "step_ms": 1.0,
+        "read_per_s": 200_000.0,
+        "activation-bytes": 59_000,
+        "pipe-mbps": 11_000.0,
+        "loads_at_once": 6,
+        "models": [{"load-time-s": 1.0}],
+        "usual": {"prompt": 100, "answer": 50},
+        "kinds": [{"name": "card", "size-mb": 20_000.0, "pace": 1.0}],
+    }
+    config = {
+        "version": version,
+        "routes": [
+            route("/lookup/", "idempotent", "lookups"),
+            route("/hold/", "non_idempotent", "lookups"),
+            route("/brief/", "idempotent", "lookups", **{"timeout-ms": 150}),
+            route("/open/", "idempotent", "lookups", public=True),
+            route("/draft/", "streaming", "drafts"),
+        ],
+        "services": [
+            {"name": "lookups", "max-connections": 50, "health-path": "/healthz"},
+            {
+                "name": "drafts",
+                "max-connections": 500,
+                "health-path": "/healthz",
+                "engine": engine,
+            },
+        ],
+        "limits": {
+            "max-header-bytes": 2000,
+            "max-body-bytes": 5000,
+            "header-timeout-ms": 1000,
+            "idle-timeout-ms": 5000,
+        },
+        "tenants": [{"name": WORKSPACE, "api-keys": [KEY]}],
+    }
+    config.update(fields)
+    return config
+
+
+def write_configuration(store: PlatformStoreState, config: dict[str, Any]) -> None:
+    """Write a configuration as the operator does."""
+    store.put("op/config", json.dumps(config).encode())
+
+
+def write_entry(
+    store: PlatformStoreState,
+    name: str,
+    service: str,
+    address: str,
+    zone: str,
+    layers: LayerRange,
+    state: str = "ready",
+) -> None:
+    """Write a target's entry as the target does."""
+    entry: dict[str, Any] = {
+        "service": service,
+        "address": address,
+        "zone": zone,
+        "state": state,
+        "sequence": 7,
+        "type": "card",
+    }
+    if len(layers):
+        entry["layers"] = {"from": layers.first, "to": layers.end}
+    store.put(f"servers/{name}", json.dumps(entry).encode())
+
+
+def remove_entry(store: PlatformStoreState, name: str) -> None:
+    """Remove a target's entry, as when it has left."""
+    store.remove(f"servers/{name}")
+
+
+def node_file(
+    vm: str, host: str, zone: str, port: int, store: str, **bounds: float
+) -> bytes:
+    """Return the settings file that the platform places on a VM."""
+    node = {
+        "node-name": vm,
+        "zone": zone,
+        "ip": host,
+        "zones": {"ba-hall": "r", "za-hall": "r"},
+        "listen": {"frontend": f"{host}:{port}", "ready": f"{host}:{port + 1}"},
+        "internal-ports": [],
+        "platform": {"address": store},
+        "bounds": {name.replace("_", "-"): value for name, value in bounds.items()},
+    }
+    return json.dumps(node).encode()
+
+
+def request_headers(request: str, wait_s: float, **fields: str) -> dict[str, str]:
+    """Return the headers of a caller's request."""
+    headers = {
+        "Host": CALLER_HOST,
+        "Attempt-Id": request,
+        "Credential": KEY,
+        "Deadline-Ms": str(int(wait_s * 1e3)),
+        "Token-Count": "100,10",
+    }
+    headers.update({name.replace("_", "-"): value for name, value in fields.items()})
+    return headers
--- a/tests/fleet/beliefs.feature
+++ b/tests/fleet/beliefs.feature
@@ -91,3 +91,13 @@
   Scenario: Settings with mistakes are refused with all of them
     Then a settings file with three mistakes names all three
     And a settings file with unknown fields is read
+
+  Scenario Outline: Of many versions of a large configuration only few are read
+    Given a followed store with one good target
+    When 20 large configurations are written <when>
+    Then the last of them comes into force and fewer than 15 were read
+
+    Examples:
+      | when                         |
+      | while the store is away      |
+      | one every 50 ms              |
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -11,19 +11,21 @@
 from chervilstall.edge.splits import choose_service
 from chervilstall.fleet.records import LayerRange, Life, Route, RouteKind, SplitPart
 from chervilstall.ids import RequestId, ServiceName, TargetId
+from chervilstall.standin.platform_fleet import (
+    CALLER_HOST,
+    KEY,
+    LAYERS,
+    configuration,
+    route,
+)
 from chervilstall.standin.platform_target import Behaviour, PlatformTarget
 from tests.support.fleet import eventually
 from tests.support.market import Response
 from tests.support.platform import (
-    CALLER_HOST,
-    KEY,
-    LAYERS,
     ZONES,
     Platform,
-    configuration,
     open_connection,
     raw_request,
-    route,
     send,
 )
 
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -36,10 +36,11 @@
 from chervilstall.settings.mistakes import SettingsErrors
 from chervilstall.settings.node import StoreAddress
 from chervilstall.settings.option import Address
+from chervilstall.standin.platform_fleet import configuration
 from chervilstall.telemetry.edge_metrics import EdgeMetrics, Outcome
 from chervilstall.telemetry.events import EventWriter, Weight
 from tests.support.fleet import eventually
-from tests.support.platform import BOUNDS, Platform, configuration
+from tests.support.platform import BOUNDS, Platform
 
 LAYERS = 8
 PIPELINE = Pipeline(
@@ -404,6 +405,40 @@
         self.task.kill()
 
 
+@when("{count:d} large configurations are written {when}")
+def write_large(context: Context, count: int, when: str) -> None:
+    state = context.platform.store.state
+    context.versions_read = []
+    take = context.beliefs.take_configuration
+
+    def taken(config: Configuration, revision: int) -> None:
+        context.versions_read.append(config.version)
+        take(config, revision)
+
+    context.beliefs.take_configuration = taken
+    is_away = when == "while the store is away"
+    if is_away:
+        state.failing_status = 503
+        # Ends the watch that waits; the next call then fails.
+        state.put("other", b"")
+        eventually(lambda: context.beliefs.blind_since_s is not None)
+    keys = [f"key-{number}" * 10 for number in range(3000)]
+    for number in range(count):
+        tenants = [{"name": "depot", "api-keys": keys}]
+        config = configuration(100 + number, tenants=tenants)
+        state.put("op/config", json.dumps(config).encode())
+        gevent.sleep(0.0 if is_away else 0.05)
+    state.failing_status = 0
+    context.last_version = 100 + count - 1
+
+
+@then("the last of them comes into force and fewer than {most:d} were read")
+def check_few_read(context: Context, most: int) -> None:
+    eventually(lambda: context.last_version in context.versions_read)
+    assert context.beliefs.configuration.version == context.last_version
+    assert len(context.versions_read) < most, context.versions_read
+
+
 FAULTY_ENTRIES = {
     "bytes that are no text": b"\xff\xfe",
     "a missing address": b'{"service":"lookups","zone":"z","state":"ready"}',
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -17,11 +17,12 @@
 from chervilstall.placement.runner import Planner
 from chervilstall.platform.suspects import Suspect, encode_suspect
 from chervilstall.settings.leases import LeaseSettings
+from chervilstall.standin.platform_fleet import LAYERS
 from chervilstall.standin.platform_target import Behaviour, PlatformTarget
 from chervilstall.store.contract import LeaseRecord
 from tests.support.fleet import eventually
 from tests.support.market import Response
-from tests.support.platform import LAYERS, Platform, send
+from tests.support.platform import Platform, send
 
 MODEL = Pipeline(
     layers=80,
--- a/tests/steps/start_steps.py
+++ b/tests/steps/start_steps.py
@@ -1,7 +1,6 @@
 """Steps about how the router on the platform starts as a program."""
 
 import http.client
-import json
 import os
 import subprocess
 import sys
@@ -15,6 +14,7 @@
 
 from chervilstall.commands.listening import bind_listener
 from chervilstall.settings.option import Address
+from chervilstall.standin.platform_fleet import node_file
 from tests.support.fleet import eventually
 from tests.support.market import ANY, HOST
 from tests.support.platform import Platform, open_connection, raw_request
@@ -37,29 +37,26 @@
 
     def __init__(self, platform: Platform) -> None:
         self.callers = free_address()
-        self.ready = free_address()
+        self.ready = Address(self.callers.host, self.callers.port + 1)
         folder = tempfile.TemporaryDirectory()
         self._folder = folder
         path = Path(folder.name) / "node.json"
-        path.write_text(json.dumps(self._settings(platform)))
+        settings = node_file(
+            "vm-1",
+            HOST,
+            "ba-hall",
+            self.callers.port,
+            str(platform.store.address),
+            grace_s=4.0,
+            retry_min_extra=40,
+        )
+        path.write_bytes(settings)
         self.process = subprocess.Popen(
             [sys.executable, "-m", "chervilstall.commands.edge"],
             env={**os.environ, SETTINGS_VARIABLE: str(path)},
             stdout=subprocess.DEVNULL,
         )
 
-    def _settings(self, platform: Platform) -> dict:
-        return {
-            "node-name": "vm-1",
-            "zone": "ba-hall",
-            "ip": HOST,
-            "zones": {"ba-hall": "r", "za-hall": "r"},
-            "listen": {"frontend": str(self.callers), "ready": str(self.ready)},
-            "internal-ports": [],
-            "platform": {"address": str(platform.store.address)},
-            "bounds": {"grace-s": 4.0, "retry-min-extra": 40},
-        }
-
     def is_ready(self) -> bool:
         """Return whether the program says that it is ready."""
         connection = http.client.HTTPConnection(self.ready.host, self.ready.port)
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -1,7 +1,6 @@
 """A small platform for scenarios: store, targets, and routers on it."""
 
 import http.client
-import json
 import socket
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -11,15 +10,20 @@
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.settings.node import NodeBounds, NodeSettings, StoreAddress
 from chervilstall.settings.option import Address
+from chervilstall.standin.platform_fleet import (
+    CALLER_HOST,
+    KEY,
+    configuration,
+    request_headers,
+    write_configuration,
+    write_entry,
+)
 from chervilstall.standin.platform_store import PlatformStoreServer
 from chervilstall.standin.platform_target import PlatformTarget
 from tests.support.fleet import eventually
 from tests.support.market import ANY, HOST, Response
 
 ZONES = ("ba-hall", "za-hall")
-LAYERS = 8
-CALLER_HOST = "counter.example"
-KEY = "key-of-depot"
 BOUNDS = NodeBounds(
     drain_s=2.0,
     grace_s=4.0,
@@ -31,70 +35,6 @@
 )
 
 
-def route(prefix: str, kind: str, service: str, **fields: object) -> dict:
-    """Return a route as the operator writes it."""
-    return {
-        "name": f"r{prefix.strip('/')}",
-        "host": CALLER_HOST,
-        "prefix": prefix,
-        "type": kind,
-        "service": service,
-        "timeout-ms": 3000,
-        "target-latency-ms": 300,
-        "gap-target-ms": 200,
-        "priority": 1,
-        "max-attempts": 2,
-        "public": False,
-        "resumable": kind == "streaming",
-        **fields,
-    }
-
-
-def configuration(version: int = 1, **fields: object) -> dict:
-    """Return a configuration as the operator writes it."""
-    engine = {
-        "layers": LAYERS,
-        "layer-mb": 1000.0,
-        "kv-bytes": 800_000,
-        "step_ms": 1.0,
-        "read_per_s": 200_000.0,
-        "activation-bytes": 59_000,
-        "pipe-mbps": 11_000.0,
-        "loads_at_once": 6,
-        "models": [{"load-time-s": 1.0}],
-        "usual": {"prompt": 100, "answer": 50},
-        "kinds": [{"name": "card", "size-mb": 20_000.0, "pace": 1.0}],
-    }
-    config = {
-        "version": version,
-        "routes": [
-            route("/lookup/", "idempotent", "lookups"),
-            route("/hold/", "non_idempotent", "lookups"),
-            route("/brief/", "idempotent", "lookups", **{"timeout-ms": 150}),
-            route("/open/", "idempotent", "lookups", public=True),
-            route("/draft/", "streaming", "drafts"),
-        ],
-        "services": [
-            {"name": "lookups", "max-connections": 50, "health-path": "/healthz"},
-            {
-                "name": "drafts",
-                "max-connections": 500,
-                "health-path": "/healthz",
-                "engine": engine,
-            },
-        ],
-        "limits": {
-            "max-header-bytes": 2000,
-            "max-body-bytes": 5000,
-            "header-timeout-ms": 1000,
-            "idle-timeout-ms": 5000,
-        },
-        "tenants": [{"name": "depot", "api-keys": [KEY]}],
-    }
-    config.update(fields)
-    return config
-
-
 @dataclass
 class Platform:
     """A store, targets and routers in one process."""
@@ -110,7 +50,7 @@
 
     def write_config(self, config: dict) -> None:
         """Write a configuration as the operator does."""
-        self.store.state.put("op/config", json.dumps(config).encode())
+        write_configuration(self.store.state, config)
 
     def add_target(
         self, name: str, service: str, zone: str, layers: LayerRange | None = None
@@ -129,17 +69,15 @@
     ) -> None:
         """Write a target's entry as the target does."""
         target = self.targets[name]
-        entry = {
-            "service": service,
-            "address": str(target.address),
-            "zone": zone,
-            "state": state,
-            "sequence": 7,
-            "type": "card",
-        }
-        if len(target.layers):
-            entry["layers"] = {"from": target.layers.first, "to": target.layers.end}
-        self.store.state.put(f"servers/{name}", json.dumps(entry).encode())
+        write_entry(
+            self.store.state,
+            name,
+            service,
+            str(target.address),
+            zone,
+            target.layers,
+            state,
+        )
 
     def node_settings(self, zone: str = "ba-hall") -> NodeSettings:
         """Return the settings of a new router."""
@@ -196,14 +134,7 @@
     """Send one request and read the whole answer."""
     address = router.callers.bound_address
     connection = http.client.HTTPConnection(address.host, address.port, timeout=20)
-    fields = {
-        "Host": CALLER_HOST,
-        "Attempt-Id": request,
-        "Credential": KEY,
-        "Deadline-Ms": "5000",
-        "Token-Count": "100,10",
-    }
-    fields.update({name.replace("_", "-"): value for name, value in headers.items()})
+    fields = request_headers(request, 5.0, **headers)
     try:
         connection.request(method, path, body=body, headers=fields)
         answer = connection.getresponse()
