Add the soak: routers as processes, links, signals and odd targets

Drawn from the seed, faults overlap: kills of one and of all routers, pauses, orderly stops, reloads; links delayed, reset, silenced or held in one direction; a store that fails, is silent, slow or forgets; targets that behave oddly or leave; new configurations. Checked: own and whole answers, events in order, at most one run, true refusals, nothing unasked, nothing cut by an orderly stop, changes in force, service after the last fault.

--- a/src/chervilstall/commands/measure.py
+++ b/src/chervilstall/commands/measure.py
@@ -3,6 +3,7 @@
 from chervilstall.commands import start
 
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Annotated
 
 import cappa
@@ -16,6 +17,7 @@
 from chervilstall.measure.scale import run_scale
 from chervilstall.measure.throughput import run_throughput
 from chervilstall.measure.urgent import run_urgent
+from chervilstall.soak.run import run_soak
 
 Seed = Annotated[int, cappa.Arg(long=True, help="Seed of everything random.")]
 ShapeName = Annotated[str, cappa.Arg(long=True, help="parcels, seating or skewed.")]
@@ -94,6 +96,18 @@
     workspaces: Annotated[int, cappa.Arg(long=True, help="Workspaces.")] = 530
 
 
+@dataclass
+class Soak:
+    """Promises under random faults: routers as processes, one line a seed."""
+
+    seed: Seed = 1
+    seeds: Annotated[int, cappa.Arg(long=True, help="Seeds run, from SEED on.")] = 1
+    seconds: Annotated[float, cappa.Arg(long=True, help="Time with faults.")] = 20.0
+    keep: Annotated[
+        Path | None, cappa.Arg(long=True, help="Folder for logs of failed seeds.")
+    ] = None
+
+
 Action = (
     Throughput
     | Urgent
@@ -103,6 +117,7 @@
     | Control
     | Configuration
     | Scale
+    | Soak
 )
 
 
@@ -137,10 +152,22 @@
             figures = run_configuration(seed, nodes, changes)
         case Scale(seed, nodes, targets, workspaces):
             figures = run_scale(seed, nodes, targets, workspaces)
+        case Soak():
+            return run_seeds(command.action)
     start.print_json(rounded(figures))
     return ExitCode.DONE
 
 
+def run_seeds(soak: Soak) -> ExitCode:
+    """Run the soak's seeds one after the other; fail where a promise broke."""
+    is_kept = True
+    for seed in range(soak.seed, soak.seed + soak.seeds):
+        report = run_soak(seed, soak.seconds, soak.keep)
+        start.print_json(report)
+        is_kept = is_kept and not report["breaches"]
+    return ExitCode.DONE if is_kept else ExitCode.FAILED
+
+
 def run() -> None:
     """Entry point."""
     start.run_command(MeasureCommand, act)
