Let the soak start one process a router, and end all when told to stop

A soak that was told to stop left all of its processes.

The scenario started two processes without the lock.

--- a/src/chervilstall/commands/measure.py
+++ b/src/chervilstall/commands/measure.py
@@ -3,12 +3,15 @@
 from chervilstall.commands import start
 
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Annotated
 
 import cappa
+import gevent
 
 from chervilstall.commands.exits import EXIT_HELP, ExitCode
+from chervilstall.commands.signals import on_stop_signals
 from chervilstall.measure.figures import rounded
 from chervilstall.measure.control import run_configuration, run_control
 from chervilstall.measure.effects import run_effects
@@ -160,6 +163,9 @@
 
 def run_seeds(soak: Soak) -> ExitCode:
     """Run the soak's seeds one after the other; fail where a promise broke."""
+    # Told to stop, the run still ends the processes that it started.
+    told_to_stop = SystemExit(int(ExitCode.UNFINISHED))
+    on_stop_signals(partial(gevent.kill, gevent.getcurrent(), told_to_stop))
     is_kept = True
     for seed in range(soak.seed, soak.seed + soak.seeds):
         report = run_soak(seed, soak.seconds, soak.keep)
--- a/src/chervilstall/soak/fleet.py
+++ b/src/chervilstall/soak/fleet.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import gevent
+from gevent.lock import Semaphore
 
 from chervilstall.fleet.records import NO_LAYERS, LayerRange
 from chervilstall.platform.names import READY_PATH, SETTINGS_VARIABLE
@@ -45,6 +46,7 @@
     link: Link
     folder: Path
     process: subprocess.Popen[bytes] | None = None
+    _starting: Semaphore = field(default_factory=Semaphore)
 
     @property
     def callers(self) -> Address:
@@ -52,11 +54,18 @@
         return Address(self.host, CALLERS_PORT)
 
     def start(self, retry_extra: float = 200.0) -> None:
-        """Start the process unless it runs; its log is kept in the folder."""
-        if self.is_running:
-            return
+        """Start the process unless it runs; its log is kept in the folder.
+
+        Two faults may end with a start at once, and only one process may come of it.
+        """
+        with self._starting:
+            if self.is_running:
+                return
+            self.write_settings(retry_extra)
+            self._spawn()
+
+    def _spawn(self) -> None:
         path = self.folder / f"{self.name}.json"
-        self.write_settings(retry_extra)
         with open(self.folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "chervilstall.commands.edge"],
--- a/tests/soak/promises.feature
+++ b/tests/soak/promises.feature
@@ -41,6 +41,10 @@
       | kill a router                 | kept    |
       | reset the connections of a link | kept  |
 
+  Scenario: Two faults that start a router at once start one process
+    When two faults start the same router at once
+    Then one process was started
+
   Scenario: A short run from a seed keeps every promise
     When the soak runs seed 7 for 4 seconds
     Then it sent requests, struck with faults and broke no promise
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -1,12 +1,21 @@
 """Steps about the soak."""
 
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+import gevent
 from behave import given, then, when
 from behave.runner import Context
 
+from chervilstall.soak import fleet
 from chervilstall.soak.callers import Kind, Sent
 from chervilstall.soak.faults import FaultKind, Strike
+from chervilstall.soak.links import Link
 from chervilstall.soak.promises import check_answers, check_shutdown
 from chervilstall.soak.run import run_soak
+from tests.support.market import ANY, HOST
 
 EVENTS = 3
 KINDS = {
@@ -69,6 +78,35 @@
     assert bool(context.breaches) == (verdict == "broken"), context.breaches
 
 
+@when("two faults start the same router at once")
+def start_twice(context: Context) -> None:
+    link = Link(ANY, ANY)
+    link.start()
+    context.stoppables.append(link)
+    context.started = []
+    popen = fleet.subprocess.Popen
+
+    def slow_popen(*arguments: object, **options: object) -> object:
+        gevent.sleep(0.05)
+        context.started.append(arguments)
+        return popen([sys.executable, "-c", "import time; time.sleep(60)"])
+
+    with tempfile.TemporaryDirectory() as folder:
+        router = fleet.RouterProcess("vm-1", "ba-hall", HOST, link, Path(folder))
+        fleet.subprocess.Popen = slow_popen
+        try:
+            gevent.joinall([gevent.spawn(router.start) for _ in range(2)])
+        finally:
+            fleet.subprocess.Popen = popen
+            router.signal(signal.SIGKILL)
+            router.wait_end()
+
+
+@then("one process was started")
+def check_started_once(context: Context) -> None:
+    assert len(context.started) == 1, context.started
+
+
 @when("the soak runs seed {seed:d} for {seconds:d} seconds")
 def run_seed(context: Context, seed: int, seconds: int) -> None:
     context.report = run_soak(seed, seconds)
