Let no reload that comes during the start end the router

Cause: found by the soak. Its log was not kept; of the faults drawn only the reload can end a process that nobody starts again: SIGHUP ends a process that has no handler yet, and the router installed its handler after loading (0.3 s, over a second on a busy machine).

Ruled out: a store that cannot be read (the other routers read it), two processes on one address (starts exclude each other in that run).

Change: SIGHUP is ignored from the first line of the start on; the settings are read then anyway, and a later change of the file is noticed within half a second without a signal. The soak reports routers that ended by themselves.

The scenario (SIGHUP as soon as callers can connect) ends the program before.

--- a/src/chervilstall/commands/edge.py
+++ b/src/chervilstall/commands/edge.py
@@ -12,6 +12,7 @@
 gc.disable()
 
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -23,6 +24,9 @@
 
 def serve(path: Path) -> ExitCode:
     """Run the router until it is told to stop."""
+    # A reload asked for now would end the process; the settings are read anyway, and
+    # a later change of the file is noticed without a signal.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     settings = read_node(path)
     listener = bind_listener(settings.callers)
 
--- a/src/chervilstall/soak/run.py
+++ b/src/chervilstall/soak/run.py
@@ -70,6 +70,9 @@
 def _check_recovery(fleet: SoakFleet, callers: Callers, calm_s: float) -> list[Breach]:
     """Check that the fleet serves again, by the newest configuration."""
     found: list[Breach] = []
+    for router in fleet.routers:
+        if not router.is_running:
+            found.append(Breach("no router ends by itself", "", router.name))
     for name in fleet.wait_ready(RECOVERY_S):
         found.append(Breach("routers are ready again after the last fault", "", name))
     gevent.sleep(max(0.0, calm_s + APPLY_S - time.monotonic()))
--- a/tests/edge/start.feature
+++ b/tests/edge/start.feature
@@ -19,3 +19,8 @@
     When a request that hangs and an idempotent request are sent at once
     Then both are answered, the second by another target
     And the program ends with code 0 when it is told to stop
+
+  Scenario: A reload that is asked for while the router loads does not end it
+    Given a platform with lookups in both zones
+    When the router as a program is told to reload as soon as callers can connect
+    Then the program becomes ready
--- a/tests/steps/start_steps.py
+++ b/tests/steps/start_steps.py
@@ -2,6 +2,7 @@
 
 import http.client
 import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -68,6 +69,14 @@
         finally:
             connection.close()
 
+    def can_connect(self) -> bool:
+        """Return whether the program takes connections of callers."""
+        try:
+            open_connection(self.callers).close()
+        except OSError:
+            return False
+        return True
+
     def ask(self, path: str, request: str) -> bytes:
         """Send a request and return the first line of its answer."""
         connection = open_connection(self.callers)
@@ -164,3 +173,16 @@
 def check_end(context: Context, code: int) -> None:
     context.program.process.terminate()
     assert context.program.process.wait(END_WITHIN_S) == code
+
+
+@when("the router as a program is told to reload as soon as callers can connect")
+def reload_early(context: Context) -> None:
+    context.program = Program(context.platform)
+    context.stoppables.append(context.program)
+    eventually(context.program.can_connect, 30.0)
+    context.program.process.send_signal(signal.SIGHUP)
+
+
+@then("the program becomes ready")
+def check_becomes_ready(context: Context) -> None:
+    eventually(context.program.is_ready, 30.0)
