Let leaving targets only begin paths, and streams wait as long as their callers

Change: a target that is leaving may begin a path for a part of its time, and takes no other part. A begun stream is tried again until its caller leaves, its deadline passes or its sends are used up, not for 1.9 s.

Test replaced by two: "a leaving target finishes paths for a part of its time" took a refusal for service; now it begins paths for that time, and takes no other part at all. A stream whose missing part is back after 2.3 s goes on (was cut after event 5).

--- a/src/chervilstall/edge/streams.py
+++ b/src/chervilstall/edge/streams.py
@@ -38,8 +38,6 @@
 """Callers are asked back over this time, so that they do not return all at once."""
 
 RESUME_PAUSE_S = 0.1
-RESUME_WITHIN_S = 1.9
-"""Pause between events after which callers give a stream up."""
 
 RETURN_SHARE = 0.3
 """Part of the time left that a caller may be asked to wait."""
@@ -335,15 +333,13 @@
     def _may_wait(self) -> bool:
         """Return whether a later try could still reach the caller in time.
 
-        A missing part of a model is loaded again within a second or two, and callers
-        wait a little for the next event.
+        A missing part of a model is loaded again within a second or two. How long a
+        pause is too long is for the caller to say, by leaving or by its deadline.
         """
         request = self.request
         if request.has_caller_left or request.left_s <= RESUME_PAUSE_S:
             return False
-        if request.sends >= SENDS_MAX:
-            return False
-        return time.monotonic() - self._passed_at_s < RESUME_WITHIN_S
+        return request.sends < SENDS_MAX
 
     # Ending
 
--- a/src/chervilstall/fleet/beliefs.py
+++ b/src/chervilstall/fleet/beliefs.py
@@ -20,7 +20,7 @@
 log = EventLog("fleet")
 
 DRAIN_USE_SHARE = 0.5
-"""Share of the drain bound during which a leaving target may still finish a path."""
+"""Share of the drain bound during which a leaving target may still begin a path."""
 
 LAPSE_SHARE = 0.8
 """Share of the drain bound that a target gets to register again after an outage."""
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -185,12 +185,17 @@
         finished: dict[TargetId, _Step],
         request: PathRequest,
     ) -> tuple[float, _Step | None] | None:
-        """Return the cheapest cost of entering a target at a boundary."""
+        """Return the cheapest cost of entering a target at a boundary.
+
+        A target that is leaving still begins requests, but takes no other part.
+        """
         if boundary == 0:
             if request.first is not None and target.target != request.first:
                 return None
             is_away = target.zone != self.zone
             return (AWAY_MS if is_away else 0.0), None
+        if target.state is TargetState.DRAINING:
+            return None
         best: tuple[float, _Step | None] | None = None
         for name, step in finished.items():
             if name == target.target:
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -200,6 +200,11 @@
     assert context.chooser.choose(SERVICE, PathRequest(100.0)) is None
 
 
+@then("no path exists")
+def check_no_path(context: Context) -> None:
+    assert context.chooser.choose(SERVICE, PathRequest(100.0)) is None
+
+
 @then("a path over 98 targets takes less work than 30,000 steps of the search")
 def check_search_work(context: Context) -> None:
     steps = 0
