Leave a first target at once that gives no answer to others

Change: a silent stream of a first target that is believed to give no answer is ended, if a repeat is left; a report is waited for 0.5 s.

The scenario lost the events after the fourth before.

--- a/src/chervilstall/edge/watch.py
+++ b/src/chervilstall/edge/watch.py
@@ -39,6 +39,9 @@
 ASK_FORGET_S = 4.0
 """Time without a silent stream after which a target is asked at once again."""
 
+REPORT_TIMEOUT_S = 0.5
+"""A target answers within a millisecond or two; a lost packet costs 0.2 s."""
+
 EXAMINE_AGAIN_S = 1.0
 REPORT_AGE_S = 0.4
 HOPELESS_S = 1.2
@@ -111,7 +114,7 @@
 
     def _is_hopeless(self, stream: LiveStream, now_s: float) -> bool:
         """Return whether a silent stream should go on elsewhere without more news."""
-        if stream.path.first.zone in self.beliefs.lost_zones:
+        if self.beliefs.is_silent(stream.path.first):
             return True
         if stream.is_moving or stream.silence_s <= HOPELESS_S:
             return False
@@ -194,7 +197,7 @@
 
     def _find_fault(self, first: Target) -> None:
         try:
-            report = fetch_report(first.address)
+            report = fetch_report(first.address, REPORT_TIMEOUT_S)
         finally:
             self._note_asked(first)
         if report is None:
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -85,6 +85,13 @@
     And targets ran it 2 times
     And the hanging target is avoided
 
+  Scenario: A stream leaves a first target that gives no answer to others
+    Given a platform with a model in parts in both zones
+    And no stream is moved for its silence alone
+    And the first target of the own zone stops sending and is found to be silent
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+
   Scenario: A silent draft that has not begun is not ended while no repeat is left
     Given a platform with a model in parts in both zones
     And no repeats are left
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -3,11 +3,13 @@
 import http.client
 import random
 import time
+from dataclasses import dataclass
 
 import gevent
 from behave import given, then, when
 from behave.runner import Context
 
+from chervilstall.edge import watch
 from chervilstall.edge.splits import choose_service
 from chervilstall.fleet.records import LayerRange, Life, Route, RouteKind, SplitPart
 from chervilstall.ids import RequestId, ServiceName, TargetId
@@ -502,6 +504,43 @@
         target.pause_s = 30.0
 
 
+@dataclass
+class HopelessAfter:
+    """Sets the silence after which streams are moved, until it is stopped."""
+
+    silence_s: float
+
+    def __post_init__(self) -> None:
+        self.before_s = watch.HOPELESS_S
+        watch.HOPELESS_S = self.silence_s
+
+    def stop(self) -> None:
+        """Set what was set before."""
+        watch.HOPELESS_S = self.before_s
+
+
+@given("no stream is moved for its silence alone")
+def never_hopeless(context: Context) -> None:
+    context.stoppables.append(HopelessAfter(60.0))
+
+
+@given("the first target of the own zone stops sending and is found to be silent")
+def first_falls_silent(context: Context) -> None:
+    target = own_first(context)
+    target.behaviour = Behaviour.PAUSE_STREAM
+    target.breaks_after = 4
+    target.pause_s = 30.0
+    beliefs = context.router.beliefs
+
+    def find_out() -> None:
+        eventually(lambda: target.log.runs)
+        gevent.sleep(0.3)
+        first = beliefs.targets[TargetId(target.name)]
+        beliefs.suspect(first, "no connection", shared=False)
+
+    gevent.spawn(find_out)
+
+
 @then("the hanging target is avoided")
 def check_hanging_avoided(context: Context) -> None:
     assert avoided_targets(context) == [own_first(context).name]
