Write a condition out, check runs in one place, name the probe's identity

Cause: the last read of the change. `reading_wait_s` hid a condition in an `and` of numbers; the soak's check of non-idempotent requests was asked for twice and nested; the identity of its probes stood in two modules. Change: the same behaviour, said plainly.

--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -235,7 +235,9 @@
             wait_s = self.load.reading_s(part.target.life) + own_s * self._alike
             longest_s = max(longest_s, wait_s)
         piped_s = self._piped_s(pipeline, path, tokens)
-        return max(longest_s, piped_s and self.load.piping_s() + piped_s)
+        if not piped_s:
+            return longest_s
+        return max(longest_s, self.load.piping_s() + piped_s)
 
     def note_reading(
         self, pipeline: Pipeline, path: Path, tokens: float, before: Path | None = None
--- a/src/chervilstall/soak/callers.py
+++ b/src/chervilstall/soak/callers.py
@@ -16,6 +16,9 @@
 WAIT_S = 4.0
 READ_TIMEOUT_S = 6.0
 PAUSE_S = 0.03
+PROBE = "probe"
+"""Identity of requests that only look for a route."""
+
 EVENTS_MAX = 60
 EVENT_NUMBER = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
@@ -129,7 +132,7 @@
     """Return the status of a request on a route, or 0 without an answer."""
     connection = _connection(router.callers)
     try:
-        connection.request("POST", path, headers=request_headers("probe", WAIT_S))
+        connection.request("POST", path, headers=request_headers(PROBE, WAIT_S))
         return connection.getresponse().status
     except (OSError, http.client.HTTPException):
         return 0
--- a/src/chervilstall/soak/promises.py
+++ b/src/chervilstall/soak/promises.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from chervilstall.soak.callers import Kind, Sent
+from chervilstall.soak.callers import PROBE, Kind, Sent
 from chervilstall.soak.faults import FaultKind, Strike
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -40,7 +40,7 @@
     for request, target in runs:
         by_request.setdefault(request, []).append(target)
     breaches: list[Breach] = []
-    known = {"probe"}
+    known = {PROBE}
     for each in sent:
         known.add(each.request)
         ran = by_request.get(each.request, [])
@@ -52,11 +52,8 @@
 
 def _check_one(sent: Sent, ran: list[str]) -> list[Breach]:
     found: list[tuple[str, str]] = []
-    if sent.kind is Kind.NON_IDEMPOTENT and len(ran) > 1:
-        found.append(("a non-idempotent request runs at most once", f"ran on {ran}"))
-    if sent.is_whole and sent.status in NOT_RUN_STATUSES and ran:
-        if sent.kind is Kind.NON_IDEMPOTENT:
-            found.append(("not run is true", f"{sent.status} though it ran on {ran}"))
+    if sent.kind is Kind.NON_IDEMPOTENT:
+        found += _check_runs(sent, ran)
     if sent.kind is Kind.STREAM:
         found += _check_stream(sent)
     elif sent.is_whole and sent.status == 200:
@@ -65,6 +62,15 @@
     return [Breach(promise, sent.request, detail) for promise, detail in found]
 
 
+def _check_runs(sent: Sent, ran: list[str]) -> list[tuple[str, str]]:
+    found: list[tuple[str, str]] = []
+    if len(ran) > 1:
+        found.append(("a non-idempotent request runs at most once", f"ran on {ran}"))
+    if sent.is_whole and sent.status in NOT_RUN_STATUSES and ran:
+        found.append(("not run is true", f"{sent.status} though it ran on {ran}"))
+    return found
+
+
 def _check_stream(sent: Sent) -> list[tuple[str, str]]:
     if sent.status not in (0, 200):
         return []
