--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -172,25 +172,38 @@
                     path = self.context.chooser.choose(request.service, path_request)
                     if path is not None:
                         return path
-                if not self._is_tried_first_lost():
+                lost = self._find_lost_first()
+                if lost is None:
                     continue
+                self._log_limit_lifted(lost)
             path_request = PathRequest(request.expected_tokens, frozenset(avoid))
             path = self.context.chooser.choose(request.service, path_request)
             if path is not None:
                 return path
         return None
 
-    def _is_tried_first_lost(self) -> bool:
-        """Return whether a tried target is dead and no longer counts as an attempt.
+    def _find_lost_first(self) -> TargetId | None:
+        """Return a tried target that is dead and no longer counts as an attempt.
 
         A target that only stalls still counts, since it may have run the request.
         """
         targets = self.context.fleet_view.targets
-        for target_id in self._tried_firsts:
+        for target_id in sorted(self._tried_firsts):
             target = targets.get(target_id)
             if target is None or self.context.fleet_view.is_unresponsive(target):
-                return True
-        return False
+                return target_id
+        return None
+
+    def _log_limit_lifted(self, lost: TargetId) -> None:
+        is_registered = lost in self.context.fleet_view.targets
+        log.warning(
+            "attempt limit lifted",
+            request=self.request.request_id,
+            target=lost,
+            why="does not respond" if is_registered else "has no entry",
+            tried=sorted(self._tried_firsts),
+            attempts_max=self.request.route.attempts_max,
+        )
 
     def _send(self, path: Path) -> ResponseHead:
         request = self.request
