Show that a silent target lifts the limit on a request's attempts

Two scenarios fail: a stream whose first targets fall silent for 1.5 s and go on, and one whose first targets lose their entries, each run on three targets where the route allows two.

--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -162,6 +162,22 @@
     When a draft of 10 events is asked for
     Then at most 2 different targets ran the request
 
+  # Guards against BUDGET: a request ran on more targets than its route allows.
+  Scenario: Targets that fall silent and go on count as attempts of a stream
+    Given a platform with a model in parts in both zones
+    And a second copy of the first part in the other zone
+    And every first target falls silent for 1.5 seconds when it gets a draft
+    When a draft of 10 events is asked for
+    Then at most 2 different targets ran the request
+
+  # Guards against BUDGET: a request ran on more targets than its route allows.
+  Scenario: A target whose entry is missing counts as an attempt of a stream
+    Given a platform with a model in parts in both zones
+    And a second copy of the first part in the other zone
+    And the first targets would break the stream after 3 events and lose their entries
+    When a draft of 20 events is asked for
+    Then at most 2 different targets ran the request
+
   Scenario: A stream waits for a missing part for as long as its caller waits
     Given a platform with a model in parts in both zones
     And only the own zone holds the first part, and it would break the stream after 3 events
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -575,6 +575,45 @@
     gevent.spawn(stop_responding)
 
 
+def first_targets(context: Context) -> list[PlatformTarget]:
+    """Return every target that holds the first part of the model."""
+    targets = context.platform.targets.values()
+    return [target for target in targets if target.layers.first == 0]
+
+
+@given("every first target falls silent for {silence_s:g} seconds when it gets a draft")
+def silence_firsts(context: Context, silence_s: float) -> None:
+    def fall_silent(target: PlatformTarget) -> None:
+        eventually(lambda: target.log.runs)
+        target.is_silent = True
+        gevent.sleep(silence_s)
+        target.is_silent = False
+
+    for target in first_targets(context):
+        target.behaviour = Behaviour.PAUSE_STREAM
+        target.events_before_fault = 0
+        target.pause_s = silence_s
+        gevent.spawn(fall_silent, target)
+
+
+@given(
+    "the first targets would break the stream after {events:d} events and lose their "
+    "entries"
+)
+def break_and_unregister_firsts(context: Context, events: int) -> None:
+    # Otherwise the planner would place the part on another target.
+    context.router.planner_lease.stop()
+
+    def unregister(target: PlatformTarget) -> None:
+        eventually(lambda: target.log.runs)
+        context.platform.store.state.remove(f"servers/{target.name}")
+
+    for target in first_targets(context):
+        target.behaviour = Behaviour.BREAK_STREAM
+        target.events_before_fault = events
+        gevent.spawn(unregister, target)
+
+
 def other_zone_targets(context: Context) -> list[str]:
     return [f"a-{ZONES[1]}", f"b-{ZONES[1]}"]
 
