Count targets that fall silent among a request's attempts

Cause: StreamRelay lifted the limit on attempts as soon as one tried first target was suspected of silence or had no entry in the store, for the rest of the request. Neither says that the target has ended: a silent one reads the request when it goes on, and one without an entry may serve for many seconds. Ruled out: a sent request taken for an unsent one (nothing is written before the connection is open).

Change: AttemptLimit counts every target that may have run the request, unless it has started again since. A stream at its limit stays on an unresponsive target, which may go on, instead of being ended without anywhere to go. A request that no target has begun still gets its answer at once.

--- a/src/chervilstall/edge/live.py
+++ b/src/chervilstall/edge/live.py
@@ -3,6 +3,7 @@
 import time
 from dataclasses import dataclass
 
+from chervilstall.edge.attempts import AttemptLimit
 from chervilstall.edge.exchange import Exchange
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.records import Target
@@ -29,6 +30,7 @@
     request: EdgeRequest
     exchange: Exchange
     path: Path
+    attempts: AttemptLimit
     last_event_at_s: float
     has_event: bool = False
     mean_gap_s: float = 0.0
--- a/src/chervilstall/edge/stream_monitor.py
+++ b/src/chervilstall/edge/stream_monitor.py
@@ -160,13 +160,16 @@
 
         A retry is taken from the budget first. Without one, ending the exchange would
         certainly lose the request, while its targets may still go on; the exchange is
-        kept and False returned. The same holds for requests that may not be retried.
+        kept and False returned. The same holds for requests that may not be retried,
+        and for streams that may go on at no other target than the unresponsive one.
         If a lost first target has not begun the request, the exchange is ended in any
         case, so that the caller gets its response at once.
         """
         request = stream.request
         has_begun = request.events_forwarded > 0
         is_lost = is_first_lost and not has_begun
+        if has_begun and self._is_bound_to_unresponsive(stream):
+            return False
         if not is_lost and not self._reserve_retry(request, has_begun):
             return False
         log.warning(
@@ -178,6 +181,12 @@
         stream.exchange.abort(ExchangeFailure.STALLED)
         return True
 
+    def _is_bound_to_unresponsive(self, stream: LiveStream) -> bool:
+        first = stream.path.first
+        if not self.fleet_view.is_unresponsive(first):
+            return False
+        return not stream.attempts.leaves_another(first)
+
     def _reserve_retry(self, request: EdgeRequest, has_begun: bool) -> bool:
         """Reserve one retry for a request unless it has one already."""
         if not request.route.is_retryable:
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -14,6 +14,7 @@
 
 import gevent
 
+from chervilstall.edge.attempts import AttemptLimit
 from chervilstall.edge.budget import FleetRetryBudget
 from chervilstall.edge.exchange import (
     CompleteResponse,
@@ -84,19 +85,18 @@
     not stream; it raises ChervilstallError. For a stream, iterate `events` once; it
     raises StreamBroken. Call `close` in any case.
 
-    `_tried_firsts` are the first targets that may have run the request; the attempt
-    limit counts them. `_avoided` are first targets whose exchange failed, `_refusing`
-    targets that refused the request.
+    `attempts` counts the first targets that may have run the request. `_avoided` are
+    first targets whose exchange failed, `_refusing` targets that refused the request.
     """
 
     def __init__(self, context: StreamContext, request: EdgeRequest) -> None:
         self.context = context
         self.request = request
+        self.attempts = AttemptLimit(context.fleet_view, request.route.attempts_max)
         self.head: ResponseHead | None = None
         self.last_event_number = _parse_event_number(request.fields.last_event_id)
         self._avoided: set[TargetId] = set()
         self._refusing: set[TargetId] = set()
-        self._tried_firsts: set[TargetId] = set()
         self._may_have_run = False
         self._forwarded_at_s = time.monotonic()
         self._last_failure = "no path covers the model"
@@ -141,11 +141,16 @@
             raise self._error(self._last_failure)
         path = self._choose_path()
         if path is None:
-            raise self._error(self._last_failure)
+            raise self._error(self._no_path_reason())
         if request.sends and not self._take_retry():
             raise self._error("the budget for repeats is used up")
         return path
 
+    def _no_path_reason(self) -> str:
+        if not self.attempts.is_reached:
+            return self._last_failure
+        return f"the attempts of the route are used up: {self._last_failure}"
+
     def _take_retry(self) -> bool:
         """Use a reserved retry, or take one from the budget."""
         request = self.request
@@ -158,52 +163,32 @@
     def _choose_path(self) -> Path | None:
         """Return a path without refusing targets, and without failed ones if possible.
 
-        At the attempt limit only targets that were tried may come first, unless one of
-        them is dead.
+        At the attempt limit only targets that were tried may come first.
         """
-        request = self.request
-        is_attempt_limit_reached = len(self._tried_firsts) >= request.route.attempts_max
         for avoid in (self._avoided | self._refusing, self._refusing):
-            if is_attempt_limit_reached:
-                for first in sorted(self._tried_firsts - avoid):
-                    path_request = PathRequest(
-                        request.expected_tokens, frozenset(avoid), first
-                    )
-                    path = self.context.chooser.choose(request.service, path_request)
-                    if path is not None:
-                        return path
-                lost = self._find_lost_first()
-                if lost is None:
-                    continue
-                self._log_limit_lifted(lost)
-            path_request = PathRequest(request.expected_tokens, frozenset(avoid))
-            path = self.context.chooser.choose(request.service, path_request)
+            if not self.attempts.is_reached:
+                path = self._path_without(avoid)
+            else:
+                path = self._path_from_tried(avoid)
             if path is not None:
                 return path
         return None
 
-    def _find_lost_first(self) -> TargetId | None:
-        """Return a tried target that is dead and no longer counts as an attempt.
-
-        A target that only stalls still counts, since it may have run the request.
-        """
-        targets = self.context.fleet_view.targets
-        for target_id in sorted(self._tried_firsts):
-            target = targets.get(target_id)
-            if target is None or self.context.fleet_view.is_unresponsive(target):
-                return target_id
+    def _path_from_tried(self, avoid: set[TargetId]) -> Path | None:
+        for first in sorted(self.attempts.counted):
+            if first in avoid:
+                continue
+            path = self._path_without(avoid, first)
+            if path is not None:
+                return path
         return None
 
-    def _log_limit_lifted(self, lost: TargetId) -> None:
-        is_registered = lost in self.context.fleet_view.targets
-        log.warning(
-            "attempt limit lifted",
-            request=self.request.request_id,
-            target=lost,
-            why="does not respond" if is_registered else "has no entry",
-            tried=sorted(self._tried_firsts),
-            attempts_max=self.request.route.attempts_max,
-        )
+    def _path_without(
+        self, avoid: set[TargetId], first: TargetId | None = None
+    ) -> Path | None:
+        request = self.request
+        path_request = PathRequest(request.expected_tokens, frozenset(avoid), first)
+        return self.context.chooser.choose(request.service, path_request)
 
     def _send(self, path: Path) -> ResponseHead:
         request = self.request
@@ -220,7 +205,9 @@
         )
         exchange = Exchange(request, send_fields)
         self._exchange = exchange
-        self._stream = LiveStream(request, exchange, path, time.monotonic())
+        self._stream = LiveStream(
+            request, exchange, path, self.attempts, time.monotonic()
+        )
         self.context.stream_monitor.streams[request.request_id] = self._stream
         self.context.chooser.load.add(path, request.expected_tokens)
         assert request.service.pipeline is not None
@@ -236,7 +223,7 @@
         )
         head = exchange.send_request(request.remaining_s)
         if not head.is_not_executed:
-            self._tried_firsts.add(path.first.id)
+            self.attempts.record(path.first)
         return head
 
     def _read_non_stream(
@@ -280,7 +267,7 @@
         self._last_failure = error.failure.value
         if error.was_sent:
             self._may_have_run = True
-            self._tried_firsts.add(path.first.id)
+            self.attempts.record(path.first)
         if error.failure is ExchangeFailure.CALLER_LEFT:
             return
         log.warning(
