Count a reserved retry until it is sent

What callers could see: repeats beyond the fleet's budget.

Cause: a retry that the stream monitor reserves was counted at its reservation. A stream without a path makes its retry seconds later, when a part of the model is back; by then the reservation may have left the window, and the whole share is free again beside it.

Change: a reservation counts until it is spent, and the retry counts from its send on; a request that ends without it gives it back. The monitor ends no exchange that the relay has ended already, so nothing is reserved for a request that is over.

--- a/src/chervilstall/edge/budget.py
+++ b/src/chervilstall/edge/budget.py
@@ -26,6 +26,7 @@
 class _Window:
     requests: deque[float] = field(default_factory=deque)
     retries: deque[float] = field(default_factory=deque)
+    reserved: int = 0
 
     def drop_before(self, moment_s: float) -> None:
         for times in (self.requests, self.retries):
@@ -52,8 +53,20 @@
         self._window(service).requests.append(time.monotonic())
 
     def try_spend(self, service: ServiceName, is_resume: bool = False) -> bool:
-        """Take one retry; return False where the window's share is used up.
+        """Take one retry for a send that follows at once.
 
+        Return False where the window's share is used up; `is_resume` is that of
+        `try_reserve`.
+        """
+        if not self.try_reserve(service, is_resume):
+            return False
+        self.spend_reserved(service)
+        return True
+
+    def try_reserve(self, service: ServiceName, is_resume: bool = False) -> bool:
+        """Reserve one retry; return False where the window's share is used up.
+
+        A reservation counts until it is spent or released, however long that takes.
         `is_resume` marks a request whose response has begun. Part of the share is kept
         for those, since their callers lose more.
         """
@@ -61,11 +74,21 @@
         share = self.bounds.retry_extra / max(1, self.router_count)
         allowed = self.bounds.retry_ratio * len(window.requests) + share
         usable_share = SAFETY_SHARE if is_resume else SAFETY_SHARE * UNSTARTED_SHARE
-        if len(window.retries) + 1 > allowed * usable_share:
+        if len(window.retries) + window.reserved + 1 > allowed * usable_share:
             return False
-        window.retries.append(time.monotonic())
+        window.reserved += 1
         return True
 
+    def spend_reserved(self, service: ServiceName) -> None:
+        """Count a reserved retry as sent now."""
+        window = self._window(service)
+        window.reserved -= 1
+        window.retries.append(time.monotonic())
+
+    def release(self, service: ServiceName) -> None:
+        """Return a reserved retry that is not needed."""
+        self._window(service).reserved -= 1
+
     def _window(self, service: ServiceName) -> _Window:
         window = self._windows[service]
         window.drop_before(time.monotonic() - self.bounds.retry_window_s)
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -16,8 +16,8 @@
     `target` is the HTTP request target, byte for byte. `arrived_at_s` and `deadline_s`
     are monotonic times; at the deadline the route's timeout or the caller's own wait
     ends, whichever comes first. `sends` counts every try, including those that reached
-    no target. `retries_reserved` counts retries that were taken from the budget and not
-    made yet. `queued_s` is the time from arrival to the first send, `first_event_s`
+    no target. `has_reserved_retry` is true while a retry is reserved for the request in
+    the budget. `queued_s` is the time from arrival to the first send, `first_event_s`
     from arrival to the first event of a stream, and `longest_gap_s` the longest time
     between two events. A lower `priority` is more urgent. `abort_callbacks` are called
     when the caller disconnects.
@@ -35,7 +35,7 @@
     deadline_s: float
     has_caller_disconnected: bool = False
     sends: int = 0
-    retries_reserved: int = 0
+    has_reserved_retry: bool = False
     queued_s: float | None = None
     first_event_s: float | None = None
     longest_gap_s: float | None = None
--- a/src/chervilstall/edge/stream_monitor.py
+++ b/src/chervilstall/edge/stream_monitor.py
@@ -166,6 +166,9 @@
         case, so that the caller gets its response at once.
         """
         request = stream.request
+        if self.streams.get(request.request_id) is not stream:
+            # The exchange has ended meanwhile.
+            return True
         has_begun = request.events_forwarded > 0
         is_lost = is_first_lost and not has_begun
         if has_begun and self._is_bound_to_unresponsive(stream):
@@ -191,12 +194,12 @@
         """Reserve one retry for a request unless it has one already."""
         if not request.route.is_retryable:
             return False
-        if request.retries_reserved:
+        if request.has_reserved_retry:
             return True
-        if not self.budget.try_spend(request.service.name, is_resume=has_begun):
-            return False
-        request.retries_reserved += 1
-        return True
+        request.has_reserved_retry = self.budget.try_reserve(
+            request.service.name, is_resume=has_begun
+        )
+        return request.has_reserved_retry
 
     def _query(self, first: Target, now_s: float) -> None:
         if first.id in self._querying:
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -7,7 +7,6 @@
 """
 
 import random
-import re
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -16,6 +15,7 @@
 
 from chervilstall.edge.attempts import AttemptLimit
 from chervilstall.edge.budget import FleetRetryBudget
+from chervilstall.edge.event_numbers import event_number, parse_event_number
 from chervilstall.edge.exchange import (
     CompleteResponse,
     Exchange,
@@ -51,23 +51,11 @@
 RETRY_WAIT_SHARE = 0.3
 """Share of the caller's remaining time that it may be told to wait."""
 
-EVENT_ID = re.compile(rb"^id:\s*(\d+)\s*$", re.MULTILINE)
-
 
 class StreamBroken(ConnectionAbortedError):
     """A stream that has begun cannot be completed; its connection must be closed."""
 
 
-def event_number(event: bytes) -> int | None:
-    """Return the number in an event's `id` field, or None where it has none.
-
-    >>> event_number(b"id: 7\\ndata: x\\n\\n")
-    7
-    """
-    found = EVENT_ID.search(event)
-    return int(found.group(1)) if found else None
-
-
 @dataclass
 class StreamContext:
     """Parts that all streams of one router share."""
@@ -94,7 +82,7 @@
         self.request = request
         self.attempts = AttemptLimit(context.fleet_view, request.route.attempts_max)
         self.head: ResponseHead | None = None
-        self.last_event_number = _parse_event_number(request.fields.last_event_id)
+        self.last_event_number = parse_event_number(request.fields.last_event_id)
         self._avoided: set[TargetId] = set()
         self._refusing: set[TargetId] = set()
         self._may_have_run = False
@@ -154,11 +142,12 @@
     def _take_retry(self) -> bool:
         """Use a reserved retry, or take one from the budget."""
         request = self.request
-        if request.retries_reserved:
-            request.retries_reserved -= 1
+        budget = self.context.budget
+        if request.has_reserved_retry:
+            request.has_reserved_retry = False
+            budget.spend_reserved(request.service.name)
             return True
-        has_begun = self.head is not None
-        return self.context.budget.try_spend(request.service.name, has_begun)
+        return budget.try_spend(request.service.name, is_resume=self.head is not None)
 
     def _choose_path(self) -> Path | None:
         """Return a path without refusing targets, and without failed ones if possible.
@@ -389,10 +378,6 @@
     def close(self) -> None:
         """Close the open exchange; a target stops work when its connection closes."""
         self._end_exchange()
-
-
-def _parse_event_number(text: str) -> int | None:
-    try:
-        return int(text)
-    except ValueError:
-        return None
+        if self.request.has_reserved_retry:
+            self.request.has_reserved_retry = False
+            self.context.budget.release(self.request.service.name)
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -453,7 +453,7 @@
 
 @given("the retry budget is used up")
 def exhaust_retry_budget(context: Context) -> None:
-    context.router.budget.try_spend = lambda service, is_resume=False: False
+    context.router.budget.try_reserve = lambda service, is_resume=False: False
 
 
 @when(
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -634,6 +634,45 @@
     assert context.budget.try_spend(SERVICE.name, is_resume=True)
 
 
+class Clock:
+    """A monotonic clock that steps set, until it is stopped."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+        self.original = time.monotonic
+        time.monotonic = lambda: self.now_s
+
+    def stop(self) -> None:
+        """Restore the real clock."""
+        time.monotonic = self.original
+
+
+@given("a budget whose retries are all reserved and sent {after_s:d} seconds later")
+def reserve_all(context: Context, after_s: int) -> None:
+    context.clock = Clock()
+    context.stoppables.append(context.clock)
+    context.budget = FleetRetryBudget(BOUNDS, 1)
+    context.sent = 0
+    while context.budget.try_reserve(SERVICE.name, is_resume=True):
+        context.sent += 1
+    assert context.sent
+    context.clock.now_s += after_s
+    for _ in range(context.sent):
+        context.budget.spend_reserved(SERVICE.name)
+
+
+@when("as many retries as the budget allows are sent {after_s:d} seconds after that")
+def spend_all(context: Context, after_s: int) -> None:
+    context.clock.now_s += after_s
+    while context.budget.try_spend(SERVICE.name, is_resume=True):
+        context.sent += 1
+
+
+@then("the last window has no more retries than the bound allows")
+def check_last_window(context: Context) -> None:
+    assert context.sent <= BOUNDS.retry_extra, context.sent
+
+
 # Logs
 
 
