--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -14,6 +14,7 @@
     ExchangeFailed,
     ExchangeFailure,
 )
+from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.pruning import retain_keys
@@ -94,6 +95,7 @@
     chooser: PlainTargetChooser
     fleet_view: FleetView
     budget: FleetRetryBudget
+    rate_limiter: TargetRateLimiter
 
     def run(self, request: EdgeRequest) -> CompleteResponse:
         """Send a request and return a response. Raises ChervilstallError without one.
@@ -159,8 +161,10 @@
         exchange = Exchange(request, send_fields)
         self.chooser.begin_request(target)
         timeout_s = self._timeout_s(request)
+        sent_at_s = time.monotonic()
         try:
             head = exchange.send_request(timeout_s)
+            self.rate_limiter.record_response(target, head.limit_per_s, sent_at_s)
             response = exchange.read_response(
                 head, request.remaining_s - RESPONSE_RESERVE_S
             )
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -15,6 +15,7 @@
 from chervilstall.edge.outage import OutagePoller
 from chervilstall.edge.pace import SlowTargetDetector
 from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
+from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.edge.reach import ZoneProber
 from chervilstall.edge.registry import ROUTERS_ASSUMED, RouterRegistry
 from chervilstall.edge.store_probe import StoreProbe
@@ -135,6 +136,7 @@
             self.budget,
             SlowTargetDetector(self.fleet_view, self.chooser),
         )
+        self.rate_limiter = TargetRateLimiter()
         self.metrics = EdgeMetrics()
         self.app = self._build_application()
         self.planner_lease = LeaseHolder(
@@ -180,9 +182,14 @@
             PlainTargetChooser(self.fleet_view, self.settings.zone),
             self.fleet_view,
             self.budget,
+            self.rate_limiter,
         )
         streams = StreamContext(
-            self.fleet_view, self.chooser, self.budget, self.stream_monitor
+            self.fleet_view,
+            self.chooser,
+            self.budget,
+            self.stream_monitor,
+            self.rate_limiter,
         )
         return EdgeApplication(
             self.fleet_view, plain, streams, self.budget, self.metrics
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -23,6 +23,7 @@
     ExchangeFailure,
 )
 from chervilstall.edge.live import LiveStream
+from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.stream_monitor import StreamMonitor
 from chervilstall.errors import ChervilstallError, ErrorKind
@@ -64,6 +65,7 @@
     chooser: PathChooser
     budget: FleetRetryBudget
     stream_monitor: StreamMonitor
+    rate_limiter: TargetRateLimiter
 
 
 class StreamRelay:
@@ -210,7 +212,11 @@
             generation=self.context.fleet_view.generation,
             after_event=last_event,
         )
+        sent_at_s = time.monotonic()
         head = exchange.send_request(request.remaining_s)
+        self.context.rate_limiter.record_response(
+            path.first, head.limit_per_s, sent_at_s
+        )
         if not head.is_not_executed:
             self.attempts.record(path.first)
         return head
--- a/src/chervilstall/platform/headers.py
+++ b/src/chervilstall/platform/headers.py
@@ -109,6 +109,8 @@
     `matches_request` is true if the response carries the ID of the request that was
     sent, `is_signed` if it comes from a target of the service. `faulty_address` is the
     address of the target that the responder names as the cause of a failure.
+    `limit_per_s` is the number of requests a second that the responder takes from all
+    routers together, None if it names no limit.
     """
 
     status: int
@@ -118,6 +120,7 @@
     is_not_executed: bool
     is_stream: bool
     faulty_address: str
+    limit_per_s: float | None = None
 
 
 def read_response_head(response: Any, request: RequestId) -> ResponseHead:
@@ -139,4 +142,5 @@
             protocol.EVENT_STREAM_TYPE
         ),
         faulty_address=by_name.get(protocol.FAULTY_TARGET.lower(), ""),
+        limit_per_s=_parse_number(by_name.get(protocol.RATE_LIMIT.lower(), "")),
     )
