--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -1,6 +1,7 @@
 """Stand-ins for the platform's targets: plain servers and parts of a model."""
 
 import errno
+import time
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -48,13 +49,17 @@
 
 @dataclass(frozen=True)
 class Run:
-    """One request that a stand-in ran, as received. Header names are in lower case."""
+    """One request that a stand-in ran, as received. Header names are in lower case.
+
+    `received_at_s` is a monotonic time.
+    """
 
     request: str
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    received_at_s: float
 
 
 @dataclass
@@ -75,7 +80,8 @@
     `events_before_fault` is the number of events after which a stream breaks, stalls or
     pauses, and `pause_s` the length of that pause. While `stalled_on` holds an address,
     the load report lists every request as stalled on it. While `is_silent`, requests of
-    any kind get no answer.
+    any kind get no answer. `limit_per_s` is the limit that it names in its answers to
+    requests, if any.
     """
 
     def __init__(self, name: str, address: Address) -> None:
@@ -90,6 +96,7 @@
         self.queued = 0
         self.is_leaving = False
         self.is_silent = False
+        self.limit_per_s: float | None = None
         self.server = Server(address, self)
 
     @property
@@ -167,7 +174,8 @@
         body = environ["wsgi.input"].read()
         request = headers.get("attempt-id", "")
         method = environ["REQUEST_METHOD"]
-        run = Run(request, method, environ[REQUEST_TARGET_KEY], headers, body)
+        path = environ[REQUEST_TARGET_KEY]
+        run = Run(request, method, path, headers, body, time.monotonic())
         self.log.runs.append(run)
         if "hop-count" in headers:
             yield from self._stream_events(run, environ, start_response)
@@ -182,6 +190,7 @@
             ("Attempt-Id", run.request),
             ("Server-Signature", SERVER_SIGNATURE),
             ("Content-Length", str(len(answer))),
+            *self._limit_headers(),
         ]
         connection = environ[SOCKET_KEY]
         match self.behaviour:
@@ -223,6 +232,7 @@
             ("Attempt-Id", run.request),
             ("Server-Signature", SERVER_SIGNATURE),
             ("Content-Type", "text/event-stream"),
+            *self._limit_headers(),
         ]
         start_response(status_line(200), response_headers)
         try:
@@ -237,6 +247,11 @@
             self.log.cancelled_streams += 1
             raise
 
+    def _limit_headers(self) -> list[tuple[str, str]]:
+        if self.limit_per_s is None:
+            return []
+        return [("Server-Limit", str(self.limit_per_s))]
+
     def _pause_stream(self) -> None:
         if self.behaviour is Behaviour.PAUSE_STREAM:
             gevent.sleep(self.pause_s)
