Keep to the rate limits that targets name, over all routers together

Reading it alone would not do: each router knows its own requests only.

Change: TargetRateLimiter deals the requests of a window out to the registered routers in an order that all compute alike; each keeps to its part, for first sends, repeats, resumed streams and calls for reports alike. LimitSharing tells the others through the store what a router learned from an answer, also that a limit was lifted. Paths don't begin at a target whose part is used up; plain requests go to other targets.

On a model without a network 30 drawn fleets each hold the bound with bursts at all routers at once, two routers cut from the store, restarts, joins, requests 0.5 s on their way, and 77 routers.

--- a/src/chervilstall/edge/outage.py
+++ b/src/chervilstall/edge/outage.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.fleet.records import Service, Target
 from chervilstall.fleet.view import FleetView, SuspicionKind
 from chervilstall.ids import ZoneName
@@ -32,6 +33,7 @@
     fleet_view: FleetView
     zone: ZoneName
     planner: PlacementPlanner
+    rate_limiter: TargetRateLimiter
 
     def run(self) -> None:
         """Poll in rounds until the process ends; one task runs this."""
@@ -65,6 +67,9 @@
             service = configuration.services.get(target.service)
             if service is None or service.pipeline is None:
                 continue
+            if self.rate_limiter.limit_per_s(target) is not None:
+                # Its requests are worth more than its report.
+                continue
             if target.zone == self.zone or self.planner.is_planning:
                 chosen.append((target, service))
         return chosen
--- a/src/chervilstall/edge/pace.py
+++ b/src/chervilstall/edge/pace.py
@@ -7,6 +7,7 @@
 import gevent
 
 from chervilstall.edge.live import LiveStream
+from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.view import FleetView
@@ -39,6 +40,7 @@
 
     fleet_view: FleetView
     chooser: PathChooser
+    rate_limiter: TargetRateLimiter
     _baseline: float = 0.0
     _checked_at_s: float = 0.0
     _queried_at_s: dict[TargetId, float] = field(default_factory=dict)
@@ -86,13 +88,19 @@
                 self.query(target)
 
     def query(self, target: Target) -> None:
-        """Fetch a target's slowness unless it was queried within `QUERY_INTERVAL_S`."""
+        """Fetch a target's slowness unless it was queried within `QUERY_INTERVAL_S`.
+
+        The call counts towards the rate limit that the target may name.
+        """
         now_s = time.monotonic()
         if (
             now_s - self._queried_at_s.get(target.id, -QUERY_INTERVAL_S)
             < QUERY_INTERVAL_S
         ):
             return
+        if not self.rate_limiter.may_send(target):
+            return
+        self.rate_limiter.record_send(target)
         self._queried_at_s[target.id] = now_s
         gevent.spawn(self._fetch_slowness, target)
 
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -14,7 +14,7 @@
     ExchangeFailed,
     ExchangeFailure,
 )
-from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.edge.rate_limits import AT_LIMIT, TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.pruning import retain_keys
@@ -43,11 +43,12 @@
     """Chooses the target with the fewest requests of this router in flight.
 
     Targets under suspicion come last, and targets in other availability zones count as
-    more loaded.
+    more loaded. Targets at their rate limit get nothing.
     """
 
     fleet_view: FleetView
     zone: ZoneName
+    rate_limiter: TargetRateLimiter
     in_flight: dict[TargetIncarnation, int] = field(default_factory=dict)
     responded_at_s: dict[TargetIncarnation, float] = field(default_factory=dict)
 
@@ -56,7 +57,7 @@
         available = [
             target
             for target in self.fleet_view.ready_targets(service.name)
-            if target.id not in avoided
+            if target.id not in avoided and self.rate_limiter.may_send(target)
         ]
         if not available:
             return None
@@ -112,6 +113,8 @@
         reason = "no target is ready"
         while request.sends < SENDS_MAX and not request.has_caller_disconnected:
             target = self.chooser.choose(request.service, tried)
+            if target is None and self.rate_limiter.exhausted_targets():
+                reason = AT_LIMIT
             if target is None or not self._may_send(request, target, reached):
                 break
             tried.add(target.id)
@@ -162,6 +165,7 @@
         self.chooser.begin_request(target)
         timeout_s = self._timeout_s(request)
         sent_at_s = time.monotonic()
+        self.rate_limiter.record_send(target)
         try:
             head = exchange.send_request(timeout_s)
             self.rate_limiter.record_response(target, head.limit_per_s, sent_at_s)
--- a/src/chervilstall/edge/rate_limits.py
+++ b/src/chervilstall/edge/rate_limits.py
@@ -1,30 +1,79 @@
-"""Limits on the rate of requests that targets name in their responses."""
+"""Limits on the rate of requests that targets name in their responses.
+
+A target names one limit for the requests of all routers together. The routers keep to
+it without talking to each other on the way of a request: the requests that a target
+takes in a sliding window are dealt out to the registered routers, one by one in an
+order that all of them compute alike, and each router keeps to its own part. The parts
+add up to the limit whatever the routers do with them, and while routers disagree about
+who is registered, each of those that differ adds no more than its own part.
+
+A router knows a limit from a response that it got, or from another router through the
+store. Its own requests of the last window count from the moment at which it learns.
+"""
 
 import time
+from collections import defaultdict, deque
+from collections.abc import Callable, Container, Mapping
 from dataclasses import dataclass, field
 
+from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target, TargetIncarnation
+from chervilstall.ids import TargetId, VmId, ZoneName
+from chervilstall.rendezvous import rendezvous_score
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("fleet")
 
+AT_LIMIT = "targets are at the limits that they name"
+
+WINDOW_S = 4.0
+"""Length of the sliding window in which requests are counted."""
+
+SPARE_REQUESTS = 1
+"""Requests of a window beyond the limit.
+
+Even at the lowest limit some router then learns when it is lifted. Routers seldom use
+their whole parts.
+"""
+
 
 @dataclass(frozen=True)
 class NamedLimit:
-    """A target's limit in requests a second, and when this router last learned it.
+    """A target's limit in requests a second.
 
-    `learned_at_s` is a monotonic time.
+    `confirmed_at_s` is the monotonic time at which this router last learned of it.
     """
 
+    target: Target
     per_s: float
-    learned_at_s: float
+    confirmed_at_s: float
 
 
 @dataclass
 class TargetRateLimiter:
-    """Keeps the limits that targets name for the requests of all routers together."""
+    """Keeps one router's part of the limits that targets name.
 
+    `vm` is this router and `routers` maps all registered routers to their zones.
+    Routers in the zone of a target come first when its requests are dealt out.
+    `on_change` is called when a response shows that a limit was named, changed or
+    lifted.
+    """
+
+    vm: VmId
+    zone: ZoneName
+    routers: Mapping[VmId, ZoneName] = field(default_factory=dict)
+    on_change: Callable[[Target], None] | None = None
     _limits: dict[TargetIncarnation, NamedLimit] = field(default_factory=dict)
+    _sends_s: dict[TargetIncarnation, deque[float]] = field(
+        default_factory=lambda: defaultdict(deque)
+    )
+
+    # Limits
+
+    def limit_per_s(self, target: Target) -> float | None:
+        """Return the limit that a target names, or None if it names none."""
+        limit = self._limits.get(target.incarnation)
+        return None if limit is None else limit.per_s
 
     def record_response(
         self, target: Target, limit_per_s: float | None, sent_at_s: float
@@ -32,15 +81,82 @@
         """Record the limit in a response, or None where the response names none.
 
         `sent_at_s` is when the request was sent. A response without a limit ends one
-        only if its request was sent after the limit was last learned; otherwise the
+        only if its request was sent after the limit was last confirmed; otherwise the
         target may have made the response before.
         """
         known = self._limits.get(target.incarnation)
         if limit_per_s is None:
-            if known is not None and known.learned_at_s < sent_at_s:
-                del self._limits[target.incarnation]
+            if known is None or known.confirmed_at_s >= sent_at_s:
+                return
+        before_per_s = self.limit_per_s(target)
+        self.apply_limit(target, limit_per_s)
+        if before_per_s != limit_per_s and self.on_change is not None:
+            self.on_change(target)
+
+    def apply_limit(self, target: Target, limit_per_s: float | None) -> None:
+        """Put a target's limit in force, or end it where it is None."""
+        known = self._limits.pop(target.incarnation, None)
+        if limit_per_s is None:
+            if known is not None:
                 log.info("target names no limit any more", target=target.id)
             return
+        limit = NamedLimit(target, limit_per_s, time.monotonic())
+        self._limits[target.incarnation] = limit
         if known is None or known.per_s != limit_per_s:
-            log.warning("target names a limit", target=target.id, per_s=limit_per_s)
-        self._limits[target.incarnation] = NamedLimit(limit_per_s, time.monotonic())
+            log.warning(
+                "target names a limit",
+                target=target.id,
+                per_s=limit_per_s,
+                own_part=self._part(limit),
+                routers=len(self.routers),
+            )
+
+    # Requests
+
+    def record_send(self, target: Target) -> None:
+        """Count a request or another call to a target."""
+        sends_s = self._recent_sends_s(target.incarnation)
+        sends_s.append(time.monotonic())
+
+    def may_send(self, target: Target) -> bool:
+        """Return whether this router's part leaves room for a call to a target."""
+        limit = self._limits.get(target.incarnation)
+        if limit is None:
+            return True
+        return len(self._recent_sends_s(target.incarnation)) < self._part(limit)
+
+    def exhausted_targets(self) -> frozenset[TargetId]:
+        """Return the targets that may get no request from this router at present."""
+        return frozenset(
+            limit.target.id
+            for limit in self._limits.values()
+            if not self.may_send(limit.target)
+        )
+
+    def _recent_sends_s(self, incarnation: TargetIncarnation) -> deque[float]:
+        sends_s = self._sends_s[incarnation]
+        first_s = time.monotonic() - WINDOW_S
+        while sends_s and sends_s[0] <= first_s:
+            sends_s.popleft()
+        return sends_s
+
+    def _part(self, limit: NamedLimit) -> int:
+        """Return how many requests this router may send in a window."""
+        requests = limit.per_s * WINDOW_S
+        routers = {**self.routers, self.vm: self.zone}
+        each, rest = divmod(int(requests) + SPARE_REQUESTS, len(routers))
+        return each + (rest > 0 and self._rank(limit.target, routers) < rest)
+
+    def _rank(self, target: Target, routers: Mapping[VmId, ZoneName]) -> int:
+        """Return this router's place in the order for a target, from 0."""
+
+        def place(vm: VmId) -> tuple[bool, int]:
+            return routers[vm] != target.zone, rendezvous_score(target.id, vm)
+
+        own = place(self.vm)
+        return sum(place(vm) < own for vm in routers)
+
+    def prune(self, present: Container[TargetIncarnation]) -> None:
+        """Drop the state of targets that are gone."""
+        retain_keys(self._limits, present)
+        retain_keys(self._sends_s, present)
--- a/src/chervilstall/edge/registry.py
+++ b/src/chervilstall/edge/registry.py
@@ -10,6 +10,8 @@
 import gevent
 
 from chervilstall.edge.budget import FleetRetryBudget
+from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.view import FleetView, SuspicionKind
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.paths.choice import PathChooser
@@ -60,8 +62,9 @@
     budget: FleetRetryBudget
     chooser: PathChooser
     planner: PlacementPlanner
+    rate_limiter: TargetRateLimiter
     store_watcher: StoreWatcher | None = None
-    _router_keys: set[str] = field(default_factory=set)
+    _router_zones: dict[str, ZoneName] = field(default_factory=dict)
     _lease: Lease | None = None
 
     def run(self) -> None:
@@ -82,7 +85,7 @@
             except LeaseEnded:
                 self._lease = None
         lease = self.store.open_lease(LEASE_TTL_S)
-        self.store.write(self.key, b"", None, lease.lease_id)
+        self.store.write(self.key, self.zone.encode(), None, lease.lease_id)
         self._lease = lease
 
     @property
@@ -94,10 +97,11 @@
         """Apply a changed or deleted entry below `ROUTER_KEYS_PREFIX`."""
         if entry.key.startswith(ROUTERS_PREFIX):
             if entry.value is None:
-                self._router_keys.discard(entry.key)
+                self._router_zones.pop(entry.key, None)
             else:
-                self._router_keys.add(entry.key)
-            self._update_router_count()
+                zone = ZoneName(entry.value.decode("utf-8", "replace"))
+                self._router_zones[entry.key] = zone
+            self._update_routers()
         elif entry.key == lease_key(self.planner.lease.name) and entry.value is None:
             self.planner.lease.wake()
         elif entry.key.startswith(SUSPICIONS_PREFIX) and entry.value is not None:
@@ -105,15 +109,19 @@
 
     def handle_full_read(self, keys: list[str]) -> None:
         """Drop routers missing from a full listing below `ROUTER_KEYS_PREFIX`."""
-        self._router_keys &= set(keys)
-        self._update_router_count()
-
-    def _update_router_count(self) -> None:
-        router_count = max(1, len(self._router_keys))
+        retain_keys(self._router_zones, set(keys))
+        self._update_routers()
+
+    def _update_routers(self) -> None:
+        self.rate_limiter.routers = {
+            VmId(key.removeprefix(ROUTERS_PREFIX)): zone
+            for key, zone in self._router_zones.items()
+        }
+        router_count = max(1, len(self._router_zones))
         self.budget.router_count = router_count
         self.chooser.router_count = router_count
         if self.store_watcher is not None:
-            self.store_watcher.set_router_count(len(self._router_keys))
+            self.store_watcher.set_router_count(len(self._router_zones))
 
     def _apply_suspicion(self, content: bytes) -> None:
         suspicion = decode_suspicion(content)
@@ -128,13 +136,20 @@
             reason = f"reported by {suspicion.reporter}"
             self.fleet_view.suspect(target, reason, shared=False, kind=suspicion.doubt)
 
+    def write(self, key: str, value: bytes) -> None:
+        """Write a key for the other routers that lives as long as this router's lease.
+
+        Raises StoreFailed.
+        """
+        lease = self._lease.lease_id if self._lease is not None else 0
+        self.store.write(key, value, None, lease)
+
     def share_suspicion(self, suspicion: SharedSuspicion) -> None:
         """Share a suspicion with the other routers; a failure is only logged."""
         key = SUSPICIONS_PREFIX + suspicion.target
-        lease = self._lease.lease_id if self._lease is not None else 0
         started_at_s = time.monotonic()
         try:
-            self.store.write(key, encode_suspicion(suspicion), None, lease)
+            self.write(key, encode_suspicion(suspicion))
         except StoreFailed as error:
             log.warning(
                 "suspicion not shared",
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -12,6 +12,7 @@
 
 from chervilstall.edge.app import EdgeApplication, error_response
 from chervilstall.edge.budget import FleetRetryBudget
+from chervilstall.edge.limit_sharing import LIMITS_PREFIX, LimitSharing
 from chervilstall.edge.outage import OutagePoller
 from chervilstall.edge.pace import SlowTargetDetector
 from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
@@ -130,13 +131,14 @@
         self.chooser = PathChooser(
             self.fleet_view, settings.zone, max(1, len(settings.zones))
         )
+        self.rate_limiter = TargetRateLimiter(settings.vm, settings.zone)
         self.stream_monitor = StreamMonitor(
             self.fleet_view,
             self.chooser,
             self.budget,
-            SlowTargetDetector(self.fleet_view, self.chooser),
+            self.rate_limiter,
+            SlowTargetDetector(self.fleet_view, self.chooser, self.rate_limiter),
         )
-        self.rate_limiter = TargetRateLimiter()
         self.metrics = EdgeMetrics()
         self.app = self._build_application()
         self.planner_lease = LeaseHolder(
@@ -149,7 +151,9 @@
         self.planner = PlacementPlanner(self.fleet_view, self.planner_lease)
         self.zone_prober = ZoneProber(self.fleet_view, settings.zone)
         self.stream_monitor.on_silence = self.zone_prober.check_zone_of
-        self.outage_poller = OutagePoller(self.fleet_view, settings.zone, self.planner)
+        self.outage_poller = OutagePoller(
+            self.fleet_view, settings.zone, self.planner, self.rate_limiter
+        )
         self.registry = RouterRegistry(
             settings.vm,
             settings.zone,
@@ -158,7 +162,12 @@
             self.budget,
             self.chooser,
             self.planner,
+            self.rate_limiter,
         )
+        self.limit_sharing = LimitSharing(
+            self.fleet_view, self.rate_limiter, self.registry
+        )
+        self.rate_limiter.on_change = self.limit_sharing.share
         self.store_watcher = self.registry.store_watcher = self._build_store_watcher()
         self.store_probe = StoreProbe(self.store, self.store_watcher, self.registry.key)
         self.caller_listener = Server(
@@ -179,7 +188,7 @@
 
     def _build_application(self) -> EdgeApplication:
         plain = PlainRelay(
-            PlainTargetChooser(self.fleet_view, self.settings.zone),
+            PlainTargetChooser(self.fleet_view, self.settings.zone, self.rate_limiter),
             self.fleet_view,
             self.budget,
             self.rate_limiter,
@@ -201,10 +210,16 @@
             self.registry.handle_entry,
             self.registry.handle_full_read,
         )
+        limits_handler = EntryHandler(
+            LIMITS_PREFIX,
+            self.limit_sharing.handle_entry,
+            self.limit_sharing.handle_full_read,
+        )
         handlers = (
             configuration_handler(self.fleet_view),
             target_handler(self.fleet_view),
             own_handler,
+            limits_handler,
         )
         return StoreWatcher(self.store, self.fleet_view, handlers)
 
@@ -266,6 +281,7 @@
         self.planner.prune(incarnations)
         self.chooser.load.prune(incarnations)
         self.app.plain_relay.chooser.prune(incarnations)
+        self.rate_limiter.prune(incarnations)
 
     def _apply_caller_limits(self) -> None:
         configuration = self.fleet_view.configuration
--- a/src/chervilstall/edge/stream_monitor.py
+++ b/src/chervilstall/edge/stream_monitor.py
@@ -16,6 +16,7 @@
 from chervilstall.edge.exchange import ExchangeFailure
 from chervilstall.edge.live import EVENT_SILENCE_LIMIT_S, LiveStream
 from chervilstall.edge.pace import SlowTargetDetector
+from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target, TargetReadiness
@@ -72,6 +73,7 @@
     fleet_view: FleetView
     chooser: PathChooser
     budget: FleetRetryBudget
+    rate_limiter: TargetRateLimiter
     slow_detector: SlowTargetDetector
     streams: dict[RequestId, LiveStream] = field(default_factory=dict)
     on_silence: Callable[[Target], None] = lambda target: None
@@ -209,6 +211,9 @@
             self._query_interval_s[first.id] = QUERY_INTERVAL_S
         if elapsed_s < self._query_interval_s.get(first.id, QUERY_INTERVAL_S):
             return
+        if not self.rate_limiter.may_send(first):
+            return
+        self.rate_limiter.record_send(first)
         self._querying.add(first.id)
         gevent.spawn(self._diagnose, first)
 
@@ -251,6 +256,9 @@
         elapsed_s = time.monotonic() - self._queried_at_s.get(target.id, 0.0)
         if elapsed_s < REFUSAL_CHECK_INTERVAL_S:
             return
+        if self.rate_limiter.limit_per_s(target) is not None:
+            # A target in need has its reason, and its report counts as a request.
+            return
         self._querying.add(target.id)
         gevent.spawn(self._check_refusal, target)
 
@@ -369,7 +377,9 @@
         if wait_s < PREFILL_WAIT_S or not request.route.is_resumable:
             return False
         path_request = PathRequest(
-            request.expected_tokens, frozenset({stream.path.first.id})
+            request.expected_tokens,
+            frozenset({stream.path.first.id}),
+            avoid_first=self.rate_limiter.exhausted_targets(),
         )
         other = self.chooser.choose(request.service, path_request)
         if other is None:
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -23,7 +23,7 @@
     ExchangeFailure,
 )
 from chervilstall.edge.live import LiveStream
-from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.edge.rate_limits import AT_LIMIT, TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.stream_monitor import StreamMonitor
 from chervilstall.errors import ChervilstallError, ErrorKind
@@ -137,9 +137,11 @@
         return path
 
     def _no_path_reason(self) -> str:
-        if not self.attempts.is_reached:
-            return self._last_failure
-        return f"the attempts of the route are used up: {self._last_failure}"
+        if self.attempts.is_reached:
+            return f"the attempts of the route are used up: {self._last_failure}"
+        if self.context.rate_limiter.exhausted_targets():
+            return f"{self._last_failure}; {AT_LIMIT}"
+        return self._last_failure
 
     def _take_retry(self) -> bool:
         """Use a reserved retry, or take one from the budget."""
@@ -178,7 +180,12 @@
         self, avoid: set[TargetId], first: TargetId | None = None
     ) -> Path | None:
         request = self.request
-        path_request = PathRequest(request.expected_tokens, frozenset(avoid), first)
+        path_request = PathRequest(
+            request.expected_tokens,
+            frozenset(avoid),
+            first,
+            self.context.rate_limiter.exhausted_targets(),
+        )
         return self.context.chooser.choose(request.service, path_request)
 
     def _send(self, path: Path) -> ResponseHead:
@@ -213,6 +220,7 @@
             after_event=last_event,
         )
         sent_at_s = time.monotonic()
+        self.context.rate_limiter.record_send(path.first)
         head = exchange.send_request(request.remaining_s)
         self.context.rate_limiter.record_response(
             path.first, head.limit_per_s, sent_at_s
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -78,12 +78,14 @@
     """What a path is needed for.
 
     `tokens` is the expected size of the request. The path uses no target in `avoid`,
-    and where `first` is given it begins there.
+    and where `first` is given it begins there. It does not begin at a target in
+    `avoid_first`.
     """
 
     tokens: float
     avoid: frozenset[TargetId] = frozenset()
     first: TargetId | None = None
+    avoid_first: frozenset[TargetId] = frozenset()
 
 
 @dataclass
@@ -223,6 +225,8 @@
         if boundary == 0:
             if request.first is not None and target.id != request.first:
                 return None
+            if target.id in request.avoid_first:
+                return None
             is_remote = target.zone != self.zone
             return (REMOTE_ZONE_MS if is_remote else 0.0), None
         if target.state is TargetReadiness.DRAINING:
--- a/tests/edge/rate_limits.feature
+++ b/tests/edge/rate_limits.feature
@@ -12,3 +12,22 @@
       | what    |
       | lookups |
       | drafts  |
+
+  Scenario Outline: In 30 drawn fleets <case> no window has more than a limit allows
+    Then in 30 drawn fleets with <case> no window has more than the limit allows
+
+    Examples:
+      | case                          |
+      | nothing else                  |
+      | bursts at all routers at once |
+      | routers cut from the store    |
+      | restarts                      |
+      | routers that join             |
+      | requests long on their way    |
+      | many routers                  |
+
+  Scenario: A limit that is lifted ends at every router
+    Then in 30 drawn fleets a lifted limit is unknown to all routers 5 seconds later
+
+  Scenario: A limit is used up to the requests that it allows
+    Then in 30 drawn fleets at least half of what a limit allows is sent
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -40,6 +40,7 @@
 from chervilstall.telemetry.edge_metrics import EdgeMetrics, RequestOutcome
 from chervilstall.telemetry.events import EventLevel, EventWriter
 from tests.support.agent_fleet import eventually
+from tests.support.clock import Clock
 from tests.support.platform import BOUNDS, Platform
 
 LAYERS = 8
@@ -634,19 +635,6 @@
     assert context.budget.try_spend(SERVICE.name, is_resume=True)
 
 
-class Clock:
-    """A monotonic clock that steps set, until it is stopped."""
-
-    def __init__(self) -> None:
-        self.now_s = 1000.0
-        self.original = time.monotonic
-        time.monotonic = lambda: self.now_s
-
-    def stop(self) -> None:
-        """Restore the real clock."""
-        time.monotonic = self.original
-
-
 @given("a budget whose retries are all reserved and sent {after_s:d} seconds later")
 def reserve_all(context: Context, after_s: int) -> None:
     context.clock = Clock()
--- a/tests/steps/rate_limit_steps.py
+++ b/tests/steps/rate_limit_steps.py
@@ -1,5 +1,6 @@
 """Steps for the limits on the rate of requests that targets name."""
 
+import random
 import time
 from dataclasses import dataclass, field
 
@@ -12,8 +13,14 @@
 from chervilstall.standin.platform_fixtures import LAYERS
 from tests.support.agent_fleet import eventually
 from tests.support.platform import ZONES, Platform, send
+from tests.support.rate_limit_fleet import (
+    DURATION_S,
+    FleetCase,
+    LimitedFleet,
+)
 from tests.support.rate_limit_rule import Arrival, check_arrivals
 
+DRAWN_FLEETS = 30
 ROUTE_PATHS = {"lookups": "/lookup/a", "drafts": "/draft/x"}
 DRAFT_EVENTS = 3
 
@@ -107,3 +114,84 @@
 def check_all_served(context: Context) -> None:
     statuses = context.load.statuses
     assert statuses and set(statuses) == {200}, statuses
+
+
+# Drawn fleets, without a network
+
+
+def drawn_case(rng: random.Random, **changes: object) -> FleetCase:
+    """Return a case with a drawn size and limit; `changes` replace its fields."""
+    fields: dict = {
+        "routers": rng.choice((1, 2, 3, 6, 7, 12, 20)),
+        "limit_per_s": rng.choice((0.3, 0.8, 1.3, 2.8, 6.0, 15.0)),
+    }
+    return FleetCase(**{**fields, **changes})
+
+
+def case_changes(rng: random.Random, case: str) -> dict[str, object]:
+    """Return the changes to a drawn case that a row of the feature names."""
+    match case:
+        case "bursts at all routers at once":
+            return {"burst_requests": 200}
+        case "routers cut from the store":
+            return {"routers": rng.choice((3, 6, 7)), "cut_routers": 2, "joins": 1}
+        case "restarts":
+            return {"restarts": rng.randint(1, 3)}
+        case "routers that join":
+            return {"joins": rng.randint(1, 2)}
+        case "requests long on their way":
+            return {"late_s": 0.5}
+        case "many routers":
+            return {
+                "routers": 77,
+                "store_lag_s": 0.9,
+                "limit_per_s": rng.choice((2.8, 6.0, 15.0)),
+                "burst_requests": 100,
+            }
+    return {}
+
+
+@then("in 30 drawn fleets with {case} no window has more than the limit allows")
+def check_drawn_fleets(context: Context, case: str) -> None:
+    for seed in range(DRAWN_FLEETS):
+        rng = random.Random(seed)
+        drawn = drawn_case(rng, **case_changes(rng, case))
+        fleet = LimitedFleet(drawn, rng)
+        fleet.play()
+        try:
+            check_arrivals(
+                fleet.arrivals, fleet.told_at_s, fleet.named_at_s, drawn.limit_per_s
+            )
+        except AssertionError as error:
+            raise AssertionError(f"seed {seed}, {drawn}: {error}") from error
+
+
+@then(
+    "in 30 drawn fleets a lifted limit is unknown to all routers {after_s:d} seconds "
+    "later"
+)
+def check_lifted(context: Context, after_s: int) -> None:
+    for seed in range(DRAWN_FLEETS):
+        rng = random.Random(seed)
+        lifted_at_s = DURATION_S - after_s
+        limit_per_s = rng.choice((2.8, 6.0, 15.0))
+        drawn = drawn_case(rng, limit_per_s=limit_per_s, lifted_at_s=lifted_at_s)
+        fleet = LimitedFleet(drawn, rng)
+        fleet.play()
+        assert fleet.known_limits() == 0, f"seed {seed}, {drawn}"
+
+
+@then("in 30 drawn fleets at least half of what a limit allows is sent")
+def check_used(context: Context) -> None:
+    sent = 0
+    expected = 0.0
+    for seed in range(DRAWN_FLEETS):
+        rng = random.Random(seed)
+        drawn = drawn_case(rng, limit_per_s=rng.choice((1.3, 2.8, 6.0)))
+        fleet = LimitedFleet(drawn, rng)
+        fleet.play()
+        first_s = fleet.named_at_s + 8.0
+        last_s = fleet.began_at_s + DURATION_S
+        sent += sum(first_s < each.at_s < last_s for each in fleet.arrivals)
+        expected += drawn.limit_per_s * (last_s - first_s) / 2.0
+    assert sent >= expected, f"{sent} of {expected}"
