Plan no token through a zone in which it runs no layer

What callers could see: a chain over a link that the plan gave no capacity.

Cause: the linear program let a token cross two links in a row. The chain template keeps stages only, so the zone in between was lost and the chain used the direct link, of capacity 0 in the known case.

Change: a node is a zone, a position and the side of a stage; links lead from the exit of a stage to the entry of the next, so a layer runs between two.

--- a/src/chervilstall/routing/flow.py
+++ b/src/chervilstall/routing/flow.py
@@ -1,16 +1,19 @@
 """Maximum token rate of a capability, and the chains that reach it.
 
-The rate is the maximum flow through a graph whose nodes are pairs of availability
-zone and layer position. Interchangeable engines form one class, so the size of the
-problem depends on the number of zones, accelerator types and distinct layer ranges,
-never on the number of targets. A class that runs the layers [a, b) for one token
-spends b − a layer tokens of its capacity; a token that moves between zones spends one
-token of the link's capacity. The linear program is solved by SciPy's HiGHS solver,
-and its flow is then decomposed into chains.
+The rate is the maximum flow through a graph whose nodes are availability zone and
+layer position, once before and once after a stage, so that a token that changes zones
+runs a layer before it changes again. Interchangeable engines form one class, so the
+size of the problem depends on the number of zones, accelerator types and distinct
+layer ranges, never on the number of targets. A class that runs the layers [a, b) for
+one token spends b − a layer tokens of its capacity; a token that moves between zones
+spends one token of the link's capacity. The linear program is solved by SciPy's HiGHS
+solver, and its flow is then decomposed into chains.
 """
 
 from collections import defaultdict
 from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
 
 import numpy as np
 from scipy.optimize import linprog
@@ -25,14 +28,27 @@
 STAGE_COST = 1e-4
 """Cost per token and stage; of equal plans the one with fewer stages wins."""
 
+INFINITY = float("inf")
 FLOW_SHARE_MIN = 1e-4
 """Part of the total flow up to which a remainder is dropped as rounding error."""
 
 BINDING_MARGINAL_MIN = 1e-6
 """Dual value above which a constraint counts as limiting."""
 
-Node = tuple[str, int]
-"""A zone, and the number of layers that a token has passed."""
+
+class Side(Enum):
+    """Whether a token enters a stage next, or has just left one."""
+
+    ENTRY = "entry"
+    EXIT = "exit"
+
+
+class Node(NamedTuple):
+    """A zone, the number of layers that a token has passed, and the side of a stage."""
+
+    zone: str
+    position: int
+    side: Side
 
 
 @dataclass(frozen=True)
@@ -104,7 +120,7 @@
 def solve_flow(
     fleet: CapabilityFleet,
     links_tokens_per_s: dict[tuple[str, str], float],
-    default_link_tokens_per_s: float = float("inf"),
+    default_link_tokens_per_s: float = INFINITY,
 ) -> FlowPlan:
     """Return the plan with the maximum token rate, empty if no chain exists.
 
@@ -129,7 +145,7 @@
 def _total_flow(program: _LinearProgram, flows: np.ndarray) -> float:
     total = 0.0
     for edge, flow in zip(program.edges, flows):
-        if edge.source[1] == 0:
+        if edge.source.position == 0:
             total += float(flow)
     return total
 
@@ -149,12 +165,16 @@
     zones = sorted({stage_class.zone for stage_class in fleet.classes})
     for zone in zones:
         for other in zones:
-            capacity = links.get((zone, other), default_link)
-            if zone == other or capacity <= 0.0:
+            is_link = zone != other
+            capacity = links.get((zone, other), default_link) if is_link else INFINITY
+            if capacity <= 0.0:
                 continue
+            row = f"link {zone} to {other}" if is_link else f"within {zone}"
             for position in positions[1:-1]:
-                edge = _Edge((zone, position), (other, position), LINK_COST)
-                program.add(edge, f"link {zone} to {other}", 1.0, capacity)
+                source = Node(zone, position, Side.EXIT)
+                sink = Node(other, position, Side.ENTRY)
+                edge = _Edge(source, sink, LINK_COST if is_link else 0.0)
+                program.add(edge, row, 1.0, capacity)
     return program
 
 
@@ -177,7 +197,9 @@
     for index, first in enumerate(own_positions):
         for end in own_positions[index + 1 :]:
             stage = StageSlice(stage_class, first, end)
-            edge = _Edge((zone, first), (zone, end), STAGE_COST, stage)
+            source = Node(zone, first, Side.ENTRY)
+            sink = Node(zone, end, Side.EXIT)
+            edge = _Edge(source, sink, STAGE_COST, stage)
             program.add(edge, row, float(end - first), capacity)
 
 
@@ -189,12 +211,12 @@
     for edge in edges:
         nodes.setdefault(edge.source, len(nodes))
         nodes.setdefault(edge.sink, len(nodes))
-    inner = [node for node in nodes if node[1] not in (0, layers)]
+    inner = [node for node in nodes if node.position not in (0, layers)]
     inner_rows = {node: row for row, node in enumerate(inner)}
     balance: list[tuple[int, int, float]] = []
     costs = np.empty(len(edges))
     for column, edge in enumerate(edges):
-        costs[column] = edge.cost - (1.0 if edge.source[1] == 0 else 0.0)
+        costs[column] = edge.cost - (1.0 if edge.source.position == 0 else 0.0)
         if edge.source in inner_rows:
             balance.append((inner_rows[edge.source], column, -1.0))
         if edge.sink in inner_rows:
@@ -235,7 +257,7 @@
     for index in remaining:
         outgoing[program.edges[index].source].append(index)
     rates: dict[tuple[StageSlice, ...], float] = defaultdict(float)
-    starts = [node for node in outgoing if node[1] == 0]
+    starts = [node for node in outgoing if node.position == 0]
     for start in starts:
         while True:
             path = _widest_path(program, remaining, outgoing, start, layers, flow_min)
@@ -259,7 +281,7 @@
     node = start
     path: list[int] = []
     visited = {start}
-    while node[1] != layers:
+    while node.position != layers:
         widest = max(outgoing[node], key=lambda index: remaining[index], default=None)
         if widest is None or remaining[widest] <= flow_min:
             return None
