--- a/src/chervilstall/commands/edge.py
+++ b/src/chervilstall/commands/edge.py
@@ -8,13 +8,18 @@
 """
 
 import gc
+import signal
+
+# Until the reload handler is installed, SIGHUP would end the process. Ignoring it loses
+# nothing: the settings are read later, and a change of the file after that is noticed
+# without a signal.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 # Objects created at startup are long-lived, so collections would only slow it down.
 # `tune_garbage_collector` enables collection again once the router has started.
 gc.disable()
 
 import os
-import signal
 import sys
 from pathlib import Path
 
@@ -26,10 +31,6 @@
 
 def serve(path: Path) -> ExitCode:
     """Run the router until SIGTERM or SIGINT."""
-    # Until the reload handler is installed, SIGHUP would end the process. Ignoring it
-    # loses nothing: the settings are read below, and a later change of the file is
-    # noticed without a signal.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     settings = read_node(path)
     listener = bind_listener(settings.frontend_address)
 
