Name edge modules after what they do, and split two that had grown

edge/reach, pace, live and splits are zone_prober, slow_targets, live_stream and traffic_split. No change of behaviour; 148 scenarios of edge, paths, fleet and placement pass.

--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -14,8 +14,8 @@
 from chervilstall.edge.exchange import CompleteResponse
 from chervilstall.edge.plain_relay import PlainRelay
 from chervilstall.edge.request import EdgeRequest
-from chervilstall.edge.splits import choose_service
 from chervilstall.edge.stream_relay import StreamBroken, StreamContext, StreamRelay
+from chervilstall.edge.traffic_split import choose_service
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.records import Route, RouterConfiguration
 from chervilstall.fleet.view import FleetView
--- a/src/chervilstall/edge/outage.py
+++ b/src/chervilstall/edge/outage.py
@@ -12,7 +12,8 @@
 
 from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.fleet.records import Service, Target
-from chervilstall.fleet.view import FleetView, SuspicionKind
+from chervilstall.fleet.suspicion import SuspicionKind
+from chervilstall.fleet.view import FleetView
 from chervilstall.ids import ZoneName
 from chervilstall.placement.planner import PlacementPlanner
 from chervilstall.platform.targets import TargetHealth, fetch_health, fetch_report
--- a/src/chervilstall/edge/registry.py
+++ b/src/chervilstall/edge/registry.py
@@ -12,7 +12,8 @@
 from chervilstall.edge.budget import FleetRetryBudget
 from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.fleet.pruning import retain_keys
-from chervilstall.fleet.view import FleetView, SuspicionKind
+from chervilstall.fleet.suspicion import SuspicionKind
+from chervilstall.fleet.view import FleetView
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.paths.choice import PathChooser
 from chervilstall.placement.planner import PlacementPlanner
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -14,17 +14,18 @@
 from chervilstall.edge.budget import FleetRetryBudget
 from chervilstall.edge.limit_sharing import LIMITS_PREFIX, LimitSharing
 from chervilstall.edge.outage import OutagePoller
-from chervilstall.edge.pace import SlowTargetDetector
 from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
 from chervilstall.edge.rate_limits import TargetRateLimiter
-from chervilstall.edge.reach import ZoneProber
 from chervilstall.edge.registry import ROUTERS_ASSUMED, RouterRegistry
+from chervilstall.edge.slow_targets import SlowTargetDetector
 from chervilstall.edge.store_probe import StoreProbe
 from chervilstall.edge.stream_monitor import StreamMonitor
 from chervilstall.edge.stream_relay import StreamContext
+from chervilstall.edge.zone_prober import ZoneProber
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.records import Target
-from chervilstall.fleet.view import FleetView, SuspicionKind
+from chervilstall.fleet.suspicion import SuspicionKind
+from chervilstall.fleet.view import FleetView
 from chervilstall.lease.holder import LeaseHolder
 from chervilstall.paths.choice import PathChooser
 from chervilstall.placement.planner import PlacementPlanner
--- a/src/chervilstall/edge/pace.py
+++ b/src/chervilstall/edge/slow_targets.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from chervilstall.edge.live import LiveStream
+from chervilstall.edge.live_stream import LiveStream
 from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target
--- a/src/chervilstall/edge/stream_monitor.py
+++ b/src/chervilstall/edge/stream_monitor.py
@@ -2,8 +2,8 @@
 
 When a target in the middle of a path dies, every request behind it hangs for seconds.
 One task checks all streams. For a silent stream it queries the first target of the path
-for the target that it waits for, and reroutes all streams around that target. If no
-other path exists, it ends the exchange, and the relay resumes over another path.
+for the target that it waits for, and has all streams rerouted around that target. If no
+other path exists, the exchange is ended, and the relay resumes over another path.
 """
 
 import time
@@ -14,21 +14,20 @@
 
 from chervilstall.edge.budget import FleetRetryBudget
 from chervilstall.edge.exchange import ExchangeFailure
-from chervilstall.edge.live import EVENT_SILENCE_LIMIT_S, LiveStream
-from chervilstall.edge.pace import SlowTargetDetector
+from chervilstall.edge.live_stream import EVENT_SILENCE_LIMIT_S, LiveStream
 from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
+from chervilstall.edge.slow_targets import SlowTargetDetector
+from chervilstall.edge.stream_rerouter import StreamRerouter
 from chervilstall.fleet.pruning import retain_keys
-from chervilstall.fleet.records import Target, TargetReadiness
-from chervilstall.fleet.view import FleetView, SuspicionKind
+from chervilstall.fleet.records import Target
+from chervilstall.fleet.suspicion import SuspicionKind
+from chervilstall.fleet.view import FleetView
 from chervilstall.ids import RequestId, TargetId
-from chervilstall.paths.choice import PathChooser, PathRequest
-from chervilstall.paths.records import Path, PathStage
+from chervilstall.paths.choice import PathChooser
 from chervilstall.platform.targets import (
-    RepathOrder,
     TargetReport,
     fetch_report,
-    send_order,
 )
 from chervilstall.telemetry.events import EventLog
 
@@ -52,9 +51,6 @@
 SILENCE_MAX_S = 1.2
 """Silence after which an exchange is ended although no target is known to be faulty."""
 
-PREFILL_WAIT_S = 0.12
-"""Wait for a new prefill from which other first targets are considered."""
-
 QUEUE_REPORT_VALID_S = 2.5
 """Time for which a target's report holds that requests are queued there."""
 
@@ -67,7 +63,7 @@
     """Finds silent streams of one router and ends or reroutes them.
 
     `streams` holds the open exchanges by request ID. `on_silence` is called with the
-    first target of a silent stream.
+    first target of a silent stream. `rerouter` leads streams around targets.
     """
 
     fleet_view: FleetView
@@ -84,6 +80,15 @@
     _first_event_at_s: dict[TargetId, float] = field(default_factory=dict)
     _generation: int = -1
 
+    def __post_init__(self) -> None:
+        self.rerouter = StreamRerouter(
+            self.fleet_view,
+            self.chooser,
+            self.rate_limiter,
+            self.streams,
+            self._end_exchange,
+        )
+
     def run(self) -> None:
         """Check all streams until the process ends; one task runs this."""
         while True:
@@ -119,7 +124,7 @@
             self.on_silence(stream.path.first)
         if self._generation != self.fleet_view.generation:
             self._generation = self.fleet_view.generation
-            self._reroute_from_leaving()
+            self.rerouter.reroute_from_leaving()
         self.slow_detector.step(self.streams, now_s)
 
     def _should_end(self, stream: LiveStream, now_s: float) -> bool:
@@ -293,118 +298,10 @@
                 continue
             reason = f"stalls requests sent through {first.id}"
             self.fleet_view.suspect(target, reason, kind=SuspicionKind.STALLING)
-            self.reroute_around(target)
+            self.rerouter.reroute_around(target)
 
     def _end_stalled(self, request_id: RequestId) -> None:
         """End a stalled stream's exchange so that the relay uses another path."""
         stream = self.streams.get(request_id)
         if stream is not None and stream.silence_s > stream.silence_limit_s:
             self._end_exchange(stream)
-
-    def reroute_around(self, target: Target) -> None:
-        """Reroute every stream whose path contains a target."""
-        for stream in list(self.streams.values()):
-            if stream.passes_through(target):
-                self._start_reroute(stream, target)
-
-    def _reroute_from_leaving(self) -> None:
-        """Reroute streams around targets that drain or are in an unreachable zone.
-
-        Streams stay where a target only unloads layers: it waits for the requests that
-        use them, and rerouting many streams at once stalls all of them while their
-        prompts are prefilled again.
-        """
-        for stream in list(self.streams.values()):
-            for stage in stream.path.stages[1:]:
-                if self._has_to_leave(stage):
-                    self._start_reroute(stream, stage.target)
-                    break
-
-    def _has_to_leave(self, stage: PathStage) -> bool:
-        target = self.fleet_view.targets.get(stage.target.id)
-        if target is None or target.incarnation != stage.target.incarnation:
-            # The streams of a target that is gone are found by their silence.
-            return False
-        if target.state is TargetReadiness.DRAINING:
-            return True
-        return target.zone in self.fleet_view.unreachable_zones
-
-    def _start_reroute(self, stream: LiveStream, avoided: Target) -> None:
-        if not stream.is_rerouting:
-            stream.is_rerouting = True
-            gevent.spawn(self._reroute, stream, avoided)
-
-    def _reroute(self, stream: LiveStream, avoided: Target) -> None:
-        try:
-            self._reroute_once(stream, avoided)
-        finally:
-            stream.is_rerouting = False
-
-    def _reroute_once(self, stream: LiveStream, avoided: Target) -> None:
-        first = stream.path.first
-        is_leaving = not self.fleet_view.is_suspected(avoided)
-        path = None
-        if first.incarnation != avoided.incarnation:
-            path_request = PathRequest(
-                stream.request.expected_tokens,
-                frozenset({avoided.id}),
-                first.id,
-            )
-            path = self.chooser.choose(stream.request.service, path_request)
-        if path is None:
-            if not is_leaving:
-                self._end_exchange(stream)
-            return
-        if (
-            not is_leaving
-            and self._is_faster_elsewhere(stream, path)
-            and self._end_exchange(stream)
-        ):
-            return
-        self._order_reroute(stream, path, avoided)
-
-    def _is_faster_elsewhere(self, stream: LiveStream, path: Path) -> bool:
-        """Return whether a stream would stall for less time with another first target.
-
-        All streams of a lost target would use the same few others, which prefill one
-        prompt after the other, or another zone, to which all share one link.
-        """
-        request = stream.request
-        pipeline = request.service.pipeline
-        assert pipeline is not None
-        tokens = request.prefill_tokens
-        wait_s = self.chooser.prefill_wait_s(pipeline, path, tokens, stream.path)
-        if wait_s < PREFILL_WAIT_S or not request.route.is_resumable:
-            return False
-        path_request = PathRequest(
-            request.expected_tokens,
-            frozenset({stream.path.first.id}),
-            avoid_first=self.rate_limiter.exhausted_targets(),
-        )
-        other = self.chooser.choose(request.service, path_request)
-        if other is None:
-            return False
-        return self.chooser.prefill_wait_s(pipeline, other, tokens) < wait_s / 2.0
-
-    def _order_reroute(self, stream: LiveStream, path: Path, avoided: Target) -> None:
-        first = stream.path.first
-        request = stream.request
-        assert request.service.pipeline is not None
-        self.chooser.note_prefill(
-            request.service.pipeline, path, request.prefill_tokens, stream.path
-        )
-        response = send_order(first.address, RepathOrder(request.request_id, path))
-        log.warning(
-            "stream led around a target",
-            request=request.request_id,
-            around=avoided.id,
-            first=first.id,
-            status=response.status,
-        )
-        if response.is_accepted:
-            self.chooser.load.remove(stream.path, request.expected_tokens)
-            stream.path = path
-            self.chooser.load.add(path, request.expected_tokens)
-            stream.last_event_at_s = time.monotonic()
-        elif self.fleet_view.is_suspected(avoided):
-            self._end_exchange(stream)
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -22,7 +22,7 @@
     ExchangeFailed,
     ExchangeFailure,
 )
-from chervilstall.edge.live import LiveStream
+from chervilstall.edge.live_stream import LiveStream
 from chervilstall.edge.rate_limits import AT_LIMIT, TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.stream_monitor import StreamMonitor
--- /dev/null
+++ b/src/chervilstall/edge/stream_rerouter.py
@@ -0,0 +1,149 @@
+"""Rerouting of streams around a target, with an order to the first target.
+
+The first target then runs the rest of a stream over other targets. The stream goes on
+in the same exchange, so it costs no retry.
+"""
+
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+import gevent
+
+from chervilstall.edge.live_stream import LiveStream
+from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.fleet.records import Target, TargetReadiness
+from chervilstall.fleet.view import FleetView
+from chervilstall.ids import RequestId
+from chervilstall.paths.choice import PathChooser, PathRequest
+from chervilstall.paths.records import Path, PathStage
+from chervilstall.platform.targets import RepathOrder, send_order
+from chervilstall.telemetry.events import EventLog
+
+log = EventLog("edge")
+
+PREFILL_WAIT_S = 0.12
+"""Wait for a new prefill from which other first targets are considered."""
+
+
+@dataclass
+class StreamRerouter:
+    """Gives streams another path with the same first target.
+
+    `streams` holds the open exchanges by request ID. `end_exchange` ends a stream's
+    exchange, so that it is resumed over another path, and returns whether it did.
+    """
+
+    fleet_view: FleetView
+    chooser: PathChooser
+    rate_limiter: TargetRateLimiter
+    streams: Mapping[RequestId, LiveStream]
+    end_exchange: Callable[[LiveStream], bool]
+
+    def reroute_around(self, target: Target) -> None:
+        """Reroute every stream whose path contains a target."""
+        for stream in list(self.streams.values()):
+            if stream.passes_through(target):
+                self._start_reroute(stream, target)
+
+    def reroute_from_leaving(self) -> None:
+        """Reroute streams around targets that drain or are in an unreachable zone.
+
+        Streams stay where a target only unloads layers: it waits for the requests that
+        use them, and rerouting many streams at once stalls all of them while their
+        prompts are prefilled again.
+        """
+        for stream in list(self.streams.values()):
+            for stage in stream.path.stages[1:]:
+                if self._has_to_leave(stage):
+                    self._start_reroute(stream, stage.target)
+                    break
+
+    def _has_to_leave(self, stage: PathStage) -> bool:
+        target = self.fleet_view.targets.get(stage.target.id)
+        if target is None or target.incarnation != stage.target.incarnation:
+            # The streams of a target that is gone are found by their silence.
+            return False
+        if target.state is TargetReadiness.DRAINING:
+            return True
+        return target.zone in self.fleet_view.unreachable_zones
+
+    def _start_reroute(self, stream: LiveStream, avoided: Target) -> None:
+        if not stream.is_rerouting:
+            stream.is_rerouting = True
+            gevent.spawn(self._reroute, stream, avoided)
+
+    def _reroute(self, stream: LiveStream, avoided: Target) -> None:
+        try:
+            self._reroute_once(stream, avoided)
+        finally:
+            stream.is_rerouting = False
+
+    def _reroute_once(self, stream: LiveStream, avoided: Target) -> None:
+        first = stream.path.first
+        is_leaving = not self.fleet_view.is_suspected(avoided)
+        path = None
+        if first.incarnation != avoided.incarnation:
+            path_request = PathRequest(
+                stream.request.expected_tokens,
+                frozenset({avoided.id}),
+                first.id,
+            )
+            path = self.chooser.choose(stream.request.service, path_request)
+        if path is None:
+            if not is_leaving:
+                self.end_exchange(stream)
+            return
+        if (
+            not is_leaving
+            and self._is_faster_elsewhere(stream, path)
+            and self.end_exchange(stream)
+        ):
+            return
+        self._order_reroute(stream, path, avoided)
+
+    def _is_faster_elsewhere(self, stream: LiveStream, path: Path) -> bool:
+        """Return whether a stream would stall for less time with another first target.
+
+        All streams of a lost target would use the same few others, which prefill one
+        prompt after the other, or another zone, to which all share one link.
+        """
+        request = stream.request
+        pipeline = request.service.pipeline
+        assert pipeline is not None
+        tokens = request.prefill_tokens
+        wait_s = self.chooser.prefill_wait_s(pipeline, path, tokens, stream.path)
+        if wait_s < PREFILL_WAIT_S or not request.route.is_resumable:
+            return False
+        path_request = PathRequest(
+            request.expected_tokens,
+            frozenset({stream.path.first.id}),
+            avoid_first=self.rate_limiter.exhausted_targets(),
+        )
+        other = self.chooser.choose(request.service, path_request)
+        if other is None:
+            return False
+        return self.chooser.prefill_wait_s(pipeline, other, tokens) < wait_s / 2.0
+
+    def _order_reroute(self, stream: LiveStream, path: Path, avoided: Target) -> None:
+        first = stream.path.first
+        request = stream.request
+        assert request.service.pipeline is not None
+        self.chooser.note_prefill(
+            request.service.pipeline, path, request.prefill_tokens, stream.path
+        )
+        response = send_order(first.address, RepathOrder(request.request_id, path))
+        log.warning(
+            "stream led around a target",
+            request=request.request_id,
+            around=avoided.id,
+            first=first.id,
+            status=response.status,
+        )
+        if response.is_accepted:
+            self.chooser.load.remove(stream.path, request.expected_tokens)
+            stream.path = path
+            self.chooser.load.add(path, request.expected_tokens)
+            stream.last_event_at_s = time.monotonic()
+        elif self.fleet_view.is_suspected(avoided):
+            self.end_exchange(stream)
--- a/src/chervilstall/fleet/view.py
+++ b/src/chervilstall/fleet/view.py
@@ -7,7 +7,6 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
-from enum import Enum
 
 from gevent.event import Event
 
@@ -18,6 +17,7 @@
     TargetIncarnation,
     TargetReadiness,
 )
+from chervilstall.fleet.suspicion import Suspicion, SuspicionKind
 from chervilstall.ids import ServiceName, TargetId, ZoneName
 from chervilstall.telemetry.events import EventLog
 
@@ -52,29 +52,6 @@
 """Change of that ratio above which it is logged and starts a new generation."""
 
 
-class SuspicionKind(Enum):
-    """Why a target is avoided.
-
-    SILENT: it does not answer. REFUSING: it answers and refuses work. STALLING: other
-    targets report requests that wait for it.
-    """
-
-    SILENT = "silent"
-    REFUSING = "refusing"
-    STALLING = "stalling"
-
-
-@dataclass
-class Suspicion:
-    """Why a target is avoided, and until when.
-
-    `until_s` is a time of the monotonic clock in seconds.
-    """
-
-    kind: SuspicionKind
-    until_s: float
-
-
 @dataclass
 class FleetView:
     """What this process knows about the fleet: configuration, targets, suspicions.
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass, field
 
 from chervilstall.fleet.records import (
-    BYTES_PER_MB,
     LayerRange,
     Pipeline,
     Service,
@@ -22,6 +21,7 @@
 )
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import TargetId, ZoneName
+from chervilstall.paths.capacity import step_factor, token_capacity
 from chervilstall.paths.load import LoadTracker
 from chervilstall.paths.records import Path, PathStage
 
@@ -68,9 +68,6 @@
 
 SLOW_MS = 15.0
 STAGES_MAX = 32
-UNKNOWN_STEP_FACTOR = 20.0
-TOKEN_MB_MIN = 1e-9
-"""Avoids a division by zero for a model whose tokens take no memory."""
 
 
 @dataclass(frozen=True)
@@ -244,14 +241,14 @@
 
     def _layer_ms(self, pipeline: Pipeline, target: Target) -> float:
         slowness = self.fleet_view.slowness.get(target.incarnation, 1.0)
-        factor = _step_factor(pipeline, target)
+        factor = step_factor(pipeline, target)
         return pipeline.step_ms * factor * slowness / pipeline.layers
 
     def step_ms(self, pipeline: Pipeline, path: Path) -> float:
         """Return the expected decode step time of a path without slow targets."""
         total_ms = 0.0
         for stage in path.stages:
-            factor = _step_factor(pipeline, stage.target)
+            factor = step_factor(pipeline, stage.target)
             share = len(stage.layers) / pipeline.layers
             total_ms += HOP_MS + pipeline.step_ms * factor * share
         return total_ms
@@ -347,26 +344,6 @@
     return [stage for stage in path.stages if stage not in before.stages]
 
 
-def _step_factor(pipeline: Pipeline, target: Target) -> float:
-    """Return a target's decode step time divided by that of the fastest accelerator."""
-    accelerator = pipeline.accelerators.get(target.accelerator)
-    return accelerator.step_factor if accelerator is not None else UNKNOWN_STEP_FACTOR
-
-
-def token_capacity(pipeline: Pipeline, target: Target) -> float:
-    """Return how many tokens of requests fit beside the layers that a target holds.
-
-    It is 0 for a target without layers or of an unknown accelerator type.
-    """
-    accelerator = pipeline.accelerators.get(target.accelerator)
-    held = len(target.layers)
-    if accelerator is None or not held:
-        return 0.0
-    free_mb = accelerator.memory_mb - held * pipeline.layer_mb
-    token_mb = pipeline.kv_bytes_per_token / pipeline.layers * held / BYTES_PER_MB
-    return max(0.0, free_mb / max(token_mb, TOKEN_MB_MIN))
-
-
 def _boundaries(targets: Iterable[Target], layers: int) -> list[int]:
     boundaries = {0, layers}
     for target in targets:
--- a/src/chervilstall/placement/planner.py
+++ b/src/chervilstall/placement/planner.py
@@ -19,7 +19,8 @@
     TargetIncarnation,
     TargetReadiness,
 )
-from chervilstall.fleet.view import FleetView, SuspicionKind
+from chervilstall.fleet.suspicion import SuspicionKind
+from chervilstall.fleet.view import FleetView
 from chervilstall.ids import TargetId
 from chervilstall.lease.holder import LeaseHolder, LeaseTerm, boot_clock_s
 from chervilstall.placement.group import LayerHolder
--- a/src/chervilstall/platform/suspicions.py
+++ b/src/chervilstall/platform/suspicions.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chervilstall.fleet.view import SuspicionKind
+from chervilstall.fleet.suspicion import SuspicionKind
 from chervilstall.ids import TargetId, VmId, ZoneName
 
 
--- a/tests/steps/edge_steps.py
+++ b/tests/steps/edge_steps.py
@@ -10,7 +10,7 @@
 from behave.runner import Context
 
 from chervilstall.edge import stream_monitor
-from chervilstall.edge.splits import choose_service
+from chervilstall.edge.traffic_split import choose_service
 from chervilstall.fleet.records import (
     LayerRange,
     Route,
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -20,10 +20,12 @@
     Target,
     TargetReadiness,
 )
-from chervilstall.fleet.view import FleetView, SuspicionKind
+from chervilstall.fleet.suspicion import SuspicionKind
+from chervilstall.fleet.view import FleetView
 from chervilstall.ids import ServiceName, TargetId, ZoneName
 from chervilstall.paths import choice
-from chervilstall.paths.choice import PathChooser, PathRequest, token_capacity
+from chervilstall.paths.capacity import token_capacity
+from chervilstall.paths.choice import PathChooser, PathRequest
 from chervilstall.paths.records import PathStage
 from chervilstall.platform.config import decode_configuration
 from chervilstall.platform.kv import PlatformStore
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -9,7 +9,8 @@
 from behave.runner import Context
 
 from chervilstall.fleet.records import NO_LAYERS, AcceleratorType, LayerRange, Pipeline
-from chervilstall.fleet.view import FleetView, SuspicionKind
+from chervilstall.fleet.suspicion import SuspicionKind
+from chervilstall.fleet.view import FleetView
 from chervilstall.ids import Epoch, TargetId, VmId, ZoneName
 from chervilstall.lease.holder import LeaseHolder
 from chervilstall.placement.group import LayerHolder
