--- a/src/chervilstall/agent/claims.py
+++ b/src/chervilstall/agent/claims.py
@@ -9,7 +9,8 @@
 
 from chervilstall.agent.roles import RoleName, slot_name, slot_role
 from chervilstall.errors import ChervilstallError
-from chervilstall.idempotency.home import HomeState, SlotHome, slot_for_key
+from chervilstall.idempotency.home import HomeState, SlotHome
+from chervilstall.idempotency.local_claims import slot_for_key
 from chervilstall.idempotency.log import LogFenced
 from chervilstall.ids import SlotName
 from chervilstall.lease.holder import LeaseTerm
--- a/src/chervilstall/idempotency/home.py
+++ b/src/chervilstall/idempotency/home.py
@@ -19,7 +19,6 @@
 import gevent
 from gevent.event import Event
 
-from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.idempotency.log import LogFenced, SegmentLog
 from chervilstall.idempotency.records import (
     ClaimRecord,
@@ -42,7 +41,6 @@
     Repeated,
     Unavailable,
 )
-from chervilstall.rendezvous import rendezvous_choice
 from chervilstall.settings.agents import IdempotencySettings
 from chervilstall.store.contract import Store, StoreFailed
 
@@ -372,31 +370,3 @@
 
 def _is_closed(records: tuple[Record, ...]) -> bool:
     return any(isinstance(record, CloseRecord) for record in records)
-
-
-class LocalClaimService:
-    """Claim service over homes in the same process, for embedding and tests."""
-
-    def __init__(self, homes: dict[SlotName, SlotHome]) -> None:
-        self.homes = homes
-
-    def claim(self, request: ClaimRequest) -> ClaimAnswer:
-        """Claim a key at the home of its slot."""
-        return self.homes[slot_for_key(request.key, list(self.homes))].claim(request)
-
-    def report(self, report: OutcomeReport) -> bool:
-        """Report an outcome at the home of the key's slot."""
-        return self.homes[slot_for_key(report.key, list(self.homes))].report(report)
-
-
-def slot_for_key(key: str, slots: list[SlotName]) -> SlotName:
-    """Return the slot that a key belongs to, by rendezvous hashing.
-
-    Raises HOME_UNAVAILABLE if `slots` is empty.
-    """
-    chosen = rendezvous_choice(key, slots)
-    if chosen is None:
-        raise ChervilstallError(
-            ErrorKind.HOME_UNAVAILABLE, "no idempotency slots are configured"
-        )
-    return SlotName(chosen)
--- a/src/chervilstall/measure/effects.py
+++ b/src/chervilstall/measure/effects.py
@@ -14,7 +14,8 @@
 import gevent
 import msgspec
 
-from chervilstall.idempotency.home import HomeState, LocalClaimService, SlotHome
+from chervilstall.idempotency.home import HomeState, SlotHome
+from chervilstall.idempotency.local_claims import LocalClaimService
 from chervilstall.ids import Epoch
 from chervilstall.measure.testbed import (
     CallResult,
--- a/src/chervilstall/measure/helpers.py
+++ b/src/chervilstall/measure/helpers.py
@@ -21,7 +21,7 @@
 from chervilstall.gateway.auth import token_digest  # noqa: E402
 from chervilstall.gateway.runtime import RouterRuntime, RouterSettings  # noqa: E402
 from chervilstall.gateway.server import RouterServer  # noqa: E402
-from chervilstall.idempotency.home import LocalClaimService  # noqa: E402
+from chervilstall.idempotency.local_claims import LocalClaimService  # noqa: E402
 from chervilstall.ids import Revision, VmId, ZoneName  # noqa: E402
 from chervilstall.measure.agents import serve_agents  # noqa: E402
 from chervilstall.settings.connections import TargetSettings  # noqa: E402
--- a/src/chervilstall/standin/embedded.py
+++ b/src/chervilstall/standin/embedded.py
@@ -16,7 +16,8 @@
 from chervilstall.configuration.treefile import read_tree_file
 from chervilstall.gateway.runtime import RouterRuntime, RouterSettings
 from chervilstall.gateway.server import RouterServer
-from chervilstall.idempotency.home import LocalClaimService, SlotHome
+from chervilstall.idempotency.home import SlotHome
+from chervilstall.idempotency.local_claims import LocalClaimService
 from chervilstall.ids import Epoch, Revision, SlotName
 from chervilstall.settings.agents import IdempotencySettings
 from chervilstall.settings.ini import read_sections
