Stop using a target that says in a response that it leaves

The router knew of leaving from entries only, so a target whose entry stays ready got work to its end.

The target counts as draining from the first such response, whatever its entry says afterwards. Responses with 421 come from another target at the address and are left out.

--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -16,6 +16,7 @@
 )
 from chervilstall.edge.rate_limits import AT_LIMIT, TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
+from chervilstall.edge.target_notices import TargetNotices
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Service, Target, TargetIncarnation
@@ -97,6 +98,7 @@
     fleet_view: FleetView
     budget: FleetRetryBudget
     rate_limiter: TargetRateLimiter
+    notices: TargetNotices
 
     def run(self, request: EdgeRequest) -> CompleteResponse:
         """Send a request and return a response. Raises ChervilstallError without one.
@@ -168,7 +170,7 @@
         self.rate_limiter.record_send(target)
         try:
             head = exchange.send_request(timeout_s)
-            self.rate_limiter.record_response(target, head.limit_per_s, sent_at_s)
+            self.notices.record(target, head, sent_at_s)
             response = exchange.read_response(
                 head, request.remaining_s - RESPONSE_RESERVE_S
             )
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -21,6 +21,7 @@
 from chervilstall.edge.store_probe import StoreProbe
 from chervilstall.edge.stream_monitor import StreamMonitor
 from chervilstall.edge.stream_relay import StreamContext
+from chervilstall.edge.target_notices import TargetNotices
 from chervilstall.edge.zone_prober import ZoneProber
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.records import Target
@@ -188,11 +189,13 @@
         self._settings_content = b""
 
     def _build_application(self) -> EdgeApplication:
+        notices = TargetNotices(self.fleet_view, self.rate_limiter)
         plain = PlainRelay(
             PlainTargetChooser(self.fleet_view, self.settings.zone, self.rate_limiter),
             self.fleet_view,
             self.budget,
             self.rate_limiter,
+            notices,
         )
         streams = StreamContext(
             self.fleet_view,
@@ -200,6 +203,7 @@
             self.budget,
             self.stream_monitor,
             self.rate_limiter,
+            notices,
         )
         return EdgeApplication(
             self.fleet_view, plain, streams, self.budget, self.metrics
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -26,6 +26,7 @@
 from chervilstall.edge.rate_limits import AT_LIMIT, TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.stream_monitor import StreamMonitor
+from chervilstall.edge.target_notices import TargetNotices
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.view import FleetView
@@ -66,6 +67,7 @@
     budget: FleetRetryBudget
     stream_monitor: StreamMonitor
     rate_limiter: TargetRateLimiter
+    notices: TargetNotices
 
 
 class StreamRelay:
@@ -222,9 +224,7 @@
         sent_at_s = time.monotonic()
         self.context.rate_limiter.record_send(path.first)
         head = exchange.send_request(request.remaining_s)
-        self.context.rate_limiter.record_response(
-            path.first, head.limit_per_s, sent_at_s
-        )
+        self.context.notices.record(path.first, head, sent_at_s)
         if not head.is_not_executed:
             self.attempts.record(path.first)
         return head
--- /dev/null
+++ b/src/chervilstall/edge/target_notices.py
@@ -0,0 +1,29 @@
+"""What targets announce about themselves in their responses."""
+
+from dataclasses import dataclass
+
+from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.fleet.records import Target
+from chervilstall.fleet.view import FleetView
+from chervilstall.platform.headers import ResponseHead
+
+HTTP_MISDIRECTED = 421
+
+
+@dataclass
+class TargetNotices:
+    """Puts what a response announces in force for later requests."""
+
+    fleet_view: FleetView
+    rate_limiter: TargetRateLimiter
+
+    def record(self, target: Target, head: ResponseHead, sent_at_s: float) -> None:
+        """Record the response of a target to a request that was sent at `sent_at_s`.
+
+        A misdirected request was answered by another target at the same address.
+        """
+        if head.status == HTTP_MISDIRECTED:
+            return
+        self.rate_limiter.record_response(target, head.limit_per_s, sent_at_s)
+        if head.is_leaving:
+            self.fleet_view.note_leaving(target)
--- a/src/chervilstall/fleet/view.py
+++ b/src/chervilstall/fleet/view.py
@@ -81,6 +81,7 @@
     _suspicions: dict[TargetIncarnation, Suspicion] = field(default_factory=dict)
     _suspicion_counts: dict[TargetIncarnation, int] = field(default_factory=dict)
     _draining_at_s: dict[TargetIncarnation, float] = field(default_factory=dict)
+    _leaving: set[TargetIncarnation] = field(default_factory=set)
     _lapsed_at_s: dict[TargetId, float] = field(default_factory=dict)
     _outage_end_s: float = float("-inf")
 
@@ -116,6 +117,9 @@
         known = self.targets.get(target.id)
         if known is not None and known.revision >= target.revision:
             return
+        if target.incarnation in self._leaving:
+            # It may write its entry for another reason and stay ready there.
+            target = replace(target, state=TargetReadiness.DRAINING)
         self.targets[target.id] = target
         self._lapsed_at_s.pop(target.id, None)
         self.generation += 1
@@ -139,6 +143,22 @@
                 revision=target.revision,
             )
 
+    def note_leaving(self, target: Target) -> None:
+        """Record that a target said in a response that it leaves.
+
+        It counts as draining until it is gone, whatever its entry says.
+        """
+        known = self.targets.get(target.id)
+        if known is None or known.incarnation != target.incarnation:
+            return
+        if known.incarnation in self._leaving:
+            return
+        self._leaving.add(known.incarnation)
+        self._draining_at_s.setdefault(known.incarnation, time.monotonic())
+        self.targets[known.id] = replace(known, state=TargetReadiness.DRAINING)
+        self.generation += 1
+        log.info("target leaving", target=known.id, by="response")
+
     def _log_state(self, target: Target) -> None:
         log.info(
             "target " + target.state.value,
@@ -218,6 +238,7 @@
         target = self.targets.pop(target_id)
         self._lapsed_at_s.pop(target_id, None)
         self._draining_at_s.pop(target.incarnation, None)
+        self._leaving.discard(target.incarnation)
         self._suspicions.pop(target.incarnation, None)
         self._suspicion_counts.pop(target.incarnation, None)
         self.slowness.pop(target.incarnation, None)
--- a/src/chervilstall/platform/headers.py
+++ b/src/chervilstall/platform/headers.py
@@ -110,7 +110,8 @@
     sent, `is_signed` if it comes from a target of the service. `faulty_address` is the
     address of the target that the responder names as the cause of a failure.
     `limit_per_s` is the number of requests a second that the responder takes from all
-    routers together, None if it names no limit.
+    routers together, None if it names no limit. `is_leaving` is true if the responder
+    is about to exit.
     """
 
     status: int
@@ -121,6 +122,7 @@
     is_stream: bool
     faulty_address: str
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 def read_response_head(response: Any, request: RequestId) -> ResponseHead:
@@ -143,4 +145,5 @@
         ),
         faulty_address=by_name.get(protocol.FAULTY_TARGET.lower(), ""),
         limit_per_s=_parse_number(by_name.get(protocol.RATE_LIMIT.lower(), "")),
+        is_leaving=by_name.get(protocol.LEAVING.lower()) == "1",
     )
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -81,7 +81,7 @@
     pauses, and `pause_s` the length of that pause. While `stalled_on` holds an address,
     the load report lists every request as stalled on it. While `is_silent`, requests of
     any kind get no answer. `limit_per_s` is the limit that it names in its answers to
-    requests, if any.
+    requests, if any. With `announces_leaving` these answers also say that it leaves.
     """
 
     def __init__(self, name: str, address: Address) -> None:
@@ -97,6 +97,7 @@
         self.is_leaving = False
         self.is_silent = False
         self.limit_per_s: float | None = None
+        self.announces_leaving = False
         self.server = Server(address, self)
 
     @property
@@ -190,7 +191,7 @@
             ("Attempt-Id", run.request),
             ("Server-Signature", SERVER_SIGNATURE),
             ("Content-Length", str(len(answer))),
-            *self._limit_headers(),
+            *self._notice_headers(),
         ]
         connection = environ[SOCKET_KEY]
         match self.behaviour:
@@ -232,7 +233,7 @@
             ("Attempt-Id", run.request),
             ("Server-Signature", SERVER_SIGNATURE),
             ("Content-Type", "text/event-stream"),
-            *self._limit_headers(),
+            *self._notice_headers(),
         ]
         start_response(status_line(200), response_headers)
         try:
@@ -247,10 +248,13 @@
             self.log.cancelled_streams += 1
             raise
 
-    def _limit_headers(self) -> list[tuple[str, str]]:
-        if self.limit_per_s is None:
-            return []
-        return [("Server-Limit", str(self.limit_per_s))]
+    def _notice_headers(self) -> list[tuple[str, str]]:
+        headers = []
+        if self.limit_per_s is not None:
+            headers.append(("Server-Limit", str(self.limit_per_s)))
+        if self.announces_leaving:
+            headers.append(("Server-Leaving", "1"))
+        return headers
 
     def _pause_stream(self) -> None:
         if self.behaviour is Behaviour.PAUSE_STREAM:
--- a/tests/edge/requests.feature
+++ b/tests/edge/requests.feature
@@ -126,3 +126,11 @@
 
   Scenario: A split route divides requests by weight, and always in the same way
     Then 2000 requests are divided 90 to 10 within 3 in 100, and always in the same way
+
+  # Guards against DRAIN: requests reach a target long after it said that it leaves.
+  Scenario: A target that says in an answer that it leaves gets no more requests
+    Given a platform with lookups in both zones
+    And the target of the own zone says in its answers that it leaves
+    When 6 idempotent requests are sent one after the other
+    Then the target of the own zone ran 1 of them
+    And it gets none after it has written its entry again
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -191,3 +191,10 @@
     And the first part moves to another target 1.0 seconds later
     When a draft of 10 events is asked for
     Then the events 1 to 10 arrive once and in order
+
+  # Guards against DRAIN: requests reach a target long after it said that it leaves.
+  Scenario: A first target that says in an answer that it leaves gets no more drafts
+    Given a platform with a model in parts in both zones
+    And the first target of the own zone says in its answers that it leaves
+    When drafts of 3 events are asked for during 3 seconds
+    Then that target got none later than half the drain bound after its first answer
--- /dev/null
+++ b/tests/steps/notice_steps.py
@@ -0,0 +1,75 @@
+"""Steps for what targets announce in their answers."""
+
+import time
+
+import gevent
+from behave import given, then, when
+from behave.runner import Context
+
+from chervilstall.standin.platform_target import PlatformTarget
+from tests.support.platform import BOUNDS, ZONES, send
+
+DRAFT_INTERVAL_S = 0.1
+
+
+def own_lookup(context: Context) -> PlatformTarget:
+    """Return the target of lookups in the own zone."""
+    return context.platform.targets[f"lookup-{ZONES[0]}"]
+
+
+@given("the target of the own zone says in its answers that it leaves")
+def announce_lookup_leaving(context: Context) -> None:
+    own_lookup(context).announces_leaving = True
+
+
+@when("{count:d} idempotent requests are sent one after the other")
+def send_lookups(context: Context, count: int) -> None:
+    for number in range(count):
+        response = send(context.router, "/lookup/a", request=f"r{number}")
+        assert response.status == 200, response
+
+
+@then("the target of the own zone ran {count:d} of them")
+def check_own_runs(context: Context, count: int) -> None:
+    assert len(own_lookup(context).log.runs) == count
+
+
+@then("it gets none after it has written its entry again")
+def check_none_after_entry(context: Context) -> None:
+    target = own_lookup(context)
+    before = context.router.fleet_view.generation
+    context.platform.register(target.name, "lookups", ZONES[0])
+    gevent.sleep(0.5)
+    assert context.router.fleet_view.generation > before
+    count = len(target.log.runs)
+    send_lookups(context, 6)
+    assert len(target.log.runs) == count
+
+
+@given("the first target of the own zone says in its answers that it leaves")
+def announce_first_leaving(context: Context) -> None:
+    context.platform.targets[f"a-{ZONES[0]}"].announces_leaving = True
+
+
+@when("drafts of {events:d} events are asked for during {duration_s:d} seconds")
+def send_drafts(context: Context, events: int, duration_s: int) -> None:
+    end_s = time.monotonic() + duration_s
+    number = 0
+    while time.monotonic() < end_s:
+        number += 1
+        response = send(
+            context.router,
+            "/draft/x",
+            request=f"r{number}",
+            Token_Count=f"100,{events}",
+        )
+        assert response.status == 200, response
+        gevent.sleep(DRAFT_INTERVAL_S)
+
+
+@then("that target got none later than half the drain bound after its first answer")
+def check_first_left(context: Context) -> None:
+    runs = context.platform.targets[f"a-{ZONES[0]}"].log.runs
+    assert runs
+    last_s = runs[-1].received_at_s - runs[0].received_at_s
+    assert last_s <= BOUNDS.drain_s / 2.0 + 0.2, last_s
