Give a target that refuses with Retry-After the pause that it asks for

The router avoided a refusing target for 0.25 s, or preferred others for 0.3 s, and asked again.

The pause is kept beside the rate limits: no requests and no calls for reports until it ends.

--- a/src/chervilstall/edge/rate_limits.py
+++ b/src/chervilstall/edge/rate_limits.py
@@ -1,4 +1,4 @@
-"""Limits on the rate of requests that targets name in their responses.
+"""Limits on requests that targets name in their responses: rates and pauses.
 
 A target names one limit for the requests of all routers together. The routers keep to
 it without talking to each other on the way of a request: the requests that a target
@@ -9,6 +9,8 @@
 
 A router knows a limit from a response that it got, or from another router through the
 store. Its own requests of the last window count from the moment at which it learns.
+
+A target may also want no requests from one router for a time, which concerns no other.
 """
 
 import time
@@ -49,6 +51,14 @@
     confirmed_at_s: float
 
 
+@dataclass(frozen=True)
+class Pause:
+    """A target that wants no requests from this router until a monotonic time."""
+
+    target: Target
+    until_s: float
+
+
 @dataclass
 class TargetRateLimiter:
     """Keeps one router's part of the limits that targets name.
@@ -64,6 +74,7 @@
     routers: Mapping[VmId, ZoneName] = field(default_factory=dict)
     on_change: Callable[[Target], None] | None = None
     _limits: dict[TargetIncarnation, NamedLimit] = field(default_factory=dict)
+    _pauses: dict[TargetIncarnation, Pause] = field(default_factory=dict)
     _sends_s: dict[TargetIncarnation, deque[float]] = field(
         default_factory=lambda: defaultdict(deque)
     )
@@ -111,6 +122,14 @@
                 routers=len(self.routers),
             )
 
+    def record_pause(self, target: Target, for_s: float) -> None:
+        """Record that a target wants no requests from this router for a time."""
+        until_s = time.monotonic() + for_s
+        known = self._pauses.get(target.incarnation)
+        if known is None or known.until_s < until_s:
+            self._pauses[target.incarnation] = Pause(target, until_s)
+            log.info("target wants a pause", target=target.id, for_s=round(for_s, 2))
+
     # Requests
 
     def record_send(self, target: Target) -> None:
@@ -119,7 +138,15 @@
         sends_s.append(time.monotonic())
 
     def may_send(self, target: Target) -> bool:
-        """Return whether this router's part leaves room for a call to a target."""
+        """Return whether this router's part leaves room for a call to a target.
+
+        There is none while the target wants a pause.
+        """
+        pause = self._pauses.get(target.incarnation)
+        if pause is not None:
+            if time.monotonic() < pause.until_s:
+                return False
+            del self._pauses[target.incarnation]
         limit = self._limits.get(target.incarnation)
         if limit is None:
             return True
@@ -127,11 +154,9 @@
 
     def exhausted_targets(self) -> frozenset[TargetId]:
         """Return the targets that may get no request from this router at present."""
-        return frozenset(
-            limit.target.id
-            for limit in self._limits.values()
-            if not self.may_send(limit.target)
-        )
+        named = [limit.target for limit in self._limits.values()]
+        named += [pause.target for pause in self._pauses.values()]
+        return frozenset(target.id for target in named if not self.may_send(target))
 
     def _recent_sends_s(self, incarnation: TargetIncarnation) -> deque[float]:
         sends_s = self._sends_s[incarnation]
@@ -159,4 +184,5 @@
     def prune(self, present: Container[TargetIncarnation]) -> None:
         """Drop the state of targets that are gone."""
         retain_keys(self._limits, present)
+        retain_keys(self._pauses, present)
         retain_keys(self._sends_s, present)
--- a/src/chervilstall/edge/target_notices.py
+++ b/src/chervilstall/edge/target_notices.py
@@ -8,6 +8,7 @@
 from chervilstall.platform.headers import ResponseHead
 
 HTTP_MISDIRECTED = 421
+HTTP_UNAVAILABLE = 503
 
 
 @dataclass
@@ -25,5 +26,7 @@
         if head.status == HTTP_MISDIRECTED:
             return
         self.rate_limiter.record_response(target, head.limit_per_s, sent_at_s)
+        if head.status == HTTP_UNAVAILABLE and head.retry_after_s is not None:
+            self.rate_limiter.record_pause(target, head.retry_after_s)
         if head.is_leaving:
             self.fleet_view.note_leaving(target)
--- a/src/chervilstall/platform/headers.py
+++ b/src/chervilstall/platform/headers.py
@@ -111,7 +111,8 @@
     address of the target that the responder names as the cause of a failure.
     `limit_per_s` is the number of requests a second that the responder takes from all
     routers together, None if it names no limit. `is_leaving` is true if the responder
-    is about to exit.
+    is about to exit. `retry_after_s` is the time for which a refusing responder wants
+    no more requests from this router, None if it names none.
     """
 
     status: int
@@ -123,6 +124,7 @@
     faulty_address: str
     limit_per_s: float | None = None
     is_leaving: bool = False
+    retry_after_s: float | None = None
 
 
 def read_response_head(response: Any, request: RequestId) -> ResponseHead:
@@ -145,5 +147,6 @@
         ),
         faulty_address=by_name.get(protocol.FAULTY_TARGET.lower(), ""),
         limit_per_s=_parse_number(by_name.get(protocol.RATE_LIMIT.lower(), "")),
+        retry_after_s=_parse_number(by_name.get(protocol.RETRY_AFTER.lower(), "")),
         is_leaving=by_name.get(protocol.LEAVING.lower()) == "1",
     )
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -67,11 +67,13 @@
     """What a stand-in ran and was ordered to do.
 
     `cancelled_streams` counts the streams that were closed before their last event.
+    `refused_at_s` holds the monotonic times at which requests were refused.
     """
 
     runs: list[Run] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     cancelled_streams: int = 0
+    refused_at_s: list[float] = field(default_factory=list)
 
 
 class PlatformTarget:
@@ -82,6 +84,7 @@
     the load report lists every request as stalled on it. While `is_silent`, requests of
     any kind get no answer. `limit_per_s` is the limit that it names in its answers to
     requests, if any. With `announces_leaving` these answers also say that it leaves.
+    `retry_after_s` is named in refusals.
     """
 
     def __init__(self, name: str, address: Address) -> None:
@@ -98,6 +101,7 @@
         self.is_silent = False
         self.limit_per_s: float | None = None
         self.announces_leaving = False
+        self.retry_after_s: float | None = None
         self.server = Server(address, self)
 
     @property
@@ -167,7 +171,11 @@
     ) -> Iterator[bytes]:
         headers = {name.lower(): value for name, value in environ[HEADERS_KEY]}
         if self.behaviour is Behaviour.REFUSE:
-            start_response(status_line(503), [("Not-Executed", "1")])
+            self.log.refused_at_s.append(time.monotonic())
+            refusal = [("Not-Executed", "1")]
+            if self.retry_after_s is not None:
+                refusal.append(("Retry-After", str(self.retry_after_s)))
+            start_response(status_line(503), refusal)
             return
         if headers.get("expect-instance", self.name) != self.name:
             start_response(status_line(421), [("Instance-Id", self.name)])
--- a/tests/edge/rate_limits.feature
+++ b/tests/edge/rate_limits.feature
@@ -31,3 +31,16 @@
 
   Scenario: A limit is used up to the requests that it allows
     Then in 30 drawn fleets at least half of what a limit allows is sent
+
+  # Guards against BUDGET: a target gets requests in the time for which it wants none.
+  Scenario Outline: A target that refuses with Retry-After gets nothing for that long
+    Given 1 routers before <what>
+    And the first target of the own zone refuses with a Retry-After of 2.5 seconds
+    When <what> are asked for at 10 a second for 4 seconds
+    Then that target gets at most 2 requests in the time for which it wants none
+    And the other requests are served elsewhere
+
+    Examples:
+      | what    |
+      | lookups |
+      | drafts  |
--- a/tests/steps/rate_limit_steps.py
+++ b/tests/steps/rate_limit_steps.py
@@ -11,6 +11,7 @@
 from chervilstall.edge.server import EdgeServer
 from chervilstall.fleet.records import LayerRange
 from chervilstall.standin.platform_fixtures import LAYERS
+from chervilstall.standin.platform_target import Behaviour
 from tests.support.agent_fleet import eventually
 from tests.support.platform import ZONES, Platform, send
 from tests.support.rate_limit_fleet import (
@@ -21,6 +22,9 @@
 from tests.support.rate_limit_rule import Arrival, check_arrivals
 
 DRAWN_FLEETS = 30
+GRACE_S = 0.5
+"""Time after a refusal in which requests may still be on their way."""
+
 ROUTE_PATHS = {"lookups": "/lookup/a", "drafts": "/draft/x"}
 DRAFT_EVENTS = 3
 
@@ -116,6 +120,31 @@
     assert statuses and set(statuses) == {200}, statuses
 
 
+# Refusals with Retry-After
+
+
+@given(
+    "the first target of the own zone refuses with a Retry-After of {retry_after_s:g} "
+    "seconds"
+)
+def refuse_with_retry_after(context: Context, retry_after_s: float) -> None:
+    context.limited = next(iter(context.platform.targets.values()))
+    context.limited.behaviour = Behaviour.REFUSE
+    context.limited.retry_after_s = retry_after_s
+
+
+@then("that target gets at most 2 requests in the time for which it wants none")
+def check_paused(context: Context) -> None:
+    refused_at_s = context.limited.log.refused_at_s
+    assert refused_at_s
+    for answered_at_s in refused_at_s:
+        end_s = answered_at_s + context.limited.retry_after_s
+        later = [
+            at_s for at_s in refused_at_s if answered_at_s + GRACE_S < at_s < end_s
+        ]
+        assert len(later) <= 2, (answered_at_s, later)
+
+
 # Drawn fleets, without a network
 
 
