Follow a store that comes back from an earlier copy

Before: a router took entries with lower revisions for old ones and ignored them, so that a target's draining went unseen; it stayed unregistered for up to 20 s, in which the others counted too few routers and took larger shares of fleet-wide limits; the planner went on with a fencing token that was to be given out again.

--- a/src/chervilstall/edge/registry.py
+++ b/src/chervilstall/edge/registry.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 import gevent
+from gevent.event import Event
 
 from chervilstall.edge.budget import FleetRetryBudget
 from chervilstall.edge.rate_limits import TargetRateLimiter
@@ -43,6 +44,9 @@
 
 RENEW_INTERVAL_S = 20.0
 RETRY_DELAY_S = 2.0
+REGISTRATION_WAIT_S = 5.0
+"""Time in which all routers register again after the store has lost their leases."""
+
 ROUTERS_ASSUMED = 16
 """Number of routers assumed until it is known; too high a number is safe."""
 
@@ -67,13 +71,16 @@
     store_watcher: StoreWatcher | None = None
     _router_zones: dict[str, ZoneName] = field(default_factory=dict)
     _lease: Lease | None = None
+    _wake_requested: Event = field(default_factory=Event)
+    _missing_kept_until_s: float = float("-inf")
 
     def run(self) -> None:
         """Register, and renew the lease until the process ends; one task runs this."""
         while True:
             try:
                 self._renew_or_register()
-                gevent.sleep(RENEW_INTERVAL_S * random.uniform(0.9, 1.1))
+                self._wake_requested.wait(RENEW_INTERVAL_S * random.uniform(0.9, 1.1))
+                self._wake_requested.clear()
             except StoreFailed as error:
                 log.warning("not registered", why=error.message)
                 gevent.sleep(RETRY_DELAY_S * random.uniform(0.7, 1.3))
@@ -89,6 +96,25 @@
         self.store.write(self.key, self.zone.encode(), None, lease.lease_id)
         self._lease = lease
 
+    def handle_new_era(self) -> None:
+        """Register again, as the store came back from an earlier copy without leases.
+
+        Until the other routers have done the same, those that are missing still count.
+        """
+        self._lease = None
+        self._missing_kept_until_s = time.monotonic() + REGISTRATION_WAIT_S
+        gevent.spawn_later(REGISTRATION_WAIT_S * 1.1, self._drop_missing)
+        self._wake_requested.set()
+
+    def _drop_missing(self) -> None:
+        try:
+            batch = self.store.list_entries(ROUTERS_PREFIX)
+        except StoreFailed as error:
+            # Counting too many routers is safe; the next full listing corrects it.
+            log.warning("routers not listed", why=error.message)
+            return
+        self.handle_full_read([entry.key for entry in batch.entries])
+
     @property
     def key(self) -> str:
         """Return the store key under which this router is registered."""
@@ -98,7 +124,8 @@
         """Apply a changed or deleted entry below `ROUTER_KEYS_PREFIX`."""
         if entry.key.startswith(ROUTERS_PREFIX):
             if entry.value is None:
-                self._router_zones.pop(entry.key, None)
+                if time.monotonic() >= self._missing_kept_until_s:
+                    self._router_zones.pop(entry.key, None)
             else:
                 zone = ZoneName(entry.value.decode("utf-8", "replace"))
                 self._router_zones[entry.key] = zone
@@ -110,6 +137,8 @@
 
     def handle_full_read(self, keys: list[str]) -> None:
         """Drop routers missing from a full listing below `ROUTER_KEYS_PREFIX`."""
+        if time.monotonic() < self._missing_kept_until_s:
+            return
         retain_keys(self._router_zones, set(keys))
         self._update_routers()
 
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -129,6 +129,8 @@
         self.settings_path = settings_path
         self.fleet_view = FleetView(settings.bounds.drain_s)
         self.store = PlatformStore(settings.store)
+        self.store.on_new_era = self._handle_new_era
+        self.leases = PlatformLeases(self.store)
         self.budget = FleetRetryBudget(settings.bounds, ROUTERS_ASSUMED)
         self.chooser = PathChooser(
             self.fleet_view, settings.zone, max(1, len(settings.zones))
@@ -144,7 +146,7 @@
         self.metrics = EdgeMetrics()
         self.app = self._build_application()
         self.planner_lease = LeaseHolder(
-            PlatformLeases(self.store),
+            self.leases,
             PLANNER_LEASE,
             f"{settings.vm}/{os.getpid()}",
             LeaseSettings(ttl_s=PLANNER_LEASE_TTL_S, margin_s=PLANNER_LEASE_MARGIN_S),
@@ -228,6 +230,15 @@
         )
         return StoreWatcher(self.store, self.fleet_view, handlers)
 
+    def _handle_new_era(self) -> None:
+        """Take up the work again with a store that came back from an earlier copy."""
+        self.fleet_view.forget_revisions()
+        self.leases.forget_leases()
+        self.planner_lease.forfeit()
+        self.registry.handle_new_era()
+        self.limit_sharing.handle_new_era()
+        self.store_watcher.restart()
+
     def _share_suspicion(self, target: Target, kind: SuspicionKind) -> None:
         suspicion = SharedSuspicion(
             target.id,
--- a/src/chervilstall/fleet/view.py
+++ b/src/chervilstall/fleet/view.py
@@ -10,6 +10,7 @@
 
 from gevent.event import Event
 
+from chervilstall.fleet.leaving import LeavingTargets
 from chervilstall.fleet.records import (
     LayerRange,
     RouterConfiguration,
@@ -80,8 +81,7 @@
     on_suspicion: Callable[[Target, SuspicionKind], None] | None = None
     _suspicions: dict[TargetIncarnation, Suspicion] = field(default_factory=dict)
     _suspicion_counts: dict[TargetIncarnation, int] = field(default_factory=dict)
-    _draining_at_s: dict[TargetIncarnation, float] = field(default_factory=dict)
-    _leaving: set[TargetIncarnation] = field(default_factory=set)
+    _leaving: LeavingTargets = field(default_factory=LeavingTargets)
     _lapsed_at_s: dict[TargetId, float] = field(default_factory=dict)
     _outage_end_s: float = float("-inf")
 
@@ -117,16 +117,10 @@
         known = self.targets.get(target.id)
         if known is not None and known.revision >= target.revision:
             return
-        if target.incarnation in self._leaving:
-            # It may write its entry for another reason and stay ready there.
-            target = replace(target, state=TargetReadiness.DRAINING)
+        target = self._leaving.apply_to(target)
         self.targets[target.id] = target
         self._lapsed_at_s.pop(target.id, None)
         self.generation += 1
-        if target.state is TargetReadiness.DRAINING:
-            self._draining_at_s.setdefault(target.incarnation, time.monotonic())
-        else:
-            self._draining_at_s.pop(target.incarnation, None)
         if known is not None and known.incarnation == target.incarnation:
             # The target wrote its entry, so it is alive.
             self._suspicions.pop(target.incarnation, None)
@@ -151,11 +145,10 @@
         known = self.targets.get(target.id)
         if known is None or known.incarnation != target.incarnation:
             return
-        if known.incarnation in self._leaving:
+        if self._leaving.is_certain(known):
             return
-        self._leaving.add(known.incarnation)
-        self._draining_at_s.setdefault(known.incarnation, time.monotonic())
-        self.targets[known.id] = replace(known, state=TargetReadiness.DRAINING)
+        self._leaving.mark_certain(known)
+        self.targets[known.id] = self._leaving.apply_to(known)
         self.generation += 1
         log.info("target leaving", target=known.id, by="response")
 
@@ -237,8 +230,7 @@
     def _delete_target(self, target_id: TargetId) -> None:
         target = self.targets.pop(target_id)
         self._lapsed_at_s.pop(target_id, None)
-        self._draining_at_s.pop(target.incarnation, None)
-        self._leaving.discard(target.incarnation)
+        self._leaving.forget(target)
         self._suspicions.pop(target.incarnation, None)
         self._suspicion_counts.pop(target.incarnation, None)
         self.slowness.pop(target.incarnation, None)
@@ -265,6 +257,18 @@
         """
         self._outage_end_s = time.monotonic()
 
+    def forget_revisions(self) -> None:
+        """Accept every entry again, as the store came back from an earlier copy.
+
+        What the store lost is still known here: the configuration, and which targets
+        leave. Entries that it lost are missing until their targets write them again.
+        """
+        for target in list(self.targets.values()):
+            self.targets[target.id] = replace(target, revision=0)
+        self._leaving.mark_all_certain()
+        self.generation += 1
+        self.note_outage()
+
     def begin_outage(self, since_s: float) -> None:
         """Record the monotonic time since which the store cannot be watched."""
         self.outage_since_s = since_s
@@ -386,8 +390,7 @@
             return False
         if target.state is TargetReadiness.READY:
             return False
-        draining_at_s = self._draining_at_s.get(target.incarnation, float("-inf"))
-        return time.monotonic() - draining_at_s < self.drain_s * DRAIN_USE_SHARE
+        return self._leaving.draining_s(target) < self.drain_s * DRAIN_USE_SHARE
 
     def find_by_address(self, address: str) -> Target | None:
         """Return the target at an address that started last, or None."""
--- a/src/chervilstall/lease/holder.py
+++ b/src/chervilstall/lease/holder.py
@@ -163,6 +163,14 @@
             self._wake_requested.wait(self._wait_s() * (1.0 + jitter()))
             self._wake_requested.clear()
 
+    def forfeit(self) -> None:
+        """Give up the current term without a store call, and try to acquire at once.
+
+        Call this when the store has lost its leases.
+        """
+        self._mark_lost()
+        self.wake()
+
     def wake(self) -> None:
         """Try to acquire at once, as another holder's lease may have ended."""
         self._wake_requested.set()
--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -1,12 +1,14 @@
 """Client of the platform's key-value store."""
 
 import base64
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
 
+from chervilstall.platform import protocol
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.node import StoreAddress
 from chervilstall.store.calls import (
@@ -17,6 +19,9 @@
 )
 from chervilstall.store.contract import StoreFailed
 from chervilstall.target.connection import JSON_HEADERS, CallResponse
+from chervilstall.telemetry.events import EventLog
+
+log = EventLog("store")
 
 T = TypeVar("T")
 CALL_TIMEOUT_S = 2.0
@@ -29,6 +34,13 @@
     """The store no longer keeps the changes since the requested revision."""
 
 
+class EraChanged(HistoryGone):
+    """The store came back from an earlier copy of its content.
+
+    Revisions and leases of before mean nothing any more.
+    """
+
+
 class LeaseEnded(StoreFailed):
     """The lease that a call names doesn't exist any more."""
 
@@ -92,11 +104,17 @@
     That way a connection whose peer stopped responding affects one call only. Every
     method raises StoreRefused if the store has certainly not executed the call, and
     StoreFailed if that is not known.
+
+    `era` counts how often the store came back from an earlier copy of its content, as
+    far as its responses have told; `on_new_era` is called when it grows. The response
+    that shows it, and any that still comes from an earlier era, raise EraChanged.
     """
 
     def __init__(self, settings: StoreAddress) -> None:
         self.settings = settings
         self.calls = 0
+        self.era = 0
+        self.on_new_era: Callable[[], None] = lambda: None
         self._connections = TargetSettings(connect_timeout_s=CONNECT_TIMEOUT_S)
 
     def list_entries(self, prefix: str) -> EntryBatch:
@@ -211,9 +229,25 @@
         self.calls += 1
         address = self.settings.address
         content = b"" if body is None else msgspec.json.encode(body)
-        return call_store(
+        response = call_store(
             address, self._connections, timeout_s, method, path, content, JSON_HEADERS
         )
+        self._check_era(response)
+        return response
+
+    def _check_era(self, response: CallResponse) -> None:
+        text = response.headers.get(protocol.STORE_ERA.lower(), "")
+        if not text.isdecimal() or int(text) == self.era:
+            return
+        is_first = self.era == 0
+        is_new = int(text) > self.era
+        self.era = max(self.era, int(text))
+        if is_first:
+            return
+        if is_new:
+            log.warning("store came back from an earlier copy", era=self.era)
+            self.on_new_era()
+        raise EraChanged("the store came back from an earlier copy")
 
 
 def _entry(item: _Item) -> Entry:
--- a/src/chervilstall/platform/protocol.py
+++ b/src/chervilstall/platform/protocol.py
@@ -22,6 +22,8 @@
 LENGTH_HINT = "Length-Hint"
 PRIORITY = "Request-Priority"
 
+STORE_ERA = "Store-Era"
+
 READY_PATH = "/chervilstall/readyz"
 REPORT_PATH = "/chervilstall/report"
 ORDER_PATH = "/chervilstall/order"
--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -75,6 +75,7 @@
         self.answered_at_s = time.monotonic()
         self._retry_s = RETRY_FIRST_S
         self._has_large_change = False
+        self._must_read_all = False
         self._interrupted = Event()
         self._pending_call: AsyncResult | None = None
 
@@ -96,6 +97,11 @@
         if self._pending_call is not None:
             self._pending_call.set_exception(StoreFailed(reason))
 
+    def restart(self) -> None:
+        """Read the whole store again, since revisions of before mean nothing."""
+        self._must_read_all = True
+        self.interrupt("revisions went back")
+
     def run(self) -> None:
         """Watch until the process ends; one task runs this."""
         while True:
@@ -113,6 +119,8 @@
     def _step(self) -> None:
         self._interrupted.clear()
         if self.revision == 0 or self.is_disconnected or self._has_large_change:
+            self._must_read_all = True
+        if self._must_read_all:
             self._read_all()
             return
         batch = self._call_interruptibly(self._watch)
@@ -124,6 +132,7 @@
             gevent.sleep(self.change_pause_s)
 
     def _read_all(self) -> None:
+        self._must_read_all = False
         batch = self._call_interruptibly(self._list)
         if self.is_disconnected:
             # Entries may have expired during the outage although their targets run.
--- a/src/chervilstall/standin/platform_store.py
+++ b/src/chervilstall/standin/platform_store.py
@@ -3,7 +3,8 @@
 import base64
 import time
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from copy import deepcopy
+from dataclasses import dataclass, field, replace
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -40,10 +41,22 @@
     ends_at_s: float
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The content of a store at one moment."""
+
+    revision: int
+    items: dict[str, _StoredKey]
+    leases: dict[int, _Lease]
+    history: list[dict[str, Any]]
+
+
 @dataclass
 class PlatformStoreState:
     """Keys, leases and event history of the store, and its injected faults.
 
+    `era` counts how often the store came back from a copy.
+
     A `error_status` other than 0 is the HTTP status that answers every call. While
     `is_silent`, no call is answered, and watches that were waiting are never answered,
     not even later. `delay_s` delays every call. Watches from a revision below
@@ -61,6 +74,22 @@
     calls: list[str] = field(default_factory=list)
     changed: Event = field(default_factory=Event)
     watch_drops: int = 0
+    era: int = 1
+
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of the content, from which `come_back` can start."""
+        content = (self.items, self.leases, self.history)
+        return StoreCopy(self.revision, *deepcopy(content))
+
+    def come_back(self, copy: StoreCopy) -> None:
+        """Lose everything since a copy was taken, and start the next era."""
+        self.revision = copy.revision
+        self.items, self.leases, self.history = deepcopy(
+            (copy.items, copy.leases, copy.history)
+        )
+        self.era += 1
+        self.changed.set()
+        self.changed.clear()
 
     def drop_watches(self) -> None:
         """Leave the watches that are waiting now without an answer."""
@@ -171,7 +200,11 @@
             ).items()
         }
         status, body = self._handle_call(environ, path, query)
-        return json_response(status, body).start(start_response)
+        reply = json_response(status, body)
+        era_header = ("Store-Era", str(self.state.era))
+        return replace(reply, headers=(*reply.headers, era_header)).start(
+            start_response
+        )
 
     def _handle_call(
         self, environ: Environ, path: str, query: dict[str, str]
@@ -212,7 +245,7 @@
         watch_drops = state.watch_drops
         deadline_s = time.monotonic() + int(query["wait-ms"]) / 1e3
         while True:
-            if after < state.compacted_revision:
+            if after < state.compacted_revision or after > state.revision:
                 return 410, {}
             events = [
                 event
