--- a/tests/edge/rate_limits.feature
+++ b/tests/edge/rate_limits.feature
@@ -25,6 +25,7 @@
       | routers that join             |
       | requests long on their way    |
       | many routers                  |
+      | routers that are pressed      |
 
   Scenario: A limit that is lifted ends at every router
     Then in 30 drawn fleets a lifted limit is unknown to all routers 5 seconds later
--- a/tests/steps/rate_limit_steps.py
+++ b/tests/steps/rate_limit_steps.py
@@ -170,6 +170,8 @@
             return {"joins": rng.randint(1, 2)}
         case "requests long on their way":
             return {"late_s": 0.5}
+        case "routers that are pressed":
+            return {"is_pressed": True, "late_s": 0.25}
         case "many routers":
             return {
                 "routers": 77,
--- a/tests/support/rate_limit_fleet.py
+++ b/tests/support/rate_limit_fleet.py
@@ -31,6 +31,8 @@
 )
 NAMED_AFTER_S = 8.0
 DURATION_S = 30.0
+PRESSED_AFTER_S = 1.5
+PRESS_INTERVAL_S = 0.05
 USUAL_RATE_RATIO = 3.5
 """Rate of requests before the limit, divided by the limit."""
 
@@ -41,8 +43,9 @@
 
     `store_lag_s` is how long a shared limit or a joining router takes to become known.
     `cut_routers` neither share nor hear of limits and of routers that join.
-    `burst_requests` reach the routers at once, twice in the run. `late_s` is how long a
-    request may be on its way to the target.
+    `burst_requests` reach the routers at once, twice in the run. With `is_pressed` all
+    routers always have a request to send. `late_s` is how long a request may be on its
+    way to the target.
     """
 
     routers: int
@@ -53,6 +56,7 @@
     restarts: int = 0
     joins: int = 0
     burst_requests: int = 0
+    is_pressed: bool = False
     lifted_at_s: float = DURATION_S
 
 
@@ -104,12 +108,22 @@
             self._at(at_s, self._ask)
         for _ in range(2 * case.burst_requests):
             self._at(NAMED_AFTER_S + self.rng.choice((3.2, 12.0)), self._ask)
+        if case.is_pressed:
+            self._press()
         for _ in range(case.restarts):
             self._at(NAMED_AFTER_S + self.rng.uniform(0.0, 12.0), self._restart)
         for number in range(case.joins):
             at_s = NAMED_AFTER_S + self.rng.uniform(0.0, 12.0)
             self._at(at_s, lambda index=case.routers + number: self._join(index))
 
+    def _press(self) -> None:
+        """Ask at every router all the time, beginning soon after the naming."""
+        at_s = NAMED_AFTER_S + PRESSED_AFTER_S
+        while at_s < DURATION_S:
+            for index in range(self.case.routers):
+                self._at(at_s, lambda index=index: self._ask_at(index))
+            at_s += PRESS_INTERVAL_S
+
     def _at(self, after_s: float, action: Callable[[], None]) -> None:
         self._sequence += 1
         event = (self.began_at_s + after_s, self._sequence, action)
@@ -133,7 +147,9 @@
     # Callers
 
     def _ask(self) -> None:
-        index = self.rng.choice(list(self._limiters))
+        self._ask_at(self.rng.choice(list(self._limiters)))
+
+    def _ask_at(self, index: int) -> None:
         limiter = self._limiters[index]
         if not limiter.may_send(TARGET):
             self.refused += 1
