Leave targets that send a head or a body without end

What callers saw: a draft whose first target does so with its head got 504 at its deadline instead of another target's answer.

Now a head is bounded to 64 KB, an event or the part of another body that waits to be read to 256 KB, reports and orders of targets to 1 MB, other responses to 64 MB.

--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -25,6 +25,9 @@
 
 RESPONSE_MAX_BYTES = 4_000_000
 READ_CHUNK_BYTES = 65_536
+UNREAD_MAX_BYTES = 262_144
+"""Largest event of a stream, and largest part of another body read ahead."""
+
 EVENT_DELIMITER = b"\n\n"
 
 
@@ -72,7 +75,7 @@
         self.target: Target = send_fields.target
         self.abort_reason: ExchangeFailure | None = None
         self._client = single_use_client(
-            self.target.address, CONNECT_SETTINGS, READ_TIMEOUT_S
+            self.target.address, CONNECT_SETTINGS, READ_TIMEOUT_S, UNREAD_MAX_BYTES
         )
         self._response: Any = None
 
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -16,6 +16,7 @@
 from chervilstall.target.connection import JSON_HEADERS, CallResponse, call_once
 
 CALL_TIMEOUT_S = 1.5
+RESPONSE_MAX_BYTES = 1_000_000
 FREE_MEMORY_USE_MAX = 0.5
 """Share of the memory in use up to which a target certainly admits another request."""
 
@@ -255,6 +256,15 @@
 ) -> CallResponse | None:
     settings = TargetSettings(connect_timeout_s=timeout_s)
     try:
-        return call_once(address, settings, timeout_s, method, path, body, JSON_HEADERS)
+        return call_once(
+            address,
+            settings,
+            timeout_s,
+            method,
+            path,
+            body,
+            JSON_HEADERS,
+            RESPONSE_MAX_BYTES,
+        )
     except (OSError, HTTPParseError):
         return None
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -29,6 +29,7 @@
 SILENCE_S = 60.0
 """Sleep of a request to an unresponsive target."""
 SERVER_SIGNATURE = "stand-in.1"
+ENDLESS_CHUNK = b"X" * 16_384
 
 
 class Behaviour(Enum):
@@ -41,6 +42,8 @@
     HANG = "hang"
     TRUNCATE_ANSWER = "cut the answer"
     ANSWER_TWICE = "answer twice"
+    ENDLESS_HEAD = "send a head without end"
+    ENDLESS_BODY = "send a body without end"
     ANSWER_WRONG_REQUEST = "answer another request"
     BREAK_STREAM = "break the stream"
     STALL_STREAM = "stall the stream"
@@ -186,11 +189,27 @@
         path = environ[REQUEST_TARGET_KEY]
         run = Run(request, method, path, headers, body, time.monotonic())
         self.log.runs.append(run)
+        if self.behaviour in (Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY):
+            self._send_without_end(run, environ[SOCKET_KEY])
         if "hop-count" in headers:
             yield from self._stream_events(run, environ, start_response)
             return
         yield from self._answer(run, environ, start_response)
 
+    def _send_without_end(self, run: Run, connection: Any) -> None:
+        head = b"HTTP/1.1 200 OK\r\n"
+        if self.behaviour is Behaviour.ENDLESS_BODY:
+            fields = (
+                f"Attempt-Id: {run.request}",
+                f"Server-Signature: {SERVER_SIGNATURE}",
+                "Content-Type: text/event-stream",
+            )
+            head += "\r\n".join((*fields, "", "")).encode()
+        connection.sendall(head)
+        while True:
+            # Raises once the caller has closed.
+            connection.sendall(ENDLESS_CHUNK)
+
     def _answer(
         self, run: Run, environ: Environ, start_response: StartResponse
     ) -> Iterator[bytes]:
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -41,6 +41,9 @@
 KEEPALIVE_PROBES_MAX = 2
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 FINAL_STATUS_MIN = 200
+HEAD_MAX_BYTES = 65_536
+UNREAD_MAX_BYTES = 64_000_000
+"""Largest part of a body that waits to be read, where callers set no lower bound."""
 
 
 class ConnectFailed(OSError):
@@ -128,13 +131,18 @@
 
 
 class SingleResponse(HTTPSocketPoolResponse):
-    """A response that ends with its HTTP message.
+    """A response that ends with its HTTP message and takes a bounded amount of memory.
 
     Bytes after a complete response belong to no request. geventhttpclient would parse
     them as a new message into the same object; here they are dropped.
+
+    A head of more than HEAD_MAX_BYTES, or a body of which more than `unread_max_bytes`
+    wait to be read, raises HTTPParseError.
     """
 
     final_status = 0
+    head_bytes = 0
+    unread_max_bytes = UNREAD_MAX_BYTES
 
     @property
     def status_code(self) -> int:
@@ -150,6 +158,7 @@
         super()._on_message_begin()
 
     def feed(self, data: str | bytes) -> None:
+        self._check_size(len(data))
         try:
             super().feed(data)
         except HTTPParseError:
@@ -159,8 +168,22 @@
             self._trailing_data_dropped = True
 
 
+    def _check_size(self, size_bytes: int) -> None:
+        if self.final_status < FINAL_STATUS_MIN or not self.headers_complete:
+            self.head_bytes += size_bytes
+            if self.head_bytes > HEAD_MAX_BYTES:
+                raise HTTPParseError("the head of the response is too large")
+        elif len(self._body_buffer) > self.unread_max_bytes:
+            raise HTTPParseError("too much of the response waits to be read")
+
+
 class SingleUseClient(HTTPClient):
-    """A client that never sends its request again when the connection fails."""
+    """A client that never sends its request again when the connection fails.
+
+    `unread_max_bytes` is that of its response.
+    """
+
+    unread_max_bytes = UNREAD_MAX_BYTES
 
     def request(
         self,
@@ -173,9 +196,11 @@
         head = self._build_request(method, request_uri, body=body, headers=headers)
         sock = self._connection_pool.get_socket()
         sock.sendall(head.encode("latin-1") + body)
-        return SingleResponse(
+        response = SingleResponse(
             sock, self._connection_pool, block_size=self.block_size, method=method
         )
+        response.unread_max_bytes = self.unread_max_bytes
+        return response
 
 
 def pool_arguments(
@@ -207,10 +232,14 @@
 
 
 def single_use_client(
-    address: Address, settings: TargetSettings, network_timeout_s: float
+    address: Address,
+    settings: TargetSettings,
+    network_timeout_s: float,
+    unread_max_bytes: int = UNREAD_MAX_BYTES,
 ) -> HTTPClient:
     """Return a client that sends a single request, once, over a new connection."""
     client = SingleUseClient(address.host, address.port, disable_ipv6=True)
+    client.unread_max_bytes = unread_max_bytes
     client.default_headers.clear()
     client._connection_pool = SingleUsePool(
         size=1, **pool_arguments(address, settings, network_timeout_s)
@@ -235,13 +264,15 @@
     path: str,
     body: bytes = b"",
     headers: dict[str, str] | None = None,
+    body_max_bytes: int = UNREAD_MAX_BYTES,
 ) -> CallResponse:
     """Make one short call over a connection of its own.
 
-    `timeout_s` bounds the call as a whole. Raises ConnectFailed where nothing was
+    `timeout_s` bounds the call as a whole, and `body_max_bytes` the body of the
+    response. Raises ConnectFailed where nothing was
     sent, and another OSError or HTTPParseError where no complete response arrived.
     """
-    client = single_use_client(address, settings, timeout_s)
+    client = single_use_client(address, settings, timeout_s, body_max_bytes)
     try:
         with gevent.Timeout(timeout_s, TimeoutError):
             response = client.request(method, path, body=body, headers=headers)
--- a/tests/edge/requests.feature
+++ b/tests/edge/requests.feature
@@ -134,3 +134,17 @@
     When 6 idempotent requests are sent one after the other
     Then the target of the own zone ran 1 of them
     And it gets none after it has written its entry again
+
+  # Guards against a router that runs out of memory on bytes without end.
+  Scenario Outline: A target that would <behaviour> is left after a bounded number of bytes
+    Given a platform with lookups in both zones
+    And the target of the own zone would <behaviour>
+    And the bytes that the router reads are counted
+    When a idempotent request is sent
+    Then the response is 200 and 2 targets ran the request
+    And it read less than <size> MB
+
+    Examples:
+      | behaviour               | size |
+      | send a head without end | 1    |
+      | send a body without end | 5    |
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -198,3 +198,17 @@
     And the first target of the own zone says in its answers that it leaves
     When drafts of 3 events are asked for during 3 seconds
     Then that target got none later than half the drain bound after its first answer
+
+  # Guards against a router that runs out of memory on bytes without end.
+  Scenario Outline: A first target that would <behaviour> is left after a bounded number of bytes
+    Given a platform with a model in parts in both zones
+    And the first target of the own zone would <behaviour>
+    And the bytes that the router reads are counted
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And it read less than 1 MB
+
+    Examples:
+      | behaviour               |
+      | send a head without end |
+      | send a body without end |
--- a/tests/steps/notice_steps.py
+++ b/tests/steps/notice_steps.py
@@ -1,4 +1,4 @@
-"""Steps for what targets announce in their answers."""
+"""Steps for what targets announce in their answers, and for answers without end."""
 
 import time
 
@@ -6,7 +6,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from chervilstall.standin.platform_target import PlatformTarget
+from chervilstall.standin.platform_target import Behaviour, PlatformTarget
+from chervilstall.target.connection import SingleResponse
 from tests.support.platform import BOUNDS, ZONES, send
 
 DRAFT_INTERVAL_S = 0.1
@@ -73,3 +74,43 @@
     assert runs
     last_s = runs[-1].received_at_s - runs[0].received_at_s
     assert last_s <= BOUNDS.drain_s / 2.0 + 0.2, last_s
+
+
+# Answers without end
+
+
+class ReadCounter:
+    """Counts the bytes that routers read of targets' responses, until it is stopped."""
+
+    def __init__(self) -> None:
+        self.bytes_read = 0
+        self.original = SingleResponse.feed
+
+        def feed(response: SingleResponse, data: bytes) -> None:
+            self.bytes_read += len(data)
+            self.original(response, data)
+
+        SingleResponse.feed = feed
+
+    def stop(self) -> None:
+        """Count no longer."""
+        SingleResponse.feed = self.original
+
+
+@given("the first target of the own zone would {behaviour}")
+def set_first_target_behaviour(context: Context, behaviour: str) -> None:
+    first = context.platform.targets[f"a-{ZONES[0]}"]
+    first.behaviour = Behaviour(behaviour)
+
+
+@given("the bytes that the router reads are counted")
+def count_read_bytes(context: Context) -> None:
+    context.read_counter = ReadCounter()
+    context.stoppables.append(context.read_counter)
+
+
+@then("it read less than {size_mb:d} MB")
+def check_read_bytes(context: Context, size_mb: int) -> None:
+    assert context.read_counter.bytes_read < size_mb * 1_000_000, (
+        context.read_counter.bytes_read
+    )
