Keep fencing tokens exact as JSON numbers, and reasons of refusals true

Found in reading the diff: tokens of later eras would have passed 2^53, where readers with doubles round; and a lookup that failed at its targets could be refused with the reason that targets are at their limits.

--- a/src/chervilstall/edge/limit_sharing.py
+++ b/src/chervilstall/edge/limit_sharing.py
@@ -55,12 +55,12 @@
     registry: RouterRegistry
     _stored: dict[TargetId, _StoredLimit] = field(default_factory=dict)
     _sharing: set[TargetId] = field(default_factory=set)
-    _is_copy_read: bool = False
+    _is_reading_copy: bool = False
 
     def handle_new_era(self) -> None:
         """Record what the store's copy holds without applying it; it may be old."""
         self._stored.clear()
-        self._is_copy_read = True
+        self._is_reading_copy = True
 
     def handle_entry(self, entry: Entry) -> None:
         """Apply a changed entry below `LIMITS_PREFIX`."""
@@ -73,7 +73,7 @@
         known = self._stored.get(limit.target)
         if known is not None and entry.revision <= known.revision:
             return
-        is_known = self._is_copy_read or limit.reporter == self.registry.vm
+        is_known = self._is_reading_copy or limit.reporter == self.registry.vm
         stored = _StoredLimit(limit, entry.revision, is_applied=is_known)
         self._stored[limit.target] = stored
         self._apply(stored)
@@ -89,7 +89,7 @@
 
     def handle_full_read(self, keys: list[str]) -> None:
         """Apply limits that were read before their targets; drop those of others."""
-        self._is_copy_read = False
+        self._is_reading_copy = False
         for target_id, stored in list(self._stored.items()):
             if target_id in self.fleet_view.targets:
                 self._apply(stored)
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -115,7 +115,7 @@
         reason = "no target is ready"
         while request.sends < SENDS_MAX and not request.has_caller_disconnected:
             target = self.chooser.choose(request.service, tried)
-            if target is None and self.rate_limiter.exhausted_targets():
+            if target is None and not tried and self.rate_limiter.exhausted_targets():
                 reason = AT_LIMIT
             if target is None or not self._may_send(request, target, reached):
                 break
--- a/src/chervilstall/platform/leases.py
+++ b/src/chervilstall/platform/leases.py
@@ -7,8 +7,9 @@
 from chervilstall.platform.kv import Lease, LeaseEnded, PlatformStore
 from chervilstall.store.contract import LeaseRecord
 
-ERA_EPOCHS = 2**48
-"""Epochs of one era of the store, more than it has revisions."""
+ERA_EPOCHS = 2**40
+"""Epochs of one era of the store: more than it has revisions, and with thousands of
+eras still exact as a JSON number."""
 
 LEASE_KEYS_PREFIX = protocol.ROUTER_KEYS_PREFIX + "leases/"
 
