--- a/tests/edge/rate_limits.feature
+++ b/tests/edge/rate_limits.feature
@@ -13,7 +13,8 @@
       | lookups |
       | drafts  |
 
-  Scenario Outline: In 30 drawn fleets <case> no window has more than a limit allows
+  # Guards against LIMIT: the parts of the routers add up to more than the limit allows.
+  Scenario Outline: A limit holds in drawn fleets with <case>
     Then in 30 drawn fleets with <case> no window has more than the limit allows
 
     Examples:
@@ -27,10 +28,12 @@
       | many routers                  |
       | routers that are pressed      |
 
+  # Guards against routers without a part of a limit that keep to it for ever.
   Scenario: A limit that is lifted ends at every router
     Then in 30 drawn fleets a lifted limit is unknown to all routers 5 seconds later
 
-  Scenario: A limit is used up to the requests that it allows
+  # Guards against a target in need that is hardly used.
+  Scenario: A limit is used for the requests that it allows
     Then in 30 drawn fleets at least half of what a limit allows is sent
 
   # Guards against BUDGET: a target gets requests in the time for which it wants none.
--- a/tests/edge/store_era.feature
+++ b/tests/edge/store_era.feature
@@ -19,6 +19,7 @@
     Then all 3 routers are registered again within 3 seconds
     And no router ever counted fewer than 3
 
+  # Guards against two planners, and against fencing tokens that are given out again.
   Scenario: The planner acquires its lease again, with a later fencing token
     Given a platform with lookups in both zones
     And a copy of the store is taken
