Count a request towards a target's limit while it may be on its way

Found in a last reading, with the question whether the bound can be passed with requests on their way: a send counted for the 4 s of the window, so requests of two windows could arrive within one. It has no effect where no target names a limit.

--- a/src/chervilstall/edge/rate_limits.py
+++ b/src/chervilstall/edge/rate_limits.py
@@ -31,6 +31,13 @@
 WINDOW_S = 4.0
 """Length of the sliding window in which requests are counted."""
 
+WAY_MAX_S = 0.5
+"""How long a request may be on its way to its target.
+
+Two requests that are sent a window apart may arrive closer together, so a request
+counts for so much longer than the window.
+"""
+
 SPARE_REQUESTS = 1
 """Requests of a window beyond the limit.
 
@@ -160,7 +167,7 @@
 
     def _recent_sends_s(self, incarnation: TargetIncarnation) -> deque[float]:
         sends_s = self._sends_s[incarnation]
-        first_s = time.monotonic() - WINDOW_S
+        first_s = time.monotonic() - WINDOW_S - WAY_MAX_S
         while sends_s and sends_s[0] <= first_s:
             sends_s.popleft()
         return sends_s
--- a/tests/edge/rate_limits.feature
+++ b/tests/edge/rate_limits.feature
@@ -27,6 +27,7 @@
       | requests long on their way    |
       | many routers                  |
       | routers that are pressed      |
+      | requests late by turns        |
 
   # Guards against routers without a part of a limit that keep to it for ever.
   Scenario: A limit that is lifted ends at every router
--- a/tests/steps/rate_limit_steps.py
+++ b/tests/steps/rate_limit_steps.py
@@ -172,6 +172,8 @@
             return {"late_s": 0.5}
         case "routers that are pressed":
             return {"is_pressed": True, "late_s": 0.25}
+        case "requests late by turns":
+            return {"is_pressed": True, "late_s": 0.4, "is_late_by_turns": True}
         case "many routers":
             return {
                 "routers": 77,
--- a/tests/support/rate_limit_fleet.py
+++ b/tests/support/rate_limit_fleet.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.edge.rate_limits import WINDOW_S, TargetRateLimiter
 from chervilstall.fleet.records import NO_LAYERS, Target, TargetReadiness
 from chervilstall.ids import ServiceName, TargetId, VmId, ZoneName
 from chervilstall.settings.option import Address
@@ -45,7 +45,8 @@
     `cut_routers` neither share nor hear of limits and of routers that join.
     `burst_requests` reach the routers at once, twice in the run. With `is_pressed` all
     routers always have a request to send. `late_s` is how long a request may be on its
-    way to the target.
+    way to the target; with `is_late_by_turns` all of one window are and none of the
+    next.
     """
 
     routers: int
@@ -57,6 +58,7 @@
     joins: int = 0
     burst_requests: int = 0
     is_pressed: bool = False
+    is_late_by_turns: bool = False
     lifted_at_s: float = DURATION_S
 
 
@@ -156,9 +158,15 @@
             return
         limiter.record_send(TARGET)
         sent_at_s = self.clock.now_s
-        way_s = self.rng.uniform(0.001, self.case.late_s)
+        way_s = self._way_s()
         self._in(way_s, lambda: self._arrive(index, limiter, sent_at_s))
 
+    def _way_s(self) -> float:
+        if not self.case.is_late_by_turns:
+            return self.rng.uniform(0.001, self.case.late_s)
+        turn = int((self.clock.now_s - self.named_at_s - PRESSED_AFTER_S) / WINDOW_S)
+        return 0.001 if turn % 2 else self.case.late_s
+
     def _arrive(self, index: int, limiter: TargetRateLimiter, sent_at_s: float) -> None:
         if self._limiters[index] is limiter:
             self.arrivals.append(Arrival(self.clock.now_s, index))
