Log when a stopping router begins to refuse streams and what its stop cuts

The logs could not tell a refusal that begins late from one that never began, or from a stream that was taken in time and stood still: there were lines at the signal and at the end only. Now one says when streams are refused, and one for each request that the stop interrupts says when it arrived after the signal, how old it is, and how many sends and events it had.

--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -81,6 +81,7 @@
 
     Until `startup_wait_until_s`, a monotonic time, requests wait for the first
     configuration. Requests for streams are refused once `accepts_streams` is false.
+    `admitted` holds the requests that are being served.
     """
 
     fleet_view: FleetView
@@ -91,6 +92,7 @@
     is_draining: bool = False
     accepts_streams: bool = True
     running_requests: int = 0
+    admitted: set[EdgeRequest] = field(default_factory=set)
     body_memory: BodyMemory = field(default_factory=BodyMemory)
     startup_wait_until_s: float = field(
         default_factory=lambda: time.monotonic() + STARTUP_WAIT_S
@@ -119,9 +121,11 @@
                 reservation.shrink(len(request.body))
                 monitor = DisconnectMonitor(environ[SOCKET_KEY], request)
                 monitor.start()
+                self.admitted.add(request)
                 try:
                     yield from self._relay(request, start_response)
                 finally:
+                    self.admitted.discard(request)
                     monitor.stop()
         except ChervilstallError as error:
             yield from self._send_error(
@@ -160,6 +164,20 @@
         )
         yield http_response.body
 
+    def log_unfinished(self, drain_started_at_s: float) -> None:
+        """Log each request that a stop interrupts, and when it had arrived."""
+        now_s = time.monotonic()
+        for request in self.admitted:
+            log.warning(
+                "interrupted by the stop",
+                request=request.request_id,
+                route=request.route.name,
+                arrived_after_s=round(request.arrived_at_s - drain_started_at_s, 3),
+                age_s=round(now_s - request.arrived_at_s, 3),
+                sends=request.sends,
+                events_passed=request.events_forwarded,
+            )
+
     # Admission
 
     def _await_configuration(self) -> RouterConfiguration:
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -9,7 +9,7 @@
 from chervilstall.platform.headers import RequestFields
 
 
-@dataclass
+@dataclass(eq=False)
 class EdgeRequest:
     """A request that matched a route and passed authentication.
 
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -359,6 +359,8 @@
             gevent.sleep(DRAIN_POLL_S)
         # The load balancer still sends callers here if too few other routers are ready.
         self.app.accepts_streams = False
+        refused_after_s = round(time.monotonic() - started_at_s, 3)
+        log.info("streams refused from now on", after_s=refused_after_s)
         self.caller_listener.close_idle()
         while (
             time.monotonic() < end_s - LISTENER_CLOSE_LEAD_S
@@ -368,6 +370,7 @@
         self.caller_listener.close()
         while self.app.running_requests and time.monotonic() < end_s:
             gevent.sleep(DRAIN_POLL_S)
+        self.app.log_unfinished(started_at_s)
         log.info(
             "stopped",
             unfinished=self.app.running_requests,
