--- /dev/null
+++ b/tests/edge/drain.feature
@@ -0,0 +1,41 @@
+Feature: A router that is told to stop cuts no request that it need not have taken
+
+  # Guards against LOST: streams that arrive 3 s after SIGTERM are taken and cut at the end.
+  Scenario: Streams sent later than 3 seconds after the stop signal are not cut
+    Given a router before drafts that last longer than its grace period
+    And its event loop is busy
+    When it is told to stop and drafts arrive every 2 ms around 3 seconds later
+    Then none of those sent later than 3 seconds after the signal is cut
+    And those that were refused have not run
+
+  # Guards against LOST: streams are admitted before their body, which may come late.
+  Scenario: A stream whose body ends after the stop signal by more than 3 seconds is not cut
+    Given a router before drafts that last longer than its grace period
+    When it is told to stop and the body of a draft ends 3.2 seconds later
+    Then that draft is refused and has not run
+
+  # Guards against requests that end as an internal error when the router stops.
+  Scenario Outline: A <kind> request that no target answers gets its answer before the stop
+    Given a router before lookups that hang
+    When it is told to stop and a <kind> request arrives <after_s> seconds later
+    Then that request gets a complete answer
+
+    Examples:
+      | kind           | after_s |
+      | idempotent     | 1.5     |
+      | non_idempotent | 1.5     |
+      | non_idempotent | 2.8     |
+
+  # Guards against streams that end as an internal error when the router stops.
+  Scenario: A stream that no target begins gets its answer before the stop
+    Given a router before drafts that do not begin
+    When it is told to stop and a draft arrives 1.0 seconds later
+    Then that request gets a complete answer
+
+  # Guards against LOST: a stream that cannot end before the stop is taken and cut.
+  Scenario: A stream that would outlast the stop is refused at once, and a short one served
+    Given a router that has served a draft of 50 events
+    When it is told to stop and a draft of 2000 events arrives 0.5 seconds later
+    Then that draft is refused and has not run
+    When a draft of 50 events arrives 1.0 seconds after the signal
+    Then that request is served
