Refuse requests that reach a router of the product's interface after its drain wait

A router of the product's own interface went on taking requests until the end of its drain, ten minutes at the most, and cut those that were not done by then.

Change: after the wait the router closes idle connections and refuses new requests as not run, on open and new connections; those in progress have drain_timeout_s as before.

--- a/src/chervilstall/gateway/runtime.py
+++ b/src/chervilstall/gateway/runtime.py
@@ -60,11 +60,15 @@
 
 
 class RouterState(Enum):
-    """Lifecycle state of a router, as `/readyz` reports it."""
+    """Lifecycle state of a router, as `/readyz` reports it.
+
+    A draining router still takes requests, a finishing one only ends those that run.
+    """
 
     STARTING = "starting"
     READY = "ready"
     DRAINING = "draining"
+    FINISHING = "finishing"
     STOPPED = "stopped"
 
 
@@ -152,7 +156,7 @@
         return True
 
     def require_serving(self) -> None:
-        """Raise SHUTTING_DOWN before the first settings and after the stop.
+        """Raise SHUTTING_DOWN before the first settings and once requests only end.
 
         A draining router still accepts requests.
         """
@@ -160,8 +164,8 @@
             raise ChervilstallError(
                 ErrorKind.SHUTTING_DOWN, "the router has no settings yet"
             )
-        if self.state is RouterState.STOPPED:
-            raise ChervilstallError(ErrorKind.SHUTTING_DOWN, "the router has stopped")
+        if self.state in (RouterState.FINISHING, RouterState.STOPPED):
+            raise ChervilstallError(ErrorKind.SHUTTING_DOWN, "the router is stopping")
 
     # Background tasks
 
@@ -205,14 +209,14 @@
 
     # Shutdown
 
-    def drain(self) -> bool:
-        """Wait for running requests; return whether all finished within the timeout.
-
-        The router first reports not-ready and keeps accepting requests for
-        `drain_wait_s`, until the load balancer has stopped sending new ones.
-        """
+    def await_load_balancer(self) -> None:
+        """Report not-ready, and take requests until the load balancer has noticed."""
         self.state = RouterState.DRAINING
         gevent.sleep(self.settings.listen.drain_wait_s)
+
+    def finish_requests(self) -> bool:
+        """Take no more requests; return whether all others ended within the timeout."""
+        self.state = RouterState.FINISHING
         is_idle = self.request_tracker.idle.wait(self.settings.listen.drain_timeout_s)
         if not is_idle:
             log.warning(
--- a/src/chervilstall/gateway/server.py
+++ b/src/chervilstall/gateway/server.py
@@ -118,7 +118,9 @@
         if self._is_draining:
             return self.abort()
         self._is_draining = True
-        is_idle = self.runtime.drain()
+        self.runtime.await_load_balancer()
+        self.caller_listener.close_idle()
+        is_idle = self.runtime.finish_requests()
         self.stop()
         return is_idle
 
--- a/tests/gateway/shutdown.feature
+++ b/tests/gateway/shutdown.feature
@@ -7,6 +7,13 @@
     Then every stream and hold was answered in full
     And the router reports that nothing was cut off
 
+  # Guards against LOST: requests are taken until the end of the drain, and cut there.
+  Scenario: Requests that come after the drain wait are refused and have not run
+    Given a router and stand-in targets
+    And the engines compute 60 layer tokens per second
+    When the router is told to stop under a stream, and streams come after its drain wait
+    Then each of them was refused and has not run
+
   Scenario: A second stop signal aborts and reports unfinished requests
     Given a router and stand-in targets
     And the engines compute 60 layer tokens per second
