Let a stand-in target crash on a part of a prompt

No test could play this: a stand-in only broke the stream of one request. Now a target has a set of deadly parts. A stream whose Prefix-Hash names one of them, not as its last part, resets all connections at the time of its first event and closes the listener for restart_s; the log keeps the time.

--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -12,13 +12,13 @@
 
 from chervilstall.fleet.records import NO_LAYERS, LayerRange
 from chervilstall.settings.option import Address
+from chervilstall.standin.crashes import ResettableServer, shared_parts
 from chervilstall.wsgi import (
     HEADERS_KEY,
     REQUEST_TARGET_KEY,
     SOCKET_KEY,
     Environ,
     HttpResponse,
-    Server,
     StartResponse,
     json_response,
     read_body,
@@ -70,13 +70,15 @@
     """What a stand-in ran and was ordered to do.
 
     `cancelled_streams` counts the streams that were closed before their last event.
-    `refused_at_s` holds the monotonic times at which requests were refused.
+    `refused_at_s` holds the monotonic times at which requests were refused, and
+    `crashed_at_s` those of its crashes.
     """
 
     runs: list[Run] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     cancelled_streams: int = 0
     refused_at_s: list[float] = field(default_factory=list)
+    crashed_at_s: list[float] = field(default_factory=list)
 
 
 class PlatformTarget:
@@ -87,7 +89,10 @@
     the load report lists every request as stalled on it. While `is_silent`, requests of
     any kind get no answer. `limit_per_s` is the limit that it names in its answers to
     requests, if any. With `announces_leaving` these answers also say that it leaves.
-    `retry_after_s` is named in refusals.
+    `retry_after_s` is named in refusals. The first event of a stream comes
+    `first_event_s` after its request. A request that names one of `deadly_parts`
+    crashes the target instead, which listens again at the same address `restart_s`
+    later.
     """
 
     def __init__(self, name: str, address: Address) -> None:
@@ -105,7 +110,11 @@
         self.limit_per_s: float | None = None
         self.announces_leaving = False
         self.retry_after_s: float | None = None
-        self.server = Server(address, self)
+        self.first_event_s = EVENT_INTERVAL_S
+        self.deadly_parts: frozenset[str] = frozenset()
+        self.restart_s = 3.2
+        self._restart: gevent.Greenlet | None = None
+        self.server = ResettableServer(address, self)
 
     @property
     def address(self) -> Address:
@@ -118,8 +127,23 @@
 
     def stop(self) -> None:
         """Stop listening and close every connection."""
+        if self._restart is not None:
+            self._restart.kill(block=False)
         self.server.kill_connections()
 
+    def _crash(self) -> None:
+        """Reset every connection and stop listening until the restart."""
+        if self.server.closed:
+            return
+        self.log.crashed_at_s.append(time.monotonic())
+        address = self.address
+        self.server.reset_connections()
+        self._restart = gevent.spawn_later(self.restart_s, self._listen_again, address)
+
+    def _listen_again(self, address: Address) -> None:
+        self.server = ResettableServer(address, self)
+        self.server.start()
+
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
@@ -264,8 +288,12 @@
         ]
         start_response(status_line(200), response_headers)
         try:
+            gevent.sleep(max(0.0, self.first_event_s - EVENT_INTERVAL_S))
             for event_id in range(first_event_id, event_count + 1):
                 gevent.sleep(EVENT_INTERVAL_S)
+                if shared_parts(run.headers) & self.deadly_parts:
+                    self._crash()
+                    raise ConnectionResetError(errno.ECONNRESET, "the target crashed")
                 if event_id - first_event_id == self.events_before_fault:
                     self._pause_stream()
                 if event_id - first_event_id >= self.events_before_fault:
