--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -26,12 +26,12 @@
 from chervilstall.edge.rate_limits import AT_LIMIT, TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.stream_monitor import StreamMonitor
+from chervilstall.edge.stream_paths import StreamPaths
 from chervilstall.edge.target_notices import TargetNotices
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.view import FleetView
-from chervilstall.ids import TargetId
-from chervilstall.paths.choice import PathChooser, PathRequest
+from chervilstall.paths.choice import PathChooser
 from chervilstall.paths.records import Path
 from chervilstall.platform.headers import ForwardFields, ResponseHead
 from chervilstall.telemetry.events import EventLog
@@ -77,18 +77,19 @@
     not stream; it raises ChervilstallError. For a stream, iterate `events` once; it
     raises StreamBroken. Call `close` in any case.
 
-    `attempts` counts the first targets that may have run the request. `_avoided` are
-    first targets whose exchange failed, `_refusing` targets that refused the request.
+    `paths` chooses the path of each attempt, and `attempts` counts the first targets
+    that may have run the request.
     """
 
     def __init__(self, context: StreamContext, request: EdgeRequest) -> None:
         self.context = context
         self.request = request
         self.attempts = AttemptLimit(context.fleet_view, request.route.attempts_max)
+        self.paths = StreamPaths(
+            context.chooser, context.rate_limiter, request, self.attempts
+        )
         self.head: ResponseHead | None = None
         self.last_event_number = parse_event_number(request.fields.last_event_id)
-        self._avoided: set[TargetId] = set()
-        self._refusing: set[TargetId] = set()
         self._may_have_run = False
         self._forwarded_at_s = time.monotonic()
         self._last_failure = "no path covers the model"
@@ -131,7 +132,7 @@
             raise self._error(self._last_failure)
         if request.sends >= SENDS_MAX:
             raise self._error(self._last_failure)
-        path = self._choose_path()
+        path = self.paths.choose()
         if path is None:
             raise self._error(self._no_path_reason())
         if request.sends and not self._take_retry():
@@ -155,41 +156,6 @@
             return True
         return budget.try_spend(request.service.name, is_resume=self.head is not None)
 
-    def _choose_path(self) -> Path | None:
-        """Return a path without refusing targets, and without failed ones if possible.
-
-        At the attempt limit only targets that were tried may come first.
-        """
-        for avoid in (self._avoided | self._refusing, self._refusing):
-            if not self.attempts.is_reached:
-                path = self._path_without(avoid)
-            else:
-                path = self._path_from_tried(avoid)
-            if path is not None:
-                return path
-        return None
-
-    def _path_from_tried(self, avoid: set[TargetId]) -> Path | None:
-        for first in sorted(self.attempts.counted):
-            if first in avoid:
-                continue
-            path = self._path_without(avoid, first)
-            if path is not None:
-                return path
-        return None
-
-    def _path_without(
-        self, avoid: set[TargetId], first: TargetId | None = None
-    ) -> Path | None:
-        request = self.request
-        path_request = PathRequest(
-            request.expected_tokens,
-            frozenset(avoid),
-            first,
-            self.context.rate_limiter.exhausted_targets(),
-        )
-        return self.context.chooser.choose(request.service, path_request)
-
     def _send(self, path: Path) -> ResponseHead:
         request = self.request
         last_event = ""
@@ -255,7 +221,7 @@
             target=faulty.id,
             status=head.status,
         )
-        self._refusing.add(faulty.id)
+        self.paths.refusing.add(faulty.id)
         self.context.chooser.load.note_full(faulty.incarnation, FULL_S)
         self.context.stream_monitor.check_refusal(faulty)
 
@@ -284,7 +250,7 @@
         if error.failure is ExchangeFailure.NO_CONNECTION:
             self.context.fleet_view.suspect(path.first, error.failure.value)
         if error.failure is not ExchangeFailure.TIMEOUT:
-            self._avoided.add(path.first.id)
+            self.paths.avoided.add(path.first.id)
 
     def _error(self, reason: str) -> ChervilstallError:
         if not self._may_have_run:
