Keep prompts away from targets that they crash

Cause: a router knew that a target had died and not of what. The request that was there went on to the next target, its caller's repeat to two more, and each new request with the part was sent like any other. The class: a request that is retried as if its failure were the target's.

Change: quarantine/ decides, without a network. A crash speaks against the parts of those requests that the target had received and not begun to answer; an answer that begins voids it. After three crashes that no other part explains better, no answer with the part since and others meanwhile, requests with it are refused as not run, with Retry-After. Parts with which answers began before need more. Routers share crashes and entries through the store, in tasks of their own; an entry is in force half a second after it is seen unless a router knows that it is wrong. One request is let through after 30 s and one after two more minutes, by one router of all. A request that was at two crashes isn't sent again. edge/crash_observer asks a target that lost requests for its report, so that resets alone don't count; its line 'target crashed' and 'part under quarantine' say what each router knew.

--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -3,7 +3,6 @@
 import gc
 import os
 import time
-from dataclasses import dataclass
 from pathlib import Path
 from socket import socket
 
@@ -12,11 +11,14 @@
 
 from chervilstall.edge.app import EdgeApplication
 from chervilstall.edge.budget import FleetRetryBudget
+from chervilstall.edge.crash_observer import CrashObserver
 from chervilstall.edge.draining import DrainSchedule
-from chervilstall.edge.error_responses import error_response
+from chervilstall.edge.endpoints import OperatorEndpoints, bad_request_response
 from chervilstall.edge.limit_sharing import LIMITS_PREFIX, LimitSharing
 from chervilstall.edge.outage import OutagePoller
 from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
+from chervilstall.edge.prompt_guard import PromptGuard
+from chervilstall.edge.quarantine_sharing import QuarantineSharing
 from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.edge.registry import ROUTERS_ASSUMED, RouterRegistry
 from chervilstall.edge.slow_targets import SlowTargetDetector
@@ -25,7 +27,6 @@
 from chervilstall.edge.stream_relay import StreamContext
 from chervilstall.edge.target_notices import TargetNotices
 from chervilstall.edge.zone_prober import ZoneProber
-from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.suspicion import SuspicionKind
 from chervilstall.fleet.view import FleetView
@@ -36,6 +37,7 @@
 from chervilstall.platform.kv import PlatformStore
 from chervilstall.platform.leases import PlatformLeases
 from chervilstall.platform.node import read_node
+from chervilstall.platform.quarantine import CRASHES_PREFIX, QUARANTINE_PREFIX
 from chervilstall.platform.suspicions import SharedSuspicion
 from chervilstall.platform.watcher import (
     EntryHandler,
@@ -43,6 +45,7 @@
     configuration_handler,
     target_handler,
 )
+from chervilstall.quarantine.judge import PromptJudge
 from chervilstall.settings.leases import LeaseSettings
 from chervilstall.settings.node import NodeSettings
 from chervilstall.settings.option import Address
@@ -51,11 +54,7 @@
 from chervilstall.telemetry.events import EventLog
 from chervilstall.telemetry.gc_tuning import tune_garbage_collector
 from chervilstall.wsgi import (
-    Environ,
-    HttpResponse,
     Server,
-    StartResponse,
-    json_response,
 )
 
 log = EventLog("router")
@@ -71,40 +70,6 @@
 """Time before the last answers at which new connections are no longer accepted."""
 
 DRAIN_POLL_S = 0.05
-ERROR_KINDS = {
-    408: ErrorKind.REQUEST_TIMEOUT,
-    413: ErrorKind.BODY_TOO_LARGE,
-    414: ErrorKind.HEADERS_TOO_LARGE,
-    431: ErrorKind.HEADERS_TOO_LARGE,
-    500: ErrorKind.INTERNAL,
-}
-
-
-def bad_request_response(status: int) -> HttpResponse:
-    """Return the response to a request that could not be parsed, from its status."""
-    kind = ERROR_KINDS.get(status, ErrorKind.BAD_REQUEST)
-    return error_response(ChervilstallError(kind, "the request is malformed"))
-
-
-@dataclass
-class OperatorEndpoints:
-    """WSGI application with readiness for the load balancer and metrics."""
-
-    server: "EdgeServer"
-
-    def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
-        """Serve one request."""
-        return self._respond(environ["PATH_INFO"]).start(start_response)
-
-    def _respond(self, path: str) -> HttpResponse:
-        match path:
-            case protocol.READY_PATH:
-                is_ready = self.server.is_ready
-                return json_response(200 if is_ready else 503, {"ready": is_ready})
-            case "/metrics":
-                text = self.server.metrics_text().encode()
-                return HttpResponse(200, text, (("Content-Type", "text/plain"),))
-        return json_response(404, {"error": "no such path"})
 
 
 class EdgeServer:
@@ -140,6 +105,12 @@
             SlowTargetDetector(self.fleet_view, self.chooser, self.rate_limiter),
         )
         self.metrics = EdgeMetrics()
+        self.judge = PromptJudge(lambda action: self.quarantine.carry_out(action))
+        self.crash_observer = CrashObserver(
+            self.fleet_view,
+            self.rate_limiter,
+            lambda report: self.quarantine.share_crash(report),
+        )
         self.app = self._build_application()
         self.planner_lease = LeaseHolder(
             self.leases,
@@ -167,6 +138,7 @@
         self.limit_sharing = LimitSharing(
             self.fleet_view, self.rate_limiter, self.registry
         )
+        self.quarantine = QuarantineSharing(self.judge, self.registry, self.store)
         self.rate_limiter.on_change = self.limit_sharing.share
         self.store_watcher = self.registry.store_watcher = self._build_store_watcher()
         self.store_probe = StoreProbe(self.store, self.store_watcher, self.registry.key)
@@ -175,7 +147,7 @@
             self.app,
             bad_request_response=bad_request_response,
         )
-        endpoints = OperatorEndpoints(self)
+        endpoints = OperatorEndpoints(lambda: self.is_ready, self.metrics_text)
         self.readiness_listener = Server(settings.ready_address, endpoints)
         self.metrics_listener = Server(
             Address(settings.ready_address.host, metrics_port), endpoints
@@ -202,6 +174,7 @@
             self.stream_monitor,
             self.rate_limiter,
             notices,
+            PromptGuard(self.judge, self.crash_observer),
         )
         return EdgeApplication(
             self.fleet_view, plain, streams, self.budget, self.metrics
@@ -223,6 +196,14 @@
             target_handler(self.fleet_view),
             own_handler,
             limits_handler,
+            EntryHandler(
+                CRASHES_PREFIX, self.quarantine.handle_crashes, lambda keys: None
+            ),
+            EntryHandler(
+                QUARANTINE_PREFIX,
+                self.quarantine.handle_entry,
+                self.quarantine.handle_full_read,
+            ),
         )
         return StoreWatcher(self.store, self.fleet_view, handlers)
 
@@ -282,6 +263,7 @@
             if turn % PRUNE_INTERVAL_TURNS == 0:
                 self.prune_departed_targets()
             self.fleet_view.expire()
+            self.judge.expire()
             self._apply_caller_limits()
             self._reload_settings()
 
@@ -294,6 +276,7 @@
         self.chooser.load.prune(incarnations)
         self.app.plain_relay.chooser.prune(incarnations)
         self.rate_limiter.prune(incarnations)
+        self.crash_observer.prune(incarnations)
 
     def _apply_caller_limits(self) -> None:
         configuration = self.fleet_view.configuration
@@ -334,6 +317,7 @@
         gauges["configuration_version"] = configuration.version if configuration else 0
         gauges["targets"] = len(self.fleet_view.targets)
         gauges["streams"] = len(self.stream_monitor.streams)
+        gauges["parts_under_quarantine"] = len(self.judge.entries)
         gauges["requests_running"] = self.app.running_requests
         gauges["store_calls_total"] = self.store.calls
         gauges["orders_total"] = self.planner.orders_sent
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -23,6 +23,7 @@
     ExchangeFailure,
 )
 from chervilstall.edge.live_stream import LiveStream
+from chervilstall.edge.prompt_guard import PromptGuard
 from chervilstall.edge.rate_limits import AT_LIMIT, TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.stream_monitor import StreamMonitor
@@ -49,7 +50,6 @@
 """Range over which Retry-After is spread, so that callers do not return together."""
 
 RESUME_RETRY_S = 0.1
-
 RETRY_WAIT_SHARE = 0.3
 """Share of the caller's remaining time that it may be told to wait."""
 
@@ -68,6 +68,7 @@
     stream_monitor: StreamMonitor
     rate_limiter: TargetRateLimiter
     notices: TargetNotices
+    prompt_guard: PromptGuard
 
 
 class StreamRelay:
@@ -111,7 +112,7 @@
         try:
             head = self._send(path)
             if head.status == 200 and head.is_stream and head.is_signed:
-                self._pending_event = self._read_event()
+                self._pending_event = self._read_first_event()
                 self.context.stream_monitor.record_first_event(path.first)
                 self.head = head
                 return head
@@ -121,6 +122,13 @@
             self._record_failure(path, error)
             return None
 
+    def _read_first_event(self) -> bytes:
+        event = self._read_event()
+        if event is None:
+            # A response without a length may end with its target.
+            raise ExchangeFailed(ExchangeFailure.CLOSED, was_sent=True)
+        return event
+
     def _next_path(self) -> Path:
         """Return the next send's path. Raises ChervilstallError if there is none."""
         request = self.request
@@ -132,6 +140,7 @@
             raise self._error(self._last_failure)
         if request.sends >= SENDS_MAX:
             raise self._error(self._last_failure)
+        self.context.prompt_guard.check(request, self._may_have_run)
         path = self.paths.choose()
         if path is None:
             raise self._error(self._no_path_reason())
@@ -239,6 +248,7 @@
             self.attempts.record(path.first)
         if error.failure is ExchangeFailure.CALLER_LEFT:
             return
+        self.context.prompt_guard.record_failure(self.request, path.first, error)
         log.warning(
             "send failed",
             request=self.request.request_id,
@@ -296,11 +306,13 @@
                 if self.request.events_forwarded:
                     self.request.record_gap(now_s - self._forwarded_at_s)
                 self.request.events_forwarded += 1
+                self.context.prompt_guard.record_event(self.request)
                 self._forwarded_at_s = now_s
                 yield event
             event = self._read_event()
         if self._exchange is not None and self._exchange.abort_reason is not None:
             raise ExchangeFailed(self._exchange.abort_reason, was_sent=True)
+        self.context.prompt_guard.record_end(self.request)
 
     def _read_event(self) -> bytes | None:
         assert self._exchange is not None and self._stream is not None
--- a/src/chervilstall/errors.py
+++ b/src/chervilstall/errors.py
@@ -38,6 +38,7 @@
     HOME_UNAVAILABLE = "home_unavailable"
     SHUTTING_DOWN = "shutting_down"
     NOT_READY = "not_ready"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     OUTCOME_UNKNOWN = "outcome_unknown"
     STREAM_BROKEN = "stream_broken"
     OUTCOME_TOO_LARGE = "outcome_too_large"
@@ -81,6 +82,7 @@
     ErrorKind.HOME_UNAVAILABLE: ErrorResponse(503, ExecutionState.NO, True),
     ErrorKind.SHUTTING_DOWN: ErrorResponse(503, ExecutionState.NO, True),
     ErrorKind.NOT_READY: ErrorResponse(503, ExecutionState.NO, True),
+    ErrorKind.PROMPT_QUARANTINED: ErrorResponse(503, ExecutionState.NO, True),
     ErrorKind.OUTCOME_UNKNOWN: ErrorResponse(502, ExecutionState.UNKNOWN, False),
     ErrorKind.STREAM_BROKEN: ErrorResponse(502, ExecutionState.UNKNOWN, False),
     ErrorKind.OUTCOME_TOO_LARGE: ErrorResponse(409, ExecutionState.YES, False),
--- a/src/chervilstall/platform/headers.py
+++ b/src/chervilstall/platform/headers.py
@@ -7,7 +7,7 @@
 from geventhttpclient.header import Headers
 
 from chervilstall.fleet.records import Target
-from chervilstall.ids import RequestId, WorkspaceName
+from chervilstall.ids import PartId, RequestId, WorkspaceName
 from chervilstall.paths.records import Path
 from chervilstall.platform import protocol
 from chervilstall.platform.targets import encode_path
@@ -23,7 +23,8 @@
     """The values of a caller's headers.
 
     `timeout_s` is how long the caller waits, None if it isn't stated. Sizes are in
-    tokens, 0 if they aren't stated.
+    tokens, 0 if they aren't stated. `prompt_parts` are the parts of the prompt that it
+    may share with other requests.
     """
 
     request: RequestId
@@ -34,6 +35,7 @@
     prompt_tokens: float
     answer_tokens: float
     forwarded_headers: HeaderFields
+    prompt_parts: tuple[PartId, ...] = ()
 
 
 def read_request_fields(headers: Iterable[tuple[str, str]]) -> RequestFields:
@@ -57,9 +59,18 @@
         forwarded_headers=tuple(
             (name, value) for name, value in fields if name.lower() not in dropped
         ),
+        prompt_parts=_parse_shared_parts(
+            by_name.get(protocol.PROMPT_PARTS.lower(), "")
+        ),
     )
 
 
+def _parse_shared_parts(text: str) -> tuple[PartId, ...]:
+    """Return the parts of a prompt without the last, which is the request's own."""
+    parts = [part.partition(":")[0].strip() for part in text.split(",")]
+    return tuple(PartId(part) for part in parts[:-1] if part)
+
+
 def _parse_number(text: str) -> float | None:
     try:
         value = float(text)
--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -188,6 +188,11 @@
             raise LeaseEnded("the lease of the write has ended")
         return _decode(response, _WriteResponse).revision
 
+    def remove(self, key: str) -> None:
+        """Remove a key; it need not exist."""
+        body = {"expected": [], "writes": [], "remove": [key]}
+        _decode(self._call("POST", "/chervilstall/kv-txn", body), _WriteResponse)
+
     def open_lease(self, ttl_s: float) -> Lease:
         """Create a lease; the store may grant another time to live than `ttl_s`."""
         body = {"ttl-ms": int(ttl_s * 1e3)}
--- a/src/chervilstall/platform/protocol.py
+++ b/src/chervilstall/platform/protocol.py
@@ -19,6 +19,7 @@
 FAULTY_TARGET = "At-Server"
 ANSWERING_TARGET = "Instance-Id"
 TOKEN_COUNT = "Token-Count"
+PROMPT_PARTS = "Prefix-Hash"
 LENGTH_HINT = "Length-Hint"
 PRIORITY = "Request-Priority"
 
--- /dev/null
+++ b/src/chervilstall/platform/quarantine.py
@@ -0,0 +1,47 @@
+"""Crashes and parts under quarantine, as routers share them through the store."""
+
+import hashlib
+
+import msgspec
+
+from chervilstall.platform import protocol
+from chervilstall.quarantine.records import CrashReport, PartKey, QuarantineEntry
+
+CRASHES_PREFIX = protocol.ROUTER_KEYS_PREFIX + "crashes/"
+QUARANTINE_PREFIX = protocol.ROUTER_KEYS_PREFIX + "quarantine/"
+KEY_DIGEST_CHARS = 32
+
+_crashes_decoder = msgspec.json.Decoder(tuple[CrashReport, ...])
+_entry_decoder = msgspec.json.Decoder(QuarantineEntry)
+
+
+def quarantine_key(key: PartKey) -> str:
+    """Return the store key of a part's entry; a caller's part may be of any length."""
+    text = f"{key.service}\0{key.part}".encode()
+    return QUARANTINE_PREFIX + hashlib.sha256(text).hexdigest()[:KEY_DIGEST_CHARS]
+
+
+def encode_crashes(reports: tuple[CrashReport, ...]) -> bytes:
+    """Encode the crashes that one router saw lately."""
+    return msgspec.json.encode(reports)
+
+
+def decode_crashes(content: bytes) -> tuple[CrashReport, ...] | None:
+    """Decode crashes; None if they are malformed."""
+    try:
+        return _crashes_decoder.decode(content)
+    except ValueError:
+        return None
+
+
+def encode_entry(entry: QuarantineEntry) -> bytes:
+    """Encode a part under quarantine."""
+    return msgspec.json.encode(entry)
+
+
+def decode_entry(content: bytes) -> QuarantineEntry | None:
+    """Decode a part under quarantine; None if it is malformed."""
+    try:
+        return _entry_decoder.decode(content)
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/chervilstall/quarantine/judge.py
@@ -0,0 +1,279 @@
+"""Decides which parts of prompts are kept away from the targets.
+
+A part is put under quarantine after three crashes of targets that held a request with
+it and had not begun to answer that request, if no answer with the part has begun since
+the first of them while others have. Parts with which answers have begun before need
+more, and the crashes that a part under quarantine explains speak against no other. The
+module needs no network: a router tells it what it saw and what the others shared, and
+carries out the actions that it asks for.
+
+Example::
+
+    judge = PromptJudge(on_action=sharing.carry_out)
+    judge.record_crash(CrashReport(CrashId("t1@0"), service, parts))
+    judge.refused_part(service, parts)    # the part under quarantine, or None
+"""
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+
+from chervilstall.ids import PartId, ServiceName
+from chervilstall.quarantine.evidence import EvidenceLog
+from chervilstall.quarantine.records import (
+    ClaimTrial,
+    Clear,
+    CrashReport,
+    PartKey,
+    Propose,
+    QuarantineAction,
+    QuarantineEntry,
+)
+
+CRASHES_MIN = 3
+SUSPECT_CRASHES_MIN = 2
+OTHERS_BEGUN_MIN = 3
+"""Answers without the part that must have begun meanwhile.
+
+Where nothing is answered at all, the cause is another one.
+"""
+
+KNOWN_CRASHES_MIN = 4
+KNOWN_OTHERS_BEGUN_MIN = 10
+"""The same for parts with which answers have begun before."""
+
+OBJECTION_S = 0.5
+"""Time after which an entry is in force unless a router knows that it is wrong."""
+
+TRIAL_AFTER_S = 30.0
+TRIAL_FACTOR = 4.0
+"""Each further trial waits this many times as long as the one before."""
+
+TRIALS_MAX = 2
+TRIAL_VALID_S = 10.0
+"""Time in which a router that claimed a trial may let one request through."""
+
+KEEP_INTERVAL_S = 240.0
+"""Time after which the entry of a part that is still asked for is written again."""
+
+KEPT_S = 600.0
+"""Time after the last request with a part for which it stays under quarantine."""
+
+
+@dataclass
+class _Quarantined:
+    """A part under quarantine; times are monotonic.
+
+    `tried_at_s` is when the entry or its latest trial began, `kept_at_s` when the entry
+    was last written, `asked_at_s` when a request with the part was last refused.
+    """
+
+    entry: QuarantineEntry
+    in_force_at_s: float
+    tried_at_s: float
+    kept_at_s: float
+    asked_at_s: float
+    trial_until_s: float = float("-inf")
+    is_claiming: bool = False
+
+
+def _ignore(action: QuarantineAction) -> None:
+    """Carry out nothing."""
+
+
+@dataclass
+class PromptJudge:
+    """The decisions of one router on parts of prompts.
+
+    `on_action` is called with what should be shared with the other routers. Proposals
+    also take effect here without the others, which may be out of reach.
+    """
+
+    on_action: Callable[[QuarantineAction], None] = _ignore
+    log: EvidenceLog = field(default_factory=EvidenceLog)
+    _quarantined: dict[PartKey, _Quarantined] = field(default_factory=dict)
+
+    # Requests
+
+    def refused_part(
+        self, service: ServiceName, parts: Iterable[PartId]
+    ) -> PartId | None:
+        """Return the part because of which a request must not be sent, or None.
+
+        A trial that this router has claimed lets one request through.
+        """
+        if not self._quarantined:
+            return None
+        now_s = time.monotonic()
+        for part in parts:
+            known = self._quarantined.get(PartKey(service, part))
+            if known is None or now_s < known.in_force_at_s:
+                continue
+            known.asked_at_s = now_s
+            if now_s < known.trial_until_s:
+                known.trial_until_s = float("-inf")
+                continue
+            self._ask_for_trial(known, now_s)
+            return part
+        return None
+
+    def is_suspect(self, service: ServiceName, parts: Iterable[PartId]) -> bool:
+        """Return whether a request that lost its target should not be sent again."""
+        for part in parts:
+            known = self.log.evidence.get(PartKey(service, part))
+            if known is None or known.was_begun:
+                continue
+            if known.crashes >= SUSPECT_CRASHES_MIN:
+                return True
+        return False
+
+    def record_begun(self, service: ServiceName, parts: Iterable[PartId]) -> None:
+        """Record that a target has begun to answer a request with these parts."""
+        keys = [PartKey(service, part) for part in parts]
+        others = self.log.add_begun(service, keys)
+        for key in keys:
+            if key in self._quarantined:
+                self._set_free(key)
+        self._consider(others)
+
+    def record_crash(self, report: CrashReport) -> None:
+        """Record a crash that this router or another one saw."""
+        self._consider(self.log.add_crash(report))
+
+    def with_begun_parts(self, report: CrashReport) -> CrashReport:
+        """Return a report of this router with what it knows of the parts."""
+        begun = [
+            part
+            for part in report.parts
+            if self.log.has_begun(PartKey(report.service, part))
+        ]
+        return replace(report, begun_parts=tuple(begun))
+
+    def _consider(self, keys: list[PartKey]) -> None:
+        """Put those parts under quarantine that explain the crashes best."""
+        candidates = [key for key in keys if self._is_convicted(key)]
+        while candidates:
+            best = max(candidates, key=self._rank)
+            crashes = set(self.log.evidence[best].crashed_at_s)
+            for key in candidates:
+                # Parts that always came together cannot be told apart.
+                is_same = set(self.log.evidence[key].crashed_at_s) == crashes
+                if is_same and self._rank(key) == self._rank(best):
+                    self._propose(key)
+            self.log.explain(crashes)
+            candidates = [key for key in candidates if self._is_convicted(key)]
+
+    def _rank(self, key: PartKey) -> tuple[bool, int]:
+        known = self.log.evidence[key]
+        return not known.was_begun, len(known.crashed_at_s)
+
+    def _is_convicted(self, key: PartKey) -> bool:
+        known = self.log.evidence.get(key)
+        if known is None or key in self._quarantined:
+            return False
+        crashes_min, others_min = CRASHES_MIN, OTHERS_BEGUN_MIN
+        if known.was_begun:
+            crashes_min, others_min = KNOWN_CRASHES_MIN, KNOWN_OTHERS_BEGUN_MIN
+        if known.others_begun < others_min or len(known.crashed_at_s) < crashes_min:
+            return False
+        return known.crashes >= crashes_min
+
+    def _propose(self, key: PartKey) -> None:
+        known = self.log.evidence[key]
+        entry = QuarantineEntry(
+            key,
+            time.monotonic() - known.first_at_s,
+            tuple(sorted(known.crashed_at_s)),
+            not known.was_begun,
+        )
+        self._add(entry, OBJECTION_S)
+        self.on_action(Propose(entry))
+
+    def _set_free(self, key: PartKey) -> None:
+        self.on_action(Clear(key))
+        self.remove_entry(key)
+
+    def _ask_for_trial(self, known: _Quarantined, now_s: float) -> None:
+        entry = known.entry
+        wait_s = TRIAL_AFTER_S * TRIAL_FACTOR**entry.trials
+        if known.is_claiming or entry.trials >= TRIALS_MAX:
+            return
+        if now_s < known.tried_at_s + wait_s:
+            return
+        known.is_claiming = True
+        self.on_action(ClaimTrial(replace(entry, trials=entry.trials + 1)))
+
+    # What the routers share
+
+    def apply_entry(self, entry: QuarantineEntry, is_old: bool = False) -> None:
+        """Apply an entry that this or another router wrote.
+
+        An entry that `is_old`, as one read at the start, is in force at once.
+        """
+        self.log.explain(entry.crashes)
+        known = self._quarantined.get(entry.key)
+        if known is None:
+            if self._is_wrong(entry) and not is_old:
+                self._set_free(entry.key)
+                return
+            self._add(entry, 0.0 if is_old else OBJECTION_S)
+            return
+        now_s = time.monotonic()
+        known.kept_at_s = now_s
+        if entry.trials > known.entry.trials:
+            known.tried_at_s = now_s
+            known.is_claiming = False
+            known.entry = entry
+
+    def _is_wrong(self, entry: QuarantineEntry) -> bool:
+        """Return whether this router knows of an answer that refutes an entry."""
+        if entry.is_new:
+            return self.log.has_begun(entry.key)
+        first_at_s = time.monotonic() - entry.evidence_age_s
+        return self.log.begun_at_s(entry.key) > first_at_s
+
+    def _add(self, entry: QuarantineEntry, delay_s: float) -> None:
+        now_s = time.monotonic()
+        self._quarantined[entry.key] = _Quarantined(
+            entry, now_s + delay_s, now_s, now_s, now_s
+        )
+
+    def remove_entry(self, key: PartKey) -> None:
+        """Set a part free, as an answer with it began, and void the evidence."""
+        self._quarantined.pop(key, None)
+        self.log.void(key)
+
+    def grant_trial(self, key: PartKey) -> None:
+        """Let one request with a part through, as this router claimed the trial."""
+        known = self._quarantined.get(key)
+        if known is not None:
+            known.trial_until_s = time.monotonic() + TRIAL_VALID_S
+
+    def deny_trial(self, key: PartKey) -> None:
+        """Record that another router has claimed the trial, or that none could."""
+        known = self._quarantined.get(key)
+        if known is not None:
+            known.is_claiming = False
+            known.tried_at_s = time.monotonic()
+
+    def is_quarantined(self, key: PartKey) -> bool:
+        """Return whether a part is under quarantine, or about to be."""
+        return key in self._quarantined
+
+    @property
+    def entries(self) -> list[QuarantineEntry]:
+        """Return the entries of all parts under quarantine."""
+        return [known.entry for known in self._quarantined.values()]
+
+    def expire(self) -> None:
+        """Drop what is past, and have entries kept that are still needed."""
+        self.log.expire()
+        now_s = time.monotonic()
+        for key, known in list(self._quarantined.items()):
+            if now_s - known.asked_at_s > KEPT_S:
+                self.remove_entry(key)
+                continue
+            is_asked_for = known.asked_at_s > known.kept_at_s
+            if is_asked_for and now_s - known.kept_at_s > KEEP_INTERVAL_S:
+                known.kept_at_s = now_s
+                self.on_action(Propose(known.entry))
--- /dev/null
+++ b/src/chervilstall/quarantine/records.py
@@ -0,0 +1,73 @@
+"""What routers tell each other about parts of prompts that crash targets."""
+
+from dataclasses import dataclass
+
+from chervilstall.ids import CrashId, PartId, ServiceName
+
+
+@dataclass(frozen=True)
+class PartKey:
+    """A part of prompts, as the targets of one service see it.
+
+    A part may crash the targets of one service and be harmless to another's.
+    """
+
+    service: ServiceName
+    part: PartId
+
+
+@dataclass(frozen=True)
+class CrashReport:
+    """One crash of a target, as one router saw it.
+
+    `parts` are those that stood in the prompts of requests that the target had received
+    and not begun to answer. With those in `begun_parts` the router has seen answers
+    begin at some time. `age_s` is the time since the crash, in seconds.
+    """
+
+    crash: CrashId
+    service: ServiceName
+    parts: tuple[PartId, ...]
+    begun_parts: tuple[PartId, ...] = ()
+    age_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class QuarantineEntry:
+    """A part whose requests no router may send.
+
+    `crashes` are those that speak against it, and `evidence_age_s` is the time since
+    the first of them, at the time of the proposal. `is_new` says that the proposer
+    knows of no answer that ever began with the part. `trials` counts the requests that
+    were let through since, to see whether the part is harmless after all.
+    """
+
+    key: PartKey
+    evidence_age_s: float
+    crashes: tuple[CrashId, ...] = ()
+    is_new: bool = True
+    trials: int = 0
+
+
+@dataclass(frozen=True)
+class Propose:
+    """Ask for a part to be put under quarantine, or for its entry to be kept."""
+
+    entry: QuarantineEntry
+
+
+@dataclass(frozen=True)
+class Clear:
+    """Ask for a part to be set free, as an answer with it has begun."""
+
+    key: PartKey
+
+
+@dataclass(frozen=True)
+class ClaimTrial:
+    """Ask to be the one router that lets one request with a part through."""
+
+    entry: QuarantineEntry
+
+
+QuarantineAction = Propose | Clear | ClaimTrial
