--- a/src/chervilstall/edge/quarantine_sharing.py
+++ b/src/chervilstall/edge/quarantine_sharing.py
@@ -43,7 +43,7 @@
 
 CRASHES_MAX = 16
 WRITE_PAUSE_S = 0.05
-SPREAD_MAX_S = 0.05
+SPREAD_MAX_S = 0.2
 """Upper bound of a random delay, after which another router may have been first."""
 
 RETRY_S = 1.0
