Name a platform's targets and parts once in the steps

The target of the own zone stood as platform.targets[f"a-{ZONES[0]}"] in 10 places and as f"lookup-{ZONES[0]}" in 7, the halves of the model as LayerRange(0, LAYERS // 2) in 6 (edge steps and rate_limit_steps.py), a pausing target as the same three lines in 6. They are own_first, own_lookup, FIRST_PART, LAST_PART and pause_stream in tests/support/platform_scenario.py, and rate_limit_steps.py starts its platform with the same start_platform, add_lookups and add_model. The lookups of recovery.feature are now named like the others (lookup-, was l-). No check changed.

--- a/tests/steps/notice_steps.py
+++ b/tests/steps/notice_steps.py
@@ -6,18 +6,14 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from chervilstall.standin.platform_target import Behaviour, PlatformTarget
+from chervilstall.standin.platform_target import Behaviour
 from chervilstall.target.connection import SingleResponse
 from tests.support.platform import BOUNDS, ZONES, send
+from tests.support.platform_scenario import own_first, own_lookup
 
 DRAFT_INTERVAL_S = 0.1
 
 
-def own_lookup(context: Context) -> PlatformTarget:
-    """Return the target of lookups in the own zone."""
-    return context.platform.targets[f"lookup-{ZONES[0]}"]
-
-
 @given("the target of the own zone says in its answers that it leaves")
 def announce_lookup_leaving(context: Context) -> None:
     own_lookup(context).announces_leaving = True
@@ -49,7 +45,7 @@
 
 @given("the first target of the own zone says in its answers that it leaves")
 def announce_first_leaving(context: Context) -> None:
-    context.platform.targets[f"a-{ZONES[0]}"].announces_leaving = True
+    own_first(context).announces_leaving = True
 
 
 @when("drafts of {events:d} events are asked for during {duration_s:d} seconds")
@@ -70,7 +66,7 @@
 
 @then("that target got none later than half the drain bound after its first answer")
 def check_first_left(context: Context) -> None:
-    runs = context.platform.targets[f"a-{ZONES[0]}"].log.runs
+    runs = own_first(context).log.runs
     assert runs
     last_s = runs[-1].received_at_s - runs[0].received_at_s
     assert last_s <= BOUNDS.drain_s / 2.0 + 0.2, last_s
@@ -99,7 +95,7 @@
 
 @given("the first target of the own zone would {behaviour}")
 def set_first_target_behaviour(context: Context, behaviour: str) -> None:
-    first = context.platform.targets[f"a-{ZONES[0]}"]
+    first = own_first(context)
     first.behaviour = Behaviour(behaviour)
 
 
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -7,15 +7,19 @@
 
 from chervilstall.standin.platform_fixtures import build_configuration, build_route
 from chervilstall.standin.platform_target import Behaviour
-from tests.support.platform import ZONES
-from tests.support.platform_scenario import add_model, avoided_targets, start_platform
+from tests.support.platform_scenario import (
+    add_lookups,
+    add_model,
+    avoided_targets,
+    own_lookup,
+    start_platform,
+)
 
 
 @given("a platform with lookups in both zones")
 def start_lookups(context: Context) -> None:
     platform = start_platform(context)
-    for zone in ZONES:
-        platform.add_target(f"lookup-{zone}", "lookups", zone)
+    add_lookups(platform)
     context.router = platform.add_router()
 
 
@@ -38,8 +42,7 @@
 def start_model_and_lookups(context: Context) -> None:
     platform = start_platform(context)
     add_model(platform)
-    for zone in ZONES:
-        platform.add_target(f"l-{zone}", "lookups", zone)
+    add_lookups(platform)
 
 
 @given("a store that answers nobody")
@@ -54,7 +57,7 @@
 
 @given("the target of the own zone would {behaviour}")
 def set_own_target_behaviour(context: Context, behaviour: str) -> None:
-    target = context.platform.targets[f"lookup-{ZONES[0]}"]
+    target = own_lookup(context)
     target.behaviour = Behaviour(behaviour)
 
 
@@ -66,12 +69,12 @@
 
 @given("the target of the own zone has stopped")
 def stop_own_target(context: Context) -> None:
-    context.platform.targets[f"lookup-{ZONES[0]}"].stop()
+    own_lookup(context).stop()
 
 
 @given("the target of the own zone was replaced by another at its address")
 def replace_own_target(context: Context) -> None:
-    context.platform.targets[f"lookup-{ZONES[0]}"].name = "somebody-else"
+    own_lookup(context).name = "somebody-else"
 
 
 @then("no target is avoided")
--- a/tests/steps/rate_limit_steps.py
+++ b/tests/steps/rate_limit_steps.py
@@ -9,11 +9,10 @@
 from behave.runner import Context
 
 from chervilstall.edge.server import EdgeServer
-from chervilstall.fleet.records import LayerRange
-from chervilstall.standin.platform_fixtures import LAYERS
 from chervilstall.standin.platform_target import Behaviour
 from tests.support.agent_fleet import eventually
-from tests.support.platform import ZONES, Platform, send
+from tests.support.platform import send
+from tests.support.platform_scenario import add_lookups, add_model, start_platform
 from tests.support.rate_limit_fleet import (
     DURATION_S,
     FleetCase,
@@ -44,17 +43,11 @@
 
 @given("{count:d} routers before {what}")
 def start_routers(context: Context, count: int, what: str) -> None:
-    context.platform = platform = Platform()
-    context.stoppables.append(platform)
-    platform.start()
-    for zone in ZONES:
-        if what == "lookups":
-            platform.add_target(f"lookup-{zone}", "lookups", zone)
-            continue
-        layers = LayerRange(0, LAYERS // 2)
-        platform.add_target(f"a-{zone}", "drafts", zone, layers)
-        layers = LayerRange(LAYERS // 2, LAYERS)
-        platform.add_target(f"b-{zone}", "drafts", zone, layers)
+    platform = start_platform(context)
+    if what == "lookups":
+        add_lookups(platform)
+    else:
+        add_model(platform)
     for _ in range(count):
         platform.add_router()
     for router in platform.routers:
--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -17,7 +17,8 @@
     build_route,
 )
 from tests.support.agent_fleet import eventually
-from tests.support.platform import ZONES, send
+from tests.support.platform import send
+from tests.support.platform_scenario import own_lookup
 from tests.support.router_harness import Response
 
 PATHS = {"idempotent": "/lookup/a", "non_idempotent": "/hold/a"}
@@ -54,7 +55,7 @@
 
 @then("the target received path, query, host and body unchanged")
 def check_unchanged(context: Context) -> None:
-    run = context.platform.targets[f"lookup-{ZONES[0]}"].log.runs[0]
+    run = own_lookup(context).log.runs[0]
     assert run.target == "/lookup/%7Ea%2Fb//c?x=1&&y=%20", run.target
     assert run.body == b"\x00\xff body"
     assert run.headers["host"] == CALLER_HOST
@@ -64,7 +65,7 @@
 
 @then("it received the workspace of the key and not the key")
 def check_workspace(context: Context) -> None:
-    run = context.platform.targets[f"lookup-{ZONES[0]}"].log.runs[0]
+    run = own_lookup(context).log.runs[0]
     assert run.headers["tenant"] == "depot"
     assert "credential" not in run.headers
     assert API_KEY not in str(run.headers)
@@ -72,7 +73,7 @@
 
 @then("its deadline is shorter than the caller's")
 def check_deadline(context: Context) -> None:
-    run = context.platform.targets[f"lookup-{ZONES[0]}"].log.runs[0]
+    run = own_lookup(context).log.runs[0]
     assert 4000 < int(run.headers["deadline-ms"]) <= 5000
 
 
--- a/tests/steps/reroute_steps.py
+++ b/tests/steps/reroute_steps.py
@@ -6,17 +6,15 @@
 
 from chervilstall.fleet.records import LayerRange
 from chervilstall.ids import TargetId
-from chervilstall.standin.platform_fixtures import LAYERS
 from chervilstall.standin.platform_target import Behaviour
 from tests.support.agent_fleet import eventually
 from tests.support.platform import ZONES
-from tests.support.platform_scenario import own_first, send_draft
+from tests.support.platform_scenario import LAST_PART, own_first, send_draft
 
 
 @given("a second copy of the last part in the own zone")
 def add_last_part_copy(context: Context) -> None:
-    layers = LayerRange(LAYERS // 2, LAYERS)
-    context.platform.add_target(f"c-{ZONES[0]}", "drafts", ZONES[0], layers)
+    context.platform.add_target(f"c-{ZONES[0]}", "drafts", ZONES[0], LAST_PART)
     fleet_view = context.router.fleet_view
     eventually(lambda: len(fleet_view.targets) == 5)
 
@@ -24,7 +22,7 @@
 @given("the first target stalls on the last part after {events:d} events")
 def stall_first(context: Context, events: int) -> None:
     platform = context.platform
-    first = platform.targets[f"a-{ZONES[0]}"]
+    first = own_first(context)
     first.behaviour = Behaviour.STALL_STREAM
     first.events_before_fault = events
     context.stalled_on = platform.targets[f"b-{ZONES[0]}"]
@@ -37,7 +35,7 @@
 
 @given("the first target stalls on itself after {events:d} events")
 def stall_first_on_itself(context: Context, events: int) -> None:
-    first = context.platform.targets[f"a-{ZONES[0]}"]
+    first = own_first(context)
     first.behaviour = Behaviour.STALL_STREAM
     first.events_before_fault = events
     first.stalled_on = str(first.address)
@@ -62,13 +60,13 @@
         name = next(
             name
             for name, target in context.platform.targets.items()
-            if path.endswith(f"{target.address}={LAYERS // 2}-{LAYERS}")
+            if path.endswith(f"{target.address}={LAST_PART.first}-{LAST_PART.end}")
         )
         target = context.platform.targets[name]
         if changes == "leaves":
             context.platform.register(name, "drafts", ZONES[0], state="draining")
             return
-        target.layers = LayerRange(LAYERS // 2, LAYERS - 1)
+        target.layers = LayerRange(LAST_PART.first, LAST_PART.end - 1)
         context.platform.register(name, "drafts", ZONES[0])
 
     changing = gevent.spawn(change)
@@ -90,7 +88,7 @@
 
 @then("the first target was given another path")
 def check_rerouted_path(context: Context) -> None:
-    first = context.platform.targets[f"a-{ZONES[0]}"]
+    first = own_first(context)
     orders = [order for order in first.log.orders if order["op"] == "repath"]
     assert orders and orders[0]["id"] == "r1", first.log.orders
     assert str(context.stalled_on.address) not in orders[0]["path"]
--- a/tests/steps/stream_fault_steps.py
+++ b/tests/steps/stream_fault_steps.py
@@ -7,18 +7,23 @@
 from behave.runner import Context
 
 from chervilstall.edge import stream_monitor
-from chervilstall.fleet.records import LayerRange, TargetIncarnation
+from chervilstall.fleet.records import TargetIncarnation
 from chervilstall.ids import TargetId
-from chervilstall.standin.platform_fixtures import LAYERS
 from chervilstall.standin.platform_target import Behaviour, PlatformTarget
 from tests.support.agent_fleet import eventually
 from tests.support.platform import ZONES
-from tests.support.platform_scenario import avoided_targets, first_targets, own_first
+from tests.support.platform_scenario import (
+    FIRST_PART,
+    avoided_targets,
+    first_targets,
+    own_first,
+    pause_stream,
+)
 
 
 @given("the first targets of the own zone would {behaviour} after {events:d} events")
 def set_first_behaviour(context: Context, behaviour: str, events: int) -> None:
-    target = context.platform.targets[f"a-{ZONES[0]}"]
+    target = own_first(context)
     target.behaviour = Behaviour(behaviour)
     target.events_before_fault = events
 
@@ -55,16 +60,15 @@
 @given("the first part moves to another target {after_s:g} seconds later")
 def move_first_part(context: Context, after_s: float) -> None:
     platform = context.platform
-    broken = platform.targets[f"a-{ZONES[0]}"]
+    broken = own_first(context)
 
     def move() -> None:
         eventually(lambda: broken.log.runs)
         gevent.sleep(0.05)
         broken.stop()
-        platform.store.state.remove(f"servers/a-{ZONES[0]}")
+        platform.store.state.remove(f"servers/{broken.name}")
         gevent.sleep(after_s)
-        layers = LayerRange(0, LAYERS // 2)
-        platform.add_target("a-new", "drafts", ZONES[0], layers)
+        platform.add_target("a-new", "drafts", ZONES[0], FIRST_PART)
 
     context.move_task = gevent.spawn(move)
 
@@ -83,8 +87,7 @@
     platform = context.platform
     # Their names sort before that of the serving target, among paths of equal cost.
     for name in ("a0", "a1"):
-        layers = LayerRange(0, LAYERS // 2)
-        target = platform.add_target(f"{name}", "drafts", ZONES[1], layers)
+        target = platform.add_target(name, "drafts", ZONES[1], FIRST_PART)
         target.behaviour = Behaviour.REFUSE
     fleet_view = context.router.fleet_view
     eventually(lambda: len(fleet_view.targets) == 6)
@@ -95,8 +98,7 @@
 
 @given("a second copy of the first part in the other zone")
 def add_first_part_copy(context: Context) -> None:
-    layers = LayerRange(0, LAYERS // 2)
-    context.platform.add_target(f"c-{ZONES[1]}", "drafts", ZONES[1], layers)
+    context.platform.add_target(f"c-{ZONES[1]}", "drafts", ZONES[1], FIRST_PART)
     eventually(lambda: len(context.router.fleet_view.targets) == 5)
 
 
@@ -104,9 +106,7 @@
 def fill_first(context: Context) -> None:
     target = own_first(context)
     target.queued = 3
-    target.behaviour = Behaviour.PAUSE_STREAM
-    target.events_before_fault = 0
-    target.pause_s = 2.0
+    pause_stream(target, 0, 2.0)
     context.marked_full = []
     note_full = context.router.chooser.load.note_full
 
@@ -125,18 +125,14 @@
 @given("the first target of the own zone hangs before the first event")
 def hang_first(context: Context) -> None:
     target = own_first(context)
-    target.behaviour = Behaviour.PAUSE_STREAM
-    target.events_before_fault = 0
-    target.pause_s = 30.0
+    pause_stream(target, 0, 30.0)
 
 
 @given("the first targets of the other zone hang before the first event")
 def hang_other_firsts(context: Context) -> None:
     for name in (f"a-{ZONES[1]}", f"c-{ZONES[1]}"):
         target = context.platform.targets[name]
-        target.behaviour = Behaviour.PAUSE_STREAM
-        target.events_before_fault = 0
-        target.pause_s = 30.0
+        pause_stream(target, 0, 30.0)
 
 
 @then("the hanging target is avoided")
@@ -181,9 +177,7 @@
 )
 def silence_first(context: Context) -> None:
     target = own_first(context)
-    target.behaviour = Behaviour.PAUSE_STREAM
-    target.events_before_fault = 4
-    target.pause_s = 30.0
+    pause_stream(target, 4, 30.0)
     fleet_view = context.router.fleet_view
 
     def suspect_first() -> None:
@@ -204,7 +198,5 @@
         target.is_silent = False
 
     for target in first_targets(context):
-        target.behaviour = Behaviour.PAUSE_STREAM
-        target.events_before_fault = 0
-        target.pause_s = silence_s
+        pause_stream(target, 0, silence_s)
         gevent.spawn(fall_silent, target)
--- a/tests/steps/stream_steps.py
+++ b/tests/steps/stream_steps.py
@@ -6,10 +6,9 @@
 from behave.runner import Context
 
 from chervilstall.standin.platform_fixtures import LAYERS
-from chervilstall.standin.platform_target import Behaviour
 from tests.support.agent_fleet import eventually
 from tests.support.platform import ZONES, open_connection, raw_request, send
-from tests.support.platform_scenario import send_draft
+from tests.support.platform_scenario import own_first, pause_stream, send_draft
 
 
 @when("a draft of {events:d} events is asked for")
@@ -27,11 +26,8 @@
     "a draft of {events:d} events pauses for {pause_s:d} seconds after {after:d} events"
 )
 def pause_draft(context: Context, events: int, pause_s: int, after: int) -> None:
-    targets = context.platform.targets
-    for target in targets.values():
-        target.behaviour = Behaviour.PAUSE_STREAM
-        target.events_before_fault = after
-        target.pause_s = float(pause_s)
+    for target in context.platform.targets.values():
+        pause_stream(target, after, float(pause_s))
     send_draft(context, events)
 
 
@@ -39,7 +35,7 @@
 def disconnect_from_draft(context: Context, events: int) -> None:
     head = raw_request("/draft/x").decode()
     text = head.replace("\r\n\r\n", f"\r\nToken-Count: 100,{events}\r\n\r\n")
-    target = context.platform.targets[f"a-{ZONES[0]}"]
+    target = own_first(context)
     target.events_before_fault = events
     connection = open_connection(context.router.caller_listener.bound_address)
     connection.sendall(text.encode())
@@ -52,7 +48,7 @@
 
 @then("the target stops working on it within {max_ms:d} ms")
 def check_work_stops(context: Context, max_ms: int) -> None:
-    target = context.platform.targets[f"a-{ZONES[0]}"]
+    target = own_first(context)
     eventually(lambda: target.log.cancelled_streams == 1, max_ms / 1e3)
 
 
--- a/tests/support/platform_scenario.py
+++ b/tests/support/platform_scenario.py
@@ -6,10 +6,13 @@
 
 from chervilstall.fleet.records import LayerRange
 from chervilstall.standin.platform_fixtures import LAYERS
-from chervilstall.standin.platform_target import PlatformTarget
+from chervilstall.standin.platform_target import Behaviour, PlatformTarget
 from tests.support.platform import ZONES, Platform, send
 from tests.support.router_harness import Response
 
+FIRST_PART = LayerRange(0, LAYERS // 2)
+LAST_PART = LayerRange(LAYERS // 2, LAYERS)
+
 
 def start_platform(context: Context, config: dict | None = None) -> Platform:
     """Start a platform that is stopped at the end of the scenario."""
@@ -19,12 +22,22 @@
     return context.platform
 
 
+def add_lookups(platform: Platform) -> None:
+    """Add a target of lookups in each zone."""
+    for zone in ZONES:
+        platform.add_target(f"lookup-{zone}", "lookups", zone)
+
+
 def add_model(platform: Platform) -> None:
-    """Add a target for each half of a model's layers in each zone."""
-    half = LAYERS // 2
+    """Add a target for each part of the model in each zone."""
     for zone in ZONES:
-        platform.add_target(f"a-{zone}", "drafts", zone, LayerRange(0, half))
-        platform.add_target(f"b-{zone}", "drafts", zone, LayerRange(half, LAYERS))
+        platform.add_target(f"a-{zone}", "drafts", zone, FIRST_PART)
+        platform.add_target(f"b-{zone}", "drafts", zone, LAST_PART)
+
+
+def own_lookup(context: Context) -> PlatformTarget:
+    """Return the target of lookups in the own zone."""
+    return context.platform.targets[f"lookup-{ZONES[0]}"]
 
 
 def own_first(context: Context) -> PlatformTarget:
@@ -38,6 +51,13 @@
     return [target for target in targets if target.layers.first == 0]
 
 
+def pause_stream(target: PlatformTarget, events: int, pause_s: float) -> None:
+    """Let a target pause its streams after a number of events."""
+    target.behaviour = Behaviour.PAUSE_STREAM
+    target.events_before_fault = events
+    target.pause_s = pause_s
+
+
 def avoided_targets(context: Context) -> list[str]:
     """Return the names of the targets that the router suspects."""
     fleet_view = context.router.fleet_view
