--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -14,6 +14,7 @@
 from chervilstall.standin.text import answer_text
 from chervilstall.wsgi import Server
 from tests.support.agent_fleet import eventually
+from tests.support.chat import CHAT, PROMPT, chat_body, expected_text, streamed_text
 from tests.support.router_harness import (
     ANY_PORT,
     OTHER_TOKEN,
@@ -22,25 +23,6 @@
     RouterHarness,
 )
 
-PROMPT = "Where is parcel 12?"
-CHAT = "/v1/chat/completions"
-
-
-def chat_body(model: str = "assistant", **changes: object) -> dict:
-    """Return the body of a chat completion request."""
-    body: dict = {
-        "model": model,
-        "messages": [{"role": "user", "content": PROMPT}],
-        "max_tokens": 3,
-    }
-    body.update(changes)
-    return body
-
-
-def expected_text(prompt: str, tokens: int, adapter: str = "") -> str:
-    """Return the text the model generates for a chat with one user message."""
-    return answer_text("small", "v1", adapter, f"user: {prompt}", tokens)
-
 
 @given("a router and stand-in targets")
 def start_market(context: Context) -> None:
@@ -125,17 +107,6 @@
     )
 
 
-def streamed_text(response: Response) -> str:
-    """Return the text of a streamed chat response that ends with `[DONE]`."""
-    events = response.events()
-    assert events[-1] == "[DONE]", events[-1]
-    parts = []
-    for event in events[:-1]:
-        for choice in json.loads(event)["choices"]:
-            parts.append(choice["delta"].get("content", ""))
-    return "".join(parts)
-
-
 @when("{callers:d} callers stream {tokens:d} tokens each at once")
 def stream_concurrently(context: Context, callers: int, tokens: int) -> None:
     def stream_one(number: int) -> tuple[str, str]:
--- a/tests/steps/target_steps.py
+++ b/tests/steps/target_steps.py
@@ -20,14 +20,14 @@
 from chervilstall.standin.faults import FOREVER, FaultKind
 from chervilstall.standin.target_server import operation_name
 from chervilstall.wsgi import json_response
-from tests.steps.gateway_steps import (
+from tests.support.agent_fleet import eventually
+from tests.support.chat import (
     CHAT,
     PROMPT,
     chat_body,
     expected_text,
     streamed_text,
 )
-from tests.support.agent_fleet import eventually
 from tests.support.router_harness import ANY_PORT, RouterHarness, short_timeout_settings
 
 FAULTS_BEFORE_TOKENS = (
