Split the steps of the parts by feature

parts_steps.py had 600 lines, and its name said nothing: members, roll-outs, peers, settings files, the store's contract and processes. Each step of the feature files still gets the same function and arguments; the assert and raise lines of the series are the same lines as before.

--- /dev/null
+++ b/tests/steps/peer_steps.py
@@ -0,0 +1,90 @@
+"""Steps for the links between peers."""
+
+import tempfile
+from pathlib import Path
+
+import gevent
+from behave import given, then, when
+from behave.runner import Context
+
+from chervilstall.errors import ChervilstallError, ErrorKind
+from chervilstall.peer.keys import create_keys, read_keys
+from chervilstall.peer.messages import (
+    IndirectAnswer,
+    IndirectPing,
+    MemberState,
+    Refused,
+)
+from chervilstall.peer.transport import PeerClient, PeerServer
+from tests.support.members import member_update
+from tests.support.router_harness import ANY_PORT
+
+REQUEST = IndirectPing(member_update(MemberState.ALIVE, 1))
+
+
+@given("a peer server with the fleet's keys")
+def peer_server(context: Context) -> None:
+    context.folder = Path(tempfile.mkdtemp())
+    create_keys(context.folder / "fleet")
+    create_keys(context.folder / "other")
+    context.keys = read_keys(str(context.folder / "fleet"))
+    context.delay_s = 0.0
+
+    def answer(message):
+        delay_s, context.delay_s = context.delay_s, 0.0
+        gevent.sleep(delay_s)
+        if isinstance(message, IndirectPing):
+            return IndirectAnswer(True)
+        return Refused("not a request")
+
+    context.server = PeerServer(ANY_PORT, answer, context.keys)
+    context.server.start()
+    context.stoppables.append(context.server)
+
+
+@when("a client sends a request with {keys}")
+def ask_peer(context: Context, keys: str) -> None:
+    chosen = {
+        "the fleet's keys": context.keys,
+        "other keys": read_keys(str(context.folder / "other")),
+        "no keys": None,
+    }[keys]
+    client = PeerClient(context.server.address, chosen)
+    context.stoppables.append(client)
+    try:
+        context.result = client.ask(REQUEST, IndirectAnswer, 0.5)
+    except ChervilstallError as error:
+        context.result = error
+
+
+@then("the client is {result}")
+def check_peer(context: Context, result: str) -> None:
+    is_answered = isinstance(context.result, IndirectAnswer)
+    assert is_answered == (result == "answered"), context.result
+
+
+@then("it survives malformed messages and refuses messages that are not requests")
+def check_malformed_messages(context: Context) -> None:
+    client = PeerClient(context.server.address, context.keys)
+    context.stoppables.append(client)
+    client._connect().send(b"\xffgarbage")
+    assert isinstance(client.call(IndirectAnswer(True), 1.0), Refused)
+    assert client.ask(REQUEST, IndirectAnswer, 1.0).is_reached
+
+
+@when("it does not answer one call in time")
+def delay_answer(context: Context) -> None:
+    context.client = PeerClient(context.server.address, context.keys)
+    context.stoppables.append(context.client)
+    context.delay_s = 5.0
+    try:
+        context.client.call(REQUEST, 0.2)
+        raise AssertionError("the delayed call was answered in time")
+    except ChervilstallError as error:
+        assert error.kind is ErrorKind.PEER_UNAVAILABLE
+
+
+@then("the next call is answered over a new connection")
+def check_new_connection(context: Context) -> None:
+    assert context.client.resets == 1
+    assert context.client.ask(REQUEST, IndirectAnswer, 1.0).is_reached
