Find a tree's documents of a kind in one place

Tree.models(), targets(), links(), grants(), pipelines() and services() (configuration/tree.py) each went through all documents, kept one class and split the path. They now read the pairs of path and document from one generator, _documents_of.

--- a/src/chervilstall/configuration/tree.py
+++ b/src/chervilstall/configuration/tree.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from types import MappingProxyType
+from typing import TypeVar
 
 from chervilstall.ids import (
     ModelName,
@@ -25,6 +26,7 @@
 from chervilstall.settings.problems import SettingsErrorCollector
 
 EMPTY_REVISION = Revision(0)
+D = TypeVar("D", bound=Document)
 
 
 @dataclass(frozen=True)
@@ -77,47 +79,38 @@
             MappingProxyType(errors),
         )
 
+    def _documents_of(self, kind: type[D]) -> Iterator[tuple[list[str], D]]:
+        """Yield every document of a kind with the parts of its path."""
+        for path, document in self.documents.items():
+            if isinstance(document, kind):
+                yield path.split("/"), document
+
     def models(self) -> dict[ModelName, ModelDocument]:
         """Return the models by name."""
-        by_name = {}
-        for path, document in self.documents.items():
-            if isinstance(document, ModelDocument):
-                by_name[ModelName(path.split("/")[1])] = document
-        return by_name
+        documents = self._documents_of(ModelDocument)
+        return {ModelName(parts[1]): document for parts, document in documents}
 
     def targets(self) -> dict[TargetId, TargetDocument]:
         """Return the targets by name."""
-        by_name = {}
-        for path, document in self.documents.items():
-            if isinstance(document, TargetDocument):
-                by_name[TargetId(path.split("/")[1])] = document
-        return by_name
+        documents = self._documents_of(TargetDocument)
+        return {TargetId(parts[1]): document for parts, document in documents}
 
     def links(self) -> dict[tuple[str, str], LinkDocument]:
         """Return the links by their two zones."""
-        by_zones = {}
-        for path, document in self.documents.items():
-            if isinstance(document, LinkDocument):
-                _, first, second = path.split("/")
-                by_zones[(first, second)] = document
-        return by_zones
+        documents = self._documents_of(LinkDocument)
+        return {(parts[1], parts[2]): document for parts, document in documents}
 
     def grants(self) -> dict[WorkspaceName, GrantDocument]:
         """Return the grants by workspace."""
-        by_workspace = {}
-        for path, document in self.documents.items():
-            if isinstance(document, GrantDocument):
-                by_workspace[WorkspaceName(path.split("/")[1])] = document
-        return by_workspace
+        documents = self._documents_of(GrantDocument)
+        return {WorkspaceName(parts[1]): document for parts, document in documents}
 
     def pipelines(
         self,
     ) -> Iterator[tuple[WorkspaceName, PipelineName, PipelineDocument]]:
         """Yield every pipeline with its workspace and name."""
-        for path, document in self.documents.items():
-            if isinstance(document, PipelineDocument):
-                parts = path.split("/")
-                yield WorkspaceName(parts[1]), PipelineName(parts[3]), document
+        for parts, document in self._documents_of(PipelineDocument):
+            yield WorkspaceName(parts[1]), PipelineName(parts[3]), document
 
     def pipeline(self, workspace: WorkspaceName, name: str) -> PipelineDocument | None:
         """Return one pipeline of a workspace, or None."""
@@ -133,7 +126,5 @@
         self,
     ) -> Iterator[tuple[WorkspaceName, ServiceName, ServiceDocument]]:
         """Yield every service with its workspace and name."""
-        for path, document in self.documents.items():
-            if isinstance(document, ServiceDocument):
-                parts = path.split("/")
-                yield WorkspaceName(parts[1]), ServiceName(parts[3]), document
+        for parts, document in self._documents_of(ServiceDocument):
+            yield WorkspaceName(parts[1]), ServiceName(parts[3]), document
