Check a document's model and version in one place

configuration/check.py looked a model up, with the hint for an unknown name, in _check_targets and in _check_pipelines, and a version in _check_targets and twice in _check_coverage. _find_model and _check_version do it now, with the same errors.

--- a/src/chervilstall/configuration/check.py
+++ b/src/chervilstall/configuration/check.py
@@ -5,9 +5,10 @@
 not leaving.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from chervilstall.configuration.tree import Tree
+from chervilstall.ids import ModelName
 from chervilstall.settings.documents import (
     GrantDocument,
     ModelDocument,
@@ -48,19 +49,44 @@
                     path, "service", "", "required for a target of kind service"
                 )
             continue
-        model = models.get(target.model)
+        model = _find_model(models, path, target.model, collector)
         if model is None:
-            hint = nearest_name_hint(target.model, models)
-            collector.add(path, "model", target.model, "unknown model" + hint)
             continue
-        if target.version not in model.versions:
-            allowed = "one of " + ", ".join(model.versions)
-            collector.add(path, "version", target.version, allowed)
+        _check_version(model, path, "version", target.version, collector)
         if not target.first_layer < target.end_layer <= model.layers:
             value = f"{target.first_layer}..{target.end_layer}"
             collector.add(path, "end_layer", value, f"a range within 0..{model.layers}")
 
 
+def _find_model(
+    models: Mapping[ModelName, ModelDocument],
+    path: str,
+    name: ModelName,
+    collector: SettingsErrorCollector,
+) -> ModelDocument | None:
+    """Return the model that a document names; collect an error if there is none."""
+    model = models.get(name)
+    if model is None:
+        hint = nearest_name_hint(name, models)
+        collector.add(path, "model", name, "unknown model" + hint)
+    return model
+
+
+def _check_version(
+    model: ModelDocument,
+    path: str,
+    option: str,
+    version: str,
+    collector: SettingsErrorCollector,
+) -> bool:
+    """Return whether a model has a version; collect an error if not."""
+    if version in model.versions:
+        return True
+    allowed = "one of " + ", ".join(model.versions)
+    collector.add(path, option, version, allowed)
+    return False
+
+
 def _check_pipelines(tree: Tree, collector: SettingsErrorCollector) -> None:
     models = tree.models()
     grants = tree.grants()
@@ -74,12 +100,9 @@
             continue
         _check_grant(path, pipeline, grant, collector)
         totals[workspace] = totals.get(workspace, 0.0) + pipeline.requests_per_s
-        model = models.get(pipeline.model)
-        if model is None:
-            hint = nearest_name_hint(pipeline.model, models)
-            collector.add(path, "model", pipeline.model, "unknown model" + hint)
-            continue
-        _check_coverage(coverage, path, pipeline, model, collector)
+        model = _find_model(models, path, pipeline.model, collector)
+        if model is not None:
+            _check_coverage(coverage, path, pipeline, model, collector)
     for workspace_name, requests_per_s in totals.items():
         limit = grants[workspace_name].requests_per_s  # type: ignore[index]
         if requests_per_s > limit:
@@ -123,13 +146,10 @@
     model: ModelDocument,
     collector: SettingsErrorCollector,
 ) -> None:
-    if pipeline.version not in model.versions:
-        allowed = "one of " + ", ".join(model.versions)
-        collector.add(path, "version", pipeline.version, allowed)
+    if not _check_version(model, path, "version", pipeline.version, collector):
         return
-    if pipeline.next_version and pipeline.next_version not in model.versions:
-        allowed = "one of " + ", ".join(model.versions)
-        collector.add(path, "next_version", pipeline.next_version, allowed)
+    if pipeline.next_version:
+        _check_version(model, path, "next_version", pipeline.next_version, collector)
     uncovered_layer = coverage.first_uncovered(pipeline, model.layers)
     if uncovered_layer is not None:
         collector.add(
