Share the wait before a retry and the last error of a request

stream/relay.py (Relay._wait_before_retry, _final_error) and gateway/services.py (ServiceRun._run, _final_error) each cut the backoff at the deadline and each turned "not run" into "unknown" where an attempt may have run. Both rules stand once now: wait_before_retry in admission/retry.py and final_error in stream/decision.py.

--- a/src/chervilstall/admission/retry.py
+++ b/src/chervilstall/admission/retry.py
@@ -1,8 +1,11 @@
 """Retry budget and backoff."""
 
 import random
+import time
 from dataclasses import dataclass, field
 
+import gevent
+
 from chervilstall.settings.processes import RetrySettings
 
 BALANCE_MAX_FACTOR = 10
@@ -51,3 +54,11 @@
     """
     upper_s = min(settings.backoff_max_s, settings.backoff_base_s * 2 ** (retry - 1))
     return rng.uniform(0.0, upper_s)
+
+
+def wait_before_retry(
+    settings: RetrySettings, retry: int, rng: random.Random, deadline_s: float
+) -> None:
+    """Wait for the backoff of a retry, but no longer than to the deadline."""
+    remaining_s = deadline_s - time.monotonic()
+    gevent.sleep(max(0.0, min(backoff_s(settings, retry, rng), remaining_s)))
--- a/src/chervilstall/gateway/services.py
+++ b/src/chervilstall/gateway/services.py
@@ -7,7 +7,7 @@
 from gevent.queue import Queue
 
 from chervilstall.admission.classes import default_deadline_s, priority_of
-from chervilstall.admission.retry import backoff_s
+from chervilstall.admission.retry import wait_before_retry
 from chervilstall.errors import ChervilstallError, ErrorKind, ExecutionState
 from chervilstall.gateway.auth import Caller
 from chervilstall.gateway.key_claim import REPEAT_HEADER, IdempotentRequest, KeyClaim
@@ -19,7 +19,7 @@
 from chervilstall.routing.explanation import Explanation, RouteStep
 from chervilstall.routing.instances import InstanceReservation
 from chervilstall.settings.documents import RequestClass, ServiceDocument
-from chervilstall.stream.decision import Decision, decide, final_error_kind
+from chervilstall.stream.decision import Decision, decide, final_error
 from chervilstall.target.contract import (
     AttemptFailed,
     FailureCause,
@@ -158,9 +158,9 @@
                 return answer
             except AttemptFailed as failure:
                 self._raise_unless_retryable(failure)
-            wait_s = backoff_s(self.runtime.settings.retry, self._attempts, rng)
-            remaining_s = self.deadline_s - time.monotonic()
-            gevent.sleep(max(0.0, min(wait_s, remaining_s)))
+            wait_before_retry(
+                self.runtime.settings.retry, self._attempts, rng, self.deadline_s
+            )
 
     def _run_round(self) -> ServiceResponse:
         retry = self.runtime.settings.retry
@@ -337,8 +337,4 @@
         self.runtime.metrics.count("retries")
 
     def _final_error(self, failure: AttemptFailed) -> ChervilstallError:
-        kind = final_error_kind(failure.progress, failure.cause, has_delivered=False)
-        error = ChervilstallError(kind, str(failure))
-        if self._may_have_run and error.response.execution is ExecutionState.NO:
-            return ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, str(failure))
-        return error
+        return final_error(failure, False, self._may_have_run)
--- a/src/chervilstall/stream/decision.py
+++ b/src/chervilstall/stream/decision.py
@@ -8,8 +8,8 @@
 
 from enum import Enum
 
-from chervilstall.errors import ErrorKind
-from chervilstall.target.contract import AttemptProgress, FailureCause
+from chervilstall.errors import ChervilstallError, ErrorKind, ExecutionState
+from chervilstall.target.contract import AttemptFailed, AttemptProgress, FailureCause
 
 
 class Decision(Enum):
@@ -86,3 +86,17 @@
     if progress is AttemptProgress.NOT_SENT:
         return ErrorKind.NO_TARGET
     return ErrorKind.OUTCOME_UNKNOWN
+
+
+def final_error(
+    failure: AttemptFailed, has_delivered: bool, may_have_run: bool
+) -> ChervilstallError:
+    """Return the error to answer when no further attempt is made.
+
+    Where an attempt `may_have_run`, the error does not say that the request did not.
+    """
+    kind = final_error_kind(failure.progress, failure.cause, has_delivered)
+    error = ChervilstallError(kind, str(failure))
+    if may_have_run and error.response.execution is ExecutionState.NO:
+        return ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, str(failure))
+    return error
--- a/src/chervilstall/stream/relay.py
+++ b/src/chervilstall/stream/relay.py
@@ -15,8 +15,8 @@
 
 from chervilstall.admission.classes import priority_of
 from chervilstall.admission.queue import AdmissionQueue
-from chervilstall.admission.retry import RetryBudget, backoff_s
-from chervilstall.errors import ChervilstallError, ErrorKind, ExecutionState
+from chervilstall.admission.retry import RetryBudget, wait_before_retry
+from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import (
     AttemptNumber,
     Position,
@@ -31,7 +31,7 @@
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.documents import RequestClass
 from chervilstall.settings.processes import RetrySettings
-from chervilstall.stream.decision import Decision, decide, final_error_kind
+from chervilstall.stream.decision import Decision, decide, final_error
 from chervilstall.target.contract import (
     AttemptFailed,
     AttemptProgress,
@@ -307,10 +307,7 @@
         self.context.counters.retries += 1
 
     def _final_error(self, failure: AttemptFailed) -> ChervilstallError:
-        kind = final_error_kind(failure.progress, failure.cause, bool(self.delivered))
-        error = ChervilstallError(kind, str(failure))
-        if self._may_have_run and error.response.execution is ExecutionState.NO:
-            error = ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, str(failure))
+        error = final_error(failure, bool(self.delivered), self._may_have_run)
         self.explanation.outcome = str(error)
         return error
 
@@ -337,6 +334,9 @@
         if self.delivered:
             # The caller is in the middle of a stream; resume without backoff.
             return
-        wait_s = backoff_s(self.context.retry, self._attempt, self.context.rng)
-        remaining_s = self.request.deadline_s - time.monotonic()
-        gevent.sleep(max(0.0, min(wait_s, remaining_s)))
+        wait_before_retry(
+            self.context.retry,
+            self._attempt,
+            self.context.rng,
+            self.request.deadline_s,
+        )
