Find a request's deadline in one place

CompletionRun._find_deadline_s (gateway/completions.py) and ServiceRun._find_deadline_s (gateway/services.py) were the same: the caller's deadline, or that of the request's class. It is CallerOptions.deadline_or_default_s (gateway/parsing.py).

--- a/src/chervilstall/gateway/completions.py
+++ b/src/chervilstall/gateway/completions.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from chervilstall.admission.classes import default_deadline_s
 from chervilstall.admission.router_limits import AcquiredLimits
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.gateway.auth import Caller
@@ -83,7 +82,9 @@
         self.histograms = histogram_keys(
             call.caller.workspace, self.pipeline.request_class.value
         )
-        self.deadline_s = self._find_deadline_s()
+        self.deadline_s = call.options.deadline_or_default_s(
+            self.pipeline.request_class, runtime.settings.admission, self.started_at_s
+        )
         self.key_claim = self._new_key_claim(outcome_max_bytes)
         self.explanation = Explanation(
             call.request_id,
@@ -102,13 +103,6 @@
             raise ChervilstallError(ErrorKind.NOT_FOUND, "no such model")
         return pipeline
 
-    def _find_deadline_s(self) -> float:
-        if self.call.options.deadline_s is not None:
-            return self.call.options.deadline_s
-        admission = self.runtime.settings.admission
-        request_class = self.pipeline.request_class
-        return self.started_at_s + default_deadline_s(request_class, admission)
-
     def _new_key_claim(self, outcome_max_bytes: int) -> KeyClaim | None:
         call = self.call
         if self.pipeline.repeatable or not call.options.idempotency_key:
--- a/src/chervilstall/gateway/parsing.py
+++ b/src/chervilstall/gateway/parsing.py
@@ -8,8 +8,10 @@
 import gevent
 import msgspec
 
+from chervilstall.admission.classes import default_deadline_s
 from chervilstall.errors import ChervilstallError, ErrorKind
-from chervilstall.settings.processes import ListenSettings
+from chervilstall.settings.documents import RequestClass
+from chervilstall.settings.processes import AdmissionSettings, ListenSettings
 from chervilstall.wsgi import Environ
 
 MAX_TOKENS_DEFAULT = 256
@@ -101,6 +103,17 @@
     is_first_attempt: bool
     deadline_s: float | None
 
+    def deadline_or_default_s(
+        self,
+        request_class: RequestClass,
+        settings: AdmissionSettings,
+        started_at_s: float,
+    ) -> float:
+        """Return the deadline of the caller, or that of the request's class."""
+        if self.deadline_s is not None:
+            return self.deadline_s
+        return started_at_s + default_deadline_s(request_class, settings)
+
 
 def bad_request_error(message: str) -> ChervilstallError:
     """Return an error of kind BAD_REQUEST."""
--- a/src/chervilstall/gateway/services.py
+++ b/src/chervilstall/gateway/services.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent.queue import Queue
 
-from chervilstall.admission.classes import default_deadline_s, priority_of
+from chervilstall.admission.classes import priority_of
 from chervilstall.admission.retry import wait_before_retry
 from chervilstall.errors import ChervilstallError, ErrorKind, ExecutionState
 from chervilstall.gateway.auth import Caller
@@ -59,7 +59,9 @@
         self.request_class = self.document.request_class
         self.repeatable = self._is_repeatable()
         self.started_at_s = time.monotonic()
-        self.deadline_s = self._find_deadline_s()
+        self.deadline_s = service_request.options.deadline_or_default_s(
+            self.request_class, runtime.settings.admission, self.started_at_s
+        )
         self.key_claim = self._new_key_claim(outcome_max_bytes)
         self.explanation = Explanation(
             service_request.request_id,
@@ -82,12 +84,6 @@
     def _is_repeatable(self) -> bool:
         return self.service_request.call.method in self.document.repeatable_methods
 
-    def _find_deadline_s(self) -> float:
-        if self.service_request.options.deadline_s is not None:
-            return self.service_request.options.deadline_s
-        admission = self.runtime.settings.admission
-        return self.started_at_s + default_deadline_s(self.request_class, admission)
-
     def _new_key_claim(self, outcome_max_bytes: int) -> KeyClaim | None:
         request = self.service_request
         if self.repeatable or not request.options.idempotency_key:
