Derive the types of a claim's answer beside the answer

CLAIM_ANSWER_TYPES stood in agent/claims.py and in gateway/agent_link.py, both by a private attribute of the union with a `type: ignore`. It stands in peer/claims.py, by typing.get_args.

--- a/src/chervilstall/agent/claims.py
+++ b/src/chervilstall/agent/claims.py
@@ -16,6 +16,7 @@
 from chervilstall.lease.holder import LeaseTerm
 from chervilstall.membership.table import MemberTable
 from chervilstall.peer.claims import (
+    CLAIM_ANSWER_TYPES,
     ClaimAnswer,
     ClaimRequest,
     OutcomeReport,
@@ -36,7 +37,6 @@
 
 log = ComponentLog("homes")
 
-CLAIM_ANSWER_TYPES = ClaimAnswer.__args__  # type: ignore[attr-defined]
 FORWARD_MARGIN_S = 0.5
 FORWARD_ATTEMPTS = 2
 OPEN_RETRY_S = 0.2
--- a/src/chervilstall/gateway/agent_link.py
+++ b/src/chervilstall/gateway/agent_link.py
@@ -15,6 +15,7 @@
 from chervilstall.errors import ChervilstallError
 from chervilstall.ids import VmId, new_instance_id
 from chervilstall.peer.claims import (
+    CLAIM_ANSWER_TYPES,
     ClaimAnswer,
     ClaimRequest,
     OutcomeReport,
@@ -42,7 +43,6 @@
 
 PULL_WAIT_S = 2.0
 PULL_RETRY_S = 0.2
-CLAIM_ANSWER_TYPES = ClaimAnswer.__args__  # type: ignore[attr-defined]
 
 
 class AgentLink:
--- a/src/chervilstall/peer/claims.py
+++ b/src/chervilstall/peer/claims.py
@@ -1,6 +1,6 @@
 """Messages between routers and the homes of idempotency keys."""
 
-from typing import Union
+from typing import Union, get_args
 
 import msgspec
 
@@ -70,6 +70,7 @@
 
 
 ClaimAnswer = Union[Claimed, Repeated, Mismatched, InDoubt, Unavailable]
+CLAIM_ANSWER_TYPES = get_args(ClaimAnswer)
 
 
 class OutcomeReport(msgspec.Struct, frozen=True, tag=True):
