Name the prefix of slot roles, and simplify two conditions and names

agent/claims.py listed leases below the literal "slot/" that agent/roles.py builds in slot_role(); both use SLOT_ROLE_PREFIX. MemoryStore.acquire_lease (standin/store.py) asked three times whether a lease is free; "is_free or (is_free and ...)" is is_free. commands/ctl.py and settings/documents.py both had a read_document(); that of ctl asks the agent and is fetch_document().

--- a/src/chervilstall/agent/claims.py
+++ b/src/chervilstall/agent/claims.py
@@ -7,7 +7,7 @@
 
 import gevent
 
-from chervilstall.agent.roles import RoleName, slot_name, slot_role
+from chervilstall.agent.roles import SLOT_ROLE_PREFIX, RoleName, slot_name, slot_role
 from chervilstall.errors import ChervilstallError
 from chervilstall.idempotency.home import HomeState, SlotHome
 from chervilstall.idempotency.local_claims import slot_for_key
@@ -139,7 +139,7 @@
         if time.monotonic() - self._holders_read_at_s > HOLDERS_TTL_S:
             self._holders_read_at_s = time.monotonic()
             try:
-                records = self._store.list_leases("slot/")
+                records = self._store.list_leases(SLOT_ROLE_PREFIX)
             except StoreFailed:
                 return None
             self._stored_holders = {record.name: record.note for record in records}
--- a/src/chervilstall/agent/roles.py
+++ b/src/chervilstall/agent/roles.py
@@ -41,6 +41,9 @@
     LIMITS = "limits"
 
 
+SLOT_ROLE_PREFIX = f"{RoleKind.SLOT.value}/"
+
+
 @dataclass(frozen=True)
 class RoleName:
     """Identity of a role: kind, number, and the zone for kinds that have one."""
@@ -62,7 +65,7 @@
 
 def slot_role(slot: SlotName) -> str:
     """Return the role name of a slot."""
-    return f"{RoleKind.SLOT.value}/{slot}"
+    return SLOT_ROLE_PREFIX + slot
 
 
 def limits_role(number: int) -> str:
--- a/src/chervilstall/commands/ctl.py
+++ b/src/chervilstall/commands/ctl.py
@@ -109,7 +109,7 @@
         case Load(file):
             return load_tree(agent, file)
         case Get(path, revision):
-            print(read_document(agent, path, revision)["text"], end="")
+            print(fetch_document(agent, path, revision)["text"], end="")
         case Delete(path):
             change = new_change_id()
             uri = f"/v1/settings/{path}"
@@ -118,7 +118,7 @@
             for path in call(agent, "GET", "/v1/settings", prefix=prefix)["paths"]:
                 print(path)
         case Diff(path, file):
-            print_diff(read_document(agent, path)["text"], file)
+            print_diff(fetch_document(agent, path)["text"], file)
         case History(prefix):
             for change in call(agent, "GET", "/v1/history"):
                 if change["path"].startswith(prefix):
@@ -205,7 +205,9 @@
     return ExitCode.DONE
 
 
-def read_document(agent: str, path: str, revision: int | None = None) -> dict[str, Any]:
+def fetch_document(
+    agent: str, path: str, revision: int | None = None
+) -> dict[str, Any]:
     """Return a document's `text`, `path` and `revision`."""
     return call(agent, "GET", f"/v1/settings/{path}", revision=revision)
 
@@ -221,7 +223,7 @@
 
 def roll_back(agent: str, path: str, revision: int) -> ExitCode:
     """Write the text of an earlier revision as a new change."""
-    document = read_document(agent, path, revision)
+    document = fetch_document(agent, path, revision)
     result = call(
         agent, "PUT", f"/v1/settings/{path}", document["text"], change=new_change_id()
     )
@@ -235,7 +237,7 @@
     Ends in a conflict where the document was changed since it was read.
     """
     path = f"targets/{target}"
-    document = read_document(agent, path)
+    document = fetch_document(agent, path)
     lines = [
         line
         for line in document["text"].splitlines()
--- a/src/chervilstall/standin/store.py
+++ b/src/chervilstall/standin/store.py
@@ -212,8 +212,7 @@
         self._begin_call("acquire_lease", is_write=True)
         now_s = time.monotonic()
         lease = self._leases.get(name)
-        is_free = lease is None or lease.expires_at_s <= now_s
-        if lease is None or (is_free and lease.holder != holder) or is_free:
+        if lease is None or lease.expires_at_s <= now_s:
             epoch = self._epochs.get(name, 0) + 1
             self._epochs[name] = epoch
             lease = _Lease(holder, epoch, now_s + ttl_s, note)
