--- a/src/chervilstall/commands/agent.py
+++ b/src/chervilstall/commands/agent.py
@@ -27,9 +27,7 @@
     """Command-line arguments of the agent."""
 
     settings: Annotated[Path, cappa.Arg(help="INI file with the agent's sections.")]
-    check: Annotated[
-        bool, cappa.Arg(long=True, help="Check the settings and exit.")
-    ] = False
+    check: start.CheckOnly = False
     create_keys: Annotated[
         bool,
         cappa.Arg(
@@ -44,8 +42,7 @@
     sections = start.read_process_file(command.settings, AGENT_SECTIONS)
     settings = AgentSettings(**sections)
     if command.check:
-        print("The settings are valid.")
-        return ExitCode.DONE
+        return start.report_valid_settings()
     if command.create_keys:
         create_keys(Path(settings.peer.curve_directory))
         return ExitCode.DONE
--- a/src/chervilstall/commands/planner.py
+++ b/src/chervilstall/commands/planner.py
@@ -25,9 +25,7 @@
     """Command-line arguments of the planner."""
 
     settings: Annotated[Path, cappa.Arg(help="INI file with the planner's sections.")]
-    check: Annotated[
-        bool, cappa.Arg(long=True, help="Check the settings and exit.")
-    ] = False
+    check: start.CheckOnly = False
 
 
 def run_planner(command: PlannerCommand) -> ExitCode:
@@ -35,8 +33,7 @@
     sections = start.read_process_file(command.settings, PLANNER_SECTIONS)
     settings = PlannerProcessSettings(**sections)
     if command.check:
-        print("The settings are valid.")
-        return ExitCode.DONE
+        return start.report_valid_settings()
     planner = Planner(settings, HttpStore(settings.store))
     on_stop_signals(planner.stop)
     print("Waiting for the planner's lease.", flush=True)
--- a/src/chervilstall/commands/router.py
+++ b/src/chervilstall/commands/router.py
@@ -33,9 +33,7 @@
         bool,
         cappa.Arg(long=True, help="Run simulated targets and store in this process."),
     ] = False
-    check: Annotated[
-        bool, cappa.Arg(long=True, help="Check the settings and exit.")
-    ] = False
+    check: start.CheckOnly = False
 
 
 def run_router(command: RouterCommand) -> ExitCode:
@@ -51,8 +49,7 @@
     link_settings = sections.pop("agent")
     settings = RouterSettings(**sections)
     if command.check:
-        print("The settings are valid.")
-        return ExitCode.DONE
+        return start.report_valid_settings()
     link = AgentLink(link_settings, settings.vm)
     runtime = RouterRuntime(settings, link, link)
     link.on_tree(runtime.apply_tree)
@@ -69,8 +66,7 @@
     """Run a router with simulated targets and an in-memory store of its own."""
     settings, texts, options = read_embedded_settings(command.settings)
     if command.check:
-        print("The settings are valid.")
-        return ExitCode.DONE
+        return start.report_valid_settings()
     start_logging(LogSettings())
     router = start_embedded(settings, texts, options)
     code = serve_until_stopped(router.server)
--- a/src/chervilstall/commands/standin.py
+++ b/src/chervilstall/commands/standin.py
@@ -59,9 +59,7 @@
     """Command-line arguments of the stand-in."""
 
     settings: Annotated[Path, cappa.Arg(help="INI file with [standin] and [vm NAME].")]
-    check: Annotated[
-        bool, cappa.Arg(long=True, help="Check the settings and exit.")
-    ] = False
+    check: start.CheckOnly = False
 
 
 def read_settings(path: Path) -> tuple[StandinSettings, list[VmRecord]]:
@@ -88,8 +86,7 @@
     """Serve until SIGTERM or SIGINT."""
     settings, vm_list = read_settings(command.settings)
     if command.check:
-        print("The settings are valid.")
-        return ExitCode.DONE
+        return start.report_valid_settings()
     store = MemoryStore(settings.reads_per_s, settings.writes_per_s)
     for record in vm_list:
         store.set_vm(record)
--- a/src/chervilstall/commands/start.py
+++ b/src/chervilstall/commands/start.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any, NoReturn, TypeVar
+from typing import Annotated, Any, NoReturn, TypeVar
 
 import cappa
 import msgspec
@@ -20,6 +20,7 @@
 from chervilstall.telemetry.logs import start_logging
 
 T = TypeVar("T")
+CheckOnly = Annotated[bool, cappa.Arg(long=True, help="Check the settings and exit.")]
 
 
 def run_command(command: type[T], action: Callable[[T], ExitCode]) -> NoReturn:
@@ -28,6 +29,12 @@
     run_and_exit(lambda: action(parsed))
 
 
+def report_valid_settings() -> ExitCode:
+    """Say that the settings are valid, for a program that only checks them."""
+    print("The settings are valid.")
+    return ExitCode.DONE
+
+
 def print_json(value: object) -> None:
     """Print a value as one line of JSON."""
     print(msgspec.json.encode(value).decode(), flush=True)
