Give clocks one type

Clock = Callable[[], float] stood in lease/holder.py and admission/leased_shares.py, and was written out in planner/runtime.py, membership/table.py, configuration/writer.py and watermark.py, idempotency/log.py and home.py, and admission/router_limits.py. It stands in clock.py.

--- a/src/chervilstall/admission/leased_shares.py
+++ b/src/chervilstall/admission/leased_shares.py
@@ -9,15 +9,13 @@
 """
 
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from chervilstall.clock import Clock
 from chervilstall.ids import LimitName
 from chervilstall.peer.shares import ShareGrant, ShareRequest
 from chervilstall.settings.processes import LimitSettings
 
-Clock = Callable[[], float]
-
 BURST_S = 1.0
 """Capacity of a token bucket, in seconds of its rate."""
 
--- a/src/chervilstall/admission/router_limits.py
+++ b/src/chervilstall/admission/router_limits.py
@@ -1,7 +1,6 @@
 """The limits of one router, and the renewal of its leased shares."""
 
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -10,6 +9,7 @@
     RateShare,
     ShareAllocator,
 )
+from chervilstall.clock import Clock
 from chervilstall.configuration.tree import Tree
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import LimitName, WorkspaceName
@@ -109,7 +109,7 @@
     settings: LimitSettings
     router: str
     service: ShareService
-    clock: Callable[[], float] = time.monotonic
+    clock: Clock = time.monotonic
     _limits: dict[LimitName, float] = field(default_factory=dict)
     _rate_shares: dict[LimitName, RateShare] = field(default_factory=dict)
     _concurrency_shares: dict[LimitName, ConcurrencyShare] = field(default_factory=dict)
--- a/src/chervilstall/configuration/watermark.py
+++ b/src/chervilstall/configuration/watermark.py
@@ -8,9 +8,10 @@
 """
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from chervilstall.clock import Clock
 from chervilstall.ids import Revision, VmId
 from chervilstall.peer.messages import NodeReport
 
@@ -62,7 +63,7 @@
 class RouterReports:
     """Reports of this VM's routers; each expires after `ROUTER_REPORT_TTL_S`."""
 
-    clock: Callable[[], float] = time.monotonic
+    clock: Clock = time.monotonic
     _received: dict[VmId, tuple[NodeReport, float]] = field(default_factory=dict)
 
     def record(self, report: NodeReport) -> None:
--- a/src/chervilstall/configuration/writer.py
+++ b/src/chervilstall/configuration/writer.py
@@ -7,6 +7,7 @@
 import gevent
 import msgspec
 
+from chervilstall.clock import Clock
 from chervilstall.configuration.check import check_tree
 from chervilstall.configuration.records import (
     HEAD_KEY,
@@ -66,9 +67,7 @@
     as a failed read.
     """
 
-    def __init__(
-        self, store: Store, wall_clock: Callable[[], float] = time.time
-    ) -> None:
+    def __init__(self, store: Store, wall_clock: Clock = time.time) -> None:
         self.store = store
         self._wall_clock = wall_clock
         self._tree = Tree()
--- a/src/chervilstall/idempotency/home.py
+++ b/src/chervilstall/idempotency/home.py
@@ -12,13 +12,13 @@
 """
 
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
 import gevent
 from gevent.event import Event
 
+from chervilstall.clock import Clock
 from chervilstall.idempotency.log import LogFenced, SegmentLog
 from chervilstall.idempotency.records import (
     ClaimRecord,
@@ -96,7 +96,7 @@
         slot: SlotName,
         epoch: Epoch,
         settings: IdempotencySettings,
-        wall_clock: Callable[[], float] = time.time,
+        wall_clock: Clock = time.time,
     ) -> None:
         self.slot = slot
         self.epoch = epoch
--- a/src/chervilstall/idempotency/log.py
+++ b/src/chervilstall/idempotency/log.py
@@ -7,6 +7,7 @@
 import gevent
 import msgspec
 
+from chervilstall.clock import Clock
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.idempotency.records import (
     Record,
@@ -53,7 +54,7 @@
 
     store: Store
     slot: SlotName
-    wall_clock: Callable[[], float] = time.time
+    wall_clock: Clock = time.time
     next_number: int = 1
     writes: int = 0
     failing_since_s: float | None = None
--- a/src/chervilstall/lease/holder.py
+++ b/src/chervilstall/lease/holder.py
@@ -14,13 +14,13 @@
 import gevent
 from gevent.event import Event
 
+from chervilstall.clock import Clock
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import Epoch
 from chervilstall.settings.leases import LeaseSettings
 from chervilstall.store.contract import LeaseRecord, LeaseStore, StoreFailed
 
 RENEWALS_PER_TTL = 3
-Clock = Callable[[], float]
 
 
 def boot_clock_s() -> float:
--- a/src/chervilstall/membership/table.py
+++ b/src/chervilstall/membership/table.py
@@ -3,11 +3,12 @@
 import math
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
 
+from chervilstall.clock import Clock
 from chervilstall.ids import InstanceId, VmId, ZoneName
 from chervilstall.peer.messages import MemberState, MemberUpdate, Role
 from chervilstall.settings.option import Address
@@ -56,7 +57,7 @@
     def __init__(
         self,
         own: MemberUpdate,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Clock = time.monotonic,
         rng: random.Random | None = None,
     ) -> None:
         self.own = own
--- a/src/chervilstall/planner/runtime.py
+++ b/src/chervilstall/planner/runtime.py
@@ -1,13 +1,13 @@
 """The planner process: plans and executes steps while it holds a lease."""
 
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import gevent
 import gevent.pool
 from gevent.event import Event
 
+from chervilstall.clock import Clock
 from chervilstall.configuration.tree import Tree
 from chervilstall.configuration.treefile import document_text
 from chervilstall.configuration.writer import ConfigurationStore, ProposedChange
@@ -61,7 +61,7 @@
     """
 
     loads_per_minute: float
-    clock: Callable[[], float] = time.monotonic
+    clock: Clock = time.monotonic
     _next_at_s: float = field(default=float("-inf"))
 
     def try_start(self) -> bool:
