--- a/src/chervilstall/measure/agents.py
+++ b/src/chervilstall/measure/agents.py
@@ -17,15 +17,15 @@
 
 from chervilstall.agent.runtime import AgentRuntime, AgentSettings
 from chervilstall.ids import Revision, VmId, ZoneName
+from chervilstall.measure.processes import resident_bytes
 from chervilstall.settings.agents import PeerSettings, StoreSettings
 from chervilstall.settings.option import Address, parse_address
 from chervilstall.settings.processes import VmSettings
+from chervilstall.standin.target_server import ANY_PORT
 from chervilstall.store.client import HttpStore
 
-ANY_PORT = Address("127.0.0.1", 0)
 SOCKETS_MAX = 16_000
 REVISION_POLL_S = 0.05
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
 def start_agent(number: int, zones: int, store: Address) -> AgentRuntime:
@@ -44,12 +44,6 @@
     return agent
 
 
-def resident_bytes() -> int:
-    """Return the resident memory of this process in bytes."""
-    with open("/proc/self/statm") as file:
-        return int(file.read().split()[1]) * PAGE_BYTES
-
-
 @dataclass
 class RevisionMonitor:
     """Records when all agents of this process have reached a revision.
@@ -89,7 +83,7 @@
     usage = resource.getrusage(resource.RUSAGE_SELF)
     return {
         "cpu_s": usage.ru_utime + usage.ru_stime,
-        "rss_bytes": resident_bytes(),
+        "rss_bytes": resident_bytes(os.getpid()),
         "sent_bytes": sum(agent.traffic.sent_bytes for agent in agents),
         "messages": sum(agent.traffic.messages for agent in agents),
         "revisions": sorted({agent.replica.revision for agent in agents}),
--- a/src/chervilstall/measure/helpers.py
+++ b/src/chervilstall/measure/helpers.py
@@ -18,12 +18,12 @@
 from chervilstall.admission.leased_shares import ShareAllocator  # noqa: E402
 from chervilstall.admission.router_limits import LocalShareService, limits_of  # noqa: E402
 from chervilstall.configuration.tree import Tree  # noqa: E402
-from chervilstall.gateway.auth import token_digest  # noqa: E402
 from chervilstall.gateway.runtime import RouterRuntime, RouterSettings  # noqa: E402
 from chervilstall.gateway.server import RouterServer  # noqa: E402
 from chervilstall.idempotency.local_claims import LocalClaimService  # noqa: E402
 from chervilstall.ids import Revision, VmId, ZoneName  # noqa: E402
 from chervilstall.measure.agents import serve_agents  # noqa: E402
+from chervilstall.measure.testbed import grant_text, pipeline_text  # noqa: E402
 from chervilstall.settings.connections import TargetSettings  # noqa: E402
 from chervilstall.settings.option import Address, parse_address  # noqa: E402
 from chervilstall.settings.processes import (  # noqa: E402
@@ -34,7 +34,7 @@
 )
 from chervilstall.standin.store import MemoryStore  # noqa: E402
 from chervilstall.standin.store_server import StoreServer  # noqa: E402
-from chervilstall.standin.target_server import encode_event  # noqa: E402
+from chervilstall.standin.target_server import ANY_PORT, encode_event  # noqa: E402
 from chervilstall.target.connection import (  # noqa: E402
     pooled_client,
     read_server_event,
@@ -53,8 +53,6 @@
     read_body,
 )
 
-ANY_PORT = Address("127.0.0.1", 0)
-TOKEN = "measure"
 LAYERS = 8
 PASS_THROUGH_TIMEOUT_S = 60.0
 
@@ -184,13 +182,8 @@
             "[target]\nkind = service\nzone = zone-a\nservice = lookup\n"
             f"address = {address}\nconcurrency = 5000\n"
         )
-    texts["workspaces/w/grant"] = (
-        f"[grant]\ntoken_sha256 = {token_digest(TOKEN)}\n"
-        "requests_per_s = 1000000\nconcurrency = 1000000\n"
-    )
-    texts["workspaces/w/pipelines/p"] = (
-        "[pipeline]\nmodel = m\nversion = v1\nrequest_class = standard\n"
-    )
+    texts["workspaces/w/grant"] = grant_text()
+    texts["workspaces/w/pipelines/p"] = pipeline_text("m")
     texts["workspaces/w/services/lookup"] = "[service]\nservice = lookup\n"
     return Tree.build(Revision(1), texts)
 
--- a/src/chervilstall/measure/overhead.py
+++ b/src/chervilstall/measure/overhead.py
@@ -13,9 +13,9 @@
 import gevent
 from geventhttpclient import HTTPClient
 
-from chervilstall.measure.helpers import TOKEN
 from chervilstall.measure.processes import HelperProcess, start_helper
 from chervilstall.measure.statistics import median, percentile
+from chervilstall.measure.testbed import TOKEN, completion_body
 from chervilstall.settings.option import Address, parse_address
 
 LATENCY_REQUESTS = 1_500
@@ -65,13 +65,7 @@
         """
         prompt = f"stream {number} {TOKEN_INTERVAL_S}"
         if self.name == "router":
-            body: dict[str, object] = {
-                "model": "p",
-                "prompt": prompt,
-                "max_tokens": STREAM_TOKENS,
-                "stream": True,
-            }
-            return json.dumps(body).encode()
+            return completion_body(prompt, STREAM_TOKENS)
         order: dict[str, object] = {
             "request": f"r{number}",
             "attempt": 1,
--- a/src/chervilstall/measure/processes.py
+++ b/src/chervilstall/measure/processes.py
@@ -14,6 +14,12 @@
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process in bytes."""
+    text = Path(f"/proc/{pid}/statm").read_text()
+    return int(text.split()[1]) * PAGE_BYTES
+
+
 @dataclass
 class HelperProcess:
     """A helper whose first line of output holds its addresses, separated by spaces."""
@@ -47,8 +53,7 @@
 
     def rss_bytes(self) -> int:
         """Return the resident memory in bytes."""
-        text = Path(f"/proc/{self.process.pid}/statm").read_text()
-        return int(text.split()[1]) * PAGE_BYTES
+        return resident_bytes(self.process.pid)
 
     def stop(self) -> None:
         """Terminate the helper; kill it if it does not exit within 5 seconds."""
--- a/src/chervilstall/measure/testbed.py
+++ b/src/chervilstall/measure/testbed.py
@@ -22,9 +22,9 @@
     RoutingSettings,
     VmSettings,
 )
+from chervilstall.standin.target_server import ANY_PORT
 
 TOKEN = "measure"
-ANY_PORT = Address("127.0.0.1", 0)
 CALL_TIMEOUT_S = 30.0
 READ_SIZE_BYTES = 65_536
 TAIL_BYTES = 2_000
@@ -105,6 +105,11 @@
     )
 
 
+def pipeline_text(model: str) -> str:
+    """Return the pipeline `p` of that workspace."""
+    return f"[pipeline]\nmodel = {model}\nversion = v1\nrequest_class = standard\n"
+
+
 def service_texts(instances: int) -> dict[str, str]:
     """Return the texts of a tree with instances of the service `holds`."""
     texts = {"workspaces/w/grant": grant_text()}
@@ -133,9 +138,7 @@
         if first < second:
             texts[f"links/{first}/{second}"] = f"[link]\ntokens_per_s = {rate}\n"
     texts["workspaces/w/grant"] = grant_text()
-    texts["workspaces/w/pipelines/p"] = (
-        "[pipeline]\nmodel = model\nversion = v1\nrequest_class = standard\n"
-    )
+    texts["workspaces/w/pipelines/p"] = pipeline_text("model")
     return shape, texts
 
 
