--- a/src/chervilstall/agent/claims.py
+++ b/src/chervilstall/agent/claims.py
@@ -7,7 +7,7 @@
 
 import gevent
 
-from chervilstall.agent.roles import RoleName, slot_name, slot_role
+from chervilstall.agent.roles import SLOT_ROLE_PREFIX, RoleName, slot_name, slot_role
 from chervilstall.errors import ChervilstallError
 from chervilstall.idempotency.home import HomeState, SlotHome
 from chervilstall.idempotency.local_claims import slot_for_key
@@ -16,6 +16,7 @@
 from chervilstall.lease.holder import LeaseTerm
 from chervilstall.membership.table import MemberTable
 from chervilstall.peer.claims import (
+    CLAIM_ANSWER_TYPES,
     ClaimAnswer,
     ClaimRequest,
     OutcomeReport,
@@ -30,13 +31,11 @@
 from chervilstall.peer.transport import PeerClientPool
 from chervilstall.settings.agents import IdempotencySettings
 from chervilstall.settings.leases import LeaseSettings
-from chervilstall.settings.option import Address
 from chervilstall.store.contract import Store, StoreFailed
 from chervilstall.telemetry.logs import ComponentLog
 
 log = ComponentLog("homes")
 
-CLAIM_ANSWER_TYPES = ClaimAnswer.__args__  # type: ignore[attr-defined]
 FORWARD_MARGIN_S = 0.5
 FORWARD_ATTEMPTS = 2
 OPEN_RETRY_S = 0.2
@@ -139,7 +138,7 @@
         if time.monotonic() - self._holders_read_at_s > HOLDERS_TTL_S:
             self._holders_read_at_s = time.monotonic()
             try:
-                records = self._store.list_leases("slot/")
+                records = self._store.list_leases(SLOT_ROLE_PREFIX)
             except StoreFailed:
                 return None
             self._stored_holders = {record.name: record.note for record in records}
@@ -178,7 +177,7 @@
     def _forward_claim(
         self, holder: MemberUpdate, request: ClaimRequest
     ) -> ClaimAnswer:
-        client = self.clients.client(Address(holder.host, holder.port))
+        client = self.clients.client(holder.address)
         timeout_s = request.wait_s + FORWARD_MARGIN_S
         reply = client.call(ForwardedClaim(request), timeout_s)
         if isinstance(reply, CLAIM_ANSWER_TYPES):
@@ -205,7 +204,7 @@
         holder = self._find_holder(slot) or self._find_holder_in_store(slot)
         if is_forwarded or holder is None or holder.vm == self.table.own.vm:
             return False
-        client = self.clients.client(Address(holder.host, holder.port))
+        client = self.clients.client(holder.address)
         try:
             reply = client.ask(ForwardedReport(report), ReportAnswer, FORWARD_MARGIN_S)
         except ChervilstallError:
--- a/src/chervilstall/gateway/services.py
+++ b/src/chervilstall/gateway/services.py
@@ -6,8 +6,8 @@
 import gevent
 from gevent.queue import Queue
 
-from chervilstall.admission.classes import default_deadline_s, priority_of
-from chervilstall.admission.retry import backoff_s
+from chervilstall.admission.classes import priority_of
+from chervilstall.admission.retry import wait_before_retry
 from chervilstall.errors import ChervilstallError, ErrorKind, ExecutionState
 from chervilstall.gateway.auth import Caller
 from chervilstall.gateway.key_claim import REPEAT_HEADER, IdempotentRequest, KeyClaim
@@ -19,7 +19,7 @@
 from chervilstall.routing.explanation import Explanation, RouteStep
 from chervilstall.routing.instances import InstanceReservation
 from chervilstall.settings.documents import RequestClass, ServiceDocument
-from chervilstall.stream.decision import Decision, decide, final_error_kind
+from chervilstall.stream.decision import Decision, decide, final_error
 from chervilstall.target.contract import (
     AttemptFailed,
     FailureCause,
@@ -59,7 +59,9 @@
         self.request_class = self.document.request_class
         self.repeatable = self._is_repeatable()
         self.started_at_s = time.monotonic()
-        self.deadline_s = self._find_deadline_s()
+        self.deadline_s = service_request.options.deadline_or_default_s(
+            self.request_class, runtime.settings.admission, self.started_at_s
+        )
         self.key_claim = self._new_key_claim(outcome_max_bytes)
         self.explanation = Explanation(
             service_request.request_id,
@@ -82,12 +84,6 @@
     def _is_repeatable(self) -> bool:
         return self.service_request.call.method in self.document.repeatable_methods
 
-    def _find_deadline_s(self) -> float:
-        if self.service_request.options.deadline_s is not None:
-            return self.service_request.options.deadline_s
-        admission = self.runtime.settings.admission
-        return self.started_at_s + default_deadline_s(self.request_class, admission)
-
     def _new_key_claim(self, outcome_max_bytes: int) -> KeyClaim | None:
         request = self.service_request
         if self.repeatable or not request.options.idempotency_key:
@@ -158,9 +154,9 @@
                 return answer
             except AttemptFailed as failure:
                 self._raise_unless_retryable(failure)
-            wait_s = backoff_s(self.runtime.settings.retry, self._attempts, rng)
-            remaining_s = self.deadline_s - time.monotonic()
-            gevent.sleep(max(0.0, min(wait_s, remaining_s)))
+            wait_before_retry(
+                self.runtime.settings.retry, self._attempts, rng, self.deadline_s
+            )
 
     def _run_round(self) -> ServiceResponse:
         retry = self.runtime.settings.retry
@@ -337,8 +333,4 @@
         self.runtime.metrics.count("retries")
 
     def _final_error(self, failure: AttemptFailed) -> ChervilstallError:
-        kind = final_error_kind(failure.progress, failure.cause, has_delivered=False)
-        error = ChervilstallError(kind, str(failure))
-        if self._may_have_run and error.response.execution is ExecutionState.NO:
-            return ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, str(failure))
-        return error
+        return final_error(failure, False, self._may_have_run)
--- a/src/chervilstall/measure/helpers.py
+++ b/src/chervilstall/measure/helpers.py
@@ -15,15 +15,12 @@
 import msgspec  # noqa: E402
 from gevent.fileobject import FileObject  # noqa: E402
 
-from chervilstall.admission.leased_shares import ShareAllocator  # noqa: E402
-from chervilstall.admission.router_limits import LocalShareService, limits_of  # noqa: E402
 from chervilstall.configuration.tree import Tree  # noqa: E402
-from chervilstall.gateway.auth import token_digest  # noqa: E402
-from chervilstall.gateway.runtime import RouterRuntime, RouterSettings  # noqa: E402
-from chervilstall.gateway.server import RouterServer  # noqa: E402
+from chervilstall.gateway.runtime import RouterSettings  # noqa: E402
 from chervilstall.idempotency.local_claims import LocalClaimService  # noqa: E402
 from chervilstall.ids import Revision, VmId, ZoneName  # noqa: E402
 from chervilstall.measure.agents import serve_agents  # noqa: E402
+from chervilstall.measure.testbed import grant_text, pipeline_text  # noqa: E402
 from chervilstall.settings.connections import TargetSettings  # noqa: E402
 from chervilstall.settings.option import Address, parse_address  # noqa: E402
 from chervilstall.settings.processes import (  # noqa: E402
@@ -32,9 +29,10 @@
     RoutingSettings,
     VmSettings,
 )
+from chervilstall.standin.embedded import start_router  # noqa: E402
 from chervilstall.standin.store import MemoryStore  # noqa: E402
 from chervilstall.standin.store_server import StoreServer  # noqa: E402
-from chervilstall.standin.target_server import encode_event  # noqa: E402
+from chervilstall.standin.target_server import ANY_PORT, encode_event  # noqa: E402
 from chervilstall.target.connection import (  # noqa: E402
     pooled_client,
     read_server_event,
@@ -53,8 +51,6 @@
     read_body,
 )
 
-ANY_PORT = Address("127.0.0.1", 0)
-TOKEN = "measure"
 LAYERS = 8
 PASS_THROUGH_TIMEOUT_S = 60.0
 
@@ -184,13 +180,8 @@
             "[target]\nkind = service\nzone = zone-a\nservice = lookup\n"
             f"address = {address}\nconcurrency = 5000\n"
         )
-    texts["workspaces/w/grant"] = (
-        f"[grant]\ntoken_sha256 = {token_digest(TOKEN)}\n"
-        "requests_per_s = 1000000\nconcurrency = 1000000\n"
-    )
-    texts["workspaces/w/pipelines/p"] = (
-        "[pipeline]\nmodel = m\nversion = v1\nrequest_class = standard\n"
-    )
+    texts["workspaces/w/grant"] = grant_text()
+    texts["workspaces/w/pipelines/p"] = pipeline_text("m")
     texts["workspaces/w/services/lookup"] = "[service]\nservice = lookup\n"
     return Tree.build(Revision(1), texts)
 
@@ -204,13 +195,7 @@
         target=TargetSettings(first_event_timeout_s=10.0, silence_timeout_s=10.0),
         routing=RoutingSettings(affinity_entries=0),
     )
-    tree = build_tree(list(targets))
-    allocator = ShareAllocator(settings.limits, is_first=True)
-    shares = LocalShareService(allocator, limits_of(tree))
-    runtime = RouterRuntime(settings, LocalClaimService({}), shares)
-    runtime.apply_tree(tree)
-    server = RouterServer(runtime)
-    server.start()
+    server = start_router(settings, build_tree(list(targets)), LocalClaimService({}))
     print_addresses(server.caller_address, server.admin_address)
     wait_for_stdin_close()
 
