--- a/tests/steps/gateway_drain_steps.py
+++ b/tests/steps/gateway_drain_steps.py
@@ -7,8 +7,8 @@
 from behave import then, when
 from behave.runner import Context
 
-from tests.steps.gateway_steps import CHAT, chat_body
 from tests.support.agent_fleet import eventually
+from tests.support.chat import CHAT, chat_body
 from tests.support.router_harness import TOKEN, RouterHarness
 
 LATE_AFTER_S = 0.5
