Keep prompts away from engines that they crash, at the product's own interface too

Change: stream/prompt_guard uses the judge of quarantine/ with the prefixes of whole blocks as the parts of a prompt. Each router of the product decides on the crashes that it saw itself; they are not shared between routers.

--- a/src/chervilstall/gateway/runtime.py
+++ b/src/chervilstall/gateway/runtime.py
@@ -28,6 +28,7 @@
     RoutingSettings,
     VmSettings,
 )
+from chervilstall.stream.prompt_guard import PromptGuard
 from chervilstall.stream.relay import RelayContext
 from chervilstall.target.engine_client import HttpEngineClient
 from chervilstall.target.service_client import HttpServiceClient
@@ -129,6 +130,7 @@
             self.engines,
             settings.retry,
             settings.target,
+            PromptGuard(self.selector, self.engines),
         )
         self.longest_stall_s = 0.0
         self._tasks: list[gevent.Greenlet] = []
@@ -190,6 +192,7 @@
         while True:
             gevent.sleep(self.settings.target.poll_interval_s)
             self.queue.dispatch()
+            self.relay.prompt_guard.expire()
 
     def _renew_shares(self) -> None:
         while True:
--- a/src/chervilstall/quarantine/judge.py
+++ b/src/chervilstall/quarantine/judge.py
@@ -123,7 +123,7 @@
             known = self.log.evidence.get(PartKey(service, part))
             if known is None or known.was_begun:
                 continue
-            if known.crashes >= SUSPECT_CRASHES_MIN:
+            if len(known.crashed_at_s) >= SUSPECT_CRASHES_MIN:
                 return True
         return False
 
--- a/src/chervilstall/standin/engine.py
+++ b/src/chervilstall/standin/engine.py
@@ -52,7 +52,8 @@
 
     `kv_positions` holds the position that the KV state of each attempt has reached,
     `exported_positions` that of each exported handle, and `progress` the next position
-    of each attempt that this engine heads.
+    of each attempt that this engine heads. A prompt with `crashing_text`, if any, kills
+    the engine before its first token, for `restart_s`; `crashes` counts these.
     """
 
     target: TargetId
@@ -60,6 +61,9 @@
     options: EngineOptions
     faults: FaultInjector = field(default_factory=FaultInjector)
     is_dead: bool = False
+    crashing_text: str = ""
+    restart_s: float = 0.4
+    crashes: int = 0
     in_flight: int = 0
     highest_fence: int = 0
     orders: list[FencedOrder] = field(default_factory=list)
--- a/src/chervilstall/standin/fabric.py
+++ b/src/chervilstall/standin/fabric.py
@@ -103,6 +103,9 @@
         if head.faults.trigger(FaultKind.DIE_AFTER_ACCEPT):
             self.kill(head)
             raise CloseConnection
+        if head.crashing_text and head.crashing_text in order.prompt:
+            self._crash(head)
+            raise CloseConnection
         if self.records_layer_runs:
             self.ledger.prompts[order.request] = order.prompt
             self.ledger.start_positions[key] = order.position
@@ -248,6 +251,12 @@
         if stage.is_dead:
             raise StageDied(stage.target)
 
+    def _crash(self, engine: Engine) -> None:
+        """Kill an engine that starts again after its `restart_s`."""
+        engine.crashes += 1
+        self.kill(engine)
+        gevent.spawn_later(engine.restart_s, setattr, engine, "is_dead", False)
+
     def kill(self, engine: Engine) -> None:
         """Mark an engine as dead and drop its KV states and its prefix cache."""
         engine.is_dead = True
--- /dev/null
+++ b/src/chervilstall/stream/prompt_guard.py
@@ -0,0 +1,133 @@
+"""Keeps prompts that crash engines away from them, at a router of the product.
+
+The parts of a prompt are its prefixes of whole blocks. Each router decides on the
+crashes that it saw itself.
+"""
+
+import time
+from dataclasses import dataclass, field
+
+import gevent
+
+from chervilstall.errors import ChervilstallError, ErrorKind
+from chervilstall.ids import CrashId, PartId, ServiceName, TargetId
+from chervilstall.quarantine.judge import PromptJudge
+from chervilstall.quarantine.records import (
+    ClaimTrial,
+    Clear,
+    CrashReport,
+    Propose,
+    QuarantineAction,
+)
+from chervilstall.routing.fleet import Capability
+from chervilstall.routing.selector import ChainSelector
+from chervilstall.target.contract import AttemptFailed, EngineClient, FailureCause
+from chervilstall.telemetry.logs import ComponentLog
+
+log = ComponentLog("relay")
+
+QUARANTINE_RETRY_S = 60.0
+BEGUN_TOKENS = 2
+EXAMINE_DELAY_S = 0.02
+SAME_CRASH_S = 1.0
+"""Time in which failures of one engine count as the same crash."""
+
+CRASH_CAUSES = (FailureCause.CLOSED, FailureCause.STAGE_DIED)
+
+
+@dataclass
+class _Crash:
+    crash: CrashId
+    at_s: float
+
+
+@dataclass
+class PromptGuard:
+    """Tells the judge what becomes of requests, and asks it before each attempt."""
+
+    selector: ChainSelector
+    engines: EngineClient
+    judge: PromptJudge = field(init=False)
+    _crashes: dict[TargetId, _Crash] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.judge = PromptJudge(self._carry_out)
+
+    def _carry_out(self, action: QuarantineAction) -> None:
+        match action:
+            case Propose(entry):
+                log.warning("Prefix %s crashes engines.", entry.key.part)
+            case Clear(key):
+                log.info("Prefix %s is harmless.", key.part)
+            case ClaimTrial(entry):
+                self.judge.apply_entry(entry)
+                self.judge.grant_trial(entry.key)
+
+    def check(
+        self, capability: Capability, prefixes: tuple[int, ...], may_have_run: bool
+    ) -> None:
+        """Raise ChervilstallError for a request that may crash its next engine."""
+        service, parts = _service(capability), _parts(prefixes)
+        part = self.judge.refused_part(service, parts)
+        if part is not None:
+            reason = f"prefix {part} of the prompt crashes engines"
+            if may_have_run:
+                raise ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, reason)
+            raise ChervilstallError(
+                ErrorKind.PROMPT_QUARANTINED, reason, QUARANTINE_RETRY_S
+            )
+        if may_have_run and self.judge.is_suspect(service, parts):
+            reason = "a prefix of the prompt may have crashed the engine"
+            raise ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, reason)
+
+    def record_begun(self, capability: Capability, prefixes: tuple[int, ...]) -> None:
+        """Record that an engine has begun to answer a request."""
+        self.judge.record_begun(_service(capability), _parts(prefixes))
+
+    def record_failure(
+        self,
+        capability: Capability,
+        prefixes: tuple[int, ...],
+        failure: AttemptFailed,
+    ) -> None:
+        """Record that an engine failed a request that it had not begun to answer."""
+        if failure.cause in CRASH_CAUSES and prefixes:
+            gevent.spawn(self._examine, capability, prefixes, failure.target)
+
+    def _examine(
+        self, capability: Capability, prefixes: tuple[int, ...], target: TargetId
+    ) -> None:
+        lost_at_s = time.monotonic()
+        gevent.sleep(EXAMINE_DELAY_S)
+        engine = self.selector.engine(target)
+        if engine is None or self.engines.fetch_load(engine.address) is not None:
+            # An engine that answers has only lost this request.
+            return
+        known = self._crashes.get(target)
+        if known is None or lost_at_s - known.at_s > SAME_CRASH_S:
+            crash = CrashId(f"{target}@{lost_at_s:.3f}")
+            known = self._crashes[target] = _Crash(crash, lost_at_s)
+        report = CrashReport(
+            known.crash,
+            _service(capability),
+            _parts(prefixes),
+            age_s=time.monotonic() - known.at_s,
+        )
+        self.judge.record_crash(self.judge.with_begun_parts(report))
+
+    def expire(self) -> None:
+        """Drop what is past; called once in a while."""
+        self.judge.expire()
+        from_s = time.monotonic() - SAME_CRASH_S
+        for target, known in list(self._crashes.items()):
+            if known.at_s < from_s:
+                del self._crashes[target]
+
+
+def _service(capability: Capability) -> ServiceName:
+    """Return the engines that a part of a prompt may crash: those of one model."""
+    return ServiceName(capability.model)
+
+
+def _parts(prefixes: tuple[int, ...]) -> tuple[PartId, ...]:
+    return tuple(PartId(f"{prefix:08x}") for prefix in prefixes)
--- a/src/chervilstall/stream/relay.py
+++ b/src/chervilstall/stream/relay.py
@@ -32,6 +32,7 @@
 from chervilstall.settings.documents import RequestClass
 from chervilstall.settings.processes import RetrySettings
 from chervilstall.stream.decision import Decision, decide, final_error
+from chervilstall.stream.prompt_guard import BEGUN_TOKENS, PromptGuard
 from chervilstall.target.contract import (
     AttemptFailed,
     AttemptProgress,
@@ -93,6 +94,7 @@
     engines: EngineClient
     retry: RetrySettings
     target: TargetSettings
+    prompt_guard: PromptGuard
     counters: RelayCounters = field(default_factory=RelayCounters)
     rng: random.Random = field(default_factory=random.Random)
 
@@ -222,6 +224,7 @@
         )
 
     def _run_attempt(self, reservation: ChainReservation) -> Iterator[str]:
+        self._check_prompt()
         order = self._generate_order(reservation)
         self._check_deadline(AttemptProgress.NOT_SENT, reservation)
         stream: EngineStream | None = None
@@ -242,6 +245,17 @@
             if not is_finished:
                 self._cancel(order)
 
+    def _check_prompt(self) -> None:
+        request = self.request
+        if len(self.delivered) < BEGUN_TOKENS:
+            self.context.prompt_guard.check(
+                request.capability, request.prefixes, self._may_have_run
+            )
+
+    def _record_begun(self) -> None:
+        request = self.request
+        self.context.prompt_guard.record_begun(request.capability, request.prefixes)
+
     def _read_tokens(
         self, stream: EngineStream, reservation: ChainReservation
     ) -> Iterator[str]:
@@ -249,9 +263,13 @@
             event = stream.next_event()
             if event.kind is EventKind.TOKEN:
                 self.delivered.append(event.token)
+                if len(self.delivered) == BEGUN_TOKENS:
+                    self._record_begun()
                 yield event.token
             elif event.kind is EventKind.END:
                 self.finish_reason = event.finish
+                if len(self.delivered) < BEGUN_TOKENS:
+                    self._record_begun()
                 self.context.counters.dropped_events += getattr(
                     stream, "dropped_events", 0
                 )
@@ -293,6 +311,10 @@
     ) -> None:
         if failure.cause is FailureCause.DEADLINE:
             return
+        if len(self.delivered) < BEGUN_TOKENS:
+            self.context.prompt_guard.record_failure(
+                self.request.capability, self.request.prefixes, failure
+            )
         self._avoided_targets.add(failure.target)
         if failure.cause is FailureCause.REFUSED:
             self.context.selector.record_refusal(failure.target)
--- a/src/chervilstall/target/contract.py
+++ b/src/chervilstall/target/contract.py
@@ -277,6 +277,9 @@
     def export_kv(self, address: Address, order: ExportOrder) -> str | None:
         """Return the handle of an exported KV state, or None where that failed."""
 
+    def fetch_load(self, address: Address) -> LoadReport | None:
+        """Return the load that an engine reports, or None where it doesn't answer."""
+
 
 class ServiceClient(Protocol):
     """Calls that a router makes to plain services."""
