--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any
+from typing import Any, NoReturn
 
 import gevent
 import msgspec
@@ -13,6 +13,7 @@
 from chervilstall.fleet.records import NO_LAYERS, LayerRange
 from chervilstall.settings.option import Address
 from chervilstall.standin.crashes import ResettableServer, shared_parts
+from chervilstall.standin.unframed import end_answer, send_head
 from chervilstall.wsgi import (
     HEADERS_KEY,
     REQUEST_TARGET_KEY,
@@ -48,6 +49,16 @@
     BREAK_STREAM = "break the stream"
     STALL_STREAM = "stall the stream"
     PAUSE_STREAM = "pause the stream"
+    UNFRAMED = "answer without a length"
+    UNFRAMED_CLOSE = "close an answer without a length"
+    UNFRAMED_RESET = "reset an answer without a length"
+    UNFRAMED_CUT = "close an answer without a length inside an event"
+    UNFRAMED_PAUSE = "pause in an answer without a length"
+
+
+UNFRAMED_BEHAVIOURS = frozenset(
+    {each for each in Behaviour if each.name.startswith("UNFRAMED")}
+)
 
 
 @dataclass(frozen=True)
@@ -85,7 +96,8 @@
     """One target of the platform, served over HTTP.
 
     `events_before_fault` is the number of events after which a stream breaks, stalls or
-    pauses, and `pause_s` the length of that pause. While `stalled_on` holds an address,
+    pauses, and `pause_s` the length of that pause. Without `streams` an answer without
+    a length is never a stream. While `stalled_on` holds an address,
     the load report lists every request as stalled on it. While `is_silent`, requests of
     any kind get no answer. `limit_per_s` is the limit that it names in its answers to
     requests, if any. With `announces_leaving` these answers also say that it leaves.
@@ -102,6 +114,7 @@
         self.layers = NO_LAYERS
         self.orders_begun = 0
         self.events_before_fault = 3
+        self.streams = True
         self.pause_s = 0.0
         self.stalled_on: str = ""
         self.queued = 0
@@ -215,6 +228,8 @@
         self.log.runs.append(run)
         if self.behaviour in (Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY):
             self._send_without_end(run, environ[SOCKET_KEY])
+        if self.behaviour in UNFRAMED_BEHAVIOURS:
+            self._send_unframed(run, environ[SOCKET_KEY])
         if "hop-count" in headers:
             yield from self._stream_events(run, environ, start_response)
             return
@@ -234,6 +249,50 @@
             # Raises once the caller has closed.
             connection.sendall(ENDLESS_CHUNK)
 
+    def _send_unframed(self, run: Run, connection: Any) -> NoReturn:
+        fields = [
+            ("Attempt-Id", run.request),
+            ("Server-Signature", SERVER_SIGNATURE),
+            *self._notice_headers(),
+        ]
+        is_stream = self.streams and "hop-count" in run.headers
+        if is_stream:
+            fields.append(("Content-Type", "text/event-stream"))
+            parts = self._event_texts(run)
+        else:
+            answer = f"answer to {run.request}".encode()
+            parts = [answer[:4], answer[4:]]
+        send_head(connection, fields)
+        fault_at = self.events_before_fault if is_stream else 1
+        for index, part in enumerate(parts):
+            if index == fault_at:
+                self._apply_unframed_fault(connection, part)
+            connection.sendall(part)
+            gevent.sleep(EVENT_INTERVAL_S)
+        raise end_answer(connection)
+
+    def _apply_unframed_fault(self, connection: Any, part: bytes) -> None:
+        match self.behaviour:
+            case Behaviour.UNFRAMED_CLOSE:
+                raise end_answer(connection)
+            case Behaviour.UNFRAMED_RESET:
+                raise end_answer(connection, is_reset=True)
+            case Behaviour.UNFRAMED_CUT:
+                # Only the second line end of the delimiter is missing.
+                connection.sendall(part[:-1])
+                raise end_answer(connection)
+            case Behaviour.UNFRAMED_PAUSE:
+                gevent.sleep(self.pause_s)
+
+    def _event_texts(self, run: Run) -> list[bytes]:
+        """Return the events of a stream from the first one that is asked for."""
+        event_count = int(run.headers["token-count"].split(",")[1])
+        first_event_id = int(run.headers.get("last-event-id", "0")) + 1
+        return [
+            f"id: {event_id}\ndata: {self.name}\n\n".encode()
+            for event_id in range(first_event_id, event_count + 1)
+        ]
+
     def _answer(
         self, run: Run, environ: Environ, start_response: StartResponse
     ) -> Iterator[bytes]:
@@ -278,8 +337,6 @@
     def _stream_events(
         self, run: Run, environ: Environ, start_response: StartResponse
     ) -> Iterator[bytes]:
-        event_count = int(run.headers["token-count"].split(",")[1])
-        first_event_id = int(run.headers.get("last-event-id", "0")) + 1
         response_headers = [
             ("Attempt-Id", run.request),
             ("Server-Signature", SERVER_SIGNATURE),
@@ -289,16 +346,16 @@
         start_response(status_line(200), response_headers)
         try:
             gevent.sleep(max(0.0, self.first_event_s - EVENT_INTERVAL_S))
-            for event_id in range(first_event_id, event_count + 1):
+            for index, event in enumerate(self._event_texts(run)):
                 gevent.sleep(EVENT_INTERVAL_S)
                 if shared_parts(run.headers) & self.deadly_parts:
                     self._crash()
                     raise ConnectionResetError(errno.ECONNRESET, "the target crashed")
-                if event_id - first_event_id == self.events_before_fault:
+                if index == self.events_before_fault:
                     self._pause_stream()
-                if event_id - first_event_id >= self.events_before_fault:
+                if index >= self.events_before_fault:
                     self._apply_stream_fault()
-                yield f"id: {event_id}\ndata: {self.name}\n\n".encode()
+                yield event
         except GeneratorExit:
             self.log.cancelled_streams += 1
             raise
--- /dev/null
+++ b/tests/steps/unframed_steps.py
@@ -0,0 +1,71 @@
+"""Steps for answers that have neither a length nor chunks."""
+
+import gevent
+from behave import given, then, when
+from behave.runner import Context
+
+from chervilstall.edge.exchange import ExchangeFailure
+from chervilstall.standin.platform_target import Behaviour
+from tests.steps.edge_steps import send_draft, send_kind
+from tests.support.agent_fleet import eventually
+
+ANSWER_BEGUN_S = 0.1
+"""Time in which the beginning of an answer reaches the router."""
+
+
+@given("targets whose answers pause without a length for {pause_s:d} seconds")
+def pause_answers(context: Context, pause_s: int) -> None:
+    for target in context.platform.targets.values():
+        target.behaviour = Behaviour.UNFRAMED_PAUSE
+        target.pause_s = float(pause_s)
+
+
+@given("targets whose answers pause without a length and are no streams")
+def pause_answers_to_drafts(context: Context) -> None:
+    pause_answers(context, 2)
+    for target in context.platform.targets.values():
+        target.streams = False
+
+
+def wait_for_run(context: Context) -> None:
+    """Wait until a target has begun its answer."""
+    eventually(lambda: context.platform.executed_request_ids())
+    gevent.sleep(ANSWER_BEGUN_S)
+
+
+@when("a {kind:w} request is sent and ended by the router during the pause")
+def end_during_pause(context: Context, kind: str) -> None:
+    sending = gevent.spawn(send_kind, context, kind)
+    wait_for_run(context)
+    context.router.app.expire_admitted()
+    sending.get()
+
+
+@when("a draft of {events:d} events is asked for and its exchange is ended as stalled")
+def end_as_stalled(context: Context, events: int) -> None:
+    sending = gevent.spawn(send_draft, context, events)
+    wait_for_run(context)
+    for target in context.platform.targets.values():
+        target.behaviour = Behaviour.LOSE_ANSWER
+    (stream,) = context.router.stream_monitor.streams.values()
+    stream.exchange.abort(ExchangeFailure.STALLED)
+    sending.get()
+
+
+@then("the response has the status {status:d}")
+def check_status(context: Context, status: int) -> None:
+    assert context.response.status == status, context.response
+
+
+@then("the response has the length of its body")
+def check_length(context: Context) -> None:
+    headers = context.response.headers
+    assert headers["Content-Length"] == str(len(context.response.body)), headers
+    assert "Transfer-Encoding" not in headers, headers
+
+
+@then("the response is chunked")
+def check_chunked(context: Context) -> None:
+    headers = context.response.headers
+    assert headers["Transfer-Encoding"] == "chunked", headers
+    assert "Content-Length" not in headers, headers
