Don't take the router's own end of an exchange for the end of an answer

Callers got 200 and the first part of a lookup's or a hold's answer, with a matching Content-Length, where the answer had neither a length nor chunks and the router ended the exchange as more of it came: at the end of a drain, or when the exchange was ended for a stall.

`abort` shuts the socket down. A reader that waits gets an error from gevent, but one whose data arrived in the same turn of the loop reads the data and then the end of the connection, which ends such an answer regularly. read_response did not look at `abort_reason`, as read_event does. It now does, for answers without a length and chunks; those with either are still told whole from cut by their framing.

The two new scenarios let both happen in one turn of the loop.

--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -119,10 +119,19 @@
             raise self._error(ExchangeFailure.TIMEOUT) from error
         except (OSError, HTTPParseError) as error:
             raise self._error(ExchangeFailure.CLOSED) from error
-        if not self._response.message_complete:
+        is_cut = self.abort_reason is not None and self._ends_with_connection()
+        if is_cut or not self._response.message_complete:
             raise self._error(ExchangeFailure.CLOSED)
         return CompleteResponse(head, body)
 
+    def _ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection shows that of the response.
+
+        `abort` ends the connection, too, and a read may see this as a regular end.
+        """
+        fields = ("content-length", "transfer-encoding")
+        return not any(name in self._response for name in fields)
+
     def _read_body(self) -> bytes:
         body = bytearray()
         while True:
--- a/tests/edge/unframed.feature
+++ b/tests/edge/unframed.feature
@@ -35,6 +35,18 @@
       | idempotent     |
       | non_idempotent |
 
+  # Guards against a lost end: the router's own end of an exchange looks like the target's.
+  Scenario Outline: An answer to a <kind> request that the router ends as more of it comes
+    Given a platform with lookups in both zones
+    And targets whose answers pause without a length for 2 seconds
+    When a <kind> request is sent and ended by the router as more of its answer comes
+    Then the response has the status 504
+
+    Examples:
+      | kind           |
+      | idempotent     |
+      | non_idempotent |
+
   Scenario: An answer that is no stream is not passed on after it was ended as stalled
     Given a platform with a model in parts in both zones
     And targets whose answers pause without a length and are no streams
--- a/tests/steps/unframed_steps.py
+++ b/tests/steps/unframed_steps.py
@@ -3,6 +3,7 @@
 import gevent
 from behave import given, then, when
 from behave.runner import Context
+from gevent.socket import socket, socketpair
 
 from chervilstall.edge.exchange import ExchangeFailure
 from chervilstall.standin.platform_target import Behaviour
@@ -41,6 +42,27 @@
     sending.get()
 
 
+@when("a {kind:w} request is sent and ended by the router as more of its answer comes")
+def end_as_more_comes(context: Context, kind: str) -> None:
+    sending = gevent.spawn(send_kind, context, kind)
+    wait_for_run(context)
+    wanted, trigger = socketpair()
+    ending = gevent.spawn(end_when_readable, context, wanted)
+    gevent.sleep(0.0)
+    # Both sockets become readable in one turn of the loop, the trigger's first.
+    for target in context.platform.targets.values():
+        for connection in target.server.open_sockets:
+            connection.sendall(b"more")
+    trigger.sendall(b"x")
+    ending.get()
+    sending.get()
+
+
+def end_when_readable(context: Context, wanted: socket) -> None:
+    wanted.recv(1)
+    context.router.app.expire_admitted()
+
+
 @when("a draft of {events:d} events is asked for and its exchange is ended as stalled")
 def end_as_stalled(context: Context, events: int) -> None:
     sending = gevent.spawn(send_draft, context, events)
