Take a stream that ends inside an event for one that has been broken off

A target that crashed inside the first event of a stream, whose connection closed without a reset, was not known to have crashed: no crash of it was reported, so the part of the prompt that crashed it was not suspected either. The stream itself went on elsewhere, as it should.

read_event called such an end a malformed answer, and PromptGuard counts only connections that closed as lost. The log line "send failed" names "connection closed" for it.

--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -155,7 +155,7 @@
             return event
         remainder = self._response.read()
         if remainder.strip() or self.abort_reason is not None:
-            raise self._error(ExchangeFailure.MALFORMED)
+            raise self._error(ExchangeFailure.CLOSED)
         return None
 
     def abort(self, reason: ExchangeFailure) -> None:
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -53,6 +53,7 @@
     UNFRAMED_CLOSE = "close an answer without a length"
     UNFRAMED_RESET = "reset an answer without a length"
     UNFRAMED_CUT = "close an answer without a length inside an event"
+    UNFRAMED_CRASH = "crash inside an event of an answer without a length"
     UNFRAMED_PAUSE = "pause in an answer without a length"
 
 
@@ -277,9 +278,12 @@
                 raise end_answer(connection)
             case Behaviour.UNFRAMED_RESET:
                 raise end_answer(connection, is_reset=True)
-            case Behaviour.UNFRAMED_CUT:
+            case Behaviour.UNFRAMED_CUT | Behaviour.UNFRAMED_CRASH:
                 # Only the second line end of the delimiter is missing.
                 connection.sendall(part[:-1])
+                if self.behaviour is Behaviour.UNFRAMED_CRASH:
+                    # Closes this connection first, so that it isn't reset.
+                    gevent.spawn(self._crash)
                 raise end_answer(connection)
             case Behaviour.UNFRAMED_PAUSE:
                 gevent.sleep(self.pause_s)
--- a/tests/edge/unframed.feature
+++ b/tests/edge/unframed.feature
@@ -94,3 +94,10 @@
       | behaviour                                        |
       | reset an answer without a length                 |
       | close an answer without a length inside an event |
+
+  # Guards against BUDGET: a crash that ends a stream inside its first event isn't known.
+  Scenario: A target that crashes inside the first event is known to have crashed
+    Given a platform with a model in parts in both zones
+    And the first targets of the own zone would crash inside an event of an answer without a length after 0 events
+    When a draft of 10 events that shares parts is asked for
+    Then the crash of the first target of the own zone is reported
--- a/tests/steps/unframed_steps.py
+++ b/tests/steps/unframed_steps.py
@@ -6,9 +6,11 @@
 from gevent.socket import socket, socketpair
 
 from chervilstall.edge.exchange import ExchangeFailure
+from chervilstall.platform.quarantine import CRASHES_PREFIX
 from chervilstall.standin.platform_target import Behaviour
-from tests.steps.edge_steps import send_draft, send_kind
+from tests.steps.edge_steps import own_first, send_draft, send_kind
 from tests.support.agent_fleet import eventually
+from tests.support.platform import send
 
 ANSWER_BEGUN_S = 0.1
 """Time in which the beginning of an answer reaches the router."""
@@ -74,6 +76,23 @@
     sending.get()
 
 
+@when("a draft of {events:d} events that shares parts is asked for")
+def send_sharing_draft(context: Context, events: int) -> None:
+    context.response = send(
+        context.router,
+        "/draft/x",
+        Token_Count=f"100,{events}",
+        Prefix_Hash="guide:20,tools:20,own:20",
+    )
+
+
+@then("the crash of the first target of the own zone is reported")
+def check_crash_report(context: Context) -> None:
+    items = context.platform.store.state.items
+    eventually(lambda: [key for key in items if key.startswith(CRASHES_PREFIX)], 2.0)
+    assert own_first(context).log.crashed_at_s
+
+
 @then("the response has the status {status:d}")
 def check_status(context: Context, status: int) -> None:
     assert context.response.status == status, context.response
