Reset responses without chunks that end early

A caller of HTTP/1.0 gets a stream without chunks, whose end is that of the connection. Where a stream broke off and might not be resumed, or a stop of the router interrupted it, the connection was closed regularly after the last event that was passed on, so the stream looked whole.

The server's handler now has such a connection reset. Responses with a length or chunks end as before. This holds for every listener, as all use the one handler.

--- a/src/chervilstall/standin/crashes.py
+++ b/src/chervilstall/standin/crashes.py
@@ -1,12 +1,8 @@
 """Crashes of stand-in targets by a part of a prompt, and their restart."""
 
 import socket
-import struct
 
-from chervilstall.wsgi import Handler, Server
-
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which closing a socket resets its connection."""
+from chervilstall.wsgi import RESET_ON_CLOSE, Handler, Server
 
 
 class ResettableHandler(Handler):
--- a/src/chervilstall/standin/unframed.py
+++ b/src/chervilstall/standin/unframed.py
@@ -9,7 +9,7 @@
 
 import gevent
 
-from chervilstall.standin.crashes import RESET_ON_CLOSE
+from chervilstall.wsgi import RESET_ON_CLOSE
 
 Fields = Iterable[tuple[str, str]]
 
--- a/src/chervilstall/wsgi.py
+++ b/src/chervilstall/wsgi.py
@@ -6,6 +6,7 @@
 JSON.
 """
 
+import struct
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from socket import (
@@ -14,6 +15,8 @@
     MSG_PEEK,
     SHUT_RDWR,
     SHUT_WR,
+    SO_LINGER,
+    SOL_SOCKET,
     TCP_NODELAY,
     socket,
 )
@@ -33,6 +36,9 @@
 
 LINGER_S = 1.0
 LINGER_BYTES = 4_000_000
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing a socket resets its connection."""
+
 REQUEST_TARGET_KEY = "chervilstall.target"
 """Environment key of the request target, exactly as it was sent."""
 
@@ -210,6 +216,27 @@
             return "431", b""
         return "400", b""
 
+    def run_application(self) -> None:
+        try:
+            super().run_application()
+        except BaseException:
+            # Also the end of the task, by which a stop of the server ends a response.
+            self._mark_response_as_cut()
+            raise
+
+    def _mark_response_as_cut(self) -> None:
+        """Let the connection be reset where its regular end would end the response."""
+        is_framed = self.response_use_chunked or (
+            self.provided_content_length is not None
+        )
+        if is_framed or not self.headers_sent:
+            return
+        try:
+            self.socket.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+        except OSError:
+            # The peer has already closed the connection.
+            return
+
     def handle_error(self, t: type, v: object, tb: object) -> None:
         """Close the connection without an error if the peer is gone or timed out."""
         if issubclass(t, OSError):
--- a/tests/edge/unframed.feature
+++ b/tests/edge/unframed.feature
@@ -101,3 +101,28 @@
     And the first targets of the own zone would crash inside an event of an answer without a length after 0 events
     When a draft of 10 events that shares parts is asked for
     Then the crash of the first target of the own zone is reported
+
+  Scenario: A caller of HTTP/1.0 gets a whole stream without chunks
+    Given a platform whose drafts are not resumable
+    When a caller of HTTP/1.0 asks for a draft of 10 events
+    Then its connection is closed after event 10
+
+  # Guards against a lost end: a broken-off stream looks whole to its caller.
+  Scenario Outline: A caller whose stream has no chunks sees that it ends early: <behaviour>
+    Given a platform whose drafts are not resumable
+    And the first targets of the own zone would <behaviour> after 3 events
+    When a caller of HTTP/1.0 asks for a draft of 10 events
+    Then its connection is reset after event 3
+
+    Examples:
+      | behaviour                                        |
+      | break the stream                                 |
+      | reset an answer without a length                 |
+      | close an answer without a length inside an event |
+
+  # Guards against a lost end: a stream that a stop interrupts looks whole to its caller.
+  Scenario: A caller whose stream has no chunks sees that a stop interrupts it
+    Given a platform whose drafts are not resumable
+    And the first targets of the own zone would pause in an answer without a length after 3 events
+    When a caller of HTTP/1.0 asks for a draft of 10 events and the router stops after 3
+    Then its connection is reset after event 3
--- a/tests/steps/unframed_steps.py
+++ b/tests/steps/unframed_steps.py
@@ -8,9 +8,9 @@
 from chervilstall.edge.exchange import ExchangeFailure
 from chervilstall.platform.quarantine import CRASHES_PREFIX
 from chervilstall.standin.platform_target import Behaviour
-from tests.steps.edge_steps import own_first, send_draft, send_kind
+from tests.steps.edge_steps import event_numbers, own_first, send_draft, send_kind
 from tests.support.agent_fleet import eventually
-from tests.support.platform import send
+from tests.support.platform import open_connection, raw_request, send
 
 ANSWER_BEGUN_S = 0.1
 """Time in which the beginning of an answer reaches the router."""
@@ -93,6 +93,53 @@
     assert own_first(context).log.crashed_at_s
 
 
+def open_old_draft(context: Context, events: int) -> socket:
+    """Ask for a draft by HTTP/1.0 and return the connection."""
+    connection = open_connection(context.router.caller_listener.bound_address)
+    head = raw_request("/draft/x").replace(b"HTTP/1.1", b"HTTP/1.0")
+    count = f"\r\nToken-Count: 100,{events}\r\n\r\n".encode()
+    connection.sendall(head.replace(b"\r\n\r\n", count))
+    return connection
+
+
+def read_to_end(context: Context, connection: socket, received: bytes = b"") -> None:
+    """Read a response; keep its body and whether its connection was reset."""
+    context.is_reset = False
+    try:
+        while chunk := connection.recv(4096):
+            received += chunk
+    except ConnectionResetError:
+        context.is_reset = True
+    finally:
+        connection.close()
+    context.old_body = received.partition(b"\r\n\r\n")[2]
+
+
+@when("a caller of HTTP/1.0 asks for a draft of {events:d} events")
+def send_old_draft(context: Context, events: int) -> None:
+    read_to_end(context, open_old_draft(context, events))
+
+
+@when(
+    "a caller of HTTP/1.0 asks for a draft of {events:d} events and the router stops "
+    "after {last:d}"
+)
+def stop_during_old_draft(context: Context, events: int, last: int) -> None:
+    own_first(context).pause_s = 5.0
+    connection = open_old_draft(context, events)
+    received = b""
+    while f"id: {last}\n".encode() not in received:
+        received += connection.recv(4096)
+    context.router.stop()
+    read_to_end(context, connection, received)
+
+
+@then("its connection is {how} after event {last:d}")
+def check_old_end(context: Context, how: str, last: int) -> None:
+    assert event_numbers(context.old_body) == list(range(1, last + 1))
+    assert context.is_reset is (how == "reset"), context.old_body
+
+
 @then("the response has the status {status:d}")
 def check_status(context: Context, status: int) -> None:
     assert context.response.status == status, context.response
