Don't take an engine's event without its delimiter for a whole one

On the product's own interface, a stream that was closed between the data of an event and its delimiter counted as whole up to and with that event: a token was passed on, and an end made the stream finished, so its caller saw a complete answer.

read_server_event returned what was left at the end of the stream as an event, and trusted that a cut one can't be decoded. It now raises HTTPConnectionClosed, so that the attempt fails as closed and is resumed or answered by the table of decisions. Where the data was cut, too, the cause is now "closed" instead of "bad_answer"; the decisions for both are the same.

--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -24,6 +24,7 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import (
+    HTTPConnectionClosed,
     HTTPParseError,
     HTTPProtocolViolationError,
     HTTPSocketPoolResponse,
@@ -286,12 +287,12 @@
 def read_server_event(response: Any) -> bytes | None:
     """Return the data of the next server-sent event, or None at the end.
 
-    An event that the end of the message truncates is returned as it is, so that
-    decoding fails rather than the event being lost.
+    Raises HTTPConnectionClosed for an event without a delimiter, even if its data could
+    be decoded, because the stream has been broken off there.
     """
-    line = response.readline(EVENT_SEPARATOR)
-    if not line:
-        line = response.read()
-    if not line:
+    event = response.readline(EVENT_SEPARATOR)
+    if not event:
+        if response.read().strip():
+            raise HTTPConnectionClosed("the stream ended inside an event")
         return None
-    return line.strip().removeprefix(DATA_PREFIX)
+    return event.strip().removeprefix(DATA_PREFIX)
