--- a/tests/steps/unframed_steps.py
+++ b/tests/steps/unframed_steps.py
@@ -8,9 +8,11 @@
 from chervilstall.edge.exchange import ExchangeFailure
 from chervilstall.platform.quarantine import CRASHES_PREFIX
 from chervilstall.standin.platform_target import Behaviour
-from tests.steps.edge_steps import event_numbers, own_first, send_draft, send_kind
+from tests.steps.request_steps import send_kind
+from tests.steps.stream_steps import event_numbers
 from tests.support.agent_fleet import eventually
 from tests.support.platform import open_connection, raw_request, send
+from tests.support.platform_scenario import own_first, send_draft
 
 ANSWER_BEGUN_S = 0.1
 """Time in which the beginning of an answer reaches the router."""
