Wait for queued requests, not for 10 or 20 ms, in the tests of admission

What was seen: two scenarios of tests/admission/limits.feature failed in one whole run under load: no spawned request had begun after the sleep.

Cause: in the tests. gevent runs its callbacks in order, about 50 at a time, and looks at the clock in between. The scenario before left 290 woken tasks behind, so the new tasks stood behind them; a process that lost its core for some ms in that backlog had the timer of the sleep expire first. A fixed sleep never said that the tasks had begun.

Change: the scenarios wait until every request is queued or its task has its reservation, with the bound of `eventually`, and then check as before; a task that failed no longer passes unseen. The scenario on starvation joins its tasks, so it also checks that all 290 were admitted.

--- a/tests/steps/routing_steps.py
+++ b/tests/steps/routing_steps.py
@@ -338,12 +338,14 @@
             time.monotonic() + 30.0,
         )
 
+    tasks = []
     for name, count in [("large", 200)] + [(f"small-{n}", 10) for n in range(9)]:
-        for _ in range(count):
-            gevent.spawn(submit, name)
+        tasks += [gevent.spawn(submit, name) for _ in range(count)]
     eventually(lambda: queue.waiting(RequestClass.DRAFT) == 290)
     has_capacity[0] = True
     queue.dispatch()
+    # Tasks left behind would delay those of the next scenario.
+    gevent.joinall(tasks, raise_error=True)
     context.start_order = start_order
 
 
@@ -370,23 +372,29 @@
             time.monotonic() + 30.0,
         )
 
-    for _ in range(20):
-        gevent.spawn(submit, RequestClass.DRAFT)
-    gevent.sleep(0.02)
+    tasks: list[gevent.Greenlet] = []
+
+    def is_settled() -> bool:
+        # Every request waits in the queue or its task has got its reservation.
+        waiting = sum(queue.waiting(request_class) for request_class in RequestClass)
+        admitted = sum(task.successful() for task in tasks)
+        return admitted == len(started) and admitted + waiting == len(tasks)
+
+    tasks += [gevent.spawn(submit, RequestClass.DRAFT) for _ in range(20)]
+    eventually(is_settled)
     drafts = started.count(RequestClass.DRAFT)
     assert drafts == 8, drafts
-    for _ in range(12):
-        gevent.spawn(submit, RequestClass.URGENT)
-    gevent.sleep(0.02)
+    tasks += [gevent.spawn(submit, RequestClass.URGENT) for _ in range(12)]
+    eventually(is_settled)
     assert started.count(RequestClass.URGENT) == 2
     for _ in range(3):
         queue.finish(RequestClass.DRAFT)
-    gevent.sleep(0.02)
+    eventually(is_settled)
     assert started[10:] == [RequestClass.URGENT] * 3, started[10:]
     for _ in range(5):
         queue.finish(RequestClass.URGENT)
         queue.finish(RequestClass.DRAFT)
-    gevent.sleep(0.02)
+    eventually(is_settled)
     assert queue.running(RequestClass.DRAFT) >= 1
 
 
@@ -408,7 +416,7 @@
     if case.startswith("a wait"):
         queue.settings = AdmissionSettings(queue_length=5)
     gevent.spawn(submit, 100.0)
-    gevent.sleep(0.01)
+    eventually(lambda: queue.waiting(RequestClass.DRAFT) == 1)
     with gevent.Timeout(
         5.0, AssertionError("the request was queued instead of refused")
     ):
