Keep a peer connection open until its last call has ended

What callers saw: home_unavailable after 5 to 6 s, or deadline_not_run, for a request with an idempotency key on a healthy fleet under load, although the key's home had answered the claim.

Cause: agents probe members over the connection that also carries forwarded claims, reports, pulls and limit shares. A probe that timed out (0.3 s; 0.1 s in the tests) closed that connection at once, and the reply to a claim in flight was lost; its call then waited out its own timeout of wait_s + 0.5 s.

Change: a call that times out still makes the next calls use a new connection, but the replaced one is closed only when its last call has ended.

The scenario on malformed messages takes the raw socket from its new place; its checks are as before.

--- a/src/chervilstall/peer/transport.py
+++ b/src/chervilstall/peer/transport.py
@@ -1,14 +1,16 @@
 """Remote calls between processes: a server and clients over ZeroMQ sockets.
 
 A server handles each request in a task of its own, so that a waiting pull does not
-block other requests. A client has one connection to one peer. If a call times out, its
-connection is replaced, since it may never deliver again; the caller decides whether to
-retry.
+block other requests. A client sends its calls to one peer over one connection. If a
+call times out, its connection is replaced, since it may never deliver again; the caller
+decides whether to retry. The replaced connection is closed when its last call has
+ended, so the timeout of a short call loses no reply to a longer one.
 """
 
 import itertools
 from collections import OrderedDict
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TypeVar
 
 import gevent
@@ -151,6 +153,17 @@
         self._context.destroy(linger=0)
 
 
+@dataclass(eq=False)
+class _Connection:
+    socket: zmq.Socket
+    reader: gevent.Greenlet
+    calls: int = 0
+
+    def close(self) -> None:
+        self.reader.kill(block=False)
+        self.socket.close(linger=0)
+
+
 class PeerClient:
     """Sends requests to one other process. Calls may run concurrently."""
 
@@ -166,8 +179,8 @@
         self._keys = keys
         self._call_numbers = itertools.count(1)
         self._pending: dict[int, AsyncResult] = {}
-        self._socket: zmq.Socket | None = None
-        self._reader: gevent.Greenlet | None = None
+        self._connection: _Connection | None = None
+        self._replaced: set[_Connection] = set()
 
     def call(self, message: Message, timeout_s: float) -> Message:
         """Send a request and return the reply.
@@ -178,20 +191,23 @@
         result: AsyncResult = AsyncResult()
         self._pending[call_number] = result
         data = _encoder.encode(Envelope(call_number, message))
-        socket = None
+        connection = None
         try:
-            socket = self._connect()
-            socket.send(data, zmq.NOBLOCK)
+            connection = self._connect()
+            connection.calls += 1
+            connection.socket.send(data, zmq.NOBLOCK)
             self.traffic.count_sent(len(data))
             return result.get(timeout=timeout_s)
         except (gevent.Timeout, zmq.ZMQError) as error:
-            if socket is not None:
-                self._reset(socket)
+            if connection is not None:
+                self._replace(connection)
             raise ChervilstallError(
                 ErrorKind.PEER_UNAVAILABLE, f"no answer from {self.address}"
             ) from error
         finally:
             self._pending.pop(call_number, None)
+            if connection is not None:
+                self._end_call(connection)
 
     def ask(self, message: Message, reply_type: type[T], timeout_s: float) -> T:
         """Send a request and return the reply, which must be of type `reply_type`.
@@ -211,16 +227,16 @@
         """Return whether a call is waiting for its reply."""
         return bool(self._pending)
 
-    def _connect(self) -> zmq.Socket:
-        if self._socket is not None:
-            return self._socket
+    def _connect(self) -> _Connection:
+        if self._connection is not None:
+            return self._connection
         socket = _new_socket(zmq.Context.instance(), zmq.DEALER)
         if self._keys is not None:
             secure_client(socket, self._keys)
         socket.connect(f"tcp://{self.address.host}:{self.address.port}")
-        self._socket = socket
-        self._reader = gevent.spawn(self._read_replies, socket)
-        return socket
+        reader = gevent.spawn(self._read_replies, socket)
+        self._connection = _Connection(socket, reader)
+        return self._connection
 
     def _read_replies(self, socket: zmq.Socket) -> None:
         while True:
@@ -238,20 +254,27 @@
             if pending is not None:
                 pending.set(envelope.body)
 
-    def _reset(self, socket: zmq.Socket) -> None:
-        if self._socket is not socket:
+    def _replace(self, connection: _Connection) -> None:
+        if self._connection is not connection:
             return
         self.resets += 1
-        self.stop()
+        self._connection = None
+        self._replaced.add(connection)
+
+    def _end_call(self, connection: _Connection) -> None:
+        connection.calls -= 1
+        if connection in self._replaced and not connection.calls:
+            self._replaced.remove(connection)
+            connection.close()
 
     def stop(self) -> None:
-        """Close the connection. The next call opens a new one."""
-        if self._reader is not None:
-            self._reader.kill(block=False)
-            self._reader = None
-        if self._socket is not None:
-            self._socket.close(linger=0)
-            self._socket = None
+        """Close every connection. The next call opens a new one."""
+        for connection in self._replaced:
+            connection.close()
+        self._replaced.clear()
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
 
 
 class PeerClientPool:
--- a/tests/peer/link.feature
+++ b/tests/peer/link.feature
@@ -19,3 +19,10 @@
     Given a peer server with the fleet's keys
     When it does not answer one call in time
     Then the next call is answered over a new connection
+
+  # Guards against a probe that times out and loses a claim's reply in flight.
+  Scenario: The timeout of a short call does not lose the reply to a longer one
+    Given a peer server with the fleet's keys
+    When a call times out while the reply to a longer one is on its way
+    Then the longer call is answered, and the next one over a new connection
+    And connections without calls are closed
--- a/tests/steps/parts_steps.py
+++ b/tests/steps/parts_steps.py
@@ -17,6 +17,7 @@
 import msgspec
 from behave import given, then, when
 from behave.runner import Context
+from gevent.event import Event
 
 import chervilstall
 from chervilstall.configuration.check import first_uncovered_layer
@@ -302,8 +303,12 @@
     create_keys(context.folder / "other")
     context.keys = read_keys(str(context.folder / "fleet"))
     context.delay_s = 0.0
+    context.held = None
 
     def answer(message):
+        held, context.held = context.held, None
+        if held is not None:
+            held.wait()
         delay_s, context.delay_s = context.delay_s, 0.0
         gevent.sleep(delay_s)
         if isinstance(message, IndirectPing):
@@ -340,7 +345,7 @@
 def check_malformed_messages(context: Context) -> None:
     client = PeerClient(context.server.address, context.keys)
     context.stoppables.append(client)
-    client._connect().send(b"\xffgarbage")
+    client._connect().socket.send(b"\xffgarbage")
     assert isinstance(client.call(IndirectAnswer(True), 1.0), Refused)
     assert client.ask(REQUEST, IndirectAnswer, 1.0).is_reached
 
@@ -363,6 +368,34 @@
     assert context.client.ask(REQUEST, IndirectAnswer, 1.0).is_reached
 
 
+@when("a call times out while the reply to a longer one is on its way")
+def time_out_beside_longer_call(context: Context) -> None:
+    context.client = PeerClient(context.server.address, context.keys)
+    context.stoppables.append(context.client)
+    held = context.held = Event()
+    context.longer = gevent.spawn(context.client.ask, REQUEST, IndirectAnswer, 5.0)
+    eventually(lambda: context.held is None)
+    context.held = Event()
+    try:
+        context.client.call(REQUEST, 0.2)
+        raise AssertionError("the held call was answered")
+    except ChervilstallError as error:
+        assert error.kind is ErrorKind.PEER_UNAVAILABLE
+    context.held = None
+    held.set()
+
+
+@then("the longer call is answered, and the next one over a new connection")
+def check_longer_call(context: Context) -> None:
+    check_new_connection(context)
+    assert context.longer.get().is_reached
+
+
+@then("connections without calls are closed")
+def check_closed_connections(context: Context) -> None:
+    assert not context.client._replaced
+
+
 # Settings and programs
 
 
