End a stream at once that is not to be sent again because of its prompt

A stream whose target crashed after its first event asked for another path every 0.1 s until its deadline, though its prompt was under quarantine. It is broken off at once now. Found by reading.

--- a/src/chervilstall/edge/prompt_guard.py
+++ b/src/chervilstall/edge/prompt_guard.py
@@ -8,6 +8,7 @@
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.records import Target
 from chervilstall.quarantine.judge import PromptJudge
+from chervilstall.quarantine.records import PartKey
 
 QUARANTINE_RETRY_S = 60.0
 BEGUN_EVENTS = 2
@@ -39,6 +40,16 @@
             reason = "a part of the prompt may have crashed the target"
             raise ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, reason)
 
+    def is_given_up(self, request: EdgeRequest) -> bool:
+        """Return whether a stream that lost its target is not to be sent again."""
+        if request.events_forwarded >= BEGUN_EVENTS:
+            return False
+        service = request.service.name
+        parts = request.fields.prompt_parts
+        return self.judge.is_suspect(service, parts) or any(
+            self.judge.is_quarantined(PartKey(service, part)) for part in parts
+        )
+
     def record_event(self, request: EdgeRequest) -> None:
         """Record that another event of a stream is about to be forwarded."""
         if request.events_forwarded == BEGUN_EVENTS:
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -353,6 +353,8 @@
         request = self.request
         if request.has_caller_disconnected or request.remaining_s <= RESUME_RETRY_S:
             return False
+        if self.context.prompt_guard.is_given_up(request):
+            return False
         return request.sends < SENDS_MAX
 
     # Closing
