Make the quarantine sound against lost writes, wasted trials and hostile prompts

A review by a newcomer to the work found, by reading and short checks; nobody has seen them: - a trial was spent on a request that another part refused, and lapsed unused: it now lasts until a request with no other refused part comes; - a part that one router wasn't asked for was freed everywhere, and a removed entry counted as an answer that began: expiry and removals void evidence only; - a crash whose write failed was shared with the next one only: it is written until that succeeds; - crashes in the store were dated anew by routers that read it later: they end with a short lease; - crashes after a conviction spoke against the parts beside it: they are explained at once; - a target at its limit was never examined, and a slow report counted as a crash: now a target has crashed if it refuses connections, without a request; - fillers in a prompt kept its part out of reports, and one conviction could bring a thousand proposals: 2,048 parts a report, new ones first, and 8 parts a conviction; - each answer walked all evidence: others' answers are counted once a service.

--- a/src/chervilstall/edge/crash_observer.py
+++ b/src/chervilstall/edge/crash_observer.py
@@ -1,8 +1,8 @@
 """Finds out whether a target that lost requests has crashed.
 
 A target that closes a connection may be full, or reset some requests while it serves
-others. It counts as crashed if it cannot be reached just afterwards, or says that it
-has started again.
+others. It counts as crashed if it refuses connections just afterwards, or has started
+again by its entry.
 """
 
 import time
@@ -11,14 +11,13 @@
 
 import gevent
 
-from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target, TargetIncarnation
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import CrashId, PartId
-from chervilstall.platform.targets import fetch_report
 from chervilstall.quarantine.records import CrashReport
+from chervilstall.target.connection import refuses_connections
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("edge")
@@ -26,9 +25,9 @@
 COLLECT_S = 0.02
 """Time in which the other requests that a crash ended are noticed, too."""
 
-REPORT_TIMEOUT_S = 0.3
-PARTS_MAX = 1_024
-"""Limit on the parts of one report, which callers choose."""
+CONNECT_TIMEOUT_S = 0.3
+VERDICT_VALID_S = 1.5
+"""Time in which a target that has crashed is not examined again."""
 
 
 @dataclass
@@ -40,7 +39,6 @@
     """
 
     fleet_view: FleetView
-    rate_limiter: TargetRateLimiter
     on_crash: Callable[[CrashReport], None]
     _lost_parts: dict[TargetIncarnation, set[PartId]] = field(default_factory=dict)
     _crashed_at_s: dict[TargetIncarnation, float] = field(default_factory=dict)
@@ -65,29 +63,28 @@
             parts = self._lost_parts.pop(target.incarnation)
         if not has_crashed:
             return
-        crashed_at_s = self._crashed_at_s.setdefault(target.incarnation, lost_at_s)
+        crashed_at_s = self._crashed_at_s.get(target.incarnation, float("-inf"))
+        if lost_at_s - crashed_at_s > VERDICT_VALID_S:
+            crashed_at_s = self._crashed_at_s[target.incarnation] = lost_at_s
         log.warning("target crashed", target=target.id, parts=len(parts))
         self.fleet_view.suspect(target, "crashed")
         self.on_crash(
             CrashReport(
                 CrashId(f"{target.id}@{target.started_at_ms}"),
                 target.service,
-                tuple(sorted(parts)[:PARTS_MAX]),
+                tuple(sorted(parts)),
                 age_s=time.monotonic() - crashed_at_s,
             )
         )
 
     def _has_crashed(self, target: Target) -> bool:
-        if target.incarnation in self._crashed_at_s:
+        crashed_at_s = self._crashed_at_s.get(target.incarnation, float("-inf"))
+        if time.monotonic() - crashed_at_s < VERDICT_VALID_S:
             return True
         known = self.fleet_view.targets.get(target.id)
-        if known is None or known.incarnation != target.incarnation:
+        if known is not None and known.incarnation != target.incarnation:
             return True
-        if not self.rate_limiter.may_send(target):
-            return False
-        self.rate_limiter.record_send(target)
-        report = fetch_report(target.address, REPORT_TIMEOUT_S)
-        return report is None or report.started_at_ms > target.started_at_ms
+        return refuses_connections(target.address, CONNECT_TIMEOUT_S)
 
     def prune(self, present: Container[TargetIncarnation]) -> None:
         """Drop the state of targets that are gone."""
--- a/src/chervilstall/edge/quarantine_sharing.py
+++ b/src/chervilstall/edge/quarantine_sharing.py
@@ -20,6 +20,7 @@
     encode_entry,
     quarantine_key,
 )
+from chervilstall.quarantine.evidence import EVIDENCE_VALID_S
 from chervilstall.quarantine.judge import KEPT_S, PromptJudge
 from chervilstall.quarantine.records import (
     ClaimTrial,
@@ -36,7 +37,7 @@
 log = EventLog("members")
 
 CRASHES_KEPT_S = 5.0
-"""Time for which a crash is written again with later ones.
+"""Time for which a shared crash stays in the store and is written with later ones.
 
 A router that reads the store as a whole sees the latest version of a key only.
 """
@@ -46,7 +47,7 @@
 SPREAD_MAX_S = 0.2
 """Upper bound of a random delay, after which another router may have been first."""
 
-RETRY_S = 1.0
+RETRY_S = 0.5
 RETRIES_MAX = 20
 
 
@@ -58,13 +59,18 @@
 
 @dataclass
 class QuarantineSharing:
-    """Carries out what the judge asks for, and tells it what other routers shared."""
+    """Carries out what the judge asks for, and tells it what other routers shared.
+
+    `_unshared` and `_shared` hold crashes that this router saw, with their monotonic
+    times, before and after they were written.
+    """
 
     judge: PromptJudge
     registry: RouterRegistry
     store: PlatformStore
     _stored: dict[str, _StoredEntry] = field(default_factory=dict)
-    _crashes: list[tuple[float, CrashReport]] = field(default_factory=list)
+    _unshared: list[tuple[float, CrashReport]] = field(default_factory=list)
+    _shared: list[tuple[float, CrashReport]] = field(default_factory=list)
     _is_writing_crashes: bool = False
     _has_read: bool = False
 
@@ -74,36 +80,49 @@
         """Tell the judge and the other routers of a crash that this router saw."""
         report = self.judge.with_begun_parts(report)
         self.judge.record_crash(report)
-        self._crashes.append((time.monotonic() - report.age_s, report))
+        self._unshared.append((time.monotonic() - report.age_s, report))
         if not self._is_writing_crashes:
             self._is_writing_crashes = True
             gevent.spawn(self._write_crashes)
 
     def _write_crashes(self) -> None:
         try:
-            written: list[tuple[float, CrashReport]] = []
-            while self._crashes and self._crashes != written:
-                self._drop_old_crashes()
-                written = list(self._crashes)
-                self._write_crash_list(written)
-                gevent.sleep(WRITE_PAUSE_S)
+            while self._unshared:
+                self._write_unshared()
         finally:
             self._is_writing_crashes = False
 
-    def _drop_old_crashes(self) -> None:
-        from_s = time.monotonic() - CRASHES_KEPT_S
-        recent = [each for each in self._crashes if each[0] > from_s]
-        self._crashes = recent[-CRASHES_MAX:]
-
-    def _write_crash_list(self, crashes: list[tuple[float, CrashReport]]) -> None:
+    def _write_unshared(self) -> None:
+        """Write the crashes that the others don't know, and those just before."""
         now_s = time.monotonic()
-        reports = tuple(replace(report, age_s=now_s - at_s) for at_s, report in crashes)
+        self._unshared = [
+            each for each in self._unshared if now_s - each[0] < EVIDENCE_VALID_S
+        ][-CRASHES_MAX:]
+        self._shared = [
+            each for each in self._shared if now_s - each[0] < CRASHES_KEPT_S
+        ][-CRASHES_MAX:]
+        unshared = list(self._unshared)
         try:
-            self.registry.write(
-                CRASHES_PREFIX + self.registry.vm, encode_crashes(reports)
-            )
+            self._write_crash_list(self._shared + unshared)
         except StoreFailed as error:
             log.warning("crashes not shared", why=error.message)
+            gevent.sleep(RETRY_S)
+            return
+        self._unshared = self._unshared[len(unshared) :]
+        self._shared += unshared
+        gevent.sleep(WRITE_PAUSE_S)
+
+    def _write_crash_list(self, crashes: list[tuple[float, CrashReport]]) -> None:
+        """Write crashes under a lease that ends before their ages are out of date."""
+        now_s = time.monotonic()
+        reports = tuple(replace(report, age_s=now_s - at_s) for at_s, report in crashes)
+        lease = self.store.open_lease(CRASHES_KEPT_S)
+        self.store.write(
+            CRASHES_PREFIX + self.registry.vm,
+            encode_crashes(reports),
+            None,
+            lease.lease_id,
+        )
 
     def carry_out(self, action: QuarantineAction) -> None:
         """Carry out an action in a task of its own."""
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -108,7 +108,6 @@
         self.judge = PromptJudge(lambda action: self.quarantine.carry_out(action))
         self.crash_observer = CrashObserver(
             self.fleet_view,
-            self.rate_limiter,
             lambda report: self.quarantine.share_crash(report),
         )
         self.app = self._build_application()
--- a/src/chervilstall/platform/headers.py
+++ b/src/chervilstall/platform/headers.py
@@ -59,16 +59,19 @@
         forwarded_headers=tuple(
             (name, value) for name, value in fields if name.lower() not in dropped
         ),
-        prompt_parts=_parse_shared_parts(
-            by_name.get(protocol.PROMPT_PARTS.lower(), "")
-        ),
+        prompt_parts=_parse_shared_parts(fields),
     )
 
 
-def _parse_shared_parts(text: str) -> tuple[PartId, ...]:
+def _parse_shared_parts(fields: list[tuple[str, str]]) -> tuple[PartId, ...]:
     """Return the parts of a prompt without the last, which is the request's own."""
-    parts = [part.partition(":")[0].strip() for part in text.split(",")]
-    return tuple(PartId(part) for part in parts[:-1] if part)
+    parts: list[PartId] = []
+    for name, value in fields:
+        if name.lower() != protocol.PROMPT_PARTS.lower():
+            continue
+        for part in value.lower().split(",")[:-1]:
+            parts.append(PartId(part.partition(":")[0].strip()))
+    return tuple(part for part in parts if part)
 
 
 def _parse_number(text: str) -> float | None:
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -94,8 +94,6 @@
     kv_total_count: float = 0.0
     stalled: list[_Stalled] = []
     layers: _Layers | None = None
-    # Start in Unix milliseconds, as in an entry.
-    born: int = 0
 
 
 @dataclass(frozen=True)
@@ -112,8 +110,7 @@
 
     `slowness` is the ratio of the time for a pass to the usual time. `orders_begun`
     counts the orders accepted since the start. The unit of `memory_used` and
-    `memory_total` is tokens times layers. `started_at_ms` is the start in Unix
-    milliseconds, 0 where it isn't told.
+    `memory_total` is tokens times layers.
     """
 
     slowness: float
@@ -125,7 +122,6 @@
     memory_total: float
     stalled: tuple[StalledRequest, ...]
     layers: LayerRange
-    started_at_ms: int = 0
 
     @property
     def has_free_memory(self) -> bool:
@@ -158,7 +154,6 @@
         report.kv_total_count,
         stalled,
         _layers(report.layers),
-        report.born,
     )
 
 
--- a/src/chervilstall/quarantine/evidence.py
+++ b/src/chervilstall/quarantine/evidence.py
@@ -1,7 +1,7 @@
 """Evidence against parts of prompts, from crashes of targets."""
 
 import time
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -24,12 +24,12 @@
 class PartEvidence:
     """The crashes that speak against one part, with their monotonic times.
 
-    `others_begun` counts the answers of the service that began since the first of them
-    without the part. `was_begun` says that answers with the part have begun before.
+    `begun_before` is how many answers of the service had begun when the first of them
+    became known. `was_begun` says that answers with the part have begun before.
     """
 
+    begun_before: int
     crashed_at_s: dict[CrashId, float] = field(default_factory=dict)
-    others_begun: int = 0
     was_begun: bool = False
 
     @property
@@ -63,8 +63,10 @@
     """
 
     evidence: dict[PartKey, PartEvidence] = field(default_factory=dict)
+    _begun_counts: Counter[ServiceName] = field(default_factory=Counter)
     _explained_at_s: dict[CrashId, float] = field(default_factory=dict)
     _begun_at_s: OrderedDict[PartKey, float] = field(default_factory=OrderedDict)
+    _voided_at_s: OrderedDict[PartKey, float] = field(default_factory=OrderedDict)
 
     def add_crash(self, report: CrashReport) -> list[PartKey]:
         """Add a crash and return the parts against which it is new evidence."""
@@ -74,9 +76,13 @@
         added = []
         for part in report.parts:
             key = PartKey(report.service, part)
-            if self.begun_at_s(key) >= at_s:
+            voided_at_s = self._voided_at_s.get(key, float("-inf"))
+            if max(self.begun_at_s(key), voided_at_s) >= at_s:
                 continue
-            known = self.evidence.setdefault(key, PartEvidence())
+            known = self.evidence.get(key)
+            if known is None:
+                begun_before = self._begun_counts[report.service]
+                known = self.evidence[key] = PartEvidence(begun_before)
             if part in report.begun_parts or self.has_begun(key):
                 known.was_begun = True
             if report.crash in known.crashed_at_s:
@@ -86,25 +92,24 @@
         self._limit()
         return [key for key in added if key in self.evidence]
 
-    def add_begun(self, service: ServiceName, keys: Iterable[PartKey]) -> list[PartKey]:
-        """Add an answer that began; return the parts with evidence that are not in it.
-
-        `keys` are the parts of its prompt.
-        """
+    def add_begun(self, service: ServiceName, keys: Iterable[PartKey]) -> None:
+        """Add an answer that began; `keys` are the parts of its prompt."""
+        self._begun_counts[service] += 1
         for key in keys:
-            self.void(key)
-        others = [key for key in self.evidence if key.service == service]
-        for key in others:
-            self.evidence[key].others_begun += 1
-        return others
+            self.evidence.pop(key, None)
+            _remember(self._begun_at_s, key)
 
     def void(self, key: PartKey) -> None:
-        """Record that an answer with a part has begun, here or at another router."""
-        self._begun_at_s[key] = time.monotonic()
-        self._begun_at_s.move_to_end(key)
+        """Drop all evidence against a part that dates from before now."""
         self.evidence.pop(key, None)
-        if len(self._begun_at_s) > BEGUN_KEYS_MAX:
-            self._begun_at_s.popitem(last=False)
+        _remember(self._voided_at_s, key)
+
+    def others_begun(self, key: PartKey) -> int:
+        """Return how many answers began since the first crash against a part.
+
+        None of them had the part, since one with it would have voided the evidence.
+        """
+        return self._begun_counts[key.service] - self.evidence[key].begun_before
 
     def begun_at_s(self, key: PartKey) -> float:
         """Return when the latest answer with a part began, as a monotonic time."""
@@ -146,3 +151,11 @@
 
         for key in sorted(self.evidence, key=rank)[: len(self.evidence) - KEYS_MAX]:
             del self.evidence[key]
+
+
+def _remember(times: OrderedDict[PartKey, float], key: PartKey) -> None:
+    """Record the present time for a part, and forget the part recorded first."""
+    times[key] = time.monotonic()
+    times.move_to_end(key)
+    if len(times) > BEGUN_KEYS_MAX:
+        times.popitem(last=False)
--- a/src/chervilstall/quarantine/judge.py
+++ b/src/chervilstall/quarantine/judge.py
@@ -50,22 +50,24 @@
 """Each further trial waits this many times as long as the one before."""
 
 TRIALS_MAX = 2
-TRIAL_VALID_S = 10.0
-"""Time in which a router that claimed a trial may let one request through."""
-
 KEEP_INTERVAL_S = 240.0
 """Time after which the entry of a part that is still asked for is written again."""
 
 KEPT_S = 600.0
 """Time after the last request with a part for which it stays under quarantine."""
 
+REPORTED_PARTS_MAX = 2_048
+SAME_PARTS_MAX = 8
+"""Limit on the parts of one conviction, since a caller may name any number together."""
+
 
 @dataclass
 class _Quarantined:
     """A part under quarantine; times are monotonic.
 
     `tried_at_s` is when the entry or its latest trial began, `kept_at_s` when the entry
-    was last written, `asked_at_s` when a request with the part was last refused.
+    was last written, `asked_at_s` when a request with the part was last asked for. With
+    `has_trial` the next request with it is let through, if no other part refuses it.
     """
 
     entry: QuarantineEntry
@@ -73,7 +75,7 @@
     tried_at_s: float
     kept_at_s: float
     asked_at_s: float
-    trial_until_s: float = float("-inf")
+    has_trial: bool = False
     is_claiming: bool = False
 
 
@@ -92,6 +94,7 @@
     on_action: Callable[[QuarantineAction], None] = _ignore
     log: EvidenceLog = field(default_factory=EvidenceLog)
     _quarantined: dict[PartKey, _Quarantined] = field(default_factory=dict)
+    _accused: set[PartKey] = field(default_factory=set)
 
     # Requests
 
@@ -105,16 +108,22 @@
         if not self._quarantined:
             return None
         now_s = time.monotonic()
+        on_trial = []
+        refused_part = None
         for part in parts:
             known = self._quarantined.get(PartKey(service, part))
             if known is None or now_s < known.in_force_at_s:
                 continue
             known.asked_at_s = now_s
-            if now_s < known.trial_until_s:
-                known.trial_until_s = float("-inf")
+            if known.has_trial:
+                on_trial.append(known)
                 continue
             self._ask_for_trial(known, now_s)
-            return part
+            refused_part = part
+        if refused_part is not None:
+            return refused_part
+        for known in on_trial:
+            known.has_trial = False
         return None
 
     def is_suspect(self, service: ServiceName, parts: Iterable[PartId]) -> bool:
@@ -130,24 +139,35 @@
     def record_begun(self, service: ServiceName, parts: Iterable[PartId]) -> None:
         """Record that a target has begun to answer a request with these parts."""
         keys = [PartKey(service, part) for part in parts]
-        others = self.log.add_begun(service, keys)
+        self.log.add_begun(service, keys)
         for key in keys:
             if key in self._quarantined:
                 self._set_free(key)
-        self._consider(others)
+        self._consider([key for key in self._accused if key.service == service])
 
     def record_crash(self, report: CrashReport) -> None:
         """Record a crash that this router or another one saw."""
-        self._consider(self.log.add_crash(report))
+        keys = [PartKey(report.service, part) for part in report.parts]
+        if any(key in self._quarantined for key in keys):
+            self.log.explain([report.crash])
+            return
+        added = self.log.add_crash(report)
+        for key in added:
+            if len(self.log.evidence[key].crashed_at_s) >= CRASHES_MIN:
+                self._accused.add(key)
+        self._consider(added)
 
     def with_begun_parts(self, report: CrashReport) -> CrashReport:
-        """Return a report of this router with what it knows of the parts."""
-        begun = [
-            part
-            for part in report.parts
-            if self.log.has_begun(PartKey(report.service, part))
-        ]
-        return replace(report, begun_parts=tuple(begun))
+        """Return a report of this router with what it knows of the parts.
+
+        Where callers named very many, those with which answers began are left out.
+        """
+
+        def has_begun(part: PartId) -> bool:
+            return self.log.has_begun(PartKey(report.service, part))
+
+        parts = tuple(sorted(report.parts, key=has_begun)[:REPORTED_PARTS_MAX])
+        return replace(report, parts=parts, begun_parts=tuple(filter(has_begun, parts)))
 
     def _consider(self, keys: list[PartKey]) -> None:
         """Put those parts under quarantine that explain the crashes best."""
@@ -155,11 +175,15 @@
         while candidates:
             best = max(candidates, key=self._rank)
             crashes = set(self.log.evidence[best].crashed_at_s)
-            for key in candidates:
-                # Parts that always came together cannot be told apart.
-                is_same = set(self.log.evidence[key].crashed_at_s) == crashes
-                if is_same and self._rank(key) == self._rank(best):
-                    self._propose(key)
+            # Parts that always came together cannot be told apart.
+            same = [
+                key
+                for key in candidates
+                if self._rank(key) == self._rank(best)
+                and set(self.log.evidence[key].crashed_at_s) == crashes
+            ]
+            for key in same[:SAME_PARTS_MAX]:
+                self._propose(key)
             self.log.explain(crashes)
             candidates = [key for key in candidates if self._is_convicted(key)]
 
@@ -174,7 +198,9 @@
         crashes_min, others_min = CRASHES_MIN, OTHERS_BEGUN_MIN
         if known.was_begun:
             crashes_min, others_min = KNOWN_CRASHES_MIN, KNOWN_OTHERS_BEGUN_MIN
-        if known.others_begun < others_min or len(known.crashed_at_s) < crashes_min:
+        if len(known.crashed_at_s) < crashes_min:
+            return False
+        if self.log.others_begun(key) < others_min:
             return False
         return known.crashes >= crashes_min
 
@@ -239,7 +265,7 @@
         )
 
     def remove_entry(self, key: PartKey) -> None:
-        """Set a part free, as an answer with it began, and void the evidence."""
+        """Set a part free, and void the evidence of before."""
         self._quarantined.pop(key, None)
         self.log.void(key)
 
@@ -247,7 +273,7 @@
         """Let one request with a part through, as this router claimed the trial."""
         known = self._quarantined.get(key)
         if known is not None:
-            known.trial_until_s = time.monotonic() + TRIAL_VALID_S
+            known.has_trial = True
 
     def deny_trial(self, key: PartKey) -> None:
         """Record that another router has claimed the trial, or that none could."""
@@ -268,9 +294,10 @@
     def expire(self) -> None:
         """Drop what is past, and have entries kept that are still needed."""
         self.log.expire()
+        self._accused &= self.log.evidence.keys()
         now_s = time.monotonic()
         for key, known in list(self._quarantined.items()):
-            if now_s - known.asked_at_s > KEPT_S:
+            if now_s - max(known.asked_at_s, known.kept_at_s) > KEPT_S:
                 self.remove_entry(key)
                 continue
             is_asked_for = known.asked_at_s > known.kept_at_s
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -284,6 +284,19 @@
     return CallResponse(response.status_code, content, headers)
 
 
+def refuses_connections(address: Address, timeout_s: float) -> bool:
+    """Return whether nothing listens at an address; False where that isn't known."""
+    try:
+        with gevent.Timeout(timeout_s, TimeoutError):
+            gevent.socket.create_connection((address.host, address.port)).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        # Includes the timeout: a silent target may be cut off.
+        return False
+    return False
+
+
 def read_server_event(response: Any) -> bytes | None:
     """Return the data of the next server-sent event, or None at the end.
 
