Keep SIGHUP from ending the programs of the product's interface

Router, agent and planner of the product's own interface ended at once on SIGHUP, with the requests in progress.

Cause: only the program on the platform handled the signal; the others had its default.

Before: three agents and a router exited with -1. After: all still run.

--- a/src/chervilstall/commands/agent.py
+++ b/src/chervilstall/commands/agent.py
@@ -11,7 +11,7 @@
 from chervilstall.agent.operators import OperatorServer
 from chervilstall.agent.runtime import AgentRuntime, AgentSettings
 from chervilstall.commands.exits import EXIT_HELP, ExitCode
-from chervilstall.commands.signals import on_stop_signals
+from chervilstall.commands.signals import ignore_reload_signal, on_stop_signals
 from chervilstall.peer.keys import create_keys
 from chervilstall.settings.agents import AGENT_SECTIONS
 from chervilstall.store.client import HttpStore
@@ -52,6 +52,7 @@
     operator_server = OperatorServer(agent)
     operator_server.start()
     on_stop_signals(agent.drain_and_stop)
+    ignore_reload_signal()
     print(f"Serving peers on {agent.server.address}.", flush=True)
     print(f"Serving operators on {operator_server.server.bound_address}.", flush=True)
     agent.wait()
--- a/src/chervilstall/commands/planner.py
+++ b/src/chervilstall/commands/planner.py
@@ -9,7 +9,7 @@
 import cappa
 
 from chervilstall.commands.exits import EXIT_HELP, ExitCode
-from chervilstall.commands.signals import on_stop_signals
+from chervilstall.commands.signals import ignore_reload_signal, on_stop_signals
 from chervilstall.planner.runtime import Planner, PlannerProcessSettings
 from chervilstall.settings.agents import PLANNER_SECTIONS
 from chervilstall.store.client import HttpStore
@@ -36,6 +36,7 @@
         return start.report_valid_settings()
     planner = Planner(settings, HttpStore(settings.store))
     on_stop_signals(planner.stop)
+    ignore_reload_signal()
     print("Waiting for the planner's lease.", flush=True)
     planner.run()
     return ExitCode.DONE
--- a/src/chervilstall/commands/router.py
+++ b/src/chervilstall/commands/router.py
@@ -10,7 +10,7 @@
 import gevent
 
 from chervilstall.commands.exits import EXIT_HELP, ExitCode
-from chervilstall.commands.signals import on_stop_signals
+from chervilstall.commands.signals import ignore_reload_signal, on_stop_signals
 from chervilstall.gateway.agent_link import AgentLink
 from chervilstall.gateway.runtime import RouterRuntime, RouterSettings
 from chervilstall.gateway.server import RouterServer
@@ -81,6 +81,7 @@
     """
     drain_results: list[bool] = []
     on_stop_signals(lambda: drain_results.append(server.drain_and_stop()))
+    ignore_reload_signal()
     print(f"Serving callers on {server.caller_address}.", flush=True)
     print(f"Serving operators on {server.admin_address}.", flush=True)
     server.wait()
--- a/src/chervilstall/commands/signals.py
+++ b/src/chervilstall/commands/signals.py
@@ -15,3 +15,8 @@
 def on_reload_signal(handler: Callable[[], object]) -> None:
     """Call `handler` on each SIGHUP."""
     gevent.signal_handler(signal.SIGHUP, gevent.spawn, handler)
+
+
+def ignore_reload_signal() -> None:
+    """Keep SIGHUP from ending a program that reads its settings once."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/tests/settings/files.feature
+++ b/tests/settings/files.feature
@@ -31,3 +31,9 @@
     Given a store, three agents and a router as processes
     When a tree is loaded with the operators' tool
     Then a hold and a streamed draft are answered, and a change is in force
+
+  # Guards against LOST: SIGHUP ended the product's programs at once, with their requests.
+  Scenario: SIGHUP does not end the product's programs
+    Given a store, three agents and a router as processes
+    When each agent and the router receive SIGHUP
+    Then all of them are still running
--- a/tests/steps/process_steps.py
+++ b/tests/steps/process_steps.py
@@ -3,11 +3,13 @@
 import hashlib
 import json
 import os
+import signal
 import subprocess
 import sys
 import tempfile
 from pathlib import Path
 
+import gevent
 from behave import given, then, when
 from behave.runner import Context
 from geventhttpclient import HTTPClient
@@ -16,6 +18,8 @@
 from tests.support.programs import ROOT, run_program
 from tests.support.router_harness import HOST
 
+EXIT_AFTER_SIGNAL_S = 1.0
+
 
 def start_process(context: Context, name: str, text: str) -> list[str]:
     """Start a program with an INI file; return the addresses in its first two lines."""
@@ -123,3 +127,17 @@
     router = context.processes[-1]
     router.terminate()
     assert router.wait(20) == 0
+
+
+@when("each agent and the router receive SIGHUP")
+def send_reload_signals(context: Context) -> None:
+    # The first process is the stand-in of the platform.
+    for process in context.processes[1:]:
+        process.send_signal(signal.SIGHUP)
+
+
+@then("all of them are still running")
+def check_running(context: Context) -> None:
+    gevent.sleep(EXIT_AFTER_SIGNAL_S)
+    exits = [process.poll() for process in context.processes[1:]]
+    assert len(exits) == 4 and not any(code is not None for code in exits), exits
