Answer what arrives as a stopping router ends

A request whose bytes arrived as idle connections were closed, with nothing else running, got no answer: the router ended in the same turn of its loop. A loop that stood still over the last answers cut them with a 500.

Change: the router ends after two polls without a request running or being read; the last answers have 0.15 s of their own; deadlines of requests from before the signal end with the drain, too; an exchange that was aborted before it was sent is not sent; the product's router asks once more after the body whether it still serves.

Before: the new scenario saw the connection closed after no bytes. After: answered in full.

--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -246,6 +246,8 @@
     def begin_drain(self, schedule: DrainSchedule) -> None:
         """Take only what can still be answered; the caller stops the listeners."""
         self.drain = schedule
+        for request in self.admitted:
+            request.deadline_s = min(request.deadline_s, schedule.answers_until_s)
 
     def _check_drain(
         self, route: Route, service: Service, fields: RequestFields
--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -87,6 +87,8 @@
         request = self.request
         request.record_send()
         request.abort_callbacks.add(self._abort_with_request)
+        if self.abort_reason is not None:
+            raise self._error(self.abort_reason, was_sent=False)
         headers = forward_headers(request.fields.forwarded_headers, self.send_fields)
         try:
             with gevent.Timeout(max(timeout_s, 0.0), TimeoutError):
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -69,7 +69,12 @@
 LISTENER_CLOSE_LEAD_S = 0.6
 """Time before the last answers at which new connections are no longer accepted."""
 
+LAST_ANSWERS_S = 0.15
+"""Shortest time for the final answers to requests that cannot end."""
+
 DRAIN_POLL_S = 0.05
+QUIET_POLLS_MIN = 2
+"""Polls without a request after which none is about to be read either."""
 
 
 class EdgeServer:
@@ -335,11 +340,13 @@
         self._sleep_until(schedule.streams_until_s)
         log.info("streams refused from now on", after_s=schedule.elapsed_s)
         self.caller_listener.close_idle()
-        self._wait_for_requests(schedule.answers_until_s - LISTENER_CLOSE_LEAD_S)
+        self._wait_until_quiet(schedule.answers_until_s - LISTENER_CLOSE_LEAD_S)
         self.caller_listener.close()
-        self._wait_for_requests(schedule.answers_until_s)
+        self._wait_until_quiet(schedule.answers_until_s)
         self.app.expire_admitted()
-        self._wait_for_requests(schedule.end_s)
+        # A loop that stood still may be past the end already.
+        end_s = max(schedule.end_s, time.monotonic() + LAST_ANSWERS_S)
+        self._wait_until_quiet(end_s)
         self.app.log_unfinished()
         log.info(
             "stopped",
@@ -352,10 +359,13 @@
     def _sleep_until(moment_s: float) -> None:
         gevent.sleep(max(0.0, moment_s - time.monotonic()))
 
-    def _wait_for_requests(self, until_s: float) -> None:
-        """Wait until no request runs, at the latest until a monotonic time."""
-        while self.app.running_requests and time.monotonic() < until_s:
+    def _wait_until_quiet(self, until_s: float) -> None:
+        """Wait until no request runs or arrives, at most until a monotonic time."""
+        quiet_polls = 0
+        while quiet_polls < QUIET_POLLS_MIN and time.monotonic() < until_s:
             gevent.sleep(DRAIN_POLL_S)
+            is_busy = self.app.running_requests or self.caller_listener.busy_connections
+            quiet_polls = 0 if is_busy else quiet_polls + 1
 
     def stop(self) -> None:
         """Kill all tasks and connections at once."""
--- a/src/chervilstall/gateway/app.py
+++ b/src/chervilstall/gateway/app.py
@@ -99,7 +99,7 @@
         if path not in (CHAT_PATH, TEXT_PATH):
             raise ChervilstallError(ErrorKind.NOT_FOUND, "no such path")
         self._require_method(environ, "POST")
-        body = read_caller_body(environ, self.runtime.settings.listen)
+        body = self._read_body(environ)
         completion: CompletionRequest
         completion = parse_chat(body) if path == CHAT_PATH else parse_text(body)
         options = parse_caller_options(environ)
@@ -107,6 +107,12 @@
         run = CompletionRun(self.runtime, call, self.outcome_max_bytes)
         return run.respond(start_response)
 
+    def _read_body(self, environ: Environ) -> bytes:
+        """Read the body, which may take so long that the router stops meanwhile."""
+        body = read_caller_body(environ, self.runtime.settings.listen)
+        self.runtime.require_serving()
+        return body
+
     def _require_method(self, environ: Environ, method: str) -> None:
         if environ["REQUEST_METHOD"] != method:
             raise ChervilstallError(
@@ -129,7 +135,7 @@
         name, _, service_path = (
             environ["PATH_INFO"].removeprefix(SERVICES_PREFIX).partition("/")
         )
-        body = read_caller_body(environ, self.runtime.settings.listen)
+        body = self._read_body(environ)
         options = parse_caller_options(environ)
         path = _encoded_path(service_path, environ.get("QUERY_STRING", ""))
         headers = _caller_headers(environ)
--- a/src/chervilstall/wsgi.py
+++ b/src/chervilstall/wsgi.py
@@ -343,6 +343,11 @@
         """Return the address that the listener is bound to."""
         return Address(self.server_host, self.server_port)
 
+    @property
+    def busy_connections(self) -> int:
+        """Return the number of connections that are reading or serving a request."""
+        return len(self.connections) - len(self.idle)
+
     def close_idle(self) -> None:
         """Close idle connections, and others as soon as they become idle.
 
--- a/tests/edge/drain.feature
+++ b/tests/edge/drain.feature
@@ -70,3 +70,10 @@
       | 2       |
       | 8       |
       | 30      |
+
+  # Guards against requests that a router reads as it ends and leaves without an answer.
+  Scenario: A request that arrives as idle connections are closed is answered
+    Given a router before lookups that are served
+    And an open connection to it
+    When it is told to stop and a request arrives as idle connections are closed
+    Then that request is answered in full
--- a/tests/steps/drain_steps.py
+++ b/tests/steps/drain_steps.py
@@ -16,8 +16,14 @@
     build_request_headers,
 )
 from chervilstall.standin.platform_target import Behaviour
+from tests.steps.shutdown_steps import read_response
 from tests.support.agent_fleet import eventually
-from tests.support.platform import ZONES, Platform
+from tests.support.platform import (
+    ZONES,
+    Platform,
+    open_connection,
+    raw_request,
+)
 
 TAKEN_MAX_S = 3.0
 """Time after the stop signal from which a stream that is taken must not be cut."""
@@ -326,3 +332,39 @@
     schedule = context.schedule
     first_s = context.grace_s * 5.0 / 6.0
     assert first_s < schedule.answers_until_s < schedule.end_s < context.grace_s
+
+
+# At the end
+
+
+@given("a router before lookups that are served")
+def start_with_lookups(context: Context) -> None:
+    start_with_hanging_lookups(context)
+    for target in context.platform.targets.values():
+        target.behaviour = Behaviour.SERVE
+
+
+@given("an open connection to it")
+def open_kept_connection(context: Context) -> None:
+    listener = context.router.caller_listener
+    context.connection = open_connection(listener.bound_address)
+    eventually(lambda: listener.idle)
+
+
+@when("it is told to stop and a request arrives as idle connections are closed")
+def send_at_close(context: Context) -> None:
+    listener = context.router.caller_listener
+    close_idle = listener.close_idle
+
+    def send_and_close() -> None:
+        # Neither call yields, so the router cannot read the request in between.
+        context.connection.send(raw_request(ROUTE_PATHS["idempotent"]))
+        close_idle()
+
+    listener.close_idle = send_and_close
+    stop_router(context)
+
+
+@then("that request is answered in full")
+def check_answered_in_full(context: Context) -> None:
+    assert read_response(context.connection).endswith(b"answer to r1")
