Read a bearer token in one place

gateway/auth.py (Authenticator.authenticate) and agent/operators.py (_read_token_digest) each checked the prefix of the Authorization header and digested the rest. Both call bearer_token_digest in gateway/auth.py.

--- a/src/chervilstall/agent/operators.py
+++ b/src/chervilstall/agent/operators.py
@@ -20,7 +20,7 @@
 from chervilstall.configuration.treefile import read_tree_file
 from chervilstall.configuration.writer import ConfigurationStore, ProposedChange
 from chervilstall.errors import ChervilstallError, ErrorKind
-from chervilstall.gateway.auth import BEARER_PREFIX, token_digest
+from chervilstall.gateway.auth import bearer_token_digest
 from chervilstall.ids import ChangeId, Revision, WorkspaceName, new_change_id
 from chervilstall.settings.problems import InvalidSettings
 from chervilstall.wsgi import (
@@ -66,7 +66,7 @@
         }
         if path == "/healthz":
             return json_response(200, {"ok": True})
-        digest = self._read_token_digest(environ)
+        digest = bearer_token_digest(environ.get("HTTP_AUTHORIZATION", ""))
         authorize = self._new_authorizer(digest, path.removeprefix(SETTINGS_PREFIX))
         if path.startswith(SETTINGS_PREFIX):
             document = path.removeprefix(SETTINGS_PREFIX)
@@ -89,14 +89,6 @@
 
     # Authorization
 
-    def _read_token_digest(self, environ: Environ) -> str:
-        authorization = environ.get("HTTP_AUTHORIZATION", "")
-        if authorization[: len(BEARER_PREFIX)].lower() != BEARER_PREFIX:
-            raise ChervilstallError(
-                ErrorKind.UNAUTHENTICATED, "a bearer token is required"
-            )
-        return token_digest(authorization[len(BEARER_PREFIX) :].strip())
-
     def _is_operator(self, digest: str) -> bool:
         operator_digests = self.runtime.settings.operators.token_sha256
         return any(
--- a/src/chervilstall/gateway/auth.py
+++ b/src/chervilstall/gateway/auth.py
@@ -17,6 +17,13 @@
     return hashlib.sha256(token.encode("utf-8", "surrogateescape")).hexdigest()
 
 
+def bearer_token_digest(authorization: str) -> str:
+    """Return the digest of a header's token, or raise UNAUTHENTICATED."""
+    if authorization[: len(BEARER_PREFIX)].lower() != BEARER_PREFIX:
+        raise ChervilstallError(ErrorKind.UNAUTHENTICATED, "a bearer token is required")
+    return token_digest(authorization[len(BEARER_PREFIX) :].strip())
+
+
 @dataclass(frozen=True)
 class Caller:
     """An authenticated caller: its workspace and the workspace's grant."""
@@ -46,11 +53,7 @@
 
     def authenticate(self, authorization: str) -> Caller:
         """Return the caller of an Authorization header, or raise UNAUTHENTICATED."""
-        if authorization[: len(BEARER_PREFIX)].lower() != BEARER_PREFIX:
-            raise ChervilstallError(
-                ErrorKind.UNAUTHENTICATED, "a bearer token is required"
-            )
-        digest = token_digest(authorization[len(BEARER_PREFIX) :].strip())
+        digest = bearer_token_digest(authorization)
         for stored_digest, caller in self._callers.get(digest[:8], ()):
             if hmac.compare_digest(stored_digest, digest):
                 return caller
