Give a member update its address

agent/claims.py (twice), agent/limits.py, agent/distribution.py (twice) and Member.address in membership/table.py each built an Address from the host and port of an update. MemberUpdate.address does, as Hop.address already does for a stage.

--- a/src/chervilstall/agent/claims.py
+++ b/src/chervilstall/agent/claims.py
@@ -31,7 +31,6 @@
 from chervilstall.peer.transport import PeerClientPool
 from chervilstall.settings.agents import IdempotencySettings
 from chervilstall.settings.leases import LeaseSettings
-from chervilstall.settings.option import Address
 from chervilstall.store.contract import Store, StoreFailed
 from chervilstall.telemetry.logs import ComponentLog
 
@@ -178,7 +177,7 @@
     def _forward_claim(
         self, holder: MemberUpdate, request: ClaimRequest
     ) -> ClaimAnswer:
-        client = self.clients.client(Address(holder.host, holder.port))
+        client = self.clients.client(holder.address)
         timeout_s = request.wait_s + FORWARD_MARGIN_S
         reply = client.call(ForwardedClaim(request), timeout_s)
         if isinstance(reply, CLAIM_ANSWER_TYPES):
@@ -205,7 +204,7 @@
         holder = self._find_holder(slot) or self._find_holder_in_store(slot)
         if is_forwarded or holder is None or holder.vm == self.table.own.vm:
             return False
-        client = self.clients.client(Address(holder.host, holder.port))
+        client = self.clients.client(holder.address)
         try:
             reply = client.ask(ForwardedReport(report), ReportAnswer, FORWARD_MARGIN_S)
         except ChervilstallError:
--- a/src/chervilstall/agent/distribution.py
+++ b/src/chervilstall/agent/distribution.py
@@ -180,7 +180,7 @@
     def _pull_from(self, member: MemberUpdate | None, wait_s: float) -> None:
         address = self._pick_seed()
         if member is not None:
-            address = Address(member.host, member.port)
+            address = member.address
         if address is None:
             gevent.sleep(RETRY_MAX_S)
             return
@@ -295,10 +295,7 @@
         self._vm_records = records
         self._vm_records_digest = vm_list_digest(records)
         self.table.merge_vm_list(records)
-        peer_addresses = {
-            Address(update.host, update.port)
-            for update in (item.update for item in self.table.others())
-        }
+        peer_addresses = {item.address for item in self.table.others()}
         self.clients.retain(peer_addresses | set(self.settings.seeds))
 
     def poll_vm_list(self) -> None:
--- a/src/chervilstall/agent/limits.py
+++ b/src/chervilstall/agent/limits.py
@@ -15,7 +15,6 @@
 from chervilstall.peer.shares import ShareGrant, ShareRequest
 from chervilstall.peer.transport import PeerClientPool
 from chervilstall.settings.leases import LeaseSettings
-from chervilstall.settings.option import Address
 from chervilstall.settings.processes import LimitSettings
 
 FORWARD_TIMEOUT_S = 0.5
@@ -94,7 +93,7 @@
         member = self.table.role_holder(limits_role(group))
         if member is None or member.vm == self.table.own.vm:
             return []
-        client = self.clients.client(Address(member.host, member.port))
+        client = self.clients.client(member.address)
         message = ShareRequests(tuple(requests), is_forwarded=True)
         try:
             reply = client.ask(message, ShareGrants, FORWARD_TIMEOUT_S)
--- a/src/chervilstall/membership/table.py
+++ b/src/chervilstall/membership/table.py
@@ -37,7 +37,7 @@
     @property
     def address(self) -> Address:
         """Return the member's peer address."""
-        return Address(self.update.host, self.update.port)
+        return self.update.address
 
     @property
     def is_live(self) -> bool:
--- a/src/chervilstall/peer/messages.py
+++ b/src/chervilstall/peer/messages.py
@@ -21,6 +21,7 @@
     Unavailable,
 )
 from chervilstall.peer.shares import ShareGrant, ShareRequest
+from chervilstall.settings.option import Address
 from chervilstall.store.contract import VmRecord
 
 
@@ -56,6 +57,11 @@
     state: MemberState
     roles: tuple[Role, ...] = ()
 
+    @property
+    def address(self) -> Address:
+        """Return the member's peer address."""
+        return Address(self.host, self.port)
+
 
 class Ping(msgspec.Struct, frozen=True, tag=True):
     """A membership probe from `sender`, with recent updates."""
