Read the watermarks of the zones in one place

agent/operators.py (_in_force) and measure/control.py (confirmed_revision) each listed the entries below IN_FORCE_PREFIX and decoded them. ConfigurationStore.read_watermarks does; both had such a store at hand.

--- a/src/chervilstall/agent/operators.py
+++ b/src/chervilstall/agent/operators.py
@@ -11,11 +11,9 @@
 from urllib.parse import parse_qs, unquote
 
 import gevent
-import msgspec
 
 from chervilstall.agent.runtime import AgentRuntime
 from chervilstall.configuration.check import check_tree
-from chervilstall.configuration.records import IN_FORCE_PREFIX, ZoneWatermark
 from chervilstall.configuration.tree import Tree
 from chervilstall.configuration.treefile import read_tree_file
 from chervilstall.configuration.writer import ConfigurationStore, ProposedChange
@@ -169,7 +167,9 @@
     def _unconfirmed_zones(self, revision: Revision) -> list[str]:
         zones = {record.zone for record in self.runtime.table.vm_list()}
         zones |= {update.zone for update in self.runtime.table.live_members()}
-        confirmed = {record.zone: record for record in self._in_force()}
+        confirmed = {
+            record.zone: record for record in self.configuration.read_watermarks()
+        }
         unconfirmed_zones = []
         for zone in sorted(zones):
             record = confirmed.get(zone)
@@ -182,12 +182,6 @@
                 )
         return unconfirmed_zones
 
-    def _in_force(self) -> list[ZoneWatermark]:
-        records = []
-        for entry in self.runtime.store.list_entries(IN_FORCE_PREFIX):
-            records.append(msgspec.json.decode(entry.value, type=ZoneWatermark))
-        return records
-
     # Reading
 
     def _read(self, path: str, query: dict[str, str]) -> HttpResponse:
@@ -236,7 +230,7 @@
             "stale_reads": runtime.replica.stale_reads,
         }
         try:
-            body["in_force"] = self._in_force()
+            body["in_force"] = self.configuration.read_watermarks()
             body["is_cut_off"] = False
         except ChervilstallError as error:
             body["in_force"] = []
--- a/src/chervilstall/configuration/writer.py
+++ b/src/chervilstall/configuration/writer.py
@@ -12,11 +12,13 @@
 from chervilstall.configuration.records import (
     HEAD_KEY,
     HISTORY_PREFIX,
+    IN_FORCE_PREFIX,
     SNAPSHOT_PART_MAX_BYTES,
     SNAPSHOT_PREFIX,
     AcceptedChange,
     Head,
     HistoryChunk,
+    ZoneWatermark,
     decode_head,
     encode_head,
     history_key,
@@ -109,6 +111,13 @@
             parts.append(entry.value)
         return unpack_texts(b"".join(parts))
 
+    def read_watermarks(self) -> list[ZoneWatermark]:
+        """Return the watermark of every zone that has published one."""
+        entries = self.store.list_entries(IN_FORCE_PREFIX)
+        return [
+            msgspec.json.decode(entry.value, type=ZoneWatermark) for entry in entries
+        ]
+
     # Accepting changes
 
     def accept(
--- a/src/chervilstall/measure/control.py
+++ b/src/chervilstall/measure/control.py
@@ -13,7 +13,6 @@
 import msgspec
 from geventhttpclient import HTTPClient
 
-from chervilstall.configuration.records import IN_FORCE_PREFIX, ZoneWatermark
 from chervilstall.configuration.writer import ConfigurationStore, ProposedChange
 from chervilstall.gateway.auth import token_digest
 from chervilstall.ids import VmId, ZoneName, new_change_id
@@ -136,11 +135,8 @@
 
     def confirmed_revision(self) -> int:
         """Return the lowest revision confirmed by a zone, 0 while a zone is missing."""
-        revisions = []
-        for entry in self.store.list_entries(IN_FORCE_PREFIX):
-            revisions.append(
-                msgspec.json.decode(entry.value, type=ZoneWatermark).revision
-            )
+        records = self.configuration.read_watermarks()
+        revisions = [record.revision for record in records]
         return min(revisions) if len(revisions) == ZONES else 0
 
     def last_arrival_s(self, revision: int) -> float:
