--- a/src/chervilstall/measure/helpers.py
+++ b/src/chervilstall/measure/helpers.py
@@ -15,11 +15,8 @@
 import msgspec  # noqa: E402
 from gevent.fileobject import FileObject  # noqa: E402
 
-from chervilstall.admission.leased_shares import ShareAllocator  # noqa: E402
-from chervilstall.admission.router_limits import LocalShareService, limits_of  # noqa: E402
 from chervilstall.configuration.tree import Tree  # noqa: E402
-from chervilstall.gateway.runtime import RouterRuntime, RouterSettings  # noqa: E402
-from chervilstall.gateway.server import RouterServer  # noqa: E402
+from chervilstall.gateway.runtime import RouterSettings  # noqa: E402
 from chervilstall.idempotency.local_claims import LocalClaimService  # noqa: E402
 from chervilstall.ids import Revision, VmId, ZoneName  # noqa: E402
 from chervilstall.measure.agents import serve_agents  # noqa: E402
@@ -32,6 +29,7 @@
     RoutingSettings,
     VmSettings,
 )
+from chervilstall.standin.embedded import start_router  # noqa: E402
 from chervilstall.standin.store import MemoryStore  # noqa: E402
 from chervilstall.standin.store_server import StoreServer  # noqa: E402
 from chervilstall.standin.target_server import ANY_PORT, encode_event  # noqa: E402
@@ -197,13 +195,7 @@
         target=TargetSettings(first_event_timeout_s=10.0, silence_timeout_s=10.0),
         routing=RoutingSettings(affinity_entries=0),
     )
-    tree = build_tree(list(targets))
-    allocator = ShareAllocator(settings.limits, is_first=True)
-    shares = LocalShareService(allocator, limits_of(tree))
-    runtime = RouterRuntime(settings, LocalClaimService({}), shares)
-    runtime.apply_tree(tree)
-    server = RouterServer(runtime)
-    server.start()
+    server = start_router(settings, build_tree(list(targets)), LocalClaimService({}))
     print_addresses(server.caller_address, server.admin_address)
     wait_for_stdin_close()
 
--- a/src/chervilstall/standin/embedded.py
+++ b/src/chervilstall/standin/embedded.py
@@ -81,6 +81,19 @@
     return RouterSettings(**sections), texts, options
 
 
+def start_router(
+    settings: RouterSettings, tree: Tree, claims: LocalClaimService
+) -> RouterServer:
+    """Start a router that serves a tree and allocates the shares of its limits."""
+    allocator = ShareAllocator(settings.limits, is_first=True)
+    shares = LocalShareService(allocator, limits_of(tree))
+    runtime = RouterRuntime(settings, claims, shares)
+    runtime.apply_tree(tree)
+    server = RouterServer(runtime)
+    server.start()
+    return server
+
+
 def start_embedded(
     settings: RouterSettings,
     texts: dict[str, str],
@@ -98,11 +111,5 @@
     home = SlotHome(store, SlotName("local-0"), Epoch(1), idempotency)
     home.open()
     gevent.spawn(home.serve)
-    allocator = ShareAllocator(settings.limits, is_first=True)
-    shares = LocalShareService(allocator, limits_of(tree))
-    claims = LocalClaimService({home.slot: home})
-    runtime = RouterRuntime(settings, claims, shares)
-    runtime.apply_tree(tree)
-    server = RouterServer(runtime)
-    server.start()
+    server = start_router(settings, tree, LocalClaimService({home.slot: home}))
     return EmbeddedRouter(server, target_cluster, store, home)
