Keep the plans of the fleet apart from the selection of chains

The state of a capability no longer keeps its fleet, and the selector no longer its zone and name, which nothing read.

--- a/src/chervilstall/routing/selector.py
+++ b/src/chervilstall/routing/selector.py
@@ -16,18 +16,16 @@
 from chervilstall.routing.affinity import AffinityIndex
 from chervilstall.routing.fleet import (
     Capability,
-    CapabilityFleet,
     EngineTarget,
     Fleet,
     YieldControl,
     no_yield,
 )
-from chervilstall.routing.flow import ChainTemplate, FlowPlan, StageSlice, solve_flow
+from chervilstall.routing.fleet_plans import CapabilityState, FleetPlans
+from chervilstall.routing.flow import ChainTemplate, FlowPlan, StageSlice
 from chervilstall.routing.instances import InstanceSelector
 from chervilstall.routing.load import LoadTable, TargetLoad
 from chervilstall.routing.reservation import ChainRequest, ChainReservation
-from chervilstall.routing.spill import SpillOver
-from chervilstall.routing.subset import choose_subset
 from chervilstall.settings.processes import RoutingSettings
 from chervilstall.target.contract import Hop, Priority
 
@@ -44,20 +42,6 @@
     cost_s: float = 0.0
 
 
-@dataclass
-class _CapabilityState:
-    fleet: CapabilityFleet
-    plan: FlowPlan
-    signature: object  # inputs of `plan`, which stays while they are equal
-    subsets: dict[object, tuple[EngineTarget, ...]]
-    spills: dict[Priority, SpillOver]
-    templates: list[ChainTemplate] = field(default_factory=list)
-    own_templates: list[ChainTemplate] = field(default_factory=list)
-    own_weights: list[float] = field(default_factory=list)
-    weights: list[float] = field(default_factory=list)
-    ejection_groups: dict[object, list[TargetLoad]] = field(default_factory=dict)
-
-
 class ChainSelector:
     """Selects chains for one router; `instances` selects its service instances.
 
@@ -73,17 +57,13 @@
         seed: int | None = None,
     ) -> None:
         self.settings = settings
-        self.zone = zone
-        self.name = name
         self.load_table = LoadTable(settings)
         self.affinity = AffinityIndex(settings.affinity_entries)
-        self.solve_count = 0
         self._random = random.Random(seed)
         self.instances = InstanceSelector(
             settings, zone, name, self.load_table, self._random
         )
-        self._states: dict[Capability, _CapabilityState] = {}
-        self._engines: dict[TargetId, EngineTarget] = {}
+        self._plans = FleetPlans(settings, zone, name, self.load_table)
         self._is_first_fleet = True
 
     def update(self, fleet: Fleet, yield_control: YieldControl = no_yield) -> None:
@@ -93,94 +73,49 @@
         `yield_control` is called between capabilities; requests served in between
         still see the previous fleet.
         """
-        states = {}
-        used_targets: set[TargetId] = set()
-        for capability, capability_fleet in fleet.capabilities.items():
-            yield_control()
-            state = self._update_capability(
-                capability, capability_fleet, fleet.links_tokens_per_s
-            )
-            states[capability] = state
-            for subset in state.subsets.values():
-                used_targets |= {engine.target for engine in subset}
-        self._states = states
+        used_targets = self._plans.update(fleet, yield_control)
         used_targets |= self.instances.update(fleet.services)
         self.load_table.retain(used_targets)
-        for target in set(self._engines) - used_targets:
-            del self._engines[target]
+        for target in self._plans.remove_engines(used_targets):
             self.affinity.forget(target)
         if self._is_first_fleet:
             self.load_table.skip_slow_start()
             self._is_first_fleet = False
 
-    def _update_capability(
-        self,
-        capability: Capability,
-        fleet: CapabilityFleet,
-        links: dict[tuple[str, str], float],
-    ) -> _CapabilityState:
-        signature = (fleet.layers, fleet.capacities(), links)
-        previous = self._states.get(capability)
-        if previous is not None and previous.signature == signature:
-            plan = previous.plan
-        else:
-            plan = solve_flow(fleet, links)
-            self.solve_count += 1
-        # Each priority has its own queue at a target, so each spills over separately.
-        spills = {priority: SpillOver(self.settings) for priority in Priority}
-        if previous is not None:
-            spills = previous.spills
-        subsets: dict[object, tuple[EngineTarget, ...]] = {}
-        groups: dict[object, list[TargetLoad]] = {}
-        for stage_class, members in fleet.classes.items():
-            names = [member.target for member in members]
-            subset = choose_subset(self.name, members, names, self.settings.subset_size)
-            subsets[stage_class] = subset
-            groups[stage_class] = [self._get_or_add_load(engine) for engine in subset]
-        state = _CapabilityState(
-            fleet, plan, signature, subsets, spills, ejection_groups=groups
-        )
-        for template in plan.templates:
-            state.templates.append(template)
-            state.weights.append(template.tokens_per_s)
-            if template.zones == {self.zone}:
-                state.own_templates.append(template)
-                state.own_weights.append(template.tokens_per_s)
-        return state
-
-    def _get_or_add_load(self, engine: EngineTarget) -> TargetLoad:
-        self._engines[engine.target] = engine
-        return self.load_table.get_or_add(
-            engine.target, engine.layer_tokens_per_s, engine.concurrency
-        )
+    @property
+    def solve_count(self) -> int:
+        """Return how many plans were computed."""
+        return self._plans.solve_count
 
     def engines(self) -> list[EngineTarget]:
         """Return the engines in this router's subsets."""
-        return list(self._engines.values())
+        return list(self._plans.engines.values())
 
     def engine(self, target: str) -> EngineTarget | None:
         """Return an engine of this router's subsets, or None if it has no such."""
-        return self._engines.get(TargetId(target))
+        return self._plans.engines.get(TargetId(target))
 
     def plans(self) -> dict[Capability, FlowPlan]:
         """Return the plan of each capability."""
-        return {capability: state.plan for capability, state in self._states.items()}
+        return {
+            capability: state.plan for capability, state in self._plans.states.items()
+        }
 
     def spilling_priorities(self, capability: Capability) -> list[Priority]:
         """Return the priorities whose requests may leave the zone now."""
-        state = self._states[capability]
+        state = self._plans.states[capability]
         return [
             priority for priority, spill in state.spills.items() if spill.is_spilling
         ]
 
     def is_served(self, capability: Capability) -> bool:
         """Return whether any chain serves a capability, even if all are full."""
-        state = self._states.get(capability)
+        state = self._plans.states.get(capability)
         return state is not None and bool(state.plan.templates)
 
     def reserve(self, request: ChainRequest) -> ChainReservation | None:
         """Reserve capacity on a chain, or return None if no suitable chain has any."""
-        state = self._states.get(request.capability)
+        state = self._plans.states.get(request.capability)
         if state is None or not state.plan.templates:
             return None
         now_s = time.monotonic()
@@ -193,7 +128,7 @@
 
     def _select_chain(
         self,
-        state: _CapabilityState,
+        state: CapabilityState,
         request: ChainRequest,
         holders: frozenset[TargetId],
         now_s: float,
@@ -225,7 +160,7 @@
 
     def _best_chain(
         self,
-        state: _CapabilityState,
+        state: CapabilityState,
         templates: list[ChainTemplate],
         weights: list[float],
         request: ChainRequest,
@@ -258,7 +193,7 @@
 
     def _fill_template(
         self,
-        state: _CapabilityState,
+        state: CapabilityState,
         template: ChainTemplate,
         request: ChainRequest,
         holders: frozenset[TargetId],
@@ -279,7 +214,7 @@
 
     def _select_engine(
         self,
-        state: _CapabilityState,
+        state: CapabilityState,
         stage: StageSlice,
         request: ChainRequest,
         holders: frozenset[TargetId],
@@ -338,7 +273,7 @@
 
     def _reserve_candidate(
         self,
-        state: _CapabilityState,
+        state: CapabilityState,
         candidate: _Candidate,
         request: ChainRequest,
         now_s: float,
@@ -383,7 +318,7 @@
 
     def record_failure(self, reservation: ChainReservation, target: TargetId) -> None:
         """Record that `target` made a chain fail, and eject the target if due."""
-        state = self._states.get(reservation.capability)
+        state = self._plans.states.get(reservation.capability)
         load = self.load_table.loads.get(target)
         if state is None or load is None:
             return
