Take a head that its connection's end cuts off for a closed connection

A target that crashed while it sent the head of an answer, whose connection closed without a reset, was not known to have crashed, as in a stream that ends inside its first event. The request itself went on elsewhere.

geventhttpclient raises a parse error for such a head, which send_request calls a malformed answer; PromptGuard counts only connections that closed as lost. SingleResponse now raises HTTPConnectionClosed.

--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -54,6 +54,7 @@
     UNFRAMED_RESET = "reset an answer without a length"
     UNFRAMED_CUT = "close an answer without a length inside an event"
     UNFRAMED_CRASH = "crash inside an event of an answer without a length"
+    UNFRAMED_CRASH_HEAD = "crash inside the head of an answer without a length"
     UNFRAMED_PAUSE = "pause in an answer without a length"
 
 
@@ -263,6 +264,9 @@
         else:
             answer = f"answer to {run.request}".encode()
             parts = [answer[:4], answer[4:]]
+        if self.behaviour is Behaviour.UNFRAMED_CRASH_HEAD:
+            connection.sendall(b"HTTP/1.1 200 OK\r\nAttempt")
+            self._close_and_crash(connection)
         send_head(connection, fields)
         fault_at = self.events_before_fault if is_stream else 1
         for index, part in enumerate(parts):
@@ -282,12 +286,16 @@
                 # Only the second line end of the delimiter is missing.
                 connection.sendall(part[:-1])
                 if self.behaviour is Behaviour.UNFRAMED_CRASH:
-                    # Closes this connection first, so that it isn't reset.
-                    gevent.spawn(self._crash)
+                    self._close_and_crash(connection)
                 raise end_answer(connection)
             case Behaviour.UNFRAMED_PAUSE:
                 gevent.sleep(self.pause_s)
 
+    def _close_and_crash(self, connection: Any) -> NoReturn:
+        # Closes this connection first, so that it isn't reset.
+        gevent.spawn(self._crash)
+        raise end_answer(connection)
+
     def _event_texts(self, run: Run) -> list[bytes]:
         """Return the events of a stream from the first one that is asked for."""
         event_count = int(run.headers["token-count"].split(",")[1])
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -137,6 +137,7 @@
     Bytes after a complete response belong to no request. geventhttpclient would parse
     them as a new message into the same object; here they are dropped.
 
+    A head that the end of the connection cuts off raises HTTPConnectionClosed.
     A head of more than HEAD_MAX_BYTES, or a body of which more than `unread_max_bytes`
     wait to be read, raises HTTPParseError.
     """
@@ -159,6 +160,8 @@
         super()._on_message_begin()
 
     def feed(self, data: str | bytes) -> None:
+        if not data and not self._has_final_head():
+            raise HTTPConnectionClosed("closed before the end of the headers")
         self._check_size(len(data))
         try:
             super().feed(data)
@@ -168,9 +171,11 @@
                 raise
             self._trailing_data_dropped = True
 
+    def _has_final_head(self) -> bool:
+        return self.final_status >= FINAL_STATUS_MIN and self.headers_complete
 
     def _check_size(self, size_bytes: int) -> None:
-        if self.final_status < FINAL_STATUS_MIN or not self.headers_complete:
+        if not self._has_final_head():
             self.head_bytes += size_bytes
             if self.head_bytes > HEAD_MAX_BYTES:
                 raise HTTPParseError("the head of the response is too large")
--- a/tests/edge/unframed.feature
+++ b/tests/edge/unframed.feature
@@ -95,13 +95,18 @@
       | reset an answer without a length                 |
       | close an answer without a length inside an event |
 
-  # Guards against BUDGET: a crash that ends a stream inside its first event isn't known.
-  Scenario: A target that crashes inside the first event is known to have crashed
+  # Guards against BUDGET: a crash that ends a stream before its first event isn't known.
+  Scenario Outline: A target that crashes inside <place> is known to have crashed
     Given a platform with a model in parts in both zones
-    And the first targets of the own zone would crash inside an event of an answer without a length after 0 events
+    And the first targets of the own zone would crash inside <place> of an answer without a length after 0 events
     When a draft of 10 events that shares parts is asked for
     Then the crash of the first target of the own zone is reported
 
+    Examples:
+      | place    |
+      | an event |
+      | the head |
+
   Scenario: A caller of HTTP/1.0 gets a whole stream without chunks
     Given a platform whose drafts are not resumable
     When a caller of HTTP/1.0 asks for a draft of 10 events
