End a resumed stream of which nothing was left

A stream that was reset after its last event was sent again until its sends were used up, five times in all, and then broken off, although its caller had every event and another target had ended it regularly.

Any stream without an event counted as broken off, because an answer without a length may end with its target. A resumed stream whose chunks end regularly has none left, and is now the end. One that ends with its connection still counts as broken off.

The stand-in's reset now also comes after the last event. A check for chunks, which a cut response does not pass, joins the scenario of the stalled exchange.

--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -121,12 +121,12 @@
             raise self._error(ExchangeFailure.TIMEOUT) from error
         except (OSError, HTTPParseError) as error:
             raise self._error(ExchangeFailure.CLOSED) from error
-        is_cut = self.abort_reason is not None and self._ends_with_connection()
+        is_cut = self.abort_reason is not None and self.ends_with_connection()
         if is_cut or not self._response.message_complete:
             raise self._error(ExchangeFailure.CLOSED)
         return CompleteResponse(head, body)
 
-    def _ends_with_connection(self) -> bool:
+    def ends_with_connection(self) -> bool:
         """Return whether only the end of the connection shows that of the response.
 
         `abort` ends the connection, too, and a read may see this as a regular end.
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -122,9 +122,12 @@
             self._record_failure(path, error)
             return None
 
-    def _read_first_event(self) -> bytes:
+    def _read_first_event(self) -> bytes | None:
+        """Return the first event, or None if a resumed stream had none left."""
+        assert self._exchange is not None
         event = self._read_event()
-        if event is None:
+        is_resumed = self.head is not None
+        if event is None and (not is_resumed or self._exchange.ends_with_connection()):
             # A response without a length may end with its target.
             raise ExchangeFailed(ExchangeFailure.CLOSED, was_sent=True)
         return event
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -274,7 +274,7 @@
                 self._apply_unframed_fault(connection, part)
             connection.sendall(part)
             gevent.sleep(EVENT_INTERVAL_S)
-        raise end_answer(connection)
+        raise end_answer(connection, self.behaviour is Behaviour.UNFRAMED_RESET)
 
     def _apply_unframed_fault(self, connection: Any, part: bytes) -> None:
         match self.behaviour:
--- a/tests/edge/unframed.feature
+++ b/tests/edge/unframed.feature
@@ -53,6 +53,7 @@
     When a draft of 10 events is asked for and its exchange is ended as stalled
     Then the events 1 to 10 arrive once and in order
     And the request ran 2 times
+    And the response is chunked
 
   Scenario: A stream with neither a length nor chunks is whole
     Given a platform with a model in parts in both zones
@@ -82,6 +83,15 @@
       | close an answer without a length inside an event | 1      |
       | close an answer without a length inside an event | 9      |
 
+  # Guards against BUDGET: a stream without anything left is sent until it is broken off.
+  Scenario: A stream that is reset after its last event ends with a target that ends it
+    Given a platform with a model in parts in both zones
+    And the first targets of the own zone would reset an answer without a length after 10 events
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And the request ran 2 times
+    And the response is chunked
+
   # Guards against a lost end: a broken-off stream looks whole to its caller.
   Scenario Outline: A stream that is not resumable ends early where its target would <behaviour>
     Given a platform whose drafts are not resumable
