--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -262,7 +262,9 @@
             )
             is_taken = self.drain.takes_stream(now_s, expected_s)
         else:
-            is_taken = self.drain.takes_plain(now_s, route.latency_slo_s)
+            # A repeat at a second target takes as long again.
+            tries = 2 if route.is_retryable and route.attempts_max > 1 else 1
+            is_taken = self.drain.takes_plain(now_s, tries * route.latency_slo_s)
         if not is_taken:
             raise ChervilstallError(
                 ErrorKind.SHUTTING_DOWN, "the router is stopping", OTHER_ROUTER_RETRY_S
