Test the judge of prompt parts on a clock of its own

Convictions, answers that free a part, deaths at one moment, crashes that are explained, trials, entries that others keep, reports with many parts.

--- /dev/null
+++ b/tests/steps/quarantine_judge_steps.py
@@ -0,0 +1,144 @@
+"""Steps for the judge of prompt parts, on a clock of their own."""
+
+from dataclasses import dataclass, field
+
+from behave import given, then, when
+from behave.runner import Context
+
+from chervilstall.ids import CrashId, PartId, ServiceName
+from chervilstall.quarantine.judge import PromptJudge
+from chervilstall.quarantine.records import (
+    ClaimTrial,
+    Clear,
+    CrashReport,
+    PartKey,
+    QuarantineAction,
+)
+from tests.support.clock import Clock
+
+SERVICE = ServiceName("drafts")
+OTHER_PART = PartId("of another prompt")
+BEGUN_ANSWERS = 12
+
+
+@dataclass
+class JudgeRun:
+    """A judge, its clock, and the actions that it asked for."""
+
+    clock: Clock
+    actions: list[QuarantineAction] = field(default_factory=list)
+    crashes: int = 0
+
+    def __post_init__(self) -> None:
+        self.judge = PromptJudge(self.actions.append)
+        self.began_at_s = self.clock.now_s
+
+    def refused(self, text: str) -> PartId | None:
+        """Return the part because of which a request is refused, or None."""
+        return self.judge.refused_part(SERVICE, parts_of(text))
+
+
+def parts_of(text: str) -> tuple[PartId, ...]:
+    """Return the parts that a step names, separated by spaces."""
+    return tuple(PartId(part) for part in text.split())
+
+
+@given("a judge")
+def create_judge(context: Context) -> None:
+    clock = Clock()
+    context.add_cleanup(clock.stop)
+    context.run = JudgeRun(clock)
+
+
+@when('targets crash at {first_s:g}, {second_s:g} and {third_s:g} seconds on "{text}"')
+def crash_targets(
+    context: Context, first_s: float, second_s: float, third_s: float, text: str
+) -> None:
+    run = context.run
+    for at_s in (first_s, second_s, third_s):
+        run.clock.now_s = run.began_at_s + at_s
+        run.crashes += 1
+        crash = CrashId(f"t{run.crashes}@0")
+        run.judge.record_crash(CrashReport(crash, SERVICE, parts_of(text)))
+
+
+@when('answers with "{text}" begin')
+def begin_answers(context: Context, text: str) -> None:
+    for _ in range(BEGUN_ANSWERS):
+        context.run.judge.record_begun(SERVICE, (OTHER_PART, *parts_of(text)))
+
+
+@when('answers with "" begin')
+def begin_no_answers(context: Context) -> None:
+    assert not context.run.actions
+
+
+@then('{after_s:g} seconds later "{refused}" is refused and "{taken}" is not')
+def check_refused(context: Context, after_s: float, refused: str, taken: str) -> None:
+    context.run.clock.now_s += after_s
+    assert context.run.refused(refused) == refused
+    assert context.run.refused(taken) is None
+
+
+@then("{after_s:g} seconds later nothing is refused")
+def check_nothing_refused(context: Context, after_s: float) -> None:
+    context.run.clock.now_s += after_s
+    assert context.run.refused("shared rare") is None, context.run.actions
+
+
+@when(
+    '{after_s:g} seconds later requests with "{text}" are refused and a trial of '
+    '"{part}" is granted'
+)
+def grant_trial(context: Context, after_s: float, text: str, part: str) -> None:
+    run = context.run
+    run.clock.now_s += after_s
+    assert run.refused(text) is not None
+    claims = [each for each in run.actions if isinstance(each, ClaimTrial)]
+    (entry,) = [each.entry for each in claims if each.entry.key.part == part]
+    run.judge.apply_entry(entry)
+    run.judge.grant_trial(entry.key)
+
+
+@then('a request with "{text}" is refused')
+def check_one_refused(context: Context, text: str) -> None:
+    assert context.run.refused(text) is not None
+
+
+@then('a request with "{text}" is let through once')
+def check_let_through(context: Context, text: str) -> None:
+    assert context.run.refused(text) is None
+    assert context.run.refused(text) == text
+
+
+@when(
+    "another router writes its entry again each {interval_s:d} seconds for "
+    "{duration_s:d} seconds"
+)
+def keep_entry(context: Context, interval_s: int, duration_s: int) -> None:
+    run = context.run
+    (entry,) = run.judge.entries
+    for _ in range(duration_s // interval_s):
+        run.clock.now_s += interval_s
+        run.judge.expire()
+        run.judge.apply_entry(entry)
+
+
+@then("nothing was set free")
+def check_not_freed(context: Context) -> None:
+    assert not [each for each in context.run.actions if isinstance(each, Clear)]
+
+
+@when("answers with {count:d} parts begin")
+def begin_with_many(context: Context, count: int) -> None:
+    context.fillers = tuple(PartId(f"a{number}") for number in range(count))
+    context.run.judge.record_begun(SERVICE, context.fillers)
+
+
+@then('a report of these and of "{part}" names "{named}"')
+def check_report(context: Context, part: str, named: str) -> None:
+    parts = (*context.fillers, PartId(part))
+    report = CrashReport(CrashId("t@0"), SERVICE, parts)
+    known = context.run.judge.with_begun_parts(report)
+    assert named in known.parts and len(known.parts) < len(parts)
+    assert PartKey(SERVICE, PartId(named)).part not in known.begun_parts
