Name the routers and targets of two groups of steps for what they are

gateway_steps.py and rollout_steps.py called them a market (start_market, planner_market, context.target_market). No step or check changed.

--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -25,7 +25,7 @@
 
 
 @given("a router and stand-in targets")
-def start_market(context: Context) -> None:
+def start_router_harness(context: Context) -> None:
     context.router_harness = RouterHarness(engine_options=EngineOptions(load_lag_s=0.0))
     context.stoppables.append(context.router_harness)
 
--- a/tests/steps/rollout_steps.py
+++ b/tests/steps/rollout_steps.py
@@ -38,25 +38,25 @@
 
 
 @given("stand-in targets with spare engines and a planner")
-def planner_market(context: Context) -> None:
+def start_planner(context: Context) -> None:
     texts = tree_texts()
     for name in ("low-1", "high-1"):
         texts[f"targets/{name}-spare"] = texts[f"targets/{name}"]
-    context.target_market = TargetCluster(
+    context.target_cluster = TargetCluster(
         texts, EngineOptions(load_lag_s=0.0, load_duration_s=0.02)
     )
-    context.stoppables.append(context.target_market)
+    context.stoppables.append(context.target_cluster)
     context.store = MemoryStore()
     writer = ConfigurationStore(context.store)
-    for path in sorted(context.target_market.texts, key=dependency_rank):
-        text = context.target_market.texts[path]
+    for path in sorted(context.target_cluster.texts, key=dependency_rank):
+        text = context.target_cluster.texts[path]
         writer.accept(ProposedChange(new_change_id(), path, text, "setup"))
     context.planner = new_planner(context, "vm-1")
     context.planner.lease.step()
 
 
 def write_options(context: Context, path: str, **options: str) -> None:
-    text = context.target_market.texts[path]
+    text = context.target_cluster.texts[path]
     for name, value in options.items():
         lines = [item for item in text.splitlines() if not item.startswith(name)]
         text = "\n".join([*lines, f"{name} = {value}"]) + "\n"
@@ -82,7 +82,7 @@
         context.planner.lease.step()
         context.planner.run_round()
         tree = read_current_tree(context)
-        engines = context.target_market.engines
+        engines = context.target_cluster.engines
         states = {name: item.engine.state for name, item in engines.items()}
         for _, name, pipeline in tree.pipelines():
             gap = first_uncovered_layer(held_ranges(states, pipeline), 12)
@@ -101,7 +101,7 @@
     other.lease.step()
     context.fence = other.lease.check().epoch
     assert context.fence == 2
-    for server in context.target_market.engines.values():
+    for server in context.target_cluster.engines.values():
         server.engine.highest_fence = context.fence
     write_options(context, "targets/low-1-spare", version="v2")
     context.planner.run_round()
@@ -109,7 +109,7 @@
 
 @then("targets that check fencing refuse the old fencing token")
 def check_fencing(context: Context) -> None:
-    engine = context.target_market.engines["low-1-spare"].engine
+    engine = context.target_cluster.engines["low-1-spare"].engine
     old = FencedOrder(1, OrderKind.LOAD, "small", "v2", (), 0, 6)
     assert not engine.apply_order(old)
     assert engine.state.version == "v1"
