Shut routers down in series in the soak

`--mix shutdowns` restarts all routers a quarter of a second apart, with SIGHUP and a second SIGTERM in their grace periods, which end with SIGKILL. Callers stay with their router, others send one request close to 3.0 s after SIGTERM. Drafts last up to 1.25 grace periods.

--- a/src/chervilstall/commands/measure.py
+++ b/src/chervilstall/commands/measure.py
@@ -20,7 +20,8 @@
 from chervilstall.measure.scale import run_scale
 from chervilstall.measure.throughput import run_throughput
 from chervilstall.measure.urgent import run_urgent
-from chervilstall.soak.run import run_soak
+from chervilstall.soak.fleet import GRACE_S
+from chervilstall.soak.run import FaultMix, SoakOptions, run_soak
 
 Seed = Annotated[int, cappa.Arg(long=True, help="Seed of all random choices.")]
 ShapeName = Annotated[str, cappa.Arg(long=True, help="parcels, seating or skewed.")]
@@ -108,6 +109,13 @@
         int, cappa.Arg(long=True, help="Seeds to run, starting at --seed.")
     ] = 1
     seconds: Annotated[float, cappa.Arg(long=True, help="Seconds with faults.")] = 20.0
+    mix: Annotated[
+        FaultMix, cappa.Arg(long=True, help="Faults: random, shutdowns or both.")
+    ] = FaultMix.RANDOM
+    routers: Annotated[int, cappa.Arg(long=True, help="Router processes.")] = 4
+    grace: Annotated[
+        float, cappa.Arg(long=True, help="Grace period of the routers in seconds.")
+    ] = GRACE_S
     keep: Annotated[
         Path | None, cappa.Arg(long=True, help="Folder for logs of failed seeds.")
     ] = None
@@ -169,9 +177,10 @@
     # started before the program exits on a signal.
     stop_exception = SystemExit(int(ExitCode.UNFINISHED))
     on_stop_signals(partial(gevent.kill, gevent.getcurrent(), stop_exception))
+    options = SoakOptions(soak.seconds, soak.mix, soak.routers, soak.grace)
     has_passed = True
     for seed in range(soak.seed, soak.seed + soak.seeds):
-        report = run_soak(seed, soak.seconds, soak.keep)
+        report = run_soak(seed, options, soak.keep)
         start.print_json(report)
         has_passed = has_passed and not report["breaches"]
     return ExitCode.DONE if has_passed else ExitCode.FAILED
--- a/src/chervilstall/soak/faults.py
+++ b/src/chervilstall/soak/faults.py
@@ -9,8 +9,10 @@
 
 import gevent
 
-from chervilstall.soak.fleet import RouterProcess, SoakFleet, SoakTarget
+from chervilstall.soak.fleet import RouterProcess, SoakFleet
 from chervilstall.soak.links import Direction, LinkProxy
+from chervilstall.soak.shutdowns import ShutdownInjector
+from chervilstall.soak.targets import SoakTarget
 from chervilstall.standin.platform_target import Behaviour
 
 INTERVAL_MAX_S = 0.8
@@ -67,10 +69,11 @@
 
 @dataclass
 class FaultInjector:
-    """Chooses and injects the faults of one run."""
+    """Chooses and injects the faults of one run; `shutdowns` records each shutdown."""
 
     fleet: SoakFleet
     rng: random.Random
+    shutdowns: ShutdownInjector
     faults: list[InjectedFault] = field(default_factory=list)
     _tasks: list[gevent.Greenlet] = field(default_factory=list)
 
@@ -140,8 +143,7 @@
         return router.name
 
     def _terminate_router(self, router: RouterProcess) -> str:
-        router.signal(signal.SIGTERM)
-        router.wait_for_exit()
+        self.shutdowns.shut_down(router, [])
         router.start()
         return router.name
 
--- a/src/chervilstall/soak/fleet.py
+++ b/src/chervilstall/soak/fleet.py
@@ -9,6 +9,7 @@
 import tempfile
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import gevent
 from gevent.lock import Semaphore
@@ -17,6 +18,7 @@
 from chervilstall.platform.protocol import NODE_FILE_VARIABLE, READY_PATH
 from chervilstall.settings.option import Address
 from chervilstall.soak.links import LinkProxy
+from chervilstall.soak.targets import LONG_DRAFT_PREFIX, PacedTarget, SoakTarget
 from chervilstall.standin.platform_fixtures import (
     LAYERS,
     build_configuration,
@@ -27,13 +29,15 @@
     write_target_entry,
 )
 from chervilstall.standin.platform_store import PlatformStoreServer
-from chervilstall.standin.platform_target import PlatformTarget
 
 ZONES = ("ba-hall", "za-hall")
+ROUTER_NAME_PREFIX = "vm-"
 CALLER_PORT = 8200
 GRACE_S = 4.0
 EXIT_TIMEOUT_S = 8.0
 READY_TIMEOUT_S = 1.0
+READY_POLL_S = 0.05
+LONG_DRAFT_TIMEOUT_MS = 60_000
 
 
 @dataclass
@@ -48,6 +52,7 @@
     host: str
     link: LinkProxy
     directory: Path
+    grace_s: float = GRACE_S
     process: subprocess.Popen[bytes] | None = None
     _start_lock: Semaphore = field(default_factory=Semaphore)
 
@@ -86,7 +91,7 @@
             self.zone,
             CALLER_PORT,
             str(self.link.address),
-            grace_s=GRACE_S,
+            grace_s=self.grace_s,
             retry_min_extra=retry_extra,
         )
         (self.directory / f"{self.name}.json").write_bytes(content)
@@ -114,32 +119,27 @@
         finally:
             connection.close()
 
-    def wait_for_exit(self) -> int | None:
-        """Wait for the process to exit; kill it after `EXIT_TIMEOUT_S`.
+    def wait_until_ready(self, timeout_s: float) -> None:
+        """Wait until the router is ready, or `timeout_s` at most."""
+        with gevent.Timeout(timeout_s, False):
+            while not self.is_ready():
+                gevent.sleep(READY_POLL_S)
+
+    def wait_for_exit(self, timeout_s: float = EXIT_TIMEOUT_S) -> int | None:
+        """Wait for the process to exit; kill it after `timeout_s`.
 
         Return its exit code, or None if it was killed here or never started.
         """
         if self.process is None:
             return None
         try:
-            return self.process.wait(EXIT_TIMEOUT_S)
+            return self.process.wait(timeout_s)
         except subprocess.TimeoutExpired:
             self.process.kill()
             self.process.wait()
             return None
 
 
-@dataclass
-class SoakTarget:
-    """A simulated target behind a link proxy."""
-
-    name: str
-    service: str
-    zone: str
-    server: PlatformTarget
-    link: LinkProxy
-
-
 @dataclass
 class SoakFleet:
     """Store, targets and routers of one soak run, all on loopback addresses.
@@ -150,6 +150,7 @@
 
     subnet: int
     rng: random.Random
+    grace_s: float = GRACE_S
     store: PlatformStoreServer = field(init=False)
     routers: list[RouterProcess] = field(default_factory=list)
     targets: list[SoakTarget] = field(default_factory=list)
@@ -162,11 +163,11 @@
         """Return the loopback address of this run with `number` as its last octet."""
         return f"127.{100 + self.subnet // 250}.{1 + self.subnet % 250}.{number}"
 
-    def start(self, routers_per_zone: int) -> None:
+    def start(self, router_count: int) -> None:
         """Start the store, targets and routers."""
         self.store = PlatformStoreServer(Address(self.host(1), 0))
         self.store.start()
-        write_configuration(self.store.state, build_configuration())
+        write_configuration(self.store.state, self._build_configuration())
         middle = LAYERS // 2
         for zone in ZONES:
             self._add_target(f"lookup-{zone}", "lookups", zone, NO_LAYERS)
@@ -174,16 +175,17 @@
                 first, last = LayerRange(0, middle), LayerRange(middle, LAYERS)
                 self._add_target(f"first-{replica}-{zone}", "drafts", zone, first)
                 self._add_target(f"last-{replica}-{zone}", "drafts", zone, last)
-        for number in range(routers_per_zone * len(ZONES)):
+        for number in range(router_count):
             zone = ZONES[number % len(ZONES)]
             link = LinkProxy(self.store.address, Address(self.host(2), 0))
             link.start()
             router = RouterProcess(
-                f"vm-{number + 1}",
+                f"{ROUTER_NAME_PREFIX}{number + 1}",
                 zone,
                 self.host(10 + number),
                 link,
                 Path(self._directory.name),
+                self.grace_s,
             )
             self.routers.append(router)
             router.start()
@@ -191,7 +193,7 @@
     def _add_target(
         self, name: str, service: str, zone: str, layers: LayerRange
     ) -> None:
-        server = PlatformTarget(name, Address(self.host(3), 0))
+        server = PacedTarget(name, Address(self.host(3), 0))
         server.layers = layers
         server.start()
         link = LinkProxy(server.address, Address(self.host(4), 0))
@@ -216,13 +218,20 @@
         """Remove a target's entry from the store."""
         remove_target_entry(self.store.state, target.name)
 
+    def _build_configuration(self) -> dict[str, Any]:
+        config = build_configuration(self.version)
+        timeout = {"timeout-ms": LONG_DRAFT_TIMEOUT_MS}
+        route = build_route(LONG_DRAFT_PREFIX, "streaming", "drafts", **timeout)
+        config["routes"].append(route)
+        return config
+
     def change_configuration(self) -> int:
         """Write the next configuration version and return its number.
 
         Each version has a route of its own, by which routers that apply it are found.
         """
         self.version += 1
-        config = build_configuration(self.version)
+        config = self._build_configuration()
         new_route = build_route(f"/v{self.version}/", "idempotent", "lookups")
         config["routes"].append(new_route)
         write_configuration(self.store.state, config)
@@ -234,7 +243,7 @@
         with gevent.Timeout(timeout_s, False):
             while not_ready:
                 not_ready = [router for router in not_ready if not router.is_ready()]
-                gevent.sleep(0.05)
+                gevent.sleep(READY_POLL_S)
         return [router.name for router in not_ready]
 
     def executions(self) -> list[tuple[str, str]]:
--- a/src/chervilstall/soak/invariants.py
+++ b/src/chervilstall/soak/invariants.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from chervilstall.soak.faults import InjectedFault, SoakFaultKind
+from chervilstall.soak.fleet import ROUTER_NAME_PREFIX
 from chervilstall.soak.load_generator import (
     PROBE_REQUEST_ID,
     RequestKind,
@@ -70,7 +71,7 @@
     found: list[tuple[str, str]] = []
     if sent.kind is RequestKind.NON_IDEMPOTENT:
         found += _check_executions(sent, targets)
-    if sent.kind is RequestKind.STREAM:
+    if sent.kind.is_stream:
         found += _check_stream(sent)
     elif sent.is_complete and sent.status == 200:
         if sent.body != f"answer to {sent.request_id}".encode():
@@ -119,12 +120,17 @@
     executions: list[tuple[str, str]],
     faults: list[InjectedFault],
 ) -> list[Violation]:
-    """Check that a router that shuts down completes the requests it has forwarded."""
+    """Check that a router that shuts down completes the requests it has forwarded.
+
+    Long streams may outlast a grace period; `check_shutdowns` has their bounds.
+    """
     executed_ids = {request_id for request_id, _ in executions}
     violations: list[Violation] = []
     for sent in requests:
         if sent.is_complete or sent.request_id not in executed_ids:
             continue
+        if sent.kind is RequestKind.LONG_STREAM:
+            continue
         if _is_excused(sent, faults):
             continue
         detail = f"sent to {sent.router}, status {sent.status}"
@@ -145,6 +151,20 @@
     return False
 
 
+def is_excused_for_router(sent: SentRequest, faults: list[InjectedFault]) -> bool:
+    """Return whether a disruptive fault of a target or of its router hit a request.
+
+    The name of a router's fault is that of the router, or "all".
+    """
+    own_faults = [
+        fault
+        for fault in faults
+        if not fault.component.startswith(ROUTER_NAME_PREFIX)
+        or fault.component == sent.router
+    ]
+    return _is_excused(sent, own_faults)
+
+
 def count_by_kind(faults: Iterable[InjectedFault]) -> dict[str, int]:
     """Return the number of injected faults by kind."""
     return dict(Counter(fault.kind.value for fault in faults))
--- a/src/chervilstall/soak/load_generator.py
+++ b/src/chervilstall/soak/load_generator.py
@@ -11,6 +11,7 @@
 
 from chervilstall.settings.option import Address
 from chervilstall.soak.fleet import RouterProcess
+from chervilstall.soak.targets import LONG_DRAFT_PREFIX
 from chervilstall.standin.platform_fixtures import build_request_headers
 
 REQUEST_TIMEOUT_S = 4.0
@@ -20,6 +21,9 @@
 """Id of requests that only check whether a route exists."""
 
 EVENTS_MAX = 60
+LONG_SPARE_MIN_S = 1.0
+"""Least time that callers allow for a long stream beyond its length."""
+
 EVENT_ID_PATTERN = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
 
@@ -29,6 +33,15 @@
     IDEMPOTENT = "/lookup/a"
     NON_IDEMPOTENT = "/hold/a"
     STREAM = "/draft/a"
+    LONG_STREAM = LONG_DRAFT_PREFIX + "a"
+
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the response is a stream of events."""
+        return self in (RequestKind.STREAM, RequestKind.LONG_STREAM)
+
+
+SHORT_KINDS = (RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT, RequestKind.STREAM)
 
 
 @dataclass
@@ -36,7 +49,8 @@
     """One request and the response that its caller received.
 
     `router` is the name of the router that it was sent to, `expected_events` the
-    number of events that a stream was asked for. `status` is 0 without a response.
+    number of events that a stream was asked for, `deadline_s` the time that the
+    caller allows for the response. `status` is 0 without a response.
     `is_complete` tells whether the whole response arrived according to its HTTP
     framing. Times are monotonic seconds; `ended_at_s` is set also when the request
     fails.
@@ -47,6 +61,7 @@
     router: str
     sent_at_s: float
     expected_events: int = 0
+    deadline_s: float = REQUEST_TIMEOUT_S
     status: int = 0
     body: bytes = b""
     is_complete: bool = False
@@ -62,14 +77,22 @@
 class LoadGenerator:
     """Concurrent callers that send requests until they are stopped.
 
-    Each caller reuses its connection until it fails, then connects to a random router.
+    Each caller reuses its connection until it fails, then connects to a random router
+    or, if `stays_with_router`, to the same one again. The requests are of the given
+    `kinds`; long streams have up to `long_events_max` events, one each
+    `event_interval_s`.
     """
 
     routers: list[RouterProcess]
     rng: random.Random
+    kinds: tuple[RequestKind, ...] = SHORT_KINDS
+    stays_with_router: bool = False
+    long_events_max: int = 0
+    event_interval_s: float = 0.0
     requests: list[SentRequest] = field(default_factory=list)
     is_stopping: bool = False
     _tasks: list[gevent.Greenlet] = field(default_factory=list)
+    _sequence: int = 0
 
     def start(self, count: int) -> None:
         """Start `count` callers."""
@@ -78,17 +101,18 @@
     def stop(self) -> None:
         """Stop all callers; each completes its current request first."""
         self.is_stopping = True
-        gevent.joinall(self._tasks, REQUEST_TIMEOUT_S + READ_TIMEOUT_S)
+        long_s = self.long_events_max * self.event_interval_s
+        gevent.joinall(self._tasks, REQUEST_TIMEOUT_S + READ_TIMEOUT_S + long_s)
 
     def _run_caller(self, caller: int) -> None:
-        sequence = 0
         while not self.is_stopping:
             router = self.rng.choice(self.routers)
-            connection = _new_connection(router.caller_address)
+            if self.stays_with_router:
+                router = self.routers[caller % len(self.routers)]
+            connection = new_connection(router.caller_address)
             try:
                 while not self.is_stopping:
-                    sequence += 1
-                    self._send(connection, router, f"c{caller}-{sequence}")
+                    self.send_random(connection, router)
                     gevent.sleep(PAUSE_S * self.rng.random())
             except (OSError, http.client.HTTPException):
                 # Connection errors are expected here. The invariants are checked
@@ -97,26 +121,43 @@
             finally:
                 connection.close()
 
-    def _send(
-        self,
-        connection: http.client.HTTPConnection,
-        router: RouterProcess,
-        request_id: str,
+    def send_random(
+        self, connection: http.client.HTTPConnection, router: RouterProcess
     ) -> None:
-        kind = self.rng.choice(list(RequestKind))
-        events = self.rng.randint(1, EVENTS_MAX) if kind is RequestKind.STREAM else 0
+        """Send a random request and record it with its response."""
+        kind = self.rng.choice(self.kinds)
+        events, deadline_s = self._draw_size(kind)
         if connection.sock is None:
             # If connecting fails, no request was sent, so none is recorded.
             connection.connect()
-        sent = SentRequest(request_id, kind, router.name, time.monotonic(), events)
+        self._sequence += 1
+        sent = SentRequest(
+            f"c{self._sequence}",
+            kind,
+            router.name,
+            time.monotonic(),
+            events,
+            deadline_s,
+        )
         self.requests.append(sent)
         exchange(connection, sent)
 
+    def _draw_size(self, kind: RequestKind) -> tuple[int, float]:
+        """Return the number of events and the deadline of a new request."""
+        match kind:
+            case RequestKind.STREAM:
+                return self.rng.randint(1, EVENTS_MAX), REQUEST_TIMEOUT_S
+            case RequestKind.LONG_STREAM:
+                events = self.rng.randint(1, self.long_events_max)
+                spare_s = self.rng.uniform(LONG_SPARE_MIN_S, REQUEST_TIMEOUT_S)
+                return events, events * self.event_interval_s + spare_s
+        return 0, REQUEST_TIMEOUT_S
+
 
 def exchange(connection: http.client.HTTPConnection, sent: SentRequest) -> None:
     """Send a request and store its response in `sent`."""
     headers = build_request_headers(
-        sent.request_id, REQUEST_TIMEOUT_S, Token_Count=f"100,{sent.expected_events}"
+        sent.request_id, sent.deadline_s, Token_Count=f"100,{sent.expected_events}"
     )
     try:
         connection.request("POST", sent.kind.value, headers=headers)
@@ -131,7 +172,8 @@
         sent.ended_at_s = time.monotonic()
 
 
-def _new_connection(address: Address) -> http.client.HTTPConnection:
+def new_connection(address: Address) -> http.client.HTTPConnection:
+    """Return a connection to a router that opens with its first use."""
     return http.client.HTTPConnection(
         address.host, address.port, timeout=READ_TIMEOUT_S
     )
@@ -139,7 +181,7 @@
 
 def probe_route(router: RouterProcess, path: str) -> int:
     """Return the status of a request for `path`, or 0 without a response."""
-    connection = _new_connection(router.caller_address)
+    connection = new_connection(router.caller_address)
     try:
         connection.request(
             "POST",
--- a/src/chervilstall/soak/run.py
+++ b/src/chervilstall/soak/run.py
@@ -5,24 +5,44 @@
 import shutil
 import time
 from collections import Counter
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
+from enum import Enum
 from pathlib import Path
 from typing import Any
 
 import gevent
 
 from chervilstall.soak.faults import FaultInjector
-from chervilstall.soak.fleet import SoakFleet
+from chervilstall.soak.fleet import GRACE_S, SoakFleet
 from chervilstall.soak.invariants import (
     Violation,
     check_responses,
     check_shutdown,
     count_by_kind,
 )
-from chervilstall.soak.load_generator import LoadGenerator, SentRequest, probe_route
+from chervilstall.soak.load_generator import (
+    LoadGenerator,
+    RequestKind,
+    SentRequest,
+    probe_route,
+)
+from chervilstall.soak.shutdown_invariants import check_shutdowns
+from chervilstall.soak.shutdowns import ShutdownInjector
+from chervilstall.soak.visitors import ShutdownVisitors
+
+CALLERS_PER_ROUTER = 3
+SHUTDOWN_KINDS = (
+    RequestKind.IDEMPOTENT,
+    RequestKind.NON_IDEMPOTENT,
+    RequestKind.LONG_STREAM,
+)
+LONG_STREAM_SHARE = 1.25
+"""Length of the longest long stream, as a share of the grace period."""
+
+EVENT_INTERVAL_S = 0.05
+ANSWER_MAX_S = 0.3
+"""Longest time for a lookup or hold, less than the end of a grace period leaves it."""
 
-ROUTERS_PER_ZONE = 2
-CALLER_COUNT = 12
 START_TIMEOUT_S = 30.0
 RECOVERY_TIMEOUT_S = 12.0
 CONFIGURATION_APPLY_S = 4.0
@@ -32,23 +52,52 @@
 SUBNET_COUNT = 10_000
 
 
+class FaultMix(Enum):
+    """Which faults a run injects; the values are those of the command line."""
+
+    RANDOM = "random"
+    SHUTDOWNS = "shutdowns"
+    BOTH = "both"
+
+
+@dataclass(frozen=True)
+class SoakOptions:
+    """What one run of the soak test injects, and on how many routers.
+
+    `duration_s` is how long faults are injected. Shutdowns in series come with long
+    streams, slow answers, and callers that stay with their router.
+    """
+
+    duration_s: float
+    mix: FaultMix = FaultMix.RANDOM
+    routers: int = 4
+    grace_s: float = GRACE_S
+
+    @property
+    def has_series(self) -> bool:
+        """Return whether routers are shut down in series."""
+        return self.mix is not FaultMix.RANDOM
+
+
 def run_soak(
-    seed: int, duration_s: float, log_directory: Path | None = None
+    seed: int, options: SoakOptions, log_directory: Path | None = None
 ) -> dict[str, Any]:
     """Run the soak test with a seed; return its figures and every violation.
 
-    `duration_s` is how long faults are injected. If an invariant was violated, the
-    routers' logs are copied to a subdirectory of `log_directory`.
+    If an invariant was violated, the routers' logs are copied to a subdirectory of
+    `log_directory`.
     """
     rng = random.Random(seed)
-    fleet = SoakFleet((os.getpid() + seed) % SUBNET_COUNT, rng)
+    subnet = (os.getpid() + seed) % SUBNET_COUNT
+    fleet = SoakFleet(subnet, rng, options.grace_s)
     try:
-        fleet.start(ROUTERS_PER_ZONE)
+        fleet.start(options.routers)
         not_ready = fleet.wait_until_ready(START_TIMEOUT_S)
-        load = LoadGenerator(fleet.routers, rng)
-        load.start(CALLER_COUNT)
-        injector = FaultInjector(fleet, rng)
-        injector.run(duration_s)
+        load = _build_load(fleet, options)
+        load.start(CALLERS_PER_ROUTER * options.routers)
+        shutdowns = ShutdownInjector(rng)
+        injector = FaultInjector(fleet, rng, shutdowns)
+        _inject(injector, load, options)
         faults_ended_at_s = time.monotonic()
         violations = [Violation("every router starts", "", name) for name in not_ready]
         violations += _check_recovery(fleet, load, faults_ended_at_s)
@@ -56,20 +105,58 @@
         executions = fleet.executions()
         violations += check_responses(load.requests, executions)
         violations += check_shutdown(load.requests, executions, injector.faults)
+        violations += check_shutdowns(
+            load.requests, executions, shutdowns.shutdowns, injector.faults
+        )
         if violations and log_directory is not None:
             _copy_logs(fleet, log_directory / f"seed-{seed}")
     finally:
         fleet.stop()
     return {
         "seed": seed,
-        "seconds": duration_s,
+        "seconds": options.duration_s,
+        "mix": options.mix.value,
+        "routers": options.routers,
+        "grace_s": options.grace_s,
         "requests": len(load.requests),
         "outcomes": _count_outcomes(load.requests),
         "faults": count_by_kind(injector.faults),
+        "shutdowns": len(shutdowns.shutdowns),
         "breaches": [asdict(violation) for violation in violations],
     }
 
 
+def _build_load(fleet: SoakFleet, options: SoakOptions) -> LoadGenerator:
+    load = LoadGenerator(fleet.routers, fleet.rng)
+    if options.has_series:
+        load.kinds = SHUTDOWN_KINDS
+        load.stays_with_router = True
+        load.event_interval_s = EVENT_INTERVAL_S
+        length_s = options.grace_s * LONG_STREAM_SHARE
+        load.long_events_max = int(length_s / EVENT_INTERVAL_S)
+        for target in fleet.targets:
+            target.server.event_interval_s = EVENT_INTERVAL_S
+            target.server.answer_max_s = ANSWER_MAX_S
+    return load
+
+
+def _inject(injector: FaultInjector, load: LoadGenerator, options: SoakOptions) -> None:
+    """Inject the faults of a run and wait until all have ended."""
+    fleet, shutdowns = injector.fleet, injector.shutdowns
+    tasks = []
+    if options.mix is not FaultMix.SHUTDOWNS:
+        tasks.append(gevent.spawn(injector.run, options.duration_s))
+    visitors = ShutdownVisitors(load, fleet.rng)
+    if options.has_series:
+        shutdowns.on_shutdown = visitors.visit
+        tasks.append(
+            gevent.spawn(shutdowns.run_series, fleet.routers, options.duration_s)
+        )
+    for task in gevent.joinall(tasks):
+        task.get()
+    visitors.join(options.grace_s * LONG_STREAM_SHARE)
+
+
 def _check_recovery(
     fleet: SoakFleet, load: LoadGenerator, faults_ended_at_s: float
 ) -> list[Violation]:
--- /dev/null
+++ b/src/chervilstall/soak/targets.py
@@ -0,0 +1,59 @@
+"""Targets of the soak test, whose long drafts and answers take a settable time."""
+
+import random
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+import gevent
+
+from chervilstall.settings.option import Address
+from chervilstall.soak.links import LinkProxy
+from chervilstall.standin.platform_target import PlatformTarget
+from chervilstall.wsgi import Environ, StartResponse
+
+LONG_DRAFT_PREFIX = "/long/"
+PLAIN_PREFIXES = ("/lookup/", "/hold/")
+
+
+class PacedTarget(PlatformTarget):
+    """A stand-in that takes its time for long drafts, lookups and holds.
+
+    `event_interval_s` is the time between two events of a long draft. Answers to
+    lookups and holds take a random time of up to `answer_max_s`, which begins once
+    the request has been recorded as executed.
+    """
+
+    def __init__(self, name: str, address: Address) -> None:
+        super().__init__(name, address)
+        self.event_interval_s = 0.0
+        self.answer_max_s = 0.0
+        self._rng = random.Random(name)
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        chunks = super().__call__(environ, start_response)
+        path = environ["PATH_INFO"]
+        if path.startswith(LONG_DRAFT_PREFIX):
+            return _delay_chunks(chunks, self.event_interval_s)
+        if path.startswith(PLAIN_PREFIXES) and self.answer_max_s:
+            return _delay_chunks(chunks, self._rng.uniform(0.0, self.answer_max_s))
+        return chunks
+
+
+def _delay_chunks(chunks: Iterable[bytes], delay_s: float) -> Iterator[bytes]:
+    for chunk in chunks:
+        gevent.sleep(delay_s)
+        yield chunk
+
+
+@dataclass
+class SoakTarget:
+    """A simulated target behind a link proxy."""
+
+    name: str
+    service: str
+    zone: str
+    server: PacedTarget
+    link: LinkProxy
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -14,7 +14,7 @@
 from chervilstall.soak.invariants import check_responses, check_shutdown
 from chervilstall.soak.links import LinkProxy
 from chervilstall.soak.load_generator import RequestKind, SentRequest
-from chervilstall.soak.run import run_soak
+from chervilstall.soak.run import SoakOptions, run_soak
 from tests.support.router_harness import ANY_PORT, HOST
 
 EXPECTED_EVENTS = 3
@@ -117,7 +117,7 @@
 
 @when("the soak test runs with seed {seed:d} for {duration_s:d} seconds")
 def run_seed(context: Context, seed: int, duration_s: int) -> None:
-    context.report = run_soak(seed, duration_s)
+    context.report = run_soak(seed, SoakOptions(duration_s))
 
 
 @then("it sent requests, injected faults and found no violation")
