Send the soak's requests also in the last sixth of a grace period

Callers saw lookups and holds cut 7.4 s after SIGTERM of 8 s of grace, though a target ran them: their connections were opened before the listener closed, and their first request was taken until draining ended. The soak sent few requests so late.

A third of the visitors of a shutdown sends in the last sixth of the grace period; `--callers` sets the callers per router; the kept logs have a record of what callers saw.

--- a/src/chervilstall/commands/measure.py
+++ b/src/chervilstall/commands/measure.py
@@ -113,6 +113,7 @@
         FaultMix, cappa.Arg(long=True, help="Faults: random, shutdowns or both.")
     ] = FaultMix.RANDOM
     routers: Annotated[int, cappa.Arg(long=True, help="Router processes.")] = 4
+    callers: Annotated[int, cappa.Arg(long=True, help="Callers per router.")] = 3
     grace: Annotated[
         float, cappa.Arg(long=True, help="Grace period of the routers in seconds.")
     ] = GRACE_S
@@ -177,7 +178,9 @@
     # started before the program exits on a signal.
     stop_exception = SystemExit(int(ExitCode.UNFINISHED))
     on_stop_signals(partial(gevent.kill, gevent.getcurrent(), stop_exception))
-    options = SoakOptions(soak.seconds, soak.mix, soak.routers, soak.grace)
+    options = SoakOptions(
+        soak.seconds, soak.mix, soak.routers, soak.callers, soak.grace
+    )
     has_passed = True
     for seed in range(soak.seed, soak.seed + soak.seeds):
         report = run_soak(seed, options, soak.keep)
--- a/src/chervilstall/soak/load_generator.py
+++ b/src/chervilstall/soak/load_generator.py
@@ -95,8 +95,8 @@
     _sequence: int = 0
 
     def start(self, count: int) -> None:
-        """Start `count` callers."""
-        self._tasks = [gevent.spawn(self._run_caller, index) for index in range(count)]
+        """Start `count` more callers."""
+        self._tasks += [gevent.spawn(self._run_caller, index) for index in range(count)]
 
     def stop(self) -> None:
         """Stop all callers; each completes its current request first."""
--- a/src/chervilstall/soak/run.py
+++ b/src/chervilstall/soak/run.py
@@ -21,6 +21,7 @@
     count_by_kind,
 )
 from chervilstall.soak.load_generator import (
+    SHORT_KINDS,
     LoadGenerator,
     RequestKind,
     SentRequest,
@@ -30,7 +31,7 @@
 from chervilstall.soak.shutdowns import ShutdownInjector
 from chervilstall.soak.visitors import ShutdownVisitors
 
-CALLERS_PER_ROUTER = 3
+RECOVERY_CALLER_COUNT = 8
 SHUTDOWN_KINDS = (
     RequestKind.IDEMPOTENT,
     RequestKind.NON_IDEMPOTENT,
@@ -39,7 +40,7 @@
 LONG_STREAM_SHARE = 1.25
 """Length of the longest long stream, as a share of the grace period."""
 
-EVENT_INTERVAL_S = 0.05
+EVENT_INTERVAL_S = 0.1
 ANSWER_MAX_S = 0.3
 """Longest time for a lookup or hold, less than the end of a grace period leaves it."""
 
@@ -71,6 +72,7 @@
     duration_s: float
     mix: FaultMix = FaultMix.RANDOM
     routers: int = 4
+    callers_per_router: int = 3
     grace_s: float = GRACE_S
 
     @property
@@ -94,7 +96,7 @@
         fleet.start(options.routers)
         not_ready = fleet.wait_until_ready(START_TIMEOUT_S)
         load = _build_load(fleet, options)
-        load.start(CALLERS_PER_ROUTER * options.routers)
+        load.start(options.callers_per_router * options.routers)
         shutdowns = ShutdownInjector(rng)
         injector = FaultInjector(fleet, rng, shutdowns)
         _inject(injector, load, options)
@@ -109,7 +111,9 @@
             load.requests, executions, shutdowns.shutdowns, injector.faults
         )
         if violations and log_directory is not None:
-            _copy_logs(fleet, log_directory / f"seed-{seed}")
+            directory = log_directory / f"seed-{seed}"
+            _copy_logs(fleet, directory)
+            _write_record(load, shutdowns, injector, directory)
     finally:
         fleet.stop()
     return {
@@ -178,6 +182,9 @@
                 found.append(
                     Violation("every router applies the last configuration", "", detail)
                 )
+    # Callers may all wait for long streams, so others join them.
+    load.kinds = SHORT_KINDS
+    load.start(RECOVERY_CALLER_COUNT)
     started_at_s = time.monotonic()
     gevent.sleep(RECOVERY_TIMEOUT_S / 4.0)
     recent = [
@@ -202,6 +209,17 @@
     return dict(sorted(counts.items()))
 
 
+def _write_record(
+    load: LoadGenerator,
+    shutdowns: ShutdownInjector,
+    injector: FaultInjector,
+    directory: Path,
+) -> None:
+    """Write what callers saw, each shutdown and each fault, one a line."""
+    records = [*load.requests, *shutdowns.shutdowns, *injector.faults]
+    (directory / "record.txt").write_text("\n".join(map(repr, records)))
+
+
 def _copy_logs(fleet: SoakFleet, directory: Path) -> None:
     shutil.rmtree(directory, ignore_errors=True)
     directory.mkdir(parents=True)
--- a/src/chervilstall/soak/visitors.py
+++ b/src/chervilstall/soak/visitors.py
@@ -9,12 +9,11 @@
 
 from chervilstall.soak.fleet import RouterProcess
 from chervilstall.soak.load_generator import LoadGenerator, new_connection
-from chervilstall.soak.shutdown_invariants import LATE_REQUEST_S
+from chervilstall.soak.shutdown_invariants import LATE_REQUEST_S, STREAM_CUT_SHARE
 from chervilstall.soak.shutdowns import Shutdown
 
-VISITORS_PER_SHUTDOWN = 16
+VISITORS_PER_SHUTDOWN = 24
 EARLY_CONNECTION_SHARE = 0.5
-CLOSE_MOMENT_SHARE = 0.5
 LEAD_S = 0.1
 LAG_S = 0.2
 
@@ -23,9 +22,9 @@
 class ShutdownVisitors:
     """Sends requests to routers that shut down.
 
-    Half of the requests are sent close to the moment from which on none may be cut
-    any more, the others at any moment of the grace period. Half of the connections
-    are opened some time before the request.
+    A third of the requests is sent close to the moment from which on none may be cut
+    any more, a third in the last sixth of the grace period, and the rest at any moment
+    of it. Half of the connections are opened some time before the request.
     """
 
     load: LoadGenerator
@@ -42,9 +41,9 @@
         gevent.joinall(self._tasks, timeout_s)
 
     def _draw_moment_s(self, grace_s: float) -> float:
-        if self.rng.random() < CLOSE_MOMENT_SHARE:
-            return LATE_REQUEST_S + self.rng.uniform(-LEAD_S, LAG_S)
-        return self.rng.uniform(0.0, grace_s)
+        close_s = LATE_REQUEST_S + self.rng.uniform(-LEAD_S, LAG_S)
+        end_s = self.rng.uniform(STREAM_CUT_SHARE * grace_s, grace_s)
+        return self.rng.choice((close_s, end_s, self.rng.uniform(0.0, grace_s)))
 
     def _visit_once(self, router: RouterProcess, shutdown: Shutdown) -> None:
         send_s = connect_s = self._draw_moment_s(shutdown.grace_s)
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -14,14 +14,19 @@
 from chervilstall.soak.invariants import check_responses, check_shutdown
 from chervilstall.soak.links import LinkProxy
 from chervilstall.soak.load_generator import RequestKind, SentRequest
-from chervilstall.soak.run import SoakOptions, run_soak
+from chervilstall.soak.run import FaultMix, SoakOptions, run_soak
+from chervilstall.soak.shutdown_invariants import check_shutdowns
+from chervilstall.soak.shutdowns import Shutdown
 from tests.support.router_harness import ANY_PORT, HOST
 
 EXPECTED_EVENTS = 3
+SIGTERM_AT_S = 100.0
+SHUTDOWN_SECONDS = 4.0
 REQUEST_KINDS = {
     "idempotent": RequestKind.IDEMPOTENT,
     "non_idempotent": RequestKind.NON_IDEMPOTENT,
     "stream": RequestKind.STREAM,
+    "long_stream": RequestKind.LONG_STREAM,
 }
 
 
@@ -125,3 +130,74 @@
     assert context.report["requests"] > 0, context.report
     assert context.report["faults"], context.report
     assert context.report["breaches"] == [], context.report
+
+
+@given("a router with a grace period of {grace_s:g} s that got SIGTERM")
+def record_shutdown(context: Context, grace_s: float) -> None:
+    ended_at_s = SIGTERM_AT_S + grace_s
+    context.shutdowns = [Shutdown("vm-1", SIGTERM_AT_S, grace_s, ended_at_s)]
+    context.faults = []
+
+
+@given(
+    "a request of kind {kind} sent to it at {sent_s:g} s, executed {count:d} times, "
+    "that ended at {ended_s:g} s with response {response}"
+)
+def record_request_in_shutdown(
+    context: Context,
+    kind: str,
+    sent_s: float,
+    count: int,
+    ended_s: float,
+    response: str,
+) -> None:
+    sent_at_s = SIGTERM_AT_S + sent_s
+    sent = SentRequest("r1", REQUEST_KINDS[kind], "vm-1", sent_at_s)
+    sent.status = {"cut": 200, "none": 0}.get(response, 0)
+    if response.isdigit():
+        sent.status = int(response)
+    sent.is_complete = response.isdigit()
+    sent.ended_at_s = SIGTERM_AT_S + ended_s
+    context.requests = [sent]
+    context.executions = [("r1", f"t{number}") for number in range(count)]
+
+
+@given('a fault "{fault}" of "{component}" at {started_s:g} s')
+def record_fault(
+    context: Context, fault: str, component: str, started_s: float
+) -> None:
+    started_at_s = SIGTERM_AT_S + started_s
+    kind = SoakFaultKind(fault)
+    context.faults.append(
+        InjectedFault(kind, component, started_at_s, started_at_s + 0.1)
+    )
+
+
+@when("the series of shutdowns is checked")
+def run_series_check(context: Context) -> None:
+    context.violations = check_shutdowns(
+        context.requests, context.executions, context.shutdowns, context.faults
+    )
+
+
+@when(
+    "the soak test shuts routers down with seed {seed:d}, {callers:d} callers per "
+    "router and a grace period of {grace_s:g} s"
+)
+def run_shutdown_seed(
+    context: Context, seed: int, callers: int, grace_s: float
+) -> None:
+    options = SoakOptions(
+        SHUTDOWN_SECONDS,
+        FaultMix.SHUTDOWNS,
+        callers_per_router=callers,
+        grace_s=grace_s,
+    )
+    context.report = run_soak(seed, options)
+
+
+@then("it shut routers down and found no violation")
+def check_shutdown_report(context: Context) -> None:
+    assert context.report["requests"] > 0, context.report
+    assert context.report["shutdowns"] > 0, context.report
+    assert context.report["breaches"] == [], context.report
