Let the soak's routers wait for slow targets in series of shutdowns

With twenty routers beside other work, routers gave up lookups after the 300 ms of their routes, which is as long as the soak's targets may take: 502 for four lookups. The lag is measured from the moment at which all routers are ready.

--- a/src/chervilstall/soak/run.py
+++ b/src/chervilstall/soak/run.py
@@ -106,12 +106,13 @@
     """
     rng = random.Random(seed)
     subnet = (os.getpid() + seed) % SUBNET_COUNT
-    fleet = SoakFleet(subnet, rng, options.grace_s)
+    fleet = SoakFleet(subnet, rng, options.grace_s, options.has_series)
     lag = LagMonitor()
-    lag_task = gevent.spawn(lag.run)
+    lag_task = gevent.Greenlet(lag.run)
     try:
         fleet.start(options.routers)
         not_ready = fleet.wait_until_ready(START_TIMEOUT_S)
+        lag_task.start()
         load = _build_load(fleet, options)
         load.start(options.callers_per_router * options.routers)
         shutdowns = ShutdownInjector(rng)
