Draw the latency objective of a run with shutdowns

A router may judge by the objective whether a lookup still fits into its shutdown. With 1,500 ms for answers of up to 300 ms it would refuse what could just be served, and the end of a grace period would go untested; so each seed draws 300 or 1,500 ms.

--- a/src/chervilstall/soak/fleet.py
+++ b/src/chervilstall/soak/fleet.py
@@ -38,8 +38,7 @@
 READY_TIMEOUT_S = 1.0
 READY_POLL_S = 0.05
 LONG_DRAFT_TIMEOUT_MS = 60_000
-PATIENCE_MS = 1500
-"""Time that routers give slow targets, well above the time that these take."""
+LONG_GAP_MS = 1500
 
 
 @dataclass
@@ -147,13 +146,13 @@
     """Store, targets and routers of one soak run, all on loopback addresses.
 
     `subnet` selects the second and third octet of the addresses, so that concurrent
-    runs don't share addresses. With `has_slow_answers` routers wait longer for targets.
+    runs don't share addresses. `latency_objective_ms` is that of all routes, if any.
     """
 
     subnet: int
     rng: random.Random
     grace_s: float = GRACE_S
-    has_slow_answers: bool = False
+    latency_objective_ms: int | None = None
     store: PlatformStoreServer = field(init=False)
     routers: list[RouterProcess] = field(default_factory=list)
     targets: list[SoakTarget] = field(default_factory=list)
@@ -223,12 +222,12 @@
 
     def _build_configuration(self) -> dict[str, Any]:
         config = build_configuration(self.version)
-        limits = {"timeout-ms": LONG_DRAFT_TIMEOUT_MS, "gap-target-ms": PATIENCE_MS}
+        limits = {"timeout-ms": LONG_DRAFT_TIMEOUT_MS, "gap-target-ms": LONG_GAP_MS}
         route = build_route(LONG_DRAFT_PREFIX, "streaming", "drafts", **limits)
         config["routes"].append(route)
-        if self.has_slow_answers:
+        if self.latency_objective_ms is not None:
             for route in config["routes"]:
-                route["target-latency-ms"] = PATIENCE_MS
+                route["target-latency-ms"] = self.latency_objective_ms
         return config
 
     def change_configuration(self) -> int:
--- a/src/chervilstall/soak/run.py
+++ b/src/chervilstall/soak/run.py
@@ -40,6 +40,9 @@
 LONG_STREAM_SHARE = 1.25
 """Length of the longest long stream, as a share of the grace period."""
 
+LATENCY_OBJECTIVES_MS = (300, 1500)
+"""Objectives that targets just reach, or reach easily."""
+
 EVENT_INTERVAL_S = 0.1
 ANSWER_MAX_S = 0.3
 """Longest time for a lookup or hold, less than the end of a grace period leaves it."""
@@ -106,7 +109,8 @@
     """
     rng = random.Random(seed)
     subnet = (os.getpid() + seed) % SUBNET_COUNT
-    fleet = SoakFleet(subnet, rng, options.grace_s, options.has_series)
+    objective_ms = rng.choice(LATENCY_OBJECTIVES_MS) if options.has_series else None
+    fleet = SoakFleet(subnet, rng, options.grace_s, objective_ms)
     lag = LagMonitor()
     lag_task = gevent.Greenlet(lag.run)
     try:
@@ -141,6 +145,7 @@
         "mix": options.mix.value,
         "routers": options.routers,
         "grace_s": options.grace_s,
+        "latency_objective_ms": objective_ms,
         "requests": len(load.requests),
         "outcomes": _count_outcomes(load.requests),
         "faults": count_by_kind(injector.faults),
