--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -23,15 +23,16 @@
     ExchangeFailure,
 )
 from chervilstall.edge.live_stream import LiveStream
+from chervilstall.edge.prompt_guard import PromptGuard
 from chervilstall.edge.rate_limits import AT_LIMIT, TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.stream_monitor import StreamMonitor
+from chervilstall.edge.stream_paths import StreamPaths
 from chervilstall.edge.target_notices import TargetNotices
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.view import FleetView
-from chervilstall.ids import TargetId
-from chervilstall.paths.choice import PathChooser, PathRequest
+from chervilstall.paths.choice import PathChooser
 from chervilstall.paths.records import Path
 from chervilstall.platform.headers import ForwardFields, ResponseHead
 from chervilstall.telemetry.events import EventLog
@@ -49,7 +50,6 @@
 """Range over which Retry-After is spread, so that callers do not return together."""
 
 RESUME_RETRY_S = 0.1
-
 RETRY_WAIT_SHARE = 0.3
 """Share of the caller's remaining time that it may be told to wait."""
 
@@ -68,6 +68,7 @@
     stream_monitor: StreamMonitor
     rate_limiter: TargetRateLimiter
     notices: TargetNotices
+    prompt_guard: PromptGuard
 
 
 class StreamRelay:
@@ -77,18 +78,19 @@
     not stream; it raises ChervilstallError. For a stream, iterate `events` once; it
     raises StreamBroken. Call `close` in any case.
 
-    `attempts` counts the first targets that may have run the request. `_avoided` are
-    first targets whose exchange failed, `_refusing` targets that refused the request.
+    `paths` chooses the path of each attempt, and `attempts` counts the first targets
+    that may have run the request.
     """
 
     def __init__(self, context: StreamContext, request: EdgeRequest) -> None:
         self.context = context
         self.request = request
         self.attempts = AttemptLimit(context.fleet_view, request.route.attempts_max)
+        self.paths = StreamPaths(
+            context.chooser, context.rate_limiter, request, self.attempts
+        )
         self.head: ResponseHead | None = None
         self.last_event_number = parse_event_number(request.fields.last_event_id)
-        self._avoided: set[TargetId] = set()
-        self._refusing: set[TargetId] = set()
         self._may_have_run = False
         self._forwarded_at_s = time.monotonic()
         self._last_failure = "no path covers the model"
@@ -110,7 +112,7 @@
         try:
             head = self._send(path)
             if head.status == 200 and head.is_stream and head.is_signed:
-                self._pending_event = self._read_event()
+                self._pending_event = self._read_first_event()
                 self.context.stream_monitor.record_first_event(path.first)
                 self.head = head
                 return head
@@ -120,6 +122,13 @@
             self._record_failure(path, error)
             return None
 
+    def _read_first_event(self) -> bytes:
+        event = self._read_event()
+        if event is None:
+            # A response without a length may end with its target.
+            raise ExchangeFailed(ExchangeFailure.CLOSED, was_sent=True)
+        return event
+
     def _next_path(self) -> Path:
         """Return the next send's path. Raises ChervilstallError if there is none."""
         request = self.request
@@ -131,7 +140,8 @@
             raise self._error(self._last_failure)
         if request.sends >= SENDS_MAX:
             raise self._error(self._last_failure)
-        path = self._choose_path()
+        self.context.prompt_guard.check(request, self._may_have_run)
+        path = self.paths.choose()
         if path is None:
             raise self._error(self._no_path_reason())
         if request.sends and not self._take_retry():
@@ -155,41 +165,6 @@
             return True
         return budget.try_spend(request.service.name, is_resume=self.head is not None)
 
-    def _choose_path(self) -> Path | None:
-        """Return a path without refusing targets, and without failed ones if possible.
-
-        At the attempt limit only targets that were tried may come first.
-        """
-        for avoid in (self._avoided | self._refusing, self._refusing):
-            if not self.attempts.is_reached:
-                path = self._path_without(avoid)
-            else:
-                path = self._path_from_tried(avoid)
-            if path is not None:
-                return path
-        return None
-
-    def _path_from_tried(self, avoid: set[TargetId]) -> Path | None:
-        for first in sorted(self.attempts.counted):
-            if first in avoid:
-                continue
-            path = self._path_without(avoid, first)
-            if path is not None:
-                return path
-        return None
-
-    def _path_without(
-        self, avoid: set[TargetId], first: TargetId | None = None
-    ) -> Path | None:
-        request = self.request
-        path_request = PathRequest(
-            request.expected_tokens,
-            frozenset(avoid),
-            first,
-            self.context.rate_limiter.exhausted_targets(),
-        )
-        return self.context.chooser.choose(request.service, path_request)
-
     def _send(self, path: Path) -> ResponseHead:
         request = self.request
         last_event = ""
@@ -255,7 +230,7 @@
             target=faulty.id,
             status=head.status,
         )
-        self._refusing.add(faulty.id)
+        self.paths.refusing.add(faulty.id)
         self.context.chooser.load.note_full(faulty.incarnation, FULL_S)
         self.context.stream_monitor.check_refusal(faulty)
 
@@ -273,6 +248,7 @@
             self.attempts.record(path.first)
         if error.failure is ExchangeFailure.CALLER_LEFT:
             return
+        self.context.prompt_guard.record_failure(self.request, path.first, error)
         log.warning(
             "send failed",
             request=self.request.request_id,
@@ -284,7 +260,7 @@
         if error.failure is ExchangeFailure.NO_CONNECTION:
             self.context.fleet_view.suspect(path.first, error.failure.value)
         if error.failure is not ExchangeFailure.TIMEOUT:
-            self._avoided.add(path.first.id)
+            self.paths.avoided.add(path.first.id)
 
     def _error(self, reason: str) -> ChervilstallError:
         if not self._may_have_run:
@@ -330,11 +306,13 @@
                 if self.request.events_forwarded:
                     self.request.record_gap(now_s - self._forwarded_at_s)
                 self.request.events_forwarded += 1
+                self.context.prompt_guard.record_event(self.request)
                 self._forwarded_at_s = now_s
                 yield event
             event = self._read_event()
         if self._exchange is not None and self._exchange.abort_reason is not None:
             raise ExchangeFailed(self._exchange.abort_reason, was_sent=True)
+        self.context.prompt_guard.record_end(self.request)
 
     def _read_event(self) -> bytes | None:
         assert self._exchange is not None and self._stream is not None
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -5,20 +5,21 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any
+from typing import Any, NoReturn
 
 import gevent
 import msgspec
 
 from chervilstall.fleet.records import NO_LAYERS, LayerRange
 from chervilstall.settings.option import Address
+from chervilstall.standin.crashes import ResettableServer, shared_parts
+from chervilstall.standin.unframed import end_answer, send_head
 from chervilstall.wsgi import (
     HEADERS_KEY,
     REQUEST_TARGET_KEY,
     SOCKET_KEY,
     Environ,
     HttpResponse,
-    Server,
     StartResponse,
     json_response,
     read_body,
@@ -48,6 +49,17 @@
     BREAK_STREAM = "break the stream"
     STALL_STREAM = "stall the stream"
     PAUSE_STREAM = "pause the stream"
+    UNFRAMED = "answer without a length"
+    UNFRAMED_CLOSE = "close an answer without a length"
+    UNFRAMED_RESET = "reset an answer without a length"
+    UNFRAMED_CUT = "close an answer without a length inside an event"
+    UNFRAMED_CRASH = "crash inside an event of an answer without a length"
+    UNFRAMED_PAUSE = "pause in an answer without a length"
+
+
+UNFRAMED_BEHAVIOURS = frozenset(
+    {each for each in Behaviour if each.name.startswith("UNFRAMED")}
+)
 
 
 @dataclass(frozen=True)
@@ -70,24 +82,30 @@
     """What a stand-in ran and was ordered to do.
 
     `cancelled_streams` counts the streams that were closed before their last event.
-    `refused_at_s` holds the monotonic times at which requests were refused.
+    `refused_at_s` holds the monotonic times at which requests were refused, and
+    `crashed_at_s` those of its crashes.
     """
 
     runs: list[Run] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     cancelled_streams: int = 0
     refused_at_s: list[float] = field(default_factory=list)
+    crashed_at_s: list[float] = field(default_factory=list)
 
 
 class PlatformTarget:
     """One target of the platform, served over HTTP.
 
     `events_before_fault` is the number of events after which a stream breaks, stalls or
-    pauses, and `pause_s` the length of that pause. While `stalled_on` holds an address,
+    pauses, and `pause_s` the length of that pause. Without `streams` an answer without
+    a length is never a stream. While `stalled_on` holds an address,
     the load report lists every request as stalled on it. While `is_silent`, requests of
     any kind get no answer. `limit_per_s` is the limit that it names in its answers to
     requests, if any. With `announces_leaving` these answers also say that it leaves.
-    `retry_after_s` is named in refusals.
+    `retry_after_s` is named in refusals. The first event of a stream comes
+    `first_event_s` after its request. A request that names one of `deadly_parts`
+    crashes the target instead, which listens again at the same address `restart_s`
+    later.
     """
 
     def __init__(self, name: str, address: Address) -> None:
@@ -97,6 +115,7 @@
         self.layers = NO_LAYERS
         self.orders_begun = 0
         self.events_before_fault = 3
+        self.streams = True
         self.pause_s = 0.0
         self.stalled_on: str = ""
         self.queued = 0
@@ -105,7 +124,11 @@
         self.limit_per_s: float | None = None
         self.announces_leaving = False
         self.retry_after_s: float | None = None
-        self.server = Server(address, self)
+        self.first_event_s = EVENT_INTERVAL_S
+        self.deadly_parts: frozenset[str] = frozenset()
+        self.restart_s = 3.2
+        self._restart: gevent.Greenlet | None = None
+        self.server = ResettableServer(address, self)
 
     @property
     def address(self) -> Address:
@@ -118,8 +141,23 @@
 
     def stop(self) -> None:
         """Stop listening and close every connection."""
+        if self._restart is not None:
+            self._restart.kill(block=False)
         self.server.kill_connections()
 
+    def _crash(self) -> None:
+        """Reset every connection and stop listening until the restart."""
+        if self.server.closed:
+            return
+        self.log.crashed_at_s.append(time.monotonic())
+        address = self.address
+        self.server.reset_connections()
+        self._restart = gevent.spawn_later(self.restart_s, self._listen_again, address)
+
+    def _listen_again(self, address: Address) -> None:
+        self.server = ResettableServer(address, self)
+        self.server.start()
+
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
@@ -191,6 +229,8 @@
         self.log.runs.append(run)
         if self.behaviour in (Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY):
             self._send_without_end(run, environ[SOCKET_KEY])
+        if self.behaviour in UNFRAMED_BEHAVIOURS:
+            self._send_unframed(run, environ[SOCKET_KEY])
         if "hop-count" in headers:
             yield from self._stream_events(run, environ, start_response)
             return
@@ -210,6 +250,53 @@
             # Raises once the caller has closed.
             connection.sendall(ENDLESS_CHUNK)
 
+    def _send_unframed(self, run: Run, connection: Any) -> NoReturn:
+        fields = [
+            ("Attempt-Id", run.request),
+            ("Server-Signature", SERVER_SIGNATURE),
+            *self._notice_headers(),
+        ]
+        is_stream = self.streams and "hop-count" in run.headers
+        if is_stream:
+            fields.append(("Content-Type", "text/event-stream"))
+            parts = self._event_texts(run)
+        else:
+            answer = f"answer to {run.request}".encode()
+            parts = [answer[:4], answer[4:]]
+        send_head(connection, fields)
+        fault_at = self.events_before_fault if is_stream else 1
+        for index, part in enumerate(parts):
+            if index == fault_at:
+                self._apply_unframed_fault(connection, part)
+            connection.sendall(part)
+            gevent.sleep(EVENT_INTERVAL_S)
+        raise end_answer(connection)
+
+    def _apply_unframed_fault(self, connection: Any, part: bytes) -> None:
+        match self.behaviour:
+            case Behaviour.UNFRAMED_CLOSE:
+                raise end_answer(connection)
+            case Behaviour.UNFRAMED_RESET:
+                raise end_answer(connection, is_reset=True)
+            case Behaviour.UNFRAMED_CUT | Behaviour.UNFRAMED_CRASH:
+                # Only the second line end of the delimiter is missing.
+                connection.sendall(part[:-1])
+                if self.behaviour is Behaviour.UNFRAMED_CRASH:
+                    # Closes this connection first, so that it isn't reset.
+                    gevent.spawn(self._crash)
+                raise end_answer(connection)
+            case Behaviour.UNFRAMED_PAUSE:
+                gevent.sleep(self.pause_s)
+
+    def _event_texts(self, run: Run) -> list[bytes]:
+        """Return the events of a stream from the first one that is asked for."""
+        event_count = int(run.headers["token-count"].split(",")[1])
+        first_event_id = int(run.headers.get("last-event-id", "0")) + 1
+        return [
+            f"id: {event_id}\ndata: {self.name}\n\n".encode()
+            for event_id in range(first_event_id, event_count + 1)
+        ]
+
     def _answer(
         self, run: Run, environ: Environ, start_response: StartResponse
     ) -> Iterator[bytes]:
@@ -254,8 +341,6 @@
     def _stream_events(
         self, run: Run, environ: Environ, start_response: StartResponse
     ) -> Iterator[bytes]:
-        event_count = int(run.headers["token-count"].split(",")[1])
-        first_event_id = int(run.headers.get("last-event-id", "0")) + 1
         response_headers = [
             ("Attempt-Id", run.request),
             ("Server-Signature", SERVER_SIGNATURE),
@@ -264,13 +349,17 @@
         ]
         start_response(status_line(200), response_headers)
         try:
-            for event_id in range(first_event_id, event_count + 1):
+            gevent.sleep(max(0.0, self.first_event_s - EVENT_INTERVAL_S))
+            for index, event in enumerate(self._event_texts(run)):
                 gevent.sleep(EVENT_INTERVAL_S)
-                if event_id - first_event_id == self.events_before_fault:
+                if shared_parts(run.headers) & self.deadly_parts:
+                    self._crash()
+                    raise ConnectionResetError(errno.ECONNRESET, "the target crashed")
+                if index == self.events_before_fault:
                     self._pause_stream()
-                if event_id - first_event_id >= self.events_before_fault:
+                if index >= self.events_before_fault:
                     self._apply_stream_fault()
-                yield f"id: {event_id}\ndata: {self.name}\n\n".encode()
+                yield event
         except GeneratorExit:
             self.log.cancelled_streams += 1
             raise
