--- a/src/chervilstall/soak/run.py
+++ b/src/chervilstall/soak/run.py
@@ -135,7 +135,7 @@
         if violations and log_directory is not None:
             directory = log_directory / f"seed-{seed}"
             _copy_logs(fleet, directory)
-            _write_record(load, shutdowns, injector, directory)
+            _write_record(load, injector, directory)
     finally:
         lag_task.kill()
         fleet.stop()
@@ -236,13 +236,12 @@
 
 
 def _write_record(
-    load: LoadGenerator,
-    shutdowns: ShutdownInjector,
-    injector: FaultInjector,
-    directory: Path,
+    load: LoadGenerator, injector: FaultInjector, directory: Path
 ) -> None:
-    """Write what callers saw, each shutdown and each fault, one a line."""
-    records = [*load.requests, *shutdowns.shutdowns, *injector.faults]
+    """Write what callers and targets saw, each shutdown and each fault, one a line."""
+    records = [*load.requests, *injector.shutdowns.shutdowns, *injector.faults]
+    for target in injector.fleet.targets:
+        records += target.server.answers
     (directory / "record.txt").write_text("\n".join(map(repr, records)))
 
 
