--- a/src/chervilstall/soak/run.py
+++ b/src/chervilstall/soak/run.py
@@ -5,50 +5,123 @@
 import shutil
 import time
 from collections import Counter
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
+from enum import Enum
 from pathlib import Path
 from typing import Any
 
 import gevent
 
 from chervilstall.soak.faults import FaultInjector
-from chervilstall.soak.fleet import SoakFleet
+from chervilstall.soak.fleet import GRACE_S, SoakFleet
 from chervilstall.soak.invariants import (
     Violation,
     check_responses,
     check_shutdown,
     count_by_kind,
 )
-from chervilstall.soak.load_generator import LoadGenerator, SentRequest, probe_route
+from chervilstall.soak.load_generator import (
+    SHORT_KINDS,
+    LoadGenerator,
+    RequestKind,
+    SentRequest,
+    probe_route,
+)
+from chervilstall.soak.shutdown_invariants import check_shutdowns
+from chervilstall.soak.shutdowns import ShutdownInjector
+from chervilstall.soak.visitors import ShutdownVisitors
+
+RECOVERY_CALLER_COUNT = 8
+SHUTDOWN_KINDS = (
+    RequestKind.IDEMPOTENT,
+    RequestKind.NON_IDEMPOTENT,
+    RequestKind.LONG_STREAM,
+)
+LONG_STREAM_SHARE = 1.25
+"""Length of the longest long stream, as a share of the grace period."""
+
+LATENCY_OBJECTIVES_MS = (300, 1500)
+"""Objectives that targets just reach, or reach easily."""
+
+EVENT_INTERVAL_S = 0.1
+ANSWER_MAX_S = 0.3
+"""Longest time for a lookup or hold, less than the end of a grace period leaves it."""
 
-ROUTERS_PER_ZONE = 2
-CALLER_COUNT = 12
 START_TIMEOUT_S = 30.0
 RECOVERY_TIMEOUT_S = 12.0
 CONFIGURATION_APPLY_S = 4.0
 """Time after the last fault until every router must apply the last configuration."""
 
+LAG_CHECK_S = 0.02
 SERVED_SHARE_MIN = 0.9
 SUBNET_COUNT = 10_000
 
 
+@dataclass
+class LagMonitor:
+    """Measures how late this process gets to run, which all times it sees include."""
+
+    lag_max_s: float = 0.0
+
+    def run(self) -> None:
+        """Measure until killed."""
+        while True:
+            due_s = time.monotonic() + LAG_CHECK_S
+            gevent.sleep(LAG_CHECK_S)
+            self.lag_max_s = max(self.lag_max_s, time.monotonic() - due_s)
+
+
+class FaultMix(Enum):
+    """Which faults a run injects; the values are those of the command line."""
+
+    RANDOM = "random"
+    SHUTDOWNS = "shutdowns"
+    BOTH = "both"
+
+
+@dataclass(frozen=True)
+class SoakOptions:
+    """What one run of the soak test injects, and on how many routers.
+
+    `duration_s` is how long faults are injected. Shutdowns in series come with long
+    streams, slow answers, and callers that stay with their router.
+    """
+
+    duration_s: float
+    mix: FaultMix = FaultMix.RANDOM
+    routers: int = 4
+    callers_per_router: int = 3
+    grace_s: float = GRACE_S
+
+    @property
+    def has_series(self) -> bool:
+        """Return whether routers are shut down in series."""
+        return self.mix is not FaultMix.RANDOM
+
+
 def run_soak(
-    seed: int, duration_s: float, log_directory: Path | None = None
+    seed: int, options: SoakOptions, log_directory: Path | None = None
 ) -> dict[str, Any]:
     """Run the soak test with a seed; return its figures and every violation.
 
-    `duration_s` is how long faults are injected. If an invariant was violated, the
-    routers' logs are copied to a subdirectory of `log_directory`.
+    If an invariant was violated, the routers' logs are copied to a subdirectory of
+    `log_directory`.
     """
     rng = random.Random(seed)
-    fleet = SoakFleet((os.getpid() + seed) % SUBNET_COUNT, rng)
+    subnet = (os.getpid() + seed) % SUBNET_COUNT
+    objective_ms = rng.choice(LATENCY_OBJECTIVES_MS) if options.has_series else None
+    fleet = SoakFleet(subnet, rng, options.grace_s, objective_ms)
+    lag = LagMonitor()
+    lag_task = gevent.Greenlet(lag.run)
     try:
-        fleet.start(ROUTERS_PER_ZONE)
+        fleet.start(options.routers)
         not_ready = fleet.wait_until_ready(START_TIMEOUT_S)
-        load = LoadGenerator(fleet.routers, rng)
-        load.start(CALLER_COUNT)
-        injector = FaultInjector(fleet, rng)
-        injector.run(duration_s)
+        lag_task.start()
+        load = _build_load(fleet, options)
+        load.start(options.callers_per_router * options.routers)
+        shutdowns = ShutdownInjector(rng)
+        injector = FaultInjector(fleet, rng, shutdowns)
+        _inject(injector, load, options)
         faults_ended_at_s = time.monotonic()
         violations = [Violation("every router starts", "", name) for name in not_ready]
         violations += _check_recovery(fleet, load, faults_ended_at_s)
@@ -56,20 +129,64 @@
         executions = fleet.executions()
         violations += check_responses(load.requests, executions)
         violations += check_shutdown(load.requests, executions, injector.faults)
+        violations += check_shutdowns(
+            load.requests, executions, shutdowns.shutdowns, injector.faults
+        )
         if violations and log_directory is not None:
-            _copy_logs(fleet, log_directory / f"seed-{seed}")
+            directory = log_directory / f"seed-{seed}"
+            _copy_logs(fleet, directory)
+            _write_record(load, injector, directory)
     finally:
+        lag_task.kill()
         fleet.stop()
     return {
         "seed": seed,
-        "seconds": duration_s,
+        "seconds": options.duration_s,
+        "mix": options.mix.value,
+        "routers": options.routers,
+        "grace_s": options.grace_s,
+        "latency_objective_ms": objective_ms,
         "requests": len(load.requests),
         "outcomes": _count_outcomes(load.requests),
         "faults": count_by_kind(injector.faults),
+        "shutdowns": len(shutdowns.shutdowns),
+        "lag_max_s": round(lag.lag_max_s, 3),
+        "killed": sum(stop.exit_code is None for stop in shutdowns.shutdowns),
         "breaches": [asdict(violation) for violation in violations],
     }
 
 
+def _build_load(fleet: SoakFleet, options: SoakOptions) -> LoadGenerator:
+    load = LoadGenerator(fleet.routers, fleet.rng)
+    if options.has_series:
+        load.kinds = SHUTDOWN_KINDS
+        load.stays_with_router = True
+        load.event_interval_s = EVENT_INTERVAL_S
+        length_s = options.grace_s * LONG_STREAM_SHARE
+        load.long_events_max = int(length_s / EVENT_INTERVAL_S)
+        for target in fleet.targets:
+            target.server.event_interval_s = EVENT_INTERVAL_S
+            target.server.answer_max_s = ANSWER_MAX_S
+    return load
+
+
+def _inject(injector: FaultInjector, load: LoadGenerator, options: SoakOptions) -> None:
+    """Inject the faults of a run and wait until all have ended."""
+    fleet, shutdowns = injector.fleet, injector.shutdowns
+    tasks = []
+    if options.mix is not FaultMix.SHUTDOWNS:
+        tasks.append(gevent.spawn(injector.run, options.duration_s))
+    visitors = ShutdownVisitors(load, fleet.rng)
+    if options.has_series:
+        shutdowns.on_shutdown = visitors.visit
+        tasks.append(
+            gevent.spawn(shutdowns.run_series, fleet.routers, options.duration_s)
+        )
+    for task in gevent.joinall(tasks):
+        task.get()
+    visitors.join(options.grace_s * LONG_STREAM_SHARE)
+
+
 def _check_recovery(
     fleet: SoakFleet, load: LoadGenerator, faults_ended_at_s: float
 ) -> list[Violation]:
@@ -91,6 +208,9 @@
                 found.append(
                     Violation("every router applies the last configuration", "", detail)
                 )
+    # Callers may all wait for long streams, so others join them.
+    load.kinds = SHORT_KINDS
+    load.start(RECOVERY_CALLER_COUNT)
     started_at_s = time.monotonic()
     gevent.sleep(RECOVERY_TIMEOUT_S / 4.0)
     recent = [
@@ -115,6 +235,16 @@
     return dict(sorted(counts.items()))
 
 
+def _write_record(
+    load: LoadGenerator, injector: FaultInjector, directory: Path
+) -> None:
+    """Write what callers and targets saw, each shutdown and each fault, one a line."""
+    records = [*load.requests, *injector.shutdowns.shutdowns, *injector.faults]
+    for target in injector.fleet.targets:
+        records += target.server.answers
+    (directory / "record.txt").write_text("\n".join(map(repr, records)))
+
+
 def _copy_logs(fleet: SoakFleet, directory: Path) -> None:
     shutil.rmtree(directory, ignore_errors=True)
     directory.mkdir(parents=True)
