--- a/tests/edge/unframed.feature
+++ b/tests/edge/unframed.feature
@@ -53,6 +53,7 @@
     When a draft of 10 events is asked for and its exchange is ended as stalled
     Then the events 1 to 10 arrive once and in order
     And the request ran 2 times
+    And the response is chunked
 
   Scenario: A stream with neither a length nor chunks is whole
     Given a platform with a model in parts in both zones
@@ -82,6 +83,15 @@
       | close an answer without a length inside an event | 1      |
       | close an answer without a length inside an event | 9      |
 
+  # Guards against BUDGET: a stream without anything left is sent until it is broken off.
+  Scenario: A stream that is reset after its last event ends with a target that ends it
+    Given a platform with a model in parts in both zones
+    And the first targets of the own zone would reset an answer without a length after 10 events
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And the request ran 2 times
+    And the response is chunked
+
   # Guards against a lost end: a broken-off stream looks whole to its caller.
   Scenario Outline: A stream that is not resumable ends early where its target would <behaviour>
     Given a platform whose drafts are not resumable
@@ -95,13 +105,18 @@
       | reset an answer without a length                 |
       | close an answer without a length inside an event |
 
-  # Guards against BUDGET: a crash that ends a stream inside its first event isn't known.
-  Scenario: A target that crashes inside the first event is known to have crashed
+  # Guards against BUDGET: a crash that ends a stream before its first event isn't known.
+  Scenario Outline: A target that crashes inside <place> is known to have crashed
     Given a platform with a model in parts in both zones
-    And the first targets of the own zone would crash inside an event of an answer without a length after 0 events
+    And the first targets of the own zone would crash inside <place> of an answer without a length after 0 events
     When a draft of 10 events that shares parts is asked for
     Then the crash of the first target of the own zone is reported
 
+    Examples:
+      | place    |
+      | an event |
+      | the head |
+
   Scenario: A caller of HTTP/1.0 gets a whole stream without chunks
     Given a platform whose drafts are not resumable
     When a caller of HTTP/1.0 asks for a draft of 10 events
