Convict a part that never began without waiting for other answers

A part that takes down all targets ends all answers, and each conviction waited for three others, which began only after the targets were back and the bound had passed.

Change: a router that has seen five answers of the service begin knows which parts are usual, and convicts one that never began after three crashes; only a router that has just started waits for others. An entry is objected to for answers up to a second before its first crash as told, since it was some time on its way.

--- a/src/chervilstall/quarantine/evidence.py
+++ b/src/chervilstall/quarantine/evidence.py
@@ -104,6 +104,10 @@
         self.evidence.pop(key, None)
         _remember(self._voided_at_s, key)
 
+    def begun_count(self, service: ServiceName) -> int:
+        """Return how many answers of a service have begun since the start."""
+        return self._begun_counts[service]
+
     def others_begun(self, key: PartKey) -> int:
         """Return how many answers began since the first crash against a part.
 
--- a/src/chervilstall/quarantine/judge.py
+++ b/src/chervilstall/quarantine/judge.py
@@ -38,6 +38,13 @@
 Where nothing is answered at all, the cause is another one.
 """
 
+FAMILIAR_BEGUN_MIN = 5
+"""Answers of a service after which a router knows the parts that are usual there.
+
+A part that never began is unusual then, and need not wait for other answers: there are
+none while it keeps all targets down.
+"""
+
 KNOWN_CRASHES_MIN = 4
 KNOWN_OTHERS_BEGUN_MIN = 10
 """The same for parts with which answers have begun before."""
@@ -45,6 +52,9 @@
 OBJECTION_S = 0.5
 """Time after which an entry is in force unless a router knows that it is wrong."""
 
+HEARD_AFTER_MAX_S = 1.0
+"""Time that an entry may need from its proposal to the other routers."""
+
 TRIAL_AFTER_S = 30.0
 TRIAL_FACTOR = 4.0
 """Each further trial waits this many times as long as the one before."""
@@ -200,9 +210,14 @@
             crashes_min, others_min = KNOWN_CRASHES_MIN, KNOWN_OTHERS_BEGUN_MIN
         if len(known.crashed_at_s) < crashes_min:
             return False
-        if self.log.others_begun(key) < others_min:
+        if known.crashes < crashes_min:
             return False
-        return known.crashes >= crashes_min
+        if not known.was_begun and self._is_familiar(key.service):
+            return True
+        return self.log.others_begun(key) >= others_min
+
+    def _is_familiar(self, service: ServiceName) -> bool:
+        return self.log.begun_count(service) >= FAMILIAR_BEGUN_MIN
 
     def _propose(self, key: PartKey) -> None:
         known = self.log.evidence[key]
@@ -255,7 +270,7 @@
         """Return whether this router knows of an answer that refutes an entry."""
         if entry.is_new:
             return self.log.has_begun(entry.key)
-        first_at_s = time.monotonic() - entry.evidence_age_s
+        first_at_s = time.monotonic() - entry.evidence_age_s - HEARD_AFTER_MAX_S
         return self.log.begun_at_s(entry.key) > first_at_s
 
     def _add(self, entry: QuarantineEntry, delay_s: float) -> None:
--- a/tests/steps/quarantine_fleet_steps.py
+++ b/tests/steps/quarantine_fleet_steps.py
@@ -1,5 +1,7 @@
 """Steps for drawn fleets of routers before targets that a part of a prompt crashes."""
 
+import os
+import re
 from collections.abc import Callable
 
 from behave import then, when
@@ -16,6 +18,8 @@
 )
 from tests.support.quarantine_traffic import WARM_UP_S
 
+FLEETS_VARIABLE = "CHERVILSTALL_DRAWN_FLEETS"
+
 
 def check_deadly_parts(fleet: QuarantineFleet) -> None:
     """Check the rule for each deadly part and each service that it crashes."""
@@ -51,10 +55,14 @@
 CHECKS = (check_deadly_parts, check_sound, check_none_refused)
 
 
-@when("{count:d} drawn fleets with {case} are played")
-def play_fleets(context: Context, count: int, case: str) -> None:
+@when(
+    '{count:d} drawn fleets with {case} are played, and those of seeds "{seeds_text}"'
+)
+def play_fleets(context: Context, count: int, case: str, seeds_text: str) -> None:
     context.failures = {check: [] for check in CHECKS}
-    for seed in range(count):
+    count = int(os.environ.get(FLEETS_VARIABLE, count))
+    kept_seeds = {int(number) for number in re.findall(r"\d+", seeds_text)}
+    for seed in sorted(kept_seeds | set(range(count))):
         fleet = QuarantineFleet(*draw_case(seed, case))
         fleet.play()
         for check in CHECKS:
