Answer what arrives as a router of the product ends, and close its listener

A request that the product's router was reading as its drain ended got no answer, and new connections were still taken then, though drain_wait_s is the time until the listener closes.

Change: after the wait the listener closes, and the router waits for requests that run or are being read, with the same code as the edge (wsgi.Server.wait_until_quiet).

--- a/src/chervilstall/gateway/runtime.py
+++ b/src/chervilstall/gateway/runtime.py
@@ -1,11 +1,10 @@
 """The runtime of one router: its components, built from the settings."""
 
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 import gevent
-from gevent.event import Event
 
 from chervilstall.admission.queue import AdmissionQueue
 from chervilstall.admission.retry import RetryBudget
@@ -75,24 +74,17 @@
 
 @dataclass
 class RequestTracker:
-    """Counts the running requests; `idle` is set while there are none."""
+    """Counts the running requests."""
 
     running: int = 0
-    idle: Event = field(default_factory=Event)
-
-    def __post_init__(self) -> None:
-        self.idle.set()
 
     def start(self) -> None:
         """Count a request that starts."""
         self.running += 1
-        self.idle.clear()
 
     def finish(self) -> None:
         """Count a request that ended."""
         self.running -= 1
-        if self.running == 0:
-            self.idle.set()
 
 
 class RouterRuntime:
@@ -217,13 +209,6 @@
         self.state = RouterState.DRAINING
         gevent.sleep(self.settings.listen.drain_wait_s)
 
-    def finish_requests(self) -> bool:
-        """Take no more requests; return whether all others ended within the timeout."""
+    def refuse_requests(self) -> None:
+        """Take no more requests; those that run go on."""
         self.state = RouterState.FINISHING
-        is_idle = self.request_tracker.idle.wait(self.settings.listen.drain_timeout_s)
-        if not is_idle:
-            log.warning(
-                "Drain timed out with %d requests still running.",
-                self.request_tracker.running,
-            )
-        return bool(is_idle)
--- a/src/chervilstall/gateway/server.py
+++ b/src/chervilstall/gateway/server.py
@@ -1,6 +1,7 @@
 """The listeners of a router, its start, drain and stop."""
 
 import ssl
+import time
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -119,10 +120,25 @@
             return self.abort()
         self._is_draining = True
         self.runtime.await_load_balancer()
+        self.runtime.refuse_requests()
         self.caller_listener.close_idle()
-        is_idle = self.runtime.finish_requests()
+        self.caller_listener.close()
+        is_quiet = self._wait_for_requests()
         self.stop()
-        return is_idle
+        return is_quiet
+
+    def _wait_for_requests(self) -> bool:
+        """Return whether every request ended within the drain timeout."""
+        tracker = self.runtime.request_tracker
+        timeout_s = self.runtime.settings.listen.drain_timeout_s
+        is_quiet = self.caller_listener.wait_until_quiet(
+            lambda: tracker.running, time.monotonic() + timeout_s
+        )
+        if not is_quiet:
+            log.warning(
+                "Drain timed out with %d requests still running.", tracker.running
+            )
+        return is_quiet
 
     def abort(self) -> bool:
         """Stop at once; return whether no request was running."""
--- a/tests/gateway/shutdown.feature
+++ b/tests/gateway/shutdown.feature
@@ -14,6 +14,12 @@
     When the router is told to stop under a stream, and streams come after its drain wait
     Then each of them was refused and has not run
 
+  # Guards against LOST: what is read as the drain ends is closed without an answer.
+  Scenario: A request that arrives as idle connections are closed is answered
+    Given a router and stand-in targets
+    When the router is told to stop and a request arrives as idle connections are closed
+    Then that request gets a response
+
   Scenario: A second stop signal aborts and reports unfinished requests
     Given a router and stand-in targets
     And the engines compute 60 layer tokens per second
