Leave each stream of a stopping router half of the time until its last answers

With a grace period of under 5.6 s, streams were taken until the last answers were due, so that one of unknown length could be cut at once. With 8 s nothing changes: 2.5 s, with 4.6 s left.

--- a/src/chervilstall/edge/draining.py
+++ b/src/chervilstall/edge/draining.py
@@ -7,7 +7,7 @@
 |---------------------------|---------------------------|----------------------|
 | until STREAMS_TAKEN_S     | taken if they can end     | taken                |
 | then                      | refused                   | taken if they can end |
-| at ANSWERS_SHARE of grace | cut, or answered as unknown | answered as unknown |
+| at ANSWERS_SHARE of grace | cut, or answered if not begun | answered         |
 | at END_SHARE of grace     | the process ends          | the process ends     |
 """
 
@@ -18,7 +18,8 @@
 """Time after the stop signal in which streams are taken.
 
 The load balancer notices within two seconds that a router is no longer ready. Streams
-that arrive later come over open connections, or because too few routers are ready.
+that arrive later come over open connections, or because too few routers are ready. With
+a short grace period, half of the time until the last answers is left to each stream.
 """
 
 ANSWERS_SHARE = 0.89
@@ -43,7 +44,7 @@
         answers_until_s = now_s + ANSWERS_SHARE * grace_s
         return cls(
             now_s,
-            min(now_s + STREAMS_TAKEN_S, answers_until_s),
+            min(now_s + STREAMS_TAKEN_S, (now_s + answers_until_s) / 2.0),
             answers_until_s,
             now_s + END_SHARE * grace_s,
         )
