Keep the bound of a claim after the event loop stood still

What callers saw: a hold or other keyed request waited past its bound for its claim, for ever in trials, if the event loop of the key's home stood still for a quarter of a second at the wrong moment.

Cause: the claim waited twice on one gevent event, each time with a timeout. Where the event is set while the first wait times out, the second doesn't end. Why is inside gevent and not found.

Change: the second wait looks at the event every 5 ms.

--- a/src/chervilstall/idempotency/home.py
+++ b/src/chervilstall/idempotency/home.py
@@ -46,6 +46,7 @@
 
 CLEANING_INTERVAL_S = 5.0
 CLOCK_SKEW_S = 2.0  # allowance for wall-clock differences between VMs
+SETTLED_POLL_S = 0.005
 DURABLE_CLAIM_WAIT_S = 0.2  # wait of a first attempt before it may run unrecorded
 RECORD_OVERHEAD_BYTES = 200  # estimated size of a record without its outcome's body
 CLOSE_TIMEOUT_S = 2.0
@@ -83,6 +84,17 @@
     key_states: list[KeyState] = field(default_factory=list)
 
 
+def _poll_settled(batch: _Batch, timeout_s: float) -> None:
+    """Wait until a batch is settled, for a task that has waited for it before.
+
+    A second wait of one task on one gevent event may not end if the event is set while
+    the first times out.
+    """
+    end_s = time.monotonic() + timeout_s
+    while not batch.settled.is_set() and time.monotonic() < end_s:
+        gevent.sleep(SETTLED_POLL_S)
+
+
 class SlotHome:
     """Answers claims for the keys of one slot.
 
@@ -301,8 +313,9 @@
                 return self._claim_result(state, request)
             if self.log.failing_since_s is not None:
                 return self._claim_unrecorded()
-            timeout_s -= DURABLE_CLAIM_WAIT_S
-        batch.settled.wait(max(0.0, timeout_s))
+            _poll_settled(batch, timeout_s - DURABLE_CLAIM_WAIT_S)
+        else:
+            batch.settled.wait(max(0.0, timeout_s))
         return self._claim_result(state, request)
 
     def _claim_result(self, state: KeyState, request: ClaimRequest) -> ClaimAnswer:
--- a/tests/idempotency/home.feature
+++ b/tests/idempotency/home.feature
@@ -39,3 +39,15 @@
 
   Scenario: No key runs twice in any sequence of claims, take-overs and lost answers
     Then the claim state machine holds for every generated sequence
+
+  # Guards against claims that wait past their bound after the event loop stood still.
+  Scenario Outline: Claims keep their bound after a stall of <stall_s> s
+    Given the home of a slot with a finished key and an unfinished key
+    When its event loop stands still for <stall_s> s while claims come
+    Then each claim is answered within 1.0 s
+
+    Examples:
+      | stall_s |
+      | 0.15    |
+      | 0.25    |
+      | 0.35    |
--- a/tests/steps/idempotency_steps.py
+++ b/tests/steps/idempotency_steps.py
@@ -5,6 +5,7 @@
 import gevent
 from behave import given, then, when
 from behave.runner import Context
+from gevent.monkey import get_original
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
@@ -26,6 +27,9 @@
 
 FAST_SETTINGS = IdempotencySettings(commit_interval_s=0.002, claim_timeout_s=0.4)
 SLOT = SlotName("000")
+BLOCK = get_original("time", "sleep")
+"""Blocks the whole process, unlike the patched function."""
+
 OUTCOME = Outcome(200, "application/json", b"{}")
 
 
@@ -285,3 +289,29 @@
             suppress_health_check=list(HealthCheck),
         ),
     )
+
+
+# Bounds
+
+
+@when("its event loop stands still for {stall_s:g} s while claims come")
+def stall_beside_claims(context: Context, stall_s: float) -> None:
+    slow_settings = IdempotencySettings(commit_interval_s=0.05, claim_timeout_s=0.3)
+    home = open_home(context, 2, slow_settings)
+
+    def claim(number: int) -> None:
+        home.claim(claim_request(f"k{number}", f"r{number}", is_first=True))
+
+    context.claims = [
+        gevent.spawn_later(number / 30.0, claim, number) for number in range(30)
+    ]
+    context.add_cleanup(gevent.killall, context.claims)
+    gevent.sleep(0.3)
+    BLOCK(stall_s)
+
+
+@then("each claim is answered within {bound_s:g} s")
+def check_claims_answered(context: Context, bound_s: float) -> None:
+    gevent.joinall(context.claims, timeout=1.0 + bound_s)
+    late = [n for n, task in enumerate(context.claims) if not task.ready()]
+    assert not late, f"claims {late} were not answered"
