Refuse calls in progress as an agent stops

Calls that an agent was answering as it stopped got no reply, and their routers waited out the whole timeout. A second SIGTERM began a second stop beside the first.

Change: an orderly stop refuses what is in progress before its sockets close; later signals do nothing.

After: refused within 1 s.

--- a/src/chervilstall/agent/runtime.py
+++ b/src/chervilstall/agent/runtime.py
@@ -88,6 +88,7 @@
         self._vm_list = vm_list
         self._tasks: list[gevent.Greenlet] = []
         self._stopped = Event()
+        self._is_draining = False
 
     def start(self) -> None:
         """Bind the peer listener, build the components and start their greenlets."""
@@ -198,7 +199,14 @@
     # Stopping
 
     def drain_and_stop(self) -> None:
-        """Close the slot homes, release all roles, tell some members, and stop."""
+        """Close the slot homes, release all roles, tell some members, and stop.
+
+        Calls in progress are refused, so that their callers need not wait for their
+        timeouts. Later calls do nothing.
+        """
+        if self._is_draining:
+            return
+        self._is_draining = True
         self.slot_homes.close_all()
         self.roles.release_all()
         self.table.leave()
@@ -206,6 +214,7 @@
         receivers = self.rng.sample(live_members, min(LEAVE_NOTICES, len(live_members)))
         notices = [gevent.spawn(self.prober.ping, item) for item in receivers]
         gevent.joinall(notices, timeout=self.settings.peer.probe_timeout_s * 2)
+        self.server.finish()
         self.stop()
 
     def stop(self) -> None:
--- a/src/chervilstall/peer/transport.py
+++ b/src/chervilstall/peer/transport.py
@@ -35,6 +35,10 @@
 
 T = TypeVar("T", bound=Message)
 
+REFUSAL_TIMEOUT_S = 0.5
+LAST_REPLIES_MS = 100
+"""Time in which the last replies may leave; the process stands still for that long."""
+
 HANDLERS_MAX = 5_000
 HIGH_WATER_MARK = 10_000
 MESSAGE_MAX_BYTES = 64_000_000
@@ -135,6 +139,8 @@
             reply = self._handler(envelope.body)
         except ChervilstallError as error:
             reply = Refused(str(error))
+        except gevent.GreenletExit:
+            reply = Refused("the process is stopping")
         except Exception as error:
             log.error("Request handler raised %r.", error)
             reply = Refused("internal error")
@@ -146,8 +152,14 @@
             # The client is gone or does not read; it retries if it needs the reply.
             return
 
+    def finish(self) -> None:
+        """Take no more requests, refuse those in progress, and close all sockets."""
+        gevent.killall(self._tasks, block=False)
+        self._handlers.kill(block=True, timeout=REFUSAL_TIMEOUT_S)
+        self._context.destroy(linger=LAST_REPLIES_MS)
+
     def stop(self) -> None:
-        """Stop answering and close all sockets."""
+        """Stop answering and close all sockets at once."""
         gevent.killall(self._tasks, block=False)
         self._handlers.kill(block=False)
         self._context.destroy(linger=0)
--- a/tests/peer/link.feature
+++ b/tests/peer/link.feature
@@ -26,3 +26,9 @@
     When a call times out while the reply to a longer one is on its way
     Then the longer call is answered, and the next one over a new connection
     And connections without calls are closed
+
+  # Guards against calls that wait for their whole timeout as their peer stops.
+  Scenario: A call in progress is refused when its peer stops
+    Given a peer server with the fleet's keys
+    When it stops while it answers a call that may take 5 seconds
+    Then the call was refused within 1 second
--- a/tests/steps/peer_steps.py
+++ b/tests/steps/peer_steps.py
@@ -1,6 +1,7 @@
 """Steps for the links between peers."""
 
 import tempfile
+import time
 from pathlib import Path
 
 import gevent
@@ -122,3 +123,21 @@
 @then("connections without calls are closed")
 def check_closed_connections(context: Context) -> None:
     assert not context.client._replaced
+
+
+@when("it stops while it answers a call that may take {timeout_s:g} seconds")
+def stop_during_call(context: Context, timeout_s: float) -> None:
+    client = PeerClient(context.server.address, context.keys)
+    context.stoppables.append(client)
+    context.held = Event()
+    call = gevent.spawn(client.call, REQUEST, timeout_s)
+    eventually(lambda: context.held is None)
+    context.stopped_at_s = time.monotonic()
+    context.server.finish()
+    context.reply = call.get()
+
+
+@then("the call was refused within {bound_s:g} second")
+def check_refused_call(context: Context, bound_s: float) -> None:
+    assert isinstance(context.reply, Refused), context.reply
+    assert time.monotonic() - context.stopped_at_s < bound_s
