Refuse a request whose body still arrives as the router ends

A hold whose body came slowly held a stopping router to its end and then got 500, though it had not run.

Change: bodies.BodyReader interrupts the read when the last answers are due; the request is refused as not run.

Before: the new scenario saw 500. After: 503, not run; 24 of 24 in the feature.

--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -5,12 +5,10 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-import gevent
-
-from chervilstall.edge.bodies import BodyMemory, BodyReservation
+from chervilstall.edge.bodies import BodyMemory, BodyReader, BodyReservation
 from chervilstall.edge.budget import FleetRetryBudget
 from chervilstall.edge.disconnect import DisconnectMonitor
-from chervilstall.edge.draining import DrainSchedule
+from chervilstall.edge.draining import DrainSchedule, shutting_down_error
 from chervilstall.edge.error_responses import error_response
 from chervilstall.edge.exchange import CompleteResponse
 from chervilstall.edge.plain_relay import PlainRelay
@@ -49,9 +47,6 @@
 them make no further attempt. The listing usually takes less than a tenth of this time.
 """
 
-OTHER_ROUTER_RETRY_S = 0.1
-"""Retry-After for callers that should try another router."""
-
 
 def _to_milliseconds(time_s: float | None) -> float | None:
     return None if time_s is None else round(time_s * 1e3, 1)
@@ -76,6 +71,7 @@
     admitted: set[EdgeRequest] = field(default_factory=set)
     body_memory: BodyMemory = field(default_factory=BodyMemory)
     stream_durations: StreamDurations = field(default_factory=StreamDurations)
+    body_reader: BodyReader = field(default_factory=BodyReader)
     startup_wait_until_s: float = field(
         default_factory=lambda: time.monotonic() + STARTUP_WAIT_S
     )
@@ -181,7 +177,7 @@
             raise ChervilstallError(
                 ErrorKind.NO_TARGET, "the service of the route is not configured"
             )
-        body = self._read_body(environ, configuration)
+        body = self.body_reader.read(environ, configuration.limits)
         # Checked after the body, which may take long to arrive.
         self._check_drain(route, service, fields)
         deadline_s = arrived_at_s + route.timeout_s
@@ -228,19 +224,6 @@
         is_chunked = "HTTP_TRANSFER_ENCODING" in environ
         return self.body_memory.reserve(limits.body_bytes if is_chunked else 0)
 
-    def _read_body(self, environ: Environ, configuration: RouterConfiguration) -> bytes:
-        limits = configuration.limits
-        try:
-            with gevent.Timeout(limits.idle_timeout_s, TimeoutError):
-                body = environ["wsgi.input"].read(limits.body_bytes + 1)
-        except TimeoutError as error:
-            raise ChervilstallError(
-                ErrorKind.REQUEST_TIMEOUT, "the body did not arrive in time"
-            ) from error
-        if len(body) > limits.body_bytes:
-            raise ChervilstallError(ErrorKind.BODY_TOO_LARGE, f"{len(body)} bytes")
-        return body
-
     # Shutdown
 
     def begin_drain(self, schedule: DrainSchedule) -> None:
@@ -266,14 +249,13 @@
             tries = 2 if route.is_retryable and route.attempts_max > 1 else 1
             is_taken = self.drain.takes_plain(now_s, tries * route.latency_slo_s)
         if not is_taken:
-            raise ChervilstallError(
-                ErrorKind.SHUTTING_DOWN, "the router is stopping", OTHER_ROUTER_RETRY_S
-            )
+            raise shutting_down_error()
 
-    def expire_admitted(self) -> None:
+    def answer_all(self) -> None:
         """Give every request in progress its final answer, as at its deadline."""
         for request in list(self.admitted):
             request.expire()
+        self.body_reader.interrupt_all()
 
     def log_unfinished(self) -> None:
         """Log each request that a stop interrupts, and when it had arrived."""
--- a/src/chervilstall/edge/bodies.py
+++ b/src/chervilstall/edge/bodies.py
@@ -1,8 +1,14 @@
-"""Limit on the memory for request bodies that a router holds at the same time."""
+"""Reading of request bodies, and a limit on the memory that they take together."""
 
+from dataclasses import dataclass, field
 from types import TracebackType
 
+import gevent
+
+from chervilstall.edge.draining import shutting_down_error
 from chervilstall.errors import ChervilstallError, ErrorKind
+from chervilstall.fleet.records import CallerLimits
+from chervilstall.wsgi import Environ
 
 BODIES_MAX_BYTES = 64_000_000
 """A fifth of the memory of the smallest VM that the router is meant for."""
@@ -61,3 +67,41 @@
         traceback: TracebackType | None,
     ) -> None:
         self.shrink(0)
+
+
+class _Interrupted(Exception):
+    """The router stops while a body is still arriving."""
+
+
+@dataclass
+class BodyReader:
+    """Reads the bodies of requests, and interrupts this when the router stops."""
+
+    _tasks: set[gevent.Greenlet] = field(default_factory=set)
+
+    def read(self, environ: Environ, limits: CallerLimits) -> bytes:
+        """Return a request's body. Raises ChervilstallError for one late or too large.
+
+        It also raises if the body is interrupted.
+        """
+        task = gevent.getcurrent()
+        self._tasks.add(task)
+        try:
+            with gevent.Timeout(limits.idle_timeout_s, TimeoutError):
+                body = environ["wsgi.input"].read(limits.body_bytes + 1)
+        except TimeoutError as error:
+            raise ChervilstallError(
+                ErrorKind.REQUEST_TIMEOUT, "the body did not arrive in time"
+            ) from error
+        except _Interrupted as error:
+            raise shutting_down_error() from error
+        finally:
+            self._tasks.discard(task)
+        if len(body) > limits.body_bytes:
+            raise ChervilstallError(ErrorKind.BODY_TOO_LARGE, f"{len(body)} bytes")
+        return body
+
+    def interrupt_all(self) -> None:
+        """End every read, so that its request can still be refused."""
+        for task in list(self._tasks):
+            task.kill(_Interrupted(), block=False)
--- a/src/chervilstall/edge/draining.py
+++ b/src/chervilstall/edge/draining.py
@@ -14,6 +14,8 @@
 import time
 from dataclasses import dataclass
 
+from chervilstall.errors import ChervilstallError, ErrorKind
+
 STREAMS_TAKEN_S = 2.5
 """Time after the stop signal in which streams are taken.
 
@@ -29,6 +31,17 @@
 """Share of the grace period after which the process ends at the latest."""
 
 
+OTHER_ROUTER_RETRY_S = 0.1
+"""Retry-After for callers that should try another router."""
+
+
+def shutting_down_error() -> ChervilstallError:
+    """Return the error of a request that a stopping router does not take."""
+    return ChervilstallError(
+        ErrorKind.SHUTTING_DOWN, "the router is stopping", OTHER_ROUTER_RETRY_S
+    )
+
+
 @dataclass(frozen=True)
 class DrainSchedule:
     """The moments of one shutdown, as monotonic times in seconds."""
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -343,7 +343,7 @@
         self._wait_until_quiet(schedule.answers_until_s - LISTENER_CLOSE_LEAD_S)
         self.caller_listener.close()
         self._wait_until_quiet(schedule.answers_until_s)
-        self.app.expire_admitted()
+        self.app.answer_all()
         # A loop that stood still may be past the end already.
         end_s = max(schedule.end_s, time.monotonic() + LAST_ANSWERS_S)
         self._wait_until_quiet(end_s)
--- a/tests/edge/drain.feature
+++ b/tests/edge/drain.feature
@@ -14,6 +14,12 @@
     When it is told to stop and the body of a draft ends 3.2 seconds later
     Then that draft is refused and has not run
 
+  # Guards against LOST: a body that still arrives as the router ends gets no answer.
+  Scenario: A request whose body does not end is refused before the stop
+    Given a router before lookups that are served
+    When it is told to stop during the body of a hold that does not end
+    Then that draft is refused and has not run
+
   # Guards against requests that end as an internal error when the router stops.
   Scenario Outline: A <kind> request that no target answers gets its answer before the stop
     Given a router before lookups that hang
--- a/tests/steps/drain_steps.py
+++ b/tests/steps/drain_steps.py
@@ -213,6 +213,25 @@
 @when("it is told to stop and the body of a draft ends {after_s:g} seconds later")
 def send_slow_body(context: Context, after_s: float) -> None:
     stopping = stop_router(context)
+    stopping.sent.append(Sent("r1", after_s))
+    stopping.wait_until(2.0)
+    connection = begin_body(context, "draft")
+    stopping.wait_until(after_s)
+    connection.send(b"}")
+    read_outcome(connection, stopping.sent[0])
+
+
+@when("it is told to stop during the body of a hold that does not end")
+def send_endless_body(context: Context) -> None:
+    connection = begin_body(context, "non_idempotent")
+    eventually(lambda: context.router.app.running_requests)
+    stopping = stop_router(context)
+    stopping.sent.append(Sent("r1", 0.0))
+    read_outcome(connection, stopping.sent[0])
+
+
+def begin_body(context: Context, kind: str) -> http.client.HTTPConnection:
+    """Send a request's head and the first of the two bytes of its body."""
     address = context.router.caller_listener.bound_address
     connection = http.client.HTTPConnection(
         address.host, address.port, timeout=CALLER_TIMEOUT_S
@@ -220,23 +239,22 @@
     headers = build_request_headers(
         "r1", CALLER_TIMEOUT_S, Token_Count=f"100,{LONG_DRAFT_EVENTS}"
     )
-    sent = Sent("r1", after_s)
-    stopping.sent.append(sent)
-    stopping.wait_until(2.0)
-    connection.putrequest("POST", ROUTE_PATHS["draft"], skip_host=True)
+    connection.putrequest("POST", ROUTE_PATHS[kind], skip_host=True)
     for name, value in headers.items():
         connection.putheader(name, value)
     connection.putheader("Content-Length", "2")
     connection.endheaders(b"{")
-    stopping.wait_until(after_s)
-    connection.send(b"}")
+    return connection
+
+
+def read_outcome(connection: http.client.HTTPConnection, sent: Sent) -> None:
+    """Read a response into `sent`; the check sees a cut one from `is_complete`."""
     try:
         response = connection.getresponse()
         sent.status = response.status
         response.read()
         sent.is_complete = True
     except (OSError, http.client.HTTPException):
-        # The check sees the cut response from `is_complete`.
         return
     finally:
         connection.close()
