--- a/tests/steps/unframed_steps.py
+++ b/tests/steps/unframed_steps.py
@@ -42,7 +42,7 @@
 def end_during_pause(context: Context, kind: str) -> None:
     sending = gevent.spawn(send_kind, context, kind)
     wait_for_run(context)
-    context.router.app.expire_admitted()
+    context.router.app.answer_all()
     sending.get()
 
 
@@ -64,7 +64,7 @@
 
 def end_when_readable(context: Context, wanted: socket) -> None:
     wanted.recv(1)
-    context.router.app.expire_admitted()
+    context.router.app.answer_all()
 
 
 @when("a draft of {events:d} events is asked for and its exchange is ended as stalled")
