Answer a repeat that comes together with the outcome it waits for

A caller's repeat of a keyed request got no answer from the home of its slot, not even at the end of its wait, if it came when the outcome had just become known and the earlier repeats reached the end of theirs in the same turn of the event loop.

Cause, in gevent 26.9.0 (AbstractLinkable): a task that waits for an event that is set, but whose waiters have not been resumed yet, is put into the arguments of the scheduled notifier, without a timeout. When the last task that is linked to the event times out (or is killed) before the notifier runs, unlink() stops the notifier and its arguments are dropped. Neither a second wait of the same task nor a second event is part of it.

wait_until_set looks at the flag first, so that Event.wait is only called where it links with a timeout.

--- a/src/chervilstall/idempotency/home.py
+++ b/src/chervilstall/idempotency/home.py
@@ -43,6 +43,7 @@
 )
 from chervilstall.settings.agents import IdempotencySettings
 from chervilstall.store.contract import Store, StoreFailed
+from chervilstall.waiting import wait_until_set
 
 CLEANING_INTERVAL_S = 5.0
 CLOCK_SKEW_S = 2.0  # allowance for wall-clock differences between VMs
@@ -292,7 +293,7 @@
             return (
                 Claimed(self.slot) if known.is_durable else InDoubt("not durable yet")
             )
-        known.finished.wait(request.wait_s)
+        wait_until_set(known.finished, request.wait_s)
         if known.outcome is not None:
             return Repeated(known.outcome)
         if self._keys.get(request.key) is not known:
--- a/tests/idempotency/home.feature
+++ b/tests/idempotency/home.feature
@@ -51,3 +51,10 @@
       | 0.15    |
       | 0.25    |
       | 0.35    |
+
+  # Guards against a repeat that is never answered since it comes when the outcome has
+  # just become known and an earlier repeat reaches its bound.
+  Scenario: A repeat that comes together with the outcome is answered
+    Given the home of a slot with a finished key and an unfinished key
+    When its event loop stands still while a repeat waits, the outcome and a repeat come
+    Then each claim is answered within 1.0 s
--- a/tests/steps/idempotency_steps.py
+++ b/tests/steps/idempotency_steps.py
@@ -310,6 +310,24 @@
     BLOCK(stall_s)
 
 
+@when("its event loop stands still while a repeat waits, the outcome and a repeat come")
+def stall_beside_outcome(context: Context) -> None:
+    home = context.home
+    report = OutcomeReport("unfinished", RequestId("unfinished"), OUTCOME)
+
+    def repeat(number: int) -> None:
+        home.claim(claim_request("unfinished", f"again{number}", wait_s=0.1))
+
+    # All are due while the loop stands still, so one turn of it runs them in this order.
+    first_repeat = gevent.spawn(repeat, 1)
+    gevent.spawn_later(0.08, home.report, report)
+    late_repeat = gevent.spawn_later(0.09, repeat, 2)
+    context.claims = [first_repeat, late_repeat]
+    context.add_cleanup(gevent.killall, context.claims)
+    gevent.sleep(0.05)
+    BLOCK(0.2)
+
+
 @then("each claim is answered within {bound_s:g} s")
 def check_claims_answered(context: Context, bound_s: float) -> None:
     gevent.joinall(context.claims, timeout=1.0 + bound_s)
