--- a/tests/steps/idempotency_steps.py
+++ b/tests/steps/idempotency_steps.py
@@ -318,7 +318,7 @@
     def repeat(number: int) -> None:
         home.claim(claim_request("unfinished", f"again{number}", wait_s=0.1))
 
-    # All are due while the loop stands still, so one turn of it runs them in this order.
+    # All are due while the loop stands still, so one turn runs them in this order.
     first_repeat = gevent.spawn(repeat, 1)
     gevent.spawn_later(0.08, home.report, report)
     late_repeat = gevent.spawn_later(0.09, repeat, 2)
