Answer a request that comes as soon as a late router has read the store

A caller whose request came when a starting router had just read the store got no response at all, not even at its deadline, if another request that waited for this reached the end of the waiting time in the same turn of the event loop. The request counted as running until the router ended.

The wait now goes through wait_until_set.

No long block is needed for it: gevent runs at most about 5 ms of scheduled callbacks before the timers. That a router met it in a soak is not shown.

--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -28,6 +28,7 @@
 )
 from chervilstall.telemetry.edge_metrics import EdgeMetrics, RequestOutcome
 from chervilstall.telemetry.events import EventLog
+from chervilstall.waiting import wait_until_set
 from chervilstall.wsgi import (
     HEADERS_KEY,
     REQUEST_TARGET_KEY,
@@ -146,9 +147,8 @@
 
     def _await_configuration(self) -> RouterConfiguration:
         """Return the configuration, after a wait if the router has just started."""
-        self.fleet_view.loaded.wait(
-            max(0.0, self.startup_wait_until_s - time.monotonic())
-        )
+        remaining_s = max(0.0, self.startup_wait_until_s - time.monotonic())
+        wait_until_set(self.fleet_view.loaded, remaining_s)
         configuration = self.fleet_view.configuration
         if configuration is None:
             raise ChervilstallError(
--- a/tests/edge/start.feature
+++ b/tests/edge/start.feature
@@ -24,3 +24,11 @@
     Given a platform with lookups in both zones
     When a router process receives SIGHUP as soon as callers can connect
     Then the process becomes ready
+
+  # Guards against a request that is never answered since it comes when the store has
+  # just been read and a request that waits for this reaches its bound.
+  Scenario: A request that comes as soon as a late router has read the store is answered
+    Given a platform with lookups in both zones
+    And a router that has not read the store
+    When its event loop stands still while a request waits, it reads, a request comes
+    Then each request to the router is answered with status 404
--- a/tests/steps/start_steps.py
+++ b/tests/steps/start_steps.py
@@ -1,21 +1,27 @@
 """Steps that start the router as a separate process."""
 
 import http.client
+import json
 import os
 import signal
 import subprocess
 import sys
 import tempfile
+import time
 from collections.abc import Callable
 from pathlib import Path
 
 import gevent
 from behave import given, then, when
 from behave.runner import Context
+from gevent.monkey import get_original
 
 from chervilstall.commands.listening import bind_listener
+from chervilstall.edge.server import EdgeServer
+from chervilstall.platform.config import decode_configuration
 from chervilstall.settings.option import Address
-from chervilstall.standin.platform_fixtures import build_node_file
+from chervilstall.standin.platform_fixtures import build_configuration, build_node_file
+from chervilstall.wsgi import HEADERS_KEY, REQUEST_TARGET_KEY
 from tests.support.agent_fleet import eventually
 from tests.support.platform import Platform, open_connection, raw_request
 from tests.support.router_harness import ANY_PORT, HOST
@@ -23,6 +29,8 @@
 SETTINGS_VARIABLE = "CHERVILSTALL_NODE_FILE"
 PRINT_MODULES = "import sys; {first}; print(*sys.modules); {then}; print(*sys.modules)"
 EXIT_TIMEOUT_S = 20.0
+BLOCK = get_original("time", "sleep")
+"""Blocks the whole process, unlike the patched function."""
 
 
 def free_address() -> Address:
@@ -190,3 +198,42 @@
 @then("the process becomes ready")
 def check_becomes_ready(context: Context) -> None:
     eventually(context.router_process.is_ready, 30.0)
+
+
+@given("a router that has not read the store")
+def create_router(context: Context) -> None:
+    settings = context.platform.node_settings()
+    context.router = EdgeServer(settings, Path("/nonexistent"), 0)
+
+
+@when("its event loop stands still while a request waits, it reads, a request comes")
+def stall_beside_first_read(context: Context) -> None:
+    app, view = context.router.app, context.router.fleet_view
+    configuration = decode_configuration(json.dumps(build_configuration()).encode())
+    app.startup_wait_until_s = time.monotonic() + 0.1
+
+    def finish_reading() -> None:
+        view.apply_configuration(configuration, 1)
+        view.retain_targets(())
+
+    def request() -> str:
+        statuses: list[str] = []
+        environ = {HEADERS_KEY: [], REQUEST_TARGET_KEY: "/unknown"}
+        b"".join(app(environ, lambda status, headers: statuses.append(status)))
+        return statuses[0]
+
+    # All are due while the loop stands still, so one turn runs them in this order.
+    waiting = gevent.spawn(request)
+    gevent.spawn_later(0.08, finish_reading)
+    late = gevent.spawn_later(0.09, request)
+    context.requests = [waiting, late]
+    context.add_cleanup(gevent.killall, context.requests)
+    gevent.sleep(0.05)
+    BLOCK(0.2)
+
+
+@then("each request to the router is answered with status {status:d}")
+def check_each_status(context: Context, status: int) -> None:
+    gevent.joinall(context.requests, timeout=2.0)
+    found = [task.value for task in context.requests]
+    assert all(line and line.startswith(f"{status} ") for line in found), found
