--- a/src/chervilstall/idempotency/home.py
+++ b/src/chervilstall/idempotency/home.py
@@ -47,7 +47,6 @@
 
 CLEANING_INTERVAL_S = 5.0
 CLOCK_SKEW_S = 2.0  # allowance for wall-clock differences between VMs
-SETTLED_POLL_S = 0.005
 DURABLE_CLAIM_WAIT_S = 0.2  # wait of a first attempt before it may run unrecorded
 RECORD_OVERHEAD_BYTES = 200  # estimated size of a record without its outcome's body
 CLOSE_TIMEOUT_S = 2.0
@@ -85,17 +84,6 @@
     key_states: list[KeyState] = field(default_factory=list)
 
 
-def _poll_settled(batch: _Batch, timeout_s: float) -> None:
-    """Wait until a batch is settled, for a task that has waited for it before.
-
-    A second wait of one task on one gevent event may not end if the event is set while
-    the first times out.
-    """
-    end_s = time.monotonic() + timeout_s
-    while not batch.settled.is_set() and time.monotonic() < end_s:
-        gevent.sleep(SETTLED_POLL_S)
-
-
 class SlotHome:
     """Answers claims for the keys of one slot.
 
@@ -310,13 +298,13 @@
         batch.key_states.append(state)
         timeout_s = min(request.wait_s, self.settings.claim_timeout_s)
         if request.allows_hole and request.is_first:
-            if batch.settled.wait(min(DURABLE_CLAIM_WAIT_S, timeout_s)):
+            if wait_until_set(batch.settled, min(DURABLE_CLAIM_WAIT_S, timeout_s)):
                 return self._claim_result(state, request)
             if self.log.failing_since_s is not None:
                 return self._claim_unrecorded()
-            _poll_settled(batch, timeout_s - DURABLE_CLAIM_WAIT_S)
+            wait_until_set(batch.settled, max(0.0, timeout_s - DURABLE_CLAIM_WAIT_S))
         else:
-            batch.settled.wait(max(0.0, timeout_s))
+            wait_until_set(batch.settled, max(0.0, timeout_s))
         return self._claim_result(state, request)
 
     def _claim_result(self, state: KeyState, request: ClaimRequest) -> ClaimAnswer:
