Sample in the soak how long each process waits for a CPU

Its report has each process's longest wait for a CPU and its most CPU time in a window with their moments, the polls at which it was blocked in a system call, what router and soak did during each request that broke a promise, the moment of the soak's own greatest lag, and the time that the hypervisor took. The record of a failed seed has every window.

--- a/src/chervilstall/soak/run.py
+++ b/src/chervilstall/soak/run.py
@@ -27,6 +27,7 @@
     SentRequest,
     probe_route,
 )
+from chervilstall.soak.process_sampler import ProcessSampler, read_stolen_s
 from chervilstall.soak.shutdown_invariants import check_shutdowns
 from chervilstall.soak.shutdowns import ShutdownInjector
 from chervilstall.soak.visitors import ShutdownVisitors
@@ -55,20 +56,28 @@
 LAG_CHECK_S = 0.02
 SERVED_SHARE_MIN = 0.9
 SUBNET_COUNT = 10_000
+OWN_PROCESS = "soak"
+"""Name of this process among those that are sampled; it is also targets and store."""
 
 
 @dataclass
 class LagMonitor:
-    """Measures how late this process gets to run, which all times it sees include."""
+    """Measures how late this process gets to run, which all times it sees include.
+
+    `lag_max_at_s` is the monotonic time at which the greatest lag ended.
+    """
 
     lag_max_s: float = 0.0
+    lag_max_at_s: float = 0.0
 
     def run(self) -> None:
         """Measure until killed."""
         while True:
             due_s = time.monotonic() + LAG_CHECK_S
             gevent.sleep(LAG_CHECK_S)
-            self.lag_max_s = max(self.lag_max_s, time.monotonic() - due_s)
+            now_s = time.monotonic()
+            if now_s - due_s > self.lag_max_s:
+                self.lag_max_s, self.lag_max_at_s = now_s - due_s, now_s
 
 
 class FaultMix(Enum):
@@ -112,11 +121,15 @@
     objective_ms = rng.choice(LATENCY_OBJECTIVES_MS) if options.has_series else None
     fleet = SoakFleet(subnet, rng, options.grace_s, objective_ms)
     lag = LagMonitor()
-    lag_task = gevent.Greenlet(lag.run)
+    sampler = ProcessSampler(lambda: _list_processes(fleet))
+    monitors = [gevent.Greenlet(lag.run), gevent.Greenlet(sampler.run)]
     try:
         fleet.start(options.routers)
         not_ready = fleet.wait_until_ready(START_TIMEOUT_S)
-        lag_task.start()
+        started_at_s = time.monotonic()
+        stolen_before_s = read_stolen_s()
+        for monitor in monitors:
+            monitor.start()
         load = _build_load(fleet, options)
         load.start(options.callers_per_router * options.routers)
         shutdowns = ShutdownInjector(rng)
@@ -135,9 +148,10 @@
         if violations and log_directory is not None:
             directory = log_directory / f"seed-{seed}"
             _copy_logs(fleet, directory)
-            _write_record(load, injector, directory)
+            _write_record(load, injector, sampler, directory)
+        stolen_s = read_stolen_s() - stolen_before_s
     finally:
-        lag_task.kill()
+        gevent.killall(monitors)
         fleet.stop()
     return {
         "seed": seed,
@@ -151,11 +165,41 @@
         "faults": count_by_kind(injector.faults),
         "shutdowns": len(shutdowns.shutdowns),
         "lag_max_s": round(lag.lag_max_s, 3),
+        "lag_max_at_s": round(lag.lag_max_at_s - started_at_s, 2),
+        "stolen_s": round(stolen_s, 2),
+        "processes": sampler.worst_windows(started_at_s),
         "killed": sum(stop.exit_code is None for stop in shutdowns.shutdowns),
         "breaches": [asdict(violation) for violation in violations],
+        "at_breaches": _sample_breaches(violations, load.requests, sampler),
     }
 
 
+def _list_processes(fleet: SoakFleet) -> list[tuple[str, int]]:
+    """Return names and ids of the running routers and of this process."""
+    processes = [(OWN_PROCESS, os.getpid())]
+    for router in fleet.routers:
+        if router.process is not None and router.is_running:
+            processes.append((router.name, router.process.pid))
+    return processes
+
+
+def _sample_breaches(
+    violations: list[Violation], requests: list[SentRequest], sampler: ProcessSampler
+) -> list[dict[str, Any]]:
+    """Return what router and soak did while the request of each violation ran."""
+    requests_by_id = {sent.request_id: sent for sent in requests}
+    samples: list[dict[str, Any]] = []
+    for violation in violations:
+        sent = requests_by_id.get(violation.request)
+        if sent is None:
+            continue
+        sample: dict[str, Any] = {"request": sent.request_id}
+        for process in (sent.router, OWN_PROCESS):
+            sample[process] = sampler.during(process, sent.sent_at_s, sent.ended_at_s)
+        samples.append(sample)
+    return samples
+
+
 def _build_load(fleet: SoakFleet, options: SoakOptions) -> LoadGenerator:
     load = LoadGenerator(fleet.routers, fleet.rng)
     if options.has_series:
@@ -236,10 +280,14 @@
 
 
 def _write_record(
-    load: LoadGenerator, injector: FaultInjector, directory: Path
+    load: LoadGenerator,
+    injector: FaultInjector,
+    sampler: ProcessSampler,
+    directory: Path,
 ) -> None:
-    """Write what callers and targets saw, each shutdown and each fault, one a line."""
+    """Write what callers and targets saw, shutdowns, faults and samples, one a line."""
     records = [*load.requests, *injector.shutdowns.shutdowns, *injector.faults]
+    records += sampler.windows
     for target in injector.fleet.targets:
         records += target.server.answers
     (directory / "record.txt").write_text("\n".join(map(repr, records)))
--- a/tests/soak/shutdowns.feature
+++ b/tests/soak/shutdowns.feature
@@ -47,6 +47,7 @@
   Scenario Outline: Shutdowns in series violate no invariant with seed <seed>, in which <cause>
     When the soak test shuts routers down with seed <seed>, <callers> callers per router and a grace period of <grace> s
     Then it shut routers down and found no violation
+    And its report has the longest wait for a CPU of each router and of the soak
 
     Examples:
       | seed | callers | grace | cause                                                    |
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -14,7 +14,7 @@
 from chervilstall.soak.invariants import check_responses, check_shutdown
 from chervilstall.soak.links import LinkProxy
 from chervilstall.soak.load_generator import RequestKind, SentRequest
-from chervilstall.soak.run import FaultMix, SoakOptions, run_soak
+from chervilstall.soak.run import OWN_PROCESS, FaultMix, SoakOptions, run_soak
 from chervilstall.soak.shutdown_invariants import check_shutdowns
 from chervilstall.soak.shutdowns import Shutdown
 from tests.support.router_harness import ANY_PORT, HOST
@@ -201,3 +201,10 @@
     assert context.report["requests"] > 0, context.report
     assert context.report["shutdowns"] > 0, context.report
     assert context.report["breaches"] == [], context.report
+
+
+@then("its report has the longest wait for a CPU of each router and of the soak")
+def check_sampled_processes(context: Context) -> None:
+    sampled = {each["process"] for each in context.report["processes"]}
+    routers = {f"vm-{number + 1}" for number in range(context.report["routers"])}
+    assert sampled == {*routers, OWN_PROCESS}, context.report["processes"]
