Accept waiting connections before a stopping router closes its listener

Callers saw a reset, 0.1 to 0.9 s after they had sent a request on a new connection, when the router stood still at the moment at which it stops to listen (0.6 s before its last answers). In a shutdown on a busy machine the wait grows with the time that the router isn't run.

Cause: the drain task's timer is due in the same turn of the event loop as the connections that came meanwhile, and runs first. It closed the listener, and the kernel reset every connection that waited to be accepted, with the request that it held. An order of the shutdown that holds only while turns are on time.

Change: Server.stop_listening accepts what waits, for 0.2 s at most, and closes then. Such a request is read, and served or refused with 503 like any other.

Tests: three new scenarios in tests/edge/drain.feature block the event loop over the close, over the last answers and to the end.

--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -341,7 +341,7 @@
         log.info("streams refused from now on", after_s=schedule.elapsed_s)
         self.caller_listener.close_idle()
         self._wait_until_quiet(schedule.answers_until_s - LISTENER_CLOSE_LEAD_S)
-        self.caller_listener.close()
+        self.caller_listener.stop_listening()
         self._wait_until_quiet(schedule.answers_until_s)
         self.app.answer_all()
         # A loop that stood still may be past the end already.
--- a/src/chervilstall/wsgi.py
+++ b/src/chervilstall/wsgi.py
@@ -27,9 +27,11 @@
 import gevent.pool
 import gevent.socket
 import msgspec
-from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.select import select
 
 from chervilstall.settings.option import Address
+from chervilstall.wsgi_input import UndrainedInput
 
 Environ = dict[str, Any]
 StartResponse = Callable[..., Callable[[bytes], object]]
@@ -39,6 +41,10 @@
 QUIET_POLLS_MIN = 2
 """Polls without a request after which none is about to be read either."""
 
+ACCEPT_MAX_S = 0.2
+"""Longest time for accepting the connections that wait as a listener is closed."""
+
+ACCEPT_POLL_S = 0.001
 LINGER_S = 1.0
 LINGER_BYTES = 4_000_000
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -118,20 +124,6 @@
         """Discard `message`."""
 
 
-class UndrainedInput(Input):
-    """A request body whose unread rest isn't read after the response was sent.
-
-    gevent's class would read it to the end to reuse the connection.
-    """
-
-    has_unread_bytes = False
-
-    def _discard(self) -> None:
-        unread_bytes = (self.content_length or 0) - self.position
-        is_chunk_left = self.chunked_input and self.chunk_length != 0
-        self.has_unread_bytes = unread_bytes > 0 or is_chunk_left
-
-
 class Handler(WSGIHandler):
     """Connection handler with TCP_NODELAY, a header deadline and JSON errors.
 
@@ -382,6 +374,23 @@
                 # The peer has already closed the connection.
                 continue
 
+    def stop_listening(self) -> None:
+        """Close the listener once every connection that waits there is accepted.
+
+        The operating system would reset those that still wait, whose callers may have
+        sent their requests already.
+        """
+        until_s = time.monotonic() + ACCEPT_MAX_S
+        while self._has_waiting_connections() and time.monotonic() < until_s:
+            gevent.sleep(ACCEPT_POLL_S)
+        self.close()
+
+    def _has_waiting_connections(self) -> bool:
+        if self.closed:
+            return False
+        readable, _, _ = select([self.socket], [], [], 0)
+        return bool(readable)
+
     def kill_connections(self) -> None:
         """Close the listener and terminate every open connection."""
         self.close()
--- a/tests/edge/drain.feature
+++ b/tests/edge/drain.feature
@@ -104,3 +104,15 @@
     And an open connection to it
     When it is told to stop and a request arrives as idle connections are closed
     Then that request is answered in full
+
+  # Guards against LOST: the listener is closed while connections wait to be accepted.
+  Scenario Outline: Requests that come while a stopping router stands still <over> are refused
+    Given a router before lookups that hang
+    When it is told to stop, stands still until <until_s> s and requests arrive meanwhile
+    Then each of them is refused and has not run
+
+    Examples:
+      | over                      | until_s |
+      | as it stops to listen     | 3.1     |
+      | as the last answers begin | 3.6     |
+      | to the end                | 3.8     |
--- a/tests/steps/drain_steps.py
+++ b/tests/steps/drain_steps.py
@@ -1,12 +1,14 @@
 """Steps for what callers of a router get between its stop signal and its end."""
 
 import http.client
+import socket
 import time
 from dataclasses import dataclass, field, replace
 
 import gevent
 from behave import given, then, when
 from behave.runner import Context
+from gevent.monkey import get_original
 
 from chervilstall.fleet.records import LayerRange
 from chervilstall.standin.platform_fixtures import (
@@ -35,6 +37,14 @@
 CALLER_TIMEOUT_S = 20.0
 LONG_DRAFT_EVENTS = 5_000
 NOT_RUN_STATUS = 503
+STANDSTILL_AFTER_S = 2.9
+WAITING_CONNECTIONS = 5
+WAITING_REQUEST = "waiting"
+REFUSED_START = b"HTTP/1.1 503 "
+native_sleep = get_original("time", "sleep")
+"""The standard sleep, which blocks the event loop."""
+
+native_socket = get_original("socket", "socket")
 ROUTE_PATHS = {
     "idempotent": "/lookup/a",
     "non_idempotent": "/hold/a",
@@ -325,3 +335,31 @@
 @then("that request is answered in full")
 def check_answered_in_full(context: Context) -> None:
     assert read_response(context.connection).endswith(b"answer to r1")
+
+
+@when(
+    "it is told to stop, stands still until {until_s:g} s and requests arrive meanwhile"
+)
+def send_while_standing_still(context: Context, until_s: float) -> None:
+    stopping = stop_router(context)
+    keep_running(context, "non_idempotent")
+    stopping.wait_until(STANDSTILL_AFTER_S)
+    address = context.router.caller_listener.bound_address
+    context.connections = []
+    for _ in range(WAITING_CONNECTIONS):
+        # The kernel completes the connection, and the router does not run meanwhile.
+        connection = native_socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection.connect((address.host, address.port))
+        connection.sendall(raw_request(ROUTE_PATHS["idempotent"], WAITING_REQUEST))
+        context.connections.append(connection)
+    native_sleep(max(0.0, stopping.started_at_s + until_s - time.monotonic()))
+
+
+@then("each of them is refused and has not run")
+def check_all_refused(context: Context) -> None:
+    for connection in context.connections:
+        patched = socket.socket(fileno=connection.detach())
+        context.add_cleanup(patched.close)
+        assert read_response(patched).startswith(REFUSED_START)
+    executed = context.platform.executed_request_ids()
+    assert executed.count(WAITING_REQUEST) == 0, executed
