Accept waiting connections as the product's router stops to listen

Callers of the product's interface got a reset instead of a refusal when their connection waited to be accepted as a stopping router closed its listener: the same fault as the platform router's, in a second place.

Change: the router's stop uses Server.stop_listening, too.

Tests: one new scenario in tests/gateway/shutdown.feature, which failed before. The step that sends a request as idle connections are closed now shares its order of calls with the new one; what it does and checks is the same.

--- a/src/chervilstall/gateway/server.py
+++ b/src/chervilstall/gateway/server.py
@@ -122,7 +122,7 @@
         self.runtime.await_load_balancer()
         self.runtime.refuse_requests()
         self.caller_listener.close_idle()
-        self.caller_listener.close()
+        self.caller_listener.stop_listening()
         is_quiet = self._wait_for_requests()
         self.stop()
         return is_quiet
--- a/tests/gateway/shutdown.feature
+++ b/tests/gateway/shutdown.feature
@@ -20,6 +20,12 @@
     When the router is told to stop and a request arrives as idle connections are closed
     Then that request gets a response
 
+  # Guards against requests that wait to be accepted, and are reset with the listener.
+  Scenario: A request on a connection that waits to be accepted is refused at the stop
+    Given a router and stand-in targets
+    When the router is told to stop and a new connection waits as its listener is closed
+    Then that request gets a response
+
   Scenario: A second stop signal aborts and reports unfinished requests
     Given a router and stand-in targets
     And the engines compute 60 layer tokens per second
--- a/tests/steps/gateway_drain_steps.py
+++ b/tests/steps/gateway_drain_steps.py
@@ -2,17 +2,21 @@
 
 import http.client
 import json
+import socket
+from collections.abc import Callable
 
 import gevent
 from behave import then, when
 from behave.runner import Context
 from gevent.event import Event
+from gevent.monkey import get_original
 
 from tests.support.agent_fleet import eventually
 from tests.support.chat import CHAT, chat_body
 from tests.support.router_harness import TOKEN, RouterHarness
 
 LATE_AFTER_S = 0.2
+native_socket = get_original("socket", "socket")
 LATE_PROMPT = "which seats are left"
 
 
@@ -81,14 +85,24 @@
     harness: RouterHarness = context.router_harness
     context.connection = harness.connect()
     context.connection.connect()
+    eventually(lambda: harness.router.server.caller_listener.idle)
+    stop_after(harness, lambda: send_whole(context.connection))
+
+
+def send_whole(connection: http.client.HTTPConnection) -> None:
+    """Send a whole late stream."""
+    begin_request(connection)
+    connection.send(late_body())
+
+
+def stop_after(harness: RouterHarness, send: Callable[[], object]) -> None:
+    """Tell the router to stop, and call `send` just before it closes connections."""
     listener = harness.router.server.caller_listener
-    eventually(lambda: listener.idle)
     close_idle = listener.close_idle
 
     def send_and_close() -> None:
         # Neither call yields, so the router cannot read the request in between.
-        begin_request(context.connection)
-        context.connection.send(late_body())
+        send()
         close_idle()
         sent.set()
 
@@ -98,6 +112,22 @@
     sent.wait()
 
 
+@when("the router is told to stop and a new connection waits as its listener is closed")
+def send_before_accept(context: Context) -> None:
+    harness: RouterHarness = context.router_harness
+    context.connection = harness.connect()
+    address = harness.router.server.caller_address
+
+    def connect_and_send() -> None:
+        # The kernel completes the connection; unlike a patched one, it doesn't yield.
+        waiting = native_socket(socket.AF_INET, socket.SOCK_STREAM)
+        waiting.connect((address.host, address.port))
+        context.connection.sock = socket.socket(fileno=waiting.detach())
+        send_whole(context.connection)
+
+    stop_after(harness, connect_and_send)
+
+
 @then("that request gets a response")
 def check_response(context: Context) -> None:
     assert context.connection.getresponse().status == 503
