Let the busy event loop of the drain test really be busy

The step "its event loop is busy" of tests/edge/drain.feature called time.sleep, which the test run's monkey patch replaces by gevent's, so that the loop stayed free and the scenario was easier than it said. It now calls the original sleep, which blocks the loop for 4 of each 10 ms. The checks and the bound of 3 s are unchanged.

--- a/tests/steps/drain_steps.py
+++ b/tests/steps/drain_steps.py
@@ -118,7 +118,7 @@
 def keep_loop_busy(context: Context) -> None:
     def block_often() -> None:
         while True:
-            time.sleep(BUSY_S)
+            native_sleep(BUSY_S)
             gevent.sleep(BUSY_INTERVAL_S)
 
     context.busy_task = gevent.spawn(block_often)
