--- /dev/null
+++ b/tests/edge/standstill.feature
@@ -0,0 +1,15 @@
+Feature: A router that did not run for a while does not blame others for it
+
+  # Guards against streams that use up their attempts because their router stood still.
+  Scenario Outline: A stream is not ended for silence while its router stood still <when>
+    Given a platform with a model in parts in both zones
+    And its targets begin a draft 0.25 s after they get it
+    When a draft of <events> events is asked for and the router stands still for 1.4 s after <after_s> s
+    Then the events 1 to <events> arrive once and in order
+    And the request ran 1 times
+    And no target is suspected
+
+    Examples:
+      | when                   | events | after_s |
+      | before the first event | 50     | 0.1     |
+      | between two events     | 50     | 0.4     |
