--- a/tests/steps/drain_steps.py
+++ b/tests/steps/drain_steps.py
@@ -1,12 +1,14 @@
 """Steps for what callers of a router get between its stop signal and its end."""
 
 import http.client
+import socket
 import time
 from dataclasses import dataclass, field, replace
 
 import gevent
 from behave import given, then, when
 from behave.runner import Context
+from gevent.monkey import get_original
 
 from chervilstall.fleet.records import LayerRange
 from chervilstall.standin.platform_fixtures import (
@@ -35,6 +37,14 @@
 CALLER_TIMEOUT_S = 20.0
 LONG_DRAFT_EVENTS = 5_000
 NOT_RUN_STATUS = 503
+STANDSTILL_AFTER_S = 2.9
+WAITING_CONNECTIONS = 5
+WAITING_REQUEST = "waiting"
+REFUSED_START = b"HTTP/1.1 503 "
+native_sleep = get_original("time", "sleep")
+"""The standard sleep, which blocks the event loop."""
+
+native_socket = get_original("socket", "socket")
 ROUTE_PATHS = {
     "idempotent": "/lookup/a",
     "non_idempotent": "/hold/a",
@@ -108,7 +118,7 @@
 def keep_loop_busy(context: Context) -> None:
     def block_often() -> None:
         while True:
-            time.sleep(BUSY_S)
+            native_sleep(BUSY_S)
             gevent.sleep(BUSY_INTERVAL_S)
 
     context.busy_task = gevent.spawn(block_often)
@@ -155,8 +165,12 @@
     kind: str,
     number: int,
     events: int = LONG_DRAFT_EVENTS,
+    pause_s: float = 0.0,
 ) -> None:
-    """Send one request on a connection of its own and record what its caller gets."""
+    """Send one request on a connection of its own and record what its caller gets.
+
+    `pause_s` is the time from the opening of the connection to the request.
+    """
     sent = Sent(f"r{number}", 0.0)
     address = context.router.caller_listener.bound_address
     connection = http.client.HTTPConnection(
@@ -167,6 +181,7 @@
     )
     try:
         connection.connect()
+        gevent.sleep(pause_s)
         sent.sent_after_s = time.monotonic() - stopping.started_at_s
         stopping.sent.append(sent)
         connection.request("POST", ROUTE_PATHS[kind], headers=headers)
@@ -278,6 +293,19 @@
     send_request(context, stopping, kind, 1)
 
 
+@when(
+    "it is told to stop and a {kind} request comes {after_s:g} seconds later, "
+    "{pause_s:g} after its connection"
+)
+def send_after_connection(
+    context: Context, kind: str, after_s: float, pause_s: float
+) -> None:
+    stopping = stop_router(context)
+    keep_running(context, kind)
+    stopping.wait_until(after_s - pause_s)
+    send_request(context, stopping, kind, 1, pause_s=pause_s)
+
+
 @when("it is told to stop and a draft arrives {after_s:g} seconds later")
 def send_one_draft(context: Context, after_s: float) -> None:
     send_one(context, "draft", after_s)
@@ -291,6 +319,13 @@
         assert sent.request not in context.platform.executed_request_ids()
 
 
+@then("that request is refused and has not run")
+def check_refused(context: Context) -> None:
+    (sent,) = context.stopping.sent
+    assert (sent.status, sent.is_complete) == (NOT_RUN_STATUS, True), sent
+    assert sent.request not in context.platform.executed_request_ids()
+
+
 # At the end
 
 
@@ -325,3 +360,31 @@
 @then("that request is answered in full")
 def check_answered_in_full(context: Context) -> None:
     assert read_response(context.connection).endswith(b"answer to r1")
+
+
+@when(
+    "it is told to stop, stands still until {until_s:g} s and requests arrive meanwhile"
+)
+def send_while_standing_still(context: Context, until_s: float) -> None:
+    stopping = stop_router(context)
+    keep_running(context, "non_idempotent")
+    stopping.wait_until(STANDSTILL_AFTER_S)
+    address = context.router.caller_listener.bound_address
+    context.connections = []
+    for _ in range(WAITING_CONNECTIONS):
+        # The kernel completes the connection, and the router does not run meanwhile.
+        connection = native_socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection.connect((address.host, address.port))
+        connection.sendall(raw_request(ROUTE_PATHS["idempotent"], WAITING_REQUEST))
+        context.connections.append(connection)
+    native_sleep(max(0.0, stopping.started_at_s + until_s - time.monotonic()))
+
+
+@then("each of them is refused and has not run")
+def check_all_refused(context: Context) -> None:
+    for connection in context.connections:
+        patched = socket.socket(fileno=connection.detach())
+        context.add_cleanup(patched.close)
+        assert read_response(patched).startswith(REFUSED_START)
+    executed = context.platform.executed_request_ids()
+    assert executed.count(WAITING_REQUEST) == 0, executed
