Count a shutdown from the stop signal, not from its handling

Cause: gevent calls the handler of a signal from its loop, and the schedule began then. Change: the router's handler runs as a handler of the interpreter, which is called between two bytecodes also while the loop is busy, notes the time and wakes the loop. The schedule begins at that time; the line 'draining' tells how late it was turned to.

--- a/src/chervilstall/commands/edge.py
+++ b/src/chervilstall/commands/edge.py
@@ -37,7 +37,7 @@
     # Imported after binding, so that callers can already connect.
     import gevent
 
-    from chervilstall.commands.signals import on_reload_signal, on_stop_signals
+    from chervilstall.commands.signals import on_reload_signal, on_timed_stop_signals
     from chervilstall.edge.server import EdgeServer
     from chervilstall.telemetry.events import writer
 
@@ -45,7 +45,7 @@
     gevent.spawn(writer.run)
     server = EdgeServer(settings, path, listener=listener)
     server.start()
-    on_stop_signals(server.drain_and_stop)
+    on_timed_stop_signals(server.drain_and_stop)
     on_reload_signal(server.reload)
     server.wait()
     writer.flush()
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -328,14 +328,21 @@
         gauges["collections"] = sum(stats["collections"] for stats in gc.get_stats())
         return self.metrics.exposition()
 
-    def drain_and_stop(self) -> None:
-        """Become unready, finish running requests and stop, within the grace period."""
+    def drain_and_stop(self, told_at_s: float) -> None:
+        """Become unready, finish running requests and stop, within the grace period.
+
+        `told_at_s` is the monotonic time of the stop signal.
+        """
         if self.is_draining:
             return
-        schedule = DrainSchedule.begin(time.monotonic(), self.settings.bounds.grace_s)
+        schedule = DrainSchedule.begin(told_at_s, self.settings.bounds.grace_s)
         self.is_draining = True
         self.app.begin_drain(schedule)
-        log.info("draining", running=self.app.running_requests)
+        log.info(
+            "draining",
+            running=self.app.running_requests,
+            after_s=schedule.elapsed_s,
+        )
         self.planner_lease.stop()
         self._sleep_until(schedule.streams_until_s)
         log.info("streams refused from now on", after_s=schedule.elapsed_s)
--- a/tests/edge/drain.feature
+++ b/tests/edge/drain.feature
@@ -8,6 +8,13 @@
     Then none of those sent later than 3 seconds after the signal is cut
     And those that were refused have not run
 
+  # Guards against LOST: moments that count from the handling of the signal.
+  Scenario: Streams sent later than 3 seconds after a signal that is handled late are not cut
+    Given a router before drafts that last longer than its grace period
+    When it stands still for 1 s as it is told to stop
+    And drafts arrive every 2 ms around 3 seconds after the signal
+    Then none of those sent later than 3 seconds after the signal is cut
+
   # Guards against LOST: streams are admitted before their body, which may come late.
   Scenario: A stream whose body ends after the stop signal by more than 3 seconds is not cut
     Given a router before drafts that last longer than its grace period
--- a/tests/steps/drain_steps.py
+++ b/tests/steps/drain_steps.py
@@ -148,7 +148,7 @@
 def stop_router(context: Context) -> Stopping:
     """Tell the router to stop, as SIGTERM does."""
     context.stopping = Stopping(time.monotonic())
-    gevent.spawn(context.router.drain_and_stop)
+    gevent.spawn(context.router.drain_and_stop, context.stopping.started_at_s)
     return context.stopping
 
 
@@ -198,7 +198,13 @@
 
 @when("it is told to stop and drafts arrive every 2 ms around 3 seconds later")
 def send_burst(context: Context) -> None:
-    stopping = stop_router(context)
+    stop_router(context)
+    send_burst_of_drafts(context)
+
+
+@when("drafts arrive every 2 ms around 3 seconds after the signal")
+def send_burst_of_drafts(context: Context) -> None:
+    stopping = context.stopping
     keep_running(context, "draft")
     first_s, last_s = BURST_S
     stopping.wait_until(first_s)
--- a/tests/steps/shutdown_steps.py
+++ b/tests/steps/shutdown_steps.py
@@ -60,7 +60,9 @@
 @when("the router is told to stop")
 def stop_router(context: Context) -> None:
     context.stop_started_s = time.monotonic()
-    context.stopping = gevent.spawn(context.router.drain_and_stop)
+    context.stopping = gevent.spawn(
+        context.router.drain_and_stop, context.stop_started_s
+    )
     gevent.sleep(0.05)
 
 
--- a/tests/steps/standstill_steps.py
+++ b/tests/steps/standstill_steps.py
@@ -44,6 +44,13 @@
     assert not suspected, suspected
 
 
+@when("it stands still for {lasts_s:g} s as it is told to stop")
+def stand_still_at_signal(context: Context, lasts_s: float) -> None:
+    stop_router(context)
+    # The task that handles the signal begins only when this one yields.
+    native_sleep(lasts_s)
+
+
 @when(
     "it is told to stop and stands still after its last answers, while a request "
     "arrives on an open connection"
