Count a shutdown from the pause in which its signal may have come

What callers saw of a router that did not run for 1.5 s as SIGTERM came (SIGSTOP in a trial of the soak's parts, 8 s of grace, no load): two streams sent 3.02 and 3.18 s after SIGTERM were cut, four lookups and holds sent in the last 0.1 s got no response, and the process was killed at 8 s with requests in progress. Cause: a signal reaches a process that isn't run once it runs again. The schedule leaves 0.64 s of 8 s at its end, so that a router that gets its signal later than that outlasts its grace period. After 0.1 s or more in which it was not run a shutdown counts from the beginning of that pause plus 0.04 of the grace period, half of the reserve at the end, since the signal may have come at any moment of it. If it came later, the shutdown ends earlier by as much than it could; a stream that is cut so goes on elsewhere, which a killed router's doesn't do any better. A router that is busy with its own work gets its signals at once, and counts from them.

--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -15,6 +15,7 @@
 from chervilstall.edge.draining import DrainSchedule
 from chervilstall.edge.endpoints import OperatorEndpoints, bad_request_response
 from chervilstall.edge.limit_sharing import LIMITS_PREFIX, LimitSharing
+from chervilstall.edge.loop_pulse import LoopPulse
 from chervilstall.edge.outage import OutagePoller
 from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
 from chervilstall.edge.prompt_guard import PromptGuard
@@ -156,6 +157,7 @@
         )
         self.fleet_view.on_suspicion = self._share_suspicion
         self.is_draining = False
+        self.loop_pulse = LoopPulse()
         self._stopped = Event()
         self._tasks: list[gevent.Greenlet] = []
         self._settings_content = b""
@@ -251,6 +253,7 @@
         runners = [self.store_watcher.run, self.store_probe.run]
         runners += [self.registry.run, self.planner_lease.run, self.planner.run]
         runners += [
+            self.loop_pulse.run,
             self.stream_monitor.run,
             self.outage_poller.run,
             self.zone_prober.run,
@@ -331,11 +334,14 @@
     def drain_and_stop(self, told_at_s: float) -> None:
         """Become unready, finish running requests and stop, within the grace period.
 
-        `told_at_s` is the monotonic time of the stop signal.
+        `told_at_s` is the monotonic time at which the process got the stop signal.
         """
         if self.is_draining:
             return
-        schedule = DrainSchedule.begin(told_at_s, self.settings.bounds.grace_s)
+        self.loop_pulse.pulse()
+        came_at_s = self.loop_pulse.came_at_earliest_s(told_at_s)
+        grace_s = self.settings.bounds.grace_s
+        schedule = DrainSchedule.begin_late(came_at_s, told_at_s, grace_s)
         self.is_draining = True
         self.app.begin_drain(schedule)
         log.info(
