Await the verdict on a second lost target before a request is sent again

Cause: the check before the third send ran at once, while the second crash was still examined (20 ms and a connection), so that it counted one crash. Change: a request counts the targets that it has lost before it had begun. From the second on the next check waits for that target's examination, at most until the deadline; other requests don't wait.

--- a/src/chervilstall/edge/crash_observer.py
+++ b/src/chervilstall/edge/crash_observer.py
@@ -42,18 +42,27 @@
     on_crash: Callable[[CrashReport], None]
     _lost_parts: dict[TargetIncarnation, set[PartId]] = field(default_factory=dict)
     _crashed_at_s: dict[TargetIncarnation, float] = field(default_factory=dict)
+    _examinations: dict[TargetIncarnation, gevent.Greenlet] = field(
+        default_factory=dict
+    )
 
     def record_lost(self, target: Target, request: EdgeRequest) -> None:
         """Record that a target closed a request's connection before it had begun."""
         parts = request.fields.prompt_parts
-        if not parts:
-            return
         lost_parts = self._lost_parts.get(target.incarnation)
         if lost_parts is not None:
             lost_parts.update(parts)
             return
         self._lost_parts[target.incarnation] = set(parts)
-        gevent.spawn(self._examine, target, time.monotonic())
+        self._examinations[target.incarnation] = gevent.spawn(
+            self._examine, target, time.monotonic()
+        )
+
+    def await_verdict(self, target: Target, timeout_s: float) -> None:
+        """Wait until it is known whether a target that lost a request has crashed."""
+        examination = self._examinations.get(target.incarnation)
+        if examination is not None:
+            examination.join(timeout_s)
 
     def _examine(self, target: Target, lost_at_s: float) -> None:
         try:
@@ -61,6 +70,7 @@
             has_crashed = self._has_crashed(target)
         finally:
             parts = self._lost_parts.pop(target.incarnation)
+            del self._examinations[target.incarnation]
         if not has_crashed:
             return
         crashed_at_s = self._crashed_at_s.get(target.incarnation, float("-inf"))
--- a/src/chervilstall/edge/prompt_guard.py
+++ b/src/chervilstall/edge/prompt_guard.py
@@ -6,7 +6,7 @@
 from chervilstall.edge.exchange import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.records import Target
-from chervilstall.quarantine.prompts import PromptQuarantine
+from chervilstall.quarantine.prompts import SUSPECT_CRASHES_MIN, PromptQuarantine
 from chervilstall.quarantine.records import PartKey
 from chervilstall.quarantine.refusal import check_prompt
 
@@ -64,5 +64,10 @@
         """Record that the first target of a stream failed it."""
         if not error.was_sent or error.failure is not ExchangeFailure.CLOSED:
             return
-        if not request.has_begun:
-            self.crash_observer.record_lost(first, request)
+        if request.has_begun or not request.fields.prompt_parts:
+            return
+        self.crash_observer.record_lost(first, request)
+        request.targets_lost += 1
+        if request.targets_lost >= SUSPECT_CRASHES_MIN:
+            # The check before the next send needs this crash, too.
+            self.crash_observer.await_verdict(first, max(0.0, request.remaining_s))
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -17,7 +17,8 @@
     are monotonic times; at the deadline the route's timeout or the caller's own wait
     ends, whichever comes first. `sends` counts every try, including those that reached
     no target. `has_reserved_retry` is true while a retry is reserved for the request in
-    the budget. `has_begun` is true once a target has begun a stream and survived that.
+    the budget. `has_begun` is true once a target has begun a stream and survived that,
+    and `targets_lost` counts those that closed its connection before.
     `queued_s` is the time from arrival to the first send, `first_event_s`
     from arrival to the first event of a stream, and `longest_gap_s` the longest time
     between two events. A lower `priority` is more urgent. `abort_callbacks` are called
@@ -38,6 +39,7 @@
     sends: int = 0
     has_reserved_retry: bool = False
     has_begun: bool = False
+    targets_lost: int = 0
     queued_s: float | None = None
     first_event_s: float | None = None
     longest_gap_s: float | None = None
