Free the key of a request that did not run once its home has moved

A caller got home_unavailable ("not run", may be repeated) for a request with an idempotency key, and outcome_unknown for its repeat with the same key after waiting for as long as its deadline allowed, though nothing had been sent to a target. So it went for any repeat until the retention time was over.

Cause: the key's home stored the claim and was lost before it answered. The router reports "not run", but gave this up after 3 attempts in 0.3 s, while another agent takes the home over after the lease's time to live, 6 s by default. The new home reads the claim from the log and never learns that its request did not run.

Change: the report is tried 8 times at intervals that double from 0.1 s on, 12.7 s in all. A refused request costs the agent at most 8 calls instead of 3, and its report stays in memory for that long. Reports of outcomes keep their 20 attempts, 0.1 s apart.

--- a/src/chervilstall/gateway/key_claim.py
+++ b/src/chervilstall/gateway/key_claim.py
@@ -25,9 +25,10 @@
     Unavailable,
 )
 
-OUTCOME_REPORT_ATTEMPTS = 20
-NOT_RUN_REPORT_ATTEMPTS = 3
-REPORT_RETRY_INTERVAL_S = 0.1
+OUTCOME_REPORT_INTERVALS_S = (0.0,) + (0.1,) * 19
+NOT_RUN_REPORT_INTERVALS_S = (0.0, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+"""Intervals before the attempts; together twice the default time to live of a lease."""
+
 REPEAT_HEADER = ("Chervilstall-Repeat", "yes")
 
 
@@ -132,15 +133,19 @@
         if outcome is not None and self._service.report(report):
             return
         # The retries run in the background, so that the caller does not wait while the
-        # home moves to another agent. A "not run" report gets few attempts, because
-        # the home may not know the key at all.
-        attempts = (
-            OUTCOME_REPORT_ATTEMPTS if outcome is not None else NOT_RUN_REPORT_ATTEMPTS
+        # home moves to another agent. A "not run" report gets few attempts at growing
+        # intervals, because the home may not know the key at all.
+        intervals_s = (
+            OUTCOME_REPORT_INTERVALS_S
+            if outcome is not None
+            else NOT_RUN_REPORT_INTERVALS_S
         )
-        gevent.spawn(self._retry_report, report, attempts)
+        gevent.spawn(self._retry_report, report, intervals_s)
 
-    def _retry_report(self, report: OutcomeReport, attempts: int) -> None:
-        for _ in range(attempts):
+    def _retry_report(
+        self, report: OutcomeReport, intervals_s: tuple[float, ...]
+    ) -> None:
+        for interval_s in intervals_s:
+            gevent.sleep(interval_s)
             if self._service.report(report):
                 return
-            gevent.sleep(REPORT_RETRY_INTERVAL_S)
