Assume as many routers as the design has until their number is known

What callers saw: nothing. A budget without the number of routers took 16 for it; with 77 a router then has five shares. On the present path this can't be reached, by reading only: the configuration, without which no request is served, comes in the same listing of the store as the routers. Change: 2,100, the size to design for, until the listing.

--- a/src/chervilstall/edge/registry.py
+++ b/src/chervilstall/edge/registry.py
@@ -47,8 +47,11 @@
 REGISTRATION_WAIT_S = 5.0
 """Time in which all routers register again after the store has lost their leases."""
 
-ROUTERS_ASSUMED = 16
-"""Number of routers assumed until it is known; too high a number is safe."""
+ROUTERS_ASSUMED = 2100
+"""Number of routers assumed until it is known: the size to design for.
+
+Too high a number is safe.
+"""
 
 
 @dataclass
--- a/tests/support/retry_budget_fleet.py
+++ b/tests/support/retry_budget_fleet.py
@@ -155,6 +155,6 @@
         restart_at_s=restart_at_s,
         wanted_after_s=restart_at_s - wanted_before_s,
         down_s=rng.uniform(0.3, 1.5),
-        count_lag_s=0.0,
+        count_lag_s=rng.uniform(0.0, 0.5),
         is_resume=rng.random() < 0.7,
     )
