Keep a part that crashes one service's targets from the others

Cause: evidence and quarantine counted for one service alone, and routers that had seen no answer of the second needed three others. Change: a part under quarantine is put under quarantine at the other services, too, 2 s later at those that a router knows and at once at one that it meets later, by an entry without crashes. A router that knows of an answer there with the part releases it there. One request of all is let through after 3 s; with its answer the part is free at that service. A release at the last service that it crashed ends what was carried over.

--- a/src/chervilstall/quarantine/evidence.py
+++ b/src/chervilstall/quarantine/evidence.py
@@ -76,7 +76,7 @@
         added = []
         for part in report.parts:
             key = PartKey(report.service, part)
-            voided_at_s = self._voided_at_s.get(key, float("-inf"))
+            voided_at_s = self.voided_at_s(key)
             if max(self.begun_at_s(key), voided_at_s) >= at_s:
                 continue
             known = self.evidence.get(key)
@@ -123,6 +123,15 @@
         """Return whether an answer with a part is known to have begun."""
         return key in self._begun_at_s
 
+    def voided_at_s(self, key: PartKey) -> float:
+        """Return when the evidence against a part was dropped, as a monotonic time."""
+        return self._voided_at_s.get(key, float("-inf"))
+
+    @property
+    def begun_services(self) -> list[ServiceName]:
+        """Return the services of which answers have begun since the start."""
+        return list(self._begun_counts)
+
     def explain(self, crashes: Iterable[CrashId]) -> None:
         """Drop crashes as evidence, since a part under quarantine is their cause."""
         now_s = time.monotonic()
--- a/src/chervilstall/quarantine/prompts.py
+++ b/src/chervilstall/quarantine/prompts.py
@@ -3,9 +3,11 @@
 A part is put under quarantine after three crashes of targets that held a request with
 it and had not begun to answer that request, if no answer with the part has begun since
 the first of them while others have. Parts with which answers have begun before need
-more, and the crashes that a part under quarantine explains speak against no other. The
-module needs no network: a router tells it what it saw and what the others shared, and
-carries out the actions that it asks for.
+more, and the crashes that a part under quarantine explains speak against no other. A
+part under quarantine at one service is put under quarantine at the others as well,
+except at those where answers with it have begun. The module needs no network: a router
+tells it what it saw and what the others shared, and carries out the actions that it
+asks for.
 
 Example::
 
@@ -56,6 +58,14 @@
 DELIVERY_MAX_S = 1.0
 """Time that an entry may need from its proposal to the other routers."""
 
+CARRY_OVER_AFTER_S = 2.0
+"""Time from a quarantine at one service until it holds at others.
+
+Routers that know of answers of another service with the part release it there before.
+"""
+
+CARRIED_TRIAL_AFTER_S = 3.0
+CARRIED_TRIALS_MAX = 1
 TRIAL_AFTER_S = 30.0
 TRIAL_FACTOR = 4.0
 """Each further trial waits this many times as long as the one before."""
@@ -106,6 +116,7 @@
     log: EvidenceLog = field(default_factory=EvidenceLog)
     _quarantined: dict[PartKey, _Quarantined] = field(default_factory=dict)
     _often_crashed: set[PartKey] = field(default_factory=set)
+    _crashed_services: dict[PartId, set[ServiceName]] = field(default_factory=dict)
 
     # Requests
 
@@ -122,10 +133,14 @@
         on_trial = []
         refused_part = None
         for part in parts:
-            known = self._quarantined.get(PartKey(service, part))
+            key = PartKey(service, part)
+            if part in self._crashed_services:
+                self._carry_over(key)
+            known = self._quarantined.get(key)
             if known is None or now_s < known.in_force_at_s:
                 continue
-            known.asked_at_s = now_s
+            for each in (known, *self._carried_from(known.entry)):
+                each.asked_at_s = now_s
             if known.has_trial:
                 on_trial.append(known)
                 continue
@@ -237,14 +252,49 @@
         self._add(entry, ENFORCE_AFTER_S)
         self.on_action(Propose(entry))
 
+    def _carry_over(self, key: PartKey) -> None:
+        """Put a part that crashes another service's targets under quarantine, too."""
+        if key in self._quarantined or self._is_harmless_here(key):
+            return
+        entry = QuarantineEntry(key, 0.0)
+        self._add(entry, self._carried_delay_s(key.part))
+        self.on_action(Propose(entry))
+
+    def _is_harmless_here(self, key: PartKey) -> bool:
+        """Return whether a quarantine at another service must not be carried over."""
+        since_s = self._crashing_since_s(key.part) - ENFORCE_AFTER_S - DELIVERY_MAX_S
+        return self.log.has_begun(key) or self.log.voided_at_s(key) > since_s
+
+    def _crashing_since_s(self, part: PartId) -> float:
+        """Return since when a part is kept away from a service that it crashed."""
+        services = self._crashed_services.get(part, set())
+        keys = [PartKey(service, part) for service in services]
+        times_s = [self._quarantined[key].in_force_at_s for key in keys]
+        return min(times_s, default=float("-inf"))
+
+    def _carried_from(self, entry: QuarantineEntry) -> list[_Quarantined]:
+        """Return what is known of the services from which an entry was carried over."""
+        if not entry.is_carried_over:
+            return []
+        part = entry.key.part
+        services = self._crashed_services.get(part, set())
+        return [self._quarantined[PartKey(service, part)] for service in services]
+
+    def _carried_delay_s(self, part: PartId) -> float:
+        """Return the time until a quarantine at one service holds at others."""
+        from_s = self._crashing_since_s(part) + CARRY_OVER_AFTER_S
+        return max(0.0, from_s - time.monotonic())
+
     def _release(self, key: PartKey) -> None:
         self.on_action(Clear(key))
         self.remove_entry(key)
 
     def _ask_for_trial(self, known: _Quarantined, now_s: float) -> None:
         entry = known.entry
-        wait_s = TRIAL_AFTER_S * TRIAL_FACTOR**entry.trials
-        if known.is_claiming or entry.trials >= TRIALS_MAX:
+        wait_s, trials_max = TRIAL_AFTER_S * TRIAL_FACTOR**entry.trials, TRIALS_MAX
+        if entry.is_carried_over:
+            wait_s, trials_max = CARRIED_TRIAL_AFTER_S, CARRIED_TRIALS_MAX
+        if known.is_claiming or entry.trials >= trials_max:
             return
         if now_s < known.tried_at_s + wait_s:
             return
@@ -264,17 +314,22 @@
             if self._is_refuted(entry) and not is_old:
                 self._release(entry.key)
                 return
-            self._add(entry, 0.0 if is_old else ENFORCE_AFTER_S)
+            delay_s = ENFORCE_AFTER_S
+            if entry.is_carried_over:
+                delay_s = self._carried_delay_s(entry.key.part)
+            self._add(entry, 0.0 if is_old else delay_s)
             return
         now_s = time.monotonic()
         known.kept_at_s = now_s
         if entry.trials > known.entry.trials:
             known.tried_at_s = now_s
             known.is_claiming = False
-            known.entry = entry
+            known.entry = replace(known.entry, trials=entry.trials)
 
     def _is_refuted(self, entry: QuarantineEntry) -> bool:
         """Return whether this router knows of an answer that refutes an entry."""
+        if entry.is_carried_over:
+            return self._is_harmless_here(entry.key)
         if entry.is_new:
             return self.log.has_begun(entry.key)
         first_at_s = time.monotonic() - entry.evidence_age_s - DELIVERY_MAX_S
@@ -285,11 +340,27 @@
         self._quarantined[entry.key] = _Quarantined(
             entry, now_s + delay_s, now_s, now_s, now_s
         )
+        if entry.is_carried_over:
+            return
+        key = entry.key
+        self._crashed_services.setdefault(key.part, set()).add(key.service)
+        for service in self.log.begun_services:
+            self._carry_over(PartKey(service, key.part))
 
     def remove_entry(self, key: PartKey) -> None:
         """Set a part free, and void the evidence of before."""
-        self._quarantined.pop(key, None)
+        known = self._quarantined.pop(key, None)
         self.log.void(key)
+        if known is None or known.entry.is_carried_over:
+            return
+        services = self._crashed_services[key.part]
+        services.remove(key.service)
+        if services:
+            return
+        del self._crashed_services[key.part]
+        for other, carried in list(self._quarantined.items()):
+            if other.part == key.part and carried.entry.is_carried_over:
+                self._release(other)
 
     def grant_trial(self, key: PartKey) -> None:
         """Let one request with a part through, as this router claimed the trial."""
--- a/src/chervilstall/quarantine/records.py
+++ b/src/chervilstall/quarantine/records.py
@@ -36,10 +36,11 @@
 class QuarantineEntry:
     """A part whose requests no router may send.
 
-    `crashes` are those that speak against it, and `evidence_age_s` is the time since
-    the first of them, at the time of the proposal. `is_new` says that the proposer
-    knows of no answer that ever began with the part. `trials` counts the requests that
-    were let through since, to see whether the part is harmless after all.
+    `crashes` are those that speak against it; none do where a quarantine at another
+    service was carried over. `evidence_age_s` is the time since the first of them, at
+    the time of the proposal. `is_new` says that the proposer knows of no answer that
+    ever began with the part. `trials` counts the requests that were let through since,
+    to see whether the part is harmless after all.
     """
 
     key: PartKey
@@ -48,6 +49,11 @@
     is_new: bool = True
     trials: int = 0
 
+    @property
+    def is_carried_over(self) -> bool:
+        """Return whether the part crashed only targets of other services."""
+        return not self.crashes
+
 
 @dataclass(frozen=True)
 class Propose:
--- a/tests/edge/quarantine_decisions.feature
+++ b/tests/edge/quarantine_decisions.feature
@@ -52,3 +52,31 @@
     Given a quarantine
     When answers with 3000 parts begin
     Then a report of these and of "crashing" names "crashing"
+
+  # Guards against BUDGET: a part that crashes one service's targets also crashes another's.
+  Scenario: A part under quarantine is tried once at another service
+    Given a quarantine
+    When targets crash at 1, 2 and 3 seconds on "crashing"
+    And answers with "shared" begin
+    Then 3 seconds later "crashing" is refused at another service
+    And 4 seconds later one trial of "crashing" is granted there
+    And 300 seconds later "crashing" is refused at another service
+
+  # Guards against LOST: a part is refused by a service to which it is harmless.
+  Scenario: A part is served at another service once an answer begins there
+    Given a quarantine
+    When targets crash at 1, 2 and 3 seconds on "crashing"
+    And answers with "shared" begin
+    Then 3 seconds later "crashing" is refused at another service
+    When an answer of another service with "crashing" begins
+    Then 3 seconds later "crashing" is served at another service
+    And 0.6 seconds later "crashing" is refused and "shared" is not
+
+  # Guards against LOST: a part is refused by a service to which it is known to be harmless.
+  Scenario: A part stays served at a service of which an answer with it began before
+    Given a quarantine
+    When an answer of another service with "crashing" begins
+    And targets crash at 1, 2 and 3 seconds on "crashing"
+    And answers with "shared" begin
+    Then 3 seconds later "crashing" is served at another service
+    And 0.6 seconds later "crashing" is refused and "shared" is not
--- a/tests/steps/quarantine_decision_steps.py
+++ b/tests/steps/quarantine_decision_steps.py
@@ -17,6 +17,7 @@
 from tests.support.clock import Clock
 
 SERVICE = ServiceName("drafts")
+OTHER_SERVICE = ServiceName("summaries")
 OTHER_PART = PartId("of another prompt")
 BEGUN_ANSWERS = 12
 
@@ -33,9 +34,9 @@
         self.quarantine = PromptQuarantine(self.actions.append)
         self.began_at_s = self.clock.now_s
 
-    def refused(self, text: str) -> PartId | None:
+    def refused(self, text: str, service: ServiceName = SERVICE) -> PartId | None:
         """Return the part because of which a request is refused, or None."""
-        return self.quarantine.refused_part(SERVICE, parts_of(text))
+        return self.quarantine.refused_part(service, parts_of(text))
 
 
 def parts_of(text: str) -> tuple[PartId, ...]:
@@ -142,3 +143,33 @@
     known = context.run.quarantine.with_begun_parts(report)
     assert named in known.parts and len(known.parts) < len(parts)
     assert PartKey(SERVICE, PartId(named)).part not in known.begun_parts
+
+
+@when('an answer of another service with "{text}" begins')
+def begin_at_other_service(context: Context, text: str) -> None:
+    context.run.quarantine.record_begun(OTHER_SERVICE, parts_of(text))
+
+
+@then('{after_s:g} seconds later "{text}" is refused at another service')
+def check_refused_at_other(context: Context, after_s: float, text: str) -> None:
+    context.run.clock.now_s += after_s
+    assert context.run.refused(text, OTHER_SERVICE) == text
+
+
+@then('{after_s:g} seconds later "{text}" is served at another service')
+def check_served_at_other(context: Context, after_s: float, text: str) -> None:
+    context.run.clock.now_s += after_s
+    assert context.run.refused(text, OTHER_SERVICE) is None
+
+
+@then('{after_s:g} seconds later one trial of "{text}" is granted there')
+def check_one_trial_at_other(context: Context, after_s: float, text: str) -> None:
+    run = context.run
+    run.clock.now_s += after_s
+    assert run.refused(text, OTHER_SERVICE) == text
+    claims = [each for each in run.actions if isinstance(each, ClaimTrial)]
+    (entry,) = [each.entry for each in claims if each.entry.key.service != SERVICE]
+    run.quarantine.apply_entry(entry)
+    run.quarantine.grant_trial(entry.key)
+    assert run.refused(text, OTHER_SERVICE) is None
+    assert run.refused(text, OTHER_SERVICE) == text
