Have the model's part crash targets for repeats and open requests, too, once it has turned deadly

What was wrong: in the row "a part that was harmless before" requests that were drawn before the part turned deadly never crashed a target, neither their repeats seconds later nor those still open. Change: from the turn on every request that holds the part crashes its target and counts as an arrival.

--- a/tests/support/quarantine_fleet.py
+++ b/tests/support/quarantine_fleet.py
@@ -320,24 +320,33 @@
             self._on_way(lambda: self._see_refusal(send))
             return
         target.running[send.number] = send
-        if relay.request.crashing:
+        crashing = self._crashing_parts(relay.request)
+        if crashing:
             self.arrivals.append(
                 PartArrival(
                     self.now_s,
                     relay.router.index,
                     relay.request.service,
-                    relay.request.crashing,
+                    crashing,
                     is_in_touch,
                 )
             )
         wait_s = self.rng.uniform(*self.case.first_event_s)
         self._in(wait_s, lambda: self._write_first_event(send))
 
+    def _crashing_parts(self, request: PromptRequest) -> frozenset[str]:
+        """Return the parts of a request that crash its targets now."""
+        if not self.case.sound_before or self.now_s < self.case.crashing_from_s:
+            return request.crashing
+        names = {part.name for part in self.case.crashing}
+        return request.crashing | names.intersection(request.parts)
+
     def _write_first_event(self, send: Send) -> None:
         if send.number not in send.target.running:
             return
-        if send.relay.request.crashing:
-            self._crash(send.target, send.relay.request.crashing)
+        crashing = self._crashing_parts(send.relay.request)
+        if crashing:
+            self._crash(send.target, crashing)
             return
         self._write_event(send)
         interval_s = self.rng.uniform(*EVENT_INTERVAL_S)
