Count a shutdown from the standstill in which its signal may have come

What callers saw of a router that did not run for 1.5 s as SIGTERM came (SIGSTOP in a trial of the soak's parts, 8 s of grace, no load): two streams sent 3.02 and 3.18 s after SIGTERM were cut, four lookups and holds sent in the last 0.1 s got no response, and the process was killed at 8 s with requests in progress.

Cause: the schedule counted from the handling of the signal. It leaves 0.64 s of 8 s at its end, so that a router that handles its signal later than that outlasts its grace period.

Change: a task records every 50 ms that the event loop runs. After a standstill of 0.15 s or more a shutdown counts from its beginning plus 0.04 of the grace period, half of the reserve at the end, since the signal may have come at any moment of it. If it came later, the shutdown ends earlier by as much than it could; a stream that is cut so goes on elsewhere, which a killed router's doesn't do any better. `draining` logs `signal_late_s`.

Tests: seven new scenarios in tests/edge/drain.feature. The one with a router that stands still for 1.5 s failed before: it outlasted its grace of 8 s.

--- a/src/chervilstall/edge/draining.py
+++ b/src/chervilstall/edge/draining.py
@@ -39,6 +39,12 @@
 END_SHARE = 0.92
 """Share of the grace period after which the process ends at the latest."""
 
+SIGNAL_LATE_SHARE = 0.04
+"""Share of the grace period by which the signal may have come before the schedule.
+
+It is half of the reserve that `END_SHARE` leaves.
+"""
+
 
 OTHER_ROUTER_RETRY_S = 0.1
 """Retry-After for callers that should try another router."""
@@ -71,6 +77,19 @@
             now_s + END_SHARE * grace_s,
         )
 
+    @classmethod
+    def begin_late(
+        cls, signal_at_s: float, now_s: float, grace_s: float
+    ) -> "DrainSchedule":
+        """Return the schedule of a shutdown whose signal came after `signal_at_s`.
+
+        A schedule that began too late would be cut short by the end of the grace
+        period, with requests in progress. One that begins too early cuts streams that
+        had time left, so that it begins as late as the reserve at the end allows.
+        """
+        latest_s = signal_at_s + SIGNAL_LATE_SHARE * grace_s
+        return cls.begin(min(now_s, latest_s), grace_s)
+
     @property
     def elapsed_s(self) -> float:
         """Return the time since the stop signal, in seconds, to a millisecond."""
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -15,6 +15,7 @@
 from chervilstall.edge.draining import DrainSchedule
 from chervilstall.edge.endpoints import OperatorEndpoints, bad_request_response
 from chervilstall.edge.limit_sharing import LIMITS_PREFIX, LimitSharing
+from chervilstall.edge.loop_pulse import LoopPulse
 from chervilstall.edge.outage import OutagePoller
 from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
 from chervilstall.edge.prompt_guard import PromptGuard
@@ -156,6 +157,7 @@
         )
         self.fleet_view.on_suspicion = self._share_suspicion
         self.is_draining = False
+        self.loop_pulse = LoopPulse()
         self._stopped = Event()
         self._tasks: list[gevent.Greenlet] = []
         self._settings_content = b""
@@ -251,6 +253,7 @@
         runners = [self.store_watcher.run, self.store_probe.run]
         runners += [self.registry.run, self.planner_lease.run, self.planner.run]
         runners += [
+            self.loop_pulse.run,
             self.stream_monitor.run,
             self.outage_poller.run,
             self.zone_prober.run,
@@ -332,10 +335,17 @@
         """Become unready, finish running requests and stop, within the grace period."""
         if self.is_draining:
             return
-        schedule = DrainSchedule.begin(time.monotonic(), self.settings.bounds.grace_s)
+        now_s = time.monotonic()
+        signal_at_s = self.loop_pulse.waiting_since_s(now_s)
+        grace_s = self.settings.bounds.grace_s
+        schedule = DrainSchedule.begin_late(signal_at_s, now_s, grace_s)
         self.is_draining = True
         self.app.begin_drain(schedule)
-        log.info("draining", running=self.app.running_requests)
+        log.info(
+            "draining",
+            running=self.app.running_requests,
+            signal_late_s=round(now_s - schedule.started_at_s, 3),
+        )
         self.planner_lease.stop()
         self._sleep_until(schedule.streams_until_s)
         log.info("streams refused from now on", after_s=schedule.elapsed_s)
--- a/tests/edge/drain.feature
+++ b/tests/edge/drain.feature
@@ -98,6 +98,27 @@
       | lookup           | 0.4     | 6.719   | taken   |
       | lookup           | 0.4     | 6.721   | refused |
 
+  # Guards against LOST: a router that handles its signal late outlasts its grace period.
+  Scenario Outline: A signal handled after a standstill of <stood_s> s begins a schedule <late_s> s late
+    Given a shutdown with a grace period of 8 seconds
+    When the signal came within a standstill of <stood_s> s that has just ended
+    Then its schedule began <late_s> s before the signal was handled
+
+    Examples:
+      | stood_s | late_s |
+      | 0.0     | 0.0    |
+      | 0.05    | 0.0    |
+      | 0.3     | 0.0    |
+      | 0.5     | 0.18   |
+      | 1.5     | 1.18   |
+      | 5.4     | 5.08   |
+
+  # Guards against LOST: the same, with a router that does not run as its signal comes.
+  Scenario: A router that stands still as it is told to stop ends within its grace period
+    Given a router before drafts that last longer than its grace period
+    When it stands still for 1.5 s as it is told to stop, with a draft in progress
+    Then it ends within its grace period
+
   # Guards against LOST: what ends with the router is excused in the last sixth only.
   Scenario Outline: With a grace of <grace_s> s requests are ended in its last sixth
     Given a shutdown with a grace period of <grace_s> seconds
--- a/tests/steps/drain_schedule_steps.py
+++ b/tests/steps/drain_schedule_steps.py
@@ -3,10 +3,12 @@
 import http.client
 import time
 
+import gevent
 from behave import given, then, when
 from behave.runner import Context
 
 from chervilstall.edge.draining import DrainSchedule
+from chervilstall.edge.loop_pulse import PULSE_S, LoopPulse
 from chervilstall.standin.platform_fixtures import build_request_headers
 from tests.steps.drain_steps import (
     CALLER_TIMEOUT_S,
@@ -14,14 +16,17 @@
     ROUTE_PATHS,
     Stopping,
     add_draft_targets,
+    native_sleep,
     send_request,
     start_router,
     stop_router,
 )
 from tests.steps.stream_steps import event_numbers
+from tests.support.agent_fleet import eventually
 from tests.support.platform import ZONES
 
 GRACE_S = 8.0
+TOLERANCE_S = 1e-6
 
 
 @given("a router that has served a draft of {events:d} events")
@@ -99,6 +104,45 @@
     assert is_taken is (verdict == "taken")
 
 
+@when("the signal came within a standstill of {stood_s:g} s that has just ended")
+def begin_after_standstill(context: Context, stood_s: float) -> None:
+    pulse = LoopPulse(latest_at_s=0.0)
+    pulse.record(PULSE_S)
+    context.handled_at_s = PULSE_S + stood_s
+    pulse.record(context.handled_at_s)
+    signal_at_s = pulse.waiting_since_s(context.handled_at_s)
+    context.schedule = DrainSchedule.begin_late(
+        signal_at_s, context.handled_at_s, context.grace_s
+    )
+
+
+@then("its schedule began {late_s:g} s before the signal was handled")
+def check_began_before(context: Context, late_s: float) -> None:
+    began_before_s = context.handled_at_s - context.schedule.started_at_s
+    assert abs(began_before_s - late_s) < TOLERANCE_S, began_before_s
+
+
+@when(
+    "it stands still for {stood_s:g} s as it is told to stop, with a draft in progress"
+)
+def stand_still_at_signal(context: Context, stood_s: float) -> None:
+    stopping = Stopping(time.monotonic())
+    gevent.spawn(send_request, context, stopping, "draft", 1)
+    eventually(lambda: context.router.app.running_requests)
+    context.stopping = Stopping(time.monotonic())
+    native_sleep(stood_s)
+    # As after a signal, the pulse may come first.
+    gevent.spawn(context.router.drain_and_stop)
+
+
+@then("it ends within its grace period")
+def check_ends_in_grace(context: Context) -> None:
+    context.router.wait()
+    lasted_s = time.monotonic() - context.stopping.started_at_s
+    grace_s = context.router.settings.bounds.grace_s
+    assert lasted_s < grace_s, lasted_s
+
+
 @then(
     "its last answers are given in the last sixth of the grace period, before its end"
 )
