Await the verdict on a lost target in the relay, not where the loss is recorded

Change: the relay waits after it has recorded a failure, as before at the same place in time, so that recording one doesn't block. The model's requests count the targets that they lose.

--- a/src/chervilstall/edge/crash_observer.py
+++ b/src/chervilstall/edge/crash_observer.py
@@ -70,7 +70,7 @@
             has_crashed = self._has_crashed(target)
         finally:
             parts = self._lost_parts.pop(target.incarnation)
-            del self._examinations[target.incarnation]
+            self._examinations.pop(target.incarnation, None)
         if not has_crashed:
             return
         crashed_at_s = self._crashed_at_s.get(target.incarnation, float("-inf"))
--- a/src/chervilstall/edge/prompt_guard.py
+++ b/src/chervilstall/edge/prompt_guard.py
@@ -68,6 +68,9 @@
             return
         self.crash_observer.record_lost(first, request)
         request.targets_lost += 1
-        if request.targets_lost >= SUSPECT_CRASHES_MIN:
-            # The check before the next send needs this crash, too.
-            self.crash_observer.await_verdict(first, max(0.0, request.remaining_s))
+
+    def await_verdict(self, request: EdgeRequest, first: Target) -> None:
+        """Wait until a crash is known that the check before the next send needs."""
+        if request.has_begun or request.targets_lost < SUSPECT_CRASHES_MIN:
+            return
+        self.crash_observer.await_verdict(first, max(0.0, request.remaining_s))
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -264,6 +264,7 @@
             self.context.fleet_view.suspect(path.first, error.failure.value)
         if error.failure is not ExchangeFailure.TIMEOUT:
             self.paths.avoided.add(path.first.id)
+        self.context.prompt_guard.await_verdict(self.request, path.first)
 
     def _error(self, reason: str) -> ChervilstallError:
         if not self._may_have_run:
--- a/tests/support/quarantine_router.py
+++ b/tests/support/quarantine_router.py
@@ -85,6 +85,7 @@
     service: RequestedService
     events_forwarded: int = 0
     has_begun: bool = False
+    targets_lost: int = 0
 
 
 def guarded_request(request: PromptRequest) -> Any:
