--- a/tests/edge/standstill.feature
+++ b/tests/edge/standstill.feature
@@ -13,3 +13,15 @@
       | when                   | events | after_s |
       | before the first event | 50     | 0.1     |
       | between two events     | 50     | 0.4     |
+
+  # Guards against callers that leave a silent stream before a slow router looks at it.
+  Scenario Outline: A silent stream is noticed within 2 s where each turn of the loop takes <turn_s> s
+    Given a monitor of a stream of which no event comes
+    When each turn of the event loop takes <turn_s> s of work for 4 s
+    Then the monitor noticed the silence within 2 s
+
+    Examples:
+      | turn_s |
+      | 0.01   |
+      | 0.15   |
+      | 0.2    |
