--- a/tests/edge/standstill.feature
+++ b/tests/edge/standstill.feature
@@ -25,3 +25,9 @@
       | 0.01   |
       | 0.15   |
       | 0.2    |
+
+  # Guards against a sound target that is avoided by all since its router stood still.
+  Scenario: A target that began a request after a stream was sent is not suspected after a standstill
+    Given a monitor of a stream of which no event comes
+    When its target begins another request, the router stands still for 1.4 s and 1.25 s pass
+    Then the monitor suspects no target
--- a/tests/steps/monitor_standstill_steps.py
+++ b/tests/steps/monitor_standstill_steps.py
@@ -11,6 +11,7 @@
 
 from chervilstall.edge.live_stream import LiveStream
 from chervilstall.edge.stream_monitor import SILENCE_MAX_S, StreamMonitor
+from tests.support.clock import Clock
 
 BETWEEN_TURNS_S = 0.001
 
@@ -58,3 +59,27 @@
 def check_noticed(context: Context, within_s: float) -> None:
     noticed = context.noticed_after_s[:1]
     assert noticed and noticed[0] <= within_s, noticed
+
+
+@when(
+    "its target begins another request, the router stands still for {still_s:g} s and "
+    "{later_s:g} s pass"
+)
+def stand_still_after_begin(context: Context, still_s: float, later_s: float) -> None:
+    clock = Clock()
+    context.add_cleanup(clock.stop)
+    monitor, stream = context.monitor, context.stream
+    monitor._query = lambda first, now_s: None
+    monitor._end_exchange = lambda stream: False
+    stream.last_event_at_s = clock.now_s
+    clock.now_s += 0.3
+    monitor.record_first_event(stream.path.first)
+    clock.now_s += 0.1 + still_s
+    monitor.excuse_silence(still_s)
+    clock.now_s += later_s
+    monitor.step()
+
+
+@then("the monitor suspects no target")
+def check_no_target_suspected(context: Context) -> None:
+    assert not context.fleet_view.suspect.call_args_list
