--- a/tests/edge/quarantine_decisions.feature
+++ b/tests/edge/quarantine_decisions.feature
@@ -80,3 +80,12 @@
     And answers with "shared" begin
     Then 3 seconds later "crashing" is served at another service
     And 0.6 seconds later "crashing" is refused and "shared" is not
+
+  # Guards against LOST: the router that claimed the one trial ends before it sends it.
+  Scenario: A part whose only trial at another service came to nothing is tried again
+    Given a quarantine
+    When targets crash at 1, 2 and 3 seconds on "crashing"
+    And answers with "shared" begin
+    Then 3 seconds later "crashing" is refused at another service
+    When another router claims the trial of "crashing" there and ends
+    Then within 3600 seconds of requests another trial of "crashing" is asked for there
--- a/tests/steps/quarantine_decision_steps.py
+++ b/tests/steps/quarantine_decision_steps.py
@@ -13,6 +13,7 @@
     CrashReport,
     PartKey,
     QuarantineAction,
+    QuarantineEntry,
 )
 from tests.support.clock import Clock
 
@@ -20,6 +21,7 @@
 OTHER_SERVICE = ServiceName("summaries")
 OTHER_PART = PartId("of another prompt")
 BEGUN_ANSWERS = 12
+REQUEST_INTERVAL_S = 10
 
 
 @dataclass
@@ -173,3 +175,24 @@
     run.quarantine.grant_trial(entry.key)
     assert run.refused(text, OTHER_SERVICE) is None
     assert run.refused(text, OTHER_SERVICE) == text
+
+
+@when('another router claims the trial of "{part}" there and ends')
+def lose_trial(context: Context, part: str) -> None:
+    key = PartKey(OTHER_SERVICE, PartId(part))
+    context.run.quarantine.apply_entry(QuarantineEntry(key, 0.0, trials=1))
+
+
+@then(
+    'within {within_s:d} seconds of requests another trial of "{part}" is asked for '
+    "there"
+)
+def check_another_trial(context: Context, within_s: int, part: str) -> None:
+    run = context.run
+    run.actions.clear()
+    for _ in range(within_s // REQUEST_INTERVAL_S):
+        run.clock.now_s += REQUEST_INTERVAL_S
+        run.quarantine.expire()
+        run.refused(part, OTHER_SERVICE)
+    claims = [each for each in run.actions if isinstance(each, ClaimTrial)]
+    assert [each for each in claims if each.entry.key.service == OTHER_SERVICE]
