--- a/tests/edge/drain.feature
+++ b/tests/edge/drain.feature
@@ -122,6 +122,18 @@
       | 0.0      | 1.5    | 0.0    |
       | 1.5      | 0.5    | 1.18   |
 
+  # Guards against streams that are cut early by a stop that came after a pause, not in it.
+  Scenario Outline: A signal that comes <after_s> s after a pause of 2 s begins a schedule at once
+    Given a shutdown with a grace period of 8 seconds
+    When the router runs for <after_s> s after 2 s in which it was not run and gets its signal then
+    Then its schedule began 0.0 s before the signal was handled
+
+    Examples:
+      | after_s |
+      | 0.06    |
+      | 0.099   |
+      | 0.11    |
+
   # Guards against LOST: the same, with a router that does not run as its signal comes.
   Scenario: A router that stands still as it is told to stop ends within its grace period
     Given a router before drafts that last longer than its grace period
--- a/tests/steps/drain_schedule_steps.py
+++ b/tests/steps/drain_schedule_steps.py
@@ -119,6 +119,23 @@
     )
 
 
+@when(
+    "the router runs for {after_s:g} s after {paused_s:g} s in which it was not run and "
+    "gets its signal then"
+)
+def begin_after_running(context: Context, after_s: float, paused_s: float) -> None:
+    pulse = LoopPulse(latest_at_s=0.0, latest_cpu_s=0.0)
+    resumed_at_s = PULSE_S + paused_s
+    pulse.record(resumed_at_s, 0.0)
+    pulse.record(resumed_at_s + PULSE_S, 0.0)
+    context.handled_at_s = resumed_at_s + after_s
+    pulse.record(context.handled_at_s, 0.0)
+    came_at_s = pulse.came_at_earliest_s(context.handled_at_s)
+    context.schedule = DrainSchedule.begin_late(
+        came_at_s, context.handled_at_s, context.grace_s
+    )
+
+
 @then("its schedule began {late_s:g} s before the signal was handled")
 def check_began_before(context: Context, late_s: float) -> None:
     began_before_s = context.handled_at_s - context.schedule.started_at_s
