Show that a connection without a TLS handshake keeps a router from ending (fails)

No timeout covers the handshake, and the connection counts as busy: the drain lasts drain_timeout_s, ten minutes by default.

--- a/tests/gateway/shutdown.feature
+++ b/tests/gateway/shutdown.feature
@@ -52,3 +52,9 @@
     Given a router and stand-in targets
     When the router has polled the engines' load and is stopped
     Then no engine is polled for its load in the next 0.5 seconds
+
+  # Guards against a router that drains for drain_timeout_s since one caller says nothing.
+  Scenario: A connection without a TLS handshake keeps no router from ending
+    Given a router with TLS and stand-in targets
+    When a caller connects, begins no TLS handshake, and the listener drains for 3 s
+    Then the listener has become quiet
--- a/tests/steps/gateway_drain_steps.py
+++ b/tests/steps/gateway_drain_steps.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import socket
+import time
 from collections.abc import Callable
 
 import gevent
@@ -131,3 +132,21 @@
 @then("that request gets a response")
 def check_response(context: Context) -> None:
     assert context.connection.getresponse().status == 503
+
+
+@when("a caller connects, begins no TLS handshake, and the listener drains for {for_s:g} s")
+def drain_beside_silent_caller(context: Context, for_s: float) -> None:
+    server = context.router_harness.router.server
+    listener, address = server.caller_listener, server.caller_address
+    silent = gevent.socket.create_connection((address.host, address.port))
+    context.add_cleanup(silent.close)
+    eventually(lambda: len(listener.connections) == 1)
+    listener.close_idle()
+    listener.stop_listening()
+    until_s = time.monotonic() + for_s
+    context.is_quiet = listener.wait_until_quiet(lambda: 0, until_s)
+
+
+@then("the listener has become quiet")
+def check_quiet(context: Context) -> None:
+    assert context.is_quiet
