--- a/tests/steps/gateway_drain_steps.py
+++ b/tests/steps/gateway_drain_steps.py
@@ -134,7 +134,9 @@
     assert context.connection.getresponse().status == 503
 
 
-@when("a caller connects, begins no TLS handshake, and the listener drains for {for_s:g} s")
+@when(
+    "a caller connects, begins no TLS handshake, and the listener drains for {for_s:g} s"
+)
 def drain_beside_silent_caller(context: Context, for_s: float) -> None:
     server = context.router_harness.router.server
     listener, address = server.caller_listener, server.caller_address
