--- a/tests/steps/drain_schedule_steps.py
+++ b/tests/steps/drain_schedule_steps.py
@@ -120,8 +120,8 @@
 
 
 @when(
-    "the router runs for {after_s:g} s after {paused_s:g} s in which it was not run and "
-    "gets its signal then"
+    "the router runs for {after_s:g} s after {paused_s:g} s in which it was not run "
+    "and gets its signal then"
 )
 def begin_after_running(context: Context, after_s: float, paused_s: float) -> None:
     pulse = LoopPulse(latest_at_s=0.0, latest_cpu_s=0.0)
--- a/tests/steps/gateway_drain_steps.py
+++ b/tests/steps/gateway_drain_steps.py
@@ -135,7 +135,8 @@
 
 
 @when(
-    "a caller connects, begins no TLS handshake, and the listener drains for {for_s:g} s"
+    "a caller connects, begins no TLS handshake, and the listener drains for "
+    "{for_s:g} s"
 )
 def drain_beside_silent_caller(context: Context, for_s: float) -> None:
     server = context.router_harness.router.server
