Count a shutdown from a pause only if its signal came in the pause

Cause: a pause counted for 0.1 s after its end. The process gets its signals before the pulse that ends a pause (by 0.03 to 10 ms in 12 processes with SIGSTOP, SIGTERM, SIGCONT), so that none of that is needed. Change: only a signal that the process got by that pulse may have come in the pause.

--- a/src/chervilstall/edge/loop_pulse.py
+++ b/src/chervilstall/edge/loop_pulse.py
@@ -9,9 +9,6 @@
 NOT_RUN_MIN_S = 0.1
 """Part of the time between two pulses from which the process counts as not run."""
 
-HANDLING_S = 0.1
-"""Time after such a pause in which what came meanwhile is handled."""
-
 
 @dataclass
 class LoopPulse:
@@ -48,6 +45,7 @@
 
     def came_at_earliest_s(self, told_at_s: float) -> float:
         """Return the earliest time of a signal that the process got at `told_at_s`."""
-        if told_at_s - self._resumed_at_s > HANDLING_S:
+        if told_at_s > self._resumed_at_s:
             return told_at_s
+        # The process gets its signals before the pulse that ends the pause.
         return min(told_at_s, self._paused_at_s)
