Try a part again after its trials came to nothing

Two trials at the service itself had the same hole. Cause: a trial counts from its claim, and their number was limited for ever. Change: after the trials of the first minutes there is one every half an hour while the part is asked for; within the first half an hour nothing changes. Tests: 'A part whose only trial at another service came to nothing is tried again' failed before.

--- a/src/chervilstall/quarantine/prompts.py
+++ b/src/chervilstall/quarantine/prompts.py
@@ -71,6 +71,9 @@
 """Each further trial waits this many times as long as the one before."""
 
 TRIALS_MAX = 2
+"""Trials after which there are rarely any; the router of a trial may have ended."""
+
+LATER_TRIAL_AFTER_S = 1_800.0
 KEEP_INTERVAL_S = 240.0
 """Time after which the entry of a part that is still asked for is written again."""
 
@@ -249,8 +252,9 @@
             tuple(sorted(known.crashed_at_s)),
             not known.was_begun,
         )
-        self._add(entry, ENFORCE_AFTER_S)
+        # Others must know this entry before those that are carried over from it.
         self.on_action(Propose(entry))
+        self._add(entry, ENFORCE_AFTER_S)
 
     def _carry_over(self, key: PartKey) -> None:
         """Put a part that crashes another service's targets under quarantine, too."""
@@ -282,6 +286,8 @@
 
     def _carried_delay_s(self, part: PartId) -> float:
         """Return the time until a quarantine at one service holds at others."""
+        if part not in self._crashed_services:
+            return CARRY_OVER_AFTER_S
         from_s = self._crashing_since_s(part) + CARRY_OVER_AFTER_S
         return max(0.0, from_s - time.monotonic())
 
@@ -294,9 +300,9 @@
         wait_s, trials_max = TRIAL_AFTER_S * TRIAL_FACTOR**entry.trials, TRIALS_MAX
         if entry.is_carried_over:
             wait_s, trials_max = CARRIED_TRIAL_AFTER_S, CARRIED_TRIALS_MAX
-        if known.is_claiming or entry.trials >= trials_max:
-            return
-        if now_s < known.tried_at_s + wait_s:
+        if entry.trials >= trials_max:
+            wait_s = LATER_TRIAL_AFTER_S
+        if known.is_claiming or now_s < known.tried_at_s + wait_s:
             return
         known.is_claiming = True
         self.on_action(ClaimTrial(replace(entry, trials=entry.trials + 1)))
