--- a/src/chervilstall/edge/quarantine_sharing.py
+++ b/src/chervilstall/edge/quarantine_sharing.py
@@ -21,7 +21,8 @@
     quarantine_key,
 )
 from chervilstall.quarantine.evidence import EVIDENCE_VALID_S
-from chervilstall.quarantine.prompts import KEPT_S, PromptQuarantine
+from chervilstall.quarantine.prompts import PromptQuarantine
+from chervilstall.quarantine.quarantined import KEPT_S
 from chervilstall.quarantine.records import (
     ClaimTrial,
     Clear,
--- a/src/chervilstall/quarantine/prompts.py
+++ b/src/chervilstall/quarantine/prompts.py
@@ -23,6 +23,7 @@
 
 from chervilstall.ids import PartId, ServiceName
 from chervilstall.quarantine.evidence import EvidenceLog
+from chervilstall.quarantine.quarantined import QuarantinedPart
 from chervilstall.quarantine.records import (
     ClaimTrial,
     Clear,
@@ -64,45 +65,11 @@
 Routers that know of answers of another service with the part release it there before.
 """
 
-CARRIED_TRIAL_AFTER_S = 3.0
-CARRIED_TRIALS_MAX = 1
-TRIAL_AFTER_S = 30.0
-TRIAL_FACTOR = 4.0
-"""Each further trial waits this many times as long as the one before."""
-
-TRIALS_MAX = 2
-"""Trials after which there are rarely any; the router of a trial may have ended."""
-
-LATER_TRIAL_AFTER_S = 1_800.0
-KEEP_INTERVAL_S = 240.0
-"""Time after which the entry of a part that is still asked for is written again."""
-
-KEPT_S = 600.0
-"""Time after the last request with a part for which it stays under quarantine."""
-
 REPORTED_PARTS_MAX = 2_048
 SAME_PARTS_MAX = 8
 """Limit on the parts put under quarantine together; a caller may name any number."""
 
 
-@dataclass
-class _Quarantined:
-    """A part under quarantine; times are monotonic.
-
-    `tried_at_s` is when the entry or its latest trial began, `kept_at_s` when the entry
-    was last written, `asked_at_s` when a request with the part was last asked for. With
-    `has_trial` the next request with it is let through, if no other part refuses it.
-    """
-
-    entry: QuarantineEntry
-    in_force_at_s: float
-    tried_at_s: float
-    kept_at_s: float
-    asked_at_s: float
-    has_trial: bool = False
-    is_claiming: bool = False
-
-
 def _ignore(action: QuarantineAction) -> None:
     """Carry out nothing."""
 
@@ -117,7 +84,7 @@
 
     on_action: Callable[[QuarantineAction], None] = _ignore
     log: EvidenceLog = field(default_factory=EvidenceLog)
-    _quarantined: dict[PartKey, _Quarantined] = field(default_factory=dict)
+    _quarantined: dict[PartKey, QuarantinedPart] = field(default_factory=dict)
     _often_crashed: set[PartKey] = field(default_factory=set)
     _crashed_services: dict[PartId, set[ServiceName]] = field(default_factory=dict)
 
@@ -276,7 +243,7 @@
         times_s = [self._quarantined[key].in_force_at_s for key in keys]
         return min(times_s, default=float("-inf"))
 
-    def _carried_from(self, entry: QuarantineEntry) -> list[_Quarantined]:
+    def _carried_from(self, entry: QuarantineEntry) -> list[QuarantinedPart]:
         """Return what is known of the services from which an entry was carried over."""
         if not entry.is_carried_over:
             return []
@@ -295,15 +262,10 @@
         self.on_action(Clear(key))
         self.remove_entry(key)
 
-    def _ask_for_trial(self, known: _Quarantined, now_s: float) -> None:
-        entry = known.entry
-        wait_s, trials_max = TRIAL_AFTER_S * TRIAL_FACTOR**entry.trials, TRIALS_MAX
-        if entry.is_carried_over:
-            wait_s, trials_max = CARRIED_TRIAL_AFTER_S, CARRIED_TRIALS_MAX
-        if entry.trials >= trials_max:
-            wait_s = LATER_TRIAL_AFTER_S
-        if known.is_claiming or now_s < known.tried_at_s + wait_s:
+    def _ask_for_trial(self, known: QuarantinedPart, now_s: float) -> None:
+        if not known.is_trial_due(now_s):
             return
+        entry = known.entry
         known.is_claiming = True
         self.on_action(ClaimTrial(replace(entry, trials=entry.trials + 1)))
 
@@ -343,7 +305,7 @@
 
     def _add(self, entry: QuarantineEntry, delay_s: float) -> None:
         now_s = time.monotonic()
-        self._quarantined[entry.key] = _Quarantined(
+        self._quarantined[entry.key] = QuarantinedPart(
             entry, now_s + delay_s, now_s, now_s, now_s
         )
         if entry.is_carried_over:
@@ -396,10 +358,9 @@
         self._often_crashed &= self.log.evidence.keys()
         now_s = time.monotonic()
         for key, known in list(self._quarantined.items()):
-            if now_s - max(known.asked_at_s, known.kept_at_s) > KEPT_S:
+            if known.is_past(now_s):
                 self.remove_entry(key)
                 continue
-            is_asked_for = known.asked_at_s > known.kept_at_s
-            if is_asked_for and now_s - known.kept_at_s > KEEP_INTERVAL_S:
+            if known.must_be_kept(now_s):
                 known.kept_at_s = now_s
                 self.on_action(Propose(known.entry))
