--- a/src/chervilstall/edge/budget.py
+++ b/src/chervilstall/edge/budget.py
@@ -15,8 +15,8 @@
 USED_SHARE = 0.6
 """Part of the router's share that it uses.
 
-The rest is for processes that restart on its VM, twice in a window, and covers clock
-errors and late arrivals.
+The rest is for processes that restart on its VM. One restart in a window leaves 0.2 for
+clock errors and late arrivals, two leave nothing.
 """
 
 UNSTARTED_SHARE = 0.45
--- a/src/chervilstall/edge/draining.py
+++ b/src/chervilstall/edge/draining.py
@@ -5,10 +5,10 @@
 
 | time after the signal     | streams                   | other requests       |
 |---------------------------|---------------------------|----------------------|
-| until BALANCER_NOTICES_S  | taken if they can end or  | taken                |
+| until BALANCER_NOTICES_S  | taken if they can end or  | taken if they can end |
 |                           | be resumed                |                      |
-| until STREAMS_TAKEN_S     | taken if they can end     | taken                |
-| then                      | refused                   | taken if they can end |
+| until STREAMS_TAKEN_S     | taken if they can end     | the same             |
+| then                      | refused                   | the same             |
 | at ANSWERS_SHARE of grace | cut, or answered if not begun | answered         |
 | at END_SHARE of grace     | the process ends          | the process ends     |
 """
@@ -45,7 +45,6 @@
 It is half of the reserve that `END_SHARE` leaves.
 """
 
-
 OTHER_ROUTER_RETRY_S = 0.1
 """Retry-After for callers that should try another router."""
 
