--- a/tests/edge/budget.feature
+++ b/tests/edge/budget.feature
@@ -13,6 +13,7 @@
     When as many retries as the budget allows are sent 2 seconds after that
     Then the last window has no more retries than the bound allows
 
+  # Guards against BUDGET: a router does not tell its budget that it has just started.
   Scenario: A router that has just started uses a third of what it uses later
     Given a platform with lookups in both zones
     Then the new router makes a few retries and at most a third of those of a later one
--- a/tests/edge/unframed.feature
+++ b/tests/edge/unframed.feature
@@ -1,5 +1,6 @@
 Feature: Answers that end with their connection are passed on whole or not as whole
 
+  # Guards against refusals: an answer without a length counts as broken off.
   Scenario Outline: An answer to a <kind> request with neither a length nor chunks is whole
     Given a platform with lookups in both zones
     And every target would answer without a length
@@ -24,6 +25,7 @@
       | idempotent     | 200    | 2    |
       | non_idempotent | 502    | 1    |
 
+  # Guards against a lost end: the router's own end of an exchange looks like the target's.
   Scenario Outline: An answer to a <kind> request that the router ends is not passed on
     Given a platform with lookups in both zones
     And targets whose answers pause without a length for 2 seconds
@@ -47,6 +49,7 @@
       | idempotent     |
       | non_idempotent |
 
+  # Guards against a lost end: what came until the router ended it is passed on as whole.
   Scenario: An answer that is no stream is not passed on after it was ended as stalled
     Given a platform with a model in parts in both zones
     And targets whose answers pause without a length and are no streams
@@ -55,6 +58,7 @@
     And the request ran 2 times
     And the response is chunked
 
+  # Guards against repeats: a stream without a length counts as broken off.
   Scenario: A stream with neither a length nor chunks is whole
     Given a platform with a model in parts in both zones
     And every target would answer without a length
@@ -117,6 +121,7 @@
       | an event |
       | the head |
 
+  # Guards against a body that an old caller cannot read.
   Scenario: A caller of HTTP/1.0 gets a whole stream without chunks
     Given a platform whose drafts are not resumable
     When a caller of HTTP/1.0 asks for a draft of 10 events
