Log what requests that lose a target have in common

The lines 'send failed' now carry a digest of path, caller and body; a body of 1 MB costs one pass over it.

--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -208,6 +208,7 @@
             "send failed",
             request=request.request_id,
             target=target.id,
+            digest=request.digest,
             why=error.failure.value,
             was_sent=error.was_sent,
         )
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -3,10 +3,12 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from chervilstall.fleet.records import Route, Service
-from chervilstall.ids import RequestId, WorkspaceName
+from chervilstall.ids import PartId, RequestId, WorkspaceName
 from chervilstall.platform.headers import RequestFields
+from chervilstall.quarantine.identity import request_digest
 
 
 @dataclass(eq=False)
@@ -51,6 +53,13 @@
         """Return the request ID; the caller sends a new one with each attempt."""
         return self.fields.request
 
+    @cached_property
+    def digest(self) -> PartId:
+        """Return what this request shares with each of its repeats, also by others."""
+        return request_digest(
+            self.fields.host, self.method, self.target, self.workspace, self.body
+        )
+
     @property
     def labels(self) -> tuple[str, str]:
         """Return workspace and route, the labels of the metrics."""
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -256,6 +256,7 @@
             "send failed",
             request=self.request.request_id,
             target=path.first.id,
+            digest=self.request.digest,
             why=error.failure.value,
             was_sent=error.was_sent,
             events_passed=self.request.events_forwarded,
