--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -3,7 +3,6 @@
 import errno
 import time
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, NoReturn
 
@@ -13,6 +12,7 @@
 from chervilstall.fleet.records import NO_LAYERS, LayerRange
 from chervilstall.settings.option import Address
 from chervilstall.standin.crashes import ResettableServer, shared_parts
+from chervilstall.standin.target_log import Run, TargetLog
 from chervilstall.standin.unframed import end_answer, send_head
 from chervilstall.wsgi import (
     HEADERS_KEY,
@@ -63,37 +63,6 @@
 )
 
 
-@dataclass(frozen=True)
-class Run:
-    """One request that a stand-in ran, as received. Header names are in lower case.
-
-    `received_at_s` is a monotonic time.
-    """
-
-    request: str
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    received_at_s: float
-
-
-@dataclass
-class TargetLog:
-    """What a stand-in ran and was ordered to do.
-
-    `cancelled_streams` counts the streams that were closed before their last event.
-    `refused_at_s` holds the monotonic times at which requests were refused, and
-    `crashed_at_s` those of its crashes.
-    """
-
-    runs: list[Run] = field(default_factory=list)
-    orders: list[dict[str, Any]] = field(default_factory=list)
-    cancelled_streams: int = 0
-    refused_at_s: list[float] = field(default_factory=list)
-    crashed_at_s: list[float] = field(default_factory=list)
-
-
 class PlatformTarget:
     """One target of the platform, served over HTTP.
 
@@ -104,9 +73,10 @@
     any kind get no answer. `limit_per_s` is the limit that it names in its answers to
     requests, if any. With `announces_leaving` these answers also say that it leaves.
     `retry_after_s` is named in refusals. The first event of a stream comes
-    `first_event_s` after its request. A request that names one of `crashing_parts`
-    crashes the target after `events_before_crash`, which listens again at the same
-    address `restart_s` later.
+    `first_event_s` after its request, another answer `answer_s` after it. A request
+    that names one of `crashing_parts`, or whose request target is one of
+    `crashing_targets`, crashes this target, a stream after `events_before_crash`; the
+    target listens again at the same address `restart_s` later.
     """
 
     def __init__(self, name: str, address: Address) -> None:
@@ -126,7 +96,9 @@
         self.announces_leaving = False
         self.retry_after_s: float | None = None
         self.first_event_s = EVENT_INTERVAL_S
+        self.answer_s = 0.0
         self.crashing_parts: frozenset[str] = frozenset()
+        self.crashing_targets: frozenset[str] = frozenset()
         self.events_before_crash = 0
         self.restart_s = 3.2
         self._restart: gevent.Greenlet | None = None
@@ -309,6 +281,10 @@
     def _answer(
         self, run: Run, environ: Environ, start_response: StartResponse
     ) -> Iterator[bytes]:
+        gevent.sleep(self.answer_s)
+        if self._is_crashing(run):
+            self._crash()
+            raise ConnectionResetError(errno.ECONNRESET, "the target crashed")
         answer = f"answer to {run.request}".encode()
         response_headers = [
             ("Attempt-Id", run.request),
@@ -361,8 +337,7 @@
             gevent.sleep(max(0.0, self.first_event_s - EVENT_INTERVAL_S))
             for index, event in enumerate(self._event_texts(run)):
                 gevent.sleep(EVENT_INTERVAL_S)
-                is_crashing = shared_parts(run.headers) & self.crashing_parts
-                if is_crashing and index == self.events_before_crash:
+                if self._is_crashing(run) and index == self.events_before_crash:
                     self._crash()
                     raise ConnectionResetError(errno.ECONNRESET, "the target crashed")
                 if index == self.events_before_fault:
@@ -374,6 +349,10 @@
             self.log.cancelled_streams += 1
             raise
 
+    def _is_crashing(self, run: Run) -> bool:
+        names_crashing = bool(shared_parts(run.headers) & self.crashing_parts)
+        return names_crashing or run.target in self.crashing_targets
+
     def _notice_headers(self) -> list[tuple[str, str]]:
         headers = []
         if self.limit_per_s is not None:
