Keep a request that crashes its targets away from them

Cause: crashes were evidence against parts of prompts only, and the relay of plain services told nobody what it lost. Nothing said that a repeat, by its caller or another router, was the same request. The class: a retry against a cause that lies in the request.

A request as a whole is now one more part in the same quarantine, known by a digest of path, caller, prompt and body. It needs three crashes and no answer since the first of them. A request is preferred to the parts of its prompt that explain no more crashes; these stay suspects with the next request.

--- a/src/chervilstall/edge/crash_observer.py
+++ b/src/chervilstall/edge/crash_observer.py
@@ -16,7 +16,7 @@
 from chervilstall.fleet.records import Target, TargetIncarnation
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import CrashId, PartId
-from chervilstall.quarantine.records import CrashReport
+from chervilstall.quarantine.records import CrashReport, LostRequest
 from chervilstall.target.connection import refuses_connections
 from chervilstall.telemetry.events import EventLog
 
@@ -26,6 +26,8 @@
 """Time in which the other requests that a crash ended are noticed, too."""
 
 CONNECT_TIMEOUT_S = 0.3
+REPORTED_REQUESTS_MAX = 512
+LOGGED_REQUESTS_MAX = 8
 VERDICT_VALID_S = 1.5
 """Time in which a target that has crashed is not examined again."""
 
@@ -40,7 +42,9 @@
 
     fleet_view: FleetView
     on_crash: Callable[[CrashReport], None]
-    _lost_parts: dict[TargetIncarnation, set[PartId]] = field(default_factory=dict)
+    _lost: dict[TargetIncarnation, dict[PartId, LostRequest]] = field(
+        default_factory=dict
+    )
     _crashed_at_s: dict[TargetIncarnation, float] = field(default_factory=dict)
     _examinations: dict[TargetIncarnation, gevent.Greenlet] = field(
         default_factory=dict
@@ -48,14 +52,18 @@
 
     def record_lost(self, target: Target, request: EdgeRequest) -> None:
         """Record that a target closed a request's connection before it had begun."""
-        parts = request.fields.prompt_parts
-        lost_parts = self._lost_parts.get(target.incarnation)
-        if lost_parts is not None:
-            lost_parts.update(parts)
+        now_s = time.monotonic()
+        # Of several copies of a request the one that was sent last is kept.
+        copy = LostRequest(
+            request.digest, request.fields.prompt_parts, now_s - request.sent_at_s
+        )
+        lost = self._lost.setdefault(target.incarnation, {})
+        known = lost.get(copy.digest, copy)
+        lost[copy.digest] = min(copy, known, key=lambda each: each.held_s)
+        if target.incarnation in self._examinations:
             return
-        self._lost_parts[target.incarnation] = set(parts)
         self._examinations[target.incarnation] = gevent.spawn(
-            self._examine, target, time.monotonic()
+            self._examine, target, now_s
         )
 
     def await_verdict(self, target: Target, timeout_s: float) -> None:
@@ -69,14 +77,20 @@
             gevent.sleep(COLLECT_S)
             has_crashed = self._has_crashed(target)
         finally:
-            parts = self._lost_parts.pop(target.incarnation)
+            lost = self._lost.pop(target.incarnation)
             self._examinations.pop(target.incarnation, None)
         if not has_crashed:
             return
         crashed_at_s = self._crashed_at_s.get(target.incarnation, float("-inf"))
         if lost_at_s - crashed_at_s > VERDICT_VALID_S:
             crashed_at_s = self._crashed_at_s[target.incarnation] = lost_at_s
-        log.warning("target crashed", target=target.id, parts=len(parts))
+        parts = {part for request in lost.values() for part in request.parts}
+        log.warning(
+            "target crashed",
+            target=target.id,
+            parts=len(parts),
+            requests=list(lost)[:LOGGED_REQUESTS_MAX],
+        )
         self.fleet_view.suspect(target, "crashed")
         self.on_crash(
             CrashReport(
@@ -84,6 +98,7 @@
                 target.service,
                 tuple(sorted(parts)),
                 age_s=time.monotonic() - crashed_at_s,
+                requests=tuple(lost.values())[:REPORTED_REQUESTS_MAX],
             )
         )
 
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from chervilstall.edge.budget import FleetRetryBudget
+from chervilstall.edge.crash_guard import CrashGuard
 from chervilstall.edge.exchange import (
     CompleteResponse,
     Exchange,
@@ -99,6 +100,7 @@
     budget: FleetRetryBudget
     rate_limiter: TargetRateLimiter
     notices: TargetNotices
+    crash_guard: CrashGuard
 
     def run(self, request: EdgeRequest) -> CompleteResponse:
         """Send a request and return a response. Raises ChervilstallError without one.
@@ -114,6 +116,10 @@
         error_response: CompleteResponse | None = None
         reason = "no target is ready"
         while request.sends < SENDS_MAX and not request.has_caller_disconnected:
+            if not may_have_run:
+                self.crash_guard.check(request, may_have_run)
+            elif self.crash_guard.is_given_up(request):
+                break
             target = self.chooser.choose(request.service, tried)
             if target is None and not tried and self.rate_limiter.exhausted_targets():
                 reason = AT_LIMIT
@@ -131,6 +137,7 @@
                     reached.add(target.id)
                     if not request.route.is_retryable:
                         break
+                    self.crash_guard.await_verdict(request, target)
                 continue
             reached.add(target.id)
             head = response.head
@@ -139,6 +146,7 @@
                 self.fleet_view.suspect(target, reason, REFUSAL_SUSPICION_S)
                 continue
             self.fleet_view.clear_suspicion(target)
+            self.crash_guard.record_answer(request)
             if head.status < 500 or not request.route.is_retryable:
                 return response
             error_response = response
@@ -212,6 +220,7 @@
             why=error.failure.value,
             was_sent=error.was_sent,
         )
+        self.crash_guard.record_failure(request, target, error)
         if error.failure is ExchangeFailure.TIMEOUT and not self._is_to_blame(
             target, started_at_s
         ):
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -21,6 +21,7 @@
     no target. `has_reserved_retry` is true while a retry is reserved for the request in
     the budget. `has_begun` is true once a target has begun a stream and survived that,
     and `targets_lost` counts those that closed its connection before.
+    `sent_at_s` is the monotonic time of the latest send,
     `queued_s` is the time from arrival to the first send, `first_event_s`
     from arrival to the first event of a stream, and `longest_gap_s` the longest time
     between two events. A lower `priority` is more urgent. `abort_callbacks` are called
@@ -42,6 +43,7 @@
     has_reserved_retry: bool = False
     has_begun: bool = False
     targets_lost: int = 0
+    sent_at_s: float = 0.0
     queued_s: float | None = None
     first_event_s: float | None = None
     longest_gap_s: float | None = None
@@ -57,7 +59,12 @@
     def digest(self) -> PartId:
         """Return what this request shares with each of its repeats, also by others."""
         return request_digest(
-            self.fields.host, self.method, self.target, self.workspace, self.body
+            self.fields.host,
+            self.method,
+            self.target,
+            self.workspace,
+            self.fields.prompt,
+            self.body,
         )
 
     @property
@@ -104,8 +111,9 @@
     def record_send(self) -> None:
         """Count a send; the first one sets `queued_s`."""
         self.sends += 1
+        self.sent_at_s = time.monotonic()
         if self.queued_s is None:
-            self.queued_s = time.monotonic() - self.arrived_at_s
+            self.queued_s = self.sent_at_s - self.arrived_at_s
 
     def record_gap(self, gap_s: float) -> None:
         """Update `longest_gap_s` with the time between two forwarded events."""
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -11,6 +11,7 @@
 
 from chervilstall.edge.app import EdgeApplication
 from chervilstall.edge.budget import FleetRetryBudget
+from chervilstall.edge.crash_guard import CrashGuard
 from chervilstall.edge.crash_observer import CrashObserver
 from chervilstall.edge.draining import DrainSchedule
 from chervilstall.edge.endpoints import OperatorEndpoints, bad_request_response
@@ -18,7 +19,6 @@
 from chervilstall.edge.loop_pulse import LoopPulse
 from chervilstall.edge.outage import OutagePoller
 from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
-from chervilstall.edge.prompt_guard import PromptGuard
 from chervilstall.edge.quarantine_sharing import QuarantineSharing
 from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.edge.registry import ROUTERS_ASSUMED, RouterRegistry
@@ -166,12 +166,14 @@
 
     def _build_application(self) -> EdgeApplication:
         notices = TargetNotices(self.fleet_view, self.rate_limiter)
+        crash_guard = CrashGuard(self.quarantine, self.crash_observer)
         plain = PlainRelay(
             PlainTargetChooser(self.fleet_view, self.settings.zone, self.rate_limiter),
             self.fleet_view,
             self.budget,
             self.rate_limiter,
             notices,
+            crash_guard,
         )
         streams = StreamContext(
             self.fleet_view,
@@ -180,7 +182,7 @@
             self.stream_monitor,
             self.rate_limiter,
             notices,
-            PromptGuard(self.quarantine, self.crash_observer),
+            crash_guard,
         )
         return EdgeApplication(
             self.fleet_view, plain, streams, self.budget, self.metrics
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -15,6 +15,7 @@
 
 from chervilstall.edge.attempts import AttemptLimit
 from chervilstall.edge.budget import FleetRetryBudget
+from chervilstall.edge.crash_guard import CrashGuard
 from chervilstall.edge.event_numbers import event_number, parse_event_number
 from chervilstall.edge.exchange import (
     CompleteResponse,
@@ -23,7 +24,6 @@
     ExchangeFailure,
 )
 from chervilstall.edge.live_stream import LiveStream
-from chervilstall.edge.prompt_guard import PromptGuard
 from chervilstall.edge.rate_limits import AT_LIMIT, TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.stream_monitor import StreamMonitor
@@ -68,7 +68,7 @@
     stream_monitor: StreamMonitor
     rate_limiter: TargetRateLimiter
     notices: TargetNotices
-    prompt_guard: PromptGuard
+    crash_guard: CrashGuard
 
 
 class StreamRelay:
@@ -143,7 +143,7 @@
             raise self._error(self._last_failure)
         if request.sends >= SENDS_MAX:
             raise self._error(self._last_failure)
-        self.context.prompt_guard.check(request, self._may_have_run)
+        self.context.crash_guard.check(request, self._may_have_run)
         path = self.paths.choose()
         if path is None:
             raise self._error(self._no_path_reason())
@@ -251,7 +251,7 @@
             self.attempts.record(path.first)
         if error.failure is ExchangeFailure.CALLER_LEFT:
             return
-        self.context.prompt_guard.record_failure(self.request, path.first, error)
+        self.context.crash_guard.record_failure(self.request, path.first, error)
         log.warning(
             "send failed",
             request=self.request.request_id,
@@ -265,7 +265,7 @@
             self.context.fleet_view.suspect(path.first, error.failure.value)
         if error.failure is not ExchangeFailure.TIMEOUT:
             self.paths.avoided.add(path.first.id)
-        self.context.prompt_guard.await_verdict(self.request, path.first)
+        self.context.crash_guard.await_verdict(self.request, path.first)
 
     def _error(self, reason: str) -> ChervilstallError:
         if not self._may_have_run:
@@ -316,14 +316,14 @@
             event = self._read_event()
         if self._exchange is not None and self._exchange.abort_reason is not None:
             raise ExchangeFailed(self._exchange.abort_reason, was_sent=True)
-        self.context.prompt_guard.record_end(self.request)
+        self.context.crash_guard.record_end(self.request)
 
     def _read_event(self) -> bytes | None:
         assert self._exchange is not None and self._stream is not None
         event = self._exchange.read_event()
         self._stream.record_event()
         if event is not None:
-            self.context.prompt_guard.record_event(self.request, self._stream.events)
+            self.context.crash_guard.record_event(self.request, self._stream.events)
         return event
 
     def _resume(self) -> None:
@@ -359,7 +359,7 @@
         request = self.request
         if request.has_caller_disconnected or request.remaining_s <= RESUME_RETRY_S:
             return False
-        if self.context.prompt_guard.is_given_up(request):
+        if self.context.crash_guard.is_given_up(request):
             return False
         return request.sends < SENDS_MAX
 
--- a/src/chervilstall/platform/headers.py
+++ b/src/chervilstall/platform/headers.py
@@ -24,7 +24,7 @@
 
     `timeout_s` is how long the caller waits, None if it isn't stated. Sizes are in
     tokens, 0 if they aren't stated. `prompt_parts` are the parts of the prompt that it
-    may share with other requests.
+    may share with other requests, and `prompt` names them all, with its own, as text.
     """
 
     request: RequestId
@@ -36,6 +36,7 @@
     answer_tokens: float
     forwarded_headers: HeaderFields
     prompt_parts: tuple[PartId, ...] = ()
+    prompt: str = ""
 
 
 def read_request_fields(headers: Iterable[tuple[str, str]]) -> RequestFields:
@@ -60,16 +61,23 @@
             (name, value) for name, value in fields if name.lower() not in dropped
         ),
         prompt_parts=_parse_shared_parts(fields),
+        prompt=",".join(_prompt_headers(fields)),
     )
 
 
+def _prompt_headers(fields: list[tuple[str, str]]) -> list[str]:
+    return [
+        value.strip().lower()
+        for name, value in fields
+        if name.lower() == protocol.PROMPT_PARTS.lower()
+    ]
+
+
 def _parse_shared_parts(fields: list[tuple[str, str]]) -> tuple[PartId, ...]:
     """Return the parts of a prompt without the last, which is the request's own."""
     parts: list[PartId] = []
-    for name, value in fields:
-        if name.lower() != protocol.PROMPT_PARTS.lower():
-            continue
-        for part in value.lower().split(",")[:-1]:
+    for value in _prompt_headers(fields):
+        for part in value.split(",")[:-1]:
             parts.append(PartId(part.partition(":")[0].strip()))
     return tuple(part for part in parts if part)
 
--- a/src/chervilstall/quarantine/evidence.py
+++ b/src/chervilstall/quarantine/evidence.py
@@ -1,22 +1,26 @@
-"""Evidence against parts of prompts, from crashes of targets."""
+"""Evidence against parts of prompts and whole requests, from crashes of targets."""
 
 import time
 from collections import Counter, OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from operator import itemgetter
 
-from chervilstall.ids import CrashId, ServiceName
+from chervilstall.ids import CrashId, PartId, ServiceName
 from chervilstall.quarantine.records import CrashReport, PartKey
 
 KEYS_MAX = 4_096
 """Limit on the parts with evidence; callers can name any number of parts."""
 
 BEGUN_KEYS_MAX = 4_096
+"""Limit on the parts of prompts whose answers are remembered, and on the requests."""
+
 EVIDENCE_VALID_S = 120.0
 SAME_CAUSE_S = 0.1
 """Crashes that are closer together than this count as one.
 
-Targets that die at the same moment do so of something else than a prompt.
+Targets that die at the same moment do so of something else than a prompt. Those that
+die one after the other of the repeats of one request may do so faster.
 """
 
 
@@ -26,11 +30,15 @@
 
     `begun_before` is how many answers of the service had begun when the first of them
     became known. `was_begun` says that answers with the part have begun before.
+    `sent_at_s` is when the target got the latest copy of a whole request, and
+    `holders` are the digests of the requests that held a part of prompts.
     """
 
     begun_before: int
     crashed_at_s: dict[CrashId, float] = field(default_factory=dict)
     was_begun: bool = False
+    sent_at_s: dict[CrashId, float] = field(default_factory=dict)
+    holders: dict[CrashId, set[PartId]] = field(default_factory=dict)
 
     @property
     def first_at_s(self) -> float:
@@ -44,28 +52,47 @@
 
     @property
     def crashes(self) -> int:
-        """Return the number of crashes, those of the same moment counted once."""
+        """Return the number of crashes, those of the same moment counted once.
+
+        A target that got a request after another had crashed on it did not die together
+        with that one.
+        """
         count = 0
         counted_at_s = float("-inf")
-        for at_s in sorted(self.crashed_at_s.values()):
-            if at_s - counted_at_s >= SAME_CAUSE_S:
+        for crash, at_s in sorted(self.crashed_at_s.items(), key=itemgetter(1)):
+            sent_at_s = self.sent_at_s.get(crash, float("-inf"))
+            if at_s - counted_at_s >= SAME_CAUSE_S or sent_at_s >= counted_at_s:
                 count += 1
                 counted_at_s = at_s
         return count
 
+    @property
+    def is_of_one_request(self) -> bool:
+        """Return whether one and the same request was there at every crash."""
+        holders = [self.holders.get(crash, set()) for crash in self.crashed_at_s]
+        return bool(set.intersection(*holders))
+
+    def drop(self, crash: CrashId) -> None:
+        """Drop a crash that has another cause."""
+        self.crashed_at_s.pop(crash, None)
+        self.sent_at_s.pop(crash, None)
+        self.holders.pop(crash, None)
+
 
 @dataclass
 class EvidenceLog:
     """Evidence against parts, and the parts with which answers began lately.
 
     A part that crashes targets crashes each one that begins an answer on it. One answer
-    that begins therefore voids all evidence against the parts of its prompt.
+    that begins therefore voids all evidence against the request and the parts of its
+    prompt.
     """
 
     evidence: dict[PartKey, PartEvidence] = field(default_factory=dict)
     _begun_counts: Counter[ServiceName] = field(default_factory=Counter)
     _explained_at_s: dict[CrashId, float] = field(default_factory=dict)
     _begun_at_s: OrderedDict[PartKey, float] = field(default_factory=OrderedDict)
+    _answered_at_s: OrderedDict[PartKey, float] = field(default_factory=OrderedDict)
     _voided_at_s: OrderedDict[PartKey, float] = field(default_factory=OrderedDict)
 
     def add_crash(self, report: CrashReport) -> list[PartKey]:
@@ -76,28 +103,49 @@
         added = []
         for part in report.parts:
             key = PartKey(report.service, part)
-            voided_at_s = self.voided_at_s(key)
-            if max(self.begun_at_s(key), voided_at_s) >= at_s:
-                continue
-            known = self.evidence.get(key)
+            known = self._evidence_since(key, at_s)
             if known is None:
-                begun_before = self._begun_counts[report.service]
-                known = self.evidence[key] = PartEvidence(begun_before)
+                continue
             if part in report.begun_parts or self.has_begun(key):
                 known.was_begun = True
-            if report.crash in known.crashed_at_s:
+            holders = known.holders.setdefault(report.crash, set())
+            holders.update(report.holders(part))
+            if report.crash not in known.crashed_at_s:
+                known.crashed_at_s[report.crash] = at_s
+                added.append(key)
+        for request in report.requests:
+            key = PartKey(report.service, request.digest)
+            known = self._evidence_since(key, at_s)
+            if known is None:
                 continue
-            known.crashed_at_s[report.crash] = at_s
-            added.append(key)
+            sent_at_s = known.sent_at_s.get(report.crash, float("-inf"))
+            known.sent_at_s[report.crash] = max(sent_at_s, at_s - request.held_s)
+            if report.crash not in known.crashed_at_s:
+                known.crashed_at_s[report.crash] = at_s
+                added.append(key)
         self._limit()
         return [key for key in added if key in self.evidence]
 
+    def _evidence_since(self, key: PartKey, at_s: float) -> PartEvidence | None:
+        """Return the evidence against a part, None if a crash at `at_s` is not any."""
+        if max(self.begun_at_s(key), self.voided_at_s(key)) >= at_s:
+            return None
+        known = self.evidence.get(key)
+        if known is None:
+            begun_before = self._begun_counts[key.service]
+            known = self.evidence[key] = PartEvidence(begun_before)
+        return known
+
     def add_begun(self, service: ServiceName, keys: Iterable[PartKey]) -> None:
-        """Add an answer that began; `keys` are the parts of its prompt."""
+        """Add an answer that began; `keys` are its request and its prompt's parts."""
         self._begun_counts[service] += 1
         for key in keys:
             self.evidence.pop(key, None)
-            _remember(self._begun_at_s, key)
+            _remember(self._begun_times_s(key), key)
+
+    def _begun_times_s(self, key: PartKey) -> OrderedDict[PartKey, float]:
+        """Return the times of answers; the many requests don't push out parts."""
+        return self._answered_at_s if key.is_request else self._begun_at_s
 
     def void(self, key: PartKey) -> None:
         """Drop all evidence against a part that dates from before now."""
@@ -117,11 +165,11 @@
 
     def begun_at_s(self, key: PartKey) -> float:
         """Return when the latest answer with a part began, as a monotonic time."""
-        return self._begun_at_s.get(key, float("-inf"))
+        return self._begun_times_s(key).get(key, float("-inf"))
 
     def has_begun(self, key: PartKey) -> bool:
         """Return whether an answer with a part is known to have begun."""
-        return key in self._begun_at_s
+        return key in self._begun_times_s(key)
 
     def voided_at_s(self, key: PartKey) -> float:
         """Return when the evidence against a part was dropped, as a monotonic time."""
@@ -132,14 +180,21 @@
         """Return the services of which answers have begun since the start."""
         return list(self._begun_counts)
 
-    def explain(self, crashes: Iterable[CrashId]) -> None:
-        """Drop crashes as evidence, since a part under quarantine is their cause."""
+    def explain(
+        self, crashes: Collection[CrashId], causes: Collection[PartId] = ()
+    ) -> None:
+        """Drop crashes as evidence, since `causes` under quarantine explain them.
+
+        They remain evidence against the parts of prompts that a request among the
+        causes holds, since such a part may crash the next request, too.
+        """
         now_s = time.monotonic()
         for crash in crashes:
             self._explained_at_s[crash] = now_s
         for key, known in list(self.evidence.items()):
             for crash in crashes:
-                known.crashed_at_s.pop(crash, None)
+                if known.holders.get(crash, set()).isdisjoint(causes):
+                    known.drop(crash)
             if not known.crashed_at_s:
                 del self.evidence[key]
 
--- a/src/chervilstall/quarantine/identity.py
+++ b/src/chervilstall/quarantine/identity.py
@@ -1,11 +1,11 @@
-"""What makes two requests the same: path, caller and body.
+"""What makes two requests the same: path, caller, prompt and body.
 
 A repeat has another request ID, may come at another router and over another connection,
 with its body in one piece or in chunks.
 
 Example::
 
-    digest = request_digest("shop.example", "POST", "/codes/7", workspace, b"")
+    digest = request_digest("shop.example", "POST", "/codes/7", workspace, "", b"")
     is_request(digest)    # True
 """
 
@@ -19,14 +19,20 @@
 
 
 def request_digest(
-    host: str, method: str, target: str, workspace: WorkspaceName | None, body: bytes
+    host: str,
+    method: str,
+    target: str,
+    workspace: WorkspaceName | None,
+    prompt: str,
+    body: bytes,
 ) -> PartId:
     """Return a digest of a request as a whole.
 
-    `workspace` stands for the caller, None on routes without one.
+    `workspace` stands for the caller, None on routes without one. `prompt` names the
+    parts of its prompt, with its own, where the body doesn't hold it.
     """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for text in (host.lower(), method, target, workspace or ""):
+    for text in (host.lower(), method, target, workspace or "", prompt):
         digest.update(text.encode("utf-8", "surrogateescape") + b"\0")
     digest.update(body)
     return PartId(REQUEST_PREFIX + digest.hexdigest())
--- a/src/chervilstall/quarantine/prompts.py
+++ b/src/chervilstall/quarantine/prompts.py
@@ -1,13 +1,18 @@
-"""Decides which parts of prompts are kept away from the targets.
+"""Decides which parts of prompts and which requests are kept away from the targets.
 
 A part is put under quarantine after three crashes of targets that held a request with
 it and had not begun to answer that request, if no answer with the part has begun since
 the first of them while others have. Parts with which answers have begun before need
 more, and the crashes that a part under quarantine explains speak against no other. A
 part under quarantine at one service is put under quarantine at the others as well,
-except at those where answers with it have begun. The module needs no network: a router
-tells it what it saw and what the others shared, and carries out the actions that it
-asks for.
+except at those where answers with it have begun.
+
+A request as a whole is one more part, which only its repeats share. Three crashes put
+it under quarantine if no repeat was answered since the first of them. Where it explains
+as many crashes as a part of its prompt, only the request is refused.
+
+The module needs no network: a router tells it what it saw and what the others shared,
+and carries out the actions that it asks for.
 
 Example::
 
@@ -133,7 +138,10 @@
         return False
 
     def record_begun(self, service: ServiceName, parts: Iterable[PartId]) -> None:
-        """Record that a target has begun to answer a request with these parts."""
+        """Record that a target has begun to answer a request with these parts.
+
+        One of them is the request as a whole.
+        """
         keys = [PartKey(service, part) for part in parts]
         self.log.add_begun(service, keys)
         for key in keys:
@@ -145,8 +153,9 @@
 
     def record_crash(self, report: CrashReport) -> None:
         """Record a crash that this router or another one saw."""
-        keys = [PartKey(report.service, part) for part in report.parts]
-        if any(key in self._quarantined for key in keys):
+        digests = (request.digest for request in report.requests)
+        parts = (*report.parts, *digests)
+        if any(PartKey(report.service, part) in self._quarantined for part in parts):
             self.log.explain([report.crash])
             return
         added = self.log.add_crash(report)
@@ -172,7 +181,10 @@
         return replace(report, parts=parts, begun_parts=tuple(filter(has_begun, parts)))
 
     def _quarantine_likeliest(self, keys: list[PartKey]) -> None:
-        """Put those parts under quarantine that explain the crashes best."""
+        """Put those parts under quarantine that explain the crashes best.
+
+        A request is preferred to the parts of its prompt that explain no more.
+        """
         candidates = [key for key in keys if self._has_enough_evidence(key)]
         while candidates:
             best = max(candidates, key=self._rank)
@@ -186,12 +198,12 @@
             ]
             for key in same[:SAME_PARTS_MAX]:
                 self._propose(key)
-            self.log.explain(crashes)
+            self.log.explain(crashes, {key.part for key in same})
             candidates = [key for key in candidates if self._has_enough_evidence(key)]
 
-    def _rank(self, key: PartKey) -> tuple[bool, int]:
+    def _rank(self, key: PartKey) -> tuple[bool, int, bool]:
         known = self.log.evidence[key]
-        return not known.was_begun, len(known.crashed_at_s)
+        return not known.was_begun, len(known.crashed_at_s), key.is_request
 
     def _has_enough_evidence(self, key: PartKey) -> bool:
         known = self.log.evidence.get(key)
@@ -204,6 +216,10 @@
             return False
         if known.crashes < crashes_min:
             return False
+        if key.is_request:
+            return True
+        if known.is_of_one_request:
+            return False
         if not known.was_begun and self._is_familiar(key.service):
             return True
         return self.log.others_begun(key) >= others_min
@@ -217,7 +233,7 @@
             key,
             time.monotonic() - known.first_at_s,
             tuple(sorted(known.crashed_at_s)),
-            not known.was_begun,
+            not known.was_begun and not key.is_request,
         )
         # Others must know this entry before those that are carried over from it.
         self.on_action(Propose(entry))
@@ -276,7 +292,7 @@
 
         An entry that `is_old`, as one read at the start, is in force at once.
         """
-        self.log.explain(entry.crashes)
+        self.log.explain(entry.crashes, {entry.key.part})
         known = self._quarantined.get(entry.key)
         if known is None:
             if self._is_refuted(entry) and not is_old:
@@ -312,6 +328,9 @@
             return
         key = entry.key
         self._crashed_services.setdefault(key.part, set()).add(key.service)
+        if key.is_request:
+            # It is carried over once it is asked for at another service.
+            return
         for service in self.log.begun_services:
             self._carry_over(PartKey(service, key.part))
 
--- a/src/chervilstall/quarantine/quarantined.py
+++ b/src/chervilstall/quarantine/quarantined.py
@@ -13,6 +13,9 @@
 TRIALS_MAX = 2
 """Trials after which there are rarely any; the router of a trial may have ended."""
 
+REQUEST_TRIALS_MAX = 3
+"""Trials after which a whole request is not sent again while callers ask for it."""
+
 LATER_TRIAL_AFTER_S = 1_800.0
 KEEP_INTERVAL_S = 240.0
 """Time after which the entry of a part that is still asked for is written again."""
@@ -46,6 +49,8 @@
     def _trial_after_s(self) -> float:
         """Return the time from the entry or its latest trial to the next one."""
         trials = self.entry.trials
+        if self.entry.key.is_request and trials >= REQUEST_TRIALS_MAX:
+            return float("inf")
         if self.entry.is_carried_over:
             is_early = trials < CARRIED_TRIALS_MAX
             return CARRIED_TRIAL_AFTER_S if is_early else LATER_TRIAL_AFTER_S
--- a/src/chervilstall/quarantine/records.py
+++ b/src/chervilstall/quarantine/records.py
@@ -1,13 +1,19 @@
-"""What routers tell each other about parts of prompts that crash targets."""
+"""What routers tell each other about what crashes targets.
 
+A part is what requests may have in common: a part of their prompts, or a request as a
+whole, which its repeats share with it.
+"""
+
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from chervilstall.ids import CrashId, PartId, ServiceName
+from chervilstall.quarantine.identity import is_request
 
 
 @dataclass(frozen=True)
 class PartKey:
-    """A part of prompts, as the targets of one service see it.
+    """A part, as the targets of one service see it.
 
     A part may crash the targets of one service and be harmless to another's.
     """
@@ -15,14 +21,33 @@
     service: ServiceName
     part: PartId
 
+    @property
+    def is_request(self) -> bool:
+        """Return whether the part is a request as a whole."""
+        return is_request(self.part)
+
+
+@dataclass(frozen=True)
+class LostRequest:
+    """A request that a target had received and not begun to answer as it crashed.
+
+    `parts` are those of its prompt. `held_s` is the time from its sending to the crash,
+    in seconds.
+    """
+
+    digest: PartId
+    parts: tuple[PartId, ...] = ()
+    held_s: float = 0.0
+
 
 @dataclass(frozen=True)
 class CrashReport:
     """One crash of a target, as one router saw it.
 
-    `parts` are those that stood in the prompts of requests that the target had received
-    and not begun to answer. With those in `begun_parts` the router has seen answers
-    begin at some time. `age_s` is the time since the crash, in seconds.
+    `requests` are those that the target had received and not begun to answer, and
+    `parts` are those that stood in their prompts. With those in `begun_parts` the
+    router has seen answers begin at some time. `age_s` is the time since the crash, in
+    seconds.
     """
 
     crash: CrashId
@@ -30,6 +55,11 @@
     parts: tuple[PartId, ...]
     begun_parts: tuple[PartId, ...] = ()
     age_s: float = 0.0
+    requests: tuple[LostRequest, ...] = ()
+
+    def holders(self, part: PartId) -> Collection[PartId]:
+        """Return the digests of the requests whose prompts hold a part."""
+        return {each.digest for each in self.requests if part in each.parts}
 
 
 @dataclass(frozen=True)
@@ -39,7 +69,8 @@
     `crashes` are those that speak against it; none do where a quarantine at another
     service was carried over. `evidence_age_s` is the time since the first of them, at
     the time of the proposal. `is_new` says that the proposer knows of no answer that
-    ever began with the part. `trials` counts the requests that were let through since,
+    ever began with the part; of a request as a whole only answers since the first crash
+    count. `trials` counts the requests that were let through since,
     to see whether the part is harmless after all.
     """
 
--- a/src/chervilstall/quarantine/refusal.py
+++ b/src/chervilstall/quarantine/refusal.py
@@ -1,15 +1,16 @@
-"""The refusal of requests whose prompts crash targets."""
+"""The refusal of requests that crash targets, as a whole or by their prompts."""
 
 from collections.abc import Iterable
 
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import PartId, ServiceName
+from chervilstall.quarantine.identity import is_request
 from chervilstall.quarantine.prompts import PromptQuarantine
 
 QUARANTINE_RETRY_S = 60.0
 
 
-def check_prompt(
+def check_parts(
     quarantine: PromptQuarantine,
     service: ServiceName,
     parts: Iterable[PartId],
@@ -22,12 +23,13 @@
     """
     part = quarantine.refused_part(service, parts)
     if part is not None:
-        reason = f"part {part} of the prompt crashes targets"
+        what = "the request" if is_request(part) else f"part {part} of the prompt"
+        reason = f"{what} crashes targets"
         if may_have_run:
             raise ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, reason)
         raise ChervilstallError(
             ErrorKind.PROMPT_QUARANTINED, reason, QUARANTINE_RETRY_S
         )
     if may_have_run and quarantine.is_suspect(service, parts):
-        reason = "a part of the prompt may have crashed the target"
+        reason = "the request may have crashed its target"
         raise ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, reason)
--- a/src/chervilstall/stream/prompt_guard.py
+++ b/src/chervilstall/stream/prompt_guard.py
@@ -18,7 +18,7 @@
     Propose,
     QuarantineAction,
 )
-from chervilstall.quarantine.refusal import check_prompt
+from chervilstall.quarantine.refusal import check_parts
 from chervilstall.routing.fleet import Capability
 from chervilstall.routing.selector import ChainSelector
 from chervilstall.target.contract import AttemptFailed, EngineClient, FailureCause
@@ -66,7 +66,7 @@
         self, capability: Capability, prefixes: tuple[int, ...], may_have_run: bool
     ) -> None:
         """Raise ChervilstallError for a request that may crash its next engine."""
-        check_prompt(
+        check_parts(
             self.quarantine, _service(capability), _parts(prefixes), may_have_run
         )
 
--- a/tests/steps/quarantine_fleet_steps.py
+++ b/tests/steps/quarantine_fleet_steps.py
@@ -13,11 +13,12 @@
 from tests.support.quarantine_rule import (
     CONTACT_S,
     CRASHES_FREE,
+    REQUEST_CRASHES_FREE,
     check_part_arrivals,
     check_sound_requests,
     crash_times_s,
 )
-from tests.support.quarantine_traffic import WARM_UP_S
+from tests.support.quarantine_traffic import WARM_UP_S, digest_of
 
 FLEETS_VARIABLE = "CHERVILSTALL_DRAWN_FLEETS"
 
@@ -37,6 +38,20 @@
         check_part_arrivals(arrivals, crashes, ANY_SERVICE, part.name)
 
 
+def check_crashing_requests(fleet: QuarantineFleet) -> None:
+    """Check the rule for each crashing request, over all services."""
+    crashes = [replace(crash, service=ANY_SERVICE) for crash in fleet.crashes]
+    arrivals = [replace(arrival, service=ANY_SERVICE) for arrival in fleet.arrivals]
+    for request in fleet.case.crashing_requests:
+        check_part_arrivals(
+            arrivals,
+            crashes,
+            ANY_SERVICE,
+            digest_of(request.name),
+            REQUEST_CRASHES_FREE,
+        )
+
+
 def sound_from_s(fleet: QuarantineFleet) -> float:
     """Return from when sound requests must be served as before."""
     times_s = [WARM_UP_S]
@@ -44,6 +59,11 @@
         for service in part.services:
             part_times_s = crash_times_s(fleet.crashes, service, part.name)
             times_s += part_times_s[:CRASHES_FREE][-1:]
+    for request in fleet.case.crashing_requests:
+        for service in request.services:
+            digest = digest_of(request.name)
+            request_times_s = crash_times_s(fleet.crashes, service, digest)
+            times_s += request_times_s[:REQUEST_CRASHES_FREE][-1:]
     for burst in fleet.case.bursts:
         times_s.append(burst.at_s + burst.count * burst.interval_s)
     return max(times_s) + 2.0 * CONTACT_S
@@ -61,7 +81,12 @@
     assert not refused, f"{len(refused)} refused: {sorted(refused)[:5]}"
 
 
-CHECKS = (check_crashing_parts, check_sound, check_none_refused)
+CHECKS = (
+    check_crashing_parts,
+    check_crashing_requests,
+    check_sound,
+    check_none_refused,
+)
 ANY_SERVICE = "any"
 
 
@@ -74,7 +99,11 @@
 
 @when("{count:d} drawn fleets with {case} are played for the crashing part alone")
 def play_fleets_for_part(context: Context, count: int, case: str) -> None:
-    checks = (check_crashing_parts, check_crashing_parts_over_services)
+    checks = (
+        check_crashing_parts,
+        check_crashing_parts_over_services,
+        check_crashing_requests,
+    )
     play_and_check(context, checks, count, case, "none")
 
 
@@ -116,6 +145,11 @@
     assert_no_failures(context, check_crashing_parts_over_services)
 
 
+@then("in each a crashing request reaches at most 3 targets later than the bound")
+def check_all_crashing_requests(context: Context) -> None:
+    assert_no_failures(context, check_crashing_requests)
+
+
 @then("in each sound requests begin at least half as often as before")
 def check_all_sound(context: Context) -> None:
     assert_no_failures(context, check_sound)
--- a/tests/support/quarantine_cases.py
+++ b/tests/support/quarantine_cases.py
@@ -6,14 +6,19 @@
     WARM_UP_S,
     Burst,
     CrashingPart,
+    CrashingRequest,
     QuarantineCase,
 )
 
 SHARES = (0.02, 0.05, 0.1, 0.2, 0.4)
+REQUEST = "one"
+OTHER_REQUEST = "another"
 SERVICE = "drafts"
 OTHER_SERVICE = "summaries"
 PART = "crashing"
 OTHER_PART = "crashing-too"
+LOOKUP_PREFIX = "a crashing lookup and "
+"""Rows that begin so are played with a small plain service."""
 
 
 def draw_size(rng: random.Random, routers: int) -> dict[str, object]:
@@ -46,6 +51,26 @@
     return CrashingPart(**{**fields, **changes})
 
 
+def draw_crashing_request(
+    rng: random.Random, name: str = REQUEST, services: tuple[str, ...] = (SERVICE,)
+) -> CrashingRequest:
+    """Return a crashing request with a drawn share."""
+    return CrashingRequest(name, rng.choice(SHARES), services)
+
+
+def lookup_changes(rng: random.Random, routers: int) -> dict[str, object]:
+    """Return the changes to a drawn case of a small plain service."""
+    return {
+        "targets": rng.choice((3, 4)) if routers < 10 else rng.choice((4, 8)),
+        "rate_per_s": 12.0 if routers < 10 else 30.0,
+        "callers": 2,
+        "first_event_s": rng.choice(((0.02, 0.06), (0.05, 0.1), (0.1, 0.3))),
+        "has_prompts": False,
+        "crashing": (),
+        "crashing_requests": (draw_crashing_request(rng),),
+    }
+
+
 def draw_burst(rng: random.Random, targets: int, interval_s: float) -> Burst:
     """Return crashes of a third to all of the targets, as many as fit in 10 s."""
     count = rng.randint(targets // 3, targets)
@@ -123,11 +148,46 @@
                 "crashing": (part,),
                 "moves_at_s": moves_at_s,
             }
+        case "a crashing draft":
+            return {"crashing": (), "crashing_requests": (draw_crashing_request(rng),)}
+        case "a crashing draft beside a crashing part":
+            return {"crashing_requests": (draw_crashing_request(rng),)}
         case "slow answers":
             return {"first_event_s": (0.5, 2.5)}
     return {}
 
 
+def lookup_case_changes(rng: random.Random, case: str) -> dict[str, object]:
+    """Return the changes to lookups with a crashing one that a row names."""
+    match case:
+        case "sent at most once":
+            return {"attempts_max": 1}
+        case "a popular sound one beside it":
+            return {"popular": rng.choice((0.05, 0.3))}
+        case "other crashes beside it":
+            return {"bursts": (Burst(WARM_UP_S + rng.uniform(0.0, 8.0), 2, 0.7),)}
+        case "no crashing one, but a popular one and crashes":
+            burst_s = WARM_UP_S + rng.uniform(0.0, 4.0)
+            return {
+                "crashing_requests": (),
+                "popular": rng.choice((0.05, 0.3, 0.6)),
+                "bursts": (Burst(burst_s, 4, rng.choice((0.0, 0.02, 0.2, 1.0))),),
+            }
+        case "two crashing ones":
+            names = (REQUEST, OTHER_REQUEST)
+            requests = [draw_crashing_request(rng, name) for name in names]
+            return {"crashing_requests": tuple(requests)}
+        case "a move to another service":
+            services = (SERVICE, OTHER_SERVICE)
+            return {
+                "services": services,
+                "targets": 8,
+                "crashing_requests": (draw_crashing_request(rng, services=services),),
+                "moves_at_s": WARM_UP_S + rng.uniform(4.0, 14.0),
+            }
+    return case_changes(rng, case, targets=4, callers=3)
+
+
 def draw_case(seed: int, case: str) -> tuple[QuarantineCase, random.Random]:
     """Return the case of a seed, and the generator with which to play it.
 
@@ -142,5 +202,12 @@
     fields["crashing"] = (draw_crashing_part(rng, callers),)
     fields["has_same_id"] = rng.random() < 0.5
     fields["first_event_s"] = rng.choice(((0.05, 0.3), (0.1, 0.6), (0.3, 1.5)))
-    fields.update(case_changes(rng, case, targets, callers))
+    plain = case.removeprefix(LOOKUP_PREFIX)
+    if plain != case:
+        routers = fields["routers"]
+        assert isinstance(routers, int)
+        fields.update(lookup_changes(rng, routers))
+        fields.update(lookup_case_changes(rng, plain))
+    else:
+        fields.update(case_changes(rng, case, targets, callers))
     return QuarantineCase(**fields), rng  # type: ignore[arg-type]
--- a/tests/support/quarantine_fleet.py
+++ b/tests/support/quarantine_fleet.py
@@ -12,6 +12,7 @@
 
 from tests.support.clock import Clock
 from tests.support.quarantine_router import (
+    GuardedRequest,
     GuardedRouter,
     ModelFleetView,
     guarded_request,
@@ -27,9 +28,11 @@
 from tests.support.quarantine_store import SharedStore
 from tests.support.quarantine_targets import ModelTarget, TargetEntries
 from tests.support.quarantine_traffic import (
+    POPULAR,
     WARM_UP_S,
     PromptRequest,
     QuarantineCase,
+    digest_of,
     draw_request,
     first_part,
     middle_parts,
@@ -37,7 +40,6 @@
 from tests.support.simulated_tasks import SimulatedTasks
 
 NONE: frozenset[str] = frozenset()
-ATTEMPTS_MAX = 2
 REPEATS_MAX = 2
 AVOIDED_S = 1.0
 """Time for which a router avoids a target that refused or broke a connection."""
@@ -119,9 +121,10 @@
             for caller in range(self.case.callers):
                 for middle in middle_parts():
                     parts = (first_part(caller), middle)
-                    request = PromptRequest(0, service, parts, NONE, NONE)
-                    for index in self._refusing_routers(request):
-                        refused.add((service, "+".join(parts), index))
+                    for digest in (digest_of(0), digest_of(POPULAR)):
+                        request = PromptRequest(0, service, parts, NONE, NONE, digest)
+                        for index in self._refusing_routers(request):
+                            refused.add((service, f"{digest} {parts}", index))
         return refused
 
     def _refusing_routers(self, request: PromptRequest) -> list[int]:
@@ -129,7 +132,7 @@
             index
             for index, router in self.routers.items()
             if self.is_in_touch(index, self.now_s)
-            and not router.guarded.may_send(guarded_request(request), False)
+            and not router.guarded.may_send(self._guarded(request), False)
         ]
 
     def _at(self, at_s: float, action: Callable[[], object]) -> None:
@@ -236,7 +239,10 @@
                 request.harmless,
                 self.is_in_touch(index, self.now_s),
             )
-        self._try(Relay(self.routers[index], request, guarded_request(request)))
+        self._try(Relay(self.routers[index], request, self._guarded(request)))
+
+    def _guarded(self, request: PromptRequest) -> GuardedRequest:
+        return guarded_request(request, self.case.has_prompts)
 
     def _fail(self, request: PromptRequest) -> None:
         """End a request without an answer; its caller may repeat it."""
@@ -257,10 +263,11 @@
             return
         is_allowed = router.guarded.may_send(relay.guarded, relay.may_have_run)
         target = self._choose_target(router, relay.request.service)
-        if target is None or not is_allowed or relay.attempts >= ATTEMPTS_MAX:
+        if target is None or not is_allowed or relay.attempts >= self.case.attempts_max:
             self._fail(relay.request)
             return
         relay.attempts += 1
+        relay.guarded.sent_at_s = self.clock.now_s
         self._sequence += 1
         record = self.entries.read(router.index, target)
         send = Send(self._sequence, relay, target, record)
@@ -282,11 +289,20 @@
             known.remove(target)
         return None
 
+    def _receive_answer(self, send: Send) -> None:
+        if send.relay.router.is_dead:
+            return
+        send.relay.router.guarded.record_answer(send.relay.guarded)
+        self._record_begun(send.relay)
+
     def _receive_event(self, send: Send) -> None:
         relay = send.relay
         if relay.router.is_dead:
             return
         relay.router.guarded.record_event(relay.guarded)
+        self._record_begun(relay)
+
+    def _record_begun(self, relay: Relay) -> None:
         attempt = self.first_attempts.get(relay.request.number)
         if attempt is not None and relay.request.attempt == 0:
             attempt.has_begun = True
@@ -348,6 +364,10 @@
         if crashing:
             self._crash(send.target, crashing)
             return
+        if not self.case.has_prompts:
+            del send.target.running[send.number]
+            self._on_way(lambda: self._receive_answer(send))
+            return
         self._write_event(send)
         interval_s = self.rng.uniform(*EVENT_INTERVAL_S)
         self._in(interval_s, lambda: self._write_event(send))
--- a/tests/support/quarantine_router.py
+++ b/tests/support/quarantine_router.py
@@ -12,9 +12,9 @@
 from unittest.mock import patch
 
 from chervilstall.edge import crash_observer, quarantine_sharing
+from chervilstall.edge.crash_guard import CrashGuard
 from chervilstall.edge.crash_observer import CrashObserver
 from chervilstall.edge.exchange import ExchangeFailed, ExchangeFailure
-from chervilstall.edge.prompt_guard import PromptGuard
 from chervilstall.edge.quarantine_sharing import QuarantineSharing
 from chervilstall.errors import ChervilstallError
 from chervilstall.fleet.records import Target, TargetIncarnation
@@ -83,16 +83,18 @@
 
     fields: PromptFields
     service: RequestedService
+    digest: PartId
+    sent_at_s: float = 0.0
     events_forwarded: int = 0
     has_begun: bool = False
     targets_lost: int = 0
 
 
-def guarded_request(request: PromptRequest) -> Any:
+def guarded_request(request: PromptRequest, has_prompt: bool) -> GuardedRequest:
     """Return a caller's request as the product's guard sees it."""
-    parts = tuple(PartId(part) for part in request.parts)
+    parts = tuple(PartId(part) for part in request.parts if has_prompt)
     service = RequestedService(ServiceName(request.service))
-    return GuardedRequest(PromptFields(parts), service)
+    return GuardedRequest(PromptFields(parts), service, PartId(request.digest))
 
 
 @dataclass
@@ -116,7 +118,7 @@
             cast(Any, self.fleet_view),
             self.sharing.share_crash,
         )
-        self.guard = PromptGuard(self.quarantine, self.crash_observer)
+        self.guard = CrashGuard(self.quarantine, self.crash_observer)
         self.shared.connect(self.index, self.sharing)
 
     def may_send(self, request: GuardedRequest, may_have_run: bool) -> bool:
@@ -138,6 +140,10 @@
         """Tell the guard that an answer has ended."""
         self.guard.record_end(cast(Any, request))
 
+    def record_answer(self, request: GuardedRequest) -> None:
+        """Tell the guard that a plain service has answered as a whole."""
+        self.guard.record_answer(cast(Any, request))
+
     def record_lost(self, request: GuardedRequest, target: Target) -> None:
         """Tell the guard that a target closed a request's connection."""
         error = ExchangeFailed(ExchangeFailure.CLOSED, was_sent=True)
--- a/tests/support/quarantine_rule.py
+++ b/tests/support/quarantine_rule.py
@@ -1,9 +1,10 @@
-"""The platform's rule on parts of prompts that crash targets."""
+"""The platform's rules on parts of prompts and on requests that crash targets."""
 
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
 CRASHES_FREE = 5
+REQUEST_CRASHES_FREE = 3
 ARRIVALS_ALLOWED = 3
 CONTACT_S = 3.0
 SOUND_BEGIN_RATIO = 0.5
@@ -65,12 +66,13 @@
     crashes: Sequence[TargetCrash],
     service: str,
     part: str,
+    crashes_free: int = CRASHES_FREE,
 ) -> None:
     """Assert that a crashing part reaches hardly any target once it is known."""
     times_s = crash_times_s(crashes, service, part)
-    if len(times_s) < CRASHES_FREE:
+    if len(times_s) < crashes_free:
         return
-    from_s = times_s[CRASHES_FREE - 1] + CONTACT_S
+    from_s = times_s[crashes_free - 1] + CONTACT_S
     counted = [
         arrival
         for arrival in arrivals
--- a/tests/support/quarantine_traffic.py
+++ b/tests/support/quarantine_traffic.py
@@ -3,10 +3,13 @@
 import random
 from dataclasses import dataclass
 
+from chervilstall.quarantine.identity import REQUEST_PREFIX
+
 WARM_UP_S = 6.0
 """Time of sound requests alone, before the first request with a crashing part."""
 
 MIDDLE_PARTS = 6
+POPULAR = "popular"
 NO_PARTS: frozenset[str] = frozenset()
 
 
@@ -25,6 +28,18 @@
     is_first: bool = False
 
 
+@dataclass(frozen=True)
+class CrashingRequest:
+    """A request that crashes each target of some services that begins to run it.
+
+    `share` is the share of requests that are this one.
+    """
+
+    name: str
+    share: float
+    services: tuple[str, ...]
+
+
 @dataclass(frozen=True)
 class Burst:
     """Crashes of `count` targets for another cause, `interval_s` apart."""
@@ -49,6 +64,8 @@
     event. Requests with a crashing part come from `crashing_from_s` on. Before that the
     share `sound_before` of all requests names the first such part and is answered. With
     `moves_at_s` all requests are for the first service before it, then for the second.
+    Without `has_prompts` requests name no parts, and their first event is the whole
+    answer. The share `popular` of all requests is one and the same sound one.
     """
 
     routers: int
@@ -74,15 +91,19 @@
     sound_before: float = 0.0
     moves_at_s: float | None = None
     duration_s: float = 30.0
+    crashing_requests: tuple[CrashingRequest, ...] = ()
+    has_prompts: bool = True
+    popular: float = 0.0
+    attempts_max: int = 2
 
 
 @dataclass(frozen=True)
 class PromptRequest:
     """A caller's request: its service, and the parts that others may share.
 
-    `crashing` are those of its parts that crash the targets of its service, and
-    `harmless` those that crash only the targets of others. `attempt` is 0 for a
-    caller's first attempt.
+    `digest` stands for the request as a whole. `crashing` are those of its parts that
+    crash the targets of its service, or its digest, and `harmless` those that crash
+    only the targets of others. `attempt` is 0 for a caller's first attempt.
     """
 
     number: int
@@ -90,9 +111,15 @@
     parts: tuple[str, ...]
     crashing: frozenset[str]
     harmless: frozenset[str]
+    digest: str
     attempt: int = 0
 
 
+def digest_of(name: object) -> str:
+    """Return the digest of a request that has a name in the model."""
+    return f"{REQUEST_PREFIX}{name}"
+
+
 def first_part(caller: int) -> str:
     """Return the part with which all requests of a caller begin."""
     return f"caller-{caller}"
@@ -120,12 +147,23 @@
 ) -> PromptRequest:
     """Draw the parts of the request that comes at `at_s`.
 
-    The callers are drawn evenly. A part that is crashing to one service only is held by
+    The callers are drawn evenly. A request that is crashing as a whole, or popular, has
+    the same parts each time. A part that is crashing to one service only is held by
     requests to all services, and by those to the others from the start.
     """
     service = rng.choice(case.services)
     if case.moves_at_s is not None:
         service = case.services[at_s >= case.moves_at_s]
+    for known in case.crashing_requests:
+        if at_s >= case.crashing_from_s and rng.random() < known.share:
+            digest = digest_of(known.name)
+            crashing = frozenset({digest} if service in known.services else ())
+            parts = (first_part(0), f"own-{known.name}")
+            return PromptRequest(number, service, parts, crashing, NO_PARTS, digest)
+    if case.popular and rng.random() < case.popular:
+        digest = digest_of(POPULAR)
+        parts = (first_part(0),)
+        return PromptRequest(number, service, parts, NO_PARTS, NO_PARTS, digest)
     is_new_away = case.has_new_caller and at_s < WARM_UP_S
     caller = rng.randrange(case.callers - is_new_away)
     held: list[CrashingPart] = []
@@ -143,7 +181,11 @@
     if case.sound_before and at_s < case.crashing_from_s:
         if rng.random() < case.sound_before:
             parts.insert(1, case.crashing[0].name)
-        return PromptRequest(number, service, tuple(parts), NO_PARTS, NO_PARTS)
+        return PromptRequest(
+            number, service, tuple(parts), NO_PARTS, NO_PARTS, digest_of(number)
+        )
     crashing = frozenset(part.name for part in held if service in part.services)
     names = frozenset(part.name for part in held)
-    return PromptRequest(number, service, tuple(parts), crashing, names - crashing)
+    return PromptRequest(
+        number, service, tuple(parts), crashing, names - crashing, digest_of(number)
+    )
