--- a/src/chervilstall/soak/links.py
+++ b/src/chervilstall/soak/links.py
@@ -58,6 +58,7 @@
     held_directions: set[Direction] = field(default_factory=set)
     _connections: set[_ProxiedConnection] = field(default_factory=set)
     _listener: StreamServer | None = None
+    _refused_address: Address | None = None
 
     def start(self) -> None:
         """Start accepting and forwarding connections."""
@@ -68,9 +69,25 @@
     @property
     def address(self) -> Address:
         """Return the address that clients use in place of the server's."""
+        if self._refused_address is not None:
+            return self._refused_address
         assert self._listener is not None
         return Address(self._listener.server_host, self._listener.server_port)
 
+    def refuse_connections(self) -> None:
+        """Refuse new connections; the open ones go on."""
+        if self._listener is not None:
+            self._refused_address = self.address
+            self._listener.close()
+            self._listener = None
+
+    def accept_connections(self) -> None:
+        """Accept new connections again, at the same address."""
+        if self._refused_address is not None:
+            self.listen_address = self._refused_address
+            self._refused_address = None
+            self.start()
+
     def stop(self) -> None:
         """Stop accepting connections and reset the open ones."""
         if self._listener is not None:
--- /dev/null
+++ b/tests/edge/targets_out_of_reach.feature
@@ -0,0 +1,36 @@
+Feature: A router that has lost its links to all targets serves its callers
+
+  # Guards against RECOVER: callers of a router without targets were refused, 0 of 48 served.
+  # Guards against RECOVER: what such a router believed of targets harmed the callers of others.
+  Scenario Outline: Callers of <count> of 4 routers whose connections <how> fare as others do
+    Given 4 routers with links of their own to targets of lookups and drafts
+    And <count> of them are cut off from all targets, so that connections <how>
+    When requests of each kind come at each router for 4 seconds
+    Then from 1 second after the cut each router serves 9 in 10 of them
+    And no request ran more often than its kind allows
+    And no router that was not cut off suspects a target
+    And a router that was not cut off plans
+    When the cut is over
+    Then within 2 seconds each router serves its callers by itself
+
+    Examples:
+      | count | how                                |
+      | 1     | hang                               |
+      | 1     | are reset and hang                 |
+      | 1     | live on while new ones are refused |
+      | 3     | hang                               |
+
+  # Guards against holding callers back where no router can serve them.
+  Scenario: A request that no router can bring to a target is refused at once
+    Given 4 routers with links of their own to targets of lookups and drafts
+    And 4 of them are cut off from all targets, so that connections hang
+    When requests of each kind come at each router for 3 seconds
+    Then from 2 seconds after the cut each is refused as not run within 0.2 seconds
+    And it is told to come back within 3 seconds
+
+  # Guards against RECOVER: a router that starts inside a cut has never seen a target.
+  Scenario: A router that starts while it is cut off serves its callers
+    Given 4 routers with links of their own to targets of lookups and drafts
+    When a router starts that is cut off from all targets
+    And requests of each kind come at each router for 4 seconds
+    Then from 2 seconds after the cut each router serves 9 in 10 of them
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -21,6 +21,7 @@
 from chervilstall.standin.platform_store import PlatformStoreServer
 from chervilstall.standin.platform_target import PlatformTarget
 from tests.support.agent_fleet import eventually
+from tests.support.cut_links import RouterLinks, RouterStoreView
 from tests.support.router_harness import ANY_PORT, HOST, Response
 
 ZONES = ("ba-hall", "za-hall")
@@ -37,13 +38,20 @@
 
 @dataclass
 class Platform:
-    """A store, targets and routers in one process."""
+    """A store, targets and routers in one process.
+
+    With `has_links` each router reaches the targets over links of its own, `links`,
+    in the order of the routers.
+    """
 
     store: PlatformStoreServer = field(
         default_factory=lambda: PlatformStoreServer(ANY_PORT)
     )
     targets: dict[str, PlatformTarget] = field(default_factory=dict)
     routers: list[EdgeServer] = field(default_factory=list)
+    has_links: bool = False
+    links: list[RouterLinks] = field(default_factory=list)
+    _store_views: list[RouterStoreView] = field(default_factory=list)
 
     def start(self, config: dict | None = None) -> None:
         """Start the store with a configuration."""
@@ -91,10 +99,21 @@
             frontend_address=ANY_PORT,
             ready_address=ANY_PORT,
             ports=(),
-            store=StoreAddress(self.store.address, 20.0, 1.0),
+            store=StoreAddress(self._store_address(), 20.0, 1.0),
             bounds=BOUNDS,
         )
 
+    def _store_address(self) -> Address:
+        """Return the address of the store for a new router."""
+        if not self.has_links:
+            return self.store.address
+        links = RouterLinks()
+        view = RouterStoreView(self.store.state, links)
+        view.start()
+        self.links.append(links)
+        self._store_views.append(view)
+        return view.address
+
     def add_router(
         self,
         zone: str = "ba-hall",
@@ -117,8 +136,12 @@
         """Stop the routers, targets and store."""
         for router in self.routers:
             router.stop()
+        for links in self.links:
+            links.stop()
         for target in self.targets.values():
             target.stop()
+        for view in self._store_views:
+            view.stop()
         self.store.stop()
 
     def executed_request_ids(self) -> list[str]:
