--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -3,7 +3,7 @@
 import errno
 import time
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from chervilstall.edge.bodies import BodyMemory, BodyReader, BodyReservation
 from chervilstall.edge.budget import FleetRetryBudget
@@ -11,10 +11,17 @@
 from chervilstall.edge.draining import DrainSchedule, shutting_down_error
 from chervilstall.edge.error_responses import error_response
 from chervilstall.edge.exchange import CompleteResponse
+from chervilstall.edge.forwarding import (
+    FORWARDING_KEY,
+    UNABLE_HEADER,
+    UNABLE_KINDS,
+    Forwarding,
+)
 from chervilstall.edge.plain_relay import PlainRelay
 from chervilstall.edge.request import EdgeRequest
+from chervilstall.edge.stream_context import StreamBroken, StreamContext
 from chervilstall.edge.stream_durations import StreamDurations
-from chervilstall.edge.stream_relay import StreamBroken, StreamContext, StreamRelay
+from chervilstall.edge.stream_relay import StreamRelay
 from chervilstall.edge.traffic_split import choose_service
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.records import Route, RouterConfiguration, Service
@@ -92,9 +99,10 @@
     ) -> Iterator[bytes]:
         arrived_at_s = time.monotonic()
         fields = read_request_fields(environ[HEADERS_KEY])
+        forwarding: Forwarding | None = environ.get(FORWARDING_KEY)
         request = None
         try:
-            configuration = self._await_configuration()
+            configuration = self._await_configuration(forwarding)
             with self._reserve_body(environ, configuration) as reservation:
                 request = self._admit(environ, fields, arrived_at_s, configuration)
                 reservation.shrink(len(request.body))
@@ -107,18 +115,26 @@
                     self.admitted.discard(request)
                     monitor.stop()
         except ChervilstallError as error:
-            yield from self._send_error(
-                fields, request, error, start_response, arrived_at_s
+            self._log_refusal(fields, request, error, arrived_at_s)
+            response = error_response(error, fields.request)
+            if forwarding is not None and error.kind in UNABLE_KINDS:
+                headers = (*response.headers, (UNABLE_HEADER, error.kind.value))
+                response = replace(response, headers=headers)
+            start_response(
+                *self._response_start(
+                    response.status, response.headers, len(response.body)
+                )
             )
+            yield response.body
 
-    def _send_error(
+    def _log_refusal(
         self,
         fields: RequestFields,
         request: EdgeRequest | None,
         error: ChervilstallError,
-        start_response: StartResponse,
         arrived_at_s: float,
-    ) -> Iterator[bytes]:
+    ) -> None:
+        """Log the error that a request ends with; raise if its caller has left."""
         if request is not None and request.has_caller_disconnected:
             self._record_outcome(request, RequestOutcome.CALLER_LEFT)
             raise BrokenPipeError(errno.EPIPE, "the caller left")
@@ -135,18 +151,16 @@
         )
         if request is not None:
             self._record_outcome(request, RequestOutcome.REFUSED)
-        http_response = error_response(error, fields.request)
-        start_response(
-            *self._response_start(
-                http_response.status, http_response.headers, len(http_response.body)
-            )
-        )
-        yield http_response.body
 
     # Admission
 
-    def _await_configuration(self) -> RouterConfiguration:
-        """Return the configuration, after a wait if the router has just started."""
+    def _await_configuration(
+        self, forwarding: Forwarding | None
+    ) -> RouterConfiguration:
+        """Return the configuration, after a wait if the router has just started.
+
+        A request that another router took by a later version is refused.
+        """
         remaining_s = max(0.0, self.startup_wait_until_s - time.monotonic())
         wait_until_set(self.fleet_view.loaded, remaining_s)
         configuration = self.fleet_view.configuration
@@ -154,6 +168,12 @@
             raise ChervilstallError(
                 ErrorKind.NOT_READY, "no configuration is known yet", NOT_READY_RETRY_S
             )
+        if forwarding is None:
+            return configuration
+        if configuration.version < forwarding.configuration_version:
+            raise ChervilstallError(
+                ErrorKind.NOT_READY, "the configuration is older", NOT_READY_RETRY_S
+            )
         return configuration
 
     def _admit(
@@ -185,7 +205,10 @@
             deadline_s = min(deadline_s, arrived_at_s + fields.timeout_s)
         if self.drain is not None:
             deadline_s = min(deadline_s, self.drain.answers_until_s)
-        self.budget.record_request(service.name)
+        forwarding = environ.get(FORWARDING_KEY)
+        if forwarding is None:
+            # The router that took a forwarded request has counted it.
+            self.budget.record_request(service.name)
         return EdgeRequest(
             fields,
             environ["REQUEST_METHOD"],
@@ -197,6 +220,7 @@
             configuration.priority(route, workspace),
             arrived_at_s,
             deadline_s,
+            forwarding=forwarding,
         )
 
     def _authenticate(
@@ -245,23 +269,11 @@
             )
             is_taken = self.drain.takes_stream(now_s, expected_s, route.is_resumable)
         else:
-            expected_s = self._expected_plain_s(self.drain, now_s, route)
+            expected_s = self.drain.expected_plain_s(now_s, route)
             is_taken = self.drain.takes_plain(now_s, expected_s)
         if not is_taken:
             raise shutting_down_error()
 
-    @staticmethod
-    def _expected_plain_s(drain: DrainSchedule, now_s: float, route: Route) -> float:
-        """Return how long a request to a plain service may last.
-
-        A repeat at a second target takes as long again. Where there is none, a target
-        that takes longer than its objective ends in an unknown outcome, after which
-        the caller can't repeat the request; after a refusal it can, elsewhere.
-        """
-        has_repeat = route.is_retryable and route.attempts_max > 1
-        periods = 2 if has_repeat or drain.has_balancer_noticed(now_s) else 1
-        return periods * route.latency_slo_s
-
     def answer_all(self) -> None:
         """Give every request in progress its final answer, as at its deadline."""
         for request in list(self.admitted):
--- a/src/chervilstall/edge/draining.py
+++ b/src/chervilstall/edge/draining.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass
 
 from chervilstall.errors import ChervilstallError, ErrorKind
+from chervilstall.fleet.records import Route
 
 BALANCER_NOTICES_S = 2.0
 """Time after the stop signal in which the load balancer may not have noticed it.
@@ -108,6 +109,17 @@
             return True
         return now_s + expected_s <= self.answers_until_s
 
+    def expected_plain_s(self, now_s: float, route: Route) -> float:
+        """Return how long a request to a plain service may last.
+
+        A repeat at a second target takes as long again. Where there is none, a target
+        that takes longer than its objective ends in an unknown outcome, after which
+        the caller can't repeat the request; after a refusal it can, elsewhere.
+        """
+        has_repeat = route.is_retryable and route.attempts_max > 1
+        periods = 2 if has_repeat or self.has_balancer_noticed(now_s) else 1
+        return periods * route.latency_slo_s
+
     def takes_plain(self, now_s: float, expected_s: float) -> bool:
         """Return whether another request that usually takes `expected_s` is taken."""
         return now_s + expected_s <= self.answers_until_s
--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -1,4 +1,4 @@
-"""One HTTP exchange: a request sent once to one target, and its response."""
+"""One HTTP exchange: a request sent once to a target or router, and its response."""
 
 import socket
 from dataclasses import dataclass
@@ -6,17 +6,13 @@
 from typing import Any
 
 import gevent
+from geventhttpclient.header import Headers
 from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
 
 from chervilstall.edge.request import EdgeRequest
-from chervilstall.fleet.records import Target
-from chervilstall.platform.headers import (
-    ForwardFields,
-    ResponseHead,
-    forward_headers,
-    read_response_head,
-)
+from chervilstall.platform.headers import ResponseHead, read_response_head
 from chervilstall.settings.connections import TargetSettings
+from chervilstall.settings.option import Address
 from chervilstall.target.connection import ConnectFailed, single_use_client
 
 CONNECT_SETTINGS = TargetSettings(connect_timeout_s=0.6)
@@ -69,15 +65,17 @@
     connection end and raises ExchangeFailed with the reason that `abort` was given.
     """
 
-    def __init__(self, request: EdgeRequest, send_fields: ForwardFields) -> None:
+    def __init__(
+        self, request: EdgeRequest, address: Address, headers: Headers
+    ) -> None:
         self.request = request
-        self.send_fields = send_fields
-        self.target: Target = send_fields.target
+        self.headers = headers
         self.abort_reason: ExchangeFailure | None = None
         self._client = single_use_client(
-            self.target.address, CONNECT_SETTINGS, READ_TIMEOUT_S, UNREAD_MAX_BYTES
+            address, CONNECT_SETTINGS, READ_TIMEOUT_S, UNREAD_MAX_BYTES
         )
         self._response: Any = None
+        self._expiry: gevent.Greenlet | None = None
 
     def send_request(self, timeout_s: float) -> ResponseHead:
         """Send the request and return status and headers of the response.
@@ -89,11 +87,13 @@
         request.abort_callbacks.add(self._abort_with_request)
         if self.abort_reason is not None:
             raise self._error(self.abort_reason, was_sent=False)
-        headers = forward_headers(request.fields.forwarded_headers, self.send_fields)
         try:
             with gevent.Timeout(max(timeout_s, 0.0), TimeoutError):
                 self._response = self._client.request(
-                    request.method, request.target, body=request.body, headers=headers
+                    request.method,
+                    request.target,
+                    body=request.body,
+                    headers=self.headers,
                 )
         except ConnectFailed as error:
             raise self._error(ExchangeFailure.NO_CONNECTION, was_sent=False) from error
@@ -160,6 +160,13 @@
             raise self._error(ExchangeFailure.CLOSED)
         return None
 
+    def abort_at_deadline(self) -> None:
+        """Abort at the deadline of the request, where no monitor does that."""
+        remaining_s = max(0.0, self.request.remaining_s)
+        self._expiry = gevent.spawn_later(
+            remaining_s, self.abort, ExchangeFailure.TIMEOUT
+        )
+
     def abort(self, reason: ExchangeFailure) -> None:
         """Shut down the connection; only the first reason is kept."""
         if self.abort_reason is None:
@@ -183,6 +190,8 @@
     def close(self) -> None:
         """Close the connection; a target stops work when its connection closes."""
         self.request.abort_callbacks.discard(self._abort_with_request)
+        if self._expiry is not None:
+            self._expiry.kill(block=False)
         if self._response is not None:
             self._response.release()
         self._client.close()
--- /dev/null
+++ b/src/chervilstall/edge/peer_directory.py
@@ -0,0 +1,55 @@
+"""The other routers that may bring a request to its targets."""
+
+import random
+import time
+from dataclasses import dataclass, field
+
+from chervilstall.fleet.pruning import retain_keys
+from chervilstall.ids import VmId, ZoneName
+from chervilstall.platform.kv import Entry
+from chervilstall.platform.peers import PEERS_PREFIX, Peer, decode_peer
+from chervilstall.telemetry.events import EventLog
+
+log = EventLog("members")
+
+
+@dataclass
+class PeerDirectory:
+    """Knows the registered routers, and which of them could not help lately."""
+
+    vm: VmId
+    zone: ZoneName
+    _peers: dict[str, Peer] = field(default_factory=dict)
+    _avoided_until_s: dict[VmId, float] = field(default_factory=dict)
+
+    def handle_entry(self, entry: Entry) -> None:
+        """Apply a changed or deleted entry below `PEERS_PREFIX`."""
+        if entry.value is None:
+            self._peers.pop(entry.key, None)
+            return
+        peer = decode_peer(entry.key, entry.value)
+        if peer is None:
+            log.warning("entry of a router not readable", key=entry.key)
+            return
+        if peer.vm != self.vm:
+            self._peers[entry.key] = peer
+
+    def handle_full_read(self, keys: list[str]) -> None:
+        """Drop the routers that a full read of the store did not return."""
+        present = {key for key in keys if key.startswith(PEERS_PREFIX)}
+        retain_keys(self._peers, present)
+
+    def candidates(self) -> list[Peer]:
+        """Return the routers to try, those of the own zone first, in random order."""
+        now_s = time.monotonic()
+        peers = [
+            peer
+            for peer in self._peers.values()
+            if self._avoided_until_s.get(peer.vm, 0.0) <= now_s
+        ]
+        random.shuffle(peers)
+        return sorted(peers, key=lambda peer: peer.zone != self.zone)
+
+    def avoid(self, peer: Peer, for_s: float) -> None:
+        """Don't try a router for a time, as it could not help."""
+        self._avoided_until_s[peer.vm] = time.monotonic() + for_s
--- /dev/null
+++ b/src/chervilstall/edge/peer_relay.py
@@ -0,0 +1,105 @@
+"""Requests that go to their targets through another router.
+
+Each is sent to one router, which takes all decisions on it: attempts, the retry budget,
+limits, what leaves. Another one is tried only if the first certainly did not run it.
+"""
+
+import random
+from dataclasses import dataclass
+
+from chervilstall.edge.exchange import CompleteResponse, Exchange, ExchangeFailed
+from chervilstall.edge.forwarding import Forwarding, is_unable
+from chervilstall.edge.peer_directory import PeerDirectory
+from chervilstall.edge.request import EdgeRequest
+from chervilstall.errors import ChervilstallError, ErrorKind
+from chervilstall.fleet.view import FleetView
+from chervilstall.platform.headers import ResponseHead, router_headers
+from chervilstall.platform.peers import Peer
+from chervilstall.telemetry.events import EventLog
+
+log = EventLog("edge")
+
+OUT_OF_REACH = "no target of the service is within reach"
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses by which another router tells that no target has run the request."""
+
+PEERS_MAX = 4
+"""Routers tried for one request; with half of them cut off, one in sixteen finds none.
+"""
+
+UNABLE_S = 0.5
+LOST_S = 5.0
+RETRY_S = (0.5, 2.0)
+"""Bounds of Retry-After where no router could bring a request to a target."""
+
+
+@dataclass
+class PeerRelay:
+    """Forwards requests to other routers."""
+
+    directory: PeerDirectory
+    fleet_view: FleetView
+
+    def run(self, request: EdgeRequest, attempts_max: int) -> CompleteResponse:
+        """Forward a request and return the whole response.
+
+        Raises ChervilstallError if no router took it, and ExchangeFailed if one did and
+        its response did not come.
+        """
+        exchange, head = self.open(request, attempts_max)
+        try:
+            return exchange.read_response(head, request.remaining_s)
+        finally:
+            exchange.close()
+
+    def open(
+        self, request: EdgeRequest, attempts_max: int, last_event_id: str = ""
+    ) -> tuple[Exchange, ResponseHead]:
+        """Forward a request; return the open exchange and the head of its response.
+
+        `attempts_max` is the number of targets that may still be sent the request.
+        Raises as `run` does.
+        """
+        if request.forwarding is not None:
+            raise out_of_reach_error()
+        for peer in self.directory.candidates()[:PEERS_MAX]:
+            exchange = self._exchange(request, peer, attempts_max, last_event_id)
+            try:
+                head = exchange.send_request(request.remaining_s)
+            except ExchangeFailed as error:
+                exchange.close()
+                if error.was_sent or request.has_caller_disconnected:
+                    raise
+                self.directory.avoid(peer, LOST_S)
+                log.warning("router not reached", peer=peer.vm, why=str(error))
+                continue
+            if not is_unable(head.headers):
+                log.routine("forwarded", request=request.request_id, peer=peer.vm)
+                exchange.abort_at_deadline()
+                return exchange, head
+            exchange.close()
+            self.directory.avoid(peer, UNABLE_S)
+            log.info("router unable", peer=peer.vm, request=request.request_id)
+        raise out_of_reach_error()
+
+    def _exchange(
+        self, request: EdgeRequest, peer: Peer, attempts_max: int, last_event_id: str
+    ) -> Exchange:
+        configuration = self.fleet_view.configuration
+        assert configuration is not None
+        forwarding = Forwarding(configuration.version, attempts_max)
+        headers = router_headers(
+            request.fields, request.caller_remaining_s, last_event_id
+        )
+        for name, value in forwarding.headers:
+            headers.add(name, value)
+        return Exchange(request, peer.address, headers)
+
+
+def out_of_reach_error() -> ChervilstallError:
+    """Return the error of a request that no router can bring to a target."""
+    return ChervilstallError(
+        ErrorKind.TARGETS_OUT_OF_REACH,
+        OUT_OF_REACH,
+        random.uniform(*RETRY_S),
+    )
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -15,15 +15,17 @@
     ExchangeFailed,
     ExchangeFailure,
 )
+from chervilstall.edge.peer_relay import NOT_RUN_STATUSES, OUT_OF_REACH, PeerRelay
 from chervilstall.edge.rate_limits import AT_LIMIT, TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.target_notices import TargetNotices
+from chervilstall.edge.target_reach import TargetReach
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Service, Target, TargetIncarnation
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import TargetId, ZoneName
-from chervilstall.platform.headers import ForwardFields
+from chervilstall.platform.headers import ForwardFields, forward_headers
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("edge")
@@ -101,6 +103,8 @@
     rate_limiter: TargetRateLimiter
     notices: TargetNotices
     crash_guard: CrashGuard
+    target_reach: TargetReach
+    peer_relay: PeerRelay
 
     def run(self, request: EdgeRequest) -> CompleteResponse:
         """Send a request and return a response. Raises ChervilstallError without one.
@@ -120,6 +124,10 @@
                 self.crash_guard.check(request, may_have_run)
             elif self.crash_guard.is_given_up(request):
                 break
+            if self.target_reach.is_out_of_reach(request.service.name):
+                if error_response is not None:
+                    break
+                return self._run_at_peer(request, len(reached), may_have_run)
             target = self.chooser.choose(request.service, tried)
             if target is None and not tried and self.rate_limiter.exhausted_targets():
                 reason = AT_LIMIT
@@ -138,6 +146,7 @@
                     if not request.route.is_retryable:
                         break
                     self.crash_guard.await_verdict(request, target)
+                self.target_reach.check(request.service.name)
                 continue
             reached.add(target.id)
             head = response.head
@@ -163,15 +172,37 @@
             return False
         if not reached:
             return True
-        if len(reached) >= request.route.attempts_max:
+        if len(reached) >= request.attempts_max:
             return False
         return self.budget.try_spend(request.service.name)
 
+    def _run_at_peer(
+        self, request: EdgeRequest, reached: int, may_have_run: bool
+    ) -> CompleteResponse:
+        """Let another router run a request, as no target is within reach."""
+        if reached >= request.attempts_max:
+            raise self._error(request, may_have_run, OUT_OF_REACH)
+        if may_have_run and not self.budget.try_spend(request.service.name):
+            raise self._error(request, may_have_run, OUT_OF_REACH)
+        try:
+            response = self.peer_relay.run(request, request.attempts_max - reached)
+        except ExchangeFailed as error:
+            raise self._error(request, True, error.failure.value) from error
+        except ChervilstallError as error:
+            if may_have_run:
+                raise self._error(request, may_have_run, error.message) from error
+            raise
+        if may_have_run and response.head.status in NOT_RUN_STATUSES:
+            # An earlier attempt may have run, so this is not the final answer.
+            raise self._error(request, may_have_run, OUT_OF_REACH)
+        return response
+
     def _send(self, request: EdgeRequest, target: Target) -> CompleteResponse:
         send_fields = ForwardFields(
             target, request.caller_remaining_s, request.workspace, request.priority
         )
-        exchange = Exchange(request, send_fields)
+        headers = forward_headers(request.fields.forwarded_headers, send_fields)
+        exchange = Exchange(request, target.address, headers)
         self.chooser.begin_request(target)
         timeout_s = self._timeout_s(request)
         sent_at_s = time.monotonic()
@@ -188,6 +219,7 @@
         if response.head.status < 300 and not response.head.is_signed:
             raise ExchangeFailed(ExchangeFailure.MALFORMED, was_sent=True)
         self.chooser.responded_at_s[target.incarnation] = time.monotonic()
+        self.target_reach.record_response(request.service.name)
         log.routine(
             "answered",
             request=request.request_id,
@@ -199,7 +231,7 @@
 
     def _timeout_s(self, request: EdgeRequest) -> float:
         remaining_s = request.remaining_s - RESPONSE_RESERVE_S
-        is_last = request.sends + 1 >= request.route.attempts_max
+        is_last = request.sends + 1 >= request.attempts_max
         if not request.route.is_retryable or is_last:
             return remaining_s
         # Leaves time for a second target if this one does not respond.
@@ -221,6 +253,8 @@
             was_sent=error.was_sent,
         )
         self.crash_guard.record_failure(request, target, error)
+        if error.failure is not ExchangeFailure.CALLER_LEFT:
+            self.target_reach.examine(request.service.name)
         if error.failure is ExchangeFailure.TIMEOUT and not self._is_to_blame(
             target, started_at_s
         ):
--- a/src/chervilstall/edge/registry.py
+++ b/src/chervilstall/edge/registry.py
@@ -26,6 +26,7 @@
     PlatformStore,
 )
 from chervilstall.platform.leases import lease_key
+from chervilstall.platform.peers import Peer, encode_peer, peer_key
 from chervilstall.platform.suspicions import (
     SharedSuspicion,
     decode_suspicion,
@@ -60,7 +61,8 @@
 
     The count never falls faster than the leases of routers expire. Routers also share
     suspicions of targets through the store, so that a target that one router found dead
-    is known to the planner and to every router.
+    is known to the planner and to every router. `peer` says where this router takes
+    requests from other routers, if it does.
     """
 
     vm: VmId
@@ -72,6 +74,7 @@
     planner: PlacementPlanner
     rate_limiter: TargetRateLimiter
     store_watcher: StoreWatcher | None = None
+    peer: Peer | None = None
     _router_zones: dict[str, ZoneName] = field(default_factory=dict)
     _lease: Lease | None = None
     _wake_requested: Event = field(default_factory=Event)
@@ -97,6 +100,9 @@
                 self._lease = None
         lease = self.store.open_lease(LEASE_TTL_S)
         self.store.write(self.key, self.zone.encode(), None, lease.lease_id)
+        if self.peer is not None:
+            content = encode_peer(self.peer)
+            self.store.write(peer_key(self.vm), content, None, lease.lease_id)
         self._lease = lease
 
     def handle_new_era(self) -> None:
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
+from chervilstall.edge.forwarding import Forwarding
 from chervilstall.fleet.records import Route, Service
 from chervilstall.ids import PartId, RequestId, WorkspaceName
 from chervilstall.platform.headers import RequestFields
@@ -24,8 +25,9 @@
     `sent_at_s` is the monotonic time of the latest send,
     `queued_s` is the time from arrival to the first send, `first_event_s`
     from arrival to the first event of a stream, and `longest_gap_s` the longest time
-    between two events. A lower `priority` is more urgent. `abort_callbacks` are called
-    when the caller disconnects or the deadline is moved to the present.
+    between two events. A lower `priority` is more urgent. `forwarding` is what the
+    router said that forwarded the request here, if one did. `abort_callbacks` are
+    called when the caller disconnects or the deadline is moved to the present.
     """
 
     fields: RequestFields
@@ -48,6 +50,7 @@
     first_event_s: float | None = None
     longest_gap_s: float | None = None
     events_forwarded: int = 0
+    forwarding: Forwarding | None = None
     abort_callbacks: set[Callable[[], None]] = field(default_factory=set)
 
     @property
@@ -72,6 +75,14 @@
         """Return workspace and route, the labels of the metrics."""
         return self.workspace or "", self.route.name
 
+    @property
+    def attempts_max(self) -> int:
+        """Return the number of targets that may be sent the request."""
+        attempts_max = self.route.attempts_max
+        if self.forwarding is None:
+            return attempts_max
+        return min(attempts_max, self.forwarding.attempts_max)
+
     @property
     def remaining_s(self) -> float:
         """Return the time until the deadline, in seconds."""
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -15,37 +15,34 @@
 from chervilstall.edge.crash_observer import CrashObserver
 from chervilstall.edge.draining import DrainSchedule
 from chervilstall.edge.endpoints import OperatorEndpoints, bad_request_response
-from chervilstall.edge.limit_sharing import LIMITS_PREFIX, LimitSharing
+from chervilstall.edge.limit_sharing import LimitSharing
 from chervilstall.edge.loop_pulse import LoopPulse
 from chervilstall.edge.outage import OutagePoller
+from chervilstall.edge.peer_directory import PeerDirectory
+from chervilstall.edge.peer_listener import PeerEndpoint
+from chervilstall.edge.peer_relay import PeerRelay
 from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
 from chervilstall.edge.quarantine_sharing import QuarantineSharing
 from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.edge.registry import ROUTERS_ASSUMED, RouterRegistry
 from chervilstall.edge.slow_targets import SlowTargetDetector
+from chervilstall.edge.store_handlers import build_handlers
 from chervilstall.edge.store_probe import StoreProbe
+from chervilstall.edge.stream_context import StreamContext
 from chervilstall.edge.stream_monitor import StreamMonitor
-from chervilstall.edge.stream_relay import StreamContext
+from chervilstall.edge.suspicion_sharing import SuspicionSharing
 from chervilstall.edge.target_notices import TargetNotices
+from chervilstall.edge.target_reach import TargetReach
 from chervilstall.edge.zone_prober import ZoneProber
-from chervilstall.fleet.records import Target
-from chervilstall.fleet.suspicion import SuspicionKind
 from chervilstall.fleet.view import FleetView
 from chervilstall.lease.holder import LeaseHolder
 from chervilstall.paths.choice import PathChooser
 from chervilstall.placement.planner import PlacementPlanner
-from chervilstall.platform import protocol
 from chervilstall.platform.kv import PlatformStore
 from chervilstall.platform.leases import PlatformLeases
 from chervilstall.platform.node import read_node
-from chervilstall.platform.quarantine import CRASHES_PREFIX, QUARANTINE_PREFIX
-from chervilstall.platform.suspicions import SharedSuspicion
-from chervilstall.platform.watcher import (
-    EntryHandler,
-    StoreWatcher,
-    configuration_handler,
-    target_handler,
-)
+from chervilstall.platform.peers import Peer
+from chervilstall.platform.watcher import StoreWatcher
 from chervilstall.quarantine.prompts import PromptQuarantine
 from chervilstall.settings.leases import LeaseSettings
 from chervilstall.settings.node import NodeSettings
@@ -106,6 +103,8 @@
             self.rate_limiter,
             SlowTargetDetector(self.fleet_view, self.chooser, self.rate_limiter),
         )
+        self.target_reach = TargetReach(self.fleet_view, self.rate_limiter)
+        self.peer_directory = PeerDirectory(settings.vm, settings.zone)
         self.metrics = EdgeMetrics()
         self.quarantine = PromptQuarantine(
             lambda action: self.quarantine_sharing.carry_out(action)
@@ -124,7 +123,6 @@
         )
         self.planner = PlacementPlanner(self.fleet_view, self.planner_lease)
         self.zone_prober = ZoneProber(self.fleet_view, settings.zone)
-        self.stream_monitor.on_silence = self.zone_prober.check_zone_of
         self.outage_poller = OutagePoller(
             self.fleet_view, settings.zone, self.planner, self.rate_limiter
         )
@@ -145,19 +143,31 @@
             self.quarantine, self.registry, self.store
         )
         self.rate_limiter.on_change = self.limit_sharing.share
-        self.store_watcher = self.registry.store_watcher = self._build_store_watcher()
+        handlers = build_handlers(
+            self.fleet_view,
+            self.registry,
+            self.limit_sharing,
+            self.quarantine_sharing,
+            self.peer_directory,
+        )
+        self.store_watcher = StoreWatcher(self.store, self.fleet_view, handlers)
+        self.registry.store_watcher = self.store_watcher
         self.store_probe = StoreProbe(self.store, self.store_watcher, self.registry.key)
         self.caller_listener = Server(
             listener or settings.frontend_address,
             self.app,
             bad_request_response=bad_request_response,
         )
+        peer_port = settings.ports[0] if settings.ports else 0
+        self.peer_listener = Server(
+            Address(settings.host, peer_port), PeerEndpoint(self.app)
+        )
         endpoints = OperatorEndpoints(lambda: self.is_ready, self.metrics_text)
         self.readiness_listener = Server(settings.ready_address, endpoints)
         self.metrics_listener = Server(
             Address(settings.ready_address.host, metrics_port), endpoints
         )
-        self.fleet_view.on_suspicion = self._share_suspicion
+        self.suspicion_sharing = self._build_suspicion_sharing()
         self.is_draining = False
         self.loop_pulse = LoopPulse()
         self._stopped = Event()
@@ -167,6 +177,7 @@
     def _build_application(self) -> EdgeApplication:
         notices = TargetNotices(self.fleet_view, self.rate_limiter)
         crash_guard = CrashGuard(self.quarantine, self.crash_observer)
+        peer_relay = PeerRelay(self.peer_directory, self.fleet_view)
         plain = PlainRelay(
             PlainTargetChooser(self.fleet_view, self.settings.zone, self.rate_limiter),
             self.fleet_view,
@@ -174,6 +185,8 @@
             self.rate_limiter,
             notices,
             crash_guard,
+            self.target_reach,
+            peer_relay,
         )
         streams = StreamContext(
             self.fleet_view,
@@ -183,39 +196,27 @@
             self.rate_limiter,
             notices,
             crash_guard,
+            self.target_reach,
+            peer_relay,
         )
         return EdgeApplication(
             self.fleet_view, plain, streams, self.budget, self.metrics
         )
 
-    def _build_store_watcher(self) -> StoreWatcher:
-        own_handler = EntryHandler(
-            protocol.ROUTER_KEYS_PREFIX,
-            self.registry.handle_entry,
-            self.registry.handle_full_read,
-        )
-        limits_handler = EntryHandler(
-            LIMITS_PREFIX,
-            self.limit_sharing.handle_entry,
-            self.limit_sharing.handle_full_read,
-        )
-        handlers = (
-            configuration_handler(self.fleet_view),
-            target_handler(self.fleet_view),
-            own_handler,
-            limits_handler,
-            EntryHandler(
-                CRASHES_PREFIX,
-                self.quarantine_sharing.handle_crashes,
-                lambda keys: None,
-            ),
-            EntryHandler(
-                QUARANTINE_PREFIX,
-                self.quarantine_sharing.handle_entry,
-                self.quarantine_sharing.handle_full_read,
-            ),
+    def _build_suspicion_sharing(self) -> SuspicionSharing:
+        sharing = SuspicionSharing(
+            self.settings.zone,
+            self.registry,
+            self.planner,
+            self.planner_lease,
+            self.zone_prober,
+            self.target_reach,
         )
-        return StoreWatcher(self.store, self.fleet_view, handlers)
+        self.fleet_view.on_suspicion = sharing.handle_suspicion
+        self.stream_monitor.on_silence = sharing.check_links_to
+        self.target_reach.on_lost = sharing.handle_targets_lost
+        self.target_reach.on_regained = sharing.handle_targets_regained
+        return sharing
 
     def _handle_new_era(self) -> None:
         """Take up the work again with a store that came back from an earlier copy."""
@@ -226,19 +227,6 @@
         self.limit_sharing.handle_new_era()
         self.store_watcher.restart()
 
-    def _share_suspicion(self, target: Target, kind: SuspicionKind) -> None:
-        suspicion = SharedSuspicion(
-            target.id,
-            target.started_at_ms,
-            self.settings.vm,
-            self.settings.zone,
-            kind,
-        )
-        self.planner.handle_suspicion(target, kind)
-        if kind is not SuspicionKind.REFUSING:
-            self.zone_prober.check_zone_of(target)
-        gevent.spawn(self.registry.share_suspicion, suspicion)
-
     @property
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers to this router."""
@@ -252,6 +240,10 @@
         """Start the listeners and all background tasks."""
         log.info("started", zone=self.settings.zone, pid=os.getpid())
         self.caller_listener.start()
+        self.peer_listener.start()
+        self.registry.peer = Peer(
+            self.settings.vm, self.settings.zone, self.peer_listener.bound_address
+        )
         self.readiness_listener.start()
         self.metrics_listener.start()
         runners = [self.store_watcher.run, self.store_probe.run]
@@ -261,6 +253,7 @@
             self.stream_monitor.run,
             self.outage_poller.run,
             self.zone_prober.run,
+            self.target_reach.run,
             self._run_housekeeping,
         ]
         self._tasks = [gevent.spawn(runner) for runner in runners]
@@ -329,6 +322,7 @@
         gauges["targets"] = len(self.fleet_view.targets)
         gauges["streams"] = len(self.stream_monitor.streams)
         gauges["parts_under_quarantine"] = len(self.quarantine.entries)
+        gauges["services_out_of_reach"] = len(self.target_reach.out_of_reach)
         gauges["requests_running"] = self.app.running_requests
         gauges["store_calls_total"] = self.store.calls
         gauges["orders_total"] = self.planner.orders_sent
@@ -385,6 +379,7 @@
         """Kill all tasks and connections at once."""
         gevent.killall(self._tasks, block=False)
         self.caller_listener.kill_connections()
+        self.peer_listener.kill_connections()
         self.readiness_listener.kill_connections()
         self.metrics_listener.kill_connections()
         self._stopped.set()
--- /dev/null
+++ b/src/chervilstall/edge/stream_context.py
@@ -0,0 +1,32 @@
+"""What all streams of one router share."""
+
+from dataclasses import dataclass
+
+from chervilstall.edge.budget import FleetRetryBudget
+from chervilstall.edge.crash_guard import CrashGuard
+from chervilstall.edge.peer_relay import PeerRelay
+from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.edge.stream_monitor import StreamMonitor
+from chervilstall.edge.target_notices import TargetNotices
+from chervilstall.edge.target_reach import TargetReach
+from chervilstall.fleet.view import FleetView
+from chervilstall.paths.choice import PathChooser
+
+
+class StreamBroken(ConnectionAbortedError):
+    """A stream that has begun cannot be completed; its connection must be closed."""
+
+
+@dataclass
+class StreamContext:
+    """Parts that all streams of one router share."""
+
+    fleet_view: FleetView
+    chooser: PathChooser
+    budget: FleetRetryBudget
+    stream_monitor: StreamMonitor
+    rate_limiter: TargetRateLimiter
+    notices: TargetNotices
+    crash_guard: CrashGuard
+    target_reach: TargetReach
+    peer_relay: PeerRelay
--- a/src/chervilstall/edge/stream_paths.py
+++ b/src/chervilstall/edge/stream_paths.py
@@ -5,10 +5,14 @@
 from chervilstall.edge.attempts import AttemptLimit
 from chervilstall.edge.rate_limits import TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
+from chervilstall.fleet.records import Target
 from chervilstall.ids import TargetId
 from chervilstall.paths.choice import PathChooser, PathRequest
 from chervilstall.paths.records import Path
 
+FULL_S = 0.3
+"""Time for which a target that refused a request counts as full."""
+
 
 @dataclass
 class StreamPaths:
@@ -25,6 +29,21 @@
     avoided: set[TargetId] = field(default_factory=set)
     refusing: set[TargetId] = field(default_factory=set)
 
+    def record_refusal(self, path: Path, faulty_address: str) -> Target:
+        """Record that a request was refused; return the target that is to blame.
+
+        It is the first one of the path unless the response names another.
+        """
+        named = [
+            stage.target
+            for stage in path.stages
+            if str(stage.address) == faulty_address
+        ]
+        faulty = named[0] if named else path.first
+        self.refusing.add(faulty.id)
+        self.chooser.load.note_full(faulty.incarnation, FULL_S)
+        return faulty
+
     def choose(self) -> Path | None:
         """Return a path without refusing targets, and without failed ones if possible.
 
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/stream_relay.py
@@ -6,16 +6,12 @@
 a single response.
 """
 
-import random
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 import gevent
 
 from chervilstall.edge.attempts import AttemptLimit
-from chervilstall.edge.budget import FleetRetryBudget
-from chervilstall.edge.crash_guard import CrashGuard
 from chervilstall.edge.event_numbers import event_number, parse_event_number
 from chervilstall.edge.exchange import (
     CompleteResponse,
@@ -24,51 +20,21 @@
     ExchangeFailure,
 )
 from chervilstall.edge.live_stream import LiveStream
-from chervilstall.edge.rate_limits import AT_LIMIT, TargetRateLimiter
+from chervilstall.edge.peer_relay import NOT_RUN_STATUSES, OUT_OF_REACH
+from chervilstall.edge.rate_limits import AT_LIMIT
 from chervilstall.edge.request import EdgeRequest
-from chervilstall.edge.stream_monitor import StreamMonitor
+from chervilstall.edge.retry_after import retry_after_s
+from chervilstall.edge.stream_context import StreamBroken, StreamContext
 from chervilstall.edge.stream_paths import StreamPaths
-from chervilstall.edge.target_notices import TargetNotices
 from chervilstall.errors import ChervilstallError, ErrorKind
-from chervilstall.fleet.records import Target
-from chervilstall.fleet.view import FleetView
-from chervilstall.paths.choice import PathChooser
 from chervilstall.paths.records import Path
-from chervilstall.platform.headers import ForwardFields, ResponseHead
+from chervilstall.platform.headers import ForwardFields, ResponseHead, forward_headers
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("edge")
 
 SENDS_MAX = 6
-FULL_S = 0.3
-"""Time for which a target that refused a request counts as full."""
-
-RELOAD_S = 1.5
-"""Time in which a missing part of a model is usually loaded again."""
-
-RETRY_SPREAD_S = 2.5
-"""Range over which Retry-After is spread, so that callers do not return together."""
-
 RESUME_RETRY_S = 0.1
-RETRY_WAIT_SHARE = 0.3
-"""Share of the caller's remaining time that it may be told to wait."""
-
-
-class StreamBroken(ConnectionAbortedError):
-    """A stream that has begun cannot be completed; its connection must be closed."""
-
-
-@dataclass
-class StreamContext:
-    """Parts that all streams of one router share."""
-
-    fleet_view: FleetView
-    chooser: PathChooser
-    budget: FleetRetryBudget
-    stream_monitor: StreamMonitor
-    rate_limiter: TargetRateLimiter
-    notices: TargetNotices
-    crash_guard: CrashGuard
 
 
 class StreamRelay:
@@ -79,19 +45,21 @@
     raises StreamBroken. Call `close` in any case.
 
     `paths` chooses the path of each attempt, and `attempts` counts the first targets
-    that may have run the request.
+    that may have run the request. While no target is within reach, another router
+    takes the request, with all the attempts that are left.
     """
 
     def __init__(self, context: StreamContext, request: EdgeRequest) -> None:
         self.context = context
         self.request = request
-        self.attempts = AttemptLimit(context.fleet_view, request.route.attempts_max)
+        self.attempts = AttemptLimit(context.fleet_view, request.attempts_max)
         self.paths = StreamPaths(
             context.chooser, context.rate_limiter, request, self.attempts
         )
         self.head: ResponseHead | None = None
         self.last_event_number = parse_event_number(request.fields.last_event_id)
         self._may_have_run = False
+        self._is_at_peer = False
         self._forwarded_at_s = time.monotonic()
         self._last_failure = "no path covers the model"
         self._exchange: Exchange | None = None
@@ -109,11 +77,14 @@
 
     def _attempt(self) -> ResponseHead | CompleteResponse | None:
         path = self._next_path()
+        if path is None:
+            return self._attempt_at_peer()
         try:
             head = self._send(path)
             if head.status == 200 and head.is_stream and head.is_signed:
                 self._pending_event = self._read_first_event()
                 self.context.stream_monitor.record_first_event(path.first)
+                self.context.target_reach.record_response(self.request.service.name)
                 self.head = head
                 return head
             return self._read_non_stream(path, head)
@@ -122,6 +93,37 @@
             self._record_failure(path, error)
             return None
 
+    def _attempt_at_peer(self) -> ResponseHead | CompleteResponse | None:
+        """Let another router send the request to the targets."""
+        request = self.request
+        attempts_max = request.attempts_max - len(self.attempts.counted)
+        if attempts_max < 1:
+            raise self._error(OUT_OF_REACH)
+        may_have_run, is_resumed = self._may_have_run, self.head is not None
+        try:
+            self._exchange, head = self.context.peer_relay.open(
+                request, attempts_max, self._last_event
+            )
+            self._is_at_peer = True
+            if head.status == 200 and head.is_stream and head.is_signed:
+                self._pending_event = self._read_first_event()
+                self.head = head
+                return head
+            response = self._exchange.read_response(head, request.remaining_s)
+        except ExchangeFailed as error:
+            self._is_at_peer = self._may_have_run = True
+            self._last_failure = error.failure.value
+            self._end_exchange()
+            return None
+        except ChervilstallError as error:
+            raise (self._error(error.message) if may_have_run else error) from error
+        self._end_exchange()
+        if head.status in NOT_RUN_STATUSES and (is_resumed or may_have_run):
+            # An earlier attempt may have run, so this is not the final answer.
+            self._is_at_peer = False
+            raise self._error(OUT_OF_REACH)
+        return response
+
     def _read_first_event(self) -> bytes | None:
         """Return the first event, or None if a resumed stream had none left."""
         assert self._exchange is not None
@@ -132,8 +134,11 @@
             raise ExchangeFailed(ExchangeFailure.CLOSED, was_sent=True)
         return event
 
-    def _next_path(self) -> Path:
-        """Return the next send's path. Raises ChervilstallError if there is none."""
+    def _next_path(self) -> Path | None:
+        """Return the next send's path, None while no target is within reach.
+
+        Raises ChervilstallError if there is no path.
+        """
         request = self.request
         if request.has_caller_disconnected:
             raise ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, "the caller left")
@@ -141,16 +146,27 @@
             raise self._error("the deadline has passed")
         if self._may_have_run and not request.route.is_retryable:
             raise self._error(self._last_failure)
-        if request.sends >= SENDS_MAX:
+        if request.sends >= SENDS_MAX or self._is_at_peer:
             raise self._error(self._last_failure)
         self.context.crash_guard.check(request, self._may_have_run)
-        path = self.paths.choose()
-        if path is None:
-            raise self._error(self._no_path_reason())
-        if request.sends and not self._take_retry():
+        path = None
+        reach = self.context.target_reach
+        if not reach.is_out_of_reach(request.service.name):
+            path = self.paths.choose()
+            if path is None and not self._may_use_peer():
+                raise self._error(self._no_path_reason())
+        has_arrived = self._may_have_run or self.attempts.counted or self.paths.refusing
+        is_repeat = request.sends if path is not None else has_arrived
+        if is_repeat and not self._take_retry():
             raise self._error("the budget for repeats is used up")
         return path
 
+    def _may_use_peer(self) -> bool:
+        """Return whether another router may know a path where this one knows none."""
+        if self.request.forwarding is not None or self.attempts.is_reached:
+            return False
+        return self.context.target_reach.lacks_targets(self.request.service.name)
+
     def _no_path_reason(self) -> str:
         if self.attempts.is_reached:
             return f"the attempts of the route are used up: {self._last_failure}"
@@ -168,20 +184,24 @@
             return True
         return budget.try_spend(request.service.name, is_resume=self.head is not None)
 
+    @property
+    def _last_event(self) -> str:
+        """Return the number of the last event, as targets are told it."""
+        number = self.last_event_number
+        return "" if number is None else str(number)
+
     def _send(self, path: Path) -> ResponseHead:
         request = self.request
-        last_event = ""
-        if self.last_event_number is not None:
-            last_event = str(self.last_event_number)
         send_fields = ForwardFields(
             path.first,
             request.caller_remaining_s,
             request.workspace,
             request.priority,
             path,
-            last_event,
+            self._last_event,
         )
-        exchange = Exchange(request, send_fields)
+        headers = forward_headers(request.fields.forwarded_headers, send_fields)
+        exchange = Exchange(request, path.first.address, headers)
         self._exchange = exchange
         self._stream = LiveStream(
             request, exchange, path, self.attempts, time.monotonic()
@@ -197,7 +217,7 @@
             request=request.request_id,
             path=[stage.target.id for stage in path.stages],
             generation=self.context.fleet_view.generation,
-            after_event=last_event,
+            after_event=self._last_event,
         )
         sent_at_s = time.monotonic()
         self.context.rate_limiter.record_send(path.first)
@@ -226,24 +246,15 @@
         return None
 
     def _record_refusal(self, path: Path, head: ResponseHead) -> None:
-        faulty = self._target_at(path, head.faulty_address) or path.first
+        faulty = self.paths.record_refusal(path, head.faulty_address)
         log.warning(
             "target refused",
             request=self.request.request_id,
             target=faulty.id,
             status=head.status,
         )
-        self.paths.refusing.add(faulty.id)
-        self.context.chooser.load.note_full(faulty.incarnation, FULL_S)
         self.context.stream_monitor.check_refusal(faulty)
 
-    @staticmethod
-    def _target_at(path: Path, address: str) -> Target | None:
-        for stage in path.stages:
-            if str(stage.address) == address:
-                return stage.target
-        return None
-
     def _record_failure(self, path: Path, error: ExchangeFailed) -> None:
         self._last_failure = error.failure.value
         if error.was_sent:
@@ -265,20 +276,18 @@
             self.context.fleet_view.suspect(path.first, error.failure.value)
         if error.failure is not ExchangeFailure.TIMEOUT:
             self.paths.avoided.add(path.first.id)
+            self.context.target_reach.check(self.request.service.name)
         self.context.crash_guard.await_verdict(self.request, path.first)
 
     def _error(self, reason: str) -> ChervilstallError:
         if not self._may_have_run:
-            return ChervilstallError(ErrorKind.NO_TARGET, reason, self._retry_after_s())
+            return ChervilstallError(
+                ErrorKind.NO_TARGET, reason, retry_after_s(self.request)
+            )
         if self.request.remaining_s <= 0.0:
             return ChervilstallError(ErrorKind.DEADLINE_UNKNOWN, reason)
         return ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, reason)
 
-    def _retry_after_s(self) -> float:
-        """Return the Retry-After time in seconds."""
-        wait_s = RELOAD_S + RETRY_SPREAD_S * random.random()
-        return min(wait_s, max(0.0, self.request.caller_remaining_s) * RETRY_WAIT_SHARE)
-
     # Forwarding
 
     def events(self) -> Iterator[bytes]:
@@ -288,10 +297,11 @@
                 yield from self._forward_events()
                 return
             except ExchangeFailed as error:
-                assert self._stream is not None
-                path = self._stream.path
+                stream = self._stream
                 self._end_exchange()
-                self._record_failure(path, error)
+                if stream is None:
+                    raise StreamBroken(f"at another router: {error}") from error
+                self._record_failure(stream.path, error)
             self._resume()
 
     def _forward_events(self) -> Iterator[bytes]:
@@ -319,8 +329,10 @@
         self.context.crash_guard.record_end(self.request)
 
     def _read_event(self) -> bytes | None:
-        assert self._exchange is not None and self._stream is not None
+        assert self._exchange is not None
         event = self._exchange.read_event()
+        if self._stream is None:
+            return event
         self._stream.record_event()
         if event is not None:
             self.context.crash_guard.record_event(self.request, self._stream.events)
@@ -359,6 +371,8 @@
         request = self.request
         if request.has_caller_disconnected or request.remaining_s <= RESUME_RETRY_S:
             return False
+        if self._is_at_peer:
+            return False
         if self.context.crash_guard.is_given_up(request):
             return False
         return request.sends < SENDS_MAX
@@ -366,14 +380,15 @@
     # Closing
 
     def _end_exchange(self) -> None:
-        if self._exchange is None or self._stream is None:
+        if self._exchange is None:
             return
-        self.context.stream_monitor.streams.pop(self.request.request_id, None)
-        self.context.chooser.load.remove(
-            self._stream.path, self.request.expected_tokens
-        )
+        if self._stream is not None:
+            self.context.stream_monitor.streams.pop(self.request.request_id, None)
+            self.context.chooser.load.remove(
+                self._stream.path, self.request.expected_tokens
+            )
         self._exchange.close()
-        self._exchange = None
+        self._exchange = self._stream = None
 
     def close(self) -> None:
         """Close the open exchange; a target stops work when its connection closes."""
--- /dev/null
+++ b/src/chervilstall/edge/target_reach.py
@@ -0,0 +1,164 @@
+"""Whether this router reaches the targets of a service at all.
+
+To a router whose links to all targets are gone, its own loss looks like many dead
+targets. When a target fails, a few of its service are therefore asked at the same time.
+If none responds, the service is out of reach until one does: requests go on through
+another router, and what this router believes of its targets is told to nobody.
+"""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+
+from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.fleet.records import Target
+from chervilstall.fleet.view import FleetView
+from chervilstall.ids import ServiceName
+from chervilstall.platform.targets import responds
+from chervilstall.telemetry.events import EventLog
+
+log = EventLog("fleet")
+
+PROBES_MAX = 6
+"""Targets asked at once, so that a few dead ones don't look like a lost link."""
+
+RECOVERY_PROBES_MAX = 4
+RECOVERY_RESPONSES = 2
+"""Responses after which a large service is within reach again.
+
+With one of many targets within reach, most requests would wait for a connection.
+"""
+
+RECOVERY_INTERVAL_S = 0.25
+PROBE_TIMEOUT_S = 0.3
+"""A target responds within a millisecond or two; a lost packet costs 0.2 s."""
+
+RESPONSE_VALID_S = 0.3
+"""Time after a response in which its service counts as within reach."""
+
+
+def _ignore(service: ServiceName) -> None:
+    """Do nothing."""
+
+
+@dataclass
+class TargetReach:
+    """Keeps track of the services whose targets this router cannot reach.
+
+    `out_of_reach` holds the monotonic times since when. `on_lost` and `on_regained` are
+    called with a service whose state has changed.
+    """
+
+    fleet_view: FleetView
+    rate_limiter: TargetRateLimiter
+    on_lost: Callable[[ServiceName], None] = _ignore
+    on_regained: Callable[[ServiceName], None] = _ignore
+    out_of_reach: dict[ServiceName, float] = field(default_factory=dict)
+    _responded_at_s: dict[ServiceName, float] = field(default_factory=dict)
+    _checks: dict[ServiceName, gevent.Greenlet] = field(default_factory=dict)
+
+    def run(self) -> None:
+        """Probe what is out of reach until the process ends; one task runs this."""
+        while True:
+            gevent.sleep(RECOVERY_INTERVAL_S)
+            for service in list(self.out_of_reach):
+                targets = self._choose(service, RECOVERY_PROBES_MAX)
+                required = min(RECOVERY_RESPONSES, max(1, len(targets) // 2))
+                if self._count_responses(targets, required) >= required:
+                    self._mark_regained(service)
+
+    def is_out_of_reach(self, service: ServiceName) -> bool:
+        """Return whether no target of a service could be reached lately."""
+        return service in self.out_of_reach
+
+    def lacks_targets(self, service: ServiceName) -> bool:
+        """Return whether others may reach targets that this router does not."""
+        targets = self.fleet_view.ready_targets(service)
+        return any(map(self.fleet_view.is_unresponsive, targets))
+
+    def record_response(self, service: ServiceName) -> None:
+        """Record that a target of a service has responded to a request."""
+        self._responded_at_s[service] = time.monotonic()
+
+    def check(self, service: ServiceName, valid_s: float = RESPONSE_VALID_S) -> bool:
+        """Return whether a target of a service responds; waits for the probes.
+
+        A response that came less than `valid_s` ago saves them.
+        """
+        if service in self.out_of_reach:
+            return False
+        responded_at_s = self._responded_at_s.get(service, float("-inf"))
+        if time.monotonic() - responded_at_s < valid_s:
+            return True
+        self.examine(service).join()
+        return service not in self.out_of_reach
+
+    def examine(self, service: ServiceName) -> gevent.Greenlet:
+        """Start to probe the targets of a service, unless that is going on already."""
+        running = self._checks.get(service)
+        if running is None:
+            running = gevent.spawn(self._examine, service)
+            self._checks[service] = running
+        return running
+
+    def _examine(self, service: ServiceName) -> None:
+        try:
+            targets = self._choose(service, PROBES_MAX)
+            if targets and not self._count_responses(targets, 1):
+                self._mark_lost(service, targets)
+        finally:
+            del self._checks[service]
+
+    def _count_responses(self, targets: list[Target], required: int) -> int:
+        """Probe targets at once until as many as required have responded."""
+        probes = [gevent.spawn(self._probe, target) for target in targets]
+        responses = 0
+        for probe in gevent.iwait(probes):
+            responses += probe.value
+            if responses >= required:
+                break
+        return responses
+
+    def _probe(self, target: Target) -> bool:
+        self.rate_limiter.record_send(target)
+        if not responds(target.address, PROBE_TIMEOUT_S):
+            return False
+        self.record_response(target.service)
+        return True
+
+    def _choose(self, service: ServiceName, count: int) -> list[Target]:
+        """Return targets to probe, those first that this router doesn't suspect."""
+        targets = [
+            target
+            for target in self.fleet_view.ready_targets(service)
+            if self.rate_limiter.may_send(target)
+        ]
+        random.shuffle(targets)
+        targets.sort(key=self.fleet_view.is_suspected)
+        return targets[:count]
+
+    def _mark_lost(self, service: ServiceName, probed: list[Target]) -> None:
+        if service in self.out_of_reach:
+            return
+        self.out_of_reach[service] = time.monotonic()
+        log.warning(
+            "targets out of reach",
+            service=service,
+            probed=[target.id for target in probed],
+        )
+        self.on_lost(service)
+
+    def _mark_regained(self, service: ServiceName) -> None:
+        lost_at_s = self.out_of_reach.pop(service)
+        log.warning(
+            "targets within reach again",
+            service=service,
+            after_s=round(time.monotonic() - lost_at_s, 3),
+        )
+        for target in self.fleet_view.ready_targets(service):
+            if self.fleet_view.is_unresponsive(target):
+                self.fleet_view.clear_suspicion(target)
+        self.on_regained(service)
--- a/src/chervilstall/errors.py
+++ b/src/chervilstall/errors.py
@@ -34,6 +34,7 @@
     DEADLINE_NOT_RUN = "deadline_not_run"
     DEADLINE_UNKNOWN = "deadline_unknown"
     NO_TARGET = "no_target"
+    TARGETS_OUT_OF_REACH = "targets_out_of_reach"
     TARGET_REFUSED = "target_refused"
     HOME_UNAVAILABLE = "home_unavailable"
     SHUTTING_DOWN = "shutting_down"
@@ -78,6 +79,7 @@
     ErrorKind.DEADLINE_NOT_RUN: ErrorResponse(504, ExecutionState.NO, False),
     ErrorKind.DEADLINE_UNKNOWN: ErrorResponse(504, ExecutionState.UNKNOWN, False),
     ErrorKind.NO_TARGET: ErrorResponse(503, ExecutionState.NO, True),
+    ErrorKind.TARGETS_OUT_OF_REACH: ErrorResponse(503, ExecutionState.NO, True),
     ErrorKind.TARGET_REFUSED: ErrorResponse(503, ExecutionState.NO, True),
     ErrorKind.HOME_UNAVAILABLE: ErrorResponse(503, ExecutionState.NO, True),
     ErrorKind.SHUTTING_DOWN: ErrorResponse(503, ExecutionState.NO, True),
--- a/src/chervilstall/lease/holder.py
+++ b/src/chervilstall/lease/holder.py
@@ -86,6 +86,7 @@
         self._valid_until_s = float("-inf")
         self._unanswered_since_s: float | None = None
         self._term: LeaseTerm | None = None
+        self._is_suspended = False
         self._stopped = Event()
         self._wake_requested = Event()
 
@@ -104,6 +105,10 @@
         except StoreFailed:
             return self.state()
         self._unanswered_since_s = None
+        if self._is_suspended:
+            # The call was under way as the lease was given up.
+            self._mark_lost()
+            return self.state()
         self.record = record
         if record.holder != self.holder:
             self._mark_lost()
@@ -159,10 +164,21 @@
         `jitter` returns the fraction by which each wait is lengthened or shortened.
         """
         while not self._stopped.is_set():
-            self.step()
+            if not self._is_suspended:
+                self.step()
             self._wake_requested.wait(self._wait_s() * (1.0 + jitter()))
             self._wake_requested.clear()
 
+    def suspend(self) -> None:
+        """Release the lease, and leave it to others until `resume` is called."""
+        self._is_suspended = True
+        self._give_up()
+
+    def resume(self) -> None:
+        """Acquire the lease again once it is free."""
+        self._is_suspended = False
+        self.wake()
+
     def forfeit(self) -> None:
         """Give up the current term without a store call, and try to acquire at once.
 
@@ -191,9 +207,15 @@
         """
         self._stopped.set()
         self._wake_requested.set()
+        if release:
+            self._give_up()
+        else:
+            self._mark_lost()
+
+    def _give_up(self) -> None:
         was_held = self._term is not None
         self._mark_lost()
-        if not release or not was_held:
+        if not was_held:
             return
         try:
             with gevent.Timeout(self.settings.margin_s, False):
--- a/src/chervilstall/placement/planner.py
+++ b/src/chervilstall/placement/planner.py
@@ -148,6 +148,15 @@
         """Return whether this router held the lease when it last checked."""
         return self._term is not None
 
+    def stand_down(self) -> None:
+        """Stop planning, and forget what this router took for dead.
+
+        Call this when it reaches no target; the orders that it would give are wrong.
+        """
+        self._term = None
+        self._planned_generation = -1
+        self._dead_until_s.clear()
+
     def handle_suspicion(
         self, target: Target, kind: SuspicionKind = SuspicionKind.SILENT
     ) -> None:
--- a/src/chervilstall/platform/headers.py
+++ b/src/chervilstall/platform/headers.py
@@ -124,6 +124,27 @@
     return headers
 
 
+def router_headers(
+    fields: RequestFields, remaining_s: float, last_event_id: str
+) -> Headers:
+    """Build the headers of a request that goes to another router.
+
+    They are the caller's, with the time that is left. `last_event_id` replaces that of
+    the caller if it is set.
+    """
+    headers = Headers()
+    for name, value in fields.forwarded_headers:
+        if last_event_id and name.lower() == protocol.LAST_EVENT_ID.lower():
+            continue
+        headers.add(name, value)
+    headers.add(protocol.DEADLINE, str(max(1, int(remaining_s * 1e3))))
+    if fields.credential:
+        headers.add(protocol.CREDENTIAL, fields.credential)
+    if last_event_id:
+        headers.add(protocol.LAST_EVENT_ID, last_event_id)
+    return headers
+
+
 @dataclass(frozen=True)
 class ResponseHead:
     """Status and headers of a target's response.
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -247,6 +247,14 @@
     )
 
 
+def responds(address: Address, timeout_s: float) -> bool:
+    """Return whether a target responds to a call, whatever its response says.
+
+    The call needs no request slot of the target.
+    """
+    return _call(address, "GET", protocol.REPORT_PATH, b"", timeout_s) is not None
+
+
 def _call(
     address: Address,
     method: str,
--- a/tests/steps/targets_out_of_reach_steps.py
+++ b/tests/steps/targets_out_of_reach_steps.py
@@ -76,8 +76,8 @@
 def cut_off(context: Context, count: int, how: str) -> None:
     platform = context.platform
     # Until the routers have used their links, which are made at the first use.
-    for router in platform.routers:
-        ask(router, 0, "draft", "warm")
+    for index, router in enumerate(platform.routers):
+        ask(router, index, "draft", f"draft-{index}-before")
     context.cut = planner_first(platform)[:count]
     for index in context.cut:
         platform.links[index].begin(Cut(how))
