Sort the router's modules by concern: streams, crashes, peers, reach, limits

edge/ held 40 modules side by side. The 25 that belong together moved to five packages with their prefixes dropped; no line of logic changed. 93 scenarios of six features pass.

--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass, field, replace
 
 from chervilstall.edge.bodies import BodyMemory, BodyReader, BodyReservation
-from chervilstall.edge.budget import FleetRetryBudget
 from chervilstall.edge.disconnect import DisconnectMonitor
 from chervilstall.edge.draining import DrainSchedule, shutting_down_error
 from chervilstall.edge.error_responses import error_response
 from chervilstall.edge.exchange import CompleteResponse
-from chervilstall.edge.forwarding import (
+from chervilstall.edge.limits.budget import FleetRetryBudget
+from chervilstall.edge.peers.forwarding import (
     FORWARDING_KEY,
     UNABLE_HEADER,
     UNABLE_KINDS,
@@ -19,9 +19,9 @@
 )
 from chervilstall.edge.plain_relay import PlainRelay
 from chervilstall.edge.request import EdgeRequest
-from chervilstall.edge.stream_context import StreamBroken, StreamContext
-from chervilstall.edge.stream_durations import StreamDurations
-from chervilstall.edge.stream_relay import StreamRelay
+from chervilstall.edge.streams.context import StreamBroken, StreamContext
+from chervilstall.edge.streams.durations import StreamDurations
+from chervilstall.edge.streams.relay import StreamRelay
 from chervilstall.edge.traffic_split import choose_service
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.records import Route, RouterConfiguration, Service
--- /dev/null
+++ b/src/chervilstall/edge/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Crashes of targets: who was there, and who is kept away."""
--- a/src/chervilstall/edge/crash_guard.py
+++ b/src/chervilstall/edge/crashes/guard.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from chervilstall.edge.crash_observer import CrashObserver
+from chervilstall.edge.crashes.observer import CrashObserver
 from chervilstall.edge.exchange import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.records import Target
--- a/src/chervilstall/edge/target_notices.py
+++ b/src/chervilstall/edge/limits/notices.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.view import FleetView
 from chervilstall.platform.headers import ResponseHead
--- /dev/null
+++ b/src/chervilstall/edge/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that go to their targets through another router."""
--- a/src/chervilstall/edge/peer_listener.py
+++ b/src/chervilstall/edge/peers/listener.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from chervilstall.edge.app import EdgeApplication
-from chervilstall.edge.forwarding import (
+from chervilstall.edge.peers.forwarding import (
     FORWARDING_KEY,
     read_forwarding,
     without_forwarding,
--- a/src/chervilstall/edge/peer_relay.py
+++ b/src/chervilstall/edge/peers/relay.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 
 from chervilstall.edge.exchange import CompleteResponse, Exchange, ExchangeFailed
-from chervilstall.edge.forwarding import Forwarding, is_unable
-from chervilstall.edge.peer_directory import PeerDirectory
+from chervilstall.edge.peers.directory import PeerDirectory
+from chervilstall.edge.peers.forwarding import Forwarding, is_unable
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.view import FleetView
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -7,19 +7,19 @@
 from collections.abc import Container
 from dataclasses import dataclass, field
 
-from chervilstall.edge.budget import FleetRetryBudget
-from chervilstall.edge.crash_guard import CrashGuard
+from chervilstall.edge.crashes.guard import CrashGuard
 from chervilstall.edge.exchange import (
     CompleteResponse,
     Exchange,
     ExchangeFailed,
     ExchangeFailure,
 )
-from chervilstall.edge.peer_relay import NOT_RUN_STATUSES, OUT_OF_REACH, PeerRelay
-from chervilstall.edge.rate_limits import AT_LIMIT, TargetRateLimiter
+from chervilstall.edge.limits.budget import FleetRetryBudget
+from chervilstall.edge.limits.notices import TargetNotices
+from chervilstall.edge.limits.rate_limits import AT_LIMIT, TargetRateLimiter
+from chervilstall.edge.peers.relay import NOT_RUN_STATUSES, OUT_OF_REACH, PeerRelay
+from chervilstall.edge.reach.targets import TargetReach
 from chervilstall.edge.request import EdgeRequest
-from chervilstall.edge.target_notices import TargetNotices
-from chervilstall.edge.target_reach import TargetReach
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Service, Target, TargetIncarnation
--- a/src/chervilstall/edge/outage.py
+++ b/src/chervilstall/edge/reach/outage.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.fleet.records import Service, Target
 from chervilstall.fleet.suspicion import SuspicionKind
 from chervilstall.fleet.view import FleetView
--- a/src/chervilstall/edge/suspicion_sharing.py
+++ b/src/chervilstall/edge/reach/suspicions.py
@@ -8,9 +8,9 @@
 
 import gevent
 
+from chervilstall.edge.reach.targets import TargetReach
+from chervilstall.edge.reach.zones import ZoneProber
 from chervilstall.edge.registry import RouterRegistry
-from chervilstall.edge.target_reach import TargetReach
-from chervilstall.edge.zone_prober import ZoneProber
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.suspicion import SuspicionKind
 from chervilstall.ids import ServiceName, ZoneName
--- a/src/chervilstall/edge/target_reach.py
+++ b/src/chervilstall/edge/reach/targets.py
@@ -13,7 +13,7 @@
 
 import gevent
 
-from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import ServiceName
--- a/src/chervilstall/edge/registry.py
+++ b/src/chervilstall/edge/registry.py
@@ -10,8 +10,8 @@
 import gevent
 from gevent.event import Event
 
-from chervilstall.edge.budget import FleetRetryBudget
-from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.edge.limits.budget import FleetRetryBudget
+from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.suspicion import SuspicionKind
 from chervilstall.fleet.view import FleetView
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
-from chervilstall.edge.forwarding import Forwarding
+from chervilstall.edge.peers.forwarding import Forwarding
 from chervilstall.fleet.records import Route, Service
 from chervilstall.ids import PartId, RequestId, WorkspaceName
 from chervilstall.platform.headers import RequestFields
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -10,30 +10,30 @@
 from gevent.event import Event
 
 from chervilstall.edge.app import EdgeApplication
-from chervilstall.edge.budget import FleetRetryBudget
-from chervilstall.edge.crash_guard import CrashGuard
-from chervilstall.edge.crash_observer import CrashObserver
+from chervilstall.edge.crashes.guard import CrashGuard
+from chervilstall.edge.crashes.observer import CrashObserver
+from chervilstall.edge.crashes.sharing import QuarantineSharing
 from chervilstall.edge.draining import DrainSchedule
 from chervilstall.edge.endpoints import OperatorEndpoints, bad_request_response
-from chervilstall.edge.limit_sharing import LimitSharing
+from chervilstall.edge.limits.budget import FleetRetryBudget
+from chervilstall.edge.limits.notices import TargetNotices
+from chervilstall.edge.limits.rate_limits import TargetRateLimiter
+from chervilstall.edge.limits.sharing import LimitSharing
 from chervilstall.edge.loop_pulse import LoopPulse
-from chervilstall.edge.outage import OutagePoller
-from chervilstall.edge.peer_directory import PeerDirectory
-from chervilstall.edge.peer_listener import PeerEndpoint
-from chervilstall.edge.peer_relay import PeerRelay
+from chervilstall.edge.peers.directory import PeerDirectory
+from chervilstall.edge.peers.listener import PeerEndpoint
+from chervilstall.edge.peers.relay import PeerRelay
 from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
-from chervilstall.edge.quarantine_sharing import QuarantineSharing
-from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.edge.reach.outage import OutagePoller
+from chervilstall.edge.reach.suspicions import SuspicionSharing
+from chervilstall.edge.reach.targets import TargetReach
+from chervilstall.edge.reach.zones import ZoneProber
 from chervilstall.edge.registry import ROUTERS_ASSUMED, RouterRegistry
-from chervilstall.edge.slow_targets import SlowTargetDetector
 from chervilstall.edge.store_handlers import build_handlers
 from chervilstall.edge.store_probe import StoreProbe
-from chervilstall.edge.stream_context import StreamContext
-from chervilstall.edge.stream_monitor import StreamMonitor
-from chervilstall.edge.suspicion_sharing import SuspicionSharing
-from chervilstall.edge.target_notices import TargetNotices
-from chervilstall.edge.target_reach import TargetReach
-from chervilstall.edge.zone_prober import ZoneProber
+from chervilstall.edge.streams.context import StreamContext
+from chervilstall.edge.streams.monitor import StreamMonitor
+from chervilstall.edge.streams.slow_targets import SlowTargetDetector
 from chervilstall.fleet.view import FleetView
 from chervilstall.lease.holder import LeaseHolder
 from chervilstall.paths.choice import PathChooser
--- a/src/chervilstall/edge/store_handlers.py
+++ b/src/chervilstall/edge/store_handlers.py
@@ -1,8 +1,8 @@
 """Which part of a router handles which keys of the store."""
 
-from chervilstall.edge.limit_sharing import LIMITS_PREFIX, LimitSharing
-from chervilstall.edge.peer_directory import PeerDirectory
-from chervilstall.edge.quarantine_sharing import QuarantineSharing
+from chervilstall.edge.crashes.sharing import QuarantineSharing
+from chervilstall.edge.limits.sharing import LIMITS_PREFIX, LimitSharing
+from chervilstall.edge.peers.directory import PeerDirectory
 from chervilstall.edge.registry import RouterRegistry
 from chervilstall.fleet.view import FleetView
 from chervilstall.platform import protocol
--- /dev/null
+++ b/src/chervilstall/edge/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Streaming requests: their relay, monitoring and rerouting."""
--- a/src/chervilstall/edge/stream_context.py
+++ b/src/chervilstall/edge/streams/context.py
@@ -2,13 +2,13 @@
 
 from dataclasses import dataclass
 
-from chervilstall.edge.budget import FleetRetryBudget
-from chervilstall.edge.crash_guard import CrashGuard
-from chervilstall.edge.peer_relay import PeerRelay
-from chervilstall.edge.rate_limits import TargetRateLimiter
-from chervilstall.edge.stream_monitor import StreamMonitor
-from chervilstall.edge.target_notices import TargetNotices
-from chervilstall.edge.target_reach import TargetReach
+from chervilstall.edge.crashes.guard import CrashGuard
+from chervilstall.edge.limits.budget import FleetRetryBudget
+from chervilstall.edge.limits.notices import TargetNotices
+from chervilstall.edge.limits.rate_limits import TargetRateLimiter
+from chervilstall.edge.peers.relay import PeerRelay
+from chervilstall.edge.reach.targets import TargetReach
+from chervilstall.edge.streams.monitor import StreamMonitor
 from chervilstall.fleet.view import FleetView
 from chervilstall.paths.choice import PathChooser
 
--- a/src/chervilstall/edge/live_stream.py
+++ b/src/chervilstall/edge/streams/live_stream.py
@@ -3,8 +3,8 @@
 import time
 from dataclasses import dataclass
 
-from chervilstall.edge.attempts import AttemptLimit
 from chervilstall.edge.exchange import Exchange
+from chervilstall.edge.limits.attempts import AttemptLimit
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.records import Target
 from chervilstall.paths.records import Path
--- a/src/chervilstall/edge/stream_monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -12,13 +12,13 @@
 
 import gevent
 
-from chervilstall.edge.budget import FleetRetryBudget
 from chervilstall.edge.exchange import ExchangeFailure
-from chervilstall.edge.live_stream import EVENT_SILENCE_LIMIT_S, LiveStream
-from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.edge.limits.budget import FleetRetryBudget
+from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
-from chervilstall.edge.slow_targets import SlowTargetDetector
-from chervilstall.edge.stream_rerouter import StreamRerouter
+from chervilstall.edge.streams.live_stream import EVENT_SILENCE_LIMIT_S, LiveStream
+from chervilstall.edge.streams.rerouter import StreamRerouter
+from chervilstall.edge.streams.slow_targets import SlowTargetDetector
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.suspicion import SuspicionKind
--- a/src/chervilstall/edge/stream_paths.py
+++ b/src/chervilstall/edge/streams/paths.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from chervilstall.edge.attempts import AttemptLimit
-from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.edge.limits.attempts import AttemptLimit
+from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.records import Target
 from chervilstall.ids import TargetId
--- a/src/chervilstall/edge/stream_relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -11,21 +11,21 @@
 
 import gevent
 
-from chervilstall.edge.attempts import AttemptLimit
-from chervilstall.edge.event_numbers import event_number, parse_event_number
 from chervilstall.edge.exchange import (
     CompleteResponse,
     Exchange,
     ExchangeFailed,
     ExchangeFailure,
 )
-from chervilstall.edge.live_stream import LiveStream
-from chervilstall.edge.peer_relay import NOT_RUN_STATUSES, OUT_OF_REACH
-from chervilstall.edge.rate_limits import AT_LIMIT
+from chervilstall.edge.limits.attempts import AttemptLimit
+from chervilstall.edge.limits.rate_limits import AT_LIMIT
+from chervilstall.edge.peers.relay import NOT_RUN_STATUSES, OUT_OF_REACH
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.retry_after import retry_after_s
-from chervilstall.edge.stream_context import StreamBroken, StreamContext
-from chervilstall.edge.stream_paths import StreamPaths
+from chervilstall.edge.streams.context import StreamBroken, StreamContext
+from chervilstall.edge.streams.event_numbers import event_number, parse_event_number
+from chervilstall.edge.streams.live_stream import LiveStream
+from chervilstall.edge.streams.paths import StreamPaths
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.paths.records import Path
 from chervilstall.platform.headers import ForwardFields, ResponseHead, forward_headers
--- a/src/chervilstall/edge/stream_rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -10,8 +10,8 @@
 
 import gevent
 
-from chervilstall.edge.live_stream import LiveStream
-from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.edge.limits.rate_limits import TargetRateLimiter
+from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.fleet.records import Target, TargetReadiness
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import RequestId
--- a/src/chervilstall/edge/slow_targets.py
+++ b/src/chervilstall/edge/streams/slow_targets.py
@@ -6,8 +6,8 @@
 
 import gevent
 
-from chervilstall.edge.live_stream import LiveStream
-from chervilstall.edge.rate_limits import TargetRateLimiter
+from chervilstall.edge.limits.rate_limits import TargetRateLimiter
+from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.view import FleetView
--- a/tests/steps/monitor_standstill_steps.py
+++ b/tests/steps/monitor_standstill_steps.py
@@ -9,8 +9,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from chervilstall.edge.live_stream import LiveStream
-from chervilstall.edge.stream_monitor import SILENCE_MAX_S, StreamMonitor
+from chervilstall.edge.streams.live_stream import LiveStream
+from chervilstall.edge.streams.monitor import SILENCE_MAX_S, StreamMonitor
 from tests.support.clock import Clock
 
 BETWEEN_TURNS_S = 0.001
--- a/tests/steps/retry_budget_steps.py
+++ b/tests/steps/retry_budget_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from chervilstall.edge.budget import FleetRetryBudget
+from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.ids import ServiceName
 from tests.support.clock import Clock
 from tests.support.model_targets import SERVICE
--- a/tests/steps/stream_fault_steps.py
+++ b/tests/steps/stream_fault_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then
 from behave.runner import Context
 
-from chervilstall.edge import stream_monitor
+from chervilstall.edge.streams import monitor
 from chervilstall.fleet.records import TargetIncarnation
 from chervilstall.ids import TargetId
 from chervilstall.standin.platform_target import Behaviour, PlatformTarget
@@ -159,12 +159,12 @@
     silence_s: float
 
     def __post_init__(self) -> None:
-        self.before_s = stream_monitor.SILENCE_MAX_S
-        stream_monitor.SILENCE_MAX_S = self.silence_s
+        self.before_s = monitor.SILENCE_MAX_S
+        monitor.SILENCE_MAX_S = self.silence_s
 
     def stop(self) -> None:
         """Restore the previous limit."""
-        stream_monitor.SILENCE_MAX_S = self.before_s
+        monitor.SILENCE_MAX_S = self.before_s
 
 
 @given("no stream is ended for its silence alone")
--- a/tests/support/quarantine_router.py
+++ b/tests/support/quarantine_router.py
@@ -11,11 +11,11 @@
 from typing import Any, cast
 from unittest.mock import patch
 
-from chervilstall.edge import crash_observer, quarantine_sharing
-from chervilstall.edge.crash_guard import CrashGuard
-from chervilstall.edge.crash_observer import CrashObserver
+from chervilstall.edge.crashes import observer, sharing
+from chervilstall.edge.crashes.guard import CrashGuard
+from chervilstall.edge.crashes.observer import CrashObserver
+from chervilstall.edge.crashes.sharing import QuarantineSharing
 from chervilstall.edge.exchange import ExchangeFailed, ExchangeFailure
-from chervilstall.edge.quarantine_sharing import QuarantineSharing
 from chervilstall.errors import ChervilstallError
 from chervilstall.fleet.records import Target, TargetIncarnation
 from chervilstall.ids import PartId, ServiceName, TargetId, VmId
@@ -34,12 +34,10 @@
 ) -> Iterator[None]:
     """Run the product's tasks on the simulated clock, with drawn delays."""
     with ExitStack() as stack:
-        for module in (crash_observer, quarantine_sharing):
+        for module in (observer, sharing):
             stack.enter_context(patch.object(module, "gevent", tasks))
-        stack.enter_context(patch.object(quarantine_sharing, "random", rng))
-        stack.enter_context(
-            patch.object(crash_observer, "refuses_connections", refuses)
-        )
+        stack.enter_context(patch.object(sharing, "random", rng))
+        stack.enter_context(patch.object(observer, "refuses_connections", refuses))
         yield
 
 
--- a/tests/support/quarantine_store.py
+++ b/tests/support/quarantine_store.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from chervilstall.edge.quarantine_sharing import QuarantineSharing
+from chervilstall.edge.crashes.sharing import QuarantineSharing
 from chervilstall.ids import VmId
 from chervilstall.platform.kv import Entry, Lease
 from chervilstall.platform.quarantine import CRASHES_PREFIX, QUARANTINE_PREFIX
--- a/tests/support/rate_limit_fleet.py
+++ b/tests/support/rate_limit_fleet.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from chervilstall.edge.rate_limits import WINDOW_S, TargetRateLimiter
+from chervilstall.edge.limits.rate_limits import WINDOW_S, TargetRateLimiter
 from chervilstall.fleet.records import NO_LAYERS, Target, TargetReadiness
 from chervilstall.ids import ServiceName, TargetId, VmId, ZoneName
 from chervilstall.settings.option import Address
--- a/tests/support/retry_budget_fleet.py
+++ b/tests/support/retry_budget_fleet.py
@@ -10,7 +10,7 @@
 import time
 from dataclasses import dataclass, field
 
-from chervilstall.edge.budget import FleetRetryBudget
+from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.registry import ROUTERS_ASSUMED
 from tests.support.clock import Clock
 from tests.support.model_targets import SERVICE
