Report a call as sent where its library could not repeat it

Callers of the product's interface were told 'ran: no' for a repeatable call whose target had crashed on it: geventhttpclient sends a call over a pooled connection once more when it closes, and the failure to connect for that was taken for a failure to send.

--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -6,6 +6,7 @@
 """
 
 import time
+from collections import Counter
 from dataclasses import dataclass
 from socket import (
     IPPROTO_TCP,
@@ -76,6 +77,7 @@
         super().__init__(**arguments)
         self.age_max_s = age_max_s
         self._opened_at_s: dict[int, float] = {}
+        self.handed_out: Counter[gevent.Greenlet] = Counter()
 
     def after_connect(self, sock: gevent.socket.socket) -> None:
         tune_socket(sock)
@@ -83,9 +85,11 @@
 
     def get_socket(self) -> gevent.socket.socket:
         try:
-            return super().get_socket()
+            sock = super().get_socket()
         except OSError as error:
             raise ConnectFailed(str(error)) from error
+        self.handed_out[gevent.getcurrent()] += 1
+        return sock
 
     def return_socket(self, sock: gevent.socket.socket) -> None:
         opened_at_s = self._opened_at_s.get(sock.fileno(), 0.0)
@@ -99,6 +103,30 @@
         super().release_socket(sock)
 
 
+class PooledClient(HTTPClient):
+    """A client with pooled connections that does not hide that it sent a request.
+
+    geventhttpclient sends some requests again over a new connection. If that one can't
+    be established, the request may have run all the same: this raises
+    ConnectionResetError, not ConnectFailed.
+    """
+
+    def request(self, *arguments: Any, **options: Any) -> HTTPSocketPoolResponse:
+        """Send a request and return its response once the headers are complete."""
+        pool: Any = self._connection_pool
+        handed_out = pool.handed_out
+        task = gevent.getcurrent()
+        handed_out.pop(task, None)
+        try:
+            return super().request(*arguments, **options)
+        except ConnectFailed as error:
+            if task not in handed_out:
+                raise
+            raise ConnectionResetError("closed before a response") from error
+        finally:
+            handed_out.pop(task, None)
+
+
 class SingleUsePool(AgeLimitedPool):
     """A pool that opens one connection and refuses to open a second.
 
@@ -228,7 +256,7 @@
     address: Address, settings: TargetSettings, network_timeout_s: float
 ) -> HTTPClient:
     """Return a client with pooled connections, for requests that may be repeated."""
-    client = HTTPClient(address.host, address.port, disable_ipv6=True)
+    client = PooledClient(address.host, address.port, disable_ipv6=True)
     client._connection_pool = AgeLimitedPool(
         settings.connection_age_max_s,
         size=POOL_SIZE,
