--- a/src/chervilstall/gateway/runtime.py
+++ b/src/chervilstall/gateway/runtime.py
@@ -12,6 +12,7 @@
 from chervilstall.configuration.tree import Tree
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.gateway.auth import Authenticator
+from chervilstall.gateway.service_guard import ServiceGuard
 from chervilstall.gateway.target_poller import TargetPoller
 from chervilstall.idempotency.contract import ClaimService
 from chervilstall.routing.explanation import ExplanationLog
@@ -124,6 +125,7 @@
             settings.target,
             PromptGuard(self.selector, self.engines),
         )
+        self.service_guard = ServiceGuard(self.relay.prompt_guard.quarantine)
         self.longest_stall_s = 0.0
         self._tasks: list[gevent.Greenlet] = []
 
@@ -185,6 +187,7 @@
             gevent.sleep(self.settings.target.poll_interval_s)
             self.queue.dispatch()
             self.relay.prompt_guard.expire()
+            self.service_guard.expire()
 
     def _renew_shares(self) -> None:
         while True:
--- a/src/chervilstall/gateway/services.py
+++ b/src/chervilstall/gateway/services.py
@@ -14,7 +14,8 @@
 from chervilstall.gateway.parsing import CallerOptions
 from chervilstall.gateway.responses import REQUEST_ID_HEADER, success_headers
 from chervilstall.gateway.runtime import RouterRuntime
-from chervilstall.ids import AttemptNumber, RequestId, TargetId
+from chervilstall.gateway.service_guard import guarded_call
+from chervilstall.ids import AttemptNumber, RequestId, ServiceName, TargetId
 from chervilstall.peer.claims import Outcome
 from chervilstall.routing.explanation import Explanation, RouteStep
 from chervilstall.routing.instances import InstanceReservation
@@ -69,6 +70,11 @@
             service_request.name,
             self.request_class.value,
         )
+        self._guarded = guarded_call(
+            ServiceName(self.document.service),
+            service_request.caller.workspace,
+            service_request.call,
+        )
         self._attempts = 0
         self._tried_targets: set[TargetId] = set()
         self._attempt_numbers: dict[TargetId, int] = {}
@@ -148,6 +154,7 @@
     def _run(self) -> ServiceResponse:
         rng = self.runtime.relay.rng
         while True:
+            self.runtime.service_guard.check(self._guarded, self._may_have_run)
             try:
                 answer = self._run_round()
                 self.runtime.retry_budget.record_success()
@@ -271,14 +278,21 @@
     def _attempt_once(
         self, reservation: InstanceReservation, is_hedge: bool = False
     ) -> ServiceResponse:
+        sent_at_s = time.monotonic()
         try:
             answer = self._call(
                 reservation, self._attempt_numbers[reservation.instance.target]
             )
+            self.runtime.service_guard.record_answer(self._guarded)
             self.runtime.selector.instances.record_success(reservation)
             return answer
         except AttemptFailed as failure:
             self._record_failure(reservation, failure)
+            if failure.cause is FailureCause.CLOSED:
+                instance = reservation.instance
+                self.runtime.service_guard.record_lost(
+                    self._guarded, instance.target, instance.address, sent_at_s
+                )
             raise
         finally:
             self._release(reservation, is_hedge)
--- a/src/chervilstall/standin/target_server.py
+++ b/src/chervilstall/standin/target_server.py
@@ -157,9 +157,14 @@
 
 @dataclass
 class ServiceOptions:
-    """Behaviour of a stand-in service. `work_s` is the duration of each call."""
+    """Behaviour of a stand-in service. `work_s` is the duration of each call.
+
+    A call of `crashing_path`, if any, ends the service for `restart_s`.
+    """
 
     work_s: float = 0.0
+    crashing_path: str = ""
+    restart_s: float = 0.3
     concurrency: int = 64
 
 
@@ -206,9 +211,20 @@
 
     def __init__(self, service: PlainService, address: Address = ANY_PORT) -> None:
         self.service = service
+        self.crashes = 0
+        self._listen(address)
+
+    def _listen(self, address: Address) -> None:
         self.server = Server(address, self.application)
         self.server.start()
 
+    def _crash(self) -> None:
+        """Close every connection, and listen again after a while."""
+        self.crashes += 1
+        gevent.spawn_later(self.service.options.restart_s, self._listen, self.address)
+        self.kill()
+        raise ConnectionClosed
+
     @property
     def address(self) -> Address:
         """Return the bound address."""
@@ -228,6 +244,8 @@
         if environ["PATH_INFO"] == "/v1/load":
             return self._send_load_report(start_response)
         body = read_body(environ)
+        if environ["PATH_INFO"] == service.options.crashing_path:
+            self._crash()
         identity = (
             (REQUEST_HEADER, environ.get("HTTP_CHERVILSTALL_REQUEST", "")),
             (ATTEMPT_HEADER, environ.get("HTTP_CHERVILSTALL_ATTEMPT", "0")),
--- a/src/chervilstall/stream/prompt_guard.py
+++ b/src/chervilstall/stream/prompt_guard.py
@@ -9,7 +9,8 @@
 
 import gevent
 
-from chervilstall.ids import CrashId, PartId, ServiceName, TargetId
+from chervilstall.ids import PartId, ServiceName, TargetId
+from chervilstall.quarantine.crashes import RecentCrashes
 from chervilstall.quarantine.prompts import PromptQuarantine
 from chervilstall.quarantine.records import (
     ClaimTrial,
@@ -28,18 +29,9 @@
 
 BEGUN_TOKENS = 2
 EXAMINE_DELAY_S = 0.02
-SAME_CRASH_S = 1.0
-"""Time in which failures of one engine count as the same crash."""
-
 CRASH_CAUSES = (FailureCause.CLOSED, FailureCause.STAGE_DIED)
 
 
-@dataclass
-class _Crash:
-    crash: CrashId
-    at_s: float
-
-
 @dataclass
 class PromptGuard:
     """Tells the quarantine what becomes of requests, and checks each with it."""
@@ -47,7 +39,7 @@
     selector: ChainSelector
     engines: EngineClient
     quarantine: PromptQuarantine = field(init=False)
-    _crashes: dict[TargetId, _Crash] = field(default_factory=dict)
+    _crashes: RecentCrashes = field(default_factory=RecentCrashes)
 
     def __post_init__(self) -> None:
         self.quarantine = PromptQuarantine(self._carry_out)
@@ -55,9 +47,9 @@
     def _carry_out(self, action: QuarantineAction) -> None:
         match action:
             case Propose(entry):
-                log.warning("Prefix %s crashes engines.", entry.key.part)
+                log.warning("%s crashes targets.", entry.key.part)
             case Clear(key):
-                log.info("Prefix %s is harmless.", key.part)
+                log.info("%s is harmless.", key.part)
             case ClaimTrial(entry):
                 self.quarantine.apply_entry(entry)
                 self.quarantine.grant_trial(entry.key)
@@ -93,25 +85,19 @@
         if engine is None or self.engines.fetch_load(engine.address) is not None:
             # An engine that answers has only lost this request.
             return
-        known = self._crashes.get(target)
-        if known is None or lost_at_s - known.at_s > SAME_CRASH_S:
-            crash = CrashId(f"{target}@{lost_at_s:.3f}")
-            known = self._crashes[target] = _Crash(crash, lost_at_s)
+        known = self._crashes.identify(target, lost_at_s)
         report = CrashReport(
             known.crash,
             _service(capability),
             _parts(prefixes),
-            age_s=time.monotonic() - known.at_s,
+            age_s=known.age_s,
         )
         self.quarantine.record_crash(self.quarantine.with_begun_parts(report))
 
     def expire(self) -> None:
         """Drop what is past; called once in a while."""
         self.quarantine.expire()
-        from_s = time.monotonic() - SAME_CRASH_S
-        for target, known in list(self._crashes.items()):
-            if known.at_s < from_s:
-                del self._crashes[target]
+        self._crashes.expire()
 
 
 def _service(capability: Capability) -> ServiceName:
