--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -254,7 +254,7 @@
         )
         self.crash_guard.record_failure(request, target, error)
         if error.failure is not ExchangeFailure.CALLER_LEFT:
-            self.target_reach.examine(request.service.name)
+            self.target_reach.notice_failure(request.service.name)
         if error.failure is ExchangeFailure.TIMEOUT and not self._is_to_blame(
             target, started_at_s
         ):
--- a/src/chervilstall/edge/reach/suspicions.py
+++ b/src/chervilstall/edge/reach/suspicions.py
@@ -33,7 +33,7 @@
     def check_links_to(self, target: Target) -> None:
         """Find out what is lost besides a silent target: its zone, or all targets."""
         self.zone_prober.check_zone_of(target)
-        self.target_reach.examine(target.service)
+        self.target_reach.notice_failure(target.service)
 
     def handle_suspicion(self, target: Target, kind: SuspicionKind) -> None:
         """Tell the others of a new suspicion, in a task of its own."""
--- a/src/chervilstall/edge/reach/targets.py
+++ b/src/chervilstall/edge/reach/targets.py
@@ -22,8 +22,14 @@
 
 log = EventLog("fleet")
 
+FIRST_PROBES = 2
+FIRST_PROBES_S = 0.05
+"""Time after which more targets are asked than the first two."""
+
 PROBES_MAX = 6
-"""Targets asked at once, so that a few dead ones don't look like a lost link."""
+"""Targets asked in all, so that a few dead ones don't look like a lost link."""
+
+EXAMINE_INTERVAL_S = 0.2
 
 RECOVERY_PROBES_MAX = 4
 RECOVERY_RESPONSES = 2
@@ -99,22 +105,29 @@
     def examine(self, service: ServiceName) -> gevent.Greenlet:
         """Start to probe the targets of a service, unless that is going on already."""
         running = self._checks.get(service)
-        if running is None:
+        if running is None or running.ready():
             running = gevent.spawn(self._examine, service)
             self._checks[service] = running
         return running
 
+    def notice_failure(self, service: ServiceName) -> None:
+        """Probe the targets of a service, unless one responded just now."""
+        responded_at_s = self._responded_at_s.get(service, float("-inf"))
+        if time.monotonic() - responded_at_s > EXAMINE_INTERVAL_S:
+            self.examine(service)
+
     def _examine(self, service: ServiceName) -> None:
-        try:
-            targets = self._choose(service, PROBES_MAX)
-            if targets and not self._count_responses(targets, 1):
-                self._mark_lost(service, targets)
-        finally:
-            del self._checks[service]
+        targets = self._choose(service, PROBES_MAX)
+        if targets and not self._count_responses(targets, 1):
+            self._mark_lost(service, targets)
 
     def _count_responses(self, targets: list[Target], required: int) -> int:
-        """Probe targets at once until as many as required have responded."""
-        probes = [gevent.spawn(self._probe, target) for target in targets]
+        """Probe targets, a few first, until as many as required have responded."""
+        first = max(required, FIRST_PROBES)
+        probes = [gevent.spawn(self._probe, target) for target in targets[:first]]
+        gevent.joinall(probes, timeout=FIRST_PROBES_S)
+        if sum(bool(probe.value) for probe in probes) < required:
+            probes += [gevent.spawn(self._probe, target) for target in targets[first:]]
         responses = 0
         for probe in gevent.iwait(probes):
             responses += probe.value
