--- a/src/chervilstall/agent/operators.py
+++ b/src/chervilstall/agent/operators.py
@@ -19,16 +19,10 @@
 from chervilstall.configuration.writer import ConfigurationStore, ProposedChange
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.gateway.auth import bearer_token_digest
+from chervilstall.http_response import HttpResponse, StartResponse, json_response
 from chervilstall.ids import ChangeId, Revision, WorkspaceName, new_change_id
 from chervilstall.settings.problems import InvalidSettings
-from chervilstall.wsgi import (
-    Environ,
-    HttpResponse,
-    Server,
-    StartResponse,
-    json_response,
-    read_body,
-)
+from chervilstall.wsgi import Environ, Server, read_body
 
 SETTINGS_PREFIX = "/v1/settings/"
 IN_FORCE_POLL_INTERVAL_S = 0.1
--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -26,6 +26,7 @@
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.records import Route, RouterConfiguration, Service
 from chervilstall.fleet.view import FleetView
+from chervilstall.http_response import StartResponse, status_line
 from chervilstall.ids import WorkspaceName
 from chervilstall.platform.headers import (
     HeaderFields,
@@ -36,14 +37,7 @@
 from chervilstall.telemetry.edge_metrics import EdgeMetrics, RequestOutcome
 from chervilstall.telemetry.events import EventLog
 from chervilstall.waiting import wait_until_set
-from chervilstall.wsgi import (
-    HEADERS_KEY,
-    REQUEST_TARGET_KEY,
-    SOCKET_KEY,
-    Environ,
-    StartResponse,
-    status_line,
-)
+from chervilstall.wsgi import HEADERS_KEY, REQUEST_TARGET_KEY, SOCKET_KEY, Environ
 
 log = EventLog("edge")
 
--- a/src/chervilstall/edge/endpoints.py
+++ b/src/chervilstall/edge/endpoints.py
@@ -5,8 +5,9 @@
 
 from chervilstall.edge.error_responses import error_response
 from chervilstall.errors import ChervilstallError, ErrorKind
+from chervilstall.http_response import HttpResponse, StartResponse, json_response
 from chervilstall.platform import protocol
-from chervilstall.wsgi import Environ, HttpResponse, StartResponse, json_response
+from chervilstall.wsgi import Environ
 
 ERROR_KINDS = {
     408: ErrorKind.REQUEST_TIMEOUT,
--- a/src/chervilstall/edge/error_responses.py
+++ b/src/chervilstall/edge/error_responses.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from chervilstall.errors import ChervilstallError
+from chervilstall.http_response import HttpResponse
 from chervilstall.platform import protocol
-from chervilstall.wsgi import HttpResponse
 
 
 class RouterErrorBody(msgspec.Struct, frozen=True):
--- a/src/chervilstall/edge/peers/listener.py
+++ b/src/chervilstall/edge/peers/listener.py
@@ -9,7 +9,8 @@
     read_forwarding,
     without_forwarding,
 )
-from chervilstall.wsgi import HEADERS_KEY, Environ, StartResponse, json_response
+from chervilstall.http_response import StartResponse, json_response
+from chervilstall.wsgi import HEADERS_KEY, Environ
 
 
 @dataclass
--- a/src/chervilstall/gateway/admin.py
+++ b/src/chervilstall/gateway/admin.py
@@ -3,9 +3,10 @@
 import msgspec
 
 from chervilstall.gateway.runtime import RouterRuntime, RouterState
+from chervilstall.http_response import HttpResponse, StartResponse, json_response
 from chervilstall.ids import RequestId
 from chervilstall.settings.documents import RequestClass
-from chervilstall.wsgi import Environ, HttpResponse, StartResponse, json_response
+from chervilstall.wsgi import Environ
 
 EXPLAIN_PREFIX = "/explain/"
 
--- a/src/chervilstall/gateway/app.py
+++ b/src/chervilstall/gateway/app.py
@@ -18,10 +18,11 @@
 from chervilstall.gateway.responses import error_response
 from chervilstall.gateway.runtime import RouterRuntime
 from chervilstall.gateway.services import ServiceRequest, ServiceRun
+from chervilstall.http_response import HttpResponse, StartResponse, json_response
 from chervilstall.ids import RequestId, new_request_id
 from chervilstall.target.contract import ServiceCall
 from chervilstall.telemetry.logs import ComponentLog
-from chervilstall.wsgi import Environ, HttpResponse, StartResponse, json_response
+from chervilstall.wsgi import Environ
 
 log = ComponentLog("gateway")
 
--- a/src/chervilstall/gateway/completions.py
+++ b/src/chervilstall/gateway/completions.py
@@ -17,6 +17,12 @@
     success_headers,
 )
 from chervilstall.gateway.runtime import RouterRuntime
+from chervilstall.http_response import (
+    JSON_TYPE,
+    HttpResponse,
+    StartResponse,
+    status_line,
+)
 from chervilstall.ids import RequestId, WorkspaceName
 from chervilstall.peer.claims import Outcome
 from chervilstall.routing.explanation import Explanation
@@ -26,7 +32,6 @@
 from chervilstall.target.prefixes import prompt_prefix_hashes
 from chervilstall.telemetry.logs import ComponentLog
 from chervilstall.telemetry.metrics import HistogramKey, Measure
-from chervilstall.wsgi import JSON_TYPE, HttpResponse, StartResponse, status_line
 
 log = ComponentLog("gateway")
 
--- a/src/chervilstall/gateway/responses.py
+++ b/src/chervilstall/gateway/responses.py
@@ -8,8 +8,8 @@
 
 from chervilstall.errors import ChervilstallError, ErrorKind, ExecutionState
 from chervilstall.gateway.parsing import CompletionRequest
+from chervilstall.http_response import JSON_TYPE, HttpResponse
 from chervilstall.ids import RequestId
-from chervilstall.wsgi import JSON_TYPE, HttpResponse
 
 REQUEST_ID_HEADER = "X-Request-Id"
 RAN_HEADER = "Chervilstall-Ran"
--- a/src/chervilstall/gateway/services.py
+++ b/src/chervilstall/gateway/services.py
@@ -15,6 +15,7 @@
 from chervilstall.gateway.responses import REQUEST_ID_HEADER, success_headers
 from chervilstall.gateway.runtime import RouterRuntime
 from chervilstall.gateway.service_guard import guarded_call
+from chervilstall.http_response import HttpResponse
 from chervilstall.ids import AttemptNumber, RequestId, ServiceName, TargetId
 from chervilstall.peer.claims import Outcome
 from chervilstall.routing.explanation import Explanation, RouteStep
@@ -28,7 +29,6 @@
     ServiceResponse,
 )
 from chervilstall.telemetry.metrics import HistogramKey, Measure
-from chervilstall.wsgi import HttpResponse
 
 # Longest wait of a repeated request for the first run under its idempotency key.
 KEY_WAIT_MAX_S = 10.0
--- a/src/chervilstall/measure/helpers.py
+++ b/src/chervilstall/measure/helpers.py
@@ -17,6 +17,7 @@
 
 from chervilstall.configuration.tree import Tree  # noqa: E402
 from chervilstall.gateway.runtime import RouterSettings  # noqa: E402
+from chervilstall.http_response import StartResponse, json_response  # noqa: E402
 from chervilstall.idempotency.local_claims import LocalClaimService  # noqa: E402
 from chervilstall.ids import Revision, VmId, ZoneName  # noqa: E402
 from chervilstall.measure.agents import serve_agents  # noqa: E402
@@ -43,13 +44,7 @@
     GenerateOrder,
     StreamEvent,
 )
-from chervilstall.wsgi import (  # noqa: E402
-    Environ,
-    Server,
-    StartResponse,
-    json_response,
-    read_body,
-)
+from chervilstall.wsgi import Environ, Server, read_body  # noqa: E402
 
 LAYERS = 8
 PASS_THROUGH_TIMEOUT_S = 60.0
--- a/src/chervilstall/soak/targets.py
+++ b/src/chervilstall/soak/targets.py
@@ -7,10 +7,11 @@
 
 import gevent
 
+from chervilstall.http_response import StartResponse
 from chervilstall.settings.option import Address
 from chervilstall.soak.links import LinkProxy
 from chervilstall.standin.platform_target import PlatformTarget
-from chervilstall.wsgi import Environ, StartResponse
+from chervilstall.wsgi import Environ
 
 LONG_DRAFT_PREFIX = "/long/"
 PLAIN_PREFIXES = ("/lookup/", "/hold/")
--- a/src/chervilstall/standin/platform_store.py
+++ b/src/chervilstall/standin/platform_store.py
@@ -12,14 +12,9 @@
 import msgspec
 from gevent.event import Event
 
+from chervilstall.http_response import StartResponse, json_response
 from chervilstall.settings.option import Address
-from chervilstall.wsgi import (
-    Environ,
-    Server,
-    StartResponse,
-    json_response,
-    read_body,
-)
+from chervilstall.wsgi import Environ, Server, read_body
 
 HISTORY_MAX_EVENTS = 1_000
 LEASE_SWEEP_INTERVAL_S = 0.05
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -10,6 +10,12 @@
 import msgspec
 
 from chervilstall.fleet.records import NO_LAYERS, LayerRange
+from chervilstall.http_response import (
+    HttpResponse,
+    StartResponse,
+    json_response,
+    status_line,
+)
 from chervilstall.settings.option import Address
 from chervilstall.standin.crashes import ResettableServer, shared_parts
 from chervilstall.standin.target_log import Run, TargetLog
@@ -19,11 +25,7 @@
     REQUEST_TARGET_KEY,
     SOCKET_KEY,
     Environ,
-    HttpResponse,
-    StartResponse,
-    json_response,
     read_body,
-    status_line,
 )
 
 EVENT_INTERVAL_S = 0.01
--- a/src/chervilstall/standin/store_server.py
+++ b/src/chervilstall/standin/store_server.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from chervilstall.http_response import HttpResponse, StartResponse, json_response
 from chervilstall.settings.option import Address
 from chervilstall.standin.store import MemoryStore
 from chervilstall.store.contract import (
@@ -12,14 +13,7 @@
     SwapResult,
     VmRecord,
 )
-from chervilstall.wsgi import (
-    Environ,
-    HttpResponse,
-    Server,
-    StartResponse,
-    json_response,
-    read_body,
-)
+from chervilstall.wsgi import Environ, Server, read_body
 
 KEYS_PATH = "/v1/keys/"
 LEASES_PATH = "/v1/leases/"
--- a/src/chervilstall/standin/target_server.py
+++ b/src/chervilstall/standin/target_server.py
@@ -9,6 +9,7 @@
 import gevent
 import msgspec
 
+from chervilstall.http_response import HttpResponse, StartResponse, json_response
 from chervilstall.ids import AttemptNumber, Position, RequestId, TargetId
 from chervilstall.settings.option import Address
 from chervilstall.standin.engine import Engine
@@ -28,14 +29,7 @@
     Refusal,
     StreamEvent,
 )
-from chervilstall.wsgi import (
-    Environ,
-    HttpResponse,
-    Server,
-    StartResponse,
-    json_response,
-    read_body,
-)
+from chervilstall.wsgi import Environ, Server, read_body
 
 EVENT_STREAM_HEADER = ("Content-Type", "text/event-stream")
 ANY_PORT = Address("127.0.0.1", 0)
--- a/tests/steps/target_steps.py
+++ b/tests/steps/target_steps.py
@@ -16,10 +16,10 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
+from chervilstall.http_response import json_response
 from chervilstall.settings.processes import ListenSettings
 from chervilstall.standin.faults import FOREVER, FaultKind
 from chervilstall.standin.target_server import operation_name
-from chervilstall.wsgi import json_response
 from tests.support.agent_fleet import eventually
 from tests.support.chat import (
     CHAT,
--- a/tests/steps/target_unframed_steps.py
+++ b/tests/steps/target_unframed_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from chervilstall.http_response import StartResponse
 from chervilstall.ids import AttemptNumber, Position, RequestId, TargetId
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
@@ -28,7 +29,7 @@
 )
 from chervilstall.target.engine_client import HttpEngineClient
 from chervilstall.target.service_client import HttpServiceClient
-from chervilstall.wsgi import SOCKET_KEY, Environ, Server, StartResponse, read_body
+from chervilstall.wsgi import SOCKET_KEY, Environ, Server, read_body
 from tests.support.router_harness import ANY_PORT
 
 TARGET = TargetId("unframed")
