Let a connection without a TLS handshake keep no router from ending

What operators saw: a caller that connects to a router of the product's interface and says nothing kept it draining for drain_timeout_s, 600 s by default, since the connection counted as busy and no timeout covered its handshake. A handshake now has the time of the headers, and a connection counts as busy from its first request on.

--- a/src/chervilstall/wsgi.py
+++ b/src/chervilstall/wsgi.py
@@ -9,6 +9,7 @@
 import struct
 import time
 from collections.abc import Callable, Iterable
+from contextlib import closing
 from socket import (
     IPPROTO_TCP,
     MSG_DONTWAIT,
@@ -279,6 +280,7 @@
         self.connections = gevent.pool.Pool(connections_max)
         self.idle: set[Handler] = set()
         self.is_closing_idle = False
+        self._handshakes = 0
         listener, host = _listener_and_host(address)
         super().__init__(
             listener,
@@ -300,7 +302,22 @@
     def busy_connections(self) -> int:
         """Return the number of connections that read, serve or have got a request."""
         unread = sum(handler.has_unread_bytes() for handler in self.idle)
-        return len(self.connections) - len(self.idle) + unread
+        silent = len(self.idle) + self._handshakes
+        return len(self.connections) - silent + unread
+
+    def wrap_socket_and_handle(self, client_socket: Any, address: Any) -> Any:
+        """Serve a TLS connection; until its handshake is over it asks for nothing."""
+        self._handshakes += 1
+        try:
+            with gevent.Timeout(self.header_timeout_s, HeaderTimeout):
+                tls_socket = self.wrap_socket(client_socket, **self.ssl_args)
+        except (OSError, HeaderTimeout):
+            client_socket.close()
+            return None
+        finally:
+            self._handshakes -= 1
+        with closing(tls_socket):
+            return self.handle(tls_socket, address)
 
     def wait_until_quiet(
         self, count_running: Callable[[], int], until_s: float
