Let the soak cut routers off from all targets

Each router of the soak now has links of its own to every target. Mix 'cuts' draws a third of its faults as cuts in which connections hang, are reset, or live on while new ones are refused; seeds of the other mixes play as before. Seed 26 for 6 s found no violation.

--- a/tests/support/cut_links.py
+++ b/src/chervilstall/soak/cut_links.py
@@ -1,4 +1,4 @@
-"""Links of their own between each router and each target, which a test can cut."""
+"""Links of their own between each router and each target, which can be cut."""
 
 import base64
 import json
@@ -6,10 +6,9 @@
 from enum import Enum
 from typing import Any
 
-from chervilstall.settings.option import parse_address
+from chervilstall.settings.option import Address, parse_address
 from chervilstall.soak.links import Direction, LinkProxy
 from chervilstall.standin.platform_store import PlatformStoreServer, PlatformStoreState
-from tests.support.router_harness import ANY_PORT
 
 TARGETS_PREFIX = "servers/"
 
@@ -24,8 +23,12 @@
 
 @dataclass
 class RouterLinks:
-    """The proxies through which one router reaches the targets."""
+    """The proxies through which one router reaches the targets.
 
+    They listen on `host`.
+    """
+
+    host: str
     proxies: dict[str, LinkProxy] = field(default_factory=dict)
     cut: Cut | None = None
 
@@ -33,7 +36,7 @@
         """Return the address under which the router knows a target."""
         proxy = self.proxies.get(target)
         if proxy is None:
-            proxy = LinkProxy(parse_address(target), ANY_PORT)
+            proxy = LinkProxy(parse_address(target), Address(self.host, 0))
             proxy.start()
             self.proxies[target] = proxy
             if self.cut is not None:
@@ -74,7 +77,7 @@
     """The store as one router sees it: targets have the addresses of its own links."""
 
     def __init__(self, state: PlatformStoreState, links: RouterLinks) -> None:
-        super().__init__(ANY_PORT)
+        super().__init__(Address(links.host, 0))
         self.state = state
         self.links = links
 
--- a/src/chervilstall/soak/faults.py
+++ b/src/chervilstall/soak/faults.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from chervilstall.soak.cut_links import Cut
 from chervilstall.soak.fleet import RouterProcess, SoakFleet
 from chervilstall.soak.links import Direction, LinkProxy
 from chervilstall.soak.shutdowns import ShutdownInjector
@@ -39,6 +40,7 @@
     TERMINATE = "terminate a router"
     KILL_ALL = "kill all routers"
     RELOAD = "reload the settings of a router"
+    ROUTER_CUT = "cut a router off from all targets"
     LINK_DELAY = "delay a link"
     LINK_RESET = "reset the connections of a link"
     LINK_SILENCE = "silence the connections of a link"
@@ -52,6 +54,11 @@
     CONFIGURATION = "change the configuration"
 
 
+RANDOM_KINDS = tuple(kind for kind in SoakFaultKind if kind.name != "ROUTER_CUT")
+CUT_KINDS = (*RANDOM_KINDS, *[SoakFaultKind.ROUTER_CUT] * 8)
+"""Kinds of a run in which a third of the faults cut a router off from all targets."""
+
+
 @dataclass
 class InjectedFault:
     """One injected fault.
@@ -69,11 +76,15 @@
 
 @dataclass
 class FaultInjector:
-    """Chooses and injects the faults of one run; `shutdowns` records each shutdown."""
+    """Chooses and injects the faults of one run; `shutdowns` records each shutdown.
+
+    Faults are drawn evenly from `kinds`.
+    """
 
     fleet: SoakFleet
     rng: random.Random
     shutdowns: ShutdownInjector
+    kinds: tuple[SoakFaultKind, ...] = RANDOM_KINDS
     faults: list[InjectedFault] = field(default_factory=list)
     _tasks: list[gevent.Greenlet] = field(default_factory=list)
 
@@ -81,7 +92,7 @@
         """Inject random faults for `duration_s`, then wait until all have ended."""
         end_s = time.monotonic() + duration_s
         while time.monotonic() < end_s:
-            kind = self.rng.choice(list(SoakFaultKind))
+            kind = self.rng.choice(self.kinds)
             self._tasks.append(gevent.spawn(self._inject, kind))
             gevent.sleep(self.rng.uniform(0.0, INTERVAL_MAX_S))
         gevent.joinall(self._tasks)
@@ -106,6 +117,8 @@
                 return self._pause_router(self.rng.choice(self.fleet.routers))
             case SoakFaultKind.TERMINATE:
                 return self._terminate_router(self.rng.choice(self.fleet.routers))
+            case SoakFaultKind.ROUTER_CUT:
+                return self._cut_router(self.rng.choice(self.fleet.routers))
             case SoakFaultKind.RELOAD:
                 return self._reload_router(self.rng.choice(self.fleet.routers))
             case SoakFaultKind.TARGET_FAULTY:
@@ -147,6 +160,10 @@
         router.start()
         return router.name
 
+    def _cut_router(self, router: RouterProcess) -> str:
+        router.target_links.begin(self.rng.choice(list(Cut)))
+        return self._wait_then_end(router.name, router.target_links.heal)
+
     def _reload_router(self, router: RouterProcess) -> str:
         router.write_settings(retry_extra=self.rng.choice((100.0, 200.0)))
         if self.rng.random() < 0.5:
--- a/src/chervilstall/soak/fleet.py
+++ b/src/chervilstall/soak/fleet.py
@@ -17,6 +17,7 @@
 from chervilstall.fleet.records import NO_LAYERS, LayerRange
 from chervilstall.platform.protocol import NODE_FILE_VARIABLE, READY_PATH
 from chervilstall.settings.option import Address
+from chervilstall.soak.cut_links import RouterLinks, RouterStoreView
 from chervilstall.soak.links import LinkProxy
 from chervilstall.soak.targets import LONG_DRAFT_PREFIX, PacedTarget, SoakTarget
 from chervilstall.standin.platform_fixtures import (
@@ -45,13 +46,15 @@
 class RouterProcess:
     """A router in a process of its own, with its settings file and link to the store.
 
-    The settings file and the log are in `directory`.
+    The settings file and the log are in `directory`. `target_links` are its links to
+    the targets.
     """
 
     name: str
     zone: str
     host: str
     link: LinkProxy
+    target_links: RouterLinks
     directory: Path
     grace_s: float = GRACE_S
     process: subprocess.Popen[bytes] | None = None
@@ -158,6 +161,7 @@
     store: PlatformStoreServer = field(init=False)
     routers: list[RouterProcess] = field(default_factory=list)
     targets: list[SoakTarget] = field(default_factory=list)
+    _store_views: list[RouterStoreView] = field(default_factory=list)
     version: int = 1
     _directory: tempfile.TemporaryDirectory = field(
         default_factory=tempfile.TemporaryDirectory
@@ -181,13 +185,18 @@
                 self._add_target(f"last-{replica}-{zone}", "drafts", zone, last)
         for number in range(router_count):
             zone = ZONES[number % len(ZONES)]
-            link = LinkProxy(self.store.address, Address(self.host(2), 0))
+            target_links = RouterLinks(self.host(5))
+            view = RouterStoreView(self.store.state, target_links)
+            view.start()
+            self._store_views.append(view)
+            link = LinkProxy(view.address, Address(self.host(2), 0))
             link.start()
             router = RouterProcess(
                 f"{ROUTER_NAME_PREFIX}{number + 1}",
                 zone,
                 self.host(10 + number),
                 link,
+                target_links,
                 Path(self._directory.name),
                 self.grace_s,
             )
@@ -276,8 +285,11 @@
             router.signal(signal.SIGKILL)
             router.wait_for_exit()
             router.link.stop()
+            router.target_links.stop()
         for target in self.targets:
             target.link.stop()
             target.server.stop()
+        for view in self._store_views:
+            view.stop()
         self.store.stop()
         self._directory.cleanup()
--- a/src/chervilstall/soak/run.py
+++ b/src/chervilstall/soak/run.py
@@ -12,7 +12,7 @@
 
 import gevent
 
-from chervilstall.soak.faults import FaultInjector
+from chervilstall.soak.faults import CUT_KINDS, RANDOM_KINDS, FaultInjector
 from chervilstall.soak.fleet import GRACE_S, SoakFleet
 from chervilstall.soak.invariants import (
     Violation,
@@ -84,6 +84,7 @@
     """Which faults a run injects; the values are those of the command line."""
 
     RANDOM = "random"
+    CUTS = "cuts"
     SHUTDOWNS = "shutdowns"
     BOTH = "both"
 
@@ -105,7 +106,7 @@
     @property
     def has_series(self) -> bool:
         """Return whether routers are shut down in series."""
-        return self.mix is not FaultMix.RANDOM
+        return self.mix in (FaultMix.SHUTDOWNS, FaultMix.BOTH)
 
 
 def run_soak(
@@ -133,7 +134,8 @@
         load = _build_load(fleet, options)
         load.start(options.callers_per_router * options.routers)
         shutdowns = ShutdownInjector(rng)
-        injector = FaultInjector(fleet, rng, shutdowns)
+        kinds = CUT_KINDS if options.mix is FaultMix.CUTS else RANDOM_KINDS
+        injector = FaultInjector(fleet, rng, shutdowns, kinds)
         _inject(injector, load, options)
         faults_ended_at_s = time.monotonic()
         violations = [Violation("every router starts", "", name) for name in not_ready]
--- a/tests/soak/invariants.feature
+++ b/tests/soak/invariants.feature
@@ -48,3 +48,8 @@
   Scenario: A short run with a fixed seed violates no invariant
     When the soak test runs with seed 7 for 4 seconds
     Then it sent requests, injected faults and found no violation
+
+  # Guards against faults of forwarding: twice, mixed, "not run" and cut streams.
+  Scenario: A short run in which routers are cut off from all targets violates no invariant
+    When the soak test cuts routers off with seed 26 for 6 seconds
+    Then it sent requests, injected faults and found no violation
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -11,10 +11,10 @@
 from chervilstall.edge.peers.forwarding import UNABLE_HEADER, Forwarding
 from chervilstall.edge.server import EdgeServer
 from chervilstall.settings.option import Address
+from chervilstall.soak.cut_links import Cut
 from chervilstall.standin.platform_fixtures import build_request_headers
 from chervilstall.standin.platform_target import Behaviour, PlatformTarget
 from tests.support.agent_fleet import eventually
-from tests.support.cut_links import Cut
 from tests.support.platform import send
 from tests.support.router_harness import Response
 
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -10,6 +10,7 @@
 from behave.runner import Context
 
 from chervilstall.soak import fleet
+from chervilstall.soak.cut_links import RouterLinks
 from chervilstall.soak.faults import InjectedFault, SoakFaultKind
 from chervilstall.soak.invariants import check_responses, check_shutdown
 from chervilstall.soak.links import LinkProxy
@@ -105,7 +106,9 @@
         return popen([sys.executable, "-c", "import time; time.sleep(60)"])
 
     with tempfile.TemporaryDirectory() as folder:
-        router = fleet.RouterProcess("vm-1", "ba-hall", HOST, link, Path(folder))
+        router = fleet.RouterProcess(
+            "vm-1", "ba-hall", HOST, link, RouterLinks(HOST), Path(folder)
+        )
         fleet.subprocess.Popen = slow_popen
         try:
             gevent.joinall([gevent.spawn(router.start) for _ in range(2)])
@@ -120,6 +123,11 @@
     assert len(context.started) == 1, context.started
 
 
+@when("the soak test cuts routers off with seed {seed:d} for {duration_s:d} seconds")
+def run_cuts(context: Context, seed: int, duration_s: int) -> None:
+    context.report = run_soak(seed, SoakOptions(duration_s, FaultMix.CUTS))
+
+
 @when("the soak test runs with seed {seed:d} for {duration_s:d} seconds")
 def run_seed(context: Context, seed: int, duration_s: int) -> None:
     context.report = run_soak(seed, SoakOptions(duration_s))
--- a/tests/steps/targets_out_of_reach_steps.py
+++ b/tests/steps/targets_out_of_reach_steps.py
@@ -11,9 +11,9 @@
 
 from chervilstall.edge.server import EdgeServer
 from chervilstall.fleet.records import LayerRange
+from chervilstall.soak.cut_links import Cut
 from chervilstall.standin.platform_fixtures import LAYERS
 from tests.support.agent_fleet import eventually
-from tests.support.cut_links import Cut
 from tests.support.platform import ZONES, Platform, send
 from tests.support.router_harness import Response
 
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -10,6 +10,7 @@
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.settings.node import NodeBounds, NodeSettings, StoreAddress
 from chervilstall.settings.option import Address
+from chervilstall.soak.cut_links import RouterLinks, RouterStoreView
 from chervilstall.standin.platform_fixtures import (
     API_KEY,
     CALLER_HOST,
@@ -21,7 +22,6 @@
 from chervilstall.standin.platform_store import PlatformStoreServer
 from chervilstall.standin.platform_target import PlatformTarget
 from tests.support.agent_fleet import eventually
-from tests.support.cut_links import RouterLinks, RouterStoreView
 from tests.support.router_harness import ANY_PORT, HOST, Response
 
 ZONES = ("ba-hall", "za-hall")
@@ -107,7 +107,7 @@
         """Return the address of the store for a new router."""
         if not self.has_links:
             return self.store.address
-        links = RouterLinks()
+        links = RouterLinks(HOST)
         view = RouterStoreView(self.store.state, links)
         view.start()
         self.links.append(links)
