Leave the plan to others only where a pipeline is out of reach

With the targets of a plain service down, as after a request that crashes them, each router that noticed gave up the planner's lease, so that nobody planned until one was back: found by reading, and shown by a new scenario ("The loss of all targets of a plain service ends nobody's plan"). Targets that are out of reach are probed each 0.1 s now, since those of a crashed service are used again only then; a request that targets refused before it is forwarded takes from the budget for repeats.

--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -182,7 +182,7 @@
         """Let another router run a request, as no target is within reach."""
         if reached >= request.attempts_max:
             raise self._error(request, may_have_run, OUT_OF_REACH)
-        if may_have_run and not self.budget.try_spend(request.service.name):
+        if reached and not self.budget.try_spend(request.service.name):
             raise self._error(request, may_have_run, OUT_OF_REACH)
         try:
             response = self.peer_relay.run(request, request.attempts_max - reached)
--- a/src/chervilstall/edge/reach/suspicions.py
+++ b/src/chervilstall/edge/reach/suspicions.py
@@ -53,11 +53,19 @@
         )
 
     def handle_targets_lost(self, service: ServiceName) -> None:
-        """Leave the plan to a router that reaches the targets."""
-        self.planner.stand_down()
-        gevent.spawn(self.planner_lease.suspend)
+        """Leave the plan of a pipeline to a router that reaches its targets."""
+        if self._is_planned(service):
+            self.planner.stand_down()
+            gevent.spawn(self.planner_lease.suspend)
 
     def handle_targets_regained(self, service: ServiceName) -> None:
-        """Take part in planning again once every service is within reach."""
-        if not self.target_reach.out_of_reach:
+        """Take part in planning again once every pipeline is within reach."""
+        if not any(map(self._is_planned, self.target_reach.out_of_reach)):
             self.planner_lease.resume()
+
+    def _is_planned(self, service: ServiceName) -> bool:
+        """Return whether targets of a service hold layers that the planner places."""
+        configuration = self.planner.fleet_view.configuration
+        if configuration is None or service not in configuration.services:
+            return False
+        return configuration.services[service].pipeline is not None
--- a/src/chervilstall/edge/reach/targets.py
+++ b/src/chervilstall/edge/reach/targets.py
@@ -38,7 +38,7 @@
 With one of many targets within reach, most requests would wait for a connection.
 """
 
-RECOVERY_INTERVAL_S = 0.25
+RECOVERY_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 0.3
 """A target responds within a millisecond or two; a lost packet costs 0.2 s."""
 
--- a/tests/edge/targets_out_of_reach.feature
+++ b/tests/edge/targets_out_of_reach.feature
@@ -34,3 +34,9 @@
     When a router starts that is cut off from all targets
     And requests of each kind come at each router for 4 seconds
     Then from 2 seconds after the cut each router serves 9 in 10 of them
+
+  # Guards against a fleet without a plan while the targets of a plain service are down.
+  Scenario: The loss of all targets of a plain service ends nobody's plan
+    Given 4 routers with links of their own to targets of lookups and drafts
+    When all targets of lookups end and lookups come at each router for 1 seconds
+    Then the same router plans as before
--- a/tests/steps/targets_out_of_reach_steps.py
+++ b/tests/steps/targets_out_of_reach_steps.py
@@ -225,3 +225,28 @@
 def check_retry_after(context: Context, within_s: int) -> None:
     for each in late_tries(context, 2):
         assert 0.0 < float(each.response.headers["Retry-After"]) <= within_s, each
+
+
+@when(
+    "all targets of lookups end and lookups come at each router for {duration_s:d} "
+    "seconds"
+)
+def end_lookup_targets(context: Context, duration_s: int) -> None:
+    platform = context.platform
+    context.planner = planner_first(platform)[0]
+    for name, target in platform.targets.items():
+        if name.startswith("lookup"):
+            target.stop()
+    for number in range(int(duration_s / ROUND_INTERVAL_S)):
+        for index, router in enumerate(platform.routers):
+            gevent.spawn(ask, router, index, "lookup", f"lookup-{index}-{number}")
+        gevent.sleep(ROUND_INTERVAL_S)
+
+
+@then("the same router plans as before")
+def check_same_planner(context: Context) -> None:
+    for router in context.platform.routers:
+        assert "lookups" in router.target_reach.out_of_reach
+    planner = context.platform.routers[context.planner]
+    assert planner.planner_lease.check()
+    assert planner.planner.is_planning
