--- a/tests/edge/crashing_request_fleets.feature
+++ b/tests/edge/crashing_request_fleets.feature
@@ -19,7 +19,7 @@
       | a crashing lookup and a popular sound one beside it           | none  |
       | a crashing lookup and other crashes beside it                 | none  |
       | a crashing lookup and no crashing one, but a popular one and crashes | none |
-      | a crashing lookup and two crashing ones                       | 9, 14 |
+      | a crashing lookup and two crashing ones                       | 9, 14, 15, 33, 39, 43 |
       | a crashing lookup and many repeats                            | none  |
       | a crashing lookup and restarts                                | none  |
       | a crashing lookup and routers that join                       | none  |
--- a/tests/edge/quarantine_decisions.feature
+++ b/tests/edge/quarantine_decisions.feature
@@ -7,6 +7,20 @@
     And answers with "shared" begin
     Then 0.6 seconds later "crashing" is refused and "shared" is not
 
+  # Guards against BUDGET: a crash is taken for an earlier one, as the target's new entry is not yet read.
+  Scenario: Each crash of a target counts, also before its new entry is read
+    Given a quarantine
+    When one target crashes at 1, 4 and 7 seconds on "shared crashing" under its old entry
+    And answers with "shared" begin
+    Then 0.6 seconds later "crashing" is refused and "shared" is not
+
+  # Guards against LOST: one crash counts more than once, as routers name it differently.
+  Scenario: A crash counts once that two routers report by different entries
+    Given a quarantine
+    When one target crashes at 1 and 4 seconds on "shared crashing", each reported by both entries
+    And answers with "shared" begin
+    Then 0.6 seconds later nothing is refused
+
   # Guards against LOST: a part is refused because targets died of something else.
   Scenario Outline: <what> puts nothing under quarantine
     Given a quarantine
--- a/tests/steps/quarantine_decision_steps.py
+++ b/tests/steps/quarantine_decision_steps.py
@@ -65,6 +65,33 @@
         run.quarantine.record_crash(CrashReport(crash, SERVICE, parts_of(text)))
 
 
+@when(
+    "one target crashes at {first_s:g}, {second_s:g} and {third_s:g} seconds on "
+    '"{text}" under its old entry'
+)
+def crash_one_target(
+    context: Context, first_s: float, second_s: float, third_s: float, text: str
+) -> None:
+    run = context.run
+    for at_s in (first_s, second_s, third_s):
+        run.clock.now_s = run.began_at_s + at_s
+        report = CrashReport(CrashId("t@0"), SERVICE, parts_of(text))
+        run.quarantine.record_crash(run.quarantine.with_begun_parts(report))
+
+
+@when(
+    "one target crashes at {first_s:g} and {second_s:g} seconds on "
+    '"{text}", each reported by both entries'
+)
+def report_twice(context: Context, first_s: float, second_s: float, text: str) -> None:
+    run = context.run
+    for at_s, entry in ((first_s, 1), (second_s, 2)):
+        run.clock.now_s = run.began_at_s + at_s
+        for crash in (CrashId(f"t@{entry}"), CrashId(f"t@{entry - 1}+2")):
+            run.clock.now_s += 0.4
+            run.quarantine.record_crash(CrashReport(crash, SERVICE, parts_of(text)))
+
+
 @when('answers with "{text}" begin')
 def begin_answers(context: Context, text: str) -> None:
     for _ in range(BEGUN_ANSWERS):
--- a/tests/support/quarantine_cases.py
+++ b/tests/support/quarantine_cases.py
@@ -66,6 +66,7 @@
         "callers": 2,
         "first_event_s": rng.choice(((0.02, 0.06), (0.05, 0.1), (0.1, 0.3))),
         "has_prompts": False,
+        "duration_s": 60.0,
         "crashing": (),
         "crashing_requests": (draw_crashing_request(rng),),
     }
