Count a target's crash by itself before its new entry is read

Cause: a crash was named by the target and the start in its entry. A target that is back is sent requests at the same address at once, but its new entry takes up to 0.9 s to be read. A crash in that time had the name of the one before, was known or explained, and so was no evidence.

Change: quarantine/crash_times.

--- a/src/chervilstall/quarantine/crashes.py
+++ b/src/chervilstall/quarantine/crashes.py
@@ -7,9 +7,7 @@
 from dataclasses import dataclass, field
 
 from chervilstall.ids import CrashId, TargetId
-
-SAME_CRASH_S = 1.0
-"""Time in which failures of one target count as the same crash."""
+from chervilstall.quarantine.crash_times import SAME_CRASH_S
 
 
 @dataclass(frozen=True)
--- a/src/chervilstall/quarantine/prompts.py
+++ b/src/chervilstall/quarantine/prompts.py
@@ -27,7 +27,8 @@
 from dataclasses import dataclass, field, replace
 
 from chervilstall.ids import PartId, ServiceName
-from chervilstall.quarantine.evidence import EvidenceLog
+from chervilstall.quarantine.crash_times import CrashTimes
+from chervilstall.quarantine.evidence import EVIDENCE_VALID_S, EvidenceLog
 from chervilstall.quarantine.quarantined import QuarantinedPart
 from chervilstall.quarantine.records import (
     ClaimTrial,
@@ -89,6 +90,7 @@
 
     on_action: Callable[[QuarantineAction], None] = _ignore
     log: EvidenceLog = field(default_factory=EvidenceLog)
+    _crash_times: CrashTimes = field(default_factory=CrashTimes)
     _quarantined: dict[PartKey, QuarantinedPart] = field(default_factory=dict)
     _often_crashed: set[PartKey] = field(default_factory=set)
     _crashed_services: dict[PartId, set[ServiceName]] = field(default_factory=dict)
@@ -153,6 +155,7 @@
 
     def record_crash(self, report: CrashReport) -> None:
         """Record a crash that this router or another one saw."""
+        report = self._crash_times.identify(report)
         digests = (request.digest for request in report.requests)
         parts = (*report.parts, *digests)
         if any(PartKey(report.service, part) in self._quarantined for part in parts):
@@ -165,7 +168,7 @@
         self._quarantine_likeliest(added)
 
     def with_begun_parts(self, report: CrashReport) -> CrashReport:
-        """Return a report of this router with what it knows of the parts.
+        """Return a report of this router with what it knows of the crash and the parts.
 
         Where callers named very many, those with which answers began are left out, and
         then some that differ from crash to crash.
@@ -178,7 +181,12 @@
             return has_begun(part), zlib.crc32(f"{report.crash} {part}".encode())
 
         parts = tuple(sorted(report.parts, key=rank)[:REPORTED_PARTS_MAX])
-        return replace(report, parts=parts, begun_parts=tuple(filter(has_begun, parts)))
+        return replace(
+            report,
+            crash=self._crash_times.name(report),
+            parts=parts,
+            begun_parts=tuple(filter(has_begun, parts)),
+        )
 
     def _quarantine_likeliest(self, keys: list[PartKey]) -> None:
         """Put those parts under quarantine that explain the crashes best.
@@ -292,7 +300,8 @@
 
         An entry that `is_old`, as one read at the start, is in force at once.
         """
-        self.log.explain(entry.crashes, {entry.key.part})
+        crashes = [self._crash_times.known_as(crash) for crash in entry.crashes]
+        self.log.explain(crashes, {entry.key.part})
         known = self._quarantined.get(entry.key)
         if known is None:
             if self._is_refuted(entry) and not is_old:
@@ -374,6 +383,7 @@
     def expire(self) -> None:
         """Drop what is past, and have entries kept that are still needed."""
         self.log.expire()
+        self._crash_times.expire(EVIDENCE_VALID_S)
         self._often_crashed &= self.log.evidence.keys()
         now_s = time.monotonic()
         for key, known in list(self._quarantined.items()):
