Register stand-ins anew as they start again, as the platform does

Trace: the targets were back after 1 s and avoided for 4 s, since their entries did not change.

Cause: the stand-in. A router drops what it believed of the old id with its entry.

Change: a stand-in that crashed and listens again calls on_restart; the tests' platform removes its entry and registers it under a new id.

--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -2,7 +2,7 @@
 
 import errno
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from enum import Enum
 from typing import Any, NoReturn
 
@@ -78,7 +78,8 @@
     `first_event_s` after its request, another answer `answer_s` after it. A request
     that names one of `crashing_parts`, or whose request target is one of
     `crashing_targets`, crashes this target, a stream after `events_before_crash`; the
-    target listens again at the same address `restart_s` later.
+    target listens again at the same address `restart_s` later, and calls `on_restart`,
+    for each start is registered anew.
     """
 
     def __init__(self, name: str, address: Address) -> None:
@@ -103,6 +104,7 @@
         self.crashing_targets: frozenset[str] = frozenset()
         self.events_before_crash = 0
         self.restart_s = 3.2
+        self.on_restart: Callable[[], None] = lambda: None
         self._restart: gevent.Greenlet | None = None
         self.server = ResettableServer(address, self)
 
@@ -133,6 +135,7 @@
     def _listen_again(self, address: Address) -> None:
         self.server = ResettableServer(address, self)
         self.server.start()
+        self.on_restart()
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -16,6 +16,7 @@
     CALLER_HOST,
     build_configuration,
     build_request_headers,
+    remove_target_entry,
     write_configuration,
     write_target_entry,
 )
@@ -70,18 +71,30 @@
         if layers is not None:
             target.layers = layers
         target.start()
+        target.on_restart = lambda: self._register_restart(name, service, zone)
         self.targets[name] = target
         self.register(name, service, zone)
         return target
 
+    def _register_restart(self, name: str, service: str, zone: str) -> None:
+        """Register a target that has crashed and started again, under its new id."""
+        target = self.targets[name]
+        remove_target_entry(self.store.state, target.name)
+        target.name = f"{name}-{len(target.log.crashed_at_s)}"
+        self.register(name, service, zone)
+
     def register(
-        self, name: str, service: str, zone: str, state: str = "ready"
+        self,
+        name: str,
+        service: str,
+        zone: str,
+        state: str = "ready",
     ) -> None:
         """Write a target's entry to the store, as the target does."""
         target = self.targets[name]
         write_target_entry(
             self.store.state,
-            name,
+            target.name,
             service,
             str(target.address),
             zone,
