Decide in one place which failures of a target are one crash

The product's interface kept the latest crash of each target itself (quarantine/crashes), the platform's routers name crashes by entries, and since crash_times the quarantine sorts out which reports are of one crash. Its rule is the same (one target, within 1 s), so the copy goes; the gateway names a failure by target and time, and the quarantine finds those of one crash.

Behaviour: the same, but that the time at which a target got a request counts from that request's own failure, not from the first one of the crash.

--- a/src/chervilstall/gateway/runtime.py
+++ b/src/chervilstall/gateway/runtime.py
@@ -187,7 +187,6 @@
             gevent.sleep(self.settings.target.poll_interval_s)
             self.queue.dispatch()
             self.relay.prompt_guard.expire()
-            self.service_guard.expire()
 
     def _renew_shares(self) -> None:
         while True:
--- a/src/chervilstall/gateway/service_guard.py
+++ b/src/chervilstall/gateway/service_guard.py
@@ -4,12 +4,12 @@
 """
 
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import gevent
 
 from chervilstall.ids import PartId, ServiceName, TargetId, WorkspaceName
-from chervilstall.quarantine.crashes import RecentCrashes
+from chervilstall.quarantine.crash_times import crash_at
 from chervilstall.quarantine.identity import request_digest
 from chervilstall.quarantine.prompts import PromptQuarantine
 from chervilstall.quarantine.records import CrashReport, LostRequest
@@ -43,7 +43,6 @@
     """Tells the quarantine what becomes of calls, and checks each with it."""
 
     quarantine: PromptQuarantine
-    _crashes: RecentCrashes = field(default_factory=RecentCrashes)
 
     def check(self, call: GuardedCall, may_have_run: bool) -> None:
         """Raise ChervilstallError for a call that may crash its next target."""
@@ -71,14 +70,13 @@
         if not refuses_connections(address, CONNECT_TIMEOUT_S):
             # A target that still listens has only lost this call.
             return
-        known = self._crashes.identify(target, lost_at_s)
         lost = LostRequest(call.digest, held_s=lost_at_s - sent_at_s)
         self.quarantine.record_crash(
             CrashReport(
-                known.crash, call.service, (), age_s=known.age_s, requests=(lost,)
+                crash_at(target, lost_at_s),
+                call.service,
+                (),
+                age_s=time.monotonic() - lost_at_s,
+                requests=(lost,),
             )
         )
-
-    def expire(self) -> None:
-        """Drop what is past; called once in a while."""
-        self._crashes.expire()
--- a/src/chervilstall/quarantine/crash_times.py
+++ b/src/chervilstall/quarantine/crash_times.py
@@ -8,16 +8,24 @@
 import time
 from dataclasses import dataclass, field, replace
 
-from chervilstall.ids import CrashId
+from chervilstall.ids import CrashId, TargetId
 from chervilstall.quarantine.records import CrashReport
 
 SAME_CRASH_S = 1.0
-"""Time in which reports of one target are of the same crash.
+"""Time in which reports and failures of one target are of the same crash.
 
 It covers the time that a report needs to reach the other routers.
 """
 
 
+def crash_at(target: TargetId, at_s: float) -> CrashId:
+    """Return the name of a crash for a router that knows targets by their ids alone.
+
+    Names that differ by less than SAME_CRASH_S are of one crash.
+    """
+    return CrashId(f"{target}@{at_s:.3f}")
+
+
 def crashed_target(crash: CrashId) -> str:
     """Return the target that a crash's name begins with.
 
--- a/src/chervilstall/stream/prompt_guard.py
+++ b/src/chervilstall/stream/prompt_guard.py
@@ -10,7 +10,7 @@
 import gevent
 
 from chervilstall.ids import PartId, ServiceName, TargetId
-from chervilstall.quarantine.crashes import RecentCrashes
+from chervilstall.quarantine.crash_times import crash_at
 from chervilstall.quarantine.prompts import PromptQuarantine
 from chervilstall.quarantine.records import (
     ClaimTrial,
@@ -39,7 +39,6 @@
     selector: ChainSelector
     engines: EngineClient
     quarantine: PromptQuarantine = field(init=False)
-    _crashes: RecentCrashes = field(default_factory=RecentCrashes)
 
     def __post_init__(self) -> None:
         self.quarantine = PromptQuarantine(self._carry_out)
@@ -85,19 +84,17 @@
         if engine is None or self.engines.fetch_load(engine.address) is not None:
             # An engine that answers has only lost this request.
             return
-        known = self._crashes.identify(target, lost_at_s)
         report = CrashReport(
-            known.crash,
+            crash_at(target, lost_at_s),
             _service(capability),
             _parts(prefixes),
-            age_s=known.age_s,
+            age_s=time.monotonic() - lost_at_s,
         )
         self.quarantine.record_crash(self.quarantine.with_begun_parts(report))
 
     def expire(self) -> None:
         """Drop what is past; called once in a while."""
         self.quarantine.expire()
-        self._crashes.expire()
 
 
 def _service(capability: Capability) -> ServiceName:
