--- a/tests/support/quarantine_fleet.py
+++ b/tests/support/quarantine_fleet.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field, replace
 
 from tests.support.clock import Clock
+from tests.support.quarantine_refusals import refused_sound_requests
 from tests.support.quarantine_router import (
     GuardedRequest,
     GuardedRouter,
@@ -28,14 +29,10 @@
 from tests.support.quarantine_store import SharedStore
 from tests.support.quarantine_targets import ModelTarget, TargetEntries
 from tests.support.quarantine_traffic import (
-    POPULAR,
     WARM_UP_S,
     PromptRequest,
     QuarantineCase,
-    digest_of,
     draw_request,
-    first_part,
-    middle_parts,
 )
 from tests.support.simulated_tasks import SimulatedTasks
 
@@ -115,25 +112,12 @@
         )
 
     def _refused_sound_requests(self) -> set[tuple[str, str, int]]:
-        """Return service, parts and router of sound requests that are refused now."""
-        refused = set()
-        for service in self.case.services:
-            for caller in range(self.case.callers):
-                for middle in middle_parts():
-                    parts = (first_part(caller), middle)
-                    for digest in (digest_of(0), digest_of(POPULAR)):
-                        request = PromptRequest(0, service, parts, NONE, NONE, digest)
-                        for index in self._refusing_routers(request):
-                            refused.add((service, f"{digest} {parts}", index))
-        return refused
-
-    def _refusing_routers(self, request: PromptRequest) -> list[int]:
-        return [
-            index
+        in_touch = [
+            router
             for index, router in self.routers.items()
             if self.is_in_touch(index, self.now_s)
-            and not router.guarded.may_send(self._guarded(request), False)
         ]
+        return refused_sound_requests(self.case, in_touch)
 
     def _at(self, at_s: float, action: Callable[[], object]) -> None:
         """Run an action at a time since the start."""
