--- a/tests/run.py
+++ b/tests/run.py
@@ -27,13 +27,15 @@
 class FeatureResult:
     """Result of one feature file.
 
-    `verdicts` tells whether a scenario passed, by name.
+    `verdicts` tells whether a scenario passed, by name, and `logs` holds what was
+    logged in those that failed.
     """
 
     passed: int = 0
     failures: list[str] = field(default_factory=list)
     output: str = ""
     verdicts: dict[str, bool] = field(default_factory=dict)
+    logs: dict[str, str] = field(default_factory=dict)
 
 
 def read_known_failures() -> set[str]:
@@ -50,7 +52,11 @@
     host = f"127.{1 + os.getpid() % SUBNET_COUNT}.1.{index + 1}"
     environment = {**os.environ, "CHERVILSTALL_TEST_HOST": host}
     started_at_s = time.monotonic()
-    with tempfile.NamedTemporaryFile(suffix=".json") as report:
+    with (
+        tempfile.NamedTemporaryFile(suffix=".json") as report,
+        tempfile.NamedTemporaryFile(suffix=".log") as log,
+    ):
+        environment["CHERVILSTALL_TEST_LOG"] = log.name
         command = [sys.executable, "-m", "behave", "--no-summary", "--no-color"]
         command += ["--format", "json", "--outfile", report.name]
         command += ["--format", "progress", "--outfile", "/dev/null", str(path)]
@@ -58,7 +64,9 @@
             command, cwd=ROOT, capture_output=True, text=True, env=environment
         )
         report_text = Path(report.name).read_text()
+        logs = parse_logs(Path(log.name).read_text())
     result = parse_report(report_text)
+    result.logs = logs
     elapsed_s = time.monotonic() - started_at_s
     name = path.relative_to(ROOT)
     result.output = f"{name}: {result.passed} passed in {elapsed_s:.1f} s"
@@ -68,6 +76,12 @@
     return result
 
 
+def parse_logs(text: str) -> dict[str, str]:
+    """Return what was logged in scenarios that failed, by their names."""
+    records = [json.loads(line) for line in text.splitlines()]
+    return {each["scenario"]: "\n".join(each["lines"]) for each in records}
+
+
 def parse_report(text: str) -> FeatureResult:
     """Parse a JSON report of behave."""
     result = FeatureResult()
@@ -133,6 +147,7 @@
                 continue
             failed += 1
             print(f"FAILED: {failure}")
+            print(f"logged there, at the end:\n{result.logs.get(name, 'nothing')}")
     if table_path is not None:
         append_matrix_table(table_path, results)
     print(f"{passed} passed, {failed} failed")
