Keep soak runs at the same time from sharing addresses

Seen: three soaks by hand at once, all from seed 3000 on: "a non-idempotent request is executed at most once" broken for most requests, run on targets of all three.

Cause: a run's addresses came from process id plus seed. Runs started one after the other have ids in a row, and as one is a seed ahead, two have the same addresses; routers listen there with a shared port, so that each run got the others' requests.

Change: soak/subnets. A run binds a port of its subnet and takes the next subnet if it is taken. No program but the soak uses it.

--- a/src/chervilstall/soak/fleet.py
+++ b/src/chervilstall/soak/fleet.py
@@ -19,6 +19,7 @@
 from chervilstall.settings.option import Address
 from chervilstall.soak.cut_links import RouterLinks, RouterStoreView
 from chervilstall.soak.links import LinkProxy
+from chervilstall.soak.subnets import subnet_host
 from chervilstall.soak.targets import LONG_DRAFT_PREFIX, PacedTarget, SoakTarget
 from chervilstall.standin.platform_fixtures import (
     LAYERS,
@@ -169,7 +170,7 @@
 
     def host(self, number: int) -> str:
         """Return the loopback address of this run with `number` as its last octet."""
-        return f"127.{100 + self.subnet // 250}.{1 + self.subnet % 250}.{number}"
+        return subnet_host(self.subnet, number)
 
     def start(self, router_count: int) -> None:
         """Start the store, targets and routers."""
--- a/src/chervilstall/soak/run.py
+++ b/src/chervilstall/soak/run.py
@@ -30,6 +30,7 @@
 from chervilstall.soak.process_sampler import ProcessSampler, read_stolen_s
 from chervilstall.soak.shutdown_invariants import check_shutdowns
 from chervilstall.soak.shutdowns import ShutdownInjector
+from chervilstall.soak.subnets import claim_subnet
 from chervilstall.soak.visitors import ShutdownVisitors
 
 RECOVERY_CALLER_COUNT = 8
@@ -55,7 +56,6 @@
 
 LAG_CHECK_S = 0.02
 SERVED_SHARE_MIN = 0.9
-SUBNET_COUNT = 10_000
 OWN_PROCESS = "soak"
 """Name of this process among those that are sampled; it is also targets and store."""
 
@@ -118,7 +118,7 @@
     `log_directory`.
     """
     rng = random.Random(seed)
-    subnet = (os.getpid() + seed) % SUBNET_COUNT
+    subnet, claim = claim_subnet(os.getpid() + seed)
     objective_ms = rng.choice(LATENCY_OBJECTIVES_MS) if options.has_series else None
     fleet = SoakFleet(subnet, rng, options.grace_s, objective_ms)
     lag = LagMonitor()
@@ -155,6 +155,7 @@
     finally:
         gevent.killall(monitors)
         fleet.stop()
+        claim.close()
     return {
         "seed": seed,
         "seconds": options.duration_s,
--- a/tests/soak/invariants.feature
+++ b/tests/soak/invariants.feature
@@ -45,6 +45,11 @@
     When two faults start the same router concurrently
     Then one process was started
 
+  # Guards against runs that answer each other's requests, which look like requests run twice.
+  Scenario: Two runs that start at the same addresses use different ones
+    When two runs claim the same addresses
+    Then they get different ones, and the first are free once their run has ended
+
   Scenario: A short run with a fixed seed violates no invariant
     When the soak test runs with seed 7 for 4 seconds
     Then it sent requests, injected faults and found no violation
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -1,5 +1,6 @@
 """Steps for the soak test."""
 
+import os
 import signal
 import sys
 import tempfile
@@ -18,6 +19,7 @@
 from chervilstall.soak.run import OWN_PROCESS, FaultMix, SoakOptions, run_soak
 from chervilstall.soak.shutdown_invariants import check_shutdowns
 from chervilstall.soak.shutdowns import Shutdown
+from chervilstall.soak.subnets import claim_subnet
 from tests.support.router_harness import ANY_PORT, HOST
 
 EXPECTED_EVENTS = 3
@@ -123,6 +125,23 @@
     assert len(context.started) == 1, context.started
 
 
+@when("two runs claim the same addresses")
+def claim_twice(context: Context) -> None:
+    context.first = os.getpid()
+    context.claims = [claim_subnet(context.first) for _ in range(2)]
+
+
+@then("they get different ones, and the first are free once their run has ended")
+def check_claims(context: Context) -> None:
+    (subnet, claim), (other_subnet, other_claim) = context.claims
+    assert subnet != other_subnet
+    claim.close()
+    again, claim = claim_subnet(subnet)
+    assert again == subnet
+    claim.close()
+    other_claim.close()
+
+
 @when("the soak test cuts routers off with seed {seed:d} for {duration_s:d} seconds")
 def run_cuts(context: Context, seed: int, duration_s: int) -> None:
     context.report = run_soak(seed, SoakOptions(duration_s, FaultMix.CUTS))
