Log how long readings of the store wait and how long they take

Each full reading, and each watch whose response takes 0.2 s or more, now has a line with its size, its wait and its transfer. What a router decides is unchanged.

--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -1,9 +1,9 @@
 """Client of the platform's key-value store."""
 
 import base64
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any, TypeVar
+from typing import TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -84,10 +84,17 @@
 
 @dataclass(frozen=True)
 class EntryBatch:
-    """Entries and the revision of the store up to which they are complete."""
+    """Entries and the revision of the store up to which they are complete.
+
+    `sent_at_s` is the monotonic time of the call, and `responded_at_s` that at which
+    its response began. `size_bytes` is the size of the response on the wire.
+    """
 
     entries: tuple[Entry, ...]
     revision: int
+    sent_at_s: float
+    responded_at_s: float
+    size_bytes: int
 
 
 @dataclass(frozen=True)
@@ -123,18 +130,24 @@
         The revision is that of the first page.
         """
         found: list[Entry] = []
-        after = ""
-        revision = 0
+        first: CallResponse | None = None
+        size_bytes = revision = 0
+        query = {"prefix": prefix}
         while True:
-            query = {"prefix": prefix, "after": after} if after else {"prefix": prefix}
-            page = self._get("/chervilstall/kv-range", query, _RangeResponse)
+            response = self._get("/chervilstall/kv-range", query)
+            page = _decode(response, _RangeResponse)
             # The pages are no consistent snapshot, so the revision of the first page
             # counts: a watch from there returns all changes made during the reading.
             revision = revision or page.at
+            first = first or response
+            size_bytes += len(response.body)
             found.extend(_entry(item) for item in page.items)
             if not page.has_more or not page.items:
-                return EntryBatch(tuple(found), revision)
-            after = page.items[-1].key
+                break
+            query["after"] = page.items[-1].key
+        return EntryBatch(
+            tuple(found), revision, first.sent_at_s, first.responded_at_s, size_bytes
+        )
 
     def recent_revision(self, key: str, timeout_s: float) -> int:
         """Return a revision of the store that is at most a few seconds old.
@@ -143,8 +156,8 @@
         it from a replica that lags behind.
         """
         query = {"prefix": key, "allow-stale": 1}
-        path = "/chervilstall/kv-range"
-        return self._get(path, query, _RangeResponse, timeout_s).at
+        response = self._get("/chervilstall/kv-range", query, timeout_s)
+        return _decode(response, _RangeResponse).at
 
     def get(self, key: str) -> Entry | None:
         """Return a key's entry, or None if it is absent."""
@@ -161,8 +174,15 @@
         """
         query = {"prefix": prefix, "after": after, "wait-ms": int(wait_s * 1e3)}
         path = "/chervilstall/kv-watch"
-        response = self._get(path, query, _WatchResponse, CALL_TIMEOUT_S + wait_s)
-        return EntryBatch(tuple(_entry(item) for item in response.events), response.at)
+        response = self._get(path, query, CALL_TIMEOUT_S + wait_s)
+        changes = _decode(response, _WatchResponse)
+        return EntryBatch(
+            tuple(_entry(item) for item in changes.events),
+            changes.at,
+            response.sent_at_s,
+            response.responded_at_s,
+            len(response.body),
+        )
 
     def write(
         self, key: str, value: bytes, expected_revision: int | None, lease: int = 0
@@ -215,14 +235,9 @@
         self._call("DELETE", path, None)
 
     def _get(
-        self,
-        path: str,
-        query: dict[str, Any],
-        kind: type[T],
-        timeout_s: float = CALL_TIMEOUT_S,
-    ) -> T:
-        response = self._call("GET", f"{path}?{urlencode(query)}", None, timeout_s)
-        return _decode(response, kind)
+        self, path: str, query: Mapping[str, object], timeout_s: float = CALL_TIMEOUT_S
+    ) -> CallResponse:
+        return self._call("GET", f"{path}?{urlencode(query)}", None, timeout_s)
 
     def _call(
         self,
--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -32,6 +32,9 @@
 change has to be in force.
 """
 
+SLOW_TRANSFER_S = 0.2
+"""Time for receiving a response from which it is logged."""
+
 LARGE_VALUE_BYTES = 100_000
 """Size of a value above which its versions aren't read one by one."""
 
@@ -124,6 +127,7 @@
             self._read_all()
             return
         batch = self._call_interruptibly(self._watch)
+        _log_batch("watch", batch)
         for entry in batch.entries:
             self._dispatch(entry)
         self.revision = max(self.revision, batch.revision)
@@ -134,6 +138,7 @@
     def _read_all(self) -> None:
         self._must_read_all = False
         batch = self._call_interruptibly(self._list)
+        _log_batch("full read", batch)
         if self.is_disconnected:
             # Entries may have expired during the outage although their targets run.
             self.fleet_view.note_outage()
@@ -194,6 +199,22 @@
         result.set_exception(error)
 
 
+def _log_batch(call: str, batch: EntryBatch) -> None:
+    """Log how long a batch took, unless a watch brought it in little time."""
+    transfer_s = time.monotonic() - batch.responded_at_s
+    if call == "watch" and transfer_s < SLOW_TRANSFER_S:
+        return
+    log.info(
+        "entries read",
+        by=call,
+        entries=len(batch.entries),
+        kilobytes=batch.size_bytes // 1000,
+        waited_s=round(batch.responded_at_s - batch.sent_at_s, 3),
+        transfer_s=round(transfer_s, 3),
+        revision=batch.revision,
+    )
+
+
 def _is_large(entry: Entry) -> bool:
     return entry.value is not None and len(entry.value) > LARGE_VALUE_BYTES
 
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -283,11 +283,17 @@
 
 @dataclass(frozen=True)
 class CallResponse:
-    """Response to a short call; `headers` are keyed by lower-case name."""
+    """Response to a short call; `headers` are keyed by lower-case name.
+
+    `sent_at_s` and `responded_at_s` are the monotonic times at which the call began and
+    at which its status and headers were there.
+    """
 
     status: int
     body: bytes
     headers: dict[str, str]
+    sent_at_s: float
+    responded_at_s: float
 
 
 def call_once(
@@ -307,14 +313,18 @@
     sent, and another OSError or HTTPParseError where no complete response arrived.
     """
     client = single_use_client(address, settings, timeout_s, body_max_bytes)
+    sent_at_s = time.monotonic()
     try:
         with gevent.Timeout(timeout_s, TimeoutError):
             response = client.request(method, path, body=body, headers=headers)
+            responded_at_s = time.monotonic()
             content = response.read()
     finally:
         client.close()
     headers = {name.lower(): str(value) for name, value in response.headers}
-    return CallResponse(response.status_code, content, headers)
+    return CallResponse(
+        response.status_code, content, headers, sent_at_s, responded_at_s
+    )
 
 
 def refuses_connections(address: Address, timeout_s: float) -> bool:
