Read a large configuration by itself, and go on hearing of targets meanwhile

All news came through one watch, so that a configuration of 1 MB on a link of 10 Mbit/s held back what came after it for over a second, and was then read a second time together with everything else.

A watch whose response is larger than 128 KiB is given up at its headers. The configuration is read by its key, in its latest version, and the targets' and routers' keys are watched by themselves until it is there. A reading of the whole store begins with the targets and applies them before the rest arrives. A long response is given up after 2 s without a byte, no longer 2 s after the call. The second reading after each large change is gone.

--- a/src/chervilstall/edge/store_handlers.py
+++ b/src/chervilstall/edge/store_handlers.py
@@ -6,13 +6,13 @@
 from chervilstall.edge.registry import RouterRegistry
 from chervilstall.fleet.view import FleetView
 from chervilstall.platform import protocol
-from chervilstall.platform.peers import PEERS_PREFIX
-from chervilstall.platform.quarantine import CRASHES_PREFIX, QUARANTINE_PREFIX
-from chervilstall.platform.watcher import (
+from chervilstall.platform.handlers import (
     EntryHandler,
     configuration_handler,
     target_handler,
 )
+from chervilstall.platform.peers import PEERS_PREFIX
+from chervilstall.platform.quarantine import CRASHES_PREFIX, QUARANTINE_PREFIX
 
 
 def build_handlers(
--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -1,6 +1,7 @@
 """Client of the platform's key-value store."""
 
 import base64
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import TypeVar
@@ -18,7 +19,8 @@
     require_ok,
 )
 from chervilstall.store.contract import StoreFailed
-from chervilstall.target.connection import JSON_HEADERS, CallResponse
+from chervilstall.target.calls import CallResponse, LongBody
+from chervilstall.target.connection import JSON_HEADERS, UNREAD_MAX_BYTES
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("store")
@@ -26,6 +28,9 @@
 T = TypeVar("T")
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
+STALL_TIMEOUT_S = 2.0
+"""Longest wait for the next piece of a long response."""
+
 HTTP_HISTORY_GONE = 410
 HTTP_PRECONDITION_FAILED = 412
 
@@ -64,6 +69,14 @@
     events: list[_Item] = []
 
 
+class _KeyResponse(_Item):
+    at: int = 0
+
+
+class _Missing(msgspec.Struct):
+    at: int = 0
+
+
 class _WriteResponse(msgspec.Struct):
     revision: int
 
@@ -115,6 +128,9 @@
     `era` counts how often the store came back from an earlier copy of its content, as
     far as its responses have told; `on_new_era` is called when it grows. The response
     that shows it, and any that still comes from an earlier era, raise EraChanged.
+
+    `entries_received_at_s` is the monotonic time at which a part of a watch, a listing
+    or an entry has last arrived.
     """
 
     def __init__(self, settings: StoreAddress) -> None:
@@ -122,6 +138,8 @@
         self.calls = 0
         self.era = 0
         self.on_new_era: Callable[[], None] = lambda: None
+        self.entries_received_at_s = float("-inf")
+        self._entries_body = LongBody(STALL_TIMEOUT_S, self._note_received)
         self._connections = TargetSettings(connect_timeout_s=CONNECT_TIMEOUT_S)
 
     def list_entries(self, prefix: str) -> EntryBatch:
@@ -134,7 +152,7 @@
         size_bytes = revision = 0
         query = {"prefix": prefix}
         while True:
-            response = self._get("/chervilstall/kv-range", query)
+            response = self._get_entries("/chervilstall/kv-range", query)
             page = _decode(response, _RangeResponse)
             # The pages are no consistent snapshot, so the revision of the first page
             # counts: a watch from there returns all changes made during the reading.
@@ -167,14 +185,40 @@
             return None
         return _entry(_decode(response, _Item))
 
-    def watch(self, prefix: str, after: int, wait_s: float) -> EntryBatch:
+    def read_entry(self, key: str) -> EntryBatch:
+        """Return a key's entry, if it is there, and the revision of the store."""
+        response = self._get_entries("/chervilstall/kv-key", {"key": key})
+        found: tuple[Entry, ...] = ()
+        if response.status == HTTP_NOT_FOUND:
+            revision = decode_body(response.body, _Missing).at
+        else:
+            item = _decode(response, _KeyResponse)
+            found = (_entry(item),)
+            revision = item.at
+        return EntryBatch(
+            found,
+            revision,
+            response.sent_at_s,
+            response.responded_at_s,
+            len(response.body),
+        )
+
+    def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        size_max_bytes: int = UNREAD_MAX_BYTES,
+    ) -> EntryBatch:
         """Return changes after a revision, waiting up to `wait_s` for the first.
 
-        Raises HistoryGone if the store no longer keeps them.
+        Raises HistoryGone if the store no longer keeps them, and ResponseTooLarge for a
+        response of more than `size_max_bytes`.
         """
         query = {"prefix": prefix, "after": after, "wait-ms": int(wait_s * 1e3)}
         path = "/chervilstall/kv-watch"
-        response = self._get(path, query, CALL_TIMEOUT_S + wait_s)
+        timeout_s = CALL_TIMEOUT_S + wait_s
+        response = self._get_entries(path, query, timeout_s, size_max_bytes)
         changes = _decode(response, _WatchResponse)
         return EntryBatch(
             tuple(_entry(item) for item in changes.events),
@@ -239,18 +283,48 @@
     ) -> CallResponse:
         return self._call("GET", f"{path}?{urlencode(query)}", None, timeout_s)
 
+    def _get_entries(
+        self,
+        path: str,
+        query: Mapping[str, object],
+        timeout_s: float = CALL_TIMEOUT_S,
+        size_max_bytes: int = UNREAD_MAX_BYTES,
+    ) -> CallResponse:
+        """Make a call whose response may take long to arrive."""
+        return self._call(
+            "GET",
+            f"{path}?{urlencode(query)}",
+            None,
+            timeout_s,
+            size_max_bytes,
+            self._entries_body,
+        )
+
+    def _note_received(self) -> None:
+        self.entries_received_at_s = time.monotonic()
+
     def _call(
         self,
         method: str,
         path: str,
         body: object,
         timeout_s: float = CALL_TIMEOUT_S,
+        size_max_bytes: int = UNREAD_MAX_BYTES,
+        long_body: LongBody | None = None,
     ) -> CallResponse:
         self.calls += 1
         address = self.settings.address
         content = b"" if body is None else msgspec.json.encode(body)
         response = call_store(
-            address, self._connections, timeout_s, method, path, content, JSON_HEADERS
+            address,
+            self._connections,
+            timeout_s,
+            method,
+            path,
+            content,
+            JSON_HEADERS,
+            size_max_bytes,
+            long_body,
         )
         self._check_era(response)
         return response
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -13,7 +13,8 @@
 from chervilstall.platform import protocol
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address, parse_address
-from chervilstall.target.connection import JSON_HEADERS, CallResponse, call_once
+from chervilstall.target.calls import CallResponse, call_once
+from chervilstall.target.connection import JSON_HEADERS
 
 CALL_TIMEOUT_S = 1.5
 RESPONSE_MAX_BYTES = 1_000_000
--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -3,22 +3,22 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from typing import TypeVar
 
 import gevent
 from gevent.event import AsyncResult, Event
 
 from chervilstall.fleet.view import FleetView
-from chervilstall.ids import TargetId
 from chervilstall.platform import protocol
-from chervilstall.platform.config import decode_configuration
+from chervilstall.platform.handlers import EntryHandler
 from chervilstall.platform.kv import Entry, EntryBatch, HistoryGone, PlatformStore
-from chervilstall.platform.targets import decode_target
-from chervilstall.store.contract import StoreFailed
+from chervilstall.platform.separate_reading import SeparateReading
+from chervilstall.store.contract import ResponseTooLarge, StoreFailed
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("store")
 
+T = TypeVar("T")
 WATCH_TIMEOUT_S = 20.0
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 1.0
@@ -32,26 +32,22 @@
 change has to be in force.
 """
 
+ANSWER_MAX_S = 0.5
+"""Time after a change in which the store has answered a watch that was waiting."""
+
 SLOW_TRANSFER_S = 0.2
 """Time for receiving a response from which it is logged."""
 
-LARGE_VALUE_BYTES = 100_000
-"""Size of a value above which its versions aren't read one by one."""
+LARGE_RESPONSE_BYTES = 131_072
+"""Size of a watch's response from which the configuration is read by itself."""
 
 ALL_KEYS_PREFIX = ""
+SMALL_PREFIXES = (protocol.TARGETS_PREFIX, protocol.ROUTER_KEYS_PREFIX)
+"""Prefixes of small values, the most urgent first."""
 
 
-@dataclass(frozen=True)
-class EntryHandler:
-    """Callbacks for the entries below a prefix.
-
-    `on_entry` is called with each new entry, `on_full_read` with all keys that a full
-    read returned, so that keys whose deletion was missed can be dropped.
-    """
-
-    prefix: str
-    on_entry: Callable[[Entry], None]
-    on_full_read: Callable[[list[str]], None]
+class WatchAbandoned(StoreFailed):
+    """The watch brought nothing although the store answers and has changed."""
 
 
 class StoreWatcher:
@@ -59,9 +55,11 @@
 
     One watch serves all handlers, so that any change in the store shows whether the
     watch is alive. It continues from the last revision seen. The whole store is read
-    again if it no longer keeps the changes since then, and if a watch would return
-    many versions of a large value: after an outage, and while such a value keeps
-    changing.
+    again if it no longer keeps the changes since then, and after an outage. Where a
+    watch would return much, the configuration is read by itself, in its latest version
+    only, and what else has changed comes apart from it.
+
+    `watching_since_s` is the monotonic time since which a watch waits, or None.
     """
 
     def __init__(
@@ -76,8 +74,8 @@
         self.revision = 0
         self.change_pause_s = CHANGE_PAUSE_S
         self.answered_at_s = time.monotonic()
+        self.watching_since_s: float | None = None
         self._retry_s = RETRY_FIRST_S
-        self._has_large_change = False
         self._must_read_all = False
         self._interrupted = Event()
         self._pending_call: AsyncResult | None = None
@@ -96,15 +94,22 @@
 
     def interrupt(self, reason: str) -> None:
         """Abort the waiting call, or the pause before the next one, and call again."""
-        self._interrupted.set()
-        if self._pending_call is not None:
-            self._pending_call.set_exception(StoreFailed(reason))
+        self._end_call(StoreFailed(reason))
+
+    def abandon_watch(self) -> None:
+        """Watch again from the same revision, as the present watch brings nothing."""
+        self._end_call(WatchAbandoned("the watch delivers no changes"))
 
     def restart(self) -> None:
         """Read the whole store again, since revisions of before mean nothing."""
         self._must_read_all = True
         self.interrupt("revisions went back")
 
+    def _end_call(self, error: StoreFailed) -> None:
+        self._interrupted.set()
+        if self._pending_call is not None:
+            self._pending_call.set_exception(error)
+
     def run(self) -> None:
         """Watch until the process ends; one task runs this."""
         while True:
@@ -114,6 +119,8 @@
             except HistoryGone:
                 log.warning("history gone", at=self.revision)
                 self.revision = 0
+            except WatchAbandoned as error:
+                log.warning("watch abandoned", at=self.revision, why=error.message)
             except StoreFailed as error:
                 self._record_failure(error)
                 self._interrupted.wait(self._retry_s * random.uniform(0.7, 1.3))
@@ -121,62 +128,100 @@
 
     def _step(self) -> None:
         self._interrupted.clear()
-        if self.revision == 0 or self.is_disconnected or self._has_large_change:
+        if self.revision == 0 or self.is_disconnected:
             self._must_read_all = True
         if self._must_read_all:
-            self._read_all()
+            self._must_read_all = False
+            self.revision = self._call_interruptibly(self._read_all)
+            return
+        try:
+            batch = self._watch_all()
+        except ResponseTooLarge:
+            self._read_separately()
             return
-        batch = self._call_interruptibly(self._watch)
         _log_batch("watch", batch)
-        for entry in batch.entries:
-            self._dispatch(entry)
+        self._apply_changes(ALL_KEYS_PREFIX, batch)
         self.revision = max(self.revision, batch.revision)
-        self._has_large_change = any(_is_large(entry) for entry in batch.entries)
         if batch.entries:
             gevent.sleep(self.change_pause_s)
 
-    def _read_all(self) -> None:
-        self._must_read_all = False
-        batch = self._call_interruptibly(self._list)
+    def _watch_all(self) -> EntryBatch:
+        self.watching_since_s = time.monotonic()
+        try:
+            return self._call_interruptibly(
+                lambda: self.store.watch(
+                    ALL_KEYS_PREFIX,
+                    self.revision,
+                    WATCH_TIMEOUT_S,
+                    LARGE_RESPONSE_BYTES,
+                )
+            )
+        finally:
+            self.watching_since_s = None
+
+    def _read_separately(self) -> None:
+        """Read the configuration by itself, as much has changed."""
+        began_at_s = time.monotonic()
+        revisions = dict.fromkeys(SMALL_PREFIXES, self.revision)
+        self.revision = self._call_interruptibly(
+            lambda: self._read_configuration(revisions)
+        )
+        elapsed_s = time.monotonic() - began_at_s
+        gevent.sleep(max(0.0, self.change_pause_s - elapsed_s))
+
+    def _read_all(self) -> int:
+        """Read the whole store, targets first; return the revision to watch from."""
+        revisions = {prefix: self._read_prefix(prefix) for prefix in SMALL_PREFIXES}
+        return self._read_configuration(revisions)
+
+    def _read_configuration(self, revisions: dict[str, int]) -> int:
+        reading = SeparateReading(
+            self.store,
+            revisions,
+            self.change_pause_s,
+            self._apply_changes,
+            self._read_prefix,
+        )
+        return reading.run()
+
+    def _read_prefix(self, prefix: str) -> int:
+        """Read all entries below a prefix, and return the revision they are of."""
+        batch = self.store.list_entries(prefix)
         _log_batch("full read", batch)
         if self.is_disconnected:
             # Entries may have expired during the outage although their targets run.
             self.fleet_view.note_outage()
-        before = self.fleet_view.configuration
         for entry in batch.entries:
             self._dispatch(entry)
         keys = [entry.key for entry in batch.entries]
         for handler in self.handlers:
-            handler.on_full_read(
-                [key for key in keys if key.startswith(handler.prefix)]
-            )
-        self.revision = batch.revision
-        has_changed = before is not self.fleet_view.configuration
-        self._has_large_change = has_changed and any(map(_is_large, batch.entries))
-        if self._has_large_change:
-            gevent.sleep(self.change_pause_s)
+            if handler.prefix.startswith(prefix):
+                handler.on_full_read(
+                    [key for key in keys if key.startswith(handler.prefix)]
+                )
+        return batch.revision
+
+    def _apply_changes(self, prefix: str, batch: EntryBatch) -> None:
+        """Apply the changes that a watch of a prefix returned, or a single entry."""
+        for entry in batch.entries:
+            self._dispatch(entry)
 
     def _dispatch(self, entry: Entry) -> None:
         for handler in self.handlers:
             if entry.key.startswith(handler.prefix):
                 handler.on_entry(entry)
 
-    def _call_interruptibly(self, call: Callable[[], EntryBatch]) -> EntryBatch:
+    def _call_interruptibly(self, call: Callable[[], T]) -> T:
         """Make a call in a separate task, so that `interrupt` can end the wait."""
         result = self._pending_call = AsyncResult()
         task = gevent.spawn(_run_call, call, result)
         try:
-            return result.get()
+            value: T = result.get()
+            return value
         finally:
             self._pending_call = None
             task.kill(block=False)
 
-    def _watch(self) -> EntryBatch:
-        return self.store.watch(ALL_KEYS_PREFIX, self.revision, WATCH_TIMEOUT_S)
-
-    def _list(self) -> EntryBatch:
-        return self.store.list_entries(ALL_KEYS_PREFIX)
-
     def _record_success(self) -> None:
         self._retry_s = RETRY_FIRST_S
         self.answered_at_s = time.monotonic()
@@ -192,7 +237,7 @@
             log.warning("store lost", at=self.revision, why=error.message)
 
 
-def _run_call(call: Callable[[], EntryBatch], result: AsyncResult) -> None:
+def _run_call(call: Callable[[], object], result: AsyncResult) -> None:
     try:
         result.set(call())
     except StoreFailed as error:
@@ -213,45 +258,3 @@
         transfer_s=round(transfer_s, 3),
         revision=batch.revision,
     )
-
-
-def _is_large(entry: Entry) -> bool:
-    return entry.value is not None and len(entry.value) > LARGE_VALUE_BYTES
-
-
-def configuration_handler(fleet_view: FleetView) -> EntryHandler:
-    """Return the handler that puts the operator's configuration in force."""
-
-    def on_entry(entry: Entry) -> None:
-        if entry.value is None or entry.key != protocol.CONFIG_KEY:
-            return
-        try:
-            configuration = decode_configuration(entry.value)
-        except ValueError as error:
-            log.error("configuration unreadable", at=entry.revision, why=str(error))
-            return
-        fleet_view.apply_configuration(configuration, entry.revision)
-
-    return EntryHandler(protocol.CONFIG_KEY, on_entry, lambda keys: None)
-
-
-def target_handler(fleet_view: FleetView) -> EntryHandler:
-    """Return the handler that adds, updates and removes targets."""
-    prefix_length = len(protocol.TARGETS_PREFIX)
-
-    def on_entry(entry: Entry) -> None:
-        target_id = TargetId(entry.key[prefix_length:])
-        if entry.value is None:
-            fleet_view.remove_target(target_id)
-            return
-        target = decode_target(target_id, entry.value, entry.revision)
-        if target is None:
-            log.warning("target entry invalid", key=entry.key, at=entry.revision)
-            fleet_view.remove_target(target_id)
-            return
-        fleet_view.update_target(target)
-
-    def on_full_read(keys: list[str]) -> None:
-        fleet_view.retain_targets(TargetId(key[prefix_length:]) for key in keys)
-
-    return EntryHandler(protocol.TARGETS_PREFIX, on_entry, on_full_read)
--- a/src/chervilstall/store/calls.py
+++ b/src/chervilstall/store/calls.py
@@ -7,8 +7,13 @@
 
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
-from chervilstall.store.contract import StoreFailed, StoreRefused
-from chervilstall.target.connection import CallResponse, ConnectFailed, call_once
+from chervilstall.store.contract import ResponseTooLarge, StoreFailed, StoreRefused
+from chervilstall.target.calls import CallResponse, LongBody, call_once
+from chervilstall.target.connection import (
+    UNREAD_MAX_BYTES,
+    BodyTooLarge,
+    ConnectFailed,
+)
 
 T = TypeVar("T")
 HTTP_OK = 200
@@ -24,15 +29,30 @@
     path: str,
     body: bytes = b"",
     headers: dict[str, str] | None = None,
+    body_max_bytes: int = UNREAD_MAX_BYTES,
+    long_body: LongBody | None = None,
 ) -> CallResponse:
     """Make one call over a new connection and return the response.
 
-    Raises StoreRefused if the store has certainly not executed the call, and
-    StoreFailed if that is not known. The caller interprets all statuses outside
-    `REFUSING_STATUSES`.
+    Raises StoreRefused if the store has certainly not executed the call,
+    ResponseTooLarge if the response is larger than `body_max_bytes`, and StoreFailed if
+    it is not known whether the call was executed. The caller interprets all statuses
+    outside `REFUSING_STATUSES`.
     """
     try:
-        response = call_once(address, settings, timeout_s, method, path, body, headers)
+        response = call_once(
+            address,
+            settings,
+            timeout_s,
+            method,
+            path,
+            body,
+            headers,
+            body_max_bytes,
+            long_body,
+        )
+    except BodyTooLarge as error:
+        raise ResponseTooLarge(str(error)) from error
     except ConnectFailed as error:
         raise StoreRefused(f"cannot connect to the store: {error}") from error
     except (OSError, HTTPParseError) as error:
--- a/src/chervilstall/store/contract.py
+++ b/src/chervilstall/store/contract.py
@@ -28,6 +28,10 @@
     """A store call failed and was certainly not executed."""
 
 
+class ResponseTooLarge(StoreFailed):
+    """The response was larger than wanted; it was not read."""
+
+
 class StoreEntry(msgspec.Struct, frozen=True):
     """A key's value and the version of the write that set it."""
 
--- /dev/null
+++ b/src/chervilstall/target/calls.py
@@ -0,0 +1,94 @@
+"""Short HTTP calls, each over a connection of its own."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from geventhttpclient.response import HTTPSocketPoolResponse
+
+from chervilstall.settings.connections import TargetSettings
+from chervilstall.settings.option import Address
+from chervilstall.target.connection import (
+    UNREAD_MAX_BYTES,
+    BodyTooLarge,
+    single_use_client,
+)
+
+PIECE_BYTES = 16_384
+
+
+@dataclass(frozen=True)
+class CallResponse:
+    """Response to a short call; `headers` are keyed by lower-case name.
+
+    `sent_at_s` and `responded_at_s` are the monotonic times at which the call began and
+    at which its status and headers were there.
+    """
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+    sent_at_s: float
+    responded_at_s: float
+
+
+@dataclass(frozen=True)
+class LongBody:
+    """How a body is read that may take longer than the wait for its response.
+
+    `stall_timeout_s` bounds the wait for each piece of it, and `on_piece` is called
+    with every piece.
+    """
+
+    stall_timeout_s: float
+    on_piece: Callable[[], None]
+
+
+def call_once(
+    address: Address,
+    settings: TargetSettings,
+    timeout_s: float,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    body_max_bytes: int = UNREAD_MAX_BYTES,
+    long_body: LongBody | None = None,
+) -> CallResponse:
+    """Make one short call over a connection of its own.
+
+    `timeout_s` bounds the call as a whole or, with `long_body`, the time until its
+    status and headers are there. Raises BodyTooLarge for a body of more than
+    `body_max_bytes`, before it is read where its length is known, ConnectFailed where
+    nothing was sent, and another OSError or HTTPParseError where no complete response
+    arrived.
+    """
+    client = single_use_client(address, settings, timeout_s, body_max_bytes)
+    sent_at_s = time.monotonic()
+    try:
+        with gevent.Timeout(timeout_s, TimeoutError):
+            response = client.request(method, path, body=body, headers=headers)
+            responded_at_s = time.monotonic()
+            if (response.content_length or 0) > body_max_bytes:
+                raise BodyTooLarge(f"the body has {response.content_length} bytes")
+            content = b"" if long_body is not None else response.read()
+        if long_body is not None:
+            content = _read_pieces(response, long_body)
+    finally:
+        client.close()
+    fields = {name.lower(): str(value) for name, value in response.headers}
+    return CallResponse(
+        response.status_code, content, fields, sent_at_s, responded_at_s
+    )
+
+
+def _read_pieces(response: HTTPSocketPoolResponse, long_body: LongBody) -> bytes:
+    content = bytearray()
+    while True:
+        with gevent.Timeout(long_body.stall_timeout_s, TimeoutError):
+            piece = response.read(PIECE_BYTES)
+        long_body.on_piece()
+        content += piece
+        if not piece:
+            return bytes(content)
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -48,6 +48,10 @@
 """Largest part of a body that waits to be read, where callers set no lower bound."""
 
 
+class BodyTooLarge(HTTPParseError):
+    """The body of a response is larger than the caller wants to read."""
+
+
 class ConnectFailed(OSError):
     """The connection could not be established, so nothing was sent."""
 
@@ -208,7 +212,7 @@
             if self.head_bytes > HEAD_MAX_BYTES:
                 raise HTTPParseError("the head of the response is too large")
         elif len(self._body_buffer) > self.unread_max_bytes:
-            raise HTTPParseError("too much of the response waits to be read")
+            raise BodyTooLarge("too much of the response waits to be read")
 
 
 class SingleUseClient(HTTPClient):
@@ -281,52 +285,6 @@
     return client
 
 
-@dataclass(frozen=True)
-class CallResponse:
-    """Response to a short call; `headers` are keyed by lower-case name.
-
-    `sent_at_s` and `responded_at_s` are the monotonic times at which the call began and
-    at which its status and headers were there.
-    """
-
-    status: int
-    body: bytes
-    headers: dict[str, str]
-    sent_at_s: float
-    responded_at_s: float
-
-
-def call_once(
-    address: Address,
-    settings: TargetSettings,
-    timeout_s: float,
-    method: str,
-    path: str,
-    body: bytes = b"",
-    headers: dict[str, str] | None = None,
-    body_max_bytes: int = UNREAD_MAX_BYTES,
-) -> CallResponse:
-    """Make one short call over a connection of its own.
-
-    `timeout_s` bounds the call as a whole, and `body_max_bytes` the body of the
-    response. Raises ConnectFailed where nothing was
-    sent, and another OSError or HTTPParseError where no complete response arrived.
-    """
-    client = single_use_client(address, settings, timeout_s, body_max_bytes)
-    sent_at_s = time.monotonic()
-    try:
-        with gevent.Timeout(timeout_s, TimeoutError):
-            response = client.request(method, path, body=body, headers=headers)
-            responded_at_s = time.monotonic()
-            content = response.read()
-    finally:
-        client.close()
-    headers = {name.lower(): str(value) for name, value in response.headers}
-    return CallResponse(
-        response.status_code, content, headers, sent_at_s, responded_at_s
-    )
-
-
 def refuses_connections(address: Address, timeout_s: float) -> bool:
     """Return whether nothing listens at an address; False where that isn't known."""
     try:
--- a/src/chervilstall/target/engine_client.py
+++ b/src/chervilstall/target/engine_client.py
@@ -8,10 +8,10 @@
 
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
+from chervilstall.target.calls import call_once
 from chervilstall.target.connection import (
     JSON_HEADERS,
     ConnectFailed,
-    call_once,
     read_server_event,
     single_use_client,
 )
--- a/tests/steps/leaving_steps.py
+++ b/tests/steps/leaving_steps.py
@@ -14,7 +14,8 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import TargetId
 from chervilstall.platform import protocol
-from chervilstall.platform.watcher import EntryHandler, StoreWatcher, target_handler
+from chervilstall.platform.handlers import EntryHandler, target_handler
+from chervilstall.platform.watcher import StoreWatcher
 from chervilstall.standin.platform_fixtures import (
     build_configuration,
     remove_target_entry,
--- a/tests/steps/store_watch_steps.py
+++ b/tests/steps/store_watch_steps.py
@@ -8,12 +8,9 @@
 
 from chervilstall.fleet.records import RouterConfiguration
 from chervilstall.fleet.view import FleetView
+from chervilstall.platform.handlers import configuration_handler, target_handler
 from chervilstall.platform.kv import PlatformStore
-from chervilstall.platform.watcher import (
-    StoreWatcher,
-    configuration_handler,
-    target_handler,
-)
+from chervilstall.platform.watcher import StoreWatcher
 from chervilstall.settings.node import StoreAddress
 from chervilstall.standin.platform_fixtures import build_configuration
 from tests.support.agent_fleet import eventually
--- a/tests/support/store_model.py
+++ b/tests/support/store_model.py
@@ -12,10 +12,9 @@
 import gevent
 from gevent.event import Event
 
-from chervilstall.platform import kv
 from chervilstall.platform.kv import Entry, EntryBatch, HistoryGone
 from chervilstall.standin.shared_link import SharedLink
-from chervilstall.store.contract import StoreFailed
+from chervilstall.store.contract import ResponseTooLarge, StoreFailed
 
 STORE_LINK_BYTES_PER_S = 125e6
 ANSWER_S = 0.004
@@ -120,7 +119,7 @@
                 break
             self._changed.wait(remaining_s)
         if size_max_bytes is not None and _size_bytes(found) > size_max_bytes:
-            raise kv.ResponseTooLarge("the response is too large")
+            raise ResponseTooLarge("the response is too large")
         return self._respond(sent_at_s, found)
 
     def _below(self, prefix: str) -> list[Entry]:
