Don't take a slow transfer for a dead watch, or a dead watch for an outage of the store

A watch is dead only if it was waiting already at the probe's last call and nothing of a response has arrived since. It is then opened again from the same revision, and no outage begins. A failed call of the probe says nothing while parts of a response arrive.

--- a/src/chervilstall/edge/store_probe.py
+++ b/src/chervilstall/edge/store_probe.py
@@ -23,9 +23,11 @@
 class StoreProbe:
     """Polls the store's revision and interrupts a store watcher that receives nothing.
 
-    The first failed call interrupts the watcher. A successful call while the watcher
-    is still disconnected ends the watcher's retry delay. If the watcher has not reached
-    a revision by the next call, its watch is dead and is interrupted.
+    The first failed call interrupts the watcher, unless a part of a response to it has
+    arrived meanwhile: then the store responds, and the link is busy. A successful call
+    while the watcher is still disconnected ends the watcher's retry delay. If a watch
+    that was waiting at the last call has not reached that revision by this one, it is
+    dead and is abandoned; the store itself is not.
 
     `key` names the one entry that each poll reads.
     """
@@ -36,6 +38,7 @@
     _has_failed: bool = False
     _store_revision: int = 0
     _watcher_revision: int = 0
+    _polled_at_s: float = float("-inf")
 
     def run(self) -> None:
         """Poll until the process ends; one task runs this."""
@@ -45,9 +48,12 @@
 
     def step(self) -> None:
         """Poll once."""
+        began_at_s = time.monotonic()
         try:
             revision = self.store.recent_revision(self.key, CHECK_TIMEOUT_S)
         except StoreFailed as error:
+            if self.store.entries_received_at_s > began_at_s:
+                return
             if not self._has_failed:
                 self._has_failed = True
                 self.store_watcher.interrupt(error.message)
@@ -60,9 +66,13 @@
         self._check_progress(revision)
 
     def _check_progress(self, revision: int) -> None:
+        polled_at_s, self._polled_at_s = self._polled_at_s, time.monotonic()
         reached = self.store_watcher.revision
-        is_stuck = reached == self._watcher_revision < self._store_revision
+        is_behind = reached == self._watcher_revision < self._store_revision
         self._watcher_revision = reached
         self._store_revision = revision
-        if is_stuck and reached:
-            self.store_watcher.interrupt("the watch delivers no changes")
+        watching_since_s = self.store_watcher.watching_since_s
+        was_waiting = watching_since_s is not None and watching_since_s < polled_at_s
+        is_arriving = self.store.entries_received_at_s > polled_at_s
+        if is_behind and was_waiting and not is_arriving:
+            self.store_watcher.abandon_watch()
--- a/tests/support/store_model.py
+++ b/tests/support/store_model.py
@@ -56,6 +56,7 @@
     history: list[Entry] = field(default_factory=list)
     compacted_revision: int = 0
     deaf_until_s: float = 0.0
+    entries_received_at_s: float = float("-inf")
     large_call_arrived: Event = field(default_factory=Event)
     _changed: Event = field(default_factory=Event)
     _link: SharedLink = field(init=False)
@@ -100,7 +101,8 @@
         """Return a revision that may be somewhat old."""
         revision = self.revision
         with gevent.Timeout(timeout_s, StoreFailed("no response in time")):
-            self._respond(self._arrive(key), [])
+            self._arrive(key)
+            self._link.carry(ENTRY_OVERHEAD_BYTES)
         return revision
 
     def watch(
@@ -145,7 +147,8 @@
         revision = self.revision
         size_bytes = _size_bytes(entries)
         responded_at_s = time.monotonic()
-        self._link.carry(size_bytes)
+        for _ in self._link.send(bytes(size_bytes)):
+            self.entries_received_at_s = time.monotonic()
         gevent.sleep(size_bytes / 1e6 * self.case.decode_s_per_mb)
         return EntryBatch(
             tuple(entries), revision, sent_at_s, responded_at_s, size_bytes
