Count a draining target's time from when the view was last complete

A draining target may begin paths for half of the drain bound. That time began when the router heard of it, so that the delay of the news came on top: with 6 routers up to 2.2 s (bound 2 s) where a watch had heard nothing for a second, as in platform_compact. It now begins at the last moment up to which the router knows that it had heard of every change: the time of its last complete call, or half a second before the response to a watch that waited. A target found draining by the first reading isn't used at all. The longest pause after a change is 0.65 s, 0.8 s before.

What is known of lapsed entries moved to a module of its own, fleet/lapses.

--- a/src/chervilstall/fleet/leaving.py
+++ b/src/chervilstall/fleet/leaving.py
@@ -1,4 +1,4 @@
-"""Targets that leave, and since when this router has known."""
+"""Targets that leave, and since when they may have said so."""
 
 import time
 from dataclasses import dataclass, field, replace
@@ -17,12 +17,15 @@
     _since_s: dict[TargetIncarnation, float] = field(default_factory=dict)
     _certain: set[TargetIncarnation] = field(default_factory=set)
 
-    def apply_to(self, target: Target) -> Target:
-        """Record a target's entry, and return the target as it is to be used."""
+    def apply_to(self, target: Target, since_s: float) -> Target:
+        """Record a target's entry, and return the target as it is to be used.
+
+        `since_s` is the earliest monotonic time at which the entry may have changed.
+        """
         if target.incarnation in self._certain:
             target = replace(target, state=TargetReadiness.DRAINING)
         if target.state is TargetReadiness.DRAINING:
-            self._since_s.setdefault(target.incarnation, time.monotonic())
+            self._since_s.setdefault(target.incarnation, since_s)
         else:
             self._since_s.pop(target.incarnation, None)
         return target
@@ -40,7 +43,7 @@
         self._certain.update(self._since_s)
 
     def draining_s(self, target: Target) -> float:
-        """Return for how long a target has been known to leave; infinite if not."""
+        """Return for how long a target may have been leaving; infinite if unknown."""
         since_s = self._since_s.get(target.incarnation, float("-inf"))
         return time.monotonic() - since_s
 
--- a/src/chervilstall/fleet/view.py
+++ b/src/chervilstall/fleet/view.py
@@ -10,6 +10,7 @@
 
 from gevent.event import Event
 
+from chervilstall.fleet.lapses import LapsedEntries
 from chervilstall.fleet.leaving import LeavingTargets
 from chervilstall.fleet.records import (
     LayerRange,
@@ -27,9 +28,6 @@
 DRAIN_USE_SHARE = 0.5
 """Share of the drain bound during which a draining target may still start a path."""
 
-LAPSE_SHARE = 0.8
-"""Share of the drain bound within which a target must re-register after an outage."""
-
 SUSPICION_S = 4.0
 """Time that a target is avoided after one failure.
 
@@ -43,9 +41,6 @@
 No entry can show then that the target has left or is back.
 """
 
-OUTAGE_GRACE_S = 0.5
-"""Time after an outage during which a deleted entry may merely have expired."""
-
 SLOW_RATIO = 1.5
 """Ratio of a target's forward pass time to the usual one above which it is slow."""
 
@@ -65,8 +60,9 @@
     `drain_s` is the drain bound: the time after which a target that announced that it
     leaves must get no more work. `slowness` holds, for each slow target, its time for a
     forward pass divided by the usual time. `outage_since_s` is the monotonic time since
-    which the store has not been readable, or None. `on_suspicion` is called for each
-    new suspicion that other routers should learn of.
+    which the store has not been readable, or None. `complete_at_s` is the monotonic
+    time up to which every change of a target's entry is known. `on_suspicion` is called
+    for each new suspicion that other routers should learn of.
     """
 
     drain_s: float
@@ -78,12 +74,12 @@
     slowness: dict[TargetIncarnation, float] = field(default_factory=dict)
     unreachable_zones: set[ZoneName] = field(default_factory=set)
     outage_since_s: float | None = None
+    complete_at_s: float = float("-inf")
     on_suspicion: Callable[[Target, SuspicionKind], None] | None = None
     _suspicions: dict[TargetIncarnation, Suspicion] = field(default_factory=dict)
     _suspicion_counts: dict[TargetIncarnation, int] = field(default_factory=dict)
     _leaving: LeavingTargets = field(default_factory=LeavingTargets)
-    _lapsed_at_s: dict[TargetId, float] = field(default_factory=dict)
-    _outage_end_s: float = float("-inf")
+    _lapsed: LapsedEntries = field(default_factory=LapsedEntries)
 
     # Configuration
 
@@ -117,9 +113,10 @@
         known = self.targets.get(target.id)
         if known is not None and known.revision >= target.revision:
             return
-        target = self._leaving.apply_to(target)
+        # The entry may have changed at any time since the view was complete.
+        target = self._leaving.apply_to(target, self.complete_at_s)
         self.targets[target.id] = target
-        self._lapsed_at_s.pop(target.id, None)
+        self._lapsed.discard(target.id)
         self.generation += 1
         if known is not None and known.incarnation == target.incarnation:
             # The target wrote its entry, so it is alive.
@@ -137,6 +134,10 @@
                 revision=target.revision,
             )
 
+    def note_complete(self, at_s: float) -> None:
+        """Record the time up to which every change of a target's entry is known."""
+        self.complete_at_s = max(self.complete_at_s, at_s)
+
     def note_leaving(self, target: Target) -> None:
         """Record that a target said in a response that it leaves.
 
@@ -148,7 +149,7 @@
         if self._leaving.is_certain(known):
             return
         self._leaving.mark_certain(known)
-        self.targets[known.id] = self._leaving.apply_to(known)
+        self.targets[known.id] = self._leaving.apply_to(known, time.monotonic())
         self.generation += 1
         log.info("target leaving", target=known.id, by="response")
 
@@ -208,28 +209,12 @@
         after an outage the target is therefore kept until its entry has been missing
         for a while; `expire` then removes it.
         """
-        if target_id not in self.targets:
-            return
-        now_s = time.monotonic()
-        if now_s < self._outage_end_s + OUTAGE_GRACE_S:
-            self._lapsed_at_s.setdefault(target_id, now_s)
-            return
-        self._delete_target(target_id)
-
-    def _has_lapsed(self, target_id: TargetId) -> bool:
-        """Return whether a target's entry has been missing for too long.
-
-        The entry may also have been deleted because the target leaves, so the target
-        is used no longer than a draining one would be.
-        """
-        lapsed_at_s = self._lapsed_at_s.get(target_id)
-        if lapsed_at_s is None:
-            return False
-        return time.monotonic() - lapsed_at_s > LAPSE_SHARE * self.drain_s
+        if target_id in self.targets and not self._lapsed.add(target_id):
+            self._delete_target(target_id)
 
     def _delete_target(self, target_id: TargetId) -> None:
         target = self.targets.pop(target_id)
-        self._lapsed_at_s.pop(target_id, None)
+        self._lapsed.discard(target_id)
         self._leaving.forget(target)
         self._suspicions.pop(target.incarnation, None)
         self._suspicion_counts.pop(target.incarnation, None)
@@ -255,7 +240,7 @@
 
         The time in which a deleted entry may merely have expired starts anew.
         """
-        self._outage_end_s = time.monotonic()
+        self._lapsed.note_outage()
 
     def forget_revisions(self) -> None:
         """Accept every entry again, as the store came back from an earlier copy.
@@ -280,9 +265,8 @@
     def expire(self) -> None:
         """Remove lapsed targets and ended suspicions; called about once a second."""
         now_s = time.monotonic()
-        for target_id in list(self._lapsed_at_s):
-            if self._has_lapsed(target_id):
-                self._delete_target(target_id)
+        for target_id in self._lapsed.all_lapsed(self.drain_s):
+            self._delete_target(target_id)
         for incarnation, suspicion in list(self._suspicions.items()):
             if now_s >= suspicion.until_s:
                 del self._suspicions[incarnation]
@@ -375,14 +359,15 @@
         """Return whether a target's current entry says that it accepts new work."""
         if self.targets.get(target.id) != target:
             return False
-        if self._has_lapsed(target.id):
+        if self._lapsed.has_lapsed(target.id, self.drain_s):
             return False
         return target.state is TargetReadiness.READY
 
     def is_usable(self, target: Target) -> bool:
         """Return whether a target may take part in new work if no other can.
 
-        A draining target stays usable for a share of the drain bound.
+        A draining target stays usable for a share of the drain bound, counted from the
+        earliest time at which it may have said that it leaves.
         """
         if self.is_ready(target):
             return True
--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -24,12 +24,12 @@
 RETRY_MAX_S = 1.0
 CHANGE_PAUSE_S = 0.1
 CHANGE_PAUSE_PER_ROUTER_S = 0.008
-CHANGE_PAUSE_MAX_S = 0.8
+CHANGE_PAUSE_MAX_S = 0.65
 """Upper bound of the pause after a change, which reduces calls in a burst of changes.
 
 The pause grows with the number of routers that watch the store, because all of them
 share its rate limits. The longest pause still leaves most of the time within which a
-change has to be in force.
+change has to be in force, also where a watch heard nothing for a second before.
 """
 
 ANSWER_MAX_S = 0.5
@@ -199,12 +199,21 @@
                 handler.on_full_read(
                     [key for key in keys if key.startswith(handler.prefix)]
                 )
+        if prefix == protocol.TARGETS_PREFIX:
+            self.fleet_view.note_complete(batch.sent_at_s)
         return batch.revision
 
     def _apply_changes(self, prefix: str, batch: EntryBatch) -> None:
         """Apply the changes that a watch of a prefix returned, or a single entry."""
+        has_all_targets = protocol.TARGETS_PREFIX.startswith(prefix)
+        has_waited = batch.responded_at_s - batch.sent_at_s > ANSWER_MAX_S
+        if has_all_targets and has_waited:
+            # The store would have answered earlier if there had been a change before.
+            self.fleet_view.note_complete(batch.responded_at_s - ANSWER_MAX_S)
         for entry in batch.entries:
             self._dispatch(entry)
+        if has_all_targets:
+            self.fleet_view.note_complete(batch.sent_at_s)
 
     def _dispatch(self, entry: Entry) -> None:
         for handler in self.handlers:
--- a/tests/fleet/view.feature
+++ b/tests/fleet/view.feature
@@ -22,6 +22,26 @@
     And the drain bound has passed
     Then the target is not used
 
+  # Guards against DRAIN: a draining target was used for half of the bound from the moment
+  # at which the router heard of it, however late that was.
+  Scenario Outline: A target found draining <age_s> s after the view was complete is used: <used>
+    Given a fleet view with a target
+    When the target is found draining <age_s> s after the view was complete
+    Then the target may begin a path: <used>
+
+    Examples:
+      | age_s | used |
+      | 0.0   | yes  |
+      | 0.999 | yes  |
+      | 1.0   | no   |
+      | 1.001 | no   |
+      | 20.0  | no   |
+
+  Scenario: A target found draining by the first reading is not used
+    Given a fleet view with a target
+    When the target is found draining
+    Then the target may begin a path: no
+
   Scenario: A target whose entry is deleted without an outage is removed at once
     Given a fleet view with a target
     When the target's entry is deleted
--- a/tests/steps/fleet_view_steps.py
+++ b/tests/steps/fleet_view_steps.py
@@ -7,11 +7,12 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from chervilstall.fleet.records import RouterConfiguration
+from chervilstall.fleet.records import RouterConfiguration, TargetReadiness
 from chervilstall.fleet.suspicion import SuspicionKind
 from chervilstall.fleet.view import FleetView
 from chervilstall.platform.config import decode_configuration
 from chervilstall.standin.platform_fixtures import build_configuration
+from tests.support.clock import Clock
 from tests.support.model_targets import LOCAL, SERVICE, make_target
 
 
@@ -59,7 +60,7 @@
     context.fleet_view.expire()
     check_used(context)
     name = context.target.id
-    context.fleet_view._lapsed_at_s[name] -= 2.0
+    context.fleet_view._lapsed._at_s[name] -= 2.0
     context.fleet_view.expire()
     check_not_used(context)
 
@@ -67,13 +68,37 @@
 @when("the target's entry is deleted a second after a store outage")
 def delete_after_outage(context: Context) -> None:
     context.fleet_view.note_outage()
-    context.fleet_view._outage_end_s -= 1.0
+    context.fleet_view._lapsed._outage_end_s -= 1.0
     context.fleet_view.remove_target(context.target.id)
 
 
+@when("the target is found draining {age_s:f} s after the view was complete")
+def find_draining_later(context: Context, age_s: float) -> None:
+    clock = Clock()
+    context.stoppables.append(clock)
+    context.fleet_view.note_complete(clock.now_s)
+    clock.now_s += age_s
+    find_draining(context)
+
+
+@when("the target is found draining")
+def find_draining(context: Context) -> None:
+    draining = dataclasses.replace(
+        context.target, state=TargetReadiness.DRAINING, revision=2
+    )
+    context.fleet_view.update_target(draining)
+
+
+@then("the target may begin a path: {used}")
+def check_usable(context: Context, used: str) -> None:
+    target = context.fleet_view.targets[context.target.id]
+    assert context.fleet_view.is_usable(target) is (used == "yes")
+
+
 @when("the drain bound has passed")
 def pass_drain_bound(context: Context) -> None:
-    context.fleet_view._lapsed_at_s[context.target.id] -= context.fleet_view.drain_s
+    fleet_view = context.fleet_view
+    fleet_view._lapsed._at_s[context.target.id] -= fleet_view.drain_s
 
 
 @when("the target's entry is deleted")
--- a/tests/steps/path_steps.py
+++ b/tests/steps/path_steps.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import time
 
 from behave import given, then, when
 from behave.runner import Context
@@ -112,6 +113,7 @@
             draining = dataclasses.replace(
                 target, state=TargetReadiness.DRAINING, revision=2
             )
+            fleet_view.note_complete(time.monotonic())
             fleet_view.update_target(draining)
         case "is excluded":
             context.avoid = frozenset({target.id})
