Go past a large response of the watch that holds no configuration

A watch's response of more than 128 KiB is given up and the configuration read by itself instead. The prefixes are now always read past the revision reached.

--- a/src/chervilstall/platform/separate_reading.py
+++ b/src/chervilstall/platform/separate_reading.py
@@ -47,11 +47,11 @@
         self.apply = apply
         self.read_prefix = read_prefix
 
-    def run(self) -> int:
+    def run(self, reached: int) -> int:
         """Read the configuration; return the revision up to which all is applied.
 
-        That is at least the revision of the configuration, so that a watch from there
-        doesn't return it again. Raises StoreFailed.
+        That is at least the revision of the configuration and more than `reached`, so
+        that a watch from there returns nothing large again. Raises StoreFailed.
         """
         followers = [
             gevent.spawn_later(FOLLOW_AFTER_S, self._follow, prefix)
@@ -62,8 +62,9 @@
         finally:
             gevent.killall(followers, block=False)
         self.apply(protocol.CONFIG_KEY, batch)
+        revision_min = max([reached + 1, *(entry.revision for entry in batch.entries)])
         for prefix, revision in self.revisions.items():
-            if any(entry.revision > revision for entry in batch.entries):
+            if revision < revision_min:
                 self._watch(prefix, LAST_WAIT_S)
         return min(self.revisions.values())
 
--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -164,7 +164,7 @@
         began_at_s = time.monotonic()
         revisions = dict.fromkeys(SMALL_PREFIXES, self.revision)
         self.revision = self._call_interruptibly(
-            lambda: self._read_configuration(revisions)
+            lambda: self._read_configuration(revisions, self.revision)
         )
         elapsed_s = time.monotonic() - began_at_s
         gevent.sleep(max(0.0, self.change_pause_s - elapsed_s))
@@ -172,9 +172,9 @@
     def _read_all(self) -> int:
         """Read the whole store, targets first; return the revision to watch from."""
         revisions = {prefix: self._read_prefix(prefix) for prefix in SMALL_PREFIXES}
-        return self._read_configuration(revisions)
+        return self._read_configuration(revisions, 0)
 
-    def _read_configuration(self, revisions: dict[str, int]) -> int:
+    def _read_configuration(self, revisions: dict[str, int], reached: int) -> int:
         reading = SeparateReading(
             self.store,
             revisions,
@@ -182,7 +182,7 @@
             self._apply_changes,
             self._read_prefix,
         )
-        return reading.run()
+        return reading.run(reached)
 
     def _read_prefix(self, prefix: str) -> int:
         """Read all entries below a prefix, and return the revision they are of."""
