Leave out an entry that can't be read, whatever it holds, and go on

Other operators saw routers end again and again, or stop following the store, at one odd entry among those of the targets. Here an entry with a field nested 100,000 deep raised RecursionError, which nothing took, and ended the task that follows the store; a layer of 400 digits was accepted and raised OverflowError in each choice of a path; port 0, host names and addresses or IDs with a line break were accepted, the latter as part of a header.

All content that others write passes decode_untrusted, which raises ValueError for all that is malformed: entries of every prefix, responses of the store, reports, messages between agents, events of engines. Numbers of entries are bounded, addresses are IPv4 with a port from 1, IDs printable. A handler's error is logged with the entry and ends nothing else. The planner's lease no longer ends at a holder that is not UTF-8.

--- a/src/chervilstall/peer/transport.py
+++ b/src/chervilstall/peer/transport.py
@@ -19,6 +19,7 @@
 import zmq.green as zmq
 from gevent.event import AsyncResult
 
+from chervilstall.decoding import decode_untrusted
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.peer.keys import (
     ZAP_ADDRESS,
@@ -128,8 +129,8 @@
             data = frames[-1] if frames else b""
             self.traffic.count_received(len(data))
             try:
-                envelope = _decoder.decode(data)
-            except msgspec.DecodeError as error:
+                envelope = decode_untrusted(_decoder, data)
+            except ValueError as error:
                 log.warning("Dropped a malformed message: %s.", error)
                 continue
             self._handlers.spawn(self._answer, routing_id, envelope)
@@ -259,8 +260,9 @@
                 return
             self.traffic.count_received(len(data))
             try:
-                envelope = _decoder.decode(data)
-            except msgspec.DecodeError:
+                envelope = decode_untrusted(_decoder, data)
+            except ValueError as error:
+                log.warning("Dropped a malformed reply: %s.", error)
                 continue
             pending = self._pending.get(envelope.call)
             if pending is not None:
--- a/src/chervilstall/platform/config.py
+++ b/src/chervilstall/platform/config.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from chervilstall.decoding import decode_untrusted
 from chervilstall.fleet.records import (
     AcceleratorType,
     CallerLimits,
@@ -107,7 +108,7 @@
 
 def decode_configuration(content: bytes) -> RouterConfiguration:
     """Decode a configuration. Raises ValueError if it is malformed."""
-    config = _decoder.decode(content)
+    config = decode_untrusted(_decoder, content)
     workspaces = config.tenants or []
     keys = {
         key: WorkspaceName(workspace.name)
--- a/src/chervilstall/platform/leases.py
+++ b/src/chervilstall/platform/leases.py
@@ -59,7 +59,7 @@
                 del self._held[name]
         entry = self.store.get(lease_key(name))
         if entry is not None and entry.value is not None:
-            owner = entry.value.decode()
+            owner = entry.value.decode("utf-8", "replace")
             if owner == holder:
                 # The key of a lease that was forgotten; it is never renewed.
                 owner = ""
--- a/src/chervilstall/platform/limits.py
+++ b/src/chervilstall/platform/limits.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from chervilstall.decoding import decode_untrusted
 from chervilstall.ids import TargetId, VmId
 
 
@@ -33,6 +34,6 @@
 def decode_limit(content: bytes) -> SharedLimit | None:
     """Decode a limit; None if it is malformed."""
     try:
-        return _decoder.decode(content)
+        return decode_untrusted(_decoder, content)
     except ValueError:
         return None
--- a/src/chervilstall/platform/peers.py
+++ b/src/chervilstall/platform/peers.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from chervilstall.decoding import decode_untrusted
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.platform import protocol
 from chervilstall.settings.option import Address, parse_address
@@ -25,6 +26,9 @@
     address: str
 
 
+_decoder = msgspec.json.Decoder(_Entry)
+
+
 def peer_key(vm: VmId) -> str:
     """Return the store key of a router's entry."""
     return PEERS_PREFIX + vm
@@ -38,7 +42,7 @@
 def decode_peer(key: str, content: bytes) -> Peer | None:
     """Decode a router's entry; None if it is malformed."""
     try:
-        entry = msgspec.json.decode(content, type=_Entry)
+        entry = decode_untrusted(_decoder, content)
         address = parse_address(entry.address)
     except ValueError:
         return None
--- a/src/chervilstall/platform/quarantine.py
+++ b/src/chervilstall/platform/quarantine.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from chervilstall.decoding import decode_untrusted
 from chervilstall.platform import protocol
 from chervilstall.quarantine.records import CrashReport, PartKey, QuarantineEntry
 
@@ -29,7 +30,7 @@
 def decode_crashes(content: bytes) -> tuple[CrashReport, ...] | None:
     """Decode crashes; None if they are malformed."""
     try:
-        return _crashes_decoder.decode(content)
+        return decode_untrusted(_crashes_decoder, content)
     except ValueError:
         return None
 
@@ -42,6 +43,6 @@
 def decode_entry(content: bytes) -> QuarantineEntry | None:
     """Decode a part under quarantine; None if it is malformed."""
     try:
-        return _entry_decoder.decode(content)
+        return decode_untrusted(_entry_decoder, content)
     except ValueError:
         return None
--- a/src/chervilstall/platform/suspicions.py
+++ b/src/chervilstall/platform/suspicions.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from chervilstall.decoding import decode_untrusted
 from chervilstall.fleet.suspicion import SuspicionKind
 from chervilstall.ids import TargetId, VmId, ZoneName
 
@@ -34,6 +35,6 @@
 def decode_suspicion(content: bytes) -> SharedSuspicion | None:
     """Decode a suspicion; None if it is malformed."""
     try:
-        return _decoder.decode(content)
+        return decode_untrusted(_decoder, content)
     except ValueError:
         return None
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -1,12 +1,15 @@
 """Decoding of targets' store entries, and the calls that targets serve."""
 
+import re
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any, Literal
+from ipaddress import IPv4Address
+from typing import Annotated, Any, Literal
 
 import msgspec
 from geventhttpclient.response import HTTPParseError
 
+from chervilstall.decoding import decode_untrusted
 from chervilstall.fleet.records import NO_LAYERS, LayerRange, Target, TargetReadiness
 from chervilstall.ids import RequestId, ServiceName, TargetId, ZoneName
 from chervilstall.paths.records import Path
@@ -24,10 +27,20 @@
 ACCEPTED_STATUSES = frozenset({200, 202})
 
 
+LAYERS_MAX = 1_000_000
+INTEGER_MAX = 2**53
+"""Largest integer that every reader of JSON takes as it is."""
+
+TARGET_ID_PATTERN = re.compile(r"[!-+\--~]{1,200}")
+"""Printable ASCII without a comma, since the ID is sent in headers."""
+
+_Layer = Annotated[int, msgspec.Meta(ge=0, le=LAYERS_MAX)]
+
+
 class _Layers(msgspec.Struct):
-    first: int = msgspec.field(name="from")
+    first: _Layer = msgspec.field(name="from")
     # Exclusive: one past the last layer.
-    end: int = msgspec.field(name="to")
+    end: _Layer = msgspec.field(name="to")
 
 
 class _Entry(msgspec.Struct, rename="kebab"):
@@ -36,7 +49,7 @@
     zone: str
     state: Literal["ready", "draining"]
     # Start in Unix milliseconds; with the ID it identifies one incarnation.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)] = 0
     # Type of the accelerator.
     type: str = ""
     layers: _Layers | None = None
@@ -48,10 +61,12 @@
 def decode_target(target: str, content: bytes, revision: int) -> Target | None:
     """Decode a target's entry; None if it is malformed."""
     try:
-        entry = _entry_decoder.decode(content)
-        address = parse_address(entry.address)
+        entry = decode_untrusted(_entry_decoder, content)
+        address = _parse_target_address(entry.address)
     except ValueError:
         return None
+    if TARGET_ID_PATTERN.fullmatch(target) is None:
+        return None
     return Target(
         TargetId(target),
         entry.born,
@@ -65,6 +80,14 @@
     )
 
 
+def _parse_target_address(text: str) -> Address:
+    """Parse the address of a target, which is sent in headers. Raises ValueError."""
+    address = parse_address(text)
+    if address.port == 0:
+        raise ValueError("nothing listens on port 0")
+    return Address(str(IPv4Address(address.host)), address.port)
+
+
 def _layers(layers: _Layers | None) -> LayerRange:
     if layers is None or not 0 <= layers.first < layers.end:
         return NO_LAYERS
@@ -97,6 +120,9 @@
     layers: _Layers | None = None
 
 
+_report_decoder = msgspec.json.Decoder(_Report)
+
+
 @dataclass(frozen=True)
 class StalledRequest:
     """A request that waits for another target that doesn't respond."""
@@ -138,7 +164,7 @@
     if response is None or response.status != 200:
         return None
     try:
-        report = msgspec.json.decode(response.body, type=_Report)
+        report = decode_untrusted(_report_decoder, response.body)
         stalled = tuple(
             StalledRequest(RequestId(each.id), parse_address(each.address))
             for each in report.stalled
--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -217,8 +217,15 @@
 
     def _dispatch(self, entry: Entry) -> None:
         for handler in self.handlers:
-            if entry.key.startswith(handler.prefix):
+            if not entry.key.startswith(handler.prefix):
+                continue
+            try:
                 handler.on_entry(entry)
+            except Exception as error:
+                # Whatever one entry holds, the others are to be applied.
+                log.error(
+                    "entry left out", key=entry.key, at=entry.revision, why=repr(error)
+                )
 
     def _call_interruptibly(self, call: Callable[[], T]) -> T:
         """Make a call in a separate task, so that `interrupt` can end the wait."""
--- a/src/chervilstall/store/calls.py
+++ b/src/chervilstall/store/calls.py
@@ -5,6 +5,7 @@
 import msgspec
 from geventhttpclient.response import HTTPParseError
 
+from chervilstall.decoding import decode_untrusted
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
 from chervilstall.store.contract import ResponseTooLarge, StoreFailed, StoreRefused
@@ -71,6 +72,6 @@
 def decode_body(body: bytes, kind: type[T]) -> T:
     """Decode the JSON body of a response. Raises StoreFailed if it is malformed."""
     try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_untrusted(msgspec.json.Decoder(kind), body)
+    except ValueError as error:
         raise StoreFailed(f"malformed response from the store: {error}") from error
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -7,7 +7,6 @@
 
 import time
 from collections import Counter
-from dataclasses import dataclass
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
--- a/src/chervilstall/target/engine_client.py
+++ b/src/chervilstall/target/engine_client.py
@@ -6,6 +6,7 @@
 import msgspec
 from geventhttpclient.response import HTTPParseError
 
+from chervilstall.decoding import decode_untrusted
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
 from chervilstall.target.calls import call_once
@@ -148,8 +149,8 @@
         if len(data) > EVENT_MAX_BYTES:
             raise self._failure(FailureCause.BAD_ANSWER)
         try:
-            return _event_decoder.decode(data)
-        except msgspec.DecodeError as error:
+            return decode_untrusted(_event_decoder, data)
+        except ValueError as error:
             raise self._failure(FailureCause.BAD_ANSWER) from error
 
     def _read_data(self) -> bytes | None:
@@ -264,8 +265,8 @@
         if content is None:
             return None
         try:
-            return msgspec.json.decode(content, type=response_type)
-        except msgspec.DecodeError:
+            return decode_untrusted(msgspec.json.Decoder(response_type), content)
+        except ValueError:
             return None
 
     def _call(
--- a/tests/fleet/view.feature
+++ b/tests/fleet/view.feature
@@ -68,10 +68,12 @@
     When the target is suspected and restarts under the same id
     Then it is not suspected
 
+  # Guards against routers that end, or stop following the store, at one odd entry (LOST).
   Scenario Outline: An entry with <fault> is ignored
     Given a fleet view that follows a store with one valid target
     When an entry with <fault> is written
     Then the valid target is known and the other is not
+    And the store is still followed by the same watch
 
     Examples:
       | fault                     |
@@ -81,6 +83,30 @@
       | an unknown state          |
       | an address without a port |
       | no content                |
+      | a field nested 100,000 deep       |
+      | a start of 400 digits             |
+      | a layer of 400 digits             |
+      | a layer below 0                   |
+      | port 0                            |
+      | port 65536                        |
+      | a port of 5,000 digits            |
+      | a host that is no IP address      |
+      | an address with a line break      |
+      | a lone surrogate                  |
+      | a service that is a list          |
+      | a megabyte in one field           |
+
+  # Guards against the same at any entry that a router reads.
+  Scenario: No content of any entry ends a router's watch or hides a valid target
+    Given a router that is not started
+    Then for any entries that it is told of, a valid target told next is known
+    And every such entry may be followed by a choice of targets and by a log line
+
+  # Guards against headers that an ID breaks in two.
+  Scenario: A target whose ID can't stand in a header is ignored
+    Given a fleet view that follows a store with one valid target
+    When a valid entry is written for the IDs "a b", "a,b", "ä" and one with a line break
+    Then the valid target is known and the other is not
 
   Scenario: After the store has dropped its history a deleted entry is noticed
     Given a fleet view that follows a store with one valid target
--- a/tests/steps/store_watch_steps.py
+++ b/tests/steps/store_watch_steps.py
@@ -13,10 +13,20 @@
 from chervilstall.platform.watcher import StoreWatcher
 from chervilstall.settings.node import StoreAddress
 from chervilstall.standin.platform_fixtures import build_configuration
+from chervilstall.telemetry.events import writer
 from tests.support.agent_fleet import eventually
 from tests.support.platform_scenario import start_platform
 from tests.support.tasks import TaskStopper
 
+
+def odd_entry(field: bytes, address: bytes = b"1.2.3.4:5") -> bytes:
+    """Return a target's entry that is valid but for one field."""
+    return b'{"service":"lookups","zone":"z","state":"ready","address":"%s",%s}' % (
+        address,
+        field,
+    )
+
+
 INVALID_ENTRIES = {
     "an invalid text encoding": b"\xff\xfe",
     "a missing address": b'{"service":"lookups","zone":"z","state":"ready"}',
@@ -30,6 +40,18 @@
         b'{"service":"lookups","address":"1.2.3.4","zone":"z","state":"ready"}'
     ),
     "no content": b"",
+    "a field nested 100,000 deep": odd_entry(b'"x":' + b"[" * 100_000 + b"]" * 100_000),
+    "a start of 400 digits": odd_entry(b'"born":' + b"9" * 400),
+    "a layer of 400 digits": odd_entry(b'"layers":{"from":0,"to":' + b"9" * 400 + b"}"),
+    "a layer below 0": odd_entry(b'"layers":{"from":-3,"to":4}'),
+    "port 0": odd_entry(b'"x":0', b"1.2.3.4:0"),
+    "port 65536": odd_entry(b'"x":0', b"1.2.3.4:65536"),
+    "a port of 5,000 digits": odd_entry(b'"x":0', b"1.2.3.4:" + b"9" * 5_000),
+    "a host that is no IP address": odd_entry(b'"x":0', b"localhost:80"),
+    "an address with a line break": odd_entry(b'"x":0', b"1.2.3.4\\r\\nX: y:80"),
+    "a lone surrogate": odd_entry(b'"type":"\\ud800"'),
+    "a service that is a list": odd_entry(b'"service":["lookups"]'),
+    "a megabyte in one field": odd_entry(b'"born":"' + b"x" * 1_000_000 + b'"'),
 }
 
 
@@ -100,6 +122,23 @@
     gevent.sleep(0.2)
 
 
+@when(
+    'a valid entry is written for the IDs "a b", "a,b", "ä" and one with a line break'
+)
+def write_odd_ids(context: Context) -> None:
+    for name in ("a b", "a,b", "ä", "a\r\nX-More: 1"):
+        context.platform.store.state.put(f"servers/{name}", odd_entry(b'"x":0'))
+    gevent.sleep(0.2)
+
+
+@then("the store is still followed by the same watch")
+def check_followed(context: Context) -> None:
+    context.platform.add_target("later", "lookups", "ba-hall")
+    eventually(lambda: "later" in context.fleet_view.targets)
+    lines = [line.decode() for line in writer._lines]
+    assert not [line for line in lines if "store lost" in line], lines
+
+
 @then("the valid target is known and the other is not")
 def check_only_valid(context: Context) -> None:
     assert set(context.fleet_view.targets) == {"valid"}, context.fleet_view.targets
