Believe that a request has not run only where the target says so of this request

Other operators' clients were told 'not run, try again' for requests that had run, or such a request ran at a second target. Here each request has a connection of its own (store, agents and peers as well; the gateway's kept connections compare request and attempt), so an earlier refusal can't wait on it; but a refusal that names another request was taken for this one's all the same, and the request sent to a second target. And a 503 or 429 without the mark of a refusal, after which a target may have run the request, was passed on: to the caller a promise that it has not.

A refusal that names another request is malformed: the request may have run. 408, 421, 429 and 503 without the mark end as unknown (502) where the request can't be repeated, and lead to another target where it can.

--- a/src/chervilstall/edge/limits/notices.py
+++ b/src/chervilstall/edge/limits/notices.py
@@ -5,9 +5,8 @@
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.view import FleetView
-from chervilstall.platform.headers import ResponseHead
+from chervilstall.platform.headers import HTTP_MISDIRECTED, ResponseHead
 
-HTTP_MISDIRECTED = 421
 HTTP_UNAVAILABLE = 503
 
 
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -156,6 +156,13 @@
                 continue
             self.fleet_view.clear_suspicion(target)
             self.crash_guard.record_answer(request)
+            if head.status in NOT_RUN_STATUSES:
+                # Without the mark of a refusal the request may have run.
+                may_have_run = True
+                reason = f"target returned {head.status}"
+                if not request.route.is_retryable:
+                    break
+                continue
             if head.status < 500 or not request.route.is_retryable:
                 return response
             error_response = response
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -233,6 +233,9 @@
         """Read a response that is not a stream; return None where a retry may help."""
         assert self._exchange is not None
         response = self._exchange.read_response(head, self.request.remaining_s)
+        if head.status in NOT_RUN_STATUSES:
+            # Without the mark of a refusal the request may have run.
+            return None
         self._end_exchange()
         self._last_failure = f"target returned {head.status}"
         if head.is_not_executed:
--- a/src/chervilstall/platform/headers.py
+++ b/src/chervilstall/platform/headers.py
@@ -15,6 +15,8 @@
 PRIORITY_MAX = 9
 """The least urgent priority that a target knows; 0 is the most urgent."""
 
+HTTP_MISDIRECTED = 421
+
 HeaderFields = tuple[tuple[str, str], ...]
 
 
@@ -150,8 +152,11 @@
     """Status and headers of a target's response.
 
     `matches_request` is true if the response carries the ID of the request that was
-    sent, `is_signed` if it comes from a target of the service. `faulty_address` is the
-    address of the target that the responder names as the cause of a failure.
+    sent, `is_other_request` if it carries another one, and `is_signed` if it comes from
+    a target of the service. `is_not_executed` is true if the responder states that this
+    request has not run; but for a misdirected request no status says that by itself.
+    `faulty_address` is the address of the target that the responder names as the cause
+    of a failure.
     `limit_per_s` is the number of requests a second that the responder takes from all
     routers together, None if it names no limit. `is_leaving` is true if the responder
     is about to exit. `retry_after_s` is the time for which a refusing responder wants
@@ -161,6 +166,7 @@
     status: int
     headers: HeaderFields
     matches_request: bool
+    is_other_request: bool
     is_signed: bool
     is_not_executed: bool
     is_stream: bool
@@ -174,6 +180,8 @@
     """Parse status and headers of the response to `request`."""
     fields = [(name, str(value)) for name, value in response.headers]
     by_name = {name.lower(): value.strip() for name, value in fields}
+    named_request = by_name.get(protocol.REQUEST_ID.lower())
+    is_other_request = named_request is not None and named_request != request
     return ResponseHead(
         status=response.status_code,
         headers=tuple(
@@ -181,10 +189,14 @@
             for name, value in fields
             if name.lower() not in protocol.CONNECTION_HEADERS
         ),
-        matches_request=by_name.get(protocol.REQUEST_ID.lower()) == request,
+        matches_request=named_request == request,
+        is_other_request=is_other_request,
         is_signed=protocol.SERVER_SIGNATURE.lower() in by_name,
-        is_not_executed=protocol.NOT_EXECUTED.lower() in by_name
-        or response.status_code == 421,
+        is_not_executed=not is_other_request
+        and (
+            protocol.NOT_EXECUTED.lower() in by_name
+            or response.status_code == HTTP_MISDIRECTED
+        ),
         is_stream=by_name.get("content-type", "").startswith(
             protocol.EVENT_STREAM_TYPE
         ),
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -3,7 +3,6 @@
 import errno
 import time
 from collections.abc import Callable, Iterable, Iterator
-from enum import Enum
 from typing import Any, NoReturn
 
 import gevent
@@ -17,6 +16,12 @@
     status_line,
 )
 from chervilstall.settings.option import Address
+from chervilstall.standin.behaviours import (
+    FALSE_REFUSALS,
+    STREAM_ERRORS,
+    UNFRAMED_BEHAVIOURS,
+    Behaviour,
+)
 from chervilstall.standin.crashes import ResettableServer, shared_parts
 from chervilstall.standin.target_log import Run, TargetLog
 from chervilstall.standin.unframed import end_answer, send_head
@@ -35,36 +40,6 @@
 ENDLESS_CHUNK = b"X" * 16_384
 
 
-class Behaviour(Enum):
-    """How a stand-in handles the requests that it gets."""
-
-    SERVE = "serve"
-    FAIL = "fail"
-    REFUSE = "refuse"
-    LOSE_ANSWER = "lose the answer"
-    HANG = "hang"
-    TRUNCATE_ANSWER = "cut the answer"
-    ANSWER_TWICE = "answer twice"
-    ENDLESS_HEAD = "send a head without end"
-    ENDLESS_BODY = "send a body without end"
-    ANSWER_WRONG_REQUEST = "answer another request"
-    BREAK_STREAM = "break the stream"
-    STALL_STREAM = "stall the stream"
-    PAUSE_STREAM = "pause the stream"
-    UNFRAMED = "answer without a length"
-    UNFRAMED_CLOSE = "close an answer without a length"
-    UNFRAMED_RESET = "reset an answer without a length"
-    UNFRAMED_CUT = "close an answer without a length inside an event"
-    UNFRAMED_CRASH = "crash inside an event of an answer without a length"
-    UNFRAMED_CRASH_HEAD = "crash inside the head of an answer without a length"
-    UNFRAMED_PAUSE = "pause in an answer without a length"
-
-
-UNFRAMED_BEHAVIOURS = frozenset(
-    {each for each in Behaviour if each.name.startswith("UNFRAMED")}
-)
-
-
 class PlatformTarget:
     """One target of the platform, served over HTTP.
 
@@ -210,7 +185,7 @@
             self._send_without_end(run, environ[SOCKET_KEY])
         if self.behaviour in UNFRAMED_BEHAVIOURS:
             self._send_unframed(run, environ[SOCKET_KEY])
-        if "hop-count" in headers:
+        if "hop-count" in headers and self.behaviour is not Behaviour.FAIL:
             yield from self._stream_events(run, environ, start_response)
             return
         yield from self._answer(run, environ, start_response)
@@ -321,6 +296,18 @@
                 raise BrokenPipeError(
                     errno.EPIPE, "connection closed after a duplicate response"
                 )
+            case (
+                Behaviour.REFUSE_ANOTHER
+                | Behaviour.REFUSE_UNMARKED
+                | Behaviour.LIMIT_UNMARKED
+            ):
+                if self.behaviour is Behaviour.REFUSE_ANOTHER:
+                    response_headers[:2] = [
+                        ("Attempt-Id", "another"),
+                        ("Not-Executed", "1"),
+                    ]
+                status = FALSE_REFUSALS[self.behaviour]
+                start_response(status_line(status), response_headers)
             case Behaviour.ANSWER_WRONG_REQUEST:
                 response_headers[0] = ("Attempt-Id", "another")
                 start_response(status_line(200), response_headers)
@@ -337,6 +324,10 @@
             ("Content-Type", "text/event-stream"),
             *self._notice_headers(),
         ]
+        if self.behaviour is Behaviour.STREAM_UNSIGNED:
+            del response_headers[1]
+        if self.behaviour is Behaviour.STREAM_ANOTHER:
+            response_headers[0] = ("Attempt-Id", "another")
         start_response(status_line(200), response_headers)
         try:
             gevent.sleep(max(0.0, self.first_event_s - EVENT_INTERVAL_S))
@@ -349,6 +340,9 @@
                     self._pause_stream()
                 if index >= self.events_before_fault:
                     self._apply_stream_fault()
+                if index == self.events_before_fault:
+                    yield STREAM_ERRORS.get(self.behaviour, b"") + event
+                    continue
                 yield event
         except GeneratorExit:
             self.log.cancelled_streams += 1
--- a/tests/edge/requests.feature
+++ b/tests/edge/requests.feature
@@ -24,6 +24,23 @@
       | non_idempotent | answer another request | 502    | 1    |
       | non_idempotent | answer twice           | 200    | 1    |
 
+  # Guards against REFUSED and TWICE: a refusal that is another request's, or without the mark
+  # of one, was taken for the word that this request has not run.
+  Scenario Outline: A <kind> request whose first target would <behaviour> gets <status> and <runs> runs
+    Given a platform with lookups in both zones
+    And the target of the own zone would <behaviour>
+    When a <kind> request is sent
+    Then the response is <status> and <runs> targets ran the request
+
+    Examples:
+      | kind           | behaviour                            | status | runs |
+      | idempotent     | run it and refuse another request    | 200    | 2    |
+      | idempotent     | run it and answer 503 without a mark | 200    | 2    |
+      | idempotent     | run it and answer 429 without a mark | 200    | 2    |
+      | non_idempotent | run it and refuse another request    | 502    | 1    |
+      | non_idempotent | run it and answer 503 without a mark | 502    | 1    |
+      | non_idempotent | run it and answer 429 without a mark | 502    | 1    |
+
   Scenario: A request that every target refuses is refused at once with Retry-After
     Given a platform with lookups in both zones
     And every target would refuse
