Pass on nothing but events of the stream

Other operators' clients found an error's text or its head in the middle of a stream.

Each event has to consist of fields and to name its number; otherwise the stream has failed there, and goes on from another target behind the last event. Where a stream has got to moved to EventCursor.

--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -23,7 +23,7 @@
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.retry_after import retry_after_s
 from chervilstall.edge.streams.context import StreamBroken, StreamContext
-from chervilstall.edge.streams.event_numbers import event_number, parse_event_number
+from chervilstall.edge.streams.events import EventCursor, is_event
 from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.edge.streams.paths import StreamPaths
 from chervilstall.errors import ChervilstallError, ErrorKind
@@ -57,7 +57,7 @@
             context.chooser, context.rate_limiter, request, self.attempts
         )
         self.head: ResponseHead | None = None
-        self.last_event_number = parse_event_number(request.fields.last_event_id)
+        self.cursor = EventCursor.resume_after(request.fields.last_event_id)
         self._may_have_run = False
         self._is_at_peer = False
         self._forwarded_at_s = time.monotonic()
@@ -102,7 +102,7 @@
         may_have_run, is_resumed = self._may_have_run, self.head is not None
         try:
             self._exchange, head = self.context.peer_relay.open(
-                request, attempts_max, self._last_event
+                request, attempts_max, self.cursor.text
             )
             self._is_at_peer = True
             if head.status == 200 and head.is_stream and head.is_signed:
@@ -184,12 +184,6 @@
             return True
         return budget.try_spend(request.service.name, is_resume=self.head is not None)
 
-    @property
-    def _last_event(self) -> str:
-        """Return the number of the last event, as targets are told it."""
-        number = self.last_event_number
-        return "" if number is None else str(number)
-
     def _send(self, path: Path) -> ResponseHead:
         request = self.request
         send_fields = ForwardFields(
@@ -198,7 +192,7 @@
             request.workspace,
             request.priority,
             path,
-            self._last_event,
+            self.cursor.text,
         )
         headers = forward_headers(request.fields.forwarded_headers, send_fields)
         exchange = Exchange(request, path.first.address, headers)
@@ -217,7 +211,7 @@
             request=request.request_id,
             path=[stage.target.id for stage in path.stages],
             generation=self.context.fleet_view.generation,
-            after_event=self._last_event,
+            after_event=self.cursor.text,
         )
         sent_at_s = time.monotonic()
         self.context.rate_limiter.record_send(path.first)
@@ -233,15 +227,15 @@
         """Read a response that is not a stream; return None where a retry may help."""
         assert self._exchange is not None
         response = self._exchange.read_response(head, self.request.remaining_s)
-        if head.status in NOT_RUN_STATUSES:
-            # Without the mark of a refusal the request may have run.
-            return None
         self._end_exchange()
         self._last_failure = f"target returned {head.status}"
         if head.is_not_executed:
             self._record_refusal(path, head)
             return None
         self._may_have_run = True
+        if head.status in NOT_RUN_STATUSES:
+            # Without the mark of a refusal the request may have run.
+            return None
         if head.status < 500 or not self.request.route.is_retryable:
             if head.status < 300 and not head.is_signed:
                 return None
@@ -311,15 +305,7 @@
         event = self._pending_event
         self._pending_event = None
         while event is not None:
-            number = event_number(event)
-            if (
-                number is None
-                or self.last_event_number is None
-                or number > self.last_event_number
-            ):
-                self.last_event_number = (
-                    self.last_event_number if number is None else number
-                )
+            if self.cursor.advance(event):
                 now_s = time.monotonic()
                 if self.request.events_forwarded:
                     self.request.record_gap(now_s - self._forwarded_at_s)
@@ -334,6 +320,8 @@
     def _read_event(self) -> bytes | None:
         assert self._exchange is not None
         event = self._exchange.read_event()
+        if event is not None and not is_event(event):
+            raise ExchangeFailed(ExchangeFailure.MALFORMED, was_sent=True)
         if self._stream is None:
             return event
         self._stream.record_event()
@@ -344,7 +332,7 @@
     def _resume(self) -> None:
         """Open another exchange that continues after the last forwarded event."""
         while True:
-            if self.last_event_number is None or not self.request.route.is_resumable:
+            if self.cursor.number is None or not self.request.route.is_resumable:
                 raise StreamBroken("the stream cannot be resumed")
             try:
                 response = self._attempt()
@@ -357,7 +345,7 @@
                 log.warning(
                     "stream resumed",
                     request=self.request.request_id,
-                    after_event=self.last_event_number,
+                    after_event=self.cursor.number,
                 )
                 return
             if response is not None:
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -19,6 +19,38 @@
       | break the stream | 5      |
       | break the stream | 9      |
 
+  # Guards against ORDER and MIXED: what is no event of the stream reached its caller.
+  Scenario Outline: A stream whose targets <fault> holds nothing else and is resumed
+    Given a platform with a model in parts in both zones
+    And the first targets of the own zone would <fault> after <events> events
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And nothing but events arrives
+
+    Examples:
+      | fault                                                  | events |
+      | write an error's text into the stream                  | 0      |
+      | write an error's text into the stream                  | 4      |
+      | write an error's head into the stream                  | 0      |
+      | write an error's head into the stream                  | 4      |
+      | write an error into the stream as an event without an id | 4    |
+
+  # Guards against the same from the next target, once the stream has begun.
+  Scenario Outline: A stream that broke off gets nothing from a next target that would <fault>
+    Given a platform with a model in parts in both zones
+    And the first targets of the own zone would break the stream after 3 events
+    And the first target of the other zone would <fault>
+    When a draft of 10 events is asked for
+    Then the events that arrive are in order, and fewer than 10 don't look complete
+    And nothing but events arrives
+
+    Examples:
+      | fault                      |
+      | refuse                     |
+      | fail                       |
+      | stream without a signature |
+      | stream for another request |
+
   Scenario: A stalled stream is rerouted around the faulty target
     Given a platform with a model in parts in both zones
     And a second copy of the last part in the own zone
--- a/tests/steps/stream_fault_steps.py
+++ b/tests/steps/stream_fault_steps.py
@@ -200,3 +200,9 @@
     for target in first_targets(context):
         pause_stream(target, 0, silence_s)
         gevent.spawn(fall_silent, target)
+
+
+@given("the first target of the other zone would {behaviour}")
+def set_other_first_behaviour(context: Context, behaviour: str) -> None:
+    other = context.platform.targets[f"a-{ZONES[1]}"]
+    other.behaviour = Behaviour(behaviour)
--- a/tests/steps/stream_steps.py
+++ b/tests/steps/stream_steps.py
@@ -1,5 +1,6 @@
 """Steps that ask for drafts, and check the streams that callers receive."""
 
+import re
 import time
 
 from behave import given, then, when
@@ -63,6 +64,9 @@
     return [int(line.split(": ")[1]) for line in lines if line.startswith("id: ")]
 
 
+EVENT = re.compile(rb"id: \d+\ndata: [\w.-]+\n\n")
+
+
 @then("the events 1 to {last:d} arrive once and in order")
 def check_events(context: Context, last: int) -> None:
     assert context.response.status == 200, context.response
@@ -76,6 +80,21 @@
     assert event_numbers(context.response.body) == list(range(1, last + 1))
 
 
+@then(
+    "the events that arrive are in order, and fewer than {last:d} don't look complete"
+)
+def check_not_complete(context: Context, last: int) -> None:
+    numbers = event_numbers(context.response.body)
+    assert numbers == list(range(1, len(numbers) + 1)), numbers
+    assert len(numbers) == last or context.is_incomplete, numbers
+
+
+@then("nothing but events arrives")
+def check_only_events(context: Context) -> None:
+    rest = EVENT.sub(b"", context.response.body)
+    assert not rest, rest
+
+
 @then("the path covered every layer once and in order within one zone")
 def check_path(context: Context) -> None:
     runs = [
