--- a/src/chervilstall/commands/measure.py
+++ b/src/chervilstall/commands/measure.py
@@ -120,6 +120,14 @@
     keep: Annotated[
         Path | None, cappa.Arg(long=True, help="Folder for logs of failed seeds.")
     ] = None
+    earlier_sources: Annotated[
+        Path | None,
+        cappa.Arg(
+            long=True,
+            help="Folder with an earlier version of the package, from which each "
+            "router is upgraded as it starts again.",
+        ),
+    ] = None
 
 
 Action = (
@@ -179,7 +187,12 @@
     stop_exception = SystemExit(int(ExitCode.UNFINISHED))
     on_stop_signals(partial(gevent.kill, gevent.getcurrent(), stop_exception))
     options = SoakOptions(
-        soak.seconds, soak.mix, soak.routers, soak.callers, soak.grace
+        soak.seconds,
+        soak.mix,
+        soak.routers,
+        soak.callers,
+        soak.grace,
+        soak.earlier_sources,
     )
     has_passed = True
     for seed in range(soak.seed, soak.seed + soak.seeds):
--- a/src/chervilstall/soak/fleet.py
+++ b/src/chervilstall/soak/fleet.py
@@ -48,7 +48,8 @@
     """A router in a process of its own, with its settings file and link to the store.
 
     The settings file and the log are in `directory`. `target_links` are its links to
-    the targets.
+    the targets. The process runs from `earlier_sources` at its first start, if they are
+    given, and from the present sources when it starts again.
     """
 
     name: str
@@ -58,6 +59,7 @@
     target_links: RouterLinks
     directory: Path
     grace_s: float = GRACE_S
+    earlier_sources: Path | None = None
     process: subprocess.Popen[bytes] | None = None
     _start_lock: Semaphore = field(default_factory=Semaphore)
 
@@ -80,10 +82,13 @@
 
     def _spawn(self) -> None:
         path = self.directory / f"{self.name}.json"
+        environment = {**os.environ, NODE_FILE_VARIABLE: str(path)}
+        if self.earlier_sources is not None and self.process is None:
+            environment["PYTHONPATH"] = str(self.earlier_sources)
         with open(self.directory / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "chervilstall.commands.edge"],
-                env={**os.environ, NODE_FILE_VARIABLE: str(path)},
+                env=environment,
                 stdout=log,
                 stderr=log,
             )
@@ -153,12 +158,14 @@
 
     `subnet` selects the second and third octet of the addresses, so that concurrent
     runs don't share addresses. `latency_objective_ms` is that of all routes, if any.
+    With `earlier_sources` the routers are upgraded from these, each as it starts again.
     """
 
     subnet: int
     rng: random.Random
     grace_s: float = GRACE_S
     latency_objective_ms: int | None = None
+    earlier_sources: Path | None = None
     store: PlatformStoreServer = field(init=False)
     routers: list[RouterProcess] = field(default_factory=list)
     targets: list[SoakTarget] = field(default_factory=list)
@@ -200,6 +207,7 @@
                 target_links,
                 Path(self._directory.name),
                 self.grace_s,
+                self.earlier_sources,
             )
             self.routers.append(router)
             router.start()
--- a/src/chervilstall/soak/run.py
+++ b/src/chervilstall/soak/run.py
@@ -94,7 +94,9 @@
     """What one run of the soak test injects, and on how many routers.
 
     `duration_s` is how long faults are injected. Shutdowns in series come with long
-    streams, slow answers, and callers that stay with their router.
+    streams, slow answers, and callers that stay with their router. With
+    `earlier_sources`, a directory with the package of an earlier version, the routers
+    run that version until they start again.
     """
 
     duration_s: float
@@ -102,6 +104,7 @@
     routers: int = 4
     callers_per_router: int = 3
     grace_s: float = GRACE_S
+    earlier_sources: Path | None = None
 
     @property
     def has_series(self) -> bool:
@@ -120,7 +123,9 @@
     rng = random.Random(seed)
     subnet, claim = claim_subnet(os.getpid() + seed)
     objective_ms = rng.choice(LATENCY_OBJECTIVES_MS) if options.has_series else None
-    fleet = SoakFleet(subnet, rng, options.grace_s, objective_ms)
+    fleet = SoakFleet(
+        subnet, rng, options.grace_s, objective_ms, options.earlier_sources
+    )
     lag = LagMonitor()
     sampler = ProcessSampler(lambda: _list_processes(fleet))
     monitors = [gevent.Greenlet(lag.run), gevent.Greenlet(sampler.run)]
