Describe a short call in one record

Method, path, time limits and sizes of a call stood three times in lists of up to nine parameters (calls, the store's calls, the targets' calls). No behaviour changes.

--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -19,7 +19,7 @@
     require_ok,
 )
 from chervilstall.store.contract import StoreFailed
-from chervilstall.target.calls import CallResponse, LongBody
+from chervilstall.target.calls import Call, CallResponse, LongBody
 from chervilstall.target.connection import JSON_HEADERS, UNREAD_MAX_BYTES
 from chervilstall.telemetry.events import EventLog
 
@@ -291,41 +291,28 @@
         size_max_bytes: int = UNREAD_MAX_BYTES,
     ) -> CallResponse:
         """Make a call whose response may take long to arrive."""
-        return self._call(
+        call = Call(
             "GET",
             f"{path}?{urlencode(query)}",
-            None,
             timeout_s,
-            size_max_bytes,
-            self._entries_body,
+            headers=JSON_HEADERS,
+            body_max_bytes=size_max_bytes,
+            long_body=self._entries_body,
         )
+        return self._make(call)
 
     def _note_received(self) -> None:
         self.entries_received_at_s = time.monotonic()
 
     def _call(
-        self,
-        method: str,
-        path: str,
-        body: object,
-        timeout_s: float = CALL_TIMEOUT_S,
-        size_max_bytes: int = UNREAD_MAX_BYTES,
-        long_body: LongBody | None = None,
+        self, method: str, path: str, body: object, timeout_s: float = CALL_TIMEOUT_S
     ) -> CallResponse:
-        self.calls += 1
-        address = self.settings.address
         content = b"" if body is None else msgspec.json.encode(body)
-        response = call_store(
-            address,
-            self._connections,
-            timeout_s,
-            method,
-            path,
-            content,
-            JSON_HEADERS,
-            size_max_bytes,
-            long_body,
-        )
+        return self._make(Call(method, path, timeout_s, content, JSON_HEADERS))
+
+    def _make(self, call: Call) -> CallResponse:
+        self.calls += 1
+        response = call_store(self.settings.address, self._connections, call)
         self._check_era(response)
         return response
 
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -16,7 +16,7 @@
 from chervilstall.platform import protocol
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address, parse_address
-from chervilstall.target.calls import CallResponse, call_once
+from chervilstall.target.calls import Call, CallResponse, call_once
 from chervilstall.target.connection import JSON_HEADERS
 
 CALL_TIMEOUT_S = 1.5
@@ -290,16 +290,8 @@
     timeout_s: float = CALL_TIMEOUT_S,
 ) -> CallResponse | None:
     settings = TargetSettings(connect_timeout_s=timeout_s)
+    call = Call(method, path, timeout_s, body, JSON_HEADERS, RESPONSE_MAX_BYTES)
     try:
-        return call_once(
-            address,
-            settings,
-            timeout_s,
-            method,
-            path,
-            body,
-            JSON_HEADERS,
-            RESPONSE_MAX_BYTES,
-        )
+        return call_once(address, settings, call)
     except (OSError, HTTPParseError):
         return None
--- a/src/chervilstall/store/calls.py
+++ b/src/chervilstall/store/calls.py
@@ -9,12 +9,8 @@
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
 from chervilstall.store.contract import ResponseTooLarge, StoreFailed, StoreRefused
-from chervilstall.target.calls import CallResponse, LongBody, call_once
-from chervilstall.target.connection import (
-    UNREAD_MAX_BYTES,
-    BodyTooLarge,
-    ConnectFailed,
-)
+from chervilstall.target.calls import Call, CallResponse, call_once
+from chervilstall.target.connection import BodyTooLarge, ConnectFailed
 
 T = TypeVar("T")
 HTTP_OK = 200
@@ -22,36 +18,16 @@
 REFUSING_STATUSES = frozenset({429, 503})
 
 
-def call_store(
-    address: Address,
-    settings: TargetSettings,
-    timeout_s: float,
-    method: str,
-    path: str,
-    body: bytes = b"",
-    headers: dict[str, str] | None = None,
-    body_max_bytes: int = UNREAD_MAX_BYTES,
-    long_body: LongBody | None = None,
-) -> CallResponse:
-    """Make one call over a new connection and return the response.
+def call_store(address: Address, settings: TargetSettings, call: Call) -> CallResponse:
+    """Make a call over a new connection and return the response.
 
     Raises StoreRefused if the store has certainly not executed the call,
-    ResponseTooLarge if the response is larger than `body_max_bytes`, and StoreFailed if
+    ResponseTooLarge if the response is larger than the call allows, and StoreFailed if
     it is not known whether the call was executed. The caller interprets all statuses
     outside `REFUSING_STATUSES`.
     """
     try:
-        response = call_once(
-            address,
-            settings,
-            timeout_s,
-            method,
-            path,
-            body,
-            headers,
-            body_max_bytes,
-            long_body,
-        )
+        response = call_once(address, settings, call)
     except BodyTooLarge as error:
         raise ResponseTooLarge(str(error)) from error
     except ConnectFailed as error:
--- a/src/chervilstall/store/client.py
+++ b/src/chervilstall/store/client.py
@@ -18,6 +18,7 @@
     WatchAnswer,
 )
 from chervilstall.store.rate_limiter import CallRateLimiter
+from chervilstall.target.calls import Call
 
 
 class HttpStore:
@@ -90,9 +91,8 @@
     ) -> bytes | None:
         self.rate_limiter.acquire()
         timeout_s = self.settings.timeout_s + extra_s
-        response = call_store(
-            self.settings.address, self._connections, timeout_s, method, path, body
-        )
+        call = Call(method, path, timeout_s, body)
+        response = call_store(self.settings.address, self._connections, call)
         if response.status == HTTP_NOT_FOUND:
             return None
         require_ok(response)
--- a/src/chervilstall/target/calls.py
+++ b/src/chervilstall/target/calls.py
@@ -45,36 +45,44 @@
     on_piece: Callable[[], None]
 
 
-def call_once(
-    address: Address,
-    settings: TargetSettings,
-    timeout_s: float,
-    method: str,
-    path: str,
-    body: bytes = b"",
-    headers: dict[str, str] | None = None,
-    body_max_bytes: int = UNREAD_MAX_BYTES,
-    long_body: LongBody | None = None,
-) -> CallResponse:
-    """Make one short call over a connection of its own.
-
-    `timeout_s` bounds the call as a whole or, with `long_body`, the time until its
-    status and headers are there. Raises BodyTooLarge for a body of more than
-    `body_max_bytes`, before it is read where its length is known, ConnectFailed where
-    nothing was sent, and another OSError or HTTPParseError where no complete response
-    arrived.
+@dataclass(frozen=True)
+class Call:
+    """A short call, in which the whole body of the response is read.
+
+    `timeout_s` bounds the call as a whole or, with `long_body`, the time until status
+    and headers of the response are there. Of its body at most `body_max_bytes` are
+    taken.
+    """
+
+    method: str
+    path: str
+    timeout_s: float
+    body: bytes = b""
+    headers: dict[str, str] | None = None
+    body_max_bytes: int = UNREAD_MAX_BYTES
+    long_body: LongBody | None = None
+
+
+def call_once(address: Address, settings: TargetSettings, call: Call) -> CallResponse:
+    """Make a call over a connection of its own.
+
+    Raises BodyTooLarge for a body that is too large, before it is read where its length
+    is known, ConnectFailed where nothing was sent, and another OSError or
+    HTTPParseError where no complete response arrived.
     """
-    client = single_use_client(address, settings, timeout_s, body_max_bytes)
+    client = single_use_client(address, settings, call.timeout_s, call.body_max_bytes)
     sent_at_s = time.monotonic()
     try:
-        with gevent.Timeout(timeout_s, TimeoutError):
-            response = client.request(method, path, body=body, headers=headers)
+        with gevent.Timeout(call.timeout_s, TimeoutError):
+            response = client.request(
+                call.method, call.path, body=call.body, headers=call.headers
+            )
             responded_at_s = time.monotonic()
-            if (response.content_length or 0) > body_max_bytes:
+            if (response.content_length or 0) > call.body_max_bytes:
                 raise BodyTooLarge(f"the body has {response.content_length} bytes")
-            content = b"" if long_body is not None else response.read()
-        if long_body is not None:
-            content = _read_pieces(response, long_body)
+            content = b"" if call.long_body is not None else response.read()
+        if call.long_body is not None:
+            content = _read_pieces(response, call.long_body)
     finally:
         client.close()
     fields = {name.lower(): str(value) for name, value in response.headers}
--- a/src/chervilstall/target/engine_client.py
+++ b/src/chervilstall/target/engine_client.py
@@ -9,7 +9,7 @@
 from chervilstall.decoding import decode_untrusted
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
-from chervilstall.target.calls import call_once
+from chervilstall.target.calls import Call, call_once
 from chervilstall.target.connection import (
     JSON_HEADERS,
     ConnectFailed,
@@ -272,16 +272,9 @@
     def _call(
         self, address: Address, method: str, path: str, body: bytes
     ) -> bytes | None:
+        call = Call(method, path, SHORT_CALL_TIMEOUT_S, body, JSON_HEADERS)
         try:
-            response = call_once(
-                address,
-                self.settings,
-                SHORT_CALL_TIMEOUT_S,
-                method,
-                path,
-                body,
-                JSON_HEADERS,
-            )
+            response = call_once(address, self.settings, call)
         except (OSError, HTTPParseError):
             return None
         return response.body if response.status == HTTP_OK else None
