Don't end the reading that follows the store again at each answer of the probe

After an outage, each answer to the probe of the store ended the watcher's present call, once a second. A reading that takes longer, as of a configuration of 1 MB over a link of 5 or 10 Mbit/s, then began again and again; the router went on with what it knew before the outage, took the store for lost all the time, and kept or polled targets accordingly.

The call is ended only if nothing of a response has arrived in the last second.

--- a/src/chervilstall/edge/store_probe.py
+++ b/src/chervilstall/edge/store_probe.py
@@ -25,7 +25,8 @@
 
     The first failed call interrupts the watcher, unless a part of a response to it has
     arrived meanwhile: then the store responds, and the link is busy. A successful call
-    while the watcher is still disconnected ends the watcher's retry delay. If a watch
+    while the watcher is still disconnected ends the watcher's retry delay, or a call
+    that nothing arrives of. If a watch
     that was waiting at the last call has not reached that revision by this one, it is
     dead and is abandoned; the store itself is not.
 
@@ -60,7 +61,8 @@
             return
         self._has_failed = False
         if self.store_watcher.is_disconnected:
-            self.store_watcher.interrupt("the store responds again")
+            if self.store.entries_received_at_s < began_at_s - CHECK_INTERVAL_S:
+                self.store_watcher.interrupt("the store responds again")
             return
         self.store_watcher.answered_at_s = time.monotonic()
         self._check_progress(revision)
--- a/tests/platform/leaving.feature
+++ b/tests/platform/leaving.feature
@@ -24,3 +24,15 @@
     And lookups are sent for 4 s
     Then no lookup reached it later than the drain bound
     And the router never took the store for lost
+
+  # Guards against a router that never follows the store again: each answer to its probe ended
+  # the reading of the configuration that had begun after an outage.
+  Scenario Outline: <routers> routers follow the store again within <within_s> s of an outage
+    Given <routers> routers with links of <link_mbps> Mbit/s that follow the model of a store
+    When the store is away for 3 s while it holds the largest configuration
+    Then every router follows it again within <within_s> s
+
+    Examples:
+      | routers | link_mbps | within_s |
+      | 6       | 1000      | 2        |
+      | 77      | 5         | 4        |
--- a/tests/steps/leaving_steps.py
+++ b/tests/steps/leaving_steps.py
@@ -34,6 +34,7 @@
 LEAVING_S = 6.0
 SAMPLE_INTERVAL_S = 0.05
 DEAF_S = 1.0
+AWAY_S = 3.0
 MBIT_BYTES = 125_000.0
 
 
@@ -54,6 +55,7 @@
 class ModelRouter:
     """A router's watch and probe on the model of a store, and what it would use.
 
+    `regained_after_s` is how long after an outage the store was followed again.
     `left_at_s` and `used_until_s` are the monotonic times at which a target left and
     at which it was last found usable.
     """
@@ -61,6 +63,7 @@
     case: ModelCase
     drain_s: float
     seed: int
+    regained_after_s: float = 0.0
     left_at_s: dict[str, float] = field(default_factory=dict)
     used_until_s: dict[str, float] = field(default_factory=dict)
 
@@ -138,6 +141,18 @@
         gevent.sleep(DEAF_S)
         self.store.compact()
 
+    def lose_store(self) -> None:
+        """Let the store be away for a while with a large configuration."""
+        self.store.put(protocol.CONFIG_KEY, bytes(VALUE_MAX_BYTES))
+        gevent.sleep(self.rng.uniform(3.0, 4.0))
+        self.store.go_away()
+        gevent.sleep(AWAY_S)
+        assert self.watcher.is_disconnected
+        self.store.come_back()
+        came_back_at_s = time.monotonic()
+        eventually(lambda: not self.watcher.is_disconnected, 20.0)
+        self.regained_after_s = time.monotonic() - came_back_at_s
+
     def overdue(self, limit_s: float) -> list[str]:
         """Describe each target that was usable for longer than a time."""
         used_s = {
@@ -209,6 +224,17 @@
     run_model(context, ("leave_in_turn", "lose_history"))
 
 
+@when("the store is away for 3 s while it holds the largest configuration")
+def lose_store(context: Context) -> None:
+    run_model(context, ("lose_store",))
+
+
+@then("every router follows it again within {within_s:d} s")
+def check_regained(context: Context, within_s: int) -> None:
+    times_s = [round(router.regained_after_s, 2) for router in context.model.routers]
+    assert max(times_s) < within_s, times_s
+
+
 @then("no target is used until less than a connect is left of {drain_s:d} s")
 def check_not_overdue(context: Context, drain_s: int) -> None:
     limit_s = drain_s - CONNECT_SETTINGS.connect_timeout_s
--- a/tests/support/store_model.py
+++ b/tests/support/store_model.py
@@ -43,6 +43,8 @@
 class StoreModel:
     """Entries and history of a store, with the calls that a router makes.
 
+    While it `is_away`, each call and each watch that waits fails.
+
     `calls` counts them. Until `deaf_until_s`, watches hear nothing; `compact` cuts
     them and drops the history. `large_calls` is set to the time at which a call that
     will return a large value arrived.
@@ -56,6 +58,7 @@
     history: list[Entry] = field(default_factory=list)
     compacted_revision: int = 0
     deaf_until_s: float = 0.0
+    is_away: bool = False
     entries_received_at_s: float = float("-inf")
     large_call_arrived: Event = field(default_factory=Event)
     _changed: Event = field(default_factory=Event)
@@ -83,6 +86,19 @@
         self.deaf_until_s = 0.0
         self._wake()
 
+    def go_away(self) -> None:
+        """Fail every call until `come_back`."""
+        self.is_away = True
+        self._wake()
+
+    def come_back(self) -> None:
+        """Answer calls again."""
+        self.is_away = False
+
+    def _check_away(self) -> None:
+        if self.is_away:
+            raise StoreFailed("the store is away")
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed.clear()
@@ -120,6 +136,7 @@
             if found or remaining_s <= 0.0:
                 break
             self._changed.wait(remaining_s)
+            self._check_away()
         if size_max_bytes is not None and _size_bytes(found) > size_max_bytes:
             raise ResponseTooLarge("the response is too large")
         return self._respond(sent_at_s, found)
@@ -137,6 +154,7 @@
     def _arrive(self, prefix: str) -> float:
         """Take a call, and return when it was made."""
         self.calls += 1
+        self._check_away()
         sent_at_s = time.monotonic()
         if any(map(_is_large, self._below(prefix))):
             self.large_call_arrived.set()
