--- a/tests/steps/drain_steps.py
+++ b/tests/steps/drain_steps.py
@@ -185,15 +185,11 @@
         sent.sent_after_s = time.monotonic() - stopping.started_at_s
         stopping.sent.append(sent)
         connection.request("POST", ROUTE_PATHS[kind], headers=headers)
-        response = connection.getresponse()
-        sent.status = response.status
-        response.read()
-        sent.is_complete = True
     except (OSError, http.client.HTTPException):
-        # A cut response is what the steps look for; `is_complete` stays false.
-        return
-    finally:
+        # A cut request is what the steps look for; `is_complete` stays false.
         connection.close()
+        return
+    read_outcome(connection, sent)
 
 
 @when("it is told to stop and drafts arrive every 2 ms around 3 seconds later")
