Go on watching from the configuration that was read, not from behind it

The watch goes on from the revision of the store at which the configuration was read, or from that of a prefix if it is lower.

--- a/src/chervilstall/platform/separate_reading.py
+++ b/src/chervilstall/platform/separate_reading.py
@@ -66,7 +66,8 @@
         for prefix, revision in self.revisions.items():
             if revision < revision_min:
                 self._watch(prefix, LAST_WAIT_S)
-        return min(self.revisions.values())
+        # A later version of the configuration is yet to come.
+        return min(batch.revision, *self.revisions.values())
 
     def _follow(self, prefix: str) -> None:
         """Watch a prefix until the configuration has been read."""
--- a/tests/platform/leaving.feature
+++ b/tests/platform/leaving.feature
@@ -36,3 +36,14 @@
       | routers | link_mbps | within_s |
       | 6       | 1000      | 2        |
       | 77      | 5         | 4        |
+
+  # Guards against CONFIG: a version written just after the one before was read was never heard of.
+  Scenario Outline: <routers> routers hear of a configuration that is written as another is read
+    Given <routers> routers with links of <link_mbps> Mbit/s that follow the model of a store
+    When large configurations are written just before, as and after another is read
+    Then the latest configuration was read each time
+
+    Examples:
+      | routers | link_mbps |
+      | 6       | 1000      |
+      | 77      | 10        |
--- a/tests/steps/leaving_steps.py
+++ b/tests/steps/leaving_steps.py
@@ -84,6 +84,21 @@
     assert max(times_s) < within_s, times_s
 
 
+@when("large configurations are written just before, as and after another is read")
+def change_twice(context: Context) -> None:
+    run_model(context, ("change_configuration_twice",))
+
+
+@then("the latest configuration was read each time")
+def check_latest_read(context: Context) -> None:
+    for router in context.model.routers:
+        assert router.read_revisions == router.latest_revisions, (
+            router.seed,
+            router.read_revisions,
+            router.latest_revisions,
+        )
+
+
 @then("no target is used until less than a connect is left of {drain_s:d} s")
 def check_not_overdue(context: Context, drain_s: int) -> None:
     limit_s = drain_s - CONNECT_SETTINGS.connect_timeout_s
--- a/tests/support/model_router.py
+++ b/tests/support/model_router.py
@@ -12,6 +12,7 @@
 from chervilstall.ids import TargetId
 from chervilstall.platform import protocol
 from chervilstall.platform.handlers import EntryHandler, target_handler
+from chervilstall.platform.kv import Entry
 from chervilstall.platform.watcher import StoreWatcher
 from tests.support.agent_fleet import eventually
 from tests.support.store_model import LARGE_CALL_OFFSETS_S, ModelCase, StoreModel
@@ -43,15 +44,21 @@
 class ModelRouter:
     """A router's watch and probe on the model of a store, and what it would use.
 
+    `configuration_revision` is that of the configuration applied last, and
     `regained_after_s` is how long after an outage the store was followed again.
-    `left_at_s` and `used_until_s` are the monotonic times at which a target left and
-    at which it was last found usable.
+    `read_revisions` and `latest_revisions` are those that were applied last and that
+    the store had, some time after each pair of changes. `left_at_s` and `used_until_s`
+    are the monotonic times at which a target left and at which it was last found
+    usable.
     """
 
     case: ModelCase
     drain_s: float
     seed: int
     regained_after_s: float = 0.0
+    configuration_revision: int = 0
+    read_revisions: list[int] = field(default_factory=list)
+    latest_revisions: list[int] = field(default_factory=list)
     left_at_s: dict[str, float] = field(default_factory=dict)
     used_until_s: dict[str, float] = field(default_factory=dict)
 
@@ -60,7 +67,9 @@
         self.store = StoreModel(self.case, self.rng)
         self.fleet_view = FleetView(self.drain_s)
         handlers = (
-            EntryHandler(protocol.CONFIG_KEY, lambda entry: None, lambda keys: None),
+            EntryHandler(
+                protocol.CONFIG_KEY, self.note_configuration, lambda keys: None
+            ),
             target_handler(self.fleet_view),
         )
         self.watcher = StoreWatcher(self.store, self.fleet_view, handlers)
@@ -71,6 +80,10 @@
             self.store.put(f"servers/t-{number}", encode_entry(number, "ready"))
         self.tasks: list[gevent.Greenlet] = []
 
+    def note_configuration(self, entry: Entry) -> None:
+        """Record the configuration that was applied last."""
+        self.configuration_revision = entry.revision
+
     def start(self) -> None:
         """Follow the store until `stop`, and watch what is usable."""
         runners = (self.watcher.run, self.probe.run, self.sample)
@@ -121,6 +134,19 @@
             gevent.sleep(self.rng.uniform(0.3, 2.5))
             self.store.put(protocol.CONFIG_KEY, bytes(VALUE_MAX_BYTES))
 
+    def change_configuration_twice(self) -> None:
+        """Write versions just before, as and after the one before is read."""
+        for offset_s in LARGE_CALL_OFFSETS_S:
+            self.store.large_call_arrived.clear()
+            self.store.put(protocol.CONFIG_KEY, bytes(VALUE_MAX_BYTES))
+            self.store.large_call_arrived.wait()
+            gevent.sleep(offset_s)
+            self.store.put(protocol.CONFIG_KEY, bytes(VALUE_MAX_BYTES))
+            gevent.sleep(6.0)
+            self.read_revisions.append(self.configuration_revision)
+            latest = self.store.values[protocol.CONFIG_KEY]
+            self.latest_revisions.append(latest.revision)
+
     def lose_history(self) -> None:
         """Let the watches hear nothing for a second, then drop the history."""
         self.store.put(protocol.CONFIG_KEY, bytes(VALUE_MAX_BYTES))
