--- a/src/chervilstall/edge/peers/relay.py
+++ b/src/chervilstall/edge/peers/relay.py
@@ -20,9 +20,6 @@
 log = EventLog("edge")
 
 OUT_OF_REACH = "no target of the service is within reach"
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses by which another router tells that no target has run the request."""
-
 PEERS_MAX = 4
 """Routers tried for one request; with half of them cut off, one in sixteen finds none.
 """
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -17,7 +17,7 @@
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.notices import TargetNotices
 from chervilstall.edge.limits.rate_limits import AT_LIMIT, TargetRateLimiter
-from chervilstall.edge.peers.relay import NOT_RUN_STATUSES, OUT_OF_REACH, PeerRelay
+from chervilstall.edge.peers.relay import OUT_OF_REACH, PeerRelay
 from chervilstall.edge.reach.targets import TargetReach
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.errors import ChervilstallError, ErrorKind
@@ -25,7 +25,11 @@
 from chervilstall.fleet.records import Service, Target, TargetIncarnation
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import TargetId, ZoneName
-from chervilstall.platform.headers import ForwardFields, forward_headers
+from chervilstall.platform.headers import (
+    NOT_RUN_STATUSES,
+    ForwardFields,
+    forward_headers,
+)
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("edge")
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -19,7 +19,7 @@
 )
 from chervilstall.edge.limits.attempts import AttemptLimit
 from chervilstall.edge.limits.rate_limits import AT_LIMIT
-from chervilstall.edge.peers.relay import NOT_RUN_STATUSES, OUT_OF_REACH
+from chervilstall.edge.peers.relay import OUT_OF_REACH
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.retry_after import retry_after_s
 from chervilstall.edge.streams.context import StreamBroken, StreamContext
@@ -28,7 +28,12 @@
 from chervilstall.edge.streams.paths import StreamPaths
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.paths.records import Path
-from chervilstall.platform.headers import ForwardFields, ResponseHead, forward_headers
+from chervilstall.platform.headers import (
+    NOT_RUN_STATUSES,
+    ForwardFields,
+    ResponseHead,
+    forward_headers,
+)
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("edge")
--- a/src/chervilstall/platform/headers.py
+++ b/src/chervilstall/platform/headers.py
@@ -16,6 +16,11 @@
 """The least urgent priority that a target knows; 0 is the most urgent."""
 
 HTTP_MISDIRECTED = 421
+NOT_RUN_STATUSES = frozenset({408, HTTP_MISDIRECTED, 429, 503})
+"""Statuses that promise a caller that its request has not run and never will.
+
+A target's response promises that only if it is marked as not executed.
+"""
 
 HeaderFields = tuple[tuple[str, str], ...]
 
