Apply each change of the store once, also where two watches bring it

While a large configuration is read by itself, other watches bring the changes of targets and routers; the watch of everything then went on from the revision of the reading and brought these again. A target that left could so be added once more, and its removal applied once more, in one batch.

The watcher keeps the revision up to which the changes of each prefix have been applied, and leaves out those below. SeparateReading is ConfigurationReading now.

--- a/src/chervilstall/edge/store_probe.py
+++ b/src/chervilstall/edge/store_probe.py
@@ -26,9 +26,8 @@
     The first failed call interrupts the watcher, unless a part of a response to it has
     arrived meanwhile: then the store responds, and the link is busy. A successful call
     while the watcher is still disconnected ends the watcher's retry delay, or a call
-    that nothing arrives of. If a watch
-    that was waiting at the last call has not reached that revision by this one, it is
-    dead and is abandoned; the store itself is not.
+    of which nothing arrives. If a watch that was waiting at the last call has not
+    reached that revision by this one, it is dead and is abandoned; the store is not.
 
     `key` names the one entry that each poll reads.
     """
--- a/src/chervilstall/platform/separate_reading.py
+++ b/src/chervilstall/platform/configuration_reading.py
@@ -1,4 +1,4 @@
-"""Reading of a large configuration while other news go on arriving.
+"""Reading of a large configuration while other changes go on arriving.
 
 A configuration of 1 MB takes seconds on a slow link, and a response is only of use when
 it is complete. Whatever else changes meanwhile therefore comes over watches of its own.
@@ -18,19 +18,22 @@
 FOLLOW_AFTER_S = 0.1
 """Time for which a reading may take without other watches."""
 
-FOLLOW_WAIT_S = 20.0
+WATCH_WAIT_S = 20.0
+"""Longest wait of a watch, after which it is made anew."""
+
 LAST_WAIT_S = 0.001
+"""Wait of a watch that only asks what has changed up to now."""
+
 RETRY_S = 0.5
 
 
-class SeparateReading:
+class ConfigurationReading:
     """Reads the configuration once, and watches other prefixes in the meantime.
 
     `revisions` holds, for each of these prefixes, the revision up to which its changes
     have been applied. `apply` is called with a prefix and its changes. `read_prefix`
     reads a prefix as a whole where the changes since its revision are gone, and returns
-    the revision.
-    `pause_s` is the pause between two readings of a prefix.
+    the revision. `pause_s` is the pause between two readings of a prefix.
     """
 
     def __init__(
@@ -48,10 +51,11 @@
         self.read_prefix = read_prefix
 
     def run(self, reached: int) -> int:
-        """Read the configuration; return the revision up to which all is applied.
+        """Read the configuration; return the revision to go on watching from.
 
         That is at least the revision of the configuration and more than `reached`, so
-        that a watch from there returns nothing large again. Raises StoreFailed.
+        that a watch from there returns nothing large again, and not behind the moment
+        of the reading, so that it returns each later configuration. Raises StoreFailed.
         """
         followers = [
             gevent.spawn_later(FOLLOW_AFTER_S, self._follow, prefix)
@@ -66,14 +70,13 @@
         for prefix, revision in self.revisions.items():
             if revision < revision_min:
                 self._watch(prefix, LAST_WAIT_S)
-        # A later version of the configuration is yet to come.
         return min(batch.revision, *self.revisions.values())
 
     def _follow(self, prefix: str) -> None:
         """Watch a prefix until the configuration has been read."""
         while True:
             try:
-                has_changed = self._watch(prefix, FOLLOW_WAIT_S)
+                has_changed = self._watch(prefix, WATCH_WAIT_S)
             except EraChanged:
                 # The reading of the configuration is about to be interrupted.
                 return
--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -10,16 +10,18 @@
 
 from chervilstall.fleet.view import FleetView
 from chervilstall.platform import protocol
+from chervilstall.platform.configuration_reading import (
+    WATCH_WAIT_S,
+    ConfigurationReading,
+)
 from chervilstall.platform.handlers import EntryHandler
 from chervilstall.platform.kv import Entry, EntryBatch, HistoryGone, PlatformStore
-from chervilstall.platform.separate_reading import SeparateReading
 from chervilstall.store.contract import ResponseTooLarge, StoreFailed
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("store")
 
 T = TypeVar("T")
-WATCH_TIMEOUT_S = 20.0
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 1.0
 CHANGE_PAUSE_S = 0.1
@@ -57,7 +59,8 @@
     watch is alive. It continues from the last revision seen. The whole store is read
     again if it no longer keeps the changes since then, and after an outage. Where a
     watch would return much, the configuration is read by itself, in its latest version
-    only, and what else has changed comes apart from it.
+    only, and what else has changed comes apart from it. Each change is applied once:
+    `_applied` holds the revision up to which those of a prefix have been.
 
     `watching_since_s` is the monotonic time since which a watch waits, or None.
     """
@@ -77,6 +80,7 @@
         self.watching_since_s: float | None = None
         self._retry_s = RETRY_FIRST_S
         self._must_read_all = False
+        self._applied = dict.fromkeys(SMALL_PREFIXES, 0)
         self._interrupted = Event()
         self._pending_call: AsyncResult | None = None
 
@@ -152,7 +156,7 @@
                 lambda: self.store.watch(
                     ALL_KEYS_PREFIX,
                     self.revision,
-                    WATCH_TIMEOUT_S,
+                    WATCH_WAIT_S,
                     LARGE_RESPONSE_BYTES,
                 )
             )
@@ -175,7 +179,7 @@
         return self._read_configuration(revisions, 0)
 
     def _read_configuration(self, revisions: dict[str, int], reached: int) -> int:
-        reading = SeparateReading(
+        reading = ConfigurationReading(
             self.store,
             revisions,
             self.change_pause_s,
@@ -193,6 +197,7 @@
             self.fleet_view.note_outage()
         for entry in batch.entries:
             self._dispatch(entry)
+        self._applied[prefix] = batch.revision
         keys = [entry.key for entry in batch.entries]
         for handler in self.handlers:
             if handler.prefix.startswith(prefix):
@@ -211,10 +216,22 @@
             # The store would have answered earlier if there had been a change before.
             self.fleet_view.note_complete(batch.responded_at_s - ANSWER_MAX_S)
         for entry in batch.entries:
-            self._dispatch(entry)
+            if not self._is_applied(entry):
+                self._dispatch(entry)
+        for small_prefix in SMALL_PREFIXES:
+            if small_prefix.startswith(prefix):
+                reached = max(self._applied[small_prefix], batch.revision)
+                self._applied[small_prefix] = reached
         if has_all_targets:
             self.fleet_view.note_complete(batch.sent_at_s)
 
+    def _is_applied(self, entry: Entry) -> bool:
+        """Return whether a watch beside a reading has brought a change already."""
+        return any(
+            entry.key.startswith(prefix) and entry.revision <= reached
+            for prefix, reached in self._applied.items()
+        )
+
     def _dispatch(self, entry: Entry) -> None:
         for handler in self.handlers:
             if not entry.key.startswith(handler.prefix):
--- a/tests/platform/leaving.feature
+++ b/tests/platform/leaving.feature
@@ -6,6 +6,7 @@
     Given <routers> routers with links of <link_mbps> Mbit/s that follow the model of a store
     When targets leave one after the other while <news>
     Then no target is used until less than a connect is left of <drain_s> s
+    And no change of a target is applied twice unless all were read anew
 
     Examples:
       | routers | link_mbps | drain_s | news                                             |
@@ -25,6 +26,15 @@
     Then no lookup reached it later than the drain bound
     And the router never took the store for lost
 
+  # Guards against the same on every way to a target: the first and the later stages of a path,
+  # and streams that break off and are resumed.
+  Scenario: No path leads over targets that left while a large configuration arrives
+    Given a platform with a model in two copies in each zone whose store has a link of 4 Mbit/s
+    When a copy of each part leaves in the own zone just after a configuration of 1 MB was written
+    And drafts that break off and are resumed are sent for 4 s
+    Then no path leads over those that left later than the drain bound
+    And the router never took the store for lost
+
   # Guards against a router that never follows the store again: each answer to its probe ended
   # the reading of the configuration that had begun after an outage.
   Scenario Outline: <routers> routers follow the store again within <within_s> s of an outage
--- a/tests/steps/leaving_steps.py
+++ b/tests/steps/leaving_steps.py
@@ -1,5 +1,7 @@
 """Steps for the time in which routers hear of targets that leave."""
 
+import dataclasses
+import http.client
 import time
 
 import gevent
@@ -7,6 +9,7 @@
 from behave.runner import Context
 
 from chervilstall.edge.exchange import CONNECT_SETTINGS
+from chervilstall.standin.behaviours import Behaviour
 from chervilstall.standin.platform_fixtures import (
     build_configuration,
     remove_target_entry,
@@ -20,11 +23,28 @@
     TARGETS,
     ModelRouters,
 )
-from tests.support.platform import ZONES, send
-from tests.support.platform_scenario import add_lookups, own_lookup, start_platform
+from tests.support.platform import ZONES, Platform, send
+from tests.support.platform_scenario import (
+    FIRST_PART,
+    LAST_PART,
+    add_lookups,
+    first_targets,
+    own_lookup,
+    start_platform,
+)
 from tests.support.store_model import ModelCase
 
 MBIT_BYTES = 125_000.0
+DRAFT_INTERVAL_S = 0.1
+MANY_RETRIES = 10_000.0
+
+
+def write_large_configuration(platform: Platform) -> None:
+    """Write a configuration of nearly 1 MB."""
+    keys = [f"key-{number:06}" * 8 for number in range(11_500)]
+    tenants = build_configuration()["tenants"]
+    tenants += [{"name": "others", "api-keys": keys}]
+    platform.write_config(build_configuration(2, tenants=tenants))
 
 
 @given(
@@ -109,6 +129,18 @@
     assert not overdue, overdue
 
 
+@then("no change of a target is applied twice unless all were read anew")
+def check_applied_once(context: Context) -> None:
+    for router in context.model.routers:
+        readings = 1 + bool(router.store.compacted_revision)
+        repeated = {
+            revision: count
+            for revision, count in router.applied_revisions.items()
+            if count > readings
+        }
+        assert not repeated, (router.seed, repeated)
+
+
 @given(
     "a platform with lookups in both zones whose store has a link of {mbps:d} Mbit/s"
 )
@@ -125,14 +157,88 @@
     "the target of the own zone leaves just after a configuration of 1 MB was written"
 )
 def leave_after_configuration(context: Context) -> None:
-    keys = [f"key-{number:06}" * 8 for number in range(11_500)]
-    tenants = build_configuration()["tenants"]
-    tenants += [{"name": "others", "api-keys": keys}]
-    context.platform.write_config(build_configuration(2, tenants=tenants))
+    write_large_configuration(context.platform)
     remove_target_entry(context.platform.store.state, f"lookup-{ZONES[0]}")
     context.left_at_s = time.monotonic()
 
 
+@given(
+    "a platform with a model in two copies in each zone whose store has a link of "
+    "{mbps:d} Mbit/s"
+)
+def start_model_on_slow_link(context: Context, mbps: int) -> None:
+    platform = start_platform(context)
+    for zone in ZONES:
+        for copy in ("1", "2"):
+            platform.add_target(f"a{copy}-{zone}", "drafts", zone, FIRST_PART)
+            platform.add_target(f"b{copy}-{zone}", "drafts", zone, LAST_PART)
+    context.router = platform.add_router()
+    # Otherwise the planner would move layers to the targets that are left.
+    context.router.planner_lease.stop()
+    budget = context.router.budget
+    budget.bounds = dataclasses.replace(budget.bounds, retry_extra=MANY_RETRIES)
+    platform.store.link = SharedLink(mbps * MBIT_BYTES)
+    # Long enough for the watch to be pending.
+    gevent.sleep(0.5)
+
+
+@when(
+    "a copy of each part leaves in the own zone just after a configuration of 1 MB was "
+    "written"
+)
+def leave_with_model_parts(context: Context) -> None:
+    write_large_configuration(context.platform)
+    context.leaving = [f"a1-{ZONES[0]}", f"b1-{ZONES[0]}"]
+    for name in context.leaving:
+        remove_target_entry(context.platform.store.state, name)
+    context.left_at_s = time.monotonic()
+
+
+@when("drafts that break off and are resumed are sent for {time_s:d} s")
+def send_drafts(context: Context, time_s: int) -> None:
+    for target in first_targets(context):
+        target.behaviour = Behaviour.BREAK_STREAM
+        target.events_before_fault = 4
+    end_s = time.monotonic() + time_s
+    callers = [gevent.spawn(ask_drafts, context, name, end_s) for name in "pq"]
+    gevent.joinall(callers, raise_error=True)
+
+
+def ask_drafts(context: Context, caller: str, end_s: float) -> None:
+    """Ask for one draft after the other until a time, whatever becomes of them."""
+    number = 0
+    while time.monotonic() < end_s:
+        gevent.sleep(DRAFT_INTERVAL_S)
+        number += 1
+        try:
+            request = f"{caller}{number}"
+            # No two alike, since a request whose targets are lost is given up.
+            send(
+                context.router,
+                "/draft/x",
+                body=request.encode(),
+                request=request,
+                Token_Count="100,8",
+            )
+        except http.client.IncompleteRead:
+            # A stream that used up its attempts.
+            continue
+
+
+@then("no path leads over those that left later than the drain bound")
+def check_no_path_over_leaving(context: Context) -> None:
+    targets = context.platform.targets
+    left = {str(targets[name].address) for name in context.leaving}
+    bound_s = context.router.settings.bounds.drain_s
+    runs = [run for target in targets.values() for run in target.log.runs]
+    late = [run for run in runs if run.received_at_s > context.left_at_s + bound_s]
+    resumed = [run for run in late if "last-event-id" in run.headers]
+    assert resumed, "no stream was resumed after the bound"
+    for run in late:
+        path = {part.split("=")[0] for part in run.headers["hop-count"].split(",")}
+        assert not path & left, (run.received_at_s - context.left_at_s, path & left)
+
+
 @when("lookups are sent for {time_s:d} s")
 def send_lookups(context: Context, time_s: int) -> None:
     end_s = time.monotonic() + time_s
--- a/tests/support/model_router.py
+++ b/tests/support/model_router.py
@@ -3,6 +3,7 @@
 import json
 import random
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 
 import gevent
@@ -44,6 +45,7 @@
 class ModelRouter:
     """A router's watch and probe on the model of a store, and what it would use.
 
+    `applied_revisions` counts how often each change of a target was applied.
     `configuration_revision` is that of the configuration applied last, and
     `regained_after_s` is how long after an outage the store was followed again.
     `read_revisions` and `latest_revisions` are those that were applied last and that
@@ -57,6 +59,7 @@
     seed: int
     regained_after_s: float = 0.0
     configuration_revision: int = 0
+    applied_revisions: Counter[int] = field(default_factory=Counter)
     read_revisions: list[int] = field(default_factory=list)
     latest_revisions: list[int] = field(default_factory=list)
     left_at_s: dict[str, float] = field(default_factory=dict)
@@ -70,7 +73,7 @@
             EntryHandler(
                 protocol.CONFIG_KEY, self.note_configuration, lambda keys: None
             ),
-            target_handler(self.fleet_view),
+            self.record_changes(target_handler(self.fleet_view)),
         )
         self.watcher = StoreWatcher(self.store, self.fleet_view, handlers)
         self.watcher.set_router_count(self.case.routers)
@@ -84,6 +87,15 @@
         """Record the configuration that was applied last."""
         self.configuration_revision = entry.revision
 
+    def record_changes(self, handler: EntryHandler) -> EntryHandler:
+        """Return a handler that records the revisions of the changes it applies."""
+
+        def on_entry(entry: Entry) -> None:
+            self.applied_revisions[entry.revision] += 1
+            handler.on_entry(entry)
+
+        return EntryHandler(handler.prefix, on_entry, handler.on_full_read)
+
     def start(self) -> None:
         """Follow the store until `stop`, and watch what is usable."""
         runners = (self.watcher.run, self.probe.run, self.sample)
