Show that refusals, errors and nested messages of others do no harm on the product's own interface

Reports of other operators, looked for on the product's interface: an earlier refusal on a kept connection of a service (it names another request and attempt, and the call is made again or, where it can't be repeated, has a connection of its own); an error's text, head or event in an engine's stream (each event is decoded, the attempt fails and goes on elsewhere); a message between processes that is nested 100,000 deep.

--- a/src/chervilstall/standin/target_server.py
+++ b/src/chervilstall/standin/target_server.py
@@ -29,13 +29,29 @@
     Refusal,
     StreamEvent,
 )
-from chervilstall.wsgi import Environ, Server, read_body
+from chervilstall.wsgi import SOCKET_KEY, Environ, Server, read_body
 
 EVENT_STREAM_HEADER = ("Content-Type", "text/event-stream")
 ANY_PORT = Address("127.0.0.1", 0)
 OK_BODY = {"ok": True}
 
 
+ERROR_TEXT = b"upstream unavailable"
+STREAM_ERRORS = {
+    FaultKind.ERROR_TEXT: ERROR_TEXT + b"\n\n",
+    FaultKind.ERROR_HEAD: b"HTTP/1.1 503 Service Unavailable\r\n\r\n" + ERROR_TEXT,
+    FaultKind.ERROR_EVENT: b'data: {"error":"' + ERROR_TEXT + b'"}\n\n',
+}
+"""What some faults write into a stream, before the event at their position."""
+
+REFUSE_AGAIN_DELAY_S = 0.05
+EARLIER_REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nChervilstall-Refused: yes\r\n"
+    b"Chervilstall-Request: 00000000000000000000000000000000\r\n"
+    b"Chervilstall-Attempt: 1\r\nContent-Length: 2\r\n\r\n{}"
+)
+
+
 class ConnectionClosed(ConnectionError):
     """Raised inside an application to make the server close the connection."""
 
@@ -140,7 +156,7 @@
     def _stream_events(self, order: GenerateOrder) -> Iterator[bytes]:
         try:
             for event in self.fabric.generate(self.engine, order):
-                yield encode_event(event)
+                yield self._due_error(event) + encode_event(event)
                 if event.kind is EventKind.END:
                     return
         except StopResponding:
@@ -148,6 +164,15 @@
         except CloseConnection as error:
             raise ConnectionClosed from error
 
+    def _due_error(self, event: StreamEvent) -> bytes:
+        """Return the error that is to be written before an event, if any."""
+        if event.kind is not EventKind.TOKEN:
+            return b""
+        for kind, error in STREAM_ERRORS.items():
+            if self.engine.faults.trigger(kind, event.position):
+                return error
+        return b""
+
 
 @dataclass
 class ServiceOptions:
@@ -253,6 +278,11 @@
             answer = service.run(environ, body)
         finally:
             service.in_flight -= 1
+        if service.faults.trigger(FaultKind.REFUSE_AGAIN):
+            # Once the answer has been written and the connection waits.
+            gevent.spawn_later(
+                REFUSE_AGAIN_DELAY_S, environ[SOCKET_KEY].sendall, EARLIER_REFUSAL
+            )
         return self._build_answer(answer, identity).start(start_response)
 
     def _send_load_report(self, start_response: StartResponse) -> list[bytes]:
--- a/tests/steps/peer_steps.py
+++ b/tests/steps/peer_steps.py
@@ -74,7 +74,9 @@
 def check_malformed_messages(context: Context) -> None:
     client = PeerClient(context.server.address, context.keys)
     context.stoppables.append(client)
-    client._connect().socket.send(b"\xffgarbage")
+    nested = b"\x81\xa2zz" + b"\x91" * 100_000 + b"\xc0"
+    for message in (b"\xffgarbage", nested):
+        client._connect().socket.send(message)
     assert isinstance(client.call(IndirectAnswer(True), 1.0), Refused)
     assert client.ask(REQUEST, IndirectAnswer, 1.0).is_reached
 
--- a/tests/steps/target_steps.py
+++ b/tests/steps/target_steps.py
@@ -19,7 +19,10 @@
 from chervilstall.http_response import json_response
 from chervilstall.settings.processes import ListenSettings
 from chervilstall.standin.faults import FOREVER, FaultKind
-from chervilstall.standin.target_server import operation_name
+from chervilstall.standin.target_server import (
+    REFUSE_AGAIN_DELAY_S,
+    operation_name,
+)
 from tests.support.agent_fleet import eventually
 from tests.support.chat import (
     CHAT,
@@ -38,6 +41,7 @@
 )
 HOLD = {"row": "C", "seat": 14}
 HOLD_BODY = json.dumps(HOLD).encode()
+OTHER_HOLD_BODY = json.dumps({"row": "D", "seat": 1}).encode()
 
 
 def arm_engines(context: Context, fault: str, position: int, times: int) -> None:
@@ -107,6 +111,39 @@
     assert text == expected_text(PROMPT, context.tokens), text
 
 
+@then("nothing of the error reaches the caller")
+def check_no_error_text(context: Context) -> None:
+    assert b"unavailable" not in context.response.body, context.response
+    assert b"HTTP/1.1" not in context.response.body, context.response
+
+
+@when("every service writes an earlier refusal once more after its next answer")
+def arm_earlier_refusal(context: Context) -> None:
+    for server in context.router_harness.services.values():
+        server.service.faults.arm(FaultKind.REFUSE_AGAIN)
+
+
+@when("the earlier refusal has arrived")
+def await_earlier_refusal(context: Context) -> None:
+    assert context.response.status == 200, context.response
+    gevent.sleep(4 * REFUSE_AGAIN_DELAY_S)
+
+
+@when("the caller sends another {method:w} to the holds service")
+def send_other(context: Context, method: str) -> None:
+    context.response = context.router_harness.send(
+        method, "/services/holds/other", OTHER_HOLD_BODY, Chervilstall_Deadline_S="3"
+    )
+
+
+@then("the other operation was answered and ran {runs:d} times")
+def check_other(context: Context, runs: int) -> None:
+    assert context.response.status == 200, context.response
+    operation = operation_name("/other", OTHER_HOLD_BODY)
+    assert context.response.json()["operation"] == operation, context.response
+    assert context.router_harness.ledger.count_runs(operation) == runs
+
+
 @then("the stream was resumed from exported KV state")
 def check_kv_resume(context: Context) -> None:
     counters = context.router_harness.router.runtime.relay.counters
--- a/tests/target/hostile.feature
+++ b/tests/target/hostile.feature
@@ -23,6 +23,20 @@
       | die_before_accept    |
       | die_after_accept     |
 
+  # Guards against ORDER and MIXED: an error's text or head in the middle of a stream.
+  Scenario Outline: A stream into which an engine writes an error holds nothing of it: <fault>
+    Given a router and stand-in targets
+    When every engine has the fault "<fault>" at position 3 once
+    And the caller streams 8 tokens from "assistant"
+    Then the stream is complete and correct
+    And nothing of the error reaches the caller
+
+    Examples:
+      | fault       |
+      | error_text  |
+      | error_head  |
+      | error_event |
+
   Scenario: A stream resumes from exported KV state where that is still readable
     Given a router and stand-in targets
     When every engine has the fault "silent_at_position" at position 3 once
@@ -77,6 +91,20 @@
     And the caller sends POST to the holds service with an idempotency key
     Then the caller sees an error that says it was not run
 
+  # Guards against REFUSED and TWICE: an earlier refusal on a kept connection.
+  Scenario Outline: An earlier refusal on a kept connection refuses no <method>
+    Given a router and stand-in targets
+    When every service writes an earlier refusal once more after its next answer
+    And the caller sends GET to the holds service with an idempotency key
+    And the earlier refusal has arrived
+    And the caller sends another <method> to the holds service
+    Then the other operation was answered and ran <runs> times
+
+    Examples:
+      | method | runs |
+      | GET    | 1    |
+      | POST   | 1    |
+
   Scenario: A target whose control responses are malformed stays usable
     Given a router and stand-in targets
     When the engines' control responses are malformed for a short time
