Leave out odd records on the product's own interface, too

The report of odd entries, looked for in agents, gateway and planner: an engine's load report with a number of 400 digits, or nested 100,000 deep, ended the task that polls the engine, which was never polled again; one odd record in the platform's list of VMs hid all others (or was taken, with a port that doesn't exist); one zone's unreadable watermark hid all zones, and kept that zone's own from ever being written; unreadable settings raised errors that no caller takes for a failed store; a key beside a slot's segments kept its home from opening.

Reports and records are decoded by one function with bounded numbers, and left out each by itself with a line in the log. A malformed segment of a slot is not left out, since what it records may have run: reading it fails, and keyed requests are refused as not run. A record nested deep in the list of VMs still hides the list: the list is one document, and agents know each other by gossip.

--- a/src/chervilstall/agent/distribution.py
+++ b/src/chervilstall/agent/distribution.py
@@ -22,6 +22,7 @@
     IN_FORCE_PREFIX,
     ZoneWatermark,
     decode_head,
+    decode_watermark,
 )
 from chervilstall.configuration.replica import Replica
 from chervilstall.configuration.watermark import (
@@ -47,6 +48,7 @@
 from chervilstall.settings.option import Address
 from chervilstall.store.contract import (
     Store,
+    StoreEntry,
     StoreFailed,
     VmList,
     VmRecord,
@@ -361,14 +363,24 @@
         self._published = watermark_record
         self._published_at_s = now_s
 
+    @staticmethod
+    def _decode_watermark(entry: StoreEntry | None) -> ZoneWatermark | None:
+        """Return the stored watermark, or None if there is none that can be read."""
+        if entry is None:
+            return None
+        try:
+            return decode_watermark(entry.value)
+        except StoreFailed as error:
+            log.warning("%s is written anew: %s.", entry.key, error)
+            return None
+
     def _write_watermark(self, record: ZoneWatermark) -> None:
         key = IN_FORCE_PREFIX + record.zone
         entry = self._store.get(key)
-        if entry is not None:
-            stored = msgspec.json.decode(entry.value, type=ZoneWatermark)
-            if stored.revision > record.revision:
-                # An earlier relay confirmed a higher revision, which stays in force.
-                self.watermark.revision = Revision(stored.revision)
-                return
+        stored = self._decode_watermark(entry)
+        if stored is not None and stored.revision > record.revision:
+            # An earlier relay confirmed a higher revision, which stays in force.
+            self.watermark.revision = Revision(stored.revision)
+            return
         stamped = msgspec.structs.replace(record, at_s=time.time())
         self._store.put(key, msgspec.json.encode(stamped))
--- a/src/chervilstall/configuration/records.py
+++ b/src/chervilstall/configuration/records.py
@@ -8,11 +8,16 @@
 """
 
 import zlib
+from typing import TypeVar
 
 import msgspec
 
+from chervilstall.decoding import Decoder, decode_untrusted
 from chervilstall.ids import ChangeId, Revision
 from chervilstall.peer.messages import TreeChange
+from chervilstall.store.contract import StoreFailed
+
+T = TypeVar("T")
 
 HEAD_KEY = "configuration/head"
 SNAPSHOT_PREFIX = "configuration/snapshots/"
@@ -98,8 +103,11 @@
 
 
 def unpack_texts(data: bytes) -> dict[str, str]:
-    """Return the document texts by path that `pack_texts` encoded."""
-    return msgspec.json.decode(zlib.decompress(data), type=dict[str, str])
+    """Return the document texts by path that `pack_texts` encoded.
+
+    Raises StoreFailed where it didn't encode them.
+    """
+    return _unpack(_texts_decoder, data)
 
 
 def encode_head(head: Head) -> bytes:
@@ -108,5 +116,39 @@
 
 
 def decode_head(data: bytes) -> Head:
-    """Return the head that `encode_head` encoded."""
-    return msgspec.json.decode(zlib.decompress(data), type=Head)
+    """Return the head that `encode_head` encoded.
+
+    Raises StoreFailed where it didn't encode it.
+    """
+    return _unpack(_head_decoder, data)
+
+
+def decode_chunk(data: bytes) -> HistoryChunk:
+    """Return a history chunk. Raises StoreFailed if it is malformed."""
+    return _decode(_chunk_decoder, data)
+
+
+def decode_watermark(data: bytes) -> ZoneWatermark:
+    """Return a zone's watermark. Raises StoreFailed if it is malformed."""
+    return _decode(_watermark_decoder, data)
+
+
+def _unpack(decoder: Decoder[T], data: bytes) -> T:
+    try:
+        content = zlib.decompress(data)
+    except zlib.error as error:
+        raise StoreFailed(f"a malformed record: {error}") from error
+    return _decode(decoder, content)
+
+
+def _decode(decoder: Decoder[T], content: bytes) -> T:
+    try:
+        return decode_untrusted(decoder, content)
+    except ValueError as error:
+        raise StoreFailed(f"a malformed record: {error}") from error
+
+
+_texts_decoder = msgspec.json.Decoder(dict[str, str])
+_head_decoder = msgspec.json.Decoder(Head)
+_chunk_decoder = msgspec.json.Decoder(HistoryChunk)
+_watermark_decoder = msgspec.json.Decoder(ZoneWatermark)
--- a/src/chervilstall/configuration/writer.py
+++ b/src/chervilstall/configuration/writer.py
@@ -19,7 +19,9 @@
     Head,
     HistoryChunk,
     ZoneWatermark,
+    decode_chunk,
     decode_head,
+    decode_watermark,
     encode_head,
     history_key,
     pack_texts,
@@ -30,6 +32,9 @@
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import ChangeId, Revision
 from chervilstall.store.contract import ABSENT_VERSION, Store, StoreFailed
+from chervilstall.telemetry.logs import ComponentLog
+
+log = ComponentLog("settings")
 
 CHANGES_PER_SNAPSHOT = 64
 HEAD_MAX_BYTES = 400_000
@@ -114,9 +119,13 @@
     def read_watermarks(self) -> list[ZoneWatermark]:
         """Return the watermark of every zone that has published one."""
         entries = self.store.list_entries(IN_FORCE_PREFIX)
-        return [
-            msgspec.json.decode(entry.value, type=ZoneWatermark) for entry in entries
-        ]
+        watermarks: list[ZoneWatermark] = []
+        for entry in entries:
+            try:
+                watermarks.append(decode_watermark(entry.value))
+            except StoreFailed as error:
+                log.warning("Left out %s: %s.", entry.key, error)
+        return watermarks
 
     # Accepting changes
 
@@ -202,7 +211,7 @@
         entry = self.store.get(history_key(revision, change))
         if entry is None:
             return None
-        return msgspec.json.decode(entry.value, type=HistoryChunk)
+        return decode_chunk(entry.value)
 
     def _check_conflict(self, head: Head, proposed: ProposedChange) -> None:
         if proposed.base is None:
--- a/src/chervilstall/decoding.py
+++ b/src/chervilstall/decoding.py
@@ -1,6 +1,14 @@
 """Decoding of content that others wrote, which may be anything."""
 
-from typing import Protocol, TypeVar
+from typing import Annotated, Protocol, TypeVar
+
+import msgspec
+
+INTEGER_MAX = 2**53
+"""Largest integer that every reader of JSON takes as it is."""
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)]
+"""An integer that others write, small enough to be calculated with."""
 
 T_co = TypeVar("T_co", covariant=True)
 
--- a/src/chervilstall/gateway/target_poller.py
+++ b/src/chervilstall/gateway/target_poller.py
@@ -6,8 +6,12 @@
 from chervilstall.ids import TargetId
 from chervilstall.routing.selector import ChainSelector
 from chervilstall.settings.connections import TargetSettings
+from chervilstall.settings.option import Address
 from chervilstall.settings.processes import RoutingSettings
 from chervilstall.target.engine_client import HttpEngineClient
+from chervilstall.telemetry.logs import ComponentLog
+
+log = ComponentLog("targets")
 
 
 class TargetPoller:
@@ -51,12 +55,19 @@
             engine = self._selector.engine(target)
             if engine is None:
                 return
-            report = self._engines.fetch_load(engine.address)
-            if report is not None:
-                self._selector.load_table.apply_report(target, report)
-                self._update_affinity(target, report.cache_sequence)
+            try:
+                self._poll_once(target, engine.address)
+            except Exception as error:
+                # Whatever one report holds, the next one is to be read.
+                log.error("Could not use what %s reports: %r.", target, error)
             gevent.sleep(self._interval_s)
 
+    def _poll_once(self, target: TargetId, address: Address) -> None:
+        report = self._engines.fetch_load(address)
+        if report is not None:
+            self._selector.load_table.apply_report(target, report)
+            self._update_affinity(target, report.cache_sequence)
+
     def _update_affinity(self, target: TargetId, sequence: int) -> None:
         affinity = self._selector.affinity
         engine = self._selector.engine(target)
--- a/src/chervilstall/idempotency/log.py
+++ b/src/chervilstall/idempotency/log.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from chervilstall.clock import Clock
+from chervilstall.decoding import decode_untrusted
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.idempotency.records import (
     Record,
@@ -17,7 +18,13 @@
     segment_prefix,
 )
 from chervilstall.ids import ChangeId, SlotName, new_change_id
-from chervilstall.store.contract import ABSENT_VERSION, Store, StoreFailed
+from chervilstall.store.contract import (
+    ABSENT_VERSION,
+    Store,
+    StoreEntry,
+    StoreFailed,
+)
+from chervilstall.telemetry.logs import ComponentLog
 
 RETRY_INTERVAL_S = 0.05
 DELETES_PER_CLEANUP_MAX = 50
@@ -26,6 +33,20 @@
 _decoder = msgspec.msgpack.Decoder(Segment)
 
 
+log = ComponentLog("claims")
+
+
+def _decode(entry: StoreEntry) -> Segment:
+    """Return a segment. Raises StoreFailed if it is malformed.
+
+    A segment isn't left out, since requests that it records may have run.
+    """
+    try:
+        return decode_untrusted(_decoder, entry.value)
+    except ValueError as error:
+        raise StoreFailed(f"malformed segment {entry.key}: {error}") from error
+
+
 class LogFenced(ChervilstallError):
     """Another home wrote the next segment, so this home no longer owns the slot."""
 
@@ -65,7 +86,10 @@
         stored = []
         for entry in self.store.list_entries(segment_prefix(self.slot)):
             number = segment_number(entry.key)
-            stored.append(StoredSegment(number, _decoder.decode(entry.value)))
+            if number is None:
+                log.warning("Left out %s, which is no segment.", entry.key)
+                continue
+            stored.append(StoredSegment(number, _decode(entry)))
         self._stored_segments = [
             (item.number, item.segment.written_at_s) for item in stored
         ]
@@ -108,7 +132,7 @@
         if entry is None:
             # The store served a stale read; the caller retries the write.
             raise StoreFailed("stale read: an existing segment was reported absent")
-        if _decoder.decode(entry.value).change != change:
+        if _decode(entry).change != change:
             raise LogFenced(self.slot)
 
     def delete_before(self, cutoff_s: float) -> int:
--- a/src/chervilstall/idempotency/records.py
+++ b/src/chervilstall/idempotency/records.py
@@ -94,6 +94,8 @@
     return f"{segment_prefix(slot)}{number:0{NUMBER_DIGITS}d}"
 
 
-def segment_number(key: str) -> int:
-    """Return the segment number that a segment's key ends with."""
-    return int(key.rsplit("/", 1)[1])
+def segment_number(key: str) -> int | None:
+    """Return the segment number that a key ends with, or None if it is no segment's."""
+    digits = key.rsplit("/", 1)[1]
+    is_number = len(digits) == NUMBER_DIGITS and digits.isascii() and digits.isdecimal()
+    return int(digits) if is_number else None
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -9,7 +9,7 @@
 import msgspec
 from geventhttpclient.response import HTTPParseError
 
-from chervilstall.decoding import decode_untrusted
+from chervilstall.decoding import Count, decode_untrusted
 from chervilstall.fleet.records import NO_LAYERS, LayerRange, Target, TargetReadiness
 from chervilstall.ids import RequestId, ServiceName, TargetId, ZoneName
 from chervilstall.paths.records import Path
@@ -25,12 +25,7 @@
 """Share of the memory in use up to which a target certainly admits another request."""
 
 ACCEPTED_STATUSES = frozenset({200, 202})
-
-
 LAYERS_MAX = 1_000_000
-INTEGER_MAX = 2**53
-"""Largest integer that every reader of JSON takes as it is."""
-
 TARGET_ID_PATTERN = re.compile(r"[!-+\--~]{1,200}")
 """Printable ASCII without a comma, since the ID is sent in headers."""
 
@@ -49,7 +44,7 @@
     zone: str
     state: Literal["ready", "draining"]
     # Start in Unix milliseconds; with the ID it identifies one incarnation.
-    born: Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)] = 0
+    born: Count = 0
     # Type of the accelerator.
     type: str = ""
     layers: _Layers | None = None
@@ -111,9 +106,9 @@
     pace: float = 1.0
     busy: bool = False
     # Orders accepted since the start. In an entry, `sequence` counts heartbeats.
-    sequence: int = 0
-    queued: int = 0
-    active: int = 0
+    sequence: Count = 0
+    queued: Count = 0
+    active: Count = 0
     kv_used_count: float = 0.0
     kv_total_count: float = 0.0
     stalled: list[_Stalled] = []
--- a/src/chervilstall/store/client.py
+++ b/src/chervilstall/store/client.py
@@ -2,6 +2,9 @@
 
 from urllib.parse import quote
 
+import msgspec
+
+from chervilstall.decoding import decode_untrusted
 from chervilstall.settings.agents import StoreSettings
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.store.calls import (
@@ -19,6 +22,11 @@
 )
 from chervilstall.store.rate_limiter import CallRateLimiter
 from chervilstall.target.calls import Call
+from chervilstall.telemetry.logs import ComponentLog
+
+log = ComponentLog("store")
+
+_vm_decoder = msgspec.json.Decoder(VmRecord)
 
 
 class HttpStore:
@@ -83,8 +91,18 @@
         return decode_body(body or b"", tuple[LeaseRecord, ...])
 
     def list_vms(self) -> tuple[VmRecord, ...]:
-        """Return the VMs of the list, which lags behind."""
-        return decode_body(self._call("GET", "/v1/vms") or b"", tuple[VmRecord, ...])
+        """Return the VMs of the list, which lags behind.
+
+        A record that can't be read is left out.
+        """
+        body = self._call("GET", "/v1/vms") or b""
+        records: list[VmRecord] = []
+        for content in decode_body(body, tuple[msgspec.Raw, ...]):
+            try:
+                records.append(decode_untrusted(_vm_decoder, bytes(content)))
+            except ValueError as error:
+                log.warning("Left out a VM of the platform's list: %s.", error)
+        return tuple(records)
 
     def _call(
         self, method: str, path: str, body: bytes = b"", extra_s: float = 0.0
--- a/src/chervilstall/store/contract.py
+++ b/src/chervilstall/store/contract.py
@@ -6,12 +6,13 @@
 """
 
 from enum import Enum
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import msgspec
 
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import Epoch, VmId, ZoneName
+from chervilstall.settings.option import MAX_PORT
 
 VALUE_MAX_BYTES = 1_000_000
 ABSENT_VERSION = 0
@@ -77,7 +78,7 @@
     vm: VmId
     zone: ZoneName
     host: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
     state: VmState = VmState.LIVE
 
 
--- a/src/chervilstall/target/contract.py
+++ b/src/chervilstall/target/contract.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from chervilstall.decoding import Count
 from chervilstall.ids import AttemptNumber, Position, RequestId, TargetId
 from chervilstall.settings.option import Address
 
@@ -131,17 +132,17 @@
 class LoadReport(msgspec.Struct, frozen=True):
     """Load of a target, measured `age_s` seconds before it responded."""
 
-    in_flight: int
-    waiting: int
+    in_flight: Count
+    waiting: Count
     age_s: float
     is_leaving: bool = False
-    cache_sequence: int = 0
+    cache_sequence: Count = 0
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
     """A prompt prefix that entered or left a target's cache."""
 
-    sequence: int
+    sequence: Count
     prefix: int
     is_cached: bool
 
@@ -155,7 +156,7 @@
 class CacheIndex(msgspec.Struct, frozen=True):
     """All prefixes in a target's cache as of `sequence`."""
 
-    sequence: int
+    sequence: Count
     prefixes: tuple[int, ...]
 
 
@@ -188,8 +189,8 @@
     model: str
     version: str
     adapters: tuple[str, ...]
-    first_layer: int
-    end_layer: int
+    first_layer: Count
+    end_layer: Count
     is_loading: bool = False
     is_leaving: bool = False
 
--- a/tests/steps/target_steps.py
+++ b/tests/steps/target_steps.py
@@ -16,7 +16,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
-from chervilstall.http_response import json_response
+from chervilstall.http_response import HttpResponse
 from chervilstall.settings.processes import ListenSettings
 from chervilstall.standin.faults import FOREVER, FaultKind
 from chervilstall.standin.target_server import (
@@ -42,6 +42,7 @@
 HOLD = {"row": "C", "seat": 14}
 HOLD_BODY = json.dumps(HOLD).encode()
 OTHER_HOLD_BODY = json.dumps({"row": "D", "seat": 1}).encode()
+LOAD_REPORT = b'{"waiting":0,"age_s":0,"in_flight":%s}'
 
 
 def arm_engines(context: Context, fault: str, position: int, times: int) -> None:
@@ -229,11 +230,23 @@
     assert context.router_harness.ledger.count_runs(operation) == runs
 
 
-@when("the engines' control responses are malformed for a short time")
-def malform_control_responses(context: Context) -> None:
+MALFORMED_REPORTS = {
+    "another type": b'["nonsense"]',
+    "a number of 400 digits": LOAD_REPORT % (b"9" * 400),
+    "a negative number": LOAD_REPORT % b"-1",
+    "a field nested 100,000 deep": (
+        LOAD_REPORT % (b'0,"x":' + b"[" * 100_000 + b"]" * 100_000)
+    ),
+    "no UTF-8": b'{"in_flight":"\xff"}',
+}
+
+
+@when("the engines' control responses hold {content} for a short time")
+def malform_control_responses(context: Context, content: str) -> None:
+    response = HttpResponse(200, MALFORMED_REPORTS[content])
     for server in context.router_harness.engines.values():
         original = server._control
-        server._control = lambda path, environ: json_response(200, ["nonsense"])
+        server._control = lambda path, environ: response
         gevent.spawn_later(0.3, setattr, server, "_control", original)
     gevent.sleep(0.4)
 
--- a/tests/target/hostile.feature
+++ b/tests/target/hostile.feature
@@ -105,9 +105,18 @@
       | GET    | 1    |
       | POST   | 1    |
 
-  Scenario: A target whose control responses are malformed stays usable
+  # Guards against engines that are never polled again after one odd report.
+  Scenario Outline: A target whose control responses hold <content> stays usable
     Given a router and stand-in targets
-    When the engines' control responses are malformed for a short time
+    When the engines' control responses hold <content> for a short time
     And the caller streams 8 tokens from "assistant"
     Then the stream is complete and correct
     And every engine is still polled
+
+    Examples:
+      | content                     |
+      | another type                |
+      | a number of 400 digits      |
+      | a negative number           |
+      | a field nested 100,000 deep |
+      | no UTF-8                    |
