Give a large value of the product's store the time that its transfer takes

The limit now holds until the response begins and for each piece of it, as on the platform. A value that takes three times the limit: failed on, read now, by its key, listed and watched. Sending a large value still has one limit.

--- a/src/chervilstall/standin/store_server.py
+++ b/src/chervilstall/standin/store_server.py
@@ -1,11 +1,13 @@
 """HTTP server of the in-memory store."""
 
+from collections.abc import Iterable
 from urllib.parse import parse_qs, unquote
 
 import msgspec
 
 from chervilstall.http_response import HttpResponse, StartResponse, json_response
 from chervilstall.settings.option import Address
+from chervilstall.standin.shared_link import SharedLink
 from chervilstall.standin.store import MemoryStore
 from chervilstall.store.contract import (
     StoreFailed,
@@ -21,12 +23,16 @@
 
 
 class StoreServer:
-    """Serves a `MemoryStore` over the HTTP API of the platform's store."""
+    """Serves a `MemoryStore` over the HTTP API of the platform's store.
+
+    Responses take the time that they need on `link`, if one is set.
+    """
 
     def __init__(
         self, store: MemoryStore, address: Address = Address("127.0.0.1", 0)
     ) -> None:
         self.store = store
+        self.link: SharedLink | None = None
         self.server = Server(address, self.application)
         self.server.start()
 
@@ -41,7 +47,7 @@
 
     def application(
         self, environ: Environ, start_response: StartResponse
-    ) -> list[bytes]:
+    ) -> Iterable[bytes]:
         """Serve one call. StoreRefused answers 503, StoreFailed 500."""
         try:
             reply = self._handle_call(environ)
@@ -49,7 +55,8 @@
             reply = json_response(503, {"error": str(error)})
         except StoreFailed as error:
             reply = json_response(500, {"error": str(error)})
-        return reply.start(start_response)
+        content = reply.start(start_response)
+        return content if self.link is None else self.link.send(reply.body)
 
     def _handle_call(self, environ: Environ) -> HttpResponse:
         method = environ["REQUEST_METHOD"]
--- a/src/chervilstall/store/client.py
+++ b/src/chervilstall/store/client.py
@@ -21,7 +21,7 @@
     WatchAnswer,
 )
 from chervilstall.store.rate_limiter import CallRateLimiter
-from chervilstall.target.calls import Call
+from chervilstall.target.calls import Call, LongBody
 from chervilstall.telemetry.logs import ComponentLog
 
 log = ComponentLog("store")
@@ -33,13 +33,15 @@
     """The platform's store and VM list over HTTP.
 
     Each call opens a connection of its own, so that a connection whose peer stopped
-    responding affects one call only. `rate_limiter` limits the rate of calls.
+    responding affects one call only. `rate_limiter` limits the rate of calls. The time
+    limit of the settings holds until a response begins, and for each piece of it.
     """
 
     def __init__(self, settings: StoreSettings) -> None:
         self.settings = settings
         self.rate_limiter = CallRateLimiter(settings.calls_per_s)
         self._connections = TargetSettings(connect_timeout_s=settings.timeout_s)
+        self._long_body = LongBody(settings.timeout_s)
 
     def get(self, key: str) -> StoreEntry | None:
         """Return a key's entry, or None if it is absent."""
@@ -109,7 +111,7 @@
     ) -> bytes | None:
         self.rate_limiter.acquire()
         timeout_s = self.settings.timeout_s + extra_s
-        call = Call(method, path, timeout_s, body)
+        call = Call(method, path, timeout_s, body, long_body=self._long_body)
         response = call_store(self.settings.address, self._connections, call)
         if response.status == HTTP_NOT_FOUND:
             return None
--- a/src/chervilstall/target/calls.py
+++ b/src/chervilstall/target/calls.py
@@ -38,11 +38,11 @@
     """How a body is read that may take longer than the wait for its response.
 
     `stall_timeout_s` bounds the wait for each piece of it, and `on_piece` is called
-    with every piece.
+    after every piece.
     """
 
     stall_timeout_s: float
-    on_piece: Callable[[], None]
+    on_piece: Callable[[], None] = lambda: None
 
 
 @dataclass(frozen=True)
--- a/tests/steps/record_steps.py
+++ b/tests/steps/record_steps.py
@@ -1,4 +1,4 @@
-"""Steps for odd records of the product's store."""
+"""Steps for odd records of the product's store, and for large ones."""
 
 import json
 import zlib
@@ -23,7 +23,9 @@
 )
 from chervilstall.ids import Epoch, Revision, SlotName
 from chervilstall.settings.agents import StoreSettings
+from chervilstall.standin.shared_link import SharedLink
 from chervilstall.standin.store import MemoryStore
+from chervilstall.standin.store_server import StoreServer
 from chervilstall.store.client import HttpStore
 from chervilstall.store.contract import StoreFailed
 from tests.support.router_harness import ANY_PORT
@@ -49,6 +51,8 @@
         + b"}"
     ),
 }
+LINK_BYTES_PER_S = 125_000.0
+LARGE_VALUE = bytes(150_000)
 
 
 @given("a list of VMs in which one record has {fault}")
@@ -144,3 +148,30 @@
     except StoreFailed:
         return
     raise AssertionError("a malformed segment was left out")
+
+
+@given("a store over a link on which 200 kB take 1.6 s")
+def start_slow_store(context: Context) -> None:
+    server = StoreServer(MemoryStore(), ANY_PORT)
+    context.stoppables.append(server)
+    server.link = SharedLink(LINK_BYTES_PER_S)
+    server.store.put("large", LARGE_VALUE)
+    settings = StoreSettings(address=server.address, timeout_s=0.5)
+    context.store = HttpStore(settings)
+
+
+@when(
+    "a value of 150 kB is read by its key, listed and watched, with a time limit of "
+    "0.5 s"
+)
+def read_large(context: Context) -> None:
+    context.entries = [
+        context.store.get("large"),
+        *context.store.list_entries("large"),
+        *context.store.watch("large", 0, 0.1).entries,
+    ]
+
+
+@then("it arrives each time")
+def check_large(context: Context) -> None:
+    assert [entry.value for entry in context.entries] == [LARGE_VALUE] * 3
--- a/tests/store/records.feature
+++ b/tests/store/records.feature
@@ -1,4 +1,4 @@
-Feature: One odd record of the store stops nobody
+Feature: One odd record of the store stops nobody, and large values arrive over slow links
 
   # Guards against agents that stop following the list of VMs at one odd record.
   Scenario Outline: A VM record with <fault> is left out of the platform's list
@@ -47,3 +47,9 @@
     Then the log is read with both
     When the second segment is overwritten with something else
     Then reading the log fails as a call of the store does
+
+  # Guards against values that never arrive because they take longer than one call may wait.
+  Scenario: A value that takes three times as long as a call may wait is read
+    Given a store over a link on which 200 kB take 1.6 s
+    When a value of 150 kB is read by its key, listed and watched, with a time limit of 0.5 s
+    Then it arrives each time
