Let routers try to acquire the planner's lease one after the other, and register in one call

Callers saw nothing of it, but the store did: all 195 routers of the large deployment called it as the planner's lease became free, each up to four times, asked it again every 10 s while another held it, and registered with one call more than needed: work that grows with the fleet for a lease that one holds.

Now a router that hears that the lease is free waits for its turn, and doesn't call if it is held again by then; a full read of the store shows it, too. The check of a lease that another holds becomes rarer with the number of routers. Both entries of a router are written in one transaction.

--- a/src/chervilstall/edge/registry.py
+++ b/src/chervilstall/edge/registry.py
@@ -12,6 +12,7 @@
 
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
+from chervilstall.edge.standby import PlannerStandby
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.suspicion import SuspicionKind
 from chervilstall.fleet.view import FleetView
@@ -25,7 +26,6 @@
     LeaseEnded,
     PlatformStore,
 )
-from chervilstall.platform.leases import lease_key
 from chervilstall.platform.peers import Peer, encode_peer, peer_key
 from chervilstall.platform.suspicions import (
     SharedSuspicion,
@@ -75,11 +75,17 @@
     rate_limiter: TargetRateLimiter
     store_watcher: StoreWatcher | None = None
     peer: Peer | None = None
+    standby: PlannerStandby = field(init=False)
     _router_zones: dict[str, ZoneName] = field(default_factory=dict)
     _lease: Lease | None = None
     _wake_requested: Event = field(default_factory=Event)
     _missing_kept_until_s: float = float("-inf")
 
+    def __post_init__(self) -> None:
+        self.standby = PlannerStandby(
+            self.planner.lease, self.vm, lambda: self.rate_limiter.routers
+        )
+
     def run(self) -> None:
         """Register, and renew the lease until the process ends; one task runs this."""
         while True:
@@ -99,10 +105,10 @@
             except LeaseEnded:
                 self._lease = None
         lease = self.store.open_lease(LEASE_TTL_S)
-        self.store.write(self.key, self.zone.encode(), None, lease.lease_id)
+        values = {self.key: self.zone.encode()}
         if self.peer is not None:
-            content = encode_peer(self.peer)
-            self.store.write(peer_key(self.vm), content, None, lease.lease_id)
+            values[peer_key(self.vm)] = encode_peer(self.peer)
+        self.store.write_all(values, lease.lease_id)
         self._lease = lease
 
     def handle_new_era(self) -> None:
@@ -122,7 +128,8 @@
             # Counting too many routers is safe; the next full listing corrects it.
             log.warning("routers not listed", why=error.message)
             return
-        self.handle_full_read([entry.key for entry in batch.entries])
+        retain_keys(self._router_zones, {entry.key for entry in batch.entries})
+        self._update_routers()
 
     @property
     def key(self) -> str:
@@ -139,17 +146,17 @@
                 zone = ZoneName(entry.value.decode("utf-8", "replace"))
                 self._router_zones[entry.key] = zone
             self._update_routers()
-        elif entry.key == lease_key(self.planner.lease.name) and entry.value is None:
-            self.planner.lease.wake()
+        elif entry.key == self.standby.key:
+            self.standby.handle_entry(entry)
         elif entry.key.startswith(SUSPICIONS_PREFIX) and entry.value is not None:
             self._apply_suspicion(entry.value)
 
     def handle_full_read(self, keys: list[str]) -> None:
         """Drop routers missing from a full listing below `ROUTER_KEYS_PREFIX`."""
-        if time.monotonic() < self._missing_kept_until_s:
-            return
-        retain_keys(self._router_zones, set(keys))
-        self._update_routers()
+        if time.monotonic() >= self._missing_kept_until_s:
+            retain_keys(self._router_zones, set(keys))
+            self._update_routers()
+        self.standby.handle_full_read(keys)
 
     def _update_routers(self) -> None:
         self.rate_limiter.routers = {
@@ -159,6 +166,7 @@
         router_count = max(1, len(self._router_zones))
         self.budget.router_count = router_count
         self.chooser.router_count = router_count
+        self.standby.update_interval()
         if self.store_watcher is not None:
             self.store_watcher.set_router_count(len(self._router_zones))
 
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -29,6 +29,7 @@
 from chervilstall.edge.reach.targets import TargetReach
 from chervilstall.edge.reach.zones import ZoneProber
 from chervilstall.edge.registry import ROUTERS_ASSUMED, RouterRegistry
+from chervilstall.edge.standby import CHECK_INTERVAL_S
 from chervilstall.edge.store_handlers import build_handlers
 from chervilstall.edge.store_probe import StoreProbe
 from chervilstall.edge.streams.context import StreamContext
@@ -58,7 +59,6 @@
 PLANNER_LEASE = "planner"
 PLANNER_LEASE_TTL_S = 2.0
 PLANNER_LEASE_MARGIN_S = 0.4
-PLANNER_STANDBY_S = 10.0
 METRICS_PORT = 9464
 HOUSEKEEPING_INTERVAL_S = 0.5
 PRUNE_INTERVAL_TURNS = 60
@@ -119,7 +119,7 @@
             PLANNER_LEASE,
             f"{settings.vm}/{os.getpid()}",
             LeaseSettings(ttl_s=PLANNER_LEASE_TTL_S, margin_s=PLANNER_LEASE_MARGIN_S),
-            standby_interval_s=PLANNER_STANDBY_S,
+            standby_interval_s=CHECK_INTERVAL_S,
         )
         self.planner = PlacementPlanner(self.fleet_view, self.planner_lease)
         self.zone_prober = ZoneProber(self.fleet_view, settings.zone)
--- a/src/chervilstall/lease/holder.py
+++ b/src/chervilstall/lease/holder.py
@@ -56,7 +56,7 @@
 
     While another process holds the lease, the next attempt follows when that lease
     would expire, or after `standby_interval_s` if it is set. Set it if `wake` is called
-    when the lease ends.
+    when the lease is free; the first attempt waits for that, too.
 
     >>> from chervilstall.standin.store import MemoryStore
     >>> holder = LeaseHolder(MemoryStore(), "planner", "vm-1", LeaseSettings())
@@ -163,11 +163,16 @@
 
         `jitter` returns the fraction by which each wait is lengthened or shortened.
         """
+        if self.standby_interval_s is not None:
+            self._wait(self.standby_interval_s)
         while not self._stopped.is_set():
             if not self._is_suspended:
                 self.step()
-            self._wake_requested.wait(self._wait_s() * (1.0 + jitter()))
-            self._wake_requested.clear()
+            self._wait(self._wait_s() * (1.0 + jitter()))
+
+    def _wait(self, time_s: float) -> None:
+        self._wake_requested.wait(time_s)
+        self._wake_requested.clear()
 
     def suspend(self) -> None:
         """Release the lease, and leave it to others until `resume` is called."""
--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -236,15 +236,15 @@
         `expected_revision` 0 expects the key to be absent, None expects nothing. With
         `lease` the key is removed when that lease ends; raises LeaseEnded if it has.
         """
-        expected = []
+        expected: list[dict[str, object]] = []
         if expected_revision is not None:
             expected.append({"key": key, "revision": expected_revision})
-        text = base64.b64encode(value).decode()
-        body = {
-            "expected": expected,
-            "writes": [{"key": key, "value": text, "lease": lease}],
-            "remove": [],
-        }
+        return self._write([_encode_write(key, value, lease)], expected)
+
+    def _write(
+        self, writes: list[dict[str, object]], expected: list[dict[str, object]]
+    ) -> int | None:
+        body = {"expected": expected, "writes": writes, "remove": []}
         response = self._call("POST", "/chervilstall/kv-txn", body)
         if response.status == HTTP_PRECONDITION_FAILED:
             return None
@@ -252,6 +252,14 @@
             raise LeaseEnded("the lease of the write has ended")
         return _decode(response, _WriteResponse).revision
 
+    def write_all(self, values: Mapping[str, bytes], lease: int) -> None:
+        """Write keys in one call; they are removed when the lease ends.
+
+        Raises LeaseEnded if it has.
+        """
+        writes = [_encode_write(key, value, lease) for key, value in values.items()]
+        self._write(writes, [])
+
     def remove(self, key: str) -> None:
         """Remove a key; it need not exist."""
         body = {"expected": [], "writes": [], "remove": [key]}
@@ -331,6 +339,10 @@
         raise EraChanged("the store came back from an earlier copy")
 
 
+def _encode_write(key: str, value: bytes, lease: int) -> dict[str, object]:
+    return {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+
+
 def _entry(item: _Item) -> Entry:
     if item.deleted:
         return Entry(item.key, None, item.revision)
