Let a few routers of a zone watch the store, and relay its changes to the others

Cause: work that grows with routers x changes.

A router that gets no reply within 1.2 s, or one that can't tell, watches the store itself. A relay holds neither large values nor the configuration, which every router reads itself. Times are told as ages, so that a view never counts as complete beyond what the relay knew.

--- /dev/null
+++ b/src/chervilstall/edge/changes/relayed_watch.py
@@ -0,0 +1,93 @@
+"""The side of a router that hears of changes through a relay."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from chervilstall.edge.changes.relays import RelayChoice
+from chervilstall.errors import ChervilstallError
+from chervilstall.peer.changes import Changes, ChangesNotHeld, ChangesRequest
+from chervilstall.peer.messages import Message, Refused
+from chervilstall.platform.kv import Entry, EntryBatch, PlatformStore
+from chervilstall.platform.peers import Peer
+from chervilstall.platform.watcher import RelayedBatch
+from chervilstall.telemetry.events import EventLog
+
+log = EventLog("store")
+
+WAIT_S = 0.8
+REPLY_TIMEOUT_S = 1.2
+"""Time without a reply after which a router asks the store itself."""
+
+LOST_S = 10.0
+REFUSED_S = 1.0
+
+AskRelay = Callable[[Peer, Message, float], Message]
+"""Sends a message to a relay and returns the reply that comes within some seconds.
+
+Raises PEER_UNAVAILABLE if there is none.
+"""
+
+
+@dataclass
+class RelayedWatch:
+    """Asks a relay of the zone for the changes after a revision.
+
+    One relay is asked at a time, and the store where it can't tell, so that its fault
+    delays a change by one time-out at the most.
+    """
+
+    store: PlatformStore
+    choice: RelayChoice
+    ask: AskRelay
+
+    def next_changes(self, after: int) -> RelayedBatch | None:
+        """Return the next changes, or none after some time.
+
+        None instead of a batch says that the store itself has to be watched.
+        """
+        relay = self.choice.choose()
+        if relay is None:
+            return None
+        request = ChangesRequest(self.store.era, after, int(WAIT_S * 1e3))
+        sent_at_s = time.monotonic()
+        try:
+            reply = self.ask(relay, request, REPLY_TIMEOUT_S)
+        except ChervilstallError as error:
+            self._leave(relay, error.message, LOST_S)
+            return None
+        match reply:
+            case Changes():
+                return self._decode(reply, after, sent_at_s)
+            case ChangesNotHeld():
+                return None
+            case Refused(reason=reason):
+                self._leave(relay, reason, REFUSED_S)
+            case _:
+                self._leave(relay, f"replied {type(reply).__name__}", LOST_S)
+        return None
+
+    def _leave(self, relay: Peer, why: str, for_s: float) -> None:
+        self.choice.avoid(relay, for_s)
+        log.info("relay left", relay=relay.vm, why=why)
+
+    def _decode(self, reply: Changes, after: int, sent_at_s: float) -> RelayedBatch:
+        """Convert the times of a reply to this router's clock.
+
+        The relay replied `waited_ms` after this router's request at the earliest.
+        """
+        received_at_s = time.monotonic()
+        replied_at_s = min(sent_at_s + reply.waited_ms / 1e3, received_at_s)
+        entries = tuple(
+            Entry(change.key, change.value, change.revision)
+            for change in reply.changes
+            if change.revision > after
+        )
+        batch = EntryBatch(
+            entries, max(reply.revision, after), sent_at_s, received_at_s, 0
+        )
+        return RelayedBatch(
+            batch,
+            complete_at_s=replied_at_s - reply.complete_age_ms / 1e3,
+            answered_at_s=replied_at_s - reply.answered_age_ms / 1e3,
+        )
--- a/src/chervilstall/edge/peers/directory.py
+++ b/src/chervilstall/edge/peers/directory.py
@@ -2,12 +2,15 @@
 
 import random
 import time
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.platform.kv import Entry
 from chervilstall.platform.peers import PEERS_PREFIX, Peer, decode_peer
+from chervilstall.settings.node import NodeSettings
+from chervilstall.settings.option import Address
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("members")
@@ -15,15 +18,20 @@
 
 @dataclass
 class PeerDirectory:
-    """Knows the registered routers, and which of them could not help lately."""
+    """Knows the registered routers, and which of them could not help lately.
+
+    `generation` grows with every change of the routers that are known.
+    """
 
     vm: VmId
     zone: ZoneName
+    generation: int = 0
     _peers: dict[str, Peer] = field(default_factory=dict)
     _avoided_until_s: dict[VmId, float] = field(default_factory=dict)
 
     def handle_entry(self, entry: Entry) -> None:
         """Apply a changed or deleted entry below `PEERS_PREFIX`."""
+        self.generation += 1
         if entry.value is None:
             self._peers.pop(entry.key, None)
             return
@@ -36,9 +44,15 @@
 
     def handle_full_read(self, keys: list[str]) -> None:
         """Drop the routers that a full read of the store did not return."""
+        self.generation += 1
         present = {key for key in keys if key.startswith(PEERS_PREFIX)}
         retain_keys(self._peers, present)
 
+    @property
+    def peers(self) -> Collection[Peer]:
+        """Return the other routers that are registered."""
+        return self._peers.values()
+
     def candidates(self) -> list[Peer]:
         """Return the routers to try, those of the own zone first, in random order."""
         now_s = time.monotonic()
@@ -53,3 +67,15 @@
     def avoid(self, peer: Peer, for_s: float) -> None:
         """Don't try a router for a time, as it could not help."""
         self._avoided_until_s[peer.vm] = time.monotonic() + for_s
+
+
+def describe_own(settings: NodeSettings, address: Address) -> Peer:
+    """Return what the other routers are told of the router with these settings.
+
+    `address` is the one at which it takes forwarded requests, on its first internal
+    port. It relays changes on the next one, if it has one.
+    """
+    relay_address = None
+    if settings.ports and settings.ports[0] < settings.ports[-1]:
+        relay_address = Address(settings.host, settings.ports[0] + 1)
+    return Peer(settings.vm, settings.zone, address, relay_address, settings.link_mbps)
--- a/src/chervilstall/edge/registry.py
+++ b/src/chervilstall/edge/registry.py
@@ -32,7 +32,6 @@
     decode_suspicion,
     encode_suspicion,
 )
-from chervilstall.platform.watcher import StoreWatcher
 from chervilstall.store.contract import StoreFailed
 from chervilstall.telemetry.events import EventLog
 
@@ -73,7 +72,6 @@
     chooser: PathChooser
     planner: PlacementPlanner
     rate_limiter: TargetRateLimiter
-    store_watcher: StoreWatcher | None = None
     peer: Peer | None = None
     standby: PlannerStandby = field(init=False)
     _router_zones: dict[str, ZoneName] = field(default_factory=dict)
@@ -167,8 +165,6 @@
         self.budget.router_count = router_count
         self.chooser.router_count = router_count
         self.standby.update_interval()
-        if self.store_watcher is not None:
-            self.store_watcher.set_router_count(len(self._router_zones))
 
     def _apply_suspicion(self, content: bytes) -> None:
         suspicion = decode_suspicion(content)
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -10,6 +10,8 @@
 from gevent.event import Event
 
 from chervilstall.edge.app import EdgeApplication
+from chervilstall.edge.changes.relays import RelayChoice
+from chervilstall.edge.changes.service import ChangeService
 from chervilstall.edge.crashes.guard import CrashGuard
 from chervilstall.edge.crashes.observer import CrashObserver
 from chervilstall.edge.crashes.sharing import QuarantineSharing
@@ -20,7 +22,7 @@
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.limits.sharing import LimitSharing
 from chervilstall.edge.loop_pulse import LoopPulse
-from chervilstall.edge.peers.directory import PeerDirectory
+from chervilstall.edge.peers.directory import PeerDirectory, describe_own
 from chervilstall.edge.peers.listener import PeerEndpoint
 from chervilstall.edge.peers.relay import PeerRelay
 from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
@@ -42,7 +44,6 @@
 from chervilstall.platform.kv import PlatformStore
 from chervilstall.platform.leases import PlatformLeases
 from chervilstall.platform.node import read_node
-from chervilstall.platform.peers import Peer
 from chervilstall.platform.watcher import StoreWatcher
 from chervilstall.quarantine.prompts import PromptQuarantine
 from chervilstall.settings.leases import LeaseSettings
@@ -151,7 +152,10 @@
             self.peer_directory,
         )
         self.store_watcher = StoreWatcher(self.store, self.fleet_view, handlers)
-        self.registry.store_watcher = self.store_watcher
+        relay_choice = RelayChoice(self.peer_directory)
+        self.changes = ChangeService(
+            self.store_watcher, relay_choice, lambda: self.is_draining
+        )
         self.store_probe = StoreProbe(self.store, self.store_watcher, self.registry.key)
         self.caller_listener = Server(
             listener or settings.frontend_address,
@@ -241,9 +245,10 @@
         log.info("started", zone=self.settings.zone, pid=os.getpid())
         self.caller_listener.start()
         self.peer_listener.start()
-        self.registry.peer = Peer(
-            self.settings.vm, self.settings.zone, self.peer_listener.bound_address
+        self.registry.peer = describe_own(
+            self.settings, self.peer_listener.bound_address
         )
+        self.changes.choice.own = self.registry.peer
         self.readiness_listener.start()
         self.metrics_listener.start()
         runners = [self.store_watcher.run, self.store_probe.run]
@@ -378,6 +383,7 @@
     def stop(self) -> None:
         """Kill all tasks and connections at once."""
         gevent.killall(self._tasks, block=False)
+        self.changes.stop()
         self.caller_listener.kill_connections()
         self.peer_listener.kill_connections()
         self.readiness_listener.kill_connections()
--- a/src/chervilstall/edge/store_probe.py
+++ b/src/chervilstall/edge/store_probe.py
@@ -47,7 +47,9 @@
             self.step()
 
     def step(self) -> None:
-        """Poll once."""
+        """Poll once, unless a relay tells what the store holds."""
+        if self.store_watcher.is_relayed:
+            return
         began_at_s = time.monotonic()
         try:
             revision = self.store.recent_revision(self.key, CHECK_TIMEOUT_S)
--- a/src/chervilstall/peer/messages.py
+++ b/src/chervilstall/peer/messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from chervilstall.ids import ChangeId, Epoch, InstanceId, Revision, VmId, ZoneName
+from chervilstall.peer.changes import Changes, ChangesNotHeld, ChangesRequest
 from chervilstall.peer.claims import (
     Claimed,
     ClaimRequest,
@@ -200,6 +201,9 @@
     ForwardedClaim,
     ForwardedReport,
     ReportAnswer,
+    ChangesRequest,
+    Changes,
+    ChangesNotHeld,
     Refused,
 ]
 
--- a/src/chervilstall/platform/configuration_reading.py
+++ b/src/chervilstall/platform/configuration_reading.py
@@ -41,7 +41,7 @@
         store: PlatformStore,
         revisions: dict[str, int],
         pause_s: float,
-        apply: Callable[[str, EntryBatch], None],
+        apply: Callable[[str, EntryBatch], object],
         read_prefix: Callable[[str], int],
     ) -> None:
         self.store = store
--- a/src/chervilstall/platform/node.py
+++ b/src/chervilstall/platform/node.py
@@ -31,6 +31,10 @@
     fencing_enforced: bool = False
 
 
+class _Limits(msgspec.Struct, rename="kebab"):
+    link_mbps: float = 0.0
+
+
 class _Node(msgspec.Struct, rename="kebab"):
     node_name: str = ""
     zone: str = ""
@@ -38,6 +42,7 @@
     zones: dict[str, str] = {}
     listen: _Listen = msgspec.field(default_factory=_Listen)
     internal_ports: list[int] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     platform: _Platform = msgspec.field(default_factory=_Platform)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -92,6 +97,7 @@
             node.platform.ttl_min_ms / 1e3,
         ),
         bounds=_bounds(collector, node.bounds),
+        link_mbps=int(node.limits.link_mbps),
     )
     if collector.errors:
         raise InvalidSettings("invalid settings", collector.errors)
--- a/src/chervilstall/platform/peers.py
+++ b/src/chervilstall/platform/peers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chervilstall.decoding import decode_untrusted
+from chervilstall.decoding import Count, decode_untrusted
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.platform import protocol
 from chervilstall.settings.option import Address, parse_address
@@ -14,16 +14,24 @@
 
 @dataclass(frozen=True)
 class Peer:
-    """A router that takes forwarded requests, and its availability zone."""
+    """A router that takes forwarded requests, and its availability zone.
+
+    It relays changes of the store at `relay_address`, if it has one. `link_mbps` is the
+    rate of its link in Mbit/s, or 0 if that is not known.
+    """
 
     vm: VmId
     zone: ZoneName
     address: Address
+    relay_address: Address | None = None
+    link_mbps: int = 0
 
 
-class _Entry(msgspec.Struct):
+class _Entry(msgspec.Struct, omit_defaults=True):
     zone: str
     address: str
+    relay: str = ""
+    link_mbps: Count = 0
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -36,7 +44,9 @@
 
 def encode_peer(peer: Peer) -> bytes:
     """Encode a router's entry."""
-    return msgspec.json.encode(_Entry(peer.zone, str(peer.address)))
+    relay = str(peer.relay_address) if peer.relay_address is not None else ""
+    entry = _Entry(peer.zone, str(peer.address), relay, peer.link_mbps)
+    return msgspec.json.encode(entry)
 
 
 def decode_peer(key: str, content: bytes) -> Peer | None:
@@ -44,6 +54,8 @@
     try:
         entry = decode_untrusted(_decoder, content)
         address = parse_address(entry.address)
+        relay_address = parse_address(entry.relay) if entry.relay else None
     except ValueError:
         return None
-    return Peer(VmId(key.removeprefix(PEERS_PREFIX)), ZoneName(entry.zone), address)
+    vm = VmId(key.removeprefix(PEERS_PREFIX))
+    return Peer(vm, ZoneName(entry.zone), address, relay_address, entry.link_mbps)
--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -3,6 +3,7 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TypeVar
 
 import gevent
@@ -10,6 +11,7 @@
 
 from chervilstall.fleet.view import FleetView
 from chervilstall.platform import protocol
+from chervilstall.platform.change_log import ChangeLog
 from chervilstall.platform.configuration_reading import (
     WATCH_WAIT_S,
     ConfigurationReading,
@@ -52,6 +54,19 @@
     """The watch brought nothing although the store answers and has changed."""
 
 
+@dataclass(frozen=True)
+class RelayedBatch:
+    """Changes that another router told, in place of the store.
+
+    Every change before these is known up to the monotonic time `complete_at_s`. The
+    store answered the other router at `answered_at_s`.
+    """
+
+    batch: EntryBatch
+    complete_at_s: float
+    answered_at_s: float
+
+
 class StoreWatcher:
     """Reads the whole store once and then watches it for changes.
 
@@ -62,7 +77,13 @@
     only, and what else has changed comes apart from it. Each change is applied once:
     `_applied` holds the revision up to which those of a prefix have been.
 
+    `relayed` is asked for changes after a revision before each watch. It returns None
+    where the store itself has to be watched; `count_watchers` returns how many routers
+    do so. While this one does, `change_log` holds the changes for others, and
+    `is_relayed` is false.
+
     `watching_since_s` is the monotonic time since which a watch waits, or None.
+    `answered_at_s` is that of the store's last answer, to this router or to its relay.
     """
 
     def __init__(
@@ -75,9 +96,13 @@
         self.fleet_view = fleet_view
         self.handlers = handlers
         self.revision = 0
-        self.change_pause_s = CHANGE_PAUSE_S
         self.answered_at_s = time.monotonic()
         self.watching_since_s: float | None = None
+        self.relayed: Callable[[int], RelayedBatch | None] = lambda after: None
+        self.count_watchers: Callable[[], int] = lambda: 1
+        self.change_log = ChangeLog()
+        self.is_relayed = False
+        self._paused_until_s = float("-inf")
         self._retry_s = RETRY_FIRST_S
         self._must_read_all = False
         self._applied = dict.fromkeys(SMALL_PREFIXES, 0)
@@ -89,12 +114,11 @@
         """Return whether the last call failed, so that changes aren't received."""
         return self.fleet_view.outage_since_s is not None
 
-    def set_router_count(self, router_count: int) -> None:
-        """Set the pause after a change from the number of routers that watch."""
-        self.change_pause_s = min(
-            CHANGE_PAUSE_S + CHANGE_PAUSE_PER_ROUTER_S * router_count,
-            CHANGE_PAUSE_MAX_S,
-        )
+    @property
+    def change_pause_s(self) -> float:
+        """Return the pause after a change before the store is called again."""
+        pause_s = CHANGE_PAUSE_S + CHANGE_PAUSE_PER_ROUTER_S * self.count_watchers()
+        return min(pause_s, CHANGE_PAUSE_MAX_S)
 
     def interrupt(self, reason: str) -> None:
         """Abort the waiting call, or the pause before the next one, and call again."""
@@ -118,11 +142,11 @@
         """Watch until the process ends; one task runs this."""
         while True:
             try:
-                self._step()
-                self._record_success()
+                self._record_success(self._step())
             except HistoryGone:
                 log.warning("history gone", at=self.revision)
                 self.revision = 0
+                self.change_log.close()
             except WatchAbandoned as error:
                 log.warning("watch abandoned", at=self.revision, why=error.message)
             except StoreFailed as error:
@@ -130,24 +154,52 @@
                 self._interrupted.wait(self._retry_s * random.uniform(0.7, 1.3))
                 self._retry_s = min(self._retry_s * 2.0, RETRY_MAX_S)
 
-    def _step(self) -> None:
+    def _step(self) -> float:
+        """Get the next changes; return the monotonic time of the store's answer."""
         self._interrupted.clear()
-        if self.revision == 0 or self.is_disconnected:
+        if self.revision == 0:
             self._must_read_all = True
-        if self._must_read_all:
+        if not self._must_read_all:
+            relayed = self._call_interruptibly(lambda: self.relayed(self.revision))
+            if relayed is not None:
+                self._apply_relayed(relayed)
+                return relayed.answered_at_s
+        self.is_relayed = False
+        if self._must_read_all or self.is_disconnected:
             self._must_read_all = False
+            self.change_log.close()
             self.revision = self._call_interruptibly(self._read_all)
-            return
+            self.change_log.restart(self.revision)
+        else:
+            self._watch_step()
+        return time.monotonic()
+
+    def _apply_relayed(self, relayed: RelayedBatch) -> None:
+        """Apply what a relay told; it has missed nothing, also during an outage."""
+        self.is_relayed = True
+        self.change_log.close()
+        self.fleet_view.note_complete(relayed.complete_at_s)
+        self._apply_entries(ALL_KEYS_PREFIX, relayed.batch)
+        self.revision = max(self.revision, relayed.batch.revision)
+
+    def _watch_step(self) -> None:
+        """Watch the store, after the pause that the last change asks for."""
+        gevent.sleep(max(0.0, self._paused_until_s - time.monotonic()))
+        if not self.change_log.is_open:
+            self.change_log.restart(self.revision)
         try:
             batch = self._watch_all()
         except ResponseTooLarge:
+            self.change_log.close()
             self._read_separately()
+            self.change_log.restart(self.revision)
             return
         _log_batch("watch", batch)
-        self._apply_changes(ALL_KEYS_PREFIX, batch)
+        complete_at_s = self._apply_changes(ALL_KEYS_PREFIX, batch)
         self.revision = max(self.revision, batch.revision)
+        self.change_log.extend(batch, complete_at_s)
         if batch.entries:
-            gevent.sleep(self.change_pause_s)
+            self._paused_until_s = time.monotonic() + self.change_pause_s
 
     def _watch_all(self) -> EntryBatch:
         self.watching_since_s = time.monotonic()
@@ -170,8 +222,7 @@
         self.revision = self._call_interruptibly(
             lambda: self._read_configuration(revisions, self.revision)
         )
-        elapsed_s = time.monotonic() - began_at_s
-        gevent.sleep(max(0.0, self.change_pause_s - elapsed_s))
+        self._paused_until_s = began_at_s + self.change_pause_s
 
     def _read_all(self) -> int:
         """Read the whole store, targets first; return the revision to watch from."""
@@ -208,13 +259,23 @@
             self.fleet_view.note_complete(batch.sent_at_s)
         return batch.revision
 
-    def _apply_changes(self, prefix: str, batch: EntryBatch) -> None:
-        """Apply the changes that a watch of a prefix returned, or a single entry."""
+    def _apply_changes(self, prefix: str, batch: EntryBatch) -> float:
+        """Apply the changes that a watch of a prefix returned, or a single entry.
+
+        Return the monotonic time up to which all changes before them were known.
+        """
         has_all_targets = protocol.TARGETS_PREFIX.startswith(prefix)
         has_waited = batch.responded_at_s - batch.sent_at_s > ANSWER_MAX_S
         if has_all_targets and has_waited:
             # The store would have answered earlier if there had been a change before.
             self.fleet_view.note_complete(batch.responded_at_s - ANSWER_MAX_S)
+        complete_at_s = self.fleet_view.complete_at_s
+        self._apply_entries(prefix, batch)
+        if has_all_targets:
+            self.fleet_view.note_complete(batch.sent_at_s)
+        return complete_at_s
+
+    def _apply_entries(self, prefix: str, batch: EntryBatch) -> None:
         for entry in batch.entries:
             if not self._is_applied(entry):
                 self._dispatch(entry)
@@ -222,8 +283,6 @@
             if small_prefix.startswith(prefix):
                 reached = max(self._applied[small_prefix], batch.revision)
                 self._applied[small_prefix] = reached
-        if has_all_targets:
-            self.fleet_view.note_complete(batch.sent_at_s)
 
     def _is_applied(self, entry: Entry) -> bool:
         """Return whether a watch beside a reading has brought a change already."""
@@ -255,15 +314,16 @@
             self._pending_call = None
             task.kill(block=False)
 
-    def _record_success(self) -> None:
+    def _record_success(self, answered_at_s: float) -> None:
         self._retry_s = RETRY_FIRST_S
-        self.answered_at_s = time.monotonic()
+        self.answered_at_s = max(self.answered_at_s, answered_at_s)
         if self.is_disconnected:
             self.fleet_view.end_outage()
             self.fleet_view.note_outage()
             log.info("store regained", at=self.revision)
 
     def _record_failure(self, error: StoreFailed) -> None:
+        self.change_log.close()
         self.fleet_view.note_outage()
         if not self.is_disconnected:
             self.fleet_view.begin_outage(self.answered_at_s)
--- a/src/chervilstall/settings/node.py
+++ b/src/chervilstall/settings/node.py
@@ -39,7 +39,8 @@
 class NodeSettings:
     """Contents of a VM's settings file.
 
-    `ports` are free for the router's internal use.
+    The ports from the first to the last of `ports` are free for the router's internal
+    use. `link_mbps` is the rate of the VM's link in Mbit/s, or 0 if that is not known.
     """
 
     vm: VmId
@@ -51,3 +52,4 @@
     ports: tuple[int, ...]
     store: StoreAddress
     bounds: NodeBounds
+    link_mbps: int = 0
--- /dev/null
+++ b/tests/edge/changes.feature
@@ -0,0 +1,57 @@
+Feature: Few routers watch the store, and all hear of its changes in time
+
+  # Guards against calls of the store that grow with routers x changes: 195 routers called it
+  # 19,000 times on a day of one minute.
+  Scenario: A router that asks a relay hears of a release without calls of the store
+    Given a router of a zone of 39 routers in a fleet of 195, and its relays
+    When targets of its zone leave in turn while nothing else happens
+    Then the router has not called the store, and its relays have
+    And none is used until less than a connect is left of the drain bound
+
+  # Guards against DRAIN: news that come through a router that died, stands still, hears nothing
+  # itself or is cut off.
+  Scenario Outline: A router of a fleet of <routers> hears of targets that leave in time while <fault>
+    Given a router of a zone of 39 routers in a fleet of <routers>, and its relays
+    When targets of its zone leave in turn while <fault>
+    Then none is used until less than a connect is left of the drain bound
+    And the router follows the store and its relays again
+
+    Examples:
+      | routers | fault                                         |
+      | 77      | its relay dies                                |
+      | 77      | its relay stands still for 3 s                |
+      | 77      | the relays hear nothing and history is lost   |
+      | 195     | its relay dies                                |
+      | 195     | all relays die                                |
+      | 195     | its relay stands still for 3 s                |
+      | 195     | the relays hear nothing and history is lost   |
+      | 195     | the relays are cut off from the store         |
+      | 195     | the router is cut off from the store          |
+      | 195     | the largest configuration changes three times |
+      | 2100    | its relay dies                                |
+      | 2100    | the relays hear nothing and history is lost   |
+
+  # Guards against a view that counts as complete up to a time at which a relay knew less.
+  Scenario: A relay that stood still doesn't make a view complete
+    Given a router of a zone of 39 routers in a fleet of 195, and its relays
+    When targets of its zone leave in turn while its relay stands still for 3 s
+    Then the view of the router was never complete beyond what its relays knew
+
+  # Guards against a router that goes on asking a relay that can't tell.
+  Scenario Outline: A router whose relays reply with <reply> watches the store itself
+    Given a router of a zone of 39 routers in a fleet of 195, and its relays
+    When its relays reply with <reply>
+    Then the router hears of a target that leaves within 1 s
+
+    Examples:
+      | reply                        |
+      | a refusal                    |
+      | a message of another kind    |
+      | changes that it doesn't hold |
+      | nothing                      |
+
+  # Guards against a relay's odd reply that takes back what is known, or dates it too late.
+  Scenario: A router ignores changes of before its request, and times in the future
+    Given a router of a zone of 39 routers in a fleet of 195, and its relays
+    When its relays reply with old changes after a wait of an hour
+    Then the router knows all targets, and its view is not complete beyond now
--- /dev/null
+++ b/tests/steps/change_relay_steps.py
@@ -0,0 +1,158 @@
+"""Steps for routers that hear of the store's changes through relays."""
+
+import time
+
+import gevent
+from behave import given, then, when
+from behave.runner import Context
+
+from chervilstall.edge.exchange import CONNECT_SETTINGS
+from chervilstall.peer.changes import Changes, ChangesNotHeld, StoreChange
+from chervilstall.peer.messages import Message, Refused, ReportAnswer
+from tests.support.agent_fleet import eventually
+from tests.support.model_router import LEAVING_S, SEEDS, TARGETS
+from tests.support.relayed_zone import RelayedZone
+from tests.support.store_model import ModelCase
+
+LINK_BYTES_PER_S = 10 * 125_000.0
+DRAIN_S = {77: 3.0, 195: 4.0, 2100: 4.0}
+FAULTS = {
+    "nothing else happens": "calm",
+    "its relay dies": "kill_relay",
+    "all relays die": "kill_relays",
+    "its relay stands still for 3 s": "freeze_relay",
+    "the relays hear nothing and history is lost": "deafen_relays",
+    "the relays are cut off from the store": "cut_relays",
+    "the router is cut off from the store": "cut_router",
+    "the largest configuration changes three times": "change_configuration",
+}
+
+
+@given("a router of a zone of 39 routers in a fleet of {routers:d}, and its relays")
+def start_zone(context: Context, routers: int) -> None:
+    context.drain_s = DRAIN_S[routers]
+    case = ModelCase(routers, LINK_BYTES_PER_S)
+    context.zones = [RelayedZone(case, context.drain_s, seed) for seed in SEEDS]
+    context.stoppables += context.zones
+    for zone in context.zones:
+        zone.start()
+    for zone in context.zones:
+        targets = zone.subscriber.fleet_view.targets
+        eventually(lambda targets=targets: len(targets) == TARGETS)
+    gevent.sleep(1.0)
+
+
+def is_told_too_much(zone: RelayedZone) -> bool:
+    """Return whether the router's view is complete beyond those of its relays."""
+    known_s = [each.router.fleet_view.complete_at_s for each in zone.relays.values()]
+    return zone.subscriber.fleet_view.complete_at_s > max(known_s)
+
+
+def compare_views(context: Context, zone: RelayedZone) -> None:
+    """Note when the router's view is complete beyond those of its relays."""
+    while True:
+        gevent.sleep(0.01)
+        if zone.subscriber.watcher.is_relayed and is_told_too_much(zone):
+            context.told_too_much.append(zone.subscriber.seed)
+
+
+@when("targets of its zone leave in turn while {fault}")
+def leave_beside_fault(context: Context, fault: str) -> None:
+    context.told_too_much = []
+    context.calls_before = [count_calls(zone) for zone in context.zones]
+    tasks = []
+    for zone in context.zones:
+        zone.tasks.append(gevent.spawn(compare_views, context, zone))
+        tasks.append(gevent.spawn(zone.subscriber.leave_in_turn))
+        delay_s = zone.subscriber.rng.uniform(0.5, 2.0)
+        tasks.append(gevent.spawn_later(delay_s, getattr(zone, FAULTS[fault])))
+    gevent.joinall(tasks, raise_error=True)
+    context.calls_after = [count_calls(zone) for zone in context.zones]
+    gevent.sleep(context.drain_s + 1.0)
+
+
+def count_calls(zone: RelayedZone) -> tuple[int, int]:
+    """Return the calls of the router, and those of the relay that called least."""
+    relays = [relay.router.store.calls for relay in zone.relays.values()]
+    return zone.subscriber.store.calls, min(relays)
+
+
+@then("the router has not called the store, and its relays have")
+def check_calls(context: Context) -> None:
+    for before, after in zip(context.calls_before, context.calls_after, strict=True):
+        own_calls = after[0] - before[0]
+        relay_calls = after[1] - before[1]
+        assert own_calls == 0, (before, after)
+        assert relay_calls >= LEAVING_S, (before, after)
+
+
+@then("none is used until less than a connect is left of the drain bound")
+def check_left_in_time(context: Context) -> None:
+    limit_s = context.drain_s - CONNECT_SETTINGS.connect_timeout_s
+    overdue = [
+        each for zone in context.zones for each in zone.subscriber.overdue(limit_s)
+    ]
+    assert not overdue, overdue
+
+
+@then("the router follows the store and its relays again")
+def check_follows(context: Context) -> None:
+    for zone in context.zones:
+        router = zone.subscriber
+        assert not router.watcher.is_disconnected
+        router.leave()
+        latest = router.store.revision
+        eventually(
+            lambda router=router, latest=latest: router.watcher.revision >= latest
+        )
+
+
+@then("the view of the router was never complete beyond what its relays knew")
+def check_complete(context: Context) -> None:
+    assert not context.told_too_much, context.told_too_much
+
+
+def reply_of(kind: str) -> Message:
+    """Return a reply of a kind, which says nothing of what has changed."""
+    match kind:
+        case "a refusal":
+            return Refused("not watching the store")
+        case "a message of another kind":
+            return ReportAnswer(True)
+        case "changes that it doesn't hold":
+            return ChangesNotHeld()
+        case "old changes after a wait of an hour":
+            gevent.sleep(0.1)
+            old = StoreChange("servers/t-1", 1, None)
+            return Changes(1, (old,), 3_600_000, 0, 0)
+        case _:
+            gevent.sleep(60.0)
+            raise AssertionError
+
+
+@when("its relays reply with {kind}")
+def reply_with(context: Context, kind: str) -> None:
+    for zone in context.zones:
+        for relay in zone.relays.values():
+            relay.answer = lambda message: reply_of(kind)
+    gevent.sleep(2.0)
+
+
+@then("the router hears of a target that leaves within 1 s")
+def check_hears(context: Context) -> None:
+    for zone in context.zones:
+        zone.subscriber.leave()
+    for zone in context.zones:
+        router = zone.subscriber
+        latest = router.store.revision
+        eventually(
+            lambda router=router, latest=latest: router.watcher.revision >= latest, 1.0
+        )
+
+
+@then("the router knows all targets, and its view is not complete beyond now")
+def check_unharmed(context: Context) -> None:
+    for zone in context.zones:
+        view = zone.subscriber.fleet_view
+        assert len(view.targets) == TARGETS
+        assert view.complete_at_s <= time.monotonic()
--- a/tests/support/model_router.py
+++ b/tests/support/model_router.py
@@ -76,7 +76,7 @@
             self.record_changes(target_handler(self.fleet_view)),
         )
         self.watcher = StoreWatcher(self.store, self.fleet_view, handlers)
-        self.watcher.set_router_count(self.case.routers)
+        self.watcher.count_watchers = lambda: self.case.routers
         self.probe = StoreProbe(self.store, self.watcher, "chervilstall/routers/vm-1")
         self.staying = list(range(TARGETS))
         for number in self.staying:
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -25,6 +25,7 @@
 from tests.support.agent_fleet import eventually
 from tests.support.router_harness import ANY_PORT, HOST, Response
 
+PORTS_PER_ROUTER = 4
 ZONES = ("ba-hall", "za-hall")
 BOUNDS = NodeBounds(
     drain_s=2.0,
@@ -41,8 +42,9 @@
 class Platform:
     """A store, targets and routers in one process.
 
-    With `has_links` each router reaches the targets over links of its own, `links`,
-    in the order of the routers.
+    With a `first_port`, each router gets internal ports from there on. With `has_links`
+    each router reaches the targets over links of its own, `links`, in the order of the
+    routers.
     """
 
     store: PlatformStoreServer = field(
@@ -50,6 +52,7 @@
     )
     targets: dict[str, PlatformTarget] = field(default_factory=dict)
     routers: list[EdgeServer] = field(default_factory=list)
+    first_port: int = 0
     has_links: bool = False
     links: list[RouterLinks] = field(default_factory=list)
     _store_views: list[RouterStoreView] = field(default_factory=list)
@@ -111,11 +114,17 @@
             zones=tuple(ZoneName(name) for name in ZONES),
             frontend_address=ANY_PORT,
             ready_address=ANY_PORT,
-            ports=(),
+            ports=self._next_ports(),
             store=StoreAddress(self._store_address(), 20.0, 1.0),
             bounds=BOUNDS,
         )
 
+    def _next_ports(self) -> tuple[int, ...]:
+        if not self.first_port:
+            return ()
+        first = self.first_port + PORTS_PER_ROUTER * len(self.routers)
+        return (first, first + PORTS_PER_ROUTER - 1)
+
     def _store_address(self) -> Address:
         """Return the address of the store for a new router."""
         if not self.has_links:
--- a/tests/support/store_model.py
+++ b/tests/support/store_model.py
@@ -43,7 +43,8 @@
 class StoreModel:
     """Entries and history of a store, with the calls that a router makes.
 
-    While it `is_away`, each call and each watch that waits fails.
+    While it `is_away`, each call and each watch that waits fails. What is written here
+    is written to its `mirrors`, too: the same store, as other routers reach it.
 
     `calls` counts them. Until `deaf_until_s`, watches hear nothing; `compact` cuts
     them and drops the history. `large_calls` is set to the time at which a call that
@@ -60,6 +61,8 @@
     deaf_until_s: float = 0.0
     is_away: bool = False
     entries_received_at_s: float = float("-inf")
+    era: int = 1
+    mirrors: list["StoreModel"] = field(default_factory=list)
     large_call_arrived: Event = field(default_factory=Event)
     _changed: Event = field(default_factory=Event)
     _link: SharedLink = field(init=False)
@@ -79,6 +82,8 @@
             self.values[key] = entry
         self.history.append(entry)
         self._wake()
+        for mirror in self.mirrors:
+            mirror.put(key, value)
 
     def compact(self) -> None:
         """Drop the history and cut every watch."""
