Give no order to a target that carries out another one, and load what is missing first

Cause: each plan, up to one a second, gave loading targets other layers where their own were about to be held twice, or grew them; they refuse that (108 of 251 orders), and were then left out of the plan as if they held nothing, which moved others in turn. Additional copies were loaded beside what was missing, all at once, and slowed it down.

Now a target that loads keeps its order until it is done or lost, one that refused keeps its layers in the plan, additional copies wait until no missing layer is being loaded, and no more are loaded at once than at full speed; a new fleet is placed in one go as before.

--- a/src/chervilstall/placement/group.py
+++ b/src/chervilstall/placement/group.py
@@ -10,13 +10,16 @@
 class LayerHolder:
     """A target that can hold layers.
 
-    `layers` are the layers that it holds or was last ordered to hold.
+    `layers` are the layers that it holds, or will hold once it has carried out an
+    order; until then it `is_loading`. Nothing is planned for a target that `is_busy`.
     """
 
     target_id: TargetId
     zone: ZoneName
     memory_mb: float
     layers: LayerRange
+    is_loading: bool = False
+    is_busy: bool = False
 
 
 @dataclass
@@ -47,6 +50,20 @@
                 counts[layer] += 1
         return counts
 
+    @property
+    def is_repairing(self) -> bool:
+        """Return whether a layer that nobody holds is being loaded, or will be."""
+        counts = [0] * self.pipeline.layers
+        loading: list[LayerRange] = []
+        for holder in self.holders:
+            layers = self.layers_of(holder)
+            if holder.is_loading or holder.target_id in self.changes:
+                loading.append(layers)
+                continue
+            for layer in range(layers.first, min(layers.end, len(counts))):
+                counts[layer] += 1
+        return any(0 in counts[layers.first : layers.end] for layers in loading)
+
     def capacity_of(self, holder: LayerHolder) -> int:
         """Return how many layers fit on a target beside its reserved memory."""
         return self.pipeline.layers_max(holder.memory_mb, self.reserved_tokens)
--- a/src/chervilstall/placement/plan.py
+++ b/src/chervilstall/placement/plan.py
@@ -48,14 +48,26 @@
 ) -> list[LayerAssignment]:
     """Return the changes that fill gaps and restore additional copies of layers.
 
+    Loads slow each other down. So additional copies wait until every layer that can be
+    held is, and no more of them are loaded at once than at full speed, except in a new
+    fleet, which serves nobody yet.
+
     `is_settled` says that the targets have been the same for a while. Then groups whose
     targets were left with little memory for requests by repairs are also rebalanced.
     """
-    assignments: list[LayerAssignment] = []
-    for members in split_into_groups(pipeline, holders):
-        group = plan_group(pipeline, members)
+    holders = list(holders)
+    groups = [
+        plan_group(pipeline, members)
+        for members in split_into_groups(pipeline, holders)
+    ]
+    for group in groups:
         _fill_gaps(group)
-        _add_copies(group)
+    if not any(len(holder.layers) for holder in holders):
+        _add_copies_in_turn(groups, len(holders))
+    elif not any(group.is_repairing for group in groups):
+        _add_copies_in_turn(groups, pipeline.loads_at_once)
+    assignments: list[LayerAssignment] = []
+    for group in groups:
         if is_settled and not group.changes:
             rebalance(group)
         for target_id, layers in group.changes.items():
@@ -182,7 +194,7 @@
     spare: list[LayerHolder] = []
     for holder in group.holders:
         layers = group.layers_of(holder)
-        if not group.capacity_of(holder):
+        if holder.is_busy or not group.capacity_of(holder):
             continue
         if not len(layers):
             empty.append(holder)
@@ -232,7 +244,7 @@
             holder.memory_mb, _min_reserve(group.pipeline)
         )
         extra = limit - len(layers)
-        if extra <= 0 or not len(layers) or first >= end:
+        if holder.is_busy or extra <= 0 or not len(layers) or first >= end:
             continue
         if layers.end == first:
             taken = min(extra, end - first)
@@ -244,15 +256,37 @@
             end -= taken
 
 
-def _add_copies(group: GroupPlan) -> None:
-    """Give empty targets the layers that the fewest hold, unless there is a gap."""
+def _add_copies_in_turn(groups: Iterable[GroupPlan], loads_at_once: int) -> None:
+    """Add copies while fewer loads than `loads_at_once` are in progress."""
+    groups = list(groups)
+    loading = sum(
+        holder.is_loading or holder.target_id in group.changes
+        for group in groups
+        for holder in group.holders
+    )
+    for group in groups:
+        loading += _add_copies(group, loads_at_once - loading)
+
+
+def _add_copies(group: GroupPlan, copies_max: int) -> int:
+    """Give empty targets the layers that the fewest hold, unless there is a gap.
+
+    Return the number of targets that were given some.
+    """
     if find_gaps(group.holder_counts()):
-        return
-    empty = [each for each in group.holders if not len(group.layers_of(each))]
-    for holder in sorted(empty, key=group.capacity_of, reverse=True):
-        size = group.capacity_of(holder)
-        if size:
-            group.changes[holder.target_id] = _copy_range(group, size)
+        return 0
+    empty = [
+        holder
+        for holder in group.holders
+        if not holder.is_busy
+        and not len(group.layers_of(holder))
+        and group.capacity_of(holder)
+    ]
+    largest = sorted(empty, key=group.capacity_of, reverse=True)[: max(0, copies_max)]
+    for holder in largest:
+        layers = _copy_range(group, group.capacity_of(holder))
+        group.changes[holder.target_id] = layers
+    return len(largest)
 
 
 def _copy_range(group: GroupPlan, size: int) -> LayerRange:
--- a/src/chervilstall/placement/planner.py
+++ b/src/chervilstall/placement/planner.py
@@ -247,26 +247,35 @@
             and target.state is TargetReadiness.READY
             and target.incarnation not in self._dead_until_s
             and target.accelerator in pipeline.accelerators
-            and self._backoff_until_s.get(target.incarnation, 0.0) < time.monotonic()
         }
-        holders = [
-            LayerHolder(
-                target.id,
-                target.zone,
-                pipeline.accelerators[target.accelerator].memory_mb,
-                self._assigned_layers(target),
-            )
-            for target in targets.values()
-        ]
+        holders = [self._describe(target, pipeline) for target in targets.values()]
         is_settled = not self._pending and self._is_settled(set(targets))
         assignments = plan(pipeline, holders, is_settled)
+        loads = len(self._pending) + len(assignments)
         for assignment in assignments:
             target = targets[assignment.target_id]
             if assignment.layers == self._assigned_layers(target):
                 continue
-            self._add_pending(target, assignment, pipeline, len(assignments))
+            self._add_pending(target, assignment, pipeline, loads)
             gevent.spawn(self._send_order, target, assignment, term)
 
+    def _describe(self, target: Target, pipeline: Pipeline) -> LayerHolder:
+        """Describe a target to the plan.
+
+        One that carries out an order, or has just refused one, takes no other now.
+        """
+        layers = self._assigned_layers(target)
+        is_loading = target.incarnation in self._pending
+        backoff_until_s = self._backoff_until_s.get(target.incarnation, 0.0)
+        return LayerHolder(
+            target.id,
+            target.zone,
+            pipeline.accelerators[target.accelerator].memory_mb,
+            layers,
+            is_loading,
+            is_busy=is_loading or time.monotonic() < backoff_until_s,
+        )
+
     def _is_settled(self, target_ids: set[TargetId]) -> bool:
         """Return whether the set of targets has been the same for SETTLED_S."""
         now_s = time.monotonic()
