Hear of targets through a relay also while the store turns a router away

Cause: the relay's log began anew at each configuration, so that routers went to the store for all changes.

The relay now names the revision of the latest configuration and goes on telling the rest; a router reads the configuration by itself, in a task of its own, as often as it takes. It is still never held by a relay.

tests/edge/changes.feature, red first: 8 of 8 routers used targets for longer than the bound (3.4 to 5.8 s).

--- a/src/chervilstall/edge/changes/relayed_watch.py
+++ b/src/chervilstall/edge/changes/relayed_watch.py
@@ -88,6 +88,7 @@
         )
         return RelayedBatch(
             batch,
+            reply.configuration_revision,
             complete_at_s=replied_at_s - reply.complete_age_ms / 1e3,
             answered_at_s=replied_at_s - reply.answered_age_ms / 1e3,
         )
--- a/src/chervilstall/peer/changes.py
+++ b/src/chervilstall/peer/changes.py
@@ -29,7 +29,9 @@
 
 
 class Changes(msgspec.Struct, frozen=True, tag=True):
-    """All changes up to a revision, the oldest first.
+    """All changes up to a revision, the oldest first, but for the configuration.
+
+    The latest change of that is named by its revision only, if the relay saw one.
 
     `waited_ms` is the time from the arrival of the request to this reply. Before the
     first of these changes, the relay knew every change that is older than
@@ -37,6 +39,7 @@
     """
 
     revision: Count
+    configuration_revision: Count
     changes: tuple[StoreChange, ...]
     waited_ms: Count
     complete_age_ms: Count
--- a/src/chervilstall/platform/change_log.py
+++ b/src/chervilstall/platform/change_log.py
@@ -19,12 +19,13 @@
 
 @dataclass(frozen=True)
 class LoggedBatch:
-    """The changes that one watch returned.
+    """The changes that one watch returned, up to a revision.
 
     Every change before them had been known up to the monotonic time `complete_at_s`.
     """
 
     entries: tuple[Entry, ...]
+    revision: int
     complete_at_s: float
 
 
@@ -32,9 +33,9 @@
     """Changes of all keys from one revision to another, without gaps.
 
     The log is open while its router watches the store itself. Changes after
-    `first_revision` up to `revision` are held, with neither large values nor the
-    configuration, which contains callers' keys: where one changes, the log begins anew
-    behind it.
+    `first_revision` up to `revision` are held. Where another value is large, the log
+    begins anew behind it. The configuration contains callers' keys and is not held;
+    `configuration_revision` is that of its latest change.
 
     >>> log = ChangeLog()
     >>> log.restart(7)
@@ -46,6 +47,7 @@
         self.is_open = False
         self.first_revision = 0
         self.revision = 0
+        self.configuration_revision = 0
         self._batches: deque[LoggedBatch] = deque()
         self._changed = Event()
 
@@ -69,13 +71,16 @@
         self.revision = max(self.revision, batch.revision)
         if not batch.entries:
             return
-        if not all(map(_is_held, batch.entries)):
+        held = tuple(each for each in batch.entries if not _is_configuration(each))
+        if any(map(_is_large, held)):
             self.restart(self.revision)
             return
-        self._batches.append(LoggedBatch(batch.entries, complete_at_s))
+        changed = [each.revision for each in batch.entries if _is_configuration(each)]
+        self.configuration_revision = max([self.configuration_revision, *changed])
+        self._batches.append(LoggedBatch(held, batch.revision, complete_at_s))
         while len(self._batches) > BATCHES_MAX:
             dropped = self._batches.popleft()
-            self.first_revision = dropped.entries[-1].revision
+            self.first_revision = dropped.revision
         self._wake()
 
     def after(self, revision: int) -> list[LoggedBatch] | None:
@@ -85,9 +90,7 @@
         """
         if not self.is_open or revision < self.first_revision:
             return None
-        return [
-            batch for batch in self._batches if batch.entries[-1].revision > revision
-        ]
+        return [batch for batch in self._batches if batch.revision > revision]
 
     def wait_beyond(self, revision: int, wait_s: float) -> None:
         """Wait until the log holds a change after a revision, or begins anew."""
@@ -103,7 +106,9 @@
         self._changed.clear()
 
 
-def _is_held(entry: Entry) -> bool:
-    return entry.key != protocol.CONFIG_KEY and len(entry.value or b"") <= (
-        VALUE_MAX_BYTES
-    )
+def _is_configuration(entry: Entry) -> bool:
+    return entry.key == protocol.CONFIG_KEY
+
+
+def _is_large(entry: Entry) -> bool:
+    return len(entry.value or b"") > VALUE_MAX_BYTES
--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -39,6 +39,7 @@
 ANSWER_MAX_S = 0.5
 """Time after a change in which the store has answered a watch that was waiting."""
 
+CONFIGURATION_RETRY_S = 0.3
 SLOW_TRANSFER_S = 0.2
 """Time for receiving a response from which it is logged."""
 
@@ -58,11 +59,13 @@
 class RelayedBatch:
     """Changes that another router told, in place of the store.
 
-    Every change before these is known up to the monotonic time `complete_at_s`. The
-    store answered the other router at `answered_at_s`.
+    The configuration is not among them; `configuration_revision` is that of its latest
+    change, or 0. Every change before these is known up to the monotonic time
+    `complete_at_s`. The store answered the other router at `answered_at_s`.
     """
 
     batch: EntryBatch
+    configuration_revision: int
     complete_at_s: float
     answered_at_s: float
 
@@ -103,6 +106,9 @@
         self.change_log = ChangeLog()
         self.is_relayed = False
         self._paused_until_s = float("-inf")
+        self._configuration_revision = 0
+        self._configuration_due_revision = 0
+        self._configuration_task: gevent.Greenlet | None = None
         self._retry_s = RETRY_FIRST_S
         self._must_read_all = False
         self._applied = dict.fromkeys(SMALL_PREFIXES, 0)
@@ -168,6 +174,7 @@
         if self._must_read_all or self.is_disconnected:
             self._must_read_all = False
             self.change_log.close()
+            self._configuration_revision = self._configuration_due_revision = 0
             self.revision = self._call_interruptibly(self._read_all)
             self.change_log.restart(self.revision)
         else:
@@ -181,6 +188,30 @@
         self.fleet_view.note_complete(relayed.complete_at_s)
         self._apply_entries(ALL_KEYS_PREFIX, relayed.batch)
         self.revision = max(self.revision, relayed.batch.revision)
+        self._configuration_due_revision = max(
+            self._configuration_due_revision, relayed.configuration_revision
+        )
+        if self._is_configuration_due and not self._configuration_task:
+            self._configuration_task = gevent.spawn(self._update_configuration)
+
+    @property
+    def _is_configuration_due(self) -> bool:
+        """Return whether a relay told of a later configuration than was applied."""
+        return self._configuration_revision < self._configuration_due_revision
+
+    def _update_configuration(self) -> None:
+        """Read the configuration, while other changes go on arriving from a relay."""
+        while self._is_configuration_due:
+            try:
+                batch = self.store.read_entry(protocol.CONFIG_KEY)
+            except StoreFailed as error:
+                log.warning("configuration not read", why=error.message)
+                gevent.sleep(CONFIGURATION_RETRY_S)
+                continue
+            self._apply_entries(protocol.CONFIG_KEY, batch)
+            self._configuration_revision = max(
+                self._configuration_revision, batch.revision
+            )
 
     def _watch_step(self) -> None:
         """Watch the store, after the pause that the last change asks for."""
@@ -277,6 +308,9 @@
 
     def _apply_entries(self, prefix: str, batch: EntryBatch) -> None:
         for entry in batch.entries:
+            if entry.key == protocol.CONFIG_KEY:
+                revision = max(self._configuration_revision, entry.revision)
+                self._configuration_revision = revision
             if not self._is_applied(entry):
                 self._dispatch(entry)
         for small_prefix in SMALL_PREFIXES:
--- a/tests/edge/changes.feature
+++ b/tests/edge/changes.feature
@@ -31,6 +31,15 @@
       | 2100    | its relay dies                                |
       | 2100    | the relays hear nothing and history is lost   |
 
+  # Guards against a router that takes the store for lost, and asks every target each second, as
+  # the store turns it away and the configuration can't be read.
+  Scenario: A router that the store turns away goes on with its relay
+    Given a router of a zone of 39 routers in a fleet of 195, and its relays
+    When targets of its zone leave in turn while the store turns the router away and the configuration changes
+    Then none is used until less than a connect is left of the drain bound
+    And the router never took the store for lost on the way
+    And the router follows the store and its relays again
+
   # Guards against a view that counts as complete up to a time at which a relay knew less.
   Scenario: A relay that stood still doesn't make a view complete
     Given a router of a zone of 39 routers in a fleet of 195, and its relays
--- a/tests/steps/change_relay_steps.py
+++ b/tests/steps/change_relay_steps.py
@@ -9,6 +9,7 @@
 from chervilstall.edge.exchange import CONNECT_SETTINGS
 from chervilstall.peer.changes import Changes, ChangesNotHeld, StoreChange
 from chervilstall.peer.messages import Message, Refused, ReportAnswer
+from chervilstall.platform import protocol
 from tests.support.agent_fleet import eventually
 from tests.support.model_router import LEAVING_S, SEEDS, TARGETS
 from tests.support.relayed_zone import RelayedZone
@@ -24,6 +25,7 @@
     "the relays hear nothing and history is lost": "deafen_relays",
     "the relays are cut off from the store": "cut_relays",
     "the router is cut off from the store": "cut_router",
+    "the store turns the router away and the configuration changes": "turn_away",
     "the largest configuration changes three times": "change_configuration",
 }
 
@@ -52,6 +54,7 @@
     """Note when the router's view is complete beyond those of its relays."""
     while True:
         gevent.sleep(0.01)
+        zone.outages += zone.subscriber.watcher.is_disconnected
         if zone.subscriber.watcher.is_relayed and is_told_too_much(zone):
             context.told_too_much.append(zone.subscriber.seed)
 
@@ -100,6 +103,9 @@
     for zone in context.zones:
         router = zone.subscriber
         assert not router.watcher.is_disconnected
+        configuration = router.store.values.get(protocol.CONFIG_KEY)
+        if configuration is not None:
+            assert router.configuration_revision == configuration.revision
         router.leave()
         latest = router.store.revision
         eventually(
@@ -107,6 +113,11 @@
         )
 
 
+@then("the router never took the store for lost on the way")
+def check_no_outage(context: Context) -> None:
+    assert not any(zone.outages for zone in context.zones)
+
+
 @then("the view of the router was never complete beyond what its relays knew")
 def check_complete(context: Context) -> None:
     assert not context.told_too_much, context.told_too_much
@@ -124,7 +135,7 @@
         case "old changes after a wait of an hour":
             gevent.sleep(0.1)
             old = StoreChange("servers/t-1", 1, None)
-            return Changes(1, (old,), 3_600_000, 0, 0)
+            return Changes(1, 0, (old,), 3_600_000, 0, 0)
         case _:
             gevent.sleep(60.0)
             raise AssertionError
--- a/tests/support/relayed_zone.py
+++ b/tests/support/relayed_zone.py
@@ -13,6 +13,7 @@
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.peer.messages import Message, Refused
+from chervilstall.platform import protocol
 from chervilstall.platform.kv import Entry
 from chervilstall.platform.peers import Peer, encode_peer, peer_key
 from chervilstall.settings.option import Address
@@ -74,7 +75,10 @@
 
 
 class RelayedZone:
-    """A router of a zone and the relays that it may ask, each with its own link."""
+    """A router of a zone and the relays that it may ask, each with its own link.
+
+    `outages` counts the moments at which the router took the store for lost.
+    """
 
     def __init__(self, case: ModelCase, drain_s: float, seed: int) -> None:
         peers = [describe_peer(number) for number in range(ROUTERS)]
@@ -88,6 +92,7 @@
         self.subscriber.watcher.relayed = watch.next_changes
         stores = [relay.router.store for relay in self.relays.values()]
         self.subscriber.store.mirrors = stores
+        self.outages = 0
         self.tasks: list[gevent.Greenlet] = []
 
     def ask(self, peer: Peer, message: Message, timeout_s: float) -> Message:
@@ -171,6 +176,14 @@
         gevent.sleep(FAULT_S)
         self.subscriber.store.come_back()
 
+    def turn_away(self) -> None:
+        """Cut the router off from the store while a configuration is written."""
+        self.subscriber.store.go_away()
+        gevent.sleep(FAULT_S / 2.0)
+        self.subscriber.store.put(protocol.CONFIG_KEY, b"small")
+        gevent.sleep(FAULT_S / 2.0)
+        self.subscriber.store.come_back()
+
     def change_configuration(self) -> None:
         """Write three versions of the largest configuration at drawn moments."""
         self.subscriber.change_configuration()
