Notice a lost store again after a relay, ask the next relay after a refusal, and pause for all who may watch

A probe that had failed once stayed silent for good once a relay had told the news, so that a later loss of relay and store was noticed by the watch's time-out of 22 s only. A relay that stops refuses at once, but its routers went to the store instead of the other relay. Routers whose relays are all gone called the store as often as ten relays do. The reading of a configuration was repeated each 0.3 s while the store turned the router away; it backs off now.

--- a/src/chervilstall/edge/changes/relayed_watch.py
+++ b/src/chervilstall/edge/changes/relayed_watch.py
@@ -20,7 +20,7 @@
 """Time without a reply after which a router asks the store itself."""
 
 LOST_S = 10.0
-REFUSED_S = 1.0
+REFUSED_S = 3.0
 
 AskRelay = Callable[[Peer, Message, float], Message]
 """Sends a message to a relay and returns the reply that comes within some seconds.
@@ -33,8 +33,8 @@
 class RelayedWatch:
     """Asks a relay of the zone for the changes after a revision.
 
-    One relay is asked at a time, and the store where it can't tell, so that its fault
-    delays a change by one time-out at the most.
+    After a relay that doesn't reply the store is asked, so that its fault delays a
+    change by one time-out at the most. After one that refuses, the next relay is.
     """
 
     store: PlatformStore
@@ -47,24 +47,24 @@
         None instead of a batch says that the store itself has to be watched.
         """
         relay = self.choice.choose()
-        if relay is None:
-            return None
-        request = ChangesRequest(self.store.era, after, int(WAIT_S * 1e3))
-        sent_at_s = time.monotonic()
-        try:
-            reply = self.ask(relay, request, REPLY_TIMEOUT_S)
-        except ChervilstallError as error:
-            self._leave(relay, error.message, LOST_S)
-            return None
-        match reply:
-            case Changes():
-                return self._decode(reply, after, sent_at_s)
-            case ChangesNotHeld():
+        while relay is not None:
+            request = ChangesRequest(self.store.era, after, int(WAIT_S * 1e3))
+            sent_at_s = time.monotonic()
+            try:
+                reply = self.ask(relay, request, REPLY_TIMEOUT_S)
+            except ChervilstallError as error:
+                self._leave(relay, error.message, LOST_S)
                 return None
-            case Refused(reason=reason):
-                self._leave(relay, reason, REFUSED_S)
-            case _:
-                self._leave(relay, f"replied {type(reply).__name__}", LOST_S)
+            match reply:
+                case Changes():
+                    return self._decode(reply, after, sent_at_s)
+                case ChangesNotHeld():
+                    return None
+                case Refused(reason=reason):
+                    self._leave(relay, reason, REFUSED_S)
+                case _:
+                    self._leave(relay, f"replied {type(reply).__name__}", LOST_S)
+            relay = self.choice.choose()
         return None
 
     def _leave(self, relay: Peer, why: str, for_s: float) -> None:
--- a/src/chervilstall/edge/changes/relays.py
+++ b/src/chervilstall/edge/changes/relays.py
@@ -46,8 +46,14 @@
 
     @property
     def watcher_count(self) -> int:
-        """Return the number of routers of all zones that watch the store themselves."""
+        """Return how many routers of all zones may watch the store at the same time.
+
+        A router that watches although its zone has relays can't reach them, and others
+        may be in the same situation.
+        """
         self._update()
+        if self._relays and self.own not in self._relays:
+            return len(self.directory.peers) + 1
         return self._watcher_count
 
     def choose(self) -> Peer | None:
--- a/src/chervilstall/edge/store_probe.py
+++ b/src/chervilstall/edge/store_probe.py
@@ -49,6 +49,7 @@
     def step(self) -> None:
         """Poll once, unless a relay tells what the store holds."""
         if self.store_watcher.is_relayed:
+            self._has_failed = False
             return
         began_at_s = time.monotonic()
         try:
--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -39,7 +39,6 @@
 ANSWER_MAX_S = 0.5
 """Time after a change in which the store has answered a watch that was waiting."""
 
-CONFIGURATION_RETRY_S = 0.3
 SLOW_TRANSFER_S = 0.2
 """Time for receiving a response from which it is logged."""
 
@@ -201,12 +200,14 @@
 
     def _update_configuration(self) -> None:
         """Read the configuration, while other changes go on arriving from a relay."""
+        retry_s = RETRY_FIRST_S
         while self._is_configuration_due:
             try:
                 batch = self.store.read_entry(protocol.CONFIG_KEY)
             except StoreFailed as error:
                 log.warning("configuration not read", why=error.message)
-                gevent.sleep(CONFIGURATION_RETRY_S)
+                gevent.sleep(retry_s * random.uniform(0.7, 1.3))
+                retry_s = min(retry_s * 2.0, RETRY_MAX_S)
                 continue
             self._apply_entries(protocol.CONFIG_KEY, batch)
             self._configuration_revision = max(
--- a/tests/edge/changes.feature
+++ b/tests/edge/changes.feature
@@ -59,6 +59,17 @@
       | changes that it doesn't hold |
       | nothing                      |
 
+  # Guards against a probe that stays silent for good after it failed once, with a relay since.
+  Scenario: A router notices again that it lost the store after a relay told it the news
+    Given a router that lost the store and hears of it through a relay since
+    When it watches the store itself again, which is still silent
+    Then its probe interrupts the watch again
+
+  # Guards against all routers of a zone that call the store as often as few relays do.
+  Scenario: A router of 195 that reaches no relay pauses as if all of them watched the store
+    Given a router of a zone of 39 routers in a fleet of 195, and its relays
+    Then its relays pause less after a change than it would
+
   # Guards against a relay's odd reply that takes back what is known, or dates it too late.
   Scenario: A router ignores changes of before its request, and times in the future
     Given a router of a zone of 39 routers in a fleet of 195, and its relays
--- a/tests/steps/change_relay_steps.py
+++ b/tests/steps/change_relay_steps.py
@@ -1,18 +1,21 @@
 """Steps for routers that hear of the store's changes through relays."""
 
 import time
+from unittest import mock
 
 import gevent
 from behave import given, then, when
 from behave.runner import Context
 
 from chervilstall.edge.exchange import CONNECT_SETTINGS
+from chervilstall.edge.store_probe import StoreProbe
 from chervilstall.peer.changes import Changes, ChangesNotHeld, StoreChange
 from chervilstall.peer.messages import Message, Refused, ReportAnswer
 from chervilstall.platform import protocol
+from chervilstall.store.contract import StoreFailed
 from tests.support.agent_fleet import eventually
 from tests.support.model_router import LEAVING_S, SEEDS, TARGETS
-from tests.support.relayed_zone import RelayedZone
+from tests.support.relayed_zone import RELAYS, ROUTERS, RelayedZone, choose_among
 from tests.support.store_model import ModelCase
 
 LINK_BYTES_PER_S = 10 * 125_000.0
@@ -167,3 +170,43 @@
         view = zone.subscriber.fleet_view
         assert len(view.targets) == TARGETS
         assert view.complete_at_s <= time.monotonic()
+
+
+class SilentStore:
+    """A store whose calls all fail."""
+
+    entries_received_at_s = float("-inf")
+
+    def recent_revision(self, key: str, timeout_s: float) -> int:
+        """Fail as a call without a response does."""
+        raise StoreFailed("no response")
+
+
+@given("a router that lost the store and hears of it through a relay since")
+def lose_store(context: Context) -> None:
+    context.watcher = mock.Mock(is_relayed=False)
+    context.probe = StoreProbe(SilentStore(), context.watcher, "chervilstall/vm-1")
+    context.probe.step()
+    context.watcher.interrupt.assert_called_once()
+    context.watcher.is_relayed = True
+    context.probe.step()
+
+
+@when("it watches the store itself again, which is still silent")
+def watch_again(context: Context) -> None:
+    context.watcher.is_relayed = False
+    context.probe.step()
+
+
+@then("its probe interrupts the watch again")
+def check_interrupted(context: Context) -> None:
+    assert context.watcher.interrupt.call_count == 2
+
+
+@then("its relays pause less after a change than it would")
+def check_pauses(context: Context) -> None:
+    for zone in context.zones:
+        relay_choice = choose_among(zone.peers, ROUTERS - 1)
+        assert relay_choice.is_relay
+        assert relay_choice.watcher_count == RELAYS
+        assert zone.choice.watcher_count == ROUTERS
--- a/tests/support/relayed_zone.py
+++ b/tests/support/relayed_zone.py
@@ -81,7 +81,7 @@
     """
 
     def __init__(self, case: ModelCase, drain_s: float, seed: int) -> None:
-        peers = [describe_peer(number) for number in range(ROUTERS)]
+        self.peers = peers = [describe_peer(number) for number in range(ROUTERS)]
         self.subscriber = ModelRouter(case, drain_s, seed)
         self.relays = {
             peer.vm: ModelRelay(ModelRouter(case, drain_s, seed))
