Let a router that lost the store give up a relay which doesn't reply

Cause: once the store is back, the probe interrupts a disconnected router each second so that it calls at once; a relay is given up after 1.2 s only, so the same dead relay was asked again and again.

Asking a relay isn't interrupted any more; it ends by itself.

tests/edge/changes.feature, red first: the router never followed the store again; it does now.

--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -165,8 +165,9 @@
         if self.revision == 0:
             self._must_read_all = True
         if not self._must_read_all:
-            relayed = self._call_interruptibly(lambda: self.relayed(self.revision))
-            if relayed is not None:
+            # Not interrupted, so that a relay that doesn't reply is left in the end.
+            relayed = self.relayed(self.revision)
+            if relayed is not None and not self._must_read_all:
                 self._apply_relayed(relayed)
                 return relayed.answered_at_s
         self.is_relayed = False
--- a/tests/edge/changes.feature
+++ b/tests/edge/changes.feature
@@ -47,6 +47,13 @@
     When targets of its zone leave in turn while small configurations change in quick succession
     Then the router follows the store and its relays again
 
+  # Guards against CONFIG and DENIED: the probe of a store that was back interrupted a router each
+  # second as it asked a dead relay, before it gave that relay up; it never followed the store again.
+  Scenario: A router follows the store again although it asks dead relays
+    Given a router of a zone of 39 routers in a fleet of 195, and its relays
+    When targets of its zone leave in turn while it loses the store and asks dead relays
+    Then the router follows the store and its relays again
+
   # Guards against a view that counts as complete up to a time at which a relay knew less.
   Scenario: A relay that stood still doesn't make a view complete
     Given a router of a zone of 39 routers in a fleet of 195, and its relays
--- a/tests/steps/change_relay_steps.py
+++ b/tests/steps/change_relay_steps.py
@@ -30,6 +30,7 @@
     "the router is cut off from the store": "cut_router",
     "the store turns the router away and the configuration changes": "turn_away",
     "small configurations change in quick succession": "change_often",
+    "it loses the store and asks dead relays": "lose_store_and_relays",
     "the largest configuration changes three times": "change_configuration",
 }
 
--- a/tests/support/relayed_zone.py
+++ b/tests/support/relayed_zone.py
@@ -185,6 +185,12 @@
         gevent.sleep(FAULT_S / 2.0)
         self.subscriber.store.come_back()
 
+    def lose_store_and_relays(self) -> None:
+        """Cut the router off from the store while relays that it goes on asking die."""
+        self.kill_relays()
+        self.choice.avoid = lambda relay, for_s: None  # type: ignore[method-assign]
+        self.cut_router()
+
     def change_often(self) -> None:
         """Write small configurations in quick succession, also while one is read."""
         for number in range(CHANGES):
