Read a configuration that the store kept from a router also after its relays restarted

What callers would see: requests handled by an older version until the next one is written (CONFIG), by routers that the store turned away as a configuration was written and whose relays restart meanwhile. Cause: a relay named only the configurations that it had seen change, and a router forgot which one was due as it tried to read the whole store.

A relay now names the latest configuration that it knows of, also from its own reading, so that each reply tells a router what it has missed; what is due is forgotten only with a new era. The reading is a class of its own, platform/configuration_updates.

tests/edge/changes.feature, red first: 'A router reads a configuration that was kept from it after its relays restarted'.

--- a/src/chervilstall/edge/changes/relay.py
+++ b/src/chervilstall/edge/changes/relay.py
@@ -57,7 +57,7 @@
         now_s = time.monotonic()
         return Changes(
             max(log.revision, message.after),
-            log.configuration_revision,
+            self.store_watcher.configuration_updates.latest_revision,
             changes,
             int((now_s - arrived_at_s) * 1e3),
             _age_ms(now_s, complete_at_s),
--- a/src/chervilstall/edge/changes/relayed_watch.py
+++ b/src/chervilstall/edge/changes/relayed_watch.py
@@ -8,9 +8,9 @@
 from chervilstall.errors import ChervilstallError
 from chervilstall.peer.changes import Changes, ChangesNotHeld, ChangesRequest
 from chervilstall.peer.messages import Message, Refused
+from chervilstall.platform.change_log import RelayedBatch
 from chervilstall.platform.kv import Entry, EntryBatch, PlatformStore
 from chervilstall.platform.peers import Peer
-from chervilstall.platform.watcher import RelayedBatch
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("store")
--- a/src/chervilstall/edge/changes/service.py
+++ b/src/chervilstall/edge/changes/service.py
@@ -7,8 +7,9 @@
 from chervilstall.edge.changes.relayed_watch import RelayedWatch
 from chervilstall.edge.changes.relays import RelayChoice
 from chervilstall.peer.messages import Message
+from chervilstall.platform.change_log import RelayedBatch
 from chervilstall.platform.peers import Peer
-from chervilstall.platform.watcher import RelayedBatch, StoreWatcher
+from chervilstall.platform.watcher import StoreWatcher
 from chervilstall.telemetry.events import EventLog
 
 if TYPE_CHECKING:
--- a/src/chervilstall/peer/changes.py
+++ b/src/chervilstall/peer/changes.py
@@ -31,7 +31,7 @@
 class Changes(msgspec.Struct, frozen=True, tag=True):
     """All changes up to a revision, the oldest first, but for the configuration.
 
-    The latest change of that is named by its revision only, if the relay saw one.
+    The latest change of that is named by its revision only.
 
     `waited_ms` is the time from the arrival of the request to this reply. Before the
     first of these changes, the relay knew every change that is older than
--- a/src/chervilstall/platform/change_log.py
+++ b/src/chervilstall/platform/change_log.py
@@ -29,13 +29,27 @@
     complete_at_s: float
 
 
+@dataclass(frozen=True)
+class RelayedBatch:
+    """Changes that another router told, in place of the store.
+
+    The configuration is not among them; `configuration_revision` is that of its latest
+    change, or 0. Every change before these is known up to the monotonic time
+    `complete_at_s`. The store answered the other router at `answered_at_s`.
+    """
+
+    batch: EntryBatch
+    configuration_revision: int
+    complete_at_s: float
+    answered_at_s: float
+
+
 class ChangeLog:
     """Changes of all keys from one revision to another, without gaps.
 
     The log is open while its router watches the store itself. Changes after
     `first_revision` up to `revision` are held. Where another value is large, the log
-    begins anew behind it. The configuration contains callers' keys and is not held;
-    `configuration_revision` is that of its latest change.
+    begins anew behind it. The configuration contains callers' keys and is not held.
 
     >>> log = ChangeLog()
     >>> log.restart(7)
@@ -47,7 +61,6 @@
         self.is_open = False
         self.first_revision = 0
         self.revision = 0
-        self.configuration_revision = 0
         self._batches: deque[LoggedBatch] = deque()
         self._changed = Event()
 
@@ -75,8 +88,6 @@
         if any(map(_is_large, held)):
             self.restart(self.revision)
             return
-        changed = [each.revision for each in batch.entries if _is_configuration(each)]
-        self.configuration_revision = max([self.configuration_revision, *changed])
         self._batches.append(LoggedBatch(held, batch.revision, complete_at_s))
         while len(self._batches) > BATCHES_MAX:
             dropped = self._batches.popleft()
--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -3,7 +3,6 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import TypeVar
 
 import gevent
@@ -11,11 +10,12 @@
 
 from chervilstall.fleet.view import FleetView
 from chervilstall.platform import protocol
-from chervilstall.platform.change_log import ChangeLog
+from chervilstall.platform.change_log import ChangeLog, RelayedBatch
 from chervilstall.platform.configuration_reading import (
     WATCH_WAIT_S,
     ConfigurationReading,
 )
+from chervilstall.platform.configuration_updates import ConfigurationUpdates
 from chervilstall.platform.handlers import EntryHandler
 from chervilstall.platform.kv import Entry, EntryBatch, HistoryGone, PlatformStore
 from chervilstall.store.contract import ResponseTooLarge, StoreFailed
@@ -54,21 +54,6 @@
     """The watch brought nothing although the store answers and has changed."""
 
 
-@dataclass(frozen=True)
-class RelayedBatch:
-    """Changes that another router told, in place of the store.
-
-    The configuration is not among them; `configuration_revision` is that of its latest
-    change, or 0. Every change before these is known up to the monotonic time
-    `complete_at_s`. The store answered the other router at `answered_at_s`.
-    """
-
-    batch: EntryBatch
-    configuration_revision: int
-    complete_at_s: float
-    answered_at_s: float
-
-
 class StoreWatcher:
     """Reads the whole store once and then watches it for changes.
 
@@ -105,9 +90,9 @@
         self.change_log = ChangeLog()
         self.is_relayed = False
         self._paused_until_s = float("-inf")
-        self._configuration_revision = 0
-        self._configuration_due_revision = 0
-        self._configuration_task: gevent.Greenlet | None = None
+        self.configuration_updates = ConfigurationUpdates(
+            store, lambda batch: self._apply_entries(protocol.CONFIG_KEY, batch)
+        )
         self._retry_s = RETRY_FIRST_S
         self._must_read_all = False
         self._applied = dict.fromkeys(SMALL_PREFIXES, 0)
@@ -136,6 +121,7 @@
     def restart(self) -> None:
         """Read the whole store again, since revisions of before mean nothing."""
         self._must_read_all = True
+        self.configuration_updates.forget()
         self.interrupt("revisions went back")
 
     def _end_call(self, error: StoreFailed) -> None:
@@ -174,7 +160,6 @@
         if self._must_read_all or self.is_disconnected:
             self._must_read_all = False
             self.change_log.close()
-            self._configuration_revision = self._configuration_due_revision = 0
             self.revision = self._call_interruptibly(self._read_all)
             self.change_log.restart(self.revision)
         else:
@@ -188,36 +173,7 @@
         self.fleet_view.note_complete(relayed.complete_at_s)
         self._apply_entries(ALL_KEYS_PREFIX, relayed.batch)
         self.revision = max(self.revision, relayed.batch.revision)
-        self._configuration_due_revision = max(
-            self._configuration_due_revision, relayed.configuration_revision
-        )
-        if self._is_configuration_due and not self._configuration_task:
-            self._configuration_task = gevent.spawn(self._update_configuration)
-
-    @property
-    def _is_configuration_due(self) -> bool:
-        """Return whether a relay told of a later configuration than was applied."""
-        return self._configuration_revision < self._configuration_due_revision
-
-    def _update_configuration(self) -> None:
-        """Read the configuration, while other changes go on arriving from a relay.
-
-        Only the revision of what was read counts: the store may name a later one with
-        it, as of its response.
-        """
-        retry_s = RETRY_FIRST_S
-        while self._is_configuration_due:
-            try:
-                batch = self.store.read_entry(protocol.CONFIG_KEY)
-            except StoreFailed as error:
-                log.warning("configuration not read", why=error.message)
-                gevent.sleep(retry_s * random.uniform(0.7, 1.3))
-                retry_s = min(retry_s * 2.0, RETRY_MAX_S)
-                continue
-            self._apply_entries(protocol.CONFIG_KEY, batch)
-            if not batch.entries:
-                # It was deleted.
-                self._configuration_revision = self._configuration_due_revision
+        self.configuration_updates.note_told(relayed.configuration_revision)
 
     def _watch_step(self) -> None:
         """Watch the store, after the pause that the last change asks for."""
@@ -315,8 +271,7 @@
     def _apply_entries(self, prefix: str, batch: EntryBatch) -> None:
         for entry in batch.entries:
             if entry.key == protocol.CONFIG_KEY:
-                revision = max(self._configuration_revision, entry.revision)
-                self._configuration_revision = revision
+                self.configuration_updates.note_applied(entry.revision)
             if not self._is_applied(entry):
                 self._dispatch(entry)
         for small_prefix in SMALL_PREFIXES:
--- a/tests/edge/changes.feature
+++ b/tests/edge/changes.feature
@@ -40,6 +40,13 @@
     And the router never took the store for lost on the way
     And the router follows the store and its relays again
 
+  # Guards against CONFIG: a relay that has started since doesn't name a version that the store kept
+  # from the router, and of which an earlier relay had told.
+  Scenario: A router reads a configuration that was kept from it after its relays restarted
+    Given a router of a zone of 39 routers in a fleet of 195, and its relays
+    When its relays restart in calm while the store keeps a configuration from it
+    Then the router follows the store and its relays again
+
   # Guards against CONFIG: a version written just after the one before was read was never read, as
   # the store had named its revision with the earlier value.
   Scenario: A router reads the last of configurations in quick succession
--- a/tests/steps/change_relay_steps.py
+++ b/tests/steps/change_relay_steps.py
@@ -79,6 +79,13 @@
     gevent.sleep(context.drain_s + 1.0)
 
 
+@when("its relays restart in calm while the store keeps a configuration from it")
+def restart_relays(context: Context) -> None:
+    tasks = [gevent.spawn(zone.restart_relays) for zone in context.zones]
+    gevent.joinall(tasks, raise_error=True)
+    gevent.sleep(1.0)
+
+
 def count_calls(zone: RelayedZone) -> tuple[int, int]:
     """Return the calls of the router, and those of the relay that called least."""
     relays = [relay.router.store.calls for relay in zone.relays.values()]
--- a/tests/support/model_router.py
+++ b/tests/support/model_router.py
@@ -68,6 +68,14 @@
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
         self.store = StoreModel(self.case, self.rng)
+        self.staying = list(range(TARGETS))
+        for number in self.staying:
+            self.store.put(f"servers/t-{number}", encode_entry(number, "ready"))
+        self.tasks: list[gevent.Greenlet] = []
+        self.build()
+
+    def build(self) -> None:
+        """Build the parts that follow the store; they know nothing of it yet."""
         self.fleet_view = FleetView(self.drain_s)
         handlers = (
             EntryHandler(
@@ -78,10 +86,6 @@
         self.watcher = StoreWatcher(self.store, self.fleet_view, handlers)
         self.watcher.count_watchers = lambda: self.case.routers
         self.probe = StoreProbe(self.store, self.watcher, "chervilstall/routers/vm-1")
-        self.staying = list(range(TARGETS))
-        for number in self.staying:
-            self.store.put(f"servers/t-{number}", encode_entry(number, "ready"))
-        self.tasks: list[gevent.Greenlet] = []
 
     def note_configuration(self, entry: Entry) -> None:
         """Record the configuration that was applied last."""
--- a/tests/support/relayed_zone.py
+++ b/tests/support/relayed_zone.py
@@ -61,6 +61,13 @@
         self.is_awake.set()
         self.relay = ChangeRelay(self.router.watcher, lambda: False)
 
+    def restart(self) -> None:
+        """Start the process of the relay anew."""
+        self.router.build()
+        self.router.start()
+        self.relay = ChangeRelay(self.router.watcher, lambda: False)
+        self.is_dead = False
+
     def answer(self, message: Message) -> Message:
         """Answer like the process of a relay."""
         if self.is_dead:
@@ -191,6 +198,22 @@
         self.choice.avoid = lambda relay, for_s: None  # type: ignore[method-assign]
         self.cut_router()
 
+    def restart_relays(self) -> None:
+        """Turn the router away from a configuration, and restart its relays.
+
+        They have read that configuration before they relay anything.
+        """
+        self.choice.avoid = lambda relay, for_s: None  # type: ignore[method-assign]
+        self.subscriber.store.go_away()
+        self.subscriber.store.put(protocol.CONFIG_KEY, b"small")
+        gevent.sleep(1.0)
+        self.kill_relays()
+        gevent.sleep(FAULT_S)
+        for relay in self.relays.values():
+            relay.restart()
+        gevent.sleep(FAULT_S)
+        self.subscriber.store.come_back()
+
     def change_often(self) -> None:
         """Write small configurations in quick succession, also while one is read."""
         for number in range(CHANGES):
