Don't let all routers call a store that has lost its leases

Each router gave up the planner's lease, which one held, and called the store at once as it came back from an earlier copy. Only the one that held it does now; the others learn from their reading of the store whether it is free, and take turns.

--- a/src/chervilstall/lease/holder.py
+++ b/src/chervilstall/lease/holder.py
@@ -187,10 +187,13 @@
     def forfeit(self) -> None:
         """Give up the current term without a store call, and try to acquire at once.
 
-        Call this when the store has lost its leases.
+        Call this when the store has lost its leases. A process that stands by for
+        another one's lease is not woken; `wake` tells it that the lease is free.
         """
+        was_held = self._term is not None
         self._mark_lost()
-        self.wake()
+        if was_held or self.standby_interval_s is None:
+            self.wake()
 
     def wake(self) -> None:
         """Try to acquire at once, as another holder's lease may have ended."""
--- a/tests/steps/standby_steps.py
+++ b/tests/steps/standby_steps.py
@@ -70,3 +70,16 @@
 @then("at most {count:d} of them called the store")
 def check_lease_calls(context: Context, count: int) -> None:
     assert 0 < context.lease_store.calls <= count, context.lease_store.calls
+
+
+@when("the store loses its leases")
+def lose_leases(context: Context) -> None:
+    context.lease_store.calls = 0
+    for standby in context.standbys:
+        standby.lease.forfeit()
+    gevent.sleep(1.0)
+
+
+@then("at most {count:d} of them called the store since")
+def check_calls_since(context: Context, count: int) -> None:
+    assert context.lease_store.calls <= count, context.lease_store.calls
