--- a/src/chervilstall/edge/changes/relayed_watch.py
+++ b/src/chervilstall/edge/changes/relayed_watch.py
@@ -53,7 +53,7 @@
             try:
                 reply = self.ask(relay, request, REPLY_TIMEOUT_S)
             except ChervilstallError as error:
-                self._leave(relay, error.message, LOST_S)
+                self._avoid(relay, error.message, LOST_S)
                 return None
             match reply:
                 case Changes():
@@ -61,13 +61,13 @@
                 case ChangesNotHeld():
                     return None
                 case Refused(reason=reason):
-                    self._leave(relay, reason, REFUSED_S)
+                    self._avoid(relay, reason, REFUSED_S)
                 case _:
-                    self._leave(relay, f"replied {type(reply).__name__}", LOST_S)
+                    self._avoid(relay, f"replied {type(reply).__name__}", LOST_S)
             relay = self.choice.choose()
         return None
 
-    def _leave(self, relay: Peer, why: str, for_s: float) -> None:
+    def _avoid(self, relay: Peer, why: str, for_s: float) -> None:
         self.choice.avoid(relay, for_s)
         log.info("relay left", relay=relay.vm, why=why)
 
--- a/src/chervilstall/edge/changes/service.py
+++ b/src/chervilstall/edge/changes/service.py
@@ -1,5 +1,6 @@
 """Connections between the relays of a zone and the routers that ask them."""
 
+import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 log = EventLog("store")
 
 CONNECTIONS_MAX = 4
+BIND_RETRY_S = 10.0
 
 
 class ChangeService:
@@ -38,6 +40,7 @@
         self._watch = RelayedWatch(store_watcher.store, choice, self._ask)
         self._clients: PeerClientPool | None = None
         self._server: PeerServer | None = None
+        self._bind_at_s = float("-inf")
         store_watcher.relayed = self.next_changes
         store_watcher.count_watchers = lambda: choice.watcher_count
 
@@ -50,8 +53,11 @@
 
     def _start_server(self) -> None:
         own = self.choice.own
-        if self._server is not None or own is None or own.relay_address is None:
+        if self._server is not None or time.monotonic() < self._bind_at_s:
             return
+        if own is None or own.relay_address is None:
+            return
+        self._bind_at_s = time.monotonic() + BIND_RETRY_S
         import zmq
 
         from chervilstall.peer.transport import PeerServer
--- a/src/chervilstall/placement/plan.py
+++ b/src/chervilstall/placement/plan.py
@@ -261,9 +261,8 @@
             end -= taken
 
 
-def _postpone_repairs(groups: Iterable[GroupPlan], loads_max: int) -> None:
+def _postpone_repairs(groups: list[GroupPlan], loads_max: int) -> None:
     """Keep as many changes as may load, of the groups that miss the fewest layers."""
-    groups = list(groups)
     room = loads_max - sum(
         each.is_loading for group in groups for each in group.holders
     )
@@ -277,9 +276,8 @@
     return sum(map(len, group.changes.values()))
 
 
-def _add_copies_in_turn(groups: Iterable[GroupPlan], loads_max: int) -> None:
+def _add_copies_in_turn(groups: list[GroupPlan], loads_max: int) -> None:
     """Add copies while fewer loads than `loads_max` are in progress."""
-    groups = list(groups)
     loading = sum(
         holder.is_loading or holder.target_id in group.changes
         for group in groups
