--- a/tests/edge/budget.feature
+++ b/tests/edge/budget.feature
@@ -32,3 +32,5 @@
       | 6       | at once   | 2        | 40     |
       | 77      | in series | 2        | 20     |
       | 77      | at once   | 2        | 20     |
+      | 195     | in series | 2        | 10     |
+      | 195     | at once   | 2        | 10     |
--- a/tests/edge/rate_limits.feature
+++ b/tests/edge/rate_limits.feature
@@ -26,6 +26,7 @@
       | routers that join             |
       | requests long on their way    |
       | many routers                  |
+      | many routers behind relays    |
       | routers that are pressed      |
       | requests late by turns        |
 
--- a/tests/steps/rate_limit_steps.py
+++ b/tests/steps/rate_limit_steps.py
@@ -174,6 +174,13 @@
                 "limit_per_s": rng.choice((2.8, 6.0, 15.0)),
                 "burst_requests": 100,
             }
+        case "many routers behind relays":
+            return {
+                "routers": 195,
+                "store_lag_s": rng.choice((0.2, 1.3)),
+                "limit_per_s": rng.choice((2.8, 6.0, 15.0)),
+                "burst_requests": 250,
+            }
     return {}
 
 
