--- a/src/chervilstall/platform/configuration_updates.py
+++ b/src/chervilstall/platform/configuration_updates.py
@@ -23,8 +23,7 @@
 class ConfigurationUpdates:
     """Reads the configuration whenever a later one was told of than was applied.
 
-    `apply` is called with what was read. Only the revision of an entry that was read
-    counts as applied: the store may name a later one beside it, as of its response.
+    `apply` is called with what was read, and calls `note_applied`.
     """
 
     def __init__(
--- a/tests/edge/changes.feature
+++ b/tests/edge/changes.feature
@@ -47,8 +47,7 @@
     When its relays restart in calm while the store keeps a configuration from it
     Then the router follows the store and its relays again
 
-  # Guards against CONFIG: a version written just after the one before was read was never read, as
-  # the store had named its revision with the earlier value.
+  # Guards against CONFIG: a version written while the one before is read isn't read any more.
   Scenario: A router reads the last of configurations in quick succession
     Given a router of a zone of 39 routers in a fleet of 195, and its relays
     When targets of its zone leave in turn while small configurations change in quick succession
