Give a router the bound of an accepted setting to read a configuration kept from it

A router whose reading failed tries again after up to 1.3 s. Traced over 32 routers at a load average under 1: the configuration was in force 0.01 to 1.27 s after the store was back, 3 of 32 later than 1 s. Allowed: an accepted setting is in force within 4 s on a fleet of 195 routers. Change: the test waits for that bound; what it checks is the same.

--- a/tests/steps/change_relay_steps.py
+++ b/tests/steps/change_relay_steps.py
@@ -20,6 +20,7 @@
 
 LINK_BYTES_PER_S = 10 * 125_000.0
 DRAIN_S = {77: 3.0, 195: 4.0, 2100: 4.0}
+CONFIG_APPLY_S = 4.0
 FAULTS = {
     "nothing else happens": "calm",
     "its relay dies": "kill_relay",
@@ -83,7 +84,7 @@
 def restart_relays(context: Context) -> None:
     tasks = [gevent.spawn(zone.restart_relays) for zone in context.zones]
     gevent.joinall(tasks, raise_error=True)
-    gevent.sleep(1.0)
+    gevent.sleep(CONFIG_APPLY_S)
 
 
 def count_calls(zone: RelayedZone) -> tuple[int, int]:
