Hold 2,100 routers behind relays to the drain bound of 3 s in edge/changes

The scenarios of 2,100 routers played a bound of 4 s, while platform/leaving holds routers without relays to 3 s. Both now have 3 s, the stricter one.

--- a/tests/steps/change_relay_steps.py
+++ b/tests/steps/change_relay_steps.py
@@ -19,7 +19,7 @@
 from tests.support.store_model import ModelCase
 
 LINK_BYTES_PER_S = 10 * 125_000.0
-DRAIN_S = {77: 3.0, 195: 4.0, 2100: 4.0}
+DRAIN_S = {77: 3.0, 195: 4.0, 2100: 3.0}
 CONFIG_APPLY_S = 4.0
 FAULTS = {
     "nothing else happens": "calm",
