--- a/tests/steps/placement_plan_steps.py
+++ b/tests/steps/placement_plan_steps.py
@@ -6,23 +6,12 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from chervilstall.fleet.records import NO_LAYERS, AcceleratorType, LayerRange, Pipeline
+from chervilstall.fleet.records import NO_LAYERS, LayerRange
 from chervilstall.ids import TargetId, ZoneName
 from chervilstall.placement.group import LayerHolder
 from chervilstall.placement.plan import plan
+from tests.support.large_pipeline import LARGE_PIPELINE
 
-MODEL = Pipeline(
-    layers=80,
-    layer_mb=1750.0,
-    kv_bytes_per_token=1_180_000.0,
-    step_ms=0.85,
-    prefill_tokens_per_s=196_000.0,
-    token_transfer_s=43e-6,
-    load_s=14.0,
-    loads_at_once=6,
-    typical_tokens=946.0,
-    accelerators={"any": AcceleratorType("any", 1.0, 1.0, 1.0)},
-)
 LARGE, MIDDLE, SMALL, LEAST = 72_000.0, 36_000.0, 21_600.0, 14_400.0
 ZONES = {
     "one": [LARGE, MIDDLE] + [SMALL] * 5 + [LEAST] * 7,
@@ -43,17 +32,17 @@
 
 def apply_plan(fleet: dict[str, LayerHolder]) -> int:
     """Apply one plan to a fleet and return the number of changes."""
-    changes = plan(MODEL, fleet.values())
+    changes = plan(LARGE_PIPELINE, fleet.values())
     for change in changes:
         holder = fleet[change.target_id]
-        assert len(change.layers) * MODEL.layer_mb <= holder.memory_mb, change
+        assert len(change.layers) * LARGE_PIPELINE.layer_mb <= holder.memory_mb, change
         fleet[change.target_id] = dataclasses.replace(holder, layers=change.layers)
     return len(changes)
 
 
 def count_holders(fleet: dict[str, LayerHolder], zone: str = "") -> list[int]:
     """Return how many targets hold each layer, in one zone or in all."""
-    counts = [0] * MODEL.layers
+    counts = [0] * LARGE_PIPELINE.layers
     for holder in fleet.values():
         if zone and holder.zone != zone:
             continue
@@ -85,9 +74,9 @@
 
 @then("every target has memory for {requests:d} requests")
 def check_memory_for(context: Context, requests: int) -> None:
-    tokens = requests * MODEL.typical_tokens
+    tokens = requests * LARGE_PIPELINE.typical_tokens
     for holder in context.fleet.values():
-        limit = MODEL.layers_max(holder.memory_mb, tokens)
+        limit = LARGE_PIPELINE.layers_max(holder.memory_mb, tokens)
         assert len(holder.layers) <= limit, holder
 
 
@@ -105,7 +94,7 @@
 @then("no target holds more than its memory")
 def check_memory(context: Context) -> None:
     for holder in context.fleet.values():
-        assert len(holder.layers) * MODEL.layer_mb <= holder.memory_mb, holder
+        assert len(holder.layers) * LARGE_PIPELINE.layer_mb <= holder.memory_mb, holder
 
 
 @then("both zones together hold every layer")
@@ -124,7 +113,7 @@
 
 @then("another plan changes nothing")
 def check_no_changes(context: Context) -> None:
-    assert plan(MODEL, context.fleet.values()) == []
+    assert plan(LARGE_PIPELINE, context.fleet.values()) == []
 
 
 @when("an empty target joins")
@@ -135,7 +124,7 @@
 
 @then("only the new target gets an order")
 def check_only_new(context: Context) -> None:
-    changes = plan(MODEL, context.fleet.values())
+    changes = plan(LARGE_PIPELINE, context.fleet.values())
     assert [change.target_id for change in changes] == ["new"], changes
 
 
@@ -171,9 +160,11 @@
 
 @then("every target has the planned memory for requests")
 def check_planned_memory(context: Context) -> None:
-    tokens = 24 * MODEL.typical_tokens
+    tokens = 24 * LARGE_PIPELINE.typical_tokens
     for holder in context.fleet.values():
-        assert len(holder.layers) <= MODEL.layers_max(holder.memory_mb, tokens), holder
+        assert len(holder.layers) <= LARGE_PIPELINE.layers_max(
+            holder.memory_mb, tokens
+        ), holder
 
 
 @then("in 60 random fleets with losses no order exceeds a target's memory")
@@ -213,7 +204,7 @@
     missing = {zone: count_holders(context.fleet, zone).count(0) for zone in ZONES}
     context.first_zone = min(missing, key=lambda zone: missing[zone])
     changes = apply_plan(context.fleet)
-    assert 0 < changes <= 2 * MODEL.loads_at_once, changes
+    assert 0 < changes <= 2 * LARGE_PIPELINE.loads_at_once, changes
 
 
 @then("it completes the copy that misses the fewest layers")
--- a/tests/support/loading_fleet.py
+++ b/tests/support/loading_fleet.py
@@ -16,7 +16,6 @@
     NO_LAYERS,
     AcceleratorType,
     LayerRange,
-    Pipeline,
     Service,
     Target,
     TargetReadiness,
@@ -30,6 +29,7 @@
 from chervilstall.placement.planner import PlacementPlanner
 from chervilstall.platform.targets import OrderResponse, PlaceOrder, TargetReport
 from chervilstall.settings.option import Address
+from tests.support.large_pipeline import LARGE_PIPELINE
 
 SIZES_MB = {"large": 72_000.0, "middle": 36_000.0, "small": 21_600.0, "least": 14_400.0}
 ZONES = {
@@ -39,16 +39,9 @@
     "four": ["small"] * 3 + ["least"] * 5,
     "five": ["middle"] + ["small"] * 5 + ["least"] * 2,
 }
-PIPELINE = Pipeline(
-    layers=80,
-    layer_mb=1750.0,
-    kv_bytes_per_token=1_180_000.0,
-    step_ms=0.85,
-    prefill_tokens_per_s=196_000.0,
-    token_transfer_s=43e-6,
-    load_s=14.0,
+PIPELINE = dataclasses.replace(
+    LARGE_PIPELINE,
     loads_at_once=3,
-    typical_tokens=946.0,
     accelerators={
         name: AcceleratorType(name, size_mb, 1.0, 1.0)
         for name, size_mb in SIZES_MB.items()
