Say how long the process waited for a CPU where routers without targets serve too little

Change: a failure names the time that the process of all routers and targets waited for a CPU since the cut. No check has changed.

--- a/tests/steps/targets_out_of_reach_steps.py
+++ b/tests/steps/targets_out_of_reach_steps.py
@@ -1,6 +1,7 @@
 """Steps for routers that have lost their links to all targets."""
 
 import http.client
+import os
 import time
 from collections import Counter
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 from chervilstall.edge.server import EdgeServer
 from chervilstall.fleet.records import LayerRange
 from chervilstall.soak.cut_links import Cut
+from chervilstall.soak.process_sampler import ProcessSampler
 from chervilstall.standin.platform_fixtures import LAYERS
 from tests.support.agent_fleet import eventually
 from tests.support.platform import ZONES, Platform, send
@@ -48,6 +50,9 @@
     context.platform = platform = Platform(has_links=True)
     context.stoppables.append(platform)
     platform.start()
+    context.sampler = ProcessSampler(lambda: [("all", os.getpid())])
+    sampling = gevent.spawn(context.sampler.run)
+    context.add_cleanup(sampling.kill)
     for number in range(LOOKUP_TARGETS):
         zone = ZONES[number % len(ZONES)]
         platform.add_target(f"lookup-{number}", "lookups", zone)
@@ -126,6 +131,19 @@
     context.tries = [task.value for task in tasks]
 
 
+def describe_cpu(context: Context) -> str:
+    """Return what the process of all routers and targets got since the cut."""
+    windows = [
+        window
+        for window in context.sampler.windows
+        if window.ended_at_s > context.cut_at_s
+    ]
+    spent_s = sum(window.duration_s for window in windows)
+    waited_s = sum(window.waited_s for window in windows)
+    cpu_s = sum(window.cpu_s for window in windows)
+    return f"of {spent_s:.2f} s waited {waited_s:.2f} s for a CPU, had {cpu_s:.2f} s"
+
+
 def late_tries(context: Context, after_s: float) -> list[FirstTry]:
     """Return the tries that began later than `after_s` after the cut."""
     from_s = context.cut_at_s + after_s
@@ -152,7 +170,8 @@
             if not each.is_served
         )
         assert count * of >= served * len(own), (
-            f"router {index}, cut off {context.cut}: {count} of {len(own)}, {outcomes}"
+            f"router {index}, cut off {context.cut}: {count} of {len(own)}, {outcomes};"
+            f" the process {describe_cpu(context)}"
         )
 
 
@@ -217,8 +236,9 @@
     tries = late_tries(context, after_s)
     assert len(tries) >= 20, len(tries)
     for each in tries:
-        assert each.response is not None and each.response.status == 503, each
-        assert each.ended_at_s - each.asked_at_s <= within_s, each
+        seen = (each, describe_cpu(context))
+        assert each.response is not None and each.response.status == 503, seen
+        assert each.ended_at_s - each.asked_at_s <= within_s, seen
 
 
 @then("it is told to come back within {within_s:d} seconds")
