Give up a router's first own watches after a relay early, so that a deaf one costs little

Relays lose the store for 0.1 s and refuse, and within 50 ms their routers watch the store themselves from revision 243. A watch that begins at that moment is deaf, and the cheap reads of the probe are some seconds old then, so it was abandoned at 8.1 to 8.7 s. Before relays each router's own watch was cut there, and it read everything anew. Ruled out: the relays (all had the configuration in force 0.1 s later) and the reading of the configuration by its key (none was told of). Change: a router that has relays gives its own watch up after 0.5 s and asks them again; each next one in a row may take twice as long, up to 8 s. The revision stays, so nothing is missed.

--- a/src/chervilstall/edge/changes/relayed_watch.py
+++ b/src/chervilstall/edge/changes/relayed_watch.py
@@ -22,6 +22,15 @@
 LOST_S = 10.0
 REFUSED_S = 3.0
 
+OWN_WATCH_FIRST_S = 0.5
+"""Time after which the first watch of the store after a relay is given up.
+
+Each next one may take twice as long. Relays refuse when the store drops its history and
+cuts their watches, and a watch that begins at that very moment may be deaf.
+"""
+
+OWN_WATCH_MAX_S = 8.0
+
 AskRelay = Callable[[Peer, Message, float], Message]
 """Sends a message to a relay and returns the reply that comes within some seconds.
 
@@ -40,6 +49,15 @@
     store: PlatformStore
     choice: RelayChoice
     ask: AskRelay
+    _own_watch_s: float = OWN_WATCH_FIRST_S
+
+    def own_watch_limit_s(self) -> float | None:
+        """Return after how long the next watch of the store itself is given up."""
+        if not self.choice.has_relays:
+            return None
+        limit_s = self._own_watch_s
+        self._own_watch_s = min(2.0 * limit_s, OWN_WATCH_MAX_S)
+        return limit_s
 
     def next_changes(self, after: int) -> RelayedBatch | None:
         """Return the next changes, or none after some time.
@@ -57,6 +75,7 @@
                 return None
             match reply:
                 case Changes():
+                    self._own_watch_s = OWN_WATCH_FIRST_S
                     return self._decode(reply, after, sent_at_s)
                 case ChangesNotHeld():
                     return None
--- a/src/chervilstall/edge/changes/relays.py
+++ b/src/chervilstall/edge/changes/relays.py
@@ -44,6 +44,12 @@
         self._update()
         return self.own is not None and self.own in self._relays
 
+    @property
+    def has_relays(self) -> bool:
+        """Return whether others relay changes to this router."""
+        self._update()
+        return bool(self._relays) and self.own not in self._relays
+
     @property
     def watcher_count(self) -> int:
         """Return how many routers of all zones may watch the store at the same time.
@@ -51,8 +57,7 @@
         A router that watches although its zone has relays can't reach them, and others
         may be in the same situation.
         """
-        self._update()
-        if self._relays and self.own not in self._relays:
+        if self.has_relays:
             return len(self.directory.peers) + 1
         return self._watcher_count
 
--- a/src/chervilstall/edge/changes/service.py
+++ b/src/chervilstall/edge/changes/service.py
@@ -42,6 +42,7 @@
         self._server: PeerServer | None = None
         self._bind_at_s = float("-inf")
         store_watcher.relayed = self.next_changes
+        store_watcher.watch_limit_s = self._watch.own_watch_limit_s
         store_watcher.count_watchers = lambda: choice.watcher_count
 
     def next_changes(self, after: int) -> RelayedBatch | None:
--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -66,8 +66,9 @@
 
     `relayed` is asked for changes after a revision before each watch. It returns None
     where the store itself has to be watched; `count_watchers` returns how many routers
-    do so. While this one does, `change_log` holds the changes for others, and
-    `is_relayed` is false.
+    do so, and `watch_limit_s` after how long the next watch is given up, or None. While
+    this router watches, `change_log` holds the changes for others, and `is_relayed` is
+    false.
 
     `watching_since_s` is the monotonic time since which a watch waits, or None.
     `answered_at_s` is that of the store's last answer, to this router or to its relay.
@@ -87,6 +88,7 @@
         self.watching_since_s: float | None = None
         self.relayed: Callable[[int], RelayedBatch | None] = lambda after: None
         self.count_watchers: Callable[[], int] = lambda: 1
+        self.watch_limit_s: Callable[[], float | None] = lambda: None
         self.change_log = ChangeLog()
         self.is_relayed = False
         self._paused_until_s = float("-inf")
@@ -196,15 +198,17 @@
 
     def _watch_all(self) -> EntryBatch:
         self.watching_since_s = time.monotonic()
+        given_up = WatchAbandoned("relays are asked again")
         try:
-            return self._call_interruptibly(
-                lambda: self.store.watch(
-                    ALL_KEYS_PREFIX,
-                    self.revision,
-                    WATCH_WAIT_S,
-                    LARGE_RESPONSE_BYTES,
+            with gevent.Timeout(self.watch_limit_s(), given_up):
+                return self._call_interruptibly(
+                    lambda: self.store.watch(
+                        ALL_KEYS_PREFIX,
+                        self.revision,
+                        WATCH_WAIT_S,
+                        LARGE_RESPONSE_BYTES,
+                    )
                 )
-            )
         finally:
             self.watching_since_s = None
 
--- a/tests/edge/changes.feature
+++ b/tests/edge/changes.feature
@@ -40,6 +40,20 @@
     And the router never took the store for lost on the way
     And the router follows the store and its relays again
 
+  # Guards against CONFIG and DENIED: routers whose relays had lost their watches watched the store
+  # at once, from the moment at which it dropped its history, and heard nothing for 6 s.
+  Scenario Outline: A router of a fleet of <routers> isn't deaf when its relays lose their watches
+    Given a router of a zone of 39 routers in a fleet of <routers>, and its relays
+    When targets of its zone leave in turn while watches that begin as history is lost hear nothing
+    Then none is used until less than a connect is left of the drain bound
+    And the router follows the store and its relays again
+
+    Examples:
+      | routers |
+      | 77      |
+      | 195     |
+      | 2100    |
+
   # Guards against CONFIG: a relay that has started since doesn't name a version that the store kept
   # from the router, and of which an earlier relay had told.
   Scenario: A router reads a configuration that was kept from it after its relays restarted
--- a/tests/support/relayed_zone.py
+++ b/tests/support/relayed_zone.py
@@ -25,6 +25,8 @@
 ROUTERS = 39
 RELAYS = 2
 FAULT_S = 3.0
+STALE_S = 5.0
+BEGUN_DEAF_S = 0.1
 CHANGES, CHANGES_IN_SERIES = 60, 3
 
 
@@ -98,6 +100,7 @@
         self.choice = choose_among(peers, 0)
         watch = RelayedWatch(self.subscriber.store, self.choice, self.ask)
         self.subscriber.watcher.relayed = watch.next_changes
+        self.subscriber.watcher.watch_limit_s = watch.own_watch_limit_s
         stores = [relay.router.store for relay in self.relays.values()]
         self.subscriber.store.mirrors = stores
         self.outages = 0
@@ -170,6 +173,15 @@
             relay.router.store.compact()
         self.subscriber.store.compact()
 
+    def cut_watches(self) -> None:
+        """Drop the history; watches that begin as the relays' are cut hear nothing."""
+        stores = [relay.router.store for relay in self.relays.values()]
+        for store in (*stores, self.subscriber.store):
+            store.stale_s = STALE_S
+        self.subscriber.store.begun_deaf_until_s = time.monotonic() + BEGUN_DEAF_S
+        for store in (*stores, self.subscriber.store):
+            store.compact()
+
     def cut_relays(self) -> None:
         """Cut the relays off from the store."""
         for relay in self.relays.values():
--- a/tests/support/store_model.py
+++ b/tests/support/store_model.py
@@ -47,7 +47,9 @@
     is written to its `mirrors`, too: the same store, as other routers reach it.
 
     `calls` counts them. Until `deaf_until_s`, watches hear nothing; `compact` cuts
-    them and drops the history. `large_calls` is set to the time at which a call that
+    them and drops the history. Watches that begin before `begun_deaf_until_s` hear
+    nothing as long as they wait. A revision that may be old is that of `stale_s` ago.
+    `large_calls` is set to the time at which a call that
     will return a large value arrived.
     """
 
@@ -59,11 +61,14 @@
     history: list[Entry] = field(default_factory=list)
     compacted_revision: int = 0
     deaf_until_s: float = 0.0
+    begun_deaf_until_s: float = 0.0
+    stale_s: float = 0.0
     is_away: bool = False
     entries_received_at_s: float = float("-inf")
     era: int = 1
     mirrors: list["StoreModel"] = field(default_factory=list)
     large_call_arrived: Event = field(default_factory=Event)
+    _written: list[tuple[float, int]] = field(default_factory=list)
     _changed: Event = field(default_factory=Event)
     _link: SharedLink = field(init=False)
 
@@ -81,6 +86,7 @@
         else:
             self.values[key] = entry
         self.history.append(entry)
+        self._written.append((time.monotonic(), self.revision))
         self._wake()
         for mirror in self.mirrors:
             mirror.put(key, value)
@@ -120,7 +126,7 @@
 
     def recent_revision(self, key: str, timeout_s: float) -> int:
         """Return a revision that may be somewhat old."""
-        revision = self.revision
+        revision = self._stale_revision()
         with gevent.Timeout(timeout_s, StoreFailed("no response in time")):
             self._arrive(key)
             self._link.carry(ENTRY_OVERHEAD_BYTES)
@@ -132,6 +138,8 @@
         """Return changes after a revision, as the store's watch does."""
         sent_at_s = self._arrive("")
         deadline_s = time.monotonic() + wait_s
+        if time.monotonic() < self.begun_deaf_until_s:
+            gevent.sleep(wait_s)
         while True:
             if after < self.compacted_revision:
                 raise HistoryGone("the history is gone")
@@ -146,6 +154,12 @@
             raise ResponseTooLarge("the response is too large")
         return self._respond(sent_at_s, found)
 
+    def _stale_revision(self) -> int:
+        """Return the revision of `stale_s` ago."""
+        until_s = time.monotonic() - self.stale_s
+        known = [revision for at_s, revision in self._written if at_s <= until_s]
+        return known[-1] if known else 0
+
     def _below(self, prefix: str) -> list[Entry]:
         return [entry for key, entry in self.values.items() if key.startswith(prefix)]
 
