Count routers whose leases all ended, and register again at once

What callers saw: nothing yet; found by asking whether the sum over all routers of the budget holds. The platform lets leases run out while its store is down. Cause: each router then dropped all others from its count, and learned that its own lease had ended only at its next renewal, up to 20 s later: until then each took the whole extra retries and limits for its own. Only a store that came back from an earlier copy was provided for. The routers that relay changes were forgotten, too, so that all routers would watch the store. One whose own entry is gone registers again within a second, spread over it.

--- a/src/chervilstall/edge/peers/directory.py
+++ b/src/chervilstall/edge/peers/directory.py
@@ -2,13 +2,13 @@
 
 import random
 import time
-from collections.abc import Collection
+from collections.abc import Collection, Set
 from dataclasses import dataclass, field
 
-from chervilstall.fleet.pruning import retain_keys
+from chervilstall.edge.missing import MissingEntries
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.platform.kv import Entry
-from chervilstall.platform.peers import PEERS_PREFIX, Peer, decode_peer
+from chervilstall.platform.peers import Peer, decode_peer
 from chervilstall.settings.node import NodeSettings
 from chervilstall.settings.option import Address
 from chervilstall.telemetry.events import EventLog
@@ -20,21 +20,27 @@
 class PeerDirectory:
     """Knows the registered routers, and which of them could not help lately.
 
-    `generation` grows with every change of the routers that are known.
+    A router whose entry is gone is known for a while longer, as its lease may have
+    ended with all others. `generation` grows with every change of those known.
     """
 
     vm: VmId
     zone: ZoneName
     generation: int = 0
     _peers: dict[str, Peer] = field(default_factory=dict)
+    _missing: MissingEntries = field(init=False)
     _avoided_until_s: dict[VmId, float] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self._missing = MissingEntries(self._drop)
+
     def handle_entry(self, entry: Entry) -> None:
         """Apply a changed or deleted entry below `PEERS_PREFIX`."""
-        self.generation += 1
         if entry.value is None:
-            self._peers.pop(entry.key, None)
+            self._missing.add({entry.key})
             return
+        self.generation += 1
+        self._missing.discard(entry.key)
         peer = decode_peer(entry.key, entry.value)
         if peer is None:
             log.warning("entry of a router not readable", key=entry.key)
@@ -43,10 +49,13 @@
             self._peers[entry.key] = peer
 
     def handle_full_read(self, keys: list[str]) -> None:
-        """Drop the routers that a full read of the store did not return."""
+        """Note the routers that a full read of the store did not return."""
+        self._missing.add(self._peers.keys() - set(keys))
+
+    def _drop(self, keys: Set[str]) -> None:
         self.generation += 1
-        present = {key for key in keys if key.startswith(PEERS_PREFIX)}
-        retain_keys(self._peers, present)
+        for key in keys:
+            self._peers.pop(key, None)
 
     @property
     def peers(self) -> Collection[Peer]:
--- a/src/chervilstall/edge/registry.py
+++ b/src/chervilstall/edge/registry.py
@@ -5,6 +5,7 @@
 
 import random
 import time
+from collections.abc import Set
 from dataclasses import dataclass, field
 
 import gevent
@@ -12,8 +13,8 @@
 
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
+from chervilstall.edge.missing import MissingEntries
 from chervilstall.edge.standby import PlannerStandby
-from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.suspicion import SuspicionKind
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import VmId, ZoneName
@@ -44,8 +45,8 @@
 
 RENEW_INTERVAL_S = 20.0
 RETRY_DELAY_S = 2.0
-REGISTRATION_WAIT_S = 5.0
-"""Time in which all routers register again after the store has lost their leases."""
+REGISTRATION_SPREAD_S = 1.0
+"""Time over which all routers register again, so that they don't call at one moment."""
 
 ROUTERS_ASSUMED = 2100
 """Number of routers assumed until it is known: the size to design for.
@@ -58,10 +59,12 @@
 class RouterRegistry:
     """Registers this router under a lease and counts all registered routers.
 
-    The count never falls faster than the leases of routers expire. Routers also share
-    suspicions of targets through the store, so that a target that one router found dead
-    is known to the planner and to every router. `peer` says where this router takes
-    requests from other routers, if it does.
+    A router whose entry is gone counts for a while: its lease may have ended with all
+    others, in an outage of the store or as that came back from an earlier copy. A
+    router whose own entry is gone registers again. Routers also share suspicions of
+    targets through the store, so that a target that one router found dead is known to
+    the planner and to every router. `peer` says where this router takes requests from
+    other routers, if it does.
     """
 
     vm: VmId
@@ -75,11 +78,13 @@
     peer: Peer | None = None
     standby: PlannerStandby = field(init=False)
     _router_zones: dict[str, ZoneName] = field(default_factory=dict)
+    _missing: MissingEntries = field(init=False)
     _lease: Lease | None = None
+    _registered_revision: int = 0
     _wake_requested: Event = field(default_factory=Event)
-    _missing_kept_until_s: float = float("-inf")
 
     def __post_init__(self) -> None:
+        self._missing = MissingEntries(self._drop_routers)
         self.standby = PlannerStandby(
             self.planner.lease, self.vm, lambda: self.rate_limiter.routers
         )
@@ -106,28 +111,18 @@
         values = {self.key: self.zone.encode()}
         if self.peer is not None:
             values[peer_key(self.vm)] = encode_peer(self.peer)
-        self.store.write_all(values, lease.lease_id)
+        self._registered_revision = self.store.write_all(values, lease.lease_id)
         self._lease = lease
 
     def handle_new_era(self) -> None:
-        """Register again, as the store came back from an earlier copy without leases.
+        """Register again, as the store came back from an earlier copy."""
+        self._registered_revision = 0
+        self._register_again()
 
-        Until the other routers have done the same, those that are missing still count.
-        """
+    def _register_again(self) -> None:
         self._lease = None
-        self._missing_kept_until_s = time.monotonic() + REGISTRATION_WAIT_S
-        gevent.spawn_later(REGISTRATION_WAIT_S * 1.1, self._drop_missing)
-        self._wake_requested.set()
-
-    def _drop_missing(self) -> None:
-        try:
-            batch = self.store.list_entries(ROUTERS_PREFIX)
-        except StoreFailed as error:
-            # Counting too many routers is safe; the next full listing corrects it.
-            log.warning("routers not listed", why=error.message)
-            return
-        retain_keys(self._router_zones, {entry.key for entry in batch.entries})
-        self._update_routers()
+        delay_s = random.uniform(0.0, REGISTRATION_SPREAD_S)
+        gevent.spawn_later(delay_s, self._wake_requested.set)
 
     @property
     def key(self) -> str:
@@ -137,25 +132,38 @@
     def handle_entry(self, entry: Entry) -> None:
         """Apply a changed or deleted entry below `ROUTER_KEYS_PREFIX`."""
         if entry.key.startswith(ROUTERS_PREFIX):
-            if entry.value is None:
-                if time.monotonic() >= self._missing_kept_until_s:
-                    self._router_zones.pop(entry.key, None)
-            else:
-                zone = ZoneName(entry.value.decode("utf-8", "replace"))
-                self._router_zones[entry.key] = zone
-            self._update_routers()
+            self._apply_router(entry)
         elif entry.key == self.standby.key:
             self.standby.handle_entry(entry)
         elif entry.key.startswith(SUSPICIONS_PREFIX) and entry.value is not None:
             self._apply_suspicion(entry.value)
 
+    def _apply_router(self, entry: Entry) -> None:
+        if entry.value is None:
+            self._missing.add({entry.key})
+            is_own = entry.key == self.key
+            if is_own and self._lease and entry.revision > self._registered_revision:
+                self._register_again()
+            return
+        self._missing.discard(entry.key)
+        zone = ZoneName(entry.value.decode("utf-8", "replace"))
+        self._router_zones[entry.key] = zone
+        self._update_routers()
+
     def handle_full_read(self, keys: list[str]) -> None:
-        """Drop routers missing from a full listing below `ROUTER_KEYS_PREFIX`."""
-        if time.monotonic() >= self._missing_kept_until_s:
-            retain_keys(self._router_zones, set(keys))
-            self._update_routers()
+        """Note the routers missing from a full listing below `ROUTER_KEYS_PREFIX`."""
+        present = set(keys)
+        self._missing.add(self._router_zones.keys() - present)
+        self._update_routers()
+        if self._lease and self.key not in present:
+            self._register_again()
         self.standby.handle_full_read(keys)
 
+    def _drop_routers(self, keys: Set[str]) -> None:
+        for key in keys:
+            self._router_zones.pop(key, None)
+        self._update_routers()
+
     def _update_routers(self) -> None:
         self.rate_limiter.routers = {
             VmId(key.removeprefix(ROUTERS_PREFIX)): zone
--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -46,6 +46,10 @@
     """
 
 
+class ExpectationFailed(StoreFailed):
+    """A write was not carried out, as a key has another revision than expected."""
+
+
 class LeaseEnded(StoreFailed):
     """The lease that a call names doesn't exist any more."""
 
@@ -239,26 +243,29 @@
         expected: list[dict[str, object]] = []
         if expected_revision is not None:
             expected.append({"key": key, "revision": expected_revision})
-        return self._write([_encode_write(key, value, lease)], expected)
+        try:
+            return self._write([_encode_write(key, value, lease)], expected)
+        except ExpectationFailed:
+            return None
 
     def _write(
         self, writes: list[dict[str, object]], expected: list[dict[str, object]]
-    ) -> int | None:
+    ) -> int:
         body = {"expected": expected, "writes": writes, "remove": []}
         response = self._call("POST", "/chervilstall/kv-txn", body)
         if response.status == HTTP_PRECONDITION_FAILED:
-            return None
+            raise ExpectationFailed("a key has another revision")
         if response.status == HTTP_NOT_FOUND:
             raise LeaseEnded("the lease of the write has ended")
         return _decode(response, _WriteResponse).revision
 
-    def write_all(self, values: Mapping[str, bytes], lease: int) -> None:
-        """Write keys in one call; they are removed when the lease ends.
+    def write_all(self, values: Mapping[str, bytes], lease: int) -> int:
+        """Write keys in one call, and return their revision.
 
-        Raises LeaseEnded if it has.
+        They are removed when the lease ends. Raises LeaseEnded if it has.
         """
         writes = [_encode_write(key, value, lease) for key, value in values.items()]
-        self._write(writes, [])
+        return self._write(writes, [])
 
     def remove(self, key: str) -> None:
         """Remove a key; it need not exist."""
