Send nothing on for a caller that left before its request was read

Cause: a request that waits in the listener's queue, or for the first configuration, is read when its caller may be gone; its connection is watched from then on, but by a task that first runs when the request has been sent on. Change: the connection is looked at before that.

Result: edge/start, 10 callers that left before their router started: all 10 ran before, none since.

--- a/src/chervilstall/edge/disconnect.py
+++ b/src/chervilstall/edge/disconnect.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import gevent
+from gevent.select import select
 
 from chervilstall.edge.request import EdgeRequest
 
@@ -21,8 +22,16 @@
         self._task: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        """Start monitoring in a task of its own."""
-        self._task = gevent.spawn(self._wait)
+        """Start monitoring in a task of its own.
+
+        A caller that left before, while the router started or was busy, is seen at
+        once, so that nothing is sent on.
+        """
+        readable, _, _ = select([self._connection], [], [], 0)
+        if readable:
+            self._wait()
+        else:
+            self._task = gevent.spawn(self._wait)
 
     def stop(self) -> None:
         """Stop monitoring, so that the connection can be read again."""
--- a/tests/edge/start.feature
+++ b/tests/edge/start.feature
@@ -7,6 +7,14 @@
     And the router of the listener starts
     Then the caller gets status 200
 
+  # Guards against GONE: as 300 routers started anew, requests of callers that had left were sent on.
+  Scenario: A request whose caller left before its router started runs nowhere
+    Given a platform with lookups in both zones
+    And a listener that is bound before its router exists
+    When 10 callers send requests to it and leave
+    And the router of the listener starts
+    Then a later request is answered, and none of theirs ran
+
   Scenario: A starting router imports no modules that it does not need
     When the modules of the router are imported in a separate process
     Then none of "absl cappa numpy rich scipy zmq" is imported
--- a/tests/steps/start_steps.py
+++ b/tests/steps/start_steps.py
@@ -120,6 +120,24 @@
     context.connection.sendall(raw_request("/lookup/a"))
 
 
+@when("{count:d} callers send requests to it and leave")
+def send_and_leave(context: Context, count: int) -> None:
+    address = Address(*context.listener.getsockname())
+    for number in range(count):
+        connection = open_connection(address)
+        connection.sendall(raw_request("/lookup/a", f"left-{number}"))
+        connection.close()
+    context.connection = open_connection(address)
+    context.connection.sendall(raw_request("/lookup/a", "later"))
+
+
+@then("a later request is answered, and none of theirs ran")
+def check_none_ran(context: Context) -> None:
+    check_status(context, 200)
+    ran = context.platform.executed_request_ids()
+    assert ran == ["later"], ran
+
+
 @when("the router of the listener starts")
 def start_on_listener(context: Context) -> None:
     context.router = context.platform.add_router(callers=context.listener)
