--- /dev/null
+++ b/tests/support/cut_fleet.py
@@ -0,0 +1,229 @@
+"""A model of routers that lose their links to all targets, without a network.
+
+What each router knows of the others, and whom it sends its callers' requests, is the
+product's own code on a simulated clock. A message between two routers takes
+`MESSAGE_S`.
+"""
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any, cast
+
+from chervilstall.edge.exchange import Exchange, ExchangeFailed, ExchangeFailure
+from chervilstall.edge.peers.directory import PeerDirectory
+from chervilstall.edge.peers.forwarding import UNABLE_HEADER
+from chervilstall.edge.peers.relay import PeerRelay
+from chervilstall.edge.request import EdgeRequest
+from chervilstall.errors import ChervilstallError
+from chervilstall.fleet.view import FleetView
+from chervilstall.ids import ServiceName, VmId, ZoneName
+from chervilstall.platform.headers import ResponseHead
+from chervilstall.platform.kv import Entry
+from chervilstall.platform.peers import Peer, encode_peer, peer_key
+from chervilstall.settings.option import Address
+from tests.support.clock import Clock
+
+SERVICE = ServiceName("drafts")
+MESSAGE_S = 0.002
+LOST_CONNECT_S = 0.6
+REQUEST_S = 1.2
+DURATION_S = 4.0
+SETTLED_S = 1.0
+"""Time after the cut from which callers of all routers fare alike."""
+
+
+@dataclass(frozen=True)
+class CutCase:
+    """What happens in one run of the model.
+
+    `cut` names the routers that lose all targets: a share of all routers, `one zone`,
+    `all zones but one` or `all but one router`. `lost` routers have ended without a
+    word and are still registered.
+    """
+
+    zones: int
+    routers_per_zone: int
+    cut: str
+    requests_per_s: float
+    lost: int = 0
+
+
+@dataclass(frozen=True)
+class ModelTry:
+    """A request at a cut-off router, and the router that brought it to a target."""
+
+    router: int
+    asked_after_s: float
+    took_s: float
+    helper: VmId | None
+
+
+@dataclass
+class ModelExchange:
+    """One forwarded request."""
+
+    fleet: "CutFleet"
+    peer: Peer
+
+    def send_request(self, timeout_s: float) -> ResponseHead:
+        """Return what the other router answers."""
+        fleet = self.fleet
+        if self.peer.vm in fleet.lost:
+            fleet.clock.now_s += min(LOST_CONNECT_S, timeout_s)
+            raise ExchangeFailed(ExchangeFailure.NO_CONNECTION, was_sent=False)
+        fleet.clock.now_s += MESSAGE_S
+        fleet.sends += 1
+        headers: tuple[tuple[str, str], ...] = ()
+        if self.peer.vm in fleet.cut:
+            headers = ((UNABLE_HEADER, "targets_out_of_reach"),)
+        else:
+            fleet.helper = self.peer.vm
+        fields = {"status": 503 if headers else 200, "headers": headers}
+        return cast(Any, SimpleNamespace(**fields))
+
+    def abort_at_deadline(self) -> None:
+        """Do nothing."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+@dataclass
+class ModelPeerRelay(PeerRelay):
+    """Forwards requests within the model."""
+
+    fleet: Any = None
+
+    def _exchange(self, request: EdgeRequest, peer: Peer, *rest: object) -> Exchange:
+        return cast(Any, ModelExchange(self.fleet, peer))
+
+
+@dataclass
+class CutFleet:
+    """Plays one case and keeps what became of the requests at cut-off routers."""
+
+    case: CutCase
+    rng: random.Random
+    tries: list[ModelTry] = field(default_factory=list)
+    cut: set[VmId] = field(default_factory=set)
+    lost: set[VmId] = field(default_factory=set)
+    sends: int = 0
+    helper: VmId | None = None
+    _events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.peers = [
+            Peer(
+                VmId(f"vm-{zone}-{number}"),
+                ZoneName(f"zone-{zone}"),
+                Address("10.0.0.1", 1 + zone * self.case.routers_per_zone + number),
+            )
+            for zone in range(self.case.zones)
+            for number in range(self.case.routers_per_zone)
+        ]
+        vms = [peer.vm for peer in self.peers]
+        self.cut = set(self._draw_cut(vms))
+        reaching = [vm for vm in vms if vm not in self.cut]
+        self.lost = set(self.rng.sample(reaching, self.case.lost))
+
+    def _draw_cut(self, vms: list[VmId]) -> list[VmId]:
+        in_zone = self.case.routers_per_zone
+        match self.case.cut:
+            case "one zone":
+                return vms[:in_zone]
+            case "all zones but one":
+                return vms[in_zone:]
+            case "all but one router":
+                return vms[1:]
+            case "all":
+                return vms
+        return self.rng.sample(vms, int(len(vms) * float(self.case.cut)))
+
+    def play(self) -> None:
+        """Play the case on a clock of its own."""
+        self.clock = Clock()
+        self.began_at_s = self.clock.now_s
+        random.seed(self.rng.random())
+        known = self._read_entries()
+        try:
+            for index, peer in enumerate(self.peers):
+                if peer.vm in self.cut:
+                    self._add_router(index, peer, known)
+            while self._events:
+                self.clock.now_s, _, action = heapq.heappop(self._events)
+                action()
+        finally:
+            self.clock.stop()
+
+    def _read_entries(self) -> dict[str, Peer]:
+        """Return the registered routers, as a router reads them from the store."""
+        directory = PeerDirectory(VmId("reader"), self.peers[0].zone)
+        for peer in self.peers:
+            directory.handle_entry(Entry(peer_key(peer.vm), encode_peer(peer), 1))
+        return directory._peers
+
+    def _add_router(self, index: int, peer: Peer, known: dict[str, Peer]) -> None:
+        relay = self._build_relay(peer, known)
+        interval_s = 1.0 / self.case.requests_per_s
+        after_s = self.rng.uniform(0.0, interval_s)
+        while after_s < DURATION_S:
+            self._at(after_s, lambda at_s=after_s: self._ask(index, relay, at_s))
+            after_s += interval_s
+
+    def _at(self, after_s: float, action: Callable[[], None]) -> None:
+        event = (self.began_at_s + after_s, len(self._events), action)
+        heapq.heappush(self._events, event)
+
+    def _build_relay(self, peer: Peer, known: dict[str, Peer]) -> PeerRelay:
+        directory = PeerDirectory(peer.vm, peer.zone)
+        directory._peers = dict(known)
+        del directory._peers[peer_key(peer.vm)]
+        fleet_view = cast(Any, SimpleNamespace(configuration=None))
+        return ModelPeerRelay(directory, cast(FleetView, fleet_view), self)
+
+    def _ask(self, index: int, relay: PeerRelay, after_s: float) -> None:
+        deadline_s = self.clock.now_s + REQUEST_S
+        request = ModelRequest(self.clock, deadline_s)
+        self.helper = None
+        try:
+            relay.open(cast(Any, request), 1)
+        except ChervilstallError:
+            pass
+        took_s = self.clock.now_s - self.began_at_s - after_s
+        self.tries.append(ModelTry(index, after_s, took_s, self.helper))
+
+    @property
+    def settled_tries(self) -> list[ModelTry]:
+        """Return the tries after the first moments of the cut."""
+        return [each for each in self.tries if each.asked_after_s >= SETTLED_S]
+
+    def served_share(self) -> float:
+        """Return the share of settled tries that a router brought to a target."""
+        tries = self.settled_tries
+        return sum(each.helper is not None for each in tries) / len(tries)
+
+    def busiest_share(self) -> float:
+        """Return the largest share of settled tries that one router took."""
+        taken = Counter(each.helper for each in self.settled_tries)
+        return max(taken.values()) / len(self.settled_tries)
+
+
+@dataclass
+class ModelRequest:
+    """A caller's request as the forwarding code sees it."""
+
+    clock: Clock
+    deadline_s: float
+    forwarding: None = None
+    request_id: str = "r"
+    has_caller_disconnected: bool = False
+    service: Any = field(default_factory=lambda: SimpleNamespace(name=SERVICE))
+
+    @property
+    def remaining_s(self) -> float:
+        """Return the time until the deadline, in seconds."""
+        return self.deadline_s - self.clock.now_s
