--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -31,6 +31,7 @@
 from chervilstall.edge.reach.targets import TargetReach
 from chervilstall.edge.reach.zones import ZoneProber
 from chervilstall.edge.registry import ROUTERS_ASSUMED, RouterRegistry
+from chervilstall.edge.settings_file import SettingsFile
 from chervilstall.edge.standby import CHECK_INTERVAL_S
 from chervilstall.edge.store_handlers import build_handlers
 from chervilstall.edge.store_probe import StoreProbe
@@ -43,13 +44,11 @@
 from chervilstall.placement.planner import PlacementPlanner
 from chervilstall.platform.kv import PlatformStore
 from chervilstall.platform.leases import PlatformLeases
-from chervilstall.platform.node import read_node
 from chervilstall.platform.watcher import StoreWatcher
 from chervilstall.quarantine.prompts import PromptQuarantine
 from chervilstall.settings.leases import LeaseSettings
 from chervilstall.settings.node import NodeSettings
 from chervilstall.settings.option import Address
-from chervilstall.settings.problems import InvalidSettings
 from chervilstall.telemetry.edge_metrics import EdgeMetrics
 from chervilstall.telemetry.events import EventLog
 from chervilstall.telemetry.gc_tuning import tune_garbage_collector
@@ -85,7 +84,7 @@
         listener: socket | None = None,
     ) -> None:
         self.settings = settings
-        self.settings_path = settings_path
+        self.settings_file = SettingsFile(settings_path)
         self.fleet_view = FleetView(settings.bounds.drain_s)
         self.store = PlatformStore(settings.store)
         self.store.on_new_era = self._handle_new_era
@@ -176,7 +175,6 @@
         self.loop_pulse = LoopPulse()
         self._stopped = Event()
         self._tasks: list[gevent.Greenlet] = []
-        self._settings_content = b""
 
     def _build_application(self) -> EdgeApplication:
         notices = TargetNotices(self.fleet_view, self.rate_limiter)
@@ -302,22 +300,13 @@
 
     def _reload_settings(self) -> None:
         """Apply changed settings; listening addresses change only with a restart."""
-        try:
-            content = self.settings_path.read_bytes()
-            if content == self._settings_content:
-                return
-            is_first = not self._settings_content
-            self._settings_content = content
-            settings = read_node(self.settings_path)
-        except (OSError, InvalidSettings) as error:
-            log.error("settings not read", why=str(error))
+        settings = self.settings_file.read_changed()
+        if settings is None:
             return
         self.settings = settings
         self.budget.bounds = settings.bounds
         self.fleet_view.drain_s = settings.bounds.drain_s
         self.store.settings = settings.store
-        if not is_first:
-            log.info("settings read again")
 
     def metrics_text(self) -> str:
         """Return the metrics in the Prometheus text format."""
