Look for a caller that left also where 1,024 files are open

Found as a test held 12 routers with all their links in one process. Cause: looks whether a caller has left with select(), which takes smaller descriptors only. The look for connections that wait as a router stops used it, too. Both poll now.

--- a/src/chervilstall/edge/disconnect.py
+++ b/src/chervilstall/edge/disconnect.py
@@ -4,9 +4,9 @@
 from typing import Any
 
 import gevent
-from gevent.select import select
 
 from chervilstall.edge.request import EdgeRequest
+from chervilstall.waiting import is_readable
 
 
 class DisconnectMonitor:
@@ -27,8 +27,7 @@
         A caller that left before, while the router started or was busy, is seen at
         once, so that nothing is sent on.
         """
-        readable, _, _ = select([self._connection], [], [], 0)
-        if readable:
+        if is_readable(self._connection):
             self._wait()
         else:
             self._task = gevent.spawn(self._wait)
--- a/src/chervilstall/waiting.py
+++ b/src/chervilstall/waiting.py
@@ -1,6 +1,19 @@
-"""Waits for events that several tasks wait for."""
+"""Waits for events that several tasks wait for, and looks without a wait."""
+
+from select import POLLIN
+from typing import Protocol
 
 from gevent.event import Event
+from gevent.monkey import get_original
+
+_poll = get_original("select", "poll")
+
+
+class HasFileDescriptor(Protocol):
+    """A socket, or anything else with a file descriptor."""
+
+    def fileno(self) -> int:
+        """Return the file descriptor."""
 
 
 def wait_until_set(event: Event, timeout_s: float) -> bool:
@@ -12,3 +25,13 @@
     the last of them times out first; the caller then waits for ever.
     """
     return event.is_set() or bool(event.wait(timeout_s))
+
+
+def is_readable(connection: HasFileDescriptor) -> bool:
+    """Return whether a socket can be read or accepted from now, without waiting.
+
+    Unlike `select`, this takes file descriptors of 1,024 and more.
+    """
+    poll = _poll()
+    poll.register(connection, POLLIN)
+    return bool(poll.poll(0))
--- a/src/chervilstall/wsgi.py
+++ b/src/chervilstall/wsgi.py
@@ -27,7 +27,6 @@
 import gevent.pool
 import gevent.socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
-from gevent.select import select
 
 from chervilstall.http_response import (
     HttpResponse,
@@ -36,6 +35,7 @@
     status_line,
 )
 from chervilstall.settings.option import Address
+from chervilstall.waiting import is_readable
 from chervilstall.wsgi_input import UndrainedInput
 
 Environ = dict[str, Any]
@@ -360,10 +360,7 @@
         self.close()
 
     def _has_waiting_connections(self) -> bool:
-        if self.closed:
-            return False
-        readable, _, _ = select([self.socket], [], [], 0)
-        return bool(readable)
+        return not self.closed and is_readable(self.socket)
 
     def kill_connections(self) -> None:
         """Close the listener and terminate every open connection."""
--- a/tests/edge/requests.feature
+++ b/tests/edge/requests.feature
@@ -165,3 +165,10 @@
       | behaviour               | size |
       | send a head without end | 1    |
       | send a body without end | 5    |
+
+  # Guards against 500 for each caller of a router with 1,024 open files and more.
+  Scenario: A router with many open files answers its callers
+    Given a platform with lookups in both zones
+    And 1100 more files are open in the router's process
+    When a idempotent request is sent
+    Then the response is 200 and 1 targets ran the request
--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -1,5 +1,6 @@
 """Steps that send plain requests to a router, and check what the targets received."""
 
+import os
 import random
 import time
 
@@ -177,3 +178,10 @@
     assert chosen == [choose_service(split, name) for name in names]
     share = chosen.count(ServiceName("few")) / len(names)
     assert 0.07 < share < 0.13, share
+
+
+@given("{count:d} more files are open in the router's process")
+def open_files(context: Context, count: int) -> None:
+    descriptors = [os.open(os.devnull, os.O_RDONLY) for _ in range(count)]
+    for descriptor in descriptors:
+        context.add_cleanup(os.close, descriptor)
