Ask routers of all zones whether they reach targets, and remember those that do

Cause: a request went to four routers at most, those of the own zone first, and who had been unable was forgotten within 0.5 s; a router that was cut off and didn't know took it and lost 0.6 s of its time. The class: asking the first few of many, with a memory shorter than the time between two requests. Change: a router asks others on their internal listeners whether they reach targets of the service, some of each zone in turn, four, then twice as many, 32 at most in one search. One that is asked examines its links if no target responded in the last second. Who reaches none names those it knows. Found ones are kept for 5 s after their last word, six are looked for, and a search that finds none is followed by the next after 0.25 to 2 s; in between requests are refused at once. Routers of earlier versions don't know the question and are tried.

--- a/src/chervilstall/edge/peers/directory.py
+++ b/src/chervilstall/edge/peers/directory.py
@@ -2,13 +2,15 @@
 
 import random
 import time
-from collections.abc import Collection, Set
+from collections import defaultdict
+from collections.abc import Collection, Iterator, Set
 from dataclasses import dataclass, field
+from itertools import zip_longest
 
 from chervilstall.edge.missing import MissingEntries
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.platform.kv import Entry
-from chervilstall.platform.peers import Peer, decode_peer
+from chervilstall.platform.peers import Peer, decode_peer, peer_key
 from chervilstall.settings.node import NodeSettings
 from chervilstall.settings.option import Address
 from chervilstall.telemetry.events import EventLog
@@ -18,7 +20,7 @@
 
 @dataclass
 class PeerDirectory:
-    """Knows the registered routers, and which of them could not help lately.
+    """Knows the registered routers, and which of them could not be reached lately.
 
     A router whose entry is gone is known for a while longer, as its lease may have
     ended with all others. `generation` grows with every change of those known.
@@ -30,6 +32,8 @@
     _peers: dict[str, Peer] = field(default_factory=dict)
     _missing: MissingEntries = field(init=False)
     _avoided_until_s: dict[VmId, float] = field(default_factory=dict)
+    _by_zone: dict[ZoneName, list[Peer]] = field(default_factory=dict)
+    _zones_generation: int = -1
 
     def __post_init__(self) -> None:
         self._missing = MissingEntries(self._drop)
@@ -62,19 +66,31 @@
         """Return the other routers that are registered."""
         return self._peers.values()
 
-    def candidates(self) -> list[Peer]:
-        """Return the routers to try, those of the own zone first, in random order."""
-        now_s = time.monotonic()
-        peers = [
-            peer
-            for peer in self._peers.values()
-            if self._avoided_until_s.get(peer.vm, 0.0) <= now_s
+    def get(self, vm: VmId) -> Peer | None:
+        """Return a registered router."""
+        return self._peers.get(peer_key(vm))
+
+    def draw_in_turn(self, zone_max: int) -> Iterator[Peer]:
+        """Yield routers of all zones in turn, at most `zone_max` drawn of each."""
+        if self._zones_generation != self.generation:
+            self._zones_generation = self.generation
+            self._by_zone = defaultdict(list)
+            for peer in self._peers.values():
+                self._by_zone[peer.zone].append(peer)
+        drawn = [
+            random.sample(peers, min(zone_max, len(peers)))
+            for peers in self._by_zone.values()
         ]
-        random.shuffle(peers)
-        return sorted(peers, key=lambda peer: peer.zone != self.zone)
+        random.shuffle(drawn)
+        for turn in zip_longest(*drawn):
+            yield from (peer for peer in turn if peer is not None)
+
+    def is_usable(self, peer: Peer) -> bool:
+        """Return whether a router was not found to be gone lately."""
+        return self._avoided_until_s.get(peer.vm, 0.0) <= time.monotonic()
 
     def avoid(self, peer: Peer, for_s: float) -> None:
-        """Don't try a router for a time, as it could not help."""
+        """Don't use a router for a time, as it could not be reached."""
         self._avoided_until_s[peer.vm] = time.monotonic() + for_s
 
 
--- a/src/chervilstall/edge/peers/listener.py
+++ b/src/chervilstall/edge/peers/listener.py
@@ -1,4 +1,4 @@
-"""What a router serves to other routers: requests that they forward."""
+"""What a router serves to other routers: their requests, and reports on its reach."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -9,15 +9,20 @@
     read_forwarding,
     without_forwarding,
 )
+from chervilstall.edge.peers.reach_report import REACH_PATH, ReachEndpoint
 from chervilstall.http_response import StartResponse, json_response
 from chervilstall.wsgi import HEADERS_KEY, Environ
 
 
 @dataclass
 class PeerEndpoint:
-    """WSGI application that serves forwarded requests like those of callers."""
+    """WSGI application that serves forwarded requests like those of callers.
+
+    It also tells other routers which targets are within reach.
+    """
 
     app: EdgeApplication
+    reach: ReachEndpoint
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -27,6 +32,9 @@
         try:
             environ[FORWARDING_KEY] = read_forwarding(headers)
         except ValueError as error:
+            if environ["PATH_INFO"] == REACH_PATH:
+                report = self.reach.respond(environ["QUERY_STRING"])
+                return report.start(start_response)
             return json_response(400, {"error": str(error)}).start(start_response)
         environ[HEADERS_KEY] = without_forwarding(headers)
         return self.app(environ, start_response)
--- /dev/null
+++ b/src/chervilstall/edge/peers/reach_report.py
@@ -0,0 +1,108 @@
+"""What routers tell each other about the targets that they reach.
+
+A router without links to the targets of a service asks others on their internal
+listeners whether they have some, before it sends them requests. Who has none either
+names those that it has found, so that few routers have to ask many.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from itertools import islice
+from urllib.parse import parse_qs, quote
+
+import gevent
+import msgspec
+from geventhttpclient.response import HTTPParseError
+
+from chervilstall.decoding import INTEGER_MAX, Count, decode_untrusted
+from chervilstall.http_response import HttpResponse, json_response
+from chervilstall.ids import ServiceName, VmId
+from chervilstall.platform.peers import Peer
+from chervilstall.settings.connections import TargetSettings
+from chervilstall.target.calls import Call, call_once
+from chervilstall.telemetry.events import EventLog
+
+log = EventLog("edge")
+
+REACH_PATH = "/reach"
+SERVICE_FIELD = "service"
+REPORT_MAX_BYTES = 65_536
+NAMED_MAX = 4
+"""Routers that a report names besides its own."""
+
+ASK_TIMEOUT_S = 0.6
+"""A router that has just lost its own links finds that out within 0.4 s."""
+
+UNKNOWN_QUESTION = 400
+"""Status with which routers of earlier versions answer, which may be able."""
+
+
+class ReachReport(msgspec.Struct, frozen=True):
+    """Whether a router reaches targets of a service, and which others do.
+
+    `version` is that of the configuration by which it serves requests. `reaching`
+    names routers that served requests for this one or said that they reach targets.
+    """
+
+    version: Count = 0
+    is_able: bool = False
+    reaching: tuple[str, ...] = ()
+
+
+_decoder = msgspec.json.Decoder(ReachReport)
+_MAY_BE_ABLE = ReachReport(INTEGER_MAX, is_able=True)
+
+OnReport = Callable[[Peer, ReachReport | None], None]
+"""Called with a router that was asked, and its report or None if it returned none."""
+
+AskPeers = Callable[[list[Peer], ServiceName, OnReport], None]
+
+
+def start_asking(peers: list[Peer], service: ServiceName, on_report: OnReport) -> None:
+    """Ask routers at the same time, each in a task of its own, and don't wait."""
+    for peer in peers:
+        gevent.spawn(_ask, peer, service, on_report)
+
+
+def _ask(peer: Peer, service: ServiceName, on_report: OnReport) -> None:
+    on_report(peer, fetch_report(peer, service))
+
+
+def fetch_report(peer: Peer, service: ServiceName) -> ReachReport | None:
+    """Ask one router; None if it returns no valid report in time."""
+    path = f"{REACH_PATH}?{SERVICE_FIELD}={quote(service, safe='')}"
+    settings = TargetSettings(connect_timeout_s=ASK_TIMEOUT_S)
+    call = Call("GET", path, ASK_TIMEOUT_S, body_max_bytes=REPORT_MAX_BYTES)
+    try:
+        response = call_once(peer.address, settings, call)
+        if response.status == UNKNOWN_QUESTION:
+            return _MAY_BE_ABLE
+        return decode_untrusted(_decoder, response.body)
+    except (OSError, HTTPParseError, ValueError) as error:
+        log.info("router does not report", peer=peer.vm, why=str(error))
+        return None
+
+
+@dataclass
+class ReachEndpoint:
+    """Answers the question of other routers which services this one can serve.
+
+    `check` says whether targets of a service are within reach now, `named` returns the
+    routers known to reach some, and `version` the version of the configuration in
+    force, None if this router serves nobody.
+    """
+
+    check: Callable[[ServiceName], bool]
+    named: Callable[[ServiceName], Iterable[VmId]]
+    version: Callable[[], int | None]
+
+    def respond(self, query: str) -> HttpResponse:
+        """Return the report on the service that a query names."""
+        services = parse_qs(query).get(SERVICE_FIELD, [])
+        if len(services) != 1:
+            return json_response(400, {"error": "one service has to be named"})
+        service = ServiceName(services[0])
+        version = self.version()
+        is_able = version is not None and self.check(service)
+        reaching = () if is_able else tuple(islice(self.named(service), NAMED_MAX))
+        return json_response(200, ReachReport(version or 0, is_able, reaching))
--- a/src/chervilstall/edge/peers/relay.py
+++ b/src/chervilstall/edge/peers/relay.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 
 from chervilstall.edge.exchange import CompleteResponse, Exchange, ExchangeFailed
-from chervilstall.edge.peers.directory import PeerDirectory
 from chervilstall.edge.peers.forwarding import Forwarding, is_unable
+from chervilstall.edge.peers.search import ReachSearch
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.view import FleetView
@@ -21,10 +21,8 @@
 
 OUT_OF_REACH = "no target of the service is within reach"
 PEERS_MAX = 4
-"""Routers tried for one request; with half of them cut off, one in sixteen finds none.
-"""
+"""Routers tried for one request, each of which was known to reach targets."""
 
-UNABLE_S = 0.5
 LOST_S = 5.0
 RETRY_S = (0.5, 2.0)
 """Bounds of Retry-After where no router could bring a request to a target."""
@@ -34,7 +32,7 @@
 class PeerRelay:
     """Forwards requests to other routers."""
 
-    directory: PeerDirectory
+    search: ReachSearch
     fleet_view: FleetView
 
     def run(self, request: EdgeRequest, attempts_max: int) -> CompleteResponse:
@@ -59,7 +57,11 @@
         """
         if request.forwarding is not None:
             raise out_of_reach_error()
-        for peer in self.directory.candidates()[:PEERS_MAX]:
+        service = request.service.name
+        for _ in range(PEERS_MAX):
+            peer = self.search.choose(service)
+            if peer is None:
+                break
             exchange = self._exchange(request, peer, attempts_max, last_event_id)
             try:
                 head = exchange.send_request(request.remaining_s)
@@ -67,15 +69,17 @@
                 exchange.close()
                 if error.was_sent or request.has_caller_disconnected:
                     raise
-                self.directory.avoid(peer, LOST_S)
+                self.search.directory.avoid(peer, LOST_S)
+                self.search.mark_unable(service, peer)
                 log.warning("router not reached", peer=peer.vm, why=str(error))
                 continue
             if not is_unable(head.headers):
                 log.routine("forwarded", request=request.request_id, peer=peer.vm)
+                self.search.mark_able(service, peer)
                 exchange.abort_at_deadline()
                 return exchange, head
             exchange.close()
-            self.directory.avoid(peer, UNABLE_S)
+            self.search.mark_unable(service, peer)
             log.info("router unable", peer=peer.vm, request=request.request_id)
         raise out_of_reach_error()
 
--- a/src/chervilstall/edge/reach/targets.py
+++ b/src/chervilstall/edge/reach/targets.py
@@ -45,6 +45,9 @@
 RESPONSE_VALID_S = 0.3
 """Time after a response in which its service counts as within reach."""
 
+LATELY_S = 1.0
+"""The same for reports to other routers, each of which would cost a probe."""
+
 
 def _ignore(service: ServiceName) -> None:
     """Do nothing."""
@@ -102,6 +105,10 @@
         self.examine(service).join()
         return service not in self.out_of_reach
 
+    def check_lately(self, service: ServiceName) -> bool:
+        """Return whether a target has responded in the last second, or does now."""
+        return self.check(service, LATELY_S)
+
     def examine(self, service: ServiceName) -> gevent.Greenlet:
         """Start to probe the targets of a service, unless that is going on already."""
         running = self._checks.get(service)
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -24,7 +24,9 @@
 from chervilstall.edge.loop_pulse import LoopPulse
 from chervilstall.edge.peers.directory import PeerDirectory, describe_own
 from chervilstall.edge.peers.listener import PeerEndpoint
+from chervilstall.edge.peers.reach_report import ReachEndpoint
 from chervilstall.edge.peers.relay import PeerRelay
+from chervilstall.edge.peers.search import ReachSearch
 from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
 from chervilstall.edge.reach.outage import OutagePoller
 from chervilstall.edge.reach.suspicions import SuspicionSharing
@@ -105,6 +107,7 @@
         )
         self.target_reach = TargetReach(self.fleet_view, self.rate_limiter)
         self.peer_directory = PeerDirectory(settings.vm, settings.zone)
+        self.reach_search = ReachSearch(self.peer_directory, self.fleet_view)
         self.metrics = EdgeMetrics()
         self.quarantine = PromptQuarantine(
             lambda action: self.quarantine_sharing.carry_out(action)
@@ -162,8 +165,13 @@
             bad_request_response=bad_request_response,
         )
         peer_port = settings.ports[0] if settings.ports else 0
+        reach = ReachEndpoint(
+            self.target_reach.check_lately,
+            self.reach_search.reaching,
+            self._serving_version,
+        )
         self.peer_listener = Server(
-            Address(settings.host, peer_port), PeerEndpoint(self.app)
+            Address(settings.host, peer_port), PeerEndpoint(self.app, reach)
         )
         endpoints = OperatorEndpoints(lambda: self.is_ready, self.metrics_text)
         self.readiness_listener = Server(settings.ready_address, endpoints)
@@ -179,7 +187,7 @@
     def _build_application(self) -> EdgeApplication:
         notices = TargetNotices(self.fleet_view, self.rate_limiter)
         crash_guard = CrashGuard(self.quarantine, self.crash_observer)
-        peer_relay = PeerRelay(self.peer_directory, self.fleet_view)
+        peer_relay = PeerRelay(self.reach_search, self.fleet_view)
         plain = PlainRelay(
             PlainTargetChooser(self.fleet_view, self.settings.zone, self.rate_limiter),
             self.fleet_view,
@@ -238,6 +246,13 @@
             and self.fleet_view.are_targets_loaded
         )
 
+    def _serving_version(self) -> int | None:
+        """Return the version of the configuration; None if no new work is taken."""
+        configuration = self.fleet_view.configuration
+        if configuration is None or self.is_draining:
+            return None
+        return configuration.version
+
     def start(self) -> None:
         """Start the listeners and all background tasks."""
         log.info("started", zone=self.settings.zone, pid=os.getpid())
@@ -257,6 +272,7 @@
             self.outage_poller.run,
             self.zone_prober.run,
             self.target_reach.run,
+            lambda: self.reach_search.run(self.target_reach.out_of_reach.keys()),
             self._run_housekeeping,
         ]
         self._tasks = [gevent.spawn(runner) for runner in runners]
--- a/tests/edge/cut_fleets.feature
+++ b/tests/edge/cut_fleets.feature
@@ -26,3 +26,36 @@
       | 7     | 300     | one zone           |
       | 7     | 300     | all zones but one  |
       | 7     | 300     | all but one router |
+
+  # Guards against callers held back, and routers kept busy, by questions that nobody can answer.
+  Scenario Outline: Of <zones> zones of <in_zone> routers, all cut off: requests are refused at once
+    Given drawn fleets of <zones> zones of <in_zone> routers, of which all are cut off from all targets
+    When each cut-off router is sent 1 and 10 requests a second
+    Then from 1 second after the cut each is refused within 0.2 seconds
+    And each router asks others at most 64 times a second
+
+    Examples:
+      | zones | in_zone |
+      | 3     | 2       |
+      | 5     | 39      |
+      | 7     | 300     |
+
+  # Guards against the load of all on the router that was found first.
+  Scenario Outline: Of 4 zones of 15 routers, <cut> cut off: the others share what is forwarded
+    Given drawn fleets of 4 zones of 15 routers, of which <cut> are cut off from all targets
+    When each cut-off router is sent 10 and 20 requests a second
+    Then no router takes more than 4 times its even share
+
+    Examples:
+      | cut               |
+      | 0.5               |
+      | 0.85              |
+      | one zone          |
+      | all zones but one |
+
+  # Guards against requests that wait for routers which have ended and are still registered.
+  Scenario: Routers that ended without a word are passed over
+    Given drawn fleets of 4 zones of 15 routers, of which one zone are cut off from all targets
+    And 20 of the others have ended without a word
+    When each cut-off router is sent 1 and 10 requests a second
+    Then from 1 second after the cut 9 in 10 requests find a router that reaches targets
--- a/tests/edge/targets_out_of_reach.feature
+++ b/tests/edge/targets_out_of_reach.feature
@@ -20,6 +20,14 @@
       | 1     | live on while new ones are refused |
       | 3     | hang                               |
 
+  # Guards against RECOVER: routers of a zone without links only asked each other, 0 of 11 served.
+  Scenario: Callers of a zone of which every router is cut off fare as others do
+    Given 12 routers with links of their own to targets of lookups and drafts
+    And each router of one zone is cut off from all targets, so that connections hang
+    When a request comes at each router every 0.6 seconds for 8 seconds
+    Then from 1 second after the cut each router serves 9 in 10 of them
+    And no request ran more often than its kind allows
+
   # Guards against holding callers back where no router can serve them.
   Scenario: A request that no router can bring to a target is refused at once
     Given 4 routers with links of their own to targets of lookups and drafts
--- a/tests/steps/cut_fleet_steps.py
+++ b/tests/steps/cut_fleet_steps.py
@@ -17,6 +17,12 @@
 )
 def set_case(context: Context, zones: int, in_zone: int, cut: str) -> None:
     context.case = (zones, in_zone, cut)
+    context.lost = 0
+
+
+@given("{lost:d} of the others have ended without a word")
+def set_lost(context: Context, lost: int) -> None:
+    context.lost = lost
 
 
 @when("each cut-off router is sent {rare:g} and {frequent:g} requests a second")
@@ -26,7 +32,7 @@
     context.fleets = []
     for requests_per_s in (rare,) if is_large else (rare, frequent):
         for seed in SEEDS[:1] if is_large else SEEDS:
-            case = CutCase(zones, in_zone, cut, requests_per_s)
+            case = CutCase(zones, in_zone, cut, requests_per_s, context.lost)
             fleet = CutFleet(case, random.Random(seed))
             fleet.play()
             context.fleets.append(fleet)
@@ -42,3 +48,25 @@
         for fleet in context.fleets
     ]
     assert all(share >= served / of for _, share in shares), shares
+
+
+@then("from 1 second after the cut each is refused within {within_s:g} seconds")
+def check_refused(context: Context, within_s: float) -> None:
+    for fleet in context.fleets:
+        assert fleet.served_share() == 0.0, fleet.served_share()
+        longest_s = max(each.took_s for each in fleet.settled_tries)
+        assert longest_s <= within_s, longest_s
+
+
+@then("each router asks others at most {asks:d} times a second")
+def check_asks(context: Context, asks: int) -> None:
+    rates = [fleet.asks_per_s() for fleet in context.fleets]
+    assert max(rates) <= asks, rates
+
+
+@then("no router takes more than {times:d} times its even share")
+def check_spread(context: Context, times: int) -> None:
+    for fleet in context.fleets:
+        even_share = 1 / (len(fleet.peers) - len(fleet.cut))
+        busiest = fleet.busiest_share()
+        assert busiest <= times * even_share, (fleet.case, busiest, even_share)
--- a/tests/steps/targets_out_of_reach_steps.py
+++ b/tests/steps/targets_out_of_reach_steps.py
@@ -77,18 +77,29 @@
     )
 
 
-@given("{count:d} of them are cut off from all targets, so that connections {how}")
-def cut_off(context: Context, count: int, how: str) -> None:
+def begin_cut(context: Context, cut: list[int], how: Cut) -> None:
+    """Cut routers off once all have used their links, which the first use makes."""
     platform = context.platform
-    # Until the routers have used their links, which are made at the first use.
     for index, router in enumerate(platform.routers):
         ask(router, index, "draft", f"draft-{index}-before")
-    context.cut = planner_first(platform)[:count]
-    for index in context.cut:
-        platform.links[index].begin(Cut(how))
+    context.cut = cut
+    for index in cut:
+        platform.links[index].begin(how)
     context.cut_at_s = time.monotonic()
 
 
+@given("{count:d} of them are cut off from all targets, so that connections {how}")
+def cut_off(context: Context, count: int, how: str) -> None:
+    begin_cut(context, planner_first(context.platform)[:count], Cut(how))
+
+
+@given("each router of one zone is cut off from all targets, so that connections {how}")
+def cut_zone_off(context: Context, how: str) -> None:
+    routers = enumerate(context.platform.routers)
+    cut = [index for index, router in routers if router.settings.zone == ZONES[0]]
+    begin_cut(context, cut, Cut(how))
+
+
 @when("a router starts that is cut off from all targets")
 def start_cut_off(context: Context) -> None:
     platform = context.platform
@@ -117,16 +128,24 @@
 
 
 @when("requests of each kind come at each router for {duration_s:d} seconds")
-def ask_all(context: Context, duration_s: int) -> None:
+def ask_often(context: Context, duration_s: int) -> None:
+    ask_all(context, ROUND_INTERVAL_S, duration_s)
+
+
+@when(
+    "a request comes at each router every {interval_s:g} seconds for "
+    "{duration_s:d} seconds"
+)
+def ask_all(context: Context, interval_s: float, duration_s: int) -> None:
     context.tries = []
     tasks = []
     routers = context.platform.routers
-    for number in range(int(duration_s / ROUND_INTERVAL_S)):
+    for number in range(int(duration_s / interval_s)):
         for index, router in enumerate(routers):
             kind = KINDS[number % len(KINDS)]
             task = gevent.spawn(ask, router, index, kind, f"{kind}-{index}-{number}")
             tasks.append(task)
-        gevent.sleep(ROUND_INTERVAL_S)
+        gevent.sleep(interval_s)
     gevent.joinall(tasks, raise_error=True)
     context.tries = [task.value for task in tasks]
 
--- a/tests/support/cut_fleet.py
+++ b/tests/support/cut_fleet.py
@@ -13,13 +13,21 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+import msgspec
+
 from chervilstall.edge.exchange import Exchange, ExchangeFailed, ExchangeFailure
 from chervilstall.edge.peers.directory import PeerDirectory
 from chervilstall.edge.peers.forwarding import UNABLE_HEADER
+from chervilstall.edge.peers.reach_report import (
+    SERVICE_FIELD,
+    OnReport,
+    ReachEndpoint,
+    ReachReport,
+)
 from chervilstall.edge.peers.relay import PeerRelay
+from chervilstall.edge.peers.search import REFRESH_INTERVAL_S, WAIT_S, ReachSearch
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.errors import ChervilstallError
-from chervilstall.fleet.view import FleetView
 from chervilstall.ids import ServiceName, VmId, ZoneName
 from chervilstall.platform.headers import ResponseHead
 from chervilstall.platform.kv import Entry
@@ -28,6 +36,7 @@
 from tests.support.clock import Clock
 
 SERVICE = ServiceName("drafts")
+VERSION = 1
 MESSAGE_S = 0.002
 LOST_CONNECT_S = 0.6
 REQUEST_S = 1.2
@@ -112,6 +121,7 @@
     cut: set[VmId] = field(default_factory=set)
     lost: set[VmId] = field(default_factory=set)
     sends: int = 0
+    asks: int = 0
     helper: VmId | None = None
     _events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
 
@@ -149,6 +159,7 @@
         self.began_at_s = self.clock.now_s
         random.seed(self.rng.random())
         known = self._read_entries()
+        self.searches: dict[VmId, ReachSearch] = {}
         try:
             for index, peer in enumerate(self.peers):
                 if peer.vm in self.cut:
@@ -173,6 +184,10 @@
         while after_s < DURATION_S:
             self._at(after_s, lambda at_s=after_s: self._ask(index, relay, at_s))
             after_s += interval_s
+        refresh_after_s = self.rng.uniform(0.0, REFRESH_INTERVAL_S)
+        while refresh_after_s < DURATION_S:
+            self._at(refresh_after_s, lambda: relay.search.refresh(SERVICE))
+            refresh_after_s += REFRESH_INTERVAL_S
 
     def _at(self, after_s: float, action: Callable[[], None]) -> None:
         event = (self.began_at_s + after_s, len(self._events), action)
@@ -182,8 +197,34 @@
         directory = PeerDirectory(peer.vm, peer.zone)
         directory._peers = dict(known)
         del directory._peers[peer_key(peer.vm)]
-        fleet_view = cast(Any, SimpleNamespace(configuration=None))
-        return ModelPeerRelay(directory, cast(FleetView, fleet_view), self)
+        configuration = SimpleNamespace(version=VERSION)
+        fleet_view = cast(Any, SimpleNamespace(configuration=configuration))
+        search = ReachSearch(directory, fleet_view, self._start_asking)
+        self.searches[peer.vm] = search
+        return ModelPeerRelay(search, fleet_view, self)
+
+    def _start_asking(
+        self, peers: list[Peer], service: ServiceName, on_report: OnReport
+    ) -> None:
+        """Hand on the reports of routers; those that were lost return none."""
+        lost = [peer for peer in peers if peer.vm in self.lost]
+        self.asks += len(peers)
+        self.clock.now_s += WAIT_S if lost else MESSAGE_S
+        for peer in peers:
+            on_report(peer, None if peer in lost else self._report(peer, service))
+
+    def _report(self, peer: Peer, service: ServiceName) -> ReachReport:
+        endpoint = ReachEndpoint(
+            lambda service: peer.vm not in self.cut,
+            lambda service: self._named(peer, service),
+            lambda: VERSION,
+        )
+        response = endpoint.respond(f"{SERVICE_FIELD}={service}")
+        return msgspec.json.decode(response.body, type=ReachReport)
+
+    def _named(self, peer: Peer, service: ServiceName) -> list[VmId]:
+        search = self.searches.get(peer.vm)
+        return search.reaching(service) if search is not None else []
 
     def _ask(self, index: int, relay: PeerRelay, after_s: float) -> None:
         deadline_s = self.clock.now_s + REQUEST_S
@@ -208,9 +249,13 @@
 
     def busiest_share(self) -> float:
         """Return the largest share of settled tries that one router took."""
-        taken = Counter(each.helper for each in self.settled_tries)
+        taken = Counter(each.helper for each in self.settled_tries if each.helper)
         return max(taken.values()) / len(self.settled_tries)
 
+    def asks_per_s(self) -> float:
+        """Return how often a cut-off router asks others, on average."""
+        return self.asks / len(self.cut) / DURATION_S
+
 
 @dataclass
 class ModelRequest:
