--- a/src/chervilstall/edge/peers/directory.py
+++ b/src/chervilstall/edge/peers/directory.py
@@ -5,8 +5,8 @@
 from collections import defaultdict
 from collections.abc import Collection, Iterator, Set
 from dataclasses import dataclass, field
-from itertools import zip_longest
 
+from chervilstall.edge.in_turn import in_turn
 from chervilstall.edge.missing import MissingEntries
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.platform.kv import Entry
@@ -71,7 +71,7 @@
         return self._peers.get(peer_key(vm))
 
     def draw_in_turn(self, zone_max: int) -> Iterator[Peer]:
-        """Yield routers of all zones in turn, at most `zone_max` drawn of each."""
+        """Return routers of all zones in turn, at most `zone_max` drawn of each."""
         if self._zones_generation != self.generation:
             self._zones_generation = self.generation
             self._by_zone = defaultdict(list)
@@ -82,8 +82,7 @@
             for peers in self._by_zone.values()
         ]
         random.shuffle(drawn)
-        for turn in zip_longest(*drawn):
-            yield from (peer for peer in turn if peer is not None)
+        return in_turn(drawn)
 
     def is_usable(self, peer: Peer) -> bool:
         """Return whether a router was not found to be gone lately."""
--- a/src/chervilstall/edge/reach/targets.py
+++ b/src/chervilstall/edge/reach/targets.py
@@ -8,15 +8,18 @@
 
 import random
 import time
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import islice
 
 import gevent
 
+from chervilstall.edge.in_turn import in_turn
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.view import FleetView
-from chervilstall.ids import ServiceName
+from chervilstall.ids import ServiceName, ZoneName
 from chervilstall.platform.targets import responds
 from chervilstall.telemetry.events import EventLog
 
@@ -26,8 +29,11 @@
 FIRST_PROBES_S = 0.05
 """Time after which more targets are asked than the first two."""
 
-PROBES_MAX = 6
-"""Targets asked in all, so that a few dead ones don't look like a lost link."""
+PROBES_MIN = 6
+"""Targets asked in all, so that a few dead ones don't look like a lost link.
+
+More are asked where there are more zones, so that one of each is.
+"""
 
 EXAMINE_INTERVAL_S = 0.2
 
@@ -124,7 +130,8 @@
             self.examine(service)
 
     def _examine(self, service: ServiceName) -> None:
-        targets = self._choose(service, PROBES_MAX)
+        zones = {target.zone for target in self.fleet_view.ready_targets(service)}
+        targets = self._choose(service, max(PROBES_MIN, 2 * len(zones)))
         if targets and not self._count_responses(targets, 1):
             self._mark_lost(service, targets)
 
@@ -150,15 +157,25 @@
         return True
 
     def _choose(self, service: ServiceName, count: int) -> list[Target]:
-        """Return targets to probe, those first that this router doesn't suspect."""
-        targets = [
-            target
-            for target in self.fleet_view.ready_targets(service)
-            if self.rate_limiter.may_send(target)
-        ]
-        random.shuffle(targets)
-        targets.sort(key=self.fleet_view.is_suspected)
-        return targets[:count]
+        """Return targets to probe, those of the own zone and of others in turn.
+
+        Of each zone those come first that this router doesn't suspect.
+        """
+        zones = self._targets_by_zone(service)
+        own = zones.pop(self.rate_limiter.zone, [])
+        others = list(zones.values())
+        random.shuffle(others)
+        return list(islice(in_turn([own, list(in_turn(others))]), count))
+
+    def _targets_by_zone(self, service: ServiceName) -> dict[ZoneName, list[Target]]:
+        zones: dict[ZoneName, list[Target]] = defaultdict(list)
+        for target in self.fleet_view.ready_targets(service):
+            if self.rate_limiter.may_send(target):
+                zones[target.zone].append(target)
+        for targets in zones.values():
+            random.shuffle(targets)
+            targets.sort(key=self.fleet_view.is_suspected)
+        return zones
 
     def _mark_lost(self, service: ServiceName, probed: list[Target]) -> None:
         if service in self.out_of_reach:
