Examine a router's links while a connect is slow, not after it has failed

Cause: the links were examined only once a connect had failed. The class: two waits in a row of which one could go on beside the other. Change: an exchange that isn't connected after 0.15 s has its service's targets probed. Result: a hold with 0.85 s left as its router is cut off gets 503 without the change and is served with it.

--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -1,6 +1,7 @@
 """One HTTP exchange: a request sent once to a target or router, and its response."""
 
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -16,6 +17,9 @@
 from chervilstall.target.connection import ConnectFailed, single_use_client
 
 CONNECT_SETTINGS = TargetSettings(connect_timeout_s=0.6)
+SLOW_CONNECT_S = 0.15
+"""Time after which a connect is slow; a target accepts within a millisecond or two."""
+
 READ_TIMEOUT_S = 60.0
 """Upper bound of a single read; deadlines and stalls end an exchange much earlier."""
 
@@ -61,15 +65,22 @@
 class Exchange:
     """Sends a request once over a connection of its own.
 
+    `on_slow_connect` is called if the connect takes longer than `SLOW_CONNECT_S`.
+
     `abort` may be called from any task. The task that reads the response then sees the
     connection end and raises ExchangeFailed with the reason that `abort` was given.
     """
 
     def __init__(
-        self, request: EdgeRequest, address: Address, headers: Headers
+        self,
+        request: EdgeRequest,
+        address: Address,
+        headers: Headers,
+        on_slow_connect: Callable[[], object] | None = None,
     ) -> None:
         self.request = request
         self.headers = headers
+        self.on_slow_connect = on_slow_connect
         self.abort_reason: ExchangeFailure | None = None
         self._client = single_use_client(
             address, CONNECT_SETTINGS, READ_TIMEOUT_S, UNREAD_MAX_BYTES
@@ -87,6 +98,7 @@
         request.abort_callbacks.add(self._abort_with_request)
         if self.abort_reason is not None:
             raise self._error(self.abort_reason, was_sent=False)
+        slow_connect = gevent.spawn_later(SLOW_CONNECT_S, self._notice_slow_connect)
         try:
             with gevent.Timeout(max(timeout_s, 0.0), TimeoutError):
                 self._response = self._client.request(
@@ -103,11 +115,17 @@
             raise self._error(ExchangeFailure.CLOSED) from error
         except HTTPParseError as error:
             raise self._error(ExchangeFailure.MALFORMED) from error
+        finally:
+            slow_connect.kill(block=False)
         head = read_response_head(self._response, request.request_id)
         if head.status < 200 or not (head.matches_request or head.is_not_executed):
             raise self._error(ExchangeFailure.MALFORMED)
         return head
 
+    def _notice_slow_connect(self) -> None:
+        if self.on_slow_connect is not None and not self._is_connected():
+            self.on_slow_connect()
+
     def _is_connected(self) -> bool:
         pool: Any = self._client._connection_pool
         return bool(pool.is_opened)
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Container
 from dataclasses import dataclass, field
+from functools import partial
 
 from chervilstall.edge.crashes.guard import CrashGuard
 from chervilstall.edge.exchange import (
@@ -213,7 +214,12 @@
             target, request.caller_remaining_s, request.workspace, request.priority
         )
         headers = forward_headers(request.fields.forwarded_headers, send_fields)
-        exchange = Exchange(request, target.address, headers)
+        exchange = Exchange(
+            request,
+            target.address,
+            headers,
+            partial(self.target_reach.notice_failure, request.service.name),
+        )
         self.chooser.begin_request(target)
         timeout_s = self._timeout_s(request)
         sent_at_s = time.monotonic()
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -8,6 +8,7 @@
 
 import time
 from collections.abc import Iterator
+from functools import partial
 
 import gevent
 
@@ -200,7 +201,12 @@
             self.cursor.text,
         )
         headers = forward_headers(request.fields.forwarded_headers, send_fields)
-        exchange = Exchange(request, path.first.address, headers)
+        exchange = Exchange(
+            request,
+            path.first.address,
+            headers,
+            partial(self.context.target_reach.notice_failure, request.service.name),
+        )
         self._exchange = exchange
         self._stream = LiveStream(
             request, exchange, path, self.attempts, time.monotonic()
--- a/src/chervilstall/soak/cut_links.py
+++ b/src/chervilstall/soak/cut_links.py
@@ -19,6 +19,11 @@
     HANG = "hang"
     RESET = "are reset and hang"
     REFUSE = "live on while new ones are refused"
+    DROP = "hang, also before they are established"
+
+
+CUTS = (Cut.HANG, Cut.RESET, Cut.REFUSE)
+"""Cuts that the soak draws from; another one would change what its seeds mean."""
 
 
 @dataclass
@@ -59,6 +64,9 @@
                 proxy.reset_connections()
             case Cut.REFUSE:
                 proxy.refuse_connections()
+            case Cut.DROP:
+                proxy.held_directions = set(Direction)
+                proxy.drop_connections()
 
     def heal(self) -> None:
         """End the cut."""
--- a/src/chervilstall/soak/faults.py
+++ b/src/chervilstall/soak/faults.py
@@ -9,7 +9,7 @@
 
 import gevent
 
-from chervilstall.soak.cut_links import Cut
+from chervilstall.soak.cut_links import CUTS
 from chervilstall.soak.fleet import RouterProcess, SoakFleet
 from chervilstall.soak.links import Direction, LinkProxy
 from chervilstall.soak.shutdowns import ShutdownInjector
@@ -161,7 +161,7 @@
         return router.name
 
     def _cut_router(self, router: RouterProcess) -> str:
-        router.target_links.begin(self.rng.choice(list(Cut)))
+        router.target_links.begin(self.rng.choice(CUTS))
         return self._wait_then_end(router.name, router.target_links.heal)
 
     def _reload_router(self, router: RouterProcess) -> str:
--- a/src/chervilstall/soak/links.py
+++ b/src/chervilstall/soak/links.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from socket import SO_LINGER, SOL_SOCKET
+from socket import SO_LINGER, SO_REUSEADDR, SOL_SOCKET
 from struct import pack
 
 import gevent
@@ -14,6 +14,9 @@
 READ_BYTES = 65_536
 HOLD_POLL_S = 0.02
 CONNECT_TIMEOUT_S = 1.0
+BACKLOG_CONNECTIONS = 2
+"""Connections that fill the backlog of a listener without one."""
+
 LINGER_RESET = pack("ii", 1, 0)
 """Value of SO_LINGER with a timeout of 0, which makes close() send a TCP reset."""
 
@@ -59,6 +62,7 @@
     _connections: set[_ProxiedConnection] = field(default_factory=set)
     _listener: StreamServer | None = None
     _refused_address: Address | None = None
+    _full_backlog: list[gevent.socket.socket] = field(default_factory=list)
 
     def start(self) -> None:
         """Start accepting and forwarding connections."""
@@ -81,8 +85,29 @@
             self._listener.close()
             self._listener = None
 
+    def drop_connections(self) -> None:
+        """Let new connections hang before they are established, as in a partition.
+
+        The system drops the first packet of each while the backlog is full.
+        """
+        self.refuse_connections()
+        assert self._refused_address is not None
+        address = (self._refused_address.host, self._refused_address.port)
+        listener = gevent.socket.socket()
+        listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(0)
+        self._full_backlog = [listener]
+        for _ in range(BACKLOG_CONNECTIONS):
+            waiting = gevent.socket.socket()
+            waiting.setblocking(False)
+            waiting.connect_ex(address)
+            self._full_backlog.append(waiting)
+
     def accept_connections(self) -> None:
         """Accept new connections again, at the same address."""
+        while self._full_backlog:
+            self._full_backlog.pop().close()
         if self._refused_address is not None:
             self.listen_address = self._refused_address
             self._refused_address = None
@@ -92,6 +117,8 @@
         """Stop accepting connections and reset the open ones."""
         if self._listener is not None:
             self._listener.close()
+        while self._full_backlog:
+            self._full_backlog.pop().close()
         self.reset_connections()
 
     def reset_connections(self) -> None:
--- a/tests/edge/targets_out_of_reach.feature
+++ b/tests/edge/targets_out_of_reach.feature
@@ -19,6 +19,8 @@
       | 1     | are reset and hang                 |
       | 1     | live on while new ones are refused |
       | 3     | hang                               |
+      | 1     | hang, also before they are established |
+      | 3     | hang, also before they are established |
 
   # Guards against RECOVER: routers of a zone without links only asked each other, 0 of 11 served.
   Scenario: Callers of a zone of which every router is cut off fare as others do
@@ -28,6 +30,19 @@
     Then from 1 second after the cut each router serves 9 in 10 of them
     And no request ran more often than its kind allows
 
+  # Guards against two waits in a row, 0.95 s, for a connect and for what it says of the other targets.
+  Scenario Outline: A <kind> that comes as its router loses all targets is served in time
+    Given 4 routers with links of their own to targets of lookups and drafts
+    And 1 of them are cut off from all targets, so that connections hang, also before they are established
+    When a <kind> comes at the cut-off router, whose caller waits 0.85 seconds
+    Then it is served by another router
+
+    Examples:
+      | kind   |
+      | lookup |
+      | hold   |
+      | draft  |
+
   # Guards against holding callers back where no router can serve them.
   Scenario: A request that no router can bring to a target is refused at once
     Given 4 routers with links of their own to targets of lookups and drafts
--- a/tests/steps/targets_out_of_reach_steps.py
+++ b/tests/steps/targets_out_of_reach_steps.py
@@ -110,7 +110,9 @@
     eventually(lambda: router.is_ready)
 
 
-def ask(router: EdgeServer, index: int, kind: str, request: str) -> FirstTry:
+def ask(
+    router: EdgeServer, index: int, kind: str, request: str, **headers: str
+) -> FirstTry:
     """Ask a router once and return what became of it."""
     asked_at_s = time.monotonic()
     response = None
@@ -121,6 +123,7 @@
             request=request,
             body=request.encode(),
             Token_Count=f"100,{DRAFT_EVENTS}",
+            **headers,
         )
     except (http.client.HTTPException, OSError):
         pass
@@ -150,6 +153,19 @@
     context.tries = [task.value for task in tasks]
 
 
+@when("a {kind} comes at the cut-off router, whose caller waits {wait_s:g} seconds")
+def ask_in_time(context: Context, kind: str, wait_s: float) -> None:
+    (index,) = context.cut
+    router = context.platform.routers[index]
+    deadline_ms = str(int(wait_s * 1e3))
+    context.first_try = ask(router, index, kind, f"{kind}-x", Deadline_Ms=deadline_ms)
+
+
+@then("it is served by another router")
+def check_first_try(context: Context) -> None:
+    assert context.first_try.is_served, (context.first_try, describe_cpu(context))
+
+
 def describe_cpu(context: Context) -> str:
     """Return what the process of all routers and targets got since the cut."""
     windows = [
