Let another router try what a forwarded stream finds no path for

What callers saw: a router that reaches some targets, but none with a part of the model, said 503 for good to a request of a router without any, although a third one could serve it. Cause: only a router without any target of the service counted as unable. Change: one that lacks a path because targets don't respond to it says that it is unable, unless a target may have received the request.

--- a/src/chervilstall/edge/streams/context.py
+++ b/src/chervilstall/edge/streams/context.py
@@ -8,7 +8,10 @@
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.peers.relay import PeerRelay
 from chervilstall.edge.reach.targets import TargetReach
+from chervilstall.edge.request import EdgeRequest
+from chervilstall.edge.retry_after import retry_after_s
 from chervilstall.edge.streams.monitor import StreamMonitor
+from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.view import FleetView
 from chervilstall.paths.choice import PathChooser
 
@@ -30,3 +33,14 @@
     crash_guard: CrashGuard
     target_reach: TargetReach
     peer_relay: PeerRelay
+
+
+def stream_error(
+    request: EdgeRequest, may_have_run: bool, reason: str
+) -> ChervilstallError:
+    """Return the error of a request without an answer, from whether it may have run."""
+    if not may_have_run:
+        return ChervilstallError(ErrorKind.NO_TARGET, reason, retry_after_s(request))
+    if request.remaining_s <= 0.0:
+        return ChervilstallError(ErrorKind.DEADLINE_UNKNOWN, reason)
+    return ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, reason)
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -20,10 +20,9 @@
 )
 from chervilstall.edge.limits.attempts import AttemptLimit
 from chervilstall.edge.limits.rate_limits import AT_LIMIT
-from chervilstall.edge.peers.relay import OUT_OF_REACH
+from chervilstall.edge.peers.relay import OUT_OF_REACH, out_of_reach_error
 from chervilstall.edge.request import EdgeRequest
-from chervilstall.edge.retry_after import retry_after_s
-from chervilstall.edge.streams.context import StreamBroken, StreamContext
+from chervilstall.edge.streams.context import StreamBroken, StreamContext, stream_error
 from chervilstall.edge.streams.events import EventCursor, is_event
 from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.edge.streams.paths import StreamPaths
@@ -160,25 +159,34 @@
         if not reach.is_out_of_reach(request.service.name):
             path = self.paths.choose()
             if path is None and not self._may_use_peer():
-                raise self._error(self._no_path_reason())
-        has_arrived = self._may_have_run or self.attempts.counted or self.paths.refusing
-        is_repeat = request.sends if path is not None else has_arrived
+                raise self._no_path_error()
+        is_repeat = request.sends if path is not None else self._has_arrived
         if is_repeat and not self._take_retry():
             raise self._error("the budget for repeats is used up")
         return path
 
+    @property
+    def _has_arrived(self) -> bool:
+        """Return whether a target may have received the request."""
+        return bool(self._may_have_run or self.attempts.counted or self.paths.refusing)
+
     def _may_use_peer(self) -> bool:
         """Return whether another router may know a path where this one knows none."""
         if self.request.forwarding is not None or self.attempts.is_reached:
             return False
         return self.context.target_reach.lacks_targets(self.request.service.name)
 
-    def _no_path_reason(self) -> str:
+    def _no_path_error(self) -> ChervilstallError:
         if self.attempts.is_reached:
-            return f"the attempts of the route are used up: {self._last_failure}"
+            reason = f"the attempts of the route are used up: {self._last_failure}"
+            return self._error(reason)
+        reach = self.context.target_reach
+        if not self._has_arrived and reach.lacks_targets(self.request.service.name):
+            # The router that forwarded the request tries another one then.
+            return out_of_reach_error()
         if self.context.rate_limiter.exhausted_targets():
-            return f"{self._last_failure}; {AT_LIMIT}"
-        return self._last_failure
+            return self._error(f"{self._last_failure}; {AT_LIMIT}")
+        return self._error(self._last_failure)
 
     def _take_retry(self) -> bool:
         """Use a reserved retry, or take one from the budget."""
@@ -288,13 +296,7 @@
         self.context.crash_guard.await_verdict(self.request, path.first)
 
     def _error(self, reason: str) -> ChervilstallError:
-        if not self._may_have_run:
-            return ChervilstallError(
-                ErrorKind.NO_TARGET, reason, retry_after_s(self.request)
-            )
-        if self.request.remaining_s <= 0.0:
-            return ChervilstallError(ErrorKind.DEADLINE_UNKNOWN, reason)
-        return ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, reason)
+        return stream_error(self.request, self._may_have_run, reason)
 
     # Forwarding
 
--- a/tests/edge/forwarding.feature
+++ b/tests/edge/forwarding.feature
@@ -45,3 +45,9 @@
     Given each target of lookups hangs for this router and refuses the others
     When a lookup is sent to the cut-off router as it loses its targets
     Then its response does not say that it has not run
+
+  # Guards against RECOVER: a router that lacks a path refused for good what another could have served.
+  Scenario: A router without a path over the targets that it reaches makes way for another one
+    Given two other routers reach no target with the last layers
+    When 12 drafts are sent to the cut-off router
+    Then each of them is served
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -20,6 +20,7 @@
 
 REQUEST = "forwarded"
 LONG_DRAFT_EVENTS = 2000
+SUSPECTED_S = 30.0
 SERVICES = {"lookups", "drafts"}
 
 
@@ -157,11 +158,19 @@
     eventually(lambda: router.is_draining)
 
 
-@when("{count:d} lookups are sent to the cut-off router")
-def send_many(context: Context, count: int) -> None:
+@given("two other routers reach no target with the last layers")
+def suspect_last_layers(context: Context) -> None:
+    for router in other_routers(context)[:2]:
+        for target in list(router.fleet_view.targets.values()):
+            if target.id.startswith("last-"):
+                router.fleet_view.suspect(target, "test", SUSPECTED_S, shared=False)
+
+
+@when("{count:d} {kind}s are sent to the cut-off router")
+def send_many(context: Context, count: int, kind: str) -> None:
     router = cut_router(context)
     context.responses = [
-        send(router, "/lookup/x", request=f"{REQUEST}-{number}")
+        send(router, f"/{kind}/x", request=f"{REQUEST}-{number}")
         for number in range(count)
     ]
 
