--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -6,7 +6,6 @@
 import time
 from collections.abc import Container
 from dataclasses import dataclass, field
-from functools import partial
 
 from chervilstall.edge.crashes.guard import CrashGuard
 from chervilstall.edge.exchange import (
@@ -214,12 +213,8 @@
             target, request.caller_remaining_s, request.workspace, request.priority
         )
         headers = forward_headers(request.fields.forwarded_headers, send_fields)
-        exchange = Exchange(
-            request,
-            target.address,
-            headers,
-            partial(self.target_reach.notice_failure, request.service.name),
-        )
+        notice = self.target_reach.failure_notice(request.service.name)
+        exchange = Exchange(request, target.address, headers, notice)
         self.chooser.begin_request(target)
         timeout_s = self._timeout_s(request)
         sent_at_s = time.monotonic()
--- a/src/chervilstall/edge/reach/targets.py
+++ b/src/chervilstall/edge/reach/targets.py
@@ -11,6 +11,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import islice
 
 import gevent
@@ -129,6 +130,10 @@
         if time.monotonic() - responded_at_s > EXAMINE_INTERVAL_S:
             self.examine(service)
 
+    def failure_notice(self, service: ServiceName) -> Callable[[], None]:
+        """Return what to call where a target of a service seems to be silent."""
+        return partial(self.notice_failure, service)
+
     def _examine(self, service: ServiceName) -> None:
         zones = {target.zone for target in self.fleet_view.ready_targets(service)}
         targets = self._choose(service, max(PROBES_MIN, 2 * len(zones)))
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -8,7 +8,6 @@
 
 import time
 from collections.abc import Iterator
-from functools import partial
 
 import gevent
 
@@ -209,12 +208,8 @@
             self.cursor.text,
         )
         headers = forward_headers(request.fields.forwarded_headers, send_fields)
-        exchange = Exchange(
-            request,
-            path.first.address,
-            headers,
-            partial(self.context.target_reach.notice_failure, request.service.name),
-        )
+        notice = self.context.target_reach.failure_notice(request.service.name)
+        exchange = Exchange(request, path.first.address, headers, notice)
         self._exchange = exchange
         self._stream = LiveStream(
             request, exchange, path, self.attempts, time.monotonic()
