Let a router that plans examine its links as a target doesn't respond to it

What callers saw: not reported. A router that plans, loses all targets and gets no requests kept the plan to itself: its orders came nowhere, and after a loss no layers were placed until the cut was over. Cause: only requests and silent streams made a router examine its links. Change: a target that returns no report to the planner is a reason, too; the plan is then left to another router, as before.

--- a/src/chervilstall/edge/reach/suspicions.py
+++ b/src/chervilstall/edge/reach/suspicions.py
@@ -30,6 +30,11 @@
     zone_prober: ZoneProber
     target_reach: TargetReach
 
+    def __post_init__(self) -> None:
+        self.planner.on_silence = self.check_links_to
+        self.target_reach.on_lost = self.handle_targets_lost
+        self.target_reach.on_regained = self.handle_targets_regained
+
     def check_links_to(self, target: Target) -> None:
         """Find out what is lost besides a silent target: its zone, or all targets."""
         self.zone_prober.check_zone_of(target)
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -224,8 +224,6 @@
         )
         self.fleet_view.on_suspicion = sharing.handle_suspicion
         self.stream_monitor.on_silence = sharing.check_links_to
-        self.target_reach.on_lost = sharing.handle_targets_lost
-        self.target_reach.on_regained = sharing.handle_targets_regained
         return sharing
 
     def _handle_new_era(self) -> None:
--- a/src/chervilstall/placement/planner.py
+++ b/src/chervilstall/placement/planner.py
@@ -4,7 +4,7 @@
 """
 
 import time
-from collections.abc import Container
+from collections.abc import Callable, Container
 from dataclasses import dataclass, field
 
 import gevent
@@ -57,6 +57,10 @@
 """Time beyond the expected load time after which an order counts as lost."""
 
 
+def _ignore(target: Target) -> None:
+    """Do nothing."""
+
+
 @dataclass(frozen=True)
 class PendingOrder:
     """An order that was sent and does not show in the target's own entry yet.
@@ -72,12 +76,14 @@
 class PlacementPlanner:
     """Keeps the layers of every model placed on its targets while it holds the lease.
 
+    `on_silence` is called with a target that does not respond to this router.
     `orders_sent` counts the orders sent. Each order names how many orders its target
     must have begun so far, so that a target refuses one that is late or repeated.
     """
 
     fleet_view: FleetView
     lease: LeaseHolder
+    on_silence: Callable[[Target], object] = _ignore
     orders_sent: int = 0
     _pending: dict[TargetIncarnation, PendingOrder] = field(default_factory=dict)
     _orders_begun: dict[TargetIncarnation, int] = field(default_factory=dict)
@@ -185,6 +191,7 @@
         if report is not None:
             return
         self._mark_dead(target)
+        self.on_silence(target)
 
     def _mark_dead(self, target: Target) -> None:
         """Plan without a target until its entry is gone or DEAD_S has passed."""
@@ -317,6 +324,7 @@
         orders_begun = self._fetch_orders_begun(target)
         if orders_begun is None:
             self._back_off(target)
+            self.on_silence(target)
             return
         order = PlaceOrder(assignment.layers, orders_begun, term.epoch)
         self.orders_sent += 1
--- a/tests/edge/targets_out_of_reach.feature
+++ b/tests/edge/targets_out_of_reach.feature
@@ -63,3 +63,11 @@
     Given 4 routers with links of their own to targets of lookups and drafts
     When all targets of lookups end and lookups come at each router for 1 seconds
     Then the same router plans as before
+
+  # Guards against a plan that nobody carries out: the router that plans gets no requests, and doesn't know.
+  Scenario: A router that plans without requests leaves the plan as it loses its targets
+    Given 4 routers with links of their own to targets of lookups and drafts
+    And 1 of them are cut off from all targets, so that connections hang, also before they are established
+    When all targets with the first layers leave, and empty ones come
+    Then a router that was not cut off plans
+    And the first layers are placed again
--- a/tests/steps/targets_out_of_reach_steps.py
+++ b/tests/steps/targets_out_of_reach_steps.py
@@ -14,7 +14,7 @@
 from chervilstall.fleet.records import LayerRange
 from chervilstall.soak.cut_links import Cut
 from chervilstall.soak.process_sampler import ProcessSampler
-from chervilstall.standin.platform_fixtures import LAYERS
+from chervilstall.standin.platform_fixtures import LAYERS, remove_target_entry
 from tests.support.agent_fleet import eventually
 from tests.support.platform import ZONES, Platform, send
 from tests.support.router_harness import Response
@@ -305,3 +305,19 @@
     planner = context.platform.routers[context.planner]
     assert planner.planner_lease.check()
     assert planner.planner.is_planning
+
+
+@when("all targets with the first layers leave, and empty ones come")
+def replace_first_layers(context: Context) -> None:
+    platform = context.platform
+    for zone in ZONES:
+        platform.add_target(f"empty-{zone}", "drafts", zone)
+    for name in [name for name in platform.targets if name.startswith("first-")]:
+        remove_target_entry(platform.store.state, name)
+        platform.targets[name].stop()
+
+
+@then("the first layers are placed again")
+def check_placed(context: Context) -> None:
+    empty = [context.platform.targets[f"empty-{zone}"] for zone in ZONES]
+    eventually(lambda: any(target.layers.first == 0 for target in empty))
