Examine the links after each failure, whatever had responded before

Cause: a response up to 0.3 s before a failure counted as a word on the links after it. The class: an old word believed. Change: only what responds after the failure counts. Also: a search for more routers no longer lengthens the pause of one that finds nobody.

--- a/src/chervilstall/edge/peers/search.py
+++ b/src/chervilstall/edge/peers/search.py
@@ -53,7 +53,10 @@
 REFRESH_INTERVAL_S = 0.5
 PAUSE_MIN_S = 0.25
 PAUSE_MAX_S = 2.0
-"""Bounds of the time between searches that find too few; each doubles it."""
+"""Bounds of the time between searches that find nobody; each doubles it."""
+
+MORE_PAUSE_S = 2.0
+"""Time between searches for more routers that find too few."""
 
 
 @dataclass
@@ -64,7 +67,7 @@
     not, and `named` those that others have found. Reports of those in `pending` have
     not arrived. `is_settled` is set once a router is known, or none is pending. After a
     search that found none there is no other one before `retry_at_s`, after one that
-    found few no more are looked for before `refresh_at_s`.
+    found few no more are looked for before `more_at_s`.
     """
 
     able_until_s: dict[VmId, float] = field(default_factory=dict)
@@ -73,7 +76,7 @@
     pending: set[VmId] = field(default_factory=set)
     pause_s: float = PAUSE_MIN_S
     retry_at_s: float = float("-inf")
-    refresh_at_s: float = float("-inf")
+    more_at_s: float = float("-inf")
     is_settled: Event = field(default_factory=Event)
     running: BoundedSemaphore = field(default_factory=BoundedSemaphore)
 
@@ -173,26 +176,22 @@
         asked = self._ask_in_rounds(service, search, 1)
         if search.pending and not self._usable(search):
             search.is_settled.wait(LAST_WAIT_S)
-        if not self._usable(search):
-            log.info("no router reaches targets", service=service, asked=asked)
-            search.retry_at_s = self._next_at_s(search)
+        if self._usable(search):
+            search.pause_s = PAUSE_MIN_S
+            return
+        log.info("no router reaches targets", service=service, asked=asked)
+        search.retry_at_s = time.monotonic() + search.pause_s * random.uniform(0.8, 1.0)
+        search.pause_s = min(2.0 * search.pause_s, PAUSE_MAX_S)
 
     def _find_more(self, service: ServiceName, search: _Search) -> None:
         """Ask more and more routers until as many are known as are wanted."""
-        usable = self._usable(search)
-        if not usable or time.monotonic() < search.refresh_at_s:
+        if not self._usable(search) or time.monotonic() < search.more_at_s:
             return
         self._ask_in_rounds(service, search, WANTED)
-        search.refresh_at_s = self._next_at_s(search)
-
-    def _next_at_s(self, search: _Search) -> float:
-        """Return when to search again, later after each search that finds too few."""
-        if len(self._usable(search, RENEWED_S)) >= WANTED:
-            search.pause_s = PAUSE_MIN_S
-            return time.monotonic()
-        pause_s = search.pause_s
-        search.pause_s = min(2.0 * pause_s, PAUSE_MAX_S)
-        return time.monotonic() + pause_s * random.uniform(0.8, 1.0)
+        if len(self._usable(search, RENEWED_S)) < WANTED:
+            search.more_at_s = time.monotonic() + MORE_PAUSE_S * random.uniform(
+                0.8, 1.0
+            )
 
     def _ask_in_rounds(self, service: ServiceName, search: _Search, wanted: int) -> int:
         """Return how many routers were asked."""
--- a/src/chervilstall/edge/reach/suspicions.py
+++ b/src/chervilstall/edge/reach/suspicions.py
@@ -46,7 +46,7 @@
 
     def _share(self, target: Target, kind: SuspicionKind) -> None:
         has_answered = kind is SuspicionKind.REFUSING
-        if not has_answered and not self.target_reach.check(target.service, 0.0):
+        if not has_answered and not self.target_reach.check(target.service):
             return
         self.planner.handle_suspicion(target, kind)
         if not has_answered:
--- a/src/chervilstall/edge/reach/targets.py
+++ b/src/chervilstall/edge/reach/targets.py
@@ -36,7 +36,7 @@
 More are asked where there are more zones, so that one of each is.
 """
 
-EXAMINE_INTERVAL_S = 0.2
+EXAMINE_INTERVAL_S = 0.12
 
 RECOVERY_PROBES_MAX = 4
 RECOVERY_RESPONSES = 2
@@ -49,11 +49,8 @@
 PROBE_TIMEOUT_S = 0.3
 """A target responds within a millisecond or two; a lost packet costs 0.2 s."""
 
-RESPONSE_VALID_S = 0.3
-"""Time after a response in which its service counts as within reach."""
-
 LATELY_S = 1.0
-"""The same for reports to other routers, each of which would cost a probe."""
+"""Time after a response in which other routers are told so without a probe."""
 
 
 def _ignore(service: ServiceName) -> None:
@@ -99,10 +96,11 @@
         """Record that a target of a service has responded to a request."""
         self._responded_at_s[service] = time.monotonic()
 
-    def check(self, service: ServiceName, valid_s: float = RESPONSE_VALID_S) -> bool:
+    def check(self, service: ServiceName, valid_s: float = 0.0) -> bool:
         """Return whether a target of a service responds; waits for the probes.
 
-        A response that came less than `valid_s` ago saves them.
+        A response that came less than `valid_s` ago saves them. After a failure none
+        does, since the links may have been lost in between.
         """
         if service in self.out_of_reach:
             return False
