--- a/src/chervilstall/edge/peers/loans.py
+++ b/src/chervilstall/edge/peers/loans.py
@@ -27,6 +27,9 @@
 PAUSE_S = 0.2
 """Time after a turn in which no more is asked for the same service."""
 
+EMPTY_PAUSE_S = 1.0
+"""The same after a turn in which nobody lent anything."""
+
 
 @dataclass
 class RetryLoans:
@@ -56,7 +59,7 @@
         try:
             borrowed = self._ask_in_turn(service)
             log.info("retries borrowed", service=service, count=borrowed)
-            gevent.sleep(PAUSE_S)
+            gevent.sleep(PAUSE_S if borrowed else EMPTY_PAUSE_S)
         finally:
             del self._waiting[service]
 
