Take no more retries on loan than were asked for, and answer malformed questions with 404

What callers saw: nothing; found by reading, before it landed. A report that names an absurd number of retries would have filled the memory of the router that asked (MemoryError in the scenario without this change), and a question of 5,000 digits raised. A service of which a router knows no ready target is one that it doesn't reach, so questions keep no state of unknown services.

--- a/src/chervilstall/edge/peers/loans.py
+++ b/src/chervilstall/edge/peers/loans.py
@@ -71,8 +71,11 @@
             peer = self.search.choose(service)
             if missing < 1 or peer is None:
                 break
-            report = fetch_report(peer, service, min(missing, LOAN_MAX))
+            wanted = min(missing, LOAN_MAX)
+            report = fetch_report(peer, service, wanted)
             if report is not None:
-                self.budget.add_loan(service, report.lent)
-                borrowed += report.lent
+                # Whatever a report says, no more is taken than was asked for.
+                lent = min(report.lent, wanted)
+                self.budget.add_loan(service, lent)
+                borrowed += lent
         return borrowed
--- a/src/chervilstall/edge/peers/reach_report.py
+++ b/src/chervilstall/edge/peers/reach_report.py
@@ -5,6 +5,7 @@
 names those that it has found, so that few routers have to ask many.
 """
 
+import re
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from itertools import islice
@@ -27,6 +28,7 @@
 REACH_PATH = "/reach"
 SERVICE_FIELD = "service"
 RETRIES_FIELD = "retries"
+RETRIES_PATTERN = re.compile("[0-9]{1,4}")
 REPORT_MAX_BYTES = 65_536
 NAMED_MAX = 4
 """Routers that a report names besides its own."""
@@ -107,8 +109,8 @@
         """Return the report on the service that a query names."""
         fields = dict(parse_qsl(query))
         retries = fields.get(RETRIES_FIELD, "0")
-        if SERVICE_FIELD not in fields or not retries.isdecimal():
-            return json_response(404, {"error": "a service has to be named"})
+        if SERVICE_FIELD not in fields or not RETRIES_PATTERN.fullmatch(retries):
+            return json_response(404, {"error": "the question is malformed"})
         service = ServiceName(fields[SERVICE_FIELD])
         version = self.version()
         is_able = version is not None and self.check(service)
--- a/src/chervilstall/edge/reach/targets.py
+++ b/src/chervilstall/edge/reach/targets.py
@@ -111,8 +111,12 @@
         return service not in self.out_of_reach
 
     def check_lately(self, service: ServiceName) -> bool:
-        """Return whether a target has responded in the last second, or does now."""
-        return self.check(service, LATELY_S)
+        """Return whether a target has responded in the last second, or does now.
+
+        It is false for a service of which no target is ready.
+        """
+        is_known = bool(self.fleet_view.ready_targets(service))
+        return is_known and self.check(service, LATELY_S)
 
     def examine(self, service: ServiceName) -> gevent.Greenlet:
         """Start to probe the targets of a service, unless that is going on already."""
--- a/tests/edge/forwarding.feature
+++ b/tests/edge/forwarding.feature
@@ -51,3 +51,10 @@
     Given two other routers reach no target with the last layers
     When 12 drafts are sent to the cut-off router
     Then each of them is served
+
+  # Guards against a router that one malformed message of another one ends or fills.
+  Scenario: Malformed questions and reports harm no router
+    When another router is asked malformed questions on its internal listener
+    Then each is answered with 404
+    When a router that is asked for 3 retries says that it lends 9007199254740992
+    Then the cut-off router may use 3 of them
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -3,25 +3,42 @@
 import contextlib
 import http.client
 import time
+from types import SimpleNamespace
+from unittest.mock import patch
 
 import gevent
 from behave import given, then, when
 from behave.runner import Context
 
+from chervilstall.edge.limits.budget import FleetRetryBudget
+from chervilstall.edge.peers import loans
 from chervilstall.edge.peers.forwarding import UNABLE_HEADER, Forwarding
+from chervilstall.edge.peers.loans import RetryLoans
+from chervilstall.edge.peers.reach_report import REACH_PATH, ReachReport
+from chervilstall.edge.registry import ROUTERS_ASSUMED
 from chervilstall.edge.server import EdgeServer
+from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
 from chervilstall.soak.cut_links import Cut
 from chervilstall.standin.platform_fixtures import build_request_headers
 from chervilstall.standin.platform_target import Behaviour, PlatformTarget
+from chervilstall.target.calls import Call, call_once
 from tests.support.agent_fleet import eventually
-from tests.support.platform import send
+from tests.support.platform import BOUNDS, send
 from tests.support.router_harness import Response
 
 REQUEST = "forwarded"
 LONG_DRAFT_EVENTS = 2000
 SUSPECTED_S = 30.0
 SERVICES = {"lookups", "drafts"}
+CALL_TIMEOUT_S = 2.0
+MALFORMED_QUESTIONS = (
+    REACH_PATH,
+    REACH_PATH + "?retries=1",
+    REACH_PATH + "?service=drafts&retries=-1",
+    REACH_PATH + "?service=drafts&retries=" + "9" * 5000,
+    REACH_PATH + "?service=%ff%fe&retries=x",
+)
 
 
 def cut_router(context: Context) -> EdgeServer:
@@ -199,3 +216,37 @@
 @then("its response does not say that it has not run")
 def check_no_promise(context: Context) -> None:
     assert context.response.status in (502, 504), context.response
+
+
+@when("another router is asked malformed questions on its internal listener")
+def ask_malformed(context: Context) -> None:
+    address = other_routers(context)[0].peer_listener.bound_address
+    settings = TargetSettings()
+    context.statuses = [
+        call_once(address, settings, Call("GET", path, CALL_TIMEOUT_S)).status
+        for path in MALFORMED_QUESTIONS
+    ]
+
+
+@then("each is answered with {status:d}")
+def check_statuses(context: Context, status: int) -> None:
+    assert context.statuses == [status] * len(MALFORMED_QUESTIONS), context.statuses
+
+
+@when("a router that is asked for {count:d} retries says that it lends {lent:d}")
+def lend_too_much(context: Context, count: int, lent: int) -> None:
+    context.budget = FleetRetryBudget(BOUNDS, ROUTERS_ASSUMED)
+    search = SimpleNamespace(choose=lambda service: "peer")
+    borrower = RetryLoans(search, None, context.budget)
+    borrower._waiting["drafts"] = set(range(count))
+    report = ReachReport(1, is_able=True, lent=lent)
+    with patch.object(loans, "fetch_report", lambda *arguments: report):
+        assert borrower._ask_in_turn("drafts") == count
+
+
+@then("the cut-off router may use {count:d} of them")
+def check_loan(context: Context, count: int) -> None:
+    used = 0
+    while context.budget.try_spend("drafts", is_resume=True):
+        used += 1
+    assert used == count, used
