Tell questions between routers from requests in one place, and play zones of 2, 7 and 100

What callers saw: nothing; no behaviour changes. The internal listener answers what is no forwarded request in a function of its own.

--- a/src/chervilstall/edge/peers/listener.py
+++ b/src/chervilstall/edge/peers/listener.py
@@ -10,7 +10,7 @@
     without_forwarding,
 )
 from chervilstall.edge.peers.reach_report import REACH_PATH, ReachEndpoint
-from chervilstall.http_response import StartResponse, json_response
+from chervilstall.http_response import HttpResponse, StartResponse, json_response
 from chervilstall.wsgi import HEADERS_KEY, Environ
 
 
@@ -32,9 +32,15 @@
         try:
             environ[FORWARDING_KEY] = read_forwarding(headers)
         except ValueError as error:
-            if environ["PATH_INFO"] == REACH_PATH:
-                report = self.reach.respond(environ["QUERY_STRING"])
-                return report.start(start_response)
-            return json_response(400, {"error": str(error)}).start(start_response)
+            return self._answer_other(environ, error).start(start_response)
         environ[HEADERS_KEY] = without_forwarding(headers)
         return self.app(environ, start_response)
+
+    def _answer_other(self, environ: Environ, error: ValueError) -> HttpResponse:
+        """Answer what is no forwarded request: a question on the reach, or nonsense.
+
+        A caller's request for the same path has the headers of a forwarded one.
+        """
+        if environ["PATH_INFO"] == REACH_PATH:
+            return self.reach.respond(environ["QUERY_STRING"])
+        return json_response(400, {"error": str(error)})
--- a/tests/edge/cut_fleets.feature
+++ b/tests/edge/cut_fleets.feature
@@ -17,12 +17,17 @@
       | 4     | 15      | one zone           |
       | 4     | 15      | all zones but one  |
       | 4     | 15      | all but one router |
+      | 11    | 7       | 0.85               |
+      | 11    | 7       | one zone           |
+      | 11    | 7       | all but one router |
       | 5     | 39      | 0.85               |
       | 5     | 39      | one zone           |
       | 5     | 39      | all zones but one  |
       | 5     | 39      | all but one router |
       | 7     | 300     | 0.5                |
       | 7     | 300     | 0.95               |
+      | 21    | 100     | one zone           |
+      | 1050  | 2       | all but one router |
       | 7     | 300     | one zone           |
       | 7     | 300     | all zones but one  |
       | 7     | 300     | all but one router |
--- a/tests/support/loan_fleet.py
+++ b/tests/support/loan_fleet.py
@@ -14,7 +14,7 @@
 from chervilstall.edge.peers import loans
 from chervilstall.edge.peers.loans import RetryLoans
 from chervilstall.edge.peers.reach_report import ReachReport
-from chervilstall.ids import ServiceName
+from chervilstall.ids import RequestId, ServiceName
 from tests.support.clock import Clock
 from tests.support.model_targets import SERVICE
 from tests.support.retry_budget_fleet import FLEET_BOUNDS, worst_excess
@@ -97,7 +97,8 @@
             return 0
         search = SimpleNamespace(choose=lambda _: self.rng.choice(self.known[index]))
         borrower = RetryLoans(cast(Any, search), cast(Any, None), budget)
-        borrower._waiting[SERVICE.name] = set(map(str, range(count)))  # type: ignore
+        requests = {RequestId(str(number)) for number in range(count)}
+        borrower._waiting[SERVICE.name] = requests
         borrower._ask_in_turn(SERVICE.name)
         return self._spend(budget, count, after_s)
 
