Take a router's entry for lost only in a reading newer than its registration

Cause: a router reads the store and registers in two tasks. A full reading that the store had answered before the registration, and that was applied after it, lacked the router's own entry, which was taken for the end of its lease: it opened another lease and wrote its entries again. Changes that the watch tells were compared with the revision of the registration; full readings had none to compare. Change: handlers get a `FullRead`, keys and revision, in place of the keys; both ways go through one check. Looked for in the other handlers: limits and peers act on what is written again or missing for 8 s only; the quarantine writes an entry again that the reading lacked, which is one write more and changes nothing.

--- a/src/chervilstall/edge/crashes/sharing.py
+++ b/src/chervilstall/edge/crashes/sharing.py
@@ -11,6 +11,7 @@
 import gevent
 
 from chervilstall.edge.registry import RouterRegistry
+from chervilstall.platform.handlers import FullRead
 from chervilstall.platform.kv import Entry, PlatformStore
 from chervilstall.platform.quarantine import (
     CRASHES_PREFIX,
@@ -229,10 +230,10 @@
         self._stored[entry.key] = _StoredEntry(shared.key, entry.revision)
         self.quarantine.apply_entry(shared, is_old=not self._has_read)
 
-    def handle_full_read(self, keys: list[str]) -> None:
+    def handle_full_read(self, full_read: FullRead) -> None:
         """Write entries again that a full read of the store did not return."""
         self._has_read = True
-        present = set(keys)
+        present = set(full_read.keys)
         for store_key in list(self._stored):
             if store_key not in present:
                 del self._stored[store_key]
--- a/src/chervilstall/edge/limits/sharing.py
+++ b/src/chervilstall/edge/limits/sharing.py
@@ -15,6 +15,7 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import TargetId
 from chervilstall.platform import protocol
+from chervilstall.platform.handlers import FullRead
 from chervilstall.platform.kv import Entry
 from chervilstall.platform.limits import SharedLimit, decode_limit, encode_limit
 from chervilstall.store.contract import StoreFailed
@@ -87,7 +88,7 @@
         if target.started_at_ms == limit.started_at_ms:
             self.rate_limiter.apply_limit(target, limit.per_s)
 
-    def handle_full_read(self, keys: list[str]) -> None:
+    def handle_full_read(self, full_read: FullRead) -> None:
         """Apply limits that were read before their targets; drop those of others."""
         self._is_reading_copy = False
         for target_id, stored in list(self._stored.items()):
--- a/src/chervilstall/edge/peers/directory.py
+++ b/src/chervilstall/edge/peers/directory.py
@@ -9,6 +9,7 @@
 from chervilstall.edge.in_turn import in_turn
 from chervilstall.edge.missing import MissingEntries
 from chervilstall.ids import VmId, ZoneName
+from chervilstall.platform.handlers import FullRead
 from chervilstall.platform.kv import Entry
 from chervilstall.platform.peers import Peer, decode_peer, peer_key
 from chervilstall.settings.node import NodeSettings
@@ -52,9 +53,9 @@
         if peer.vm != self.vm:
             self._peers[entry.key] = peer
 
-    def handle_full_read(self, keys: list[str]) -> None:
+    def handle_full_read(self, full_read: FullRead) -> None:
         """Note the routers that a full read of the store did not return."""
-        self._missing.add(self._peers.keys() - set(keys))
+        self._missing.add(self._peers.keys() - set(full_read.keys))
 
     def _drop(self, keys: Set[str]) -> None:
         self.generation += 1
--- a/src/chervilstall/edge/registry.py
+++ b/src/chervilstall/edge/registry.py
@@ -21,6 +21,7 @@
 from chervilstall.paths.choice import PathChooser
 from chervilstall.placement.planner import PlacementPlanner
 from chervilstall.platform import protocol
+from chervilstall.platform.handlers import FullRead
 from chervilstall.platform.kv import (
     Entry,
     Lease,
@@ -119,6 +120,11 @@
         self._registered_revision = 0
         self._register_again()
 
+    def _handle_own_gone(self, revision: int) -> None:
+        """Register again if the own entry was gone after it had been written."""
+        if self._lease and revision > self._registered_revision:
+            self._register_again()
+
     def _register_again(self) -> None:
         self._lease = None
         delay_s = random.uniform(0.0, REGISTRATION_SPREAD_S)
@@ -141,23 +147,22 @@
     def _apply_router(self, entry: Entry) -> None:
         if entry.value is None:
             self._missing.add({entry.key})
-            is_own = entry.key == self.key
-            if is_own and self._lease and entry.revision > self._registered_revision:
-                self._register_again()
+            if entry.key == self.key:
+                self._handle_own_gone(entry.revision)
             return
         self._missing.discard(entry.key)
         zone = ZoneName(entry.value.decode("utf-8", "replace"))
         self._router_zones[entry.key] = zone
         self._update_routers()
 
-    def handle_full_read(self, keys: list[str]) -> None:
+    def handle_full_read(self, full_read: FullRead) -> None:
         """Note the routers missing from a full listing below `ROUTER_KEYS_PREFIX`."""
-        present = set(keys)
+        present = set(full_read.keys)
         self._missing.add(self._router_zones.keys() - present)
         self._update_routers()
-        if self._lease and self.key not in present:
-            self._register_again()
-        self.standby.handle_full_read(keys)
+        if self.key not in present:
+            self._handle_own_gone(full_read.revision)
+        self.standby.handle_full_read(present)
 
     def _drop_routers(self, keys: Set[str]) -> None:
         for key in keys:
--- a/src/chervilstall/edge/store_handlers.py
+++ b/src/chervilstall/edge/store_handlers.py
@@ -35,7 +35,7 @@
             LIMITS_PREFIX, limit_sharing.handle_entry, limit_sharing.handle_full_read
         ),
         EntryHandler(
-            CRASHES_PREFIX, quarantine_sharing.handle_crashes, lambda keys: None
+            CRASHES_PREFIX, quarantine_sharing.handle_crashes, lambda full_read: None
         ),
         EntryHandler(
             QUARANTINE_PREFIX,
--- a/src/chervilstall/platform/handlers.py
+++ b/src/chervilstall/platform/handlers.py
@@ -14,17 +14,25 @@
 log = EventLog("store")
 
 
+@dataclass(frozen=True)
+class FullRead:
+    """All keys below a prefix, as they were at a revision of the store."""
+
+    keys: tuple[str, ...]
+    revision: int
+
+
 @dataclass(frozen=True)
 class EntryHandler:
     """Callbacks for the entries below a prefix.
 
-    `on_entry` is called with each new entry, `on_full_read` with all keys that a full
-    read returned, so that keys whose deletion was missed can be dropped.
+    `on_entry` is called with each new entry, `on_full_read` after each full read, so
+    that keys whose deletion was missed can be dropped.
     """
 
     prefix: str
     on_entry: Callable[[Entry], None]
-    on_full_read: Callable[[list[str]], None]
+    on_full_read: Callable[[FullRead], None]
 
 
 def configuration_handler(fleet_view: FleetView) -> EntryHandler:
@@ -40,7 +48,7 @@
             return
         fleet_view.apply_configuration(configuration, entry.revision)
 
-    return EntryHandler(protocol.CONFIG_KEY, on_entry, lambda keys: None)
+    return EntryHandler(protocol.CONFIG_KEY, on_entry, lambda full_read: None)
 
 
 def target_handler(fleet_view: FleetView) -> EntryHandler:
@@ -59,7 +67,8 @@
             return
         fleet_view.update_target(target)
 
-    def on_full_read(keys: list[str]) -> None:
-        fleet_view.retain_targets(TargetId(key[prefix_length:]) for key in keys)
+    def on_full_read(full_read: FullRead) -> None:
+        names = (key[prefix_length:] for key in full_read.keys)
+        fleet_view.retain_targets(TargetId(name) for name in names)
 
     return EntryHandler(protocol.TARGETS_PREFIX, on_entry, on_full_read)
--- a/src/chervilstall/platform/watcher.py
+++ b/src/chervilstall/platform/watcher.py
@@ -16,7 +16,7 @@
     ConfigurationReading,
 )
 from chervilstall.platform.configuration_updates import ConfigurationUpdates
-from chervilstall.platform.handlers import EntryHandler
+from chervilstall.platform.handlers import EntryHandler, FullRead
 from chervilstall.platform.kv import Entry, EntryBatch, HistoryGone, PlatformStore
 from chervilstall.store.contract import ResponseTooLarge, StoreFailed
 from chervilstall.telemetry.events import EventLog
@@ -262,12 +262,11 @@
         for entry in batch.entries:
             self._dispatch(entry)
         self._applied[prefix] = batch.revision
-        keys = [entry.key for entry in batch.entries]
+        all_keys = [entry.key for entry in batch.entries]
         for handler in self.handlers:
             if handler.prefix.startswith(prefix):
-                handler.on_full_read(
-                    [key for key in keys if key.startswith(handler.prefix)]
-                )
+                keys = tuple(key for key in all_keys if key.startswith(handler.prefix))
+                handler.on_full_read(FullRead(keys, batch.revision))
         if prefix == protocol.TARGETS_PREFIX:
             self.fleet_view.note_complete(batch.sent_at_s)
         return batch.revision
--- a/tests/edge/registry.feature
+++ b/tests/edge/registry.feature
@@ -21,3 +21,15 @@
     Given 77 registered routers that know each other
     When a third of them end, and their leases with them
     Then all are registered, and know each other
+
+  # Guards against START: routers that read the store just before they were registered took their
+  # entries for lost, and registered twice.
+  Scenario Outline: Each of <count> routers that read the store as they start registers once
+    Given <count> routers that start and read the store
+    Then each has registered once, and all know each other
+
+    Examples:
+      | count |
+      | 1     |
+      | 12    |
+      | 195   |
--- a/tests/steps/registry_steps.py
+++ b/tests/steps/registry_steps.py
@@ -4,11 +4,14 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from chervilstall.edge.registry import REGISTRATION_SPREAD_S
 from tests.support.agent_fleet import eventually
-from tests.support.registered_fleet import RegisteredFleet
+from tests.support.registered_fleet import NEWS_MAX_S, RegisteredFleet
 
 AWAY_S = 3.0
 WATCHED_S = 12.0
+REGISTERED_AGAIN_S = REGISTRATION_SPREAD_S + NEWS_MAX_S + 0.5
+"""Time after which a router that registers again has done so, and all know of it."""
 
 
 @given("{count:d} registered routers that know each other")
@@ -19,6 +22,21 @@
         eventually(lambda r=router: r.budget.router_count == count, 10.0)
 
 
+@given("{count:d} routers that start and read the store")
+def start_reading(context: Context, count: int) -> None:
+    context.fleet = fleet = RegisteredFleet(count)
+    context.stoppables.append(fleet)
+    fleet.read_as_they_start()
+
+
+@then("each has registered once, and all know each other")
+def check_registered_once(context: Context) -> None:
+    fleet = context.fleet
+    gevent.sleep(REGISTERED_AGAIN_S)
+    check_registered(context)
+    assert fleet.store.opened_leases == len(fleet.routers), fleet.store.opened_leases
+
+
 @when("all leases end while the store is away, and routers {how}")
 def lose_leases(context: Context, how: str) -> None:
     fleet = context.fleet
--- a/tests/support/model_router.py
+++ b/tests/support/model_router.py
@@ -79,7 +79,7 @@
         self.fleet_view = FleetView(self.drain_s)
         handlers = (
             EntryHandler(
-                protocol.CONFIG_KEY, self.note_configuration, lambda keys: None
+                protocol.CONFIG_KEY, self.note_configuration, lambda full_read: None
             ),
             self.record_changes(target_handler(self.fleet_view)),
         )
--- a/tests/support/quarantine_store.py
+++ b/tests/support/quarantine_store.py
@@ -6,6 +6,7 @@
 
 from chervilstall.edge.crashes.sharing import QuarantineSharing
 from chervilstall.ids import VmId
+from chervilstall.platform.handlers import FullRead
 from chervilstall.platform.kv import Entry, Lease
 from chervilstall.platform.quarantine import CRASHES_PREFIX, QUARANTINE_PREFIX
 from chervilstall.store.contract import StoreFailed
@@ -135,14 +136,16 @@
 
     def _read_all(self, watch: StoreWatch) -> None:
         entries = list(self.entries.values())
+        keys = [entry.key for entry in entries]
+        full_read = FullRead(
+            tuple(key for key in keys if key.startswith(QUARANTINE_PREFIX)),
+            self.revision,
+        )
 
         def receive() -> None:
             for entry in entries:
                 self._handle(watch, entry)
-            keys = [entry.key for entry in entries]
-            watch.sharing.handle_full_read(
-                [key for key in keys if key.startswith(QUARANTINE_PREFIX)]
-            )
+            watch.sharing.handle_full_read(full_read)
 
         self._receive_later(watch, receive)
 
--- a/tests/support/registered_fleet.py
+++ b/tests/support/registered_fleet.py
@@ -17,6 +17,7 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import VmId, ZoneName
 from chervilstall.lease.holder import LeaseHolder
+from chervilstall.platform.handlers import FullRead
 from chervilstall.platform.kv import Entry, Lease, LeaseEnded
 from chervilstall.settings.leases import LeaseSettings
 from chervilstall.store.contract import StoreFailed
@@ -27,6 +28,7 @@
 NEWS_MAX_S = 1.3
 """Longest time from a change in the store until a router applies it."""
 
+START_READ_MAX_S = 3 * ANSWER_S
 SAMPLE_INTERVAL_S = 0.02
 
 
@@ -39,6 +41,7 @@
     def __init__(self) -> None:
         self.is_away = False
         self.revision = 0
+        self.opened_leases = 0
         self.entries: dict[str, tuple[Entry, int]] = {}
         self.leases: set[int] = set()
         self.on_change: Callable[[Entry], None] = lambda entry: None
@@ -46,6 +49,7 @@
     def open_lease(self, ttl_s: float) -> Lease:
         """Create a lease."""
         self._call()
+        self.opened_leases += 1
         self.revision += 1
         self.leases.add(self.revision)
         return Lease(self.revision, ttl_s)
@@ -124,11 +128,13 @@
         gevent.spawn_later(delay_s, self.registry.handle_entry, entry)
 
     def read_all(self) -> None:
-        """Read the whole store."""
+        """Read the whole store, as it is before its answer comes."""
         entries = [entry for entry, _ in self.store.entries.values()]
+        keys, revision = tuple(self.store.entries), self.store.revision
+        gevent.sleep(ANSWER_S)
         for entry in entries:
             self.registry.handle_entry(entry)
-        self.registry.handle_full_read([entry.key for entry in entries])
+        self.registry.handle_full_read(FullRead(keys, revision))
 
 
 class RegisteredFleet:
@@ -166,6 +172,12 @@
             for router in self.routers:
                 gevent.spawn_later(router.rng.uniform(0.0, 0.5), router.read_all)
 
+    def read_as_they_start(self) -> None:
+        """Let each router read the store at a drawn moment around its registration."""
+        for router in self.routers:
+            delay_s = router.rng.uniform(0.0, START_READ_MAX_S)
+            gevent.spawn_later(delay_s, router.read_all)
+
     def watch_shares(self, for_s: float) -> None:
         """Note the sum of all shares for some time."""
         until_s = time.monotonic() + for_s
