--- a/tests/edge/target_reach.feature
+++ b/tests/edge/target_reach.feature
@@ -8,11 +8,11 @@
     Then it never takes the targets for out of reach
 
     Examples:
-      | which              | zones |
-      | its own zone only  | 3     |
-      | its own zone only  | 7     |
-      | one other zone only | 3    |
-      | one other zone only | 7    |
+      | which               | zones |
+      | its own zone only   | 3     |
+      | its own zone only   | 7     |
+      | one other zone only | 3     |
+      | one other zone only | 7     |
 
   # Guards against a router that stays without targets although its own zone is within reach again.
   Scenario: A router that reaches its own zone again serves by itself within a second
@@ -22,6 +22,33 @@
     And its own zone is within reach again
     Then within 1 second it takes the targets for within reach
 
+  # Guards against RECOVER: a target that responded just before the cut vouched for links that were lost
+  # since, and the caller was refused instead of sent on to another router.
+  Scenario: A response before a failure says nothing of the links after it
+    Given targets of a service in each of 4 zones, 20 in each
+    And a router that reaches none of them
+    When a target has responded, and then one fails
+    Then the router knows that it reaches none
+
+  # Guards against a router that plans without links, and takes the targets for dead one by one.
+  Scenario Outline: A router that plans examines its links as a target <fails>
+    Given targets of a service in each of 4 zones, 20 in each
+    And a router that reaches none of them
+    When it plans, and a target <fails>
+    Then the router knows that it reaches none
+
+    Examples:
+      | fails                             |
+      | returns no report before an order |
+      | that others suspect is silent     |
+
+  # Guards against a first request that waits for a connect of 0.6 s before the links are examined.
+  Scenario: The links are examined while a connect is slow, not after it has failed
+    Given targets of a service in each of 4 zones, 20 in each
+    And a router that reaches none of them
+    When a request's connect hangs
+    Then the router knows that it reaches none before the connect has failed
+
   # Guards against a router that tries the same few targets without links again and again, 0 of 12 served.
   Scenario Outline: A router that reaches <reached> of <targets> targets finds one, however rarely it is asked
     Given a router that reaches <reached> of <targets> targets of a plain service
--- a/tests/steps/target_reach_steps.py
+++ b/tests/steps/target_reach_steps.py
@@ -2,25 +2,45 @@
 
 import random
 from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any, cast
 from unittest.mock import patch
 
 import gevent
 from behave import given, then, when
 from behave.runner import Context
 
+from chervilstall.edge.exchange import (
+    CONNECT_SETTINGS,
+    Exchange,
+    ExchangeFailed,
+    ExchangeFailure,
+)
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.reach import targets as reach_targets
+from chervilstall.edge.reach.suspicions import SuspicionSharing
 from chervilstall.edge.reach.targets import TargetReach
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import VmId, ZoneName
+from chervilstall.lease.holder import LeaseTerm
+from chervilstall.placement import planner as planner_module
+from chervilstall.placement.plan import LayerAssignment
+from chervilstall.placement.planner import PlacementPlanner
 from chervilstall.settings.option import Address
+from chervilstall.target.connection import ConnectFailed
 from tests.support.agent_fleet import eventually
 from tests.support.model_targets import SERVICE, make_target
-from tests.support.partly_cut_router import PartCase, PartlyCutRouter
+from tests.support.partly_cut_router import (
+    REQUEST_S,
+    ModelPlainRequest,
+    PartCase,
+    PartlyCutRouter,
+)
 
 SEEDS = range(6)
 OWN_ZONE = ZoneName("zone-0")
 DRAIN_S = 3.0
+KNOWN_WITHIN_S = 2.0
 
 
 @given("targets of a service in each of {zones:d} zones, {count:d} in each")
@@ -84,6 +104,68 @@
     eventually(lambda: not context.reach.out_of_reach, within_s)
 
 
+@when("a target has responded, and then one fails")
+def respond_and_fail(context: Context) -> None:
+    context.reach.record_response(SERVICE.name)
+    context.reach.check(SERVICE.name)
+
+
+@then("the router knows that it reaches none")
+def check_lost(context: Context) -> None:
+    eventually(lambda: context.reach.is_out_of_reach(SERVICE.name), KNOWN_WITHIN_S)
+
+
+def build_planner(context: Context) -> PlacementPlanner:
+    """Return a planner that holds the lease and tells `context.reach` of silence."""
+    term = LeaseTerm("planner", 1)
+    lease = cast(Any, SimpleNamespace(check=lambda: term))
+    planner = PlacementPlanner(context.fleet_view, lease)
+    planner._term = term
+    prober = cast(Any, SimpleNamespace(check_zone_of=lambda target: None))
+    holder = cast(Any, SimpleNamespace(suspend=lambda: None))
+    SuspicionSharing(OWN_ZONE, cast(Any, None), planner, holder, prober, context.reach)
+    return planner
+
+
+@when("it plans, and a target {fails}")
+def plan(context: Context, fails: str) -> None:
+    planner = build_planner(context)
+    target = next(iter(context.fleet_view.targets.values()))
+    with patch.object(planner_module, "fetch_report", lambda *arguments: None):
+        match fails:
+            case "returns no report before an order":
+                order = LayerAssignment(target.id, target.layers)
+                planner._send_order(target, order, planner._term)
+            case "that others suspect is silent":
+                planner.handle_suspicion(target)
+                eventually(lambda: not planner._probing, KNOWN_WITHIN_S)
+
+
+@when("a request's connect hangs")
+def hang(context: Context) -> None:
+    reach = context.reach
+    request = ModelPlainRequest(cast(Any, None), 0.0)
+    notice = reach.failure_notice(SERVICE.name)
+    address = Address("10.0.0.1", 80)
+    exchange = Exchange(cast(Any, request), address, cast(Any, {}), notice)
+
+    def hang_and_fail(*arguments: object, **options: object) -> None:
+        gevent.sleep(CONNECT_SETTINGS.connect_timeout_s)
+        context.was_known = reach.is_out_of_reach(SERVICE.name)
+        raise ConnectFailed("no answer")
+
+    with patch.object(exchange._client, "request", hang_and_fail):
+        try:
+            exchange.send_request(REQUEST_S)
+        except ExchangeFailed as error:
+            assert error.failure is ExchangeFailure.NO_CONNECTION
+
+
+@then("the router knows that it reaches none before the connect has failed")
+def check_known_early(context: Context) -> None:
+    assert context.was_known
+
+
 @given("a router that reaches {reached:d} of {targets:d} targets of a plain service")
 def set_part(context: Context, reached: int, targets: int) -> None:
     context.part = (targets, reached)
--- a/tests/support/partly_cut_router.py
+++ b/tests/support/partly_cut_router.py
@@ -167,12 +167,20 @@
     digest: str = "d"
     sends: int = 0
     has_caller_disconnected: bool = False
+    method: str = "GET"
+    target: str = "/"
+    body: bytes = b""
+    abort_callbacks: set[Any] = field(default_factory=set)
     attempts_max: int = 2
     service: Any = SERVICE
     route: Any = field(
         default_factory=lambda: SimpleNamespace(is_retryable=True, latency_slo_s=0.2)
     )
 
+    def record_send(self) -> None:
+        """Count a send."""
+        self.sends += 1
+
     @property
     def remaining_s(self) -> float:
         """Return the time until the deadline, in seconds."""
