Take no retry for a stream that has reached no target yet

Cause: each send after the first took a retry, also where the connect before had failed. The budget is for arrivals beyond the first; plain requests counted these, and streams did where they went on over another router, streams to targets counted sends. Change: a retry is taken only where a target may have received the request.

--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -159,8 +159,7 @@
             path = self.paths.choose()
             if path is None and not self._may_use_peer():
                 raise self._no_path_error()
-        is_repeat = request.sends if path is not None else self._has_arrived
-        if is_repeat and not self._take_retry():
+        if self._has_arrived and not self._take_retry():
             raise self._error("the budget for repeats is used up")
         return path
 
--- a/tests/edge/target_reach.feature
+++ b/tests/edge/target_reach.feature
@@ -66,3 +66,19 @@
       | 98      | 10      |
       | 98      | 49      |
       | 98      | 88      |
+
+  # Guards against streams refused for want of retries, all used up by connects that reached no target.
+  Scenario Outline: Streams of a router that reaches <reached> of <targets> targets begin, however few retries are left
+    Given a router that reaches <reached> of <targets> targets of a pipeline, and has 3 retries in 10 seconds
+    When it is sent 0.2, 1 and 5 streams a second
+    Then it serves 19 in 20 of them, or another router does
+
+    Examples:
+      | targets | reached |
+      | 4       | 1       |
+      | 20      | 1       |
+      | 20      | 5       |
+      | 20      | 10      |
+      | 98      | 10      |
+      | 98      | 49      |
+      | 98      | 88      |
--- a/tests/steps/target_reach_steps.py
+++ b/tests/steps/target_reach_steps.py
@@ -1,6 +1,7 @@
 """Steps for a router that reaches some targets, of some zones or of each."""
 
 import random
+from collections.abc import Callable
 from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any, cast
@@ -36,8 +37,10 @@
     PartCase,
     PartlyCutRouter,
 )
+from tests.support.partly_cut_streams import PartlyCutStreams
 
 SEEDS = range(6)
+RATES_PER_S = (0.2, 1.0, 5.0)
 OWN_ZONE = ZoneName("zone-0")
 DRAIN_S = 3.0
 KNOWN_WITHIN_S = 2.0
@@ -171,17 +174,39 @@
     context.part = (targets, reached)
 
 
-@when("it is sent 0.2, 1 and 5 requests a second, whose callers wait 1.2 seconds")
-def play_part(context: Context) -> None:
+@given(
+    "a router that reaches {reached:d} of {targets:d} targets of a pipeline, and has "
+    "{retries:d} retries in 10 seconds"
+)
+def set_stream_part(context: Context, reached: int, targets: int, retries: int) -> None:
+    context.part = (targets, reached)
+    context.retries = retries
+
+
+def play_rates(
+    context: Context, build: Callable[[PartCase, random.Random], PartlyCutRouter]
+) -> None:
+    """Play the case at several rates, and keep the share that was served in each."""
     context.shares = {}
-    for requests_per_s in (0.2, 1.0, 5.0):
+    for requests_per_s in RATES_PER_S:
         for seed in SEEDS:
             case = PartCase(*context.part, requests_per_s)
-            router = PartlyCutRouter(case, random.Random(seed))
+            router = build(case, random.Random(seed))
             router.play()
             context.shares[requests_per_s, seed] = router.served_share
 
 
+@when("it is sent 0.2, 1 and 5 requests a second, whose callers wait 1.2 seconds")
+def play_part(context: Context) -> None:
+    play_rates(context, PartlyCutRouter)
+
+
+@when("it is sent 0.2, 1 and 5 streams a second")
+def play_streams(context: Context) -> None:
+    retries = context.retries
+    play_rates(context, lambda case, rng: PartlyCutStreams(case, rng, retries=retries))
+
+
 @then("it serves {served:d} in {of:d} of them, or another router does")
 def check_part(context: Context, served: int, of: int) -> None:
     assert min(context.shares.values()) >= served / of, context.shares
--- a/tests/support/partly_cut_router.py
+++ b/tests/support/partly_cut_router.py
@@ -117,15 +117,15 @@
         return self.served / self.asked
 
 
-def _ignore(*arguments: object) -> None:
+def ignore(*arguments: object) -> None:
     """Do nothing."""
 
 
 GUARD = SimpleNamespace(
-    check=_ignore,
-    record_failure=_ignore,
-    record_answer=_ignore,
-    await_verdict=_ignore,
+    check=ignore,
+    record_failure=ignore,
+    record_answer=ignore,
+    await_verdict=ignore,
     is_given_up=lambda request: False,
 )
 
