Play registrations on a simulated clock

What it waited for then was not traced; nothing in what the scenario is about depends on the machine. The routers' tasks, waits and news now run on a simulated clock (tests/support/simulated_tasks, which events and later starts are added to), three drawn fleets a case instead of one.

--- a/tests/edge/registry.feature
+++ b/tests/edge/registry.feature
@@ -26,7 +26,9 @@
   # entries for lost, and registered twice.
   Scenario Outline: Each of <count> routers that read the store as they start registers once
     Given <count> routers that start and read the store
-    Then each has registered once, and all know each other
+    When some read it before they are registered, and some after
+    Then all are registered, and know each other
+    And each has registered once
 
     Examples:
       | count |
--- a/tests/support/registered_fleet.py
+++ b/tests/support/registered_fleet.py
@@ -1,16 +1,18 @@
 """Routers that register in a store that all share, and hear of each other later.
 
-Calls and news are method calls, without a network. The clock is real.
+Calls and news are method calls, without a network, on a simulated clock.
 """
 
+import heapq
+import itertools
 import random
-import time
 from collections.abc import Callable
+from contextlib import ExitStack
 from types import SimpleNamespace
+from typing import Any, cast
 from unittest import mock
 
-import gevent
-
+from chervilstall.edge import missing, registry, standby
 from chervilstall.edge.limits.budget import USED_SHARE, FleetRetryBudget
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.registry import RouterRegistry
@@ -21,7 +23,9 @@
 from chervilstall.platform.kv import Entry, Lease, LeaseEnded
 from chervilstall.settings.leases import LeaseSettings
 from chervilstall.store.contract import StoreFailed
+from tests.support.clock import Clock
 from tests.support.platform import BOUNDS
+from tests.support.simulated_tasks import SimulatedEvent, SimulatedTasks
 
 ZONES = [ZoneName(name) for name in ("one", "two", "three")]
 ANSWER_S = 0.004
@@ -38,7 +42,8 @@
     While it `is_away`, each call fails.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, tasks: SimulatedTasks) -> None:
+        self.tasks = tasks
         self.is_away = False
         self.revision = 0
         self.opened_leases = 0
@@ -88,7 +93,7 @@
         self.on_change(Entry(key, None, self.revision))
 
     def _call(self) -> None:
-        gevent.sleep(ANSWER_S)
+        self.tasks.sleep(ANSWER_S)
         if self.is_away:
             raise StoreFailed("the store is away")
 
@@ -96,25 +101,50 @@
 class RegisteredRouter:
     """A router's registry, and the news that are on their way to it."""
 
-    def __init__(self, number: int, store: LeaseModel, rng: random.Random) -> None:
+    def __init__(
+        self, number: int, store: LeaseModel, rng: random.Random, clock: Clock
+    ) -> None:
         vm, zone = VmId(f"vm-{number}"), ZONES[number % len(ZONES)]
         self.store = store
+        self.tasks = store.tasks
         self.rng = rng
+        self.clock = clock
+        self.has_ended = False
         self.budget = FleetRetryBudget(BOUNDS, 2100)
         lease = LeaseHolder(mock.Mock(), "planner", vm, LeaseSettings())
         self.registry = RouterRegistry(
             vm,
             zone,
-            store,  # type: ignore[arg-type]
+            cast(Any, self),
             FleetView(BOUNDS.drain_s),
             self.budget,
             mock.Mock(),
-            SimpleNamespace(lease=lease),  # type: ignore[arg-type]
+            cast(Any, SimpleNamespace(lease=lease)),
             TargetRateLimiter(vm, zone),
         )
-        self.tasks = [gevent.spawn(self.registry.run)]
+        self.registry._wake_requested = cast(Any, SimulatedEvent(self.tasks))
+        self.tasks.spawn(self.registry.run)
         self._due_s = 0.0
 
+    def open_lease(self, ttl_s: float) -> Lease:
+        """Create a lease, unless this router has ended."""
+        self._call()
+        return self.store.open_lease(ttl_s)
+
+    def renew_lease(self, lease: Lease) -> None:
+        """Renew a lease, unless this router has ended."""
+        self._call()
+        self.store.renew_lease(lease)
+
+    def write_all(self, values: dict[str, bytes], lease: int) -> int:
+        """Write entries, unless this router has ended."""
+        self._call()
+        return self.store.write_all(values, lease)
+
+    def _call(self) -> None:
+        if self.has_ended:
+            self.tasks.pause()
+
     @property
     def share(self) -> float:
         """Return the part of the fleet's extra retries that this router uses."""
@@ -122,16 +152,16 @@
 
     def hear(self, entry: Entry) -> None:
         """Apply a change later, after those that are on their way already."""
-        now_s = time.monotonic()
+        now_s = self.clock.now_s
         self._due_s = max(self._due_s, now_s + self.rng.uniform(0.0, NEWS_MAX_S))
         delay_s = self._due_s - now_s
-        gevent.spawn_later(delay_s, self.registry.handle_entry, entry)
+        self.tasks.run_in(delay_s, lambda: self.registry.handle_entry(entry))
 
     def read_all(self) -> None:
         """Read the whole store, as it is before its answer comes."""
         entries = [entry for entry, _ in self.store.entries.values()]
         keys, revision = tuple(self.store.entries), self.store.revision
-        gevent.sleep(ANSWER_S)
+        self.tasks.sleep(ANSWER_S)
         for entry in entries:
             self.registry.handle_entry(entry)
         self.registry.handle_full_read(FullRead(keys, revision))
@@ -140,24 +170,58 @@
 class RegisteredFleet:
     """All routers; `share_max` is the most that their shares ever added up to."""
 
-    def __init__(self, count: int) -> None:
-        rng = random.Random(count)
-        self.store = LeaseModel()
+    def __init__(self, count: int, seed: int) -> None:
+        rng = random.Random(seed)
+        random.seed(rng.random())
+        self._events: list[tuple[float, int, Callable[[], object]]] = []
+        self._sequence = itertools.count()
+        self.clock = Clock()
+        self.tasks = SimulatedTasks(self._run_in)
+        self._patches = ExitStack()
+        for module in (missing, registry, standby):
+            self._patches.enter_context(mock.patch.object(module, "gevent", self.tasks))
+        self.store = LeaseModel(self.tasks)
         self.routers = [
-            RegisteredRouter(number, self.store, rng) for number in range(count)
+            RegisteredRouter(number, self.store, rng, self.clock)
+            for number in range(count)
         ]
         self.store.on_change = self._tell
         self.are_told = True
         self.share_max = 0.0
 
+    def _run_in(self, delay_s: float, action: Callable[[], object]) -> None:
+        event = (self.clock.now_s + delay_s, next(self._sequence), action)
+        heapq.heappush(self._events, event)
+
+    def run_for(self, time_s: float) -> None:
+        """Let time pass."""
+        until_s = self.clock.now_s + time_s
+        while self._events and self._events[0][0] <= until_s:
+            self.clock.now_s, _, action = heapq.heappop(self._events)
+            action()
+        self.clock.now_s = until_s
+
     def _tell(self, entry: Entry) -> None:
         if not self.are_told:
             return
         for router in self.routers:
             router.hear(entry)
 
+    @property
+    def known_counts(self) -> set[int]:
+        """Return the numbers of routers that routers know of."""
+        return {router.budget.router_count for router in self.routers}
+
+    def end_third(self) -> None:
+        """Let a third of the routers end, and their leases with them."""
+        gone = self.routers[::3]
+        self.routers = [each for each in self.routers if each not in gone]
+        for router in gone:
+            router.has_ended = True
+            self.store.end_lease_of(router.registry.key)
+
     def lose_leases(self, away_s: float, is_read: bool) -> None:
-        """End all leases while the store is away.
+        """End all leases while the store is away, and watch the shares.
 
         With `is_read` each router then reads the store as a whole at a drawn moment;
         otherwise it hears of each change.
@@ -165,28 +229,28 @@
         self.store.is_away = True
         self.are_told = not is_read
         self.store.end_leases()
-        gevent.sleep(away_s)
+        self.watch_shares(away_s)
         self.are_told = True
         self.store.is_away = False
         if is_read:
             for router in self.routers:
-                gevent.spawn_later(router.rng.uniform(0.0, 0.5), router.read_all)
+                self.tasks.spawn_later(router.rng.uniform(0.0, 0.5), router.read_all)
 
     def read_as_they_start(self) -> None:
         """Let each router read the store at a drawn moment around its registration."""
         for router in self.routers:
             delay_s = router.rng.uniform(0.0, START_READ_MAX_S)
-            gevent.spawn_later(delay_s, router.read_all)
+            self.tasks.spawn_later(delay_s, router.read_all)
 
     def watch_shares(self, for_s: float) -> None:
-        """Note the sum of all shares for some time."""
-        until_s = time.monotonic() + for_s
-        while time.monotonic() < until_s:
+        """Let time pass, and note the sum of all shares."""
+        until_s = self.clock.now_s + for_s
+        while self.clock.now_s < until_s:
             total = sum(router.share for router in self.routers)
             self.share_max = max(self.share_max, total)
-            gevent.sleep(SAMPLE_INTERVAL_S)
+            self.run_for(SAMPLE_INTERVAL_S)
 
     def stop(self) -> None:
-        """Stop all tasks."""
-        for router in self.routers:
-            gevent.killall(router.tasks)
+        """Go back to the real clock and the real tasks."""
+        self._patches.close()
+        self.clock.stop()
