--- a/tests/support/partly_cut_streams.py
+++ b/tests/support/partly_cut_streams.py
@@ -1,4 +1,8 @@
-"""The same model for streams, whose router has few retries left."""
+"""A model of streams at a router that has lost its links to some targets.
+
+It is that of `partly_cut_router`, with the product's relay of streams, its choice of
+paths and a budget with few retries left.
+"""
 
 import time
 from dataclasses import dataclass, field
