--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -304,6 +304,8 @@
         self.all_layers = options.get("all_layers", 8)
         self.loading_until_s = 0.0
         self.has_crashed = False
+        self.is_gone = False
+        self.state = "ready"
         self.overfull_orders = []
         self.born = int(time.time() * 1e3)
         self.is_leaving = False
@@ -346,9 +348,21 @@
         return json.dumps(entry).encode()
 
     def register(self, state="ready"):
+        self.state = state
         self.store.put(f"servers/{self.name}", self.entry(state))
         self.record.line(f"entry {self.name} {state}")
 
+    def start_pings(self, period_s):
+        """Write the entry again and again, as long as this server is there."""
+        def ping():
+            while not self.has_crashed:
+                time.sleep(period_s)
+                with self.store.lock:
+                    key = f"servers/{self.name}"
+                    if not self.store.is_down and not self.is_gone:
+                        self.store._put(key, self.entry(self.state))
+        threading.Thread(target=ping, daemon=True).start()
+
     def unregister(self):
         self.store.remove(f"servers/{self.name}")
         self.record.line(f"entry {self.name} removed")
@@ -685,3 +699,135 @@
     record.line(f"exit {code}")
     sys.stdout.flush()
     os._exit(code)
+
+
+class Link:
+    """A TCP proxy from one machine to one server, which can be cut."""
+
+    def __init__(self, target_port):
+        self.target_port = target_port
+        self.mode = "pass"
+        self._pairs = set()
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((HOST, 0))
+        self.port = self._listener.getsockname()[1]
+        self._listener.listen(128)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def cut(self, mode):
+        """Cut the link: `hang` (silent), `reset`, or `refuse` (open channels live on)."""
+        self.mode = mode
+        if mode == "reset":
+            for pair in list(self._pairs):
+                for each in pair:
+                    _reset(each)
+
+    def heal(self):
+        """Let new channels through; what hung in the cut is lost."""
+        was, self.mode = self.mode, "pass"
+        if was == "hang":
+            for pair in list(self._pairs):
+                for each in pair:
+                    _reset(each)
+
+    def _accept(self):
+        while True:
+            near, _ = self._listener.accept()
+            if self.mode in ("reset", "refuse"):
+                _reset(near)
+                continue
+            threading.Thread(target=self._serve, args=(near,), daemon=True).start()
+
+    def _serve(self, near):
+        while self.mode == "hang":
+            time.sleep(0.02)
+        try:
+            far = socket.create_connection((HOST, self.target_port), timeout=2)
+        except OSError:
+            _reset(near)
+            return
+        far.settimeout(None)
+        for each in (near, far):
+            each.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        pair = (near, far)
+        self._pairs.add(pair)
+        back = threading.Thread(target=self._copy, args=(far, near), daemon=True)
+        back.start()
+        self._copy(near, far)
+        back.join()
+        self._pairs.discard(pair)
+        near.close()
+        far.close()
+
+    def _copy(self, source, sink):
+        try:
+            while True:
+                data = source.recv(65536)
+                while self.mode == "hang":
+                    time.sleep(0.02)
+                if not data:
+                    sink.shutdown(socket.SHUT_WR)
+                    return
+                sink.sendall(data)
+        except OSError:
+            # A reset on one side is a reset on the other.
+            _reset(sink)
+
+
+def _reset(sock):
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        os.close(sock.detach())
+    except OSError:
+        return
+
+
+class StoreView:
+    """The store as one machine sees it: servers' addresses are those of its links."""
+
+    def __init__(self, store):
+        self.store = store
+        self.links = {}
+        self._server = start_server(self)
+
+    @property
+    def address(self):
+        return f"{HOST}:{self._server.server_port}"
+
+    def add_link(self, server):
+        self.links[server.address] = Link(server.port)
+
+    def cut(self, mode):
+        for link in self.links.values():
+            link.cut(mode)
+
+    def heal(self):
+        for link in self.links.values():
+            link.heal()
+
+    def serve(self, call):
+        self.store.serve(Rewritten(call, self._rewrite))
+
+    def _rewrite(self, answer):
+        for item in [answer, *answer.get("items", ()), *answer.get("events", ())]:
+            if item.get("key", "").startswith("servers/") and item.get("value"):
+                text = base64.b64decode(item["value"]).decode()
+                for address, link in self.links.items():
+                    text = text.replace(address, f"{HOST}:{link.port}")
+                item["value"] = base64.b64encode(text.encode()).decode()
+        return answer
+
+
+class Rewritten:
+    """A call whose answer is changed on its way."""
+
+    def __init__(self, call, rewrite):
+        self._call, self._rewrite = call, rewrite
+        self.path = call.path
+        self.read_body = call.read_body
+
+    def reply(self, status, body=b"", headers=()):
+        if isinstance(body, dict):
+            body = self._rewrite(copy.deepcopy(body))
+        self._call.reply(status, body, headers)
