--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -352,6 +352,17 @@
         self.store.put(f"servers/{self.name}", self.entry(state))
         self.record.line(f"entry {self.name} {state}")
 
+    def start_again(self, after_s):
+        """Start again at the same address and under the same id, empty."""
+        time.sleep(after_s)
+        self.layers = None
+        self.orders = 0
+        self.loading_until_s = 0.0
+        self.born = int(time.time() * 1e3)
+        self._http = start_server(self, port=self.port)
+        self.has_crashed = False
+        self.register()
+
     def start_pings(self, period_s):
         """Write the entry again and again, as long as this server is there."""
         def ping():
@@ -831,3 +842,146 @@
         if isinstance(body, dict):
             body = self._rewrite(copy.deepcopy(body))
         self._call.reply(status, body, headers)
+
+
+class PipelineServer(Server):
+    """A model server that passes requests on along the path in `Hop-Count`.
+
+    `fleet` maps addresses to servers. A request with one of `bad_parts` crashes the
+    server that begins to write the answer, the last one of the path; with
+    `crashes_first` it crashes the first one. It is back after `restart_s`.
+    """
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.fleet = options["fleet"]
+        self.bad_parts = options["bad_parts"]
+        self.crashes_first = options.get("crashes_first", False)
+        self.restart_s = options.get("restart_s", 3.0)
+        self.stall_s = options.get("stall_s", 2.5)
+        self.paths = {}
+        self.stalled = {}
+        self.crashed_at_s = []
+        self.fleet[self.address] = self
+
+    def _report(self):
+        stalled = [{"id": i, "address": a} for i, a in list(self.stalled.items())]
+        return {**super()._report(), "stalled": stalled}
+
+    def _order(self, call, order, leaving):
+        if order["op"] != "repath":
+            return super()._order(call, order, leaving)
+        if order["id"] not in self.paths:
+            return call.reply(404, {}, leaving)
+        stages = _parse_path(order["path"])
+        for address, first, end in stages:
+            if not self._holds(address, first, end):
+                return call.reply(409, {"address": address}, leaving)
+        self.record.line(f"repath {order['id']} {order['path']}")
+        self.paths[order["id"]] = stages
+        return call.reply(200, {}, leaving)
+
+    def _holds(self, address, first, end):
+        server = self.fleet.get(address)
+        if server is None or server.has_crashed or server.layers is None:
+            return False
+        return server.layers[0] <= first and end <= server.layers[1]
+
+    def _is_alive(self, address):
+        server = self.fleet.get(address)
+        return server is not None and not server.has_crashed
+
+    def _stream(self, call, head):
+        attempt = call.headers["Attempt-Id"]
+        stages = _parse_path(call.headers["Hop-Count"])
+        for address, first, end in stages:
+            if self._is_alive(address) and not self._holds(address, first, end):
+                extra = [("Not-Executed", "1"), ("At-Server", address)]
+                return call.reply(421, b"", [head[0], *extra])
+        self.paths[attempt] = stages
+        try:
+            return self._run_path(call, head, attempt)
+        except OSError:
+            call.close_connection = True
+            return None
+        finally:
+            self.paths.pop(attempt, None)
+            self.stalled.pop(attempt, None)
+
+    def _run_path(self, call, head, attempt):
+        time.sleep(0.03)
+        parts = call.headers.get("Prefix-Hash", "").split(",")[:-1]
+        is_bad = any(part.partition(":")[0] in self.bad_parts for part in parts)
+        count = int(call.headers["Token-Count"].split(",")[1])
+        number = int(call.headers.get("Last-Event-Id", 0))
+        has_begun = False
+        while number < count:
+            time.sleep(self.event_s)
+            if not self._wait_for_path(call, attempt):
+                if has_begun:
+                    call.close_connection = True
+                    _reset(call.connection)
+                    raise ConnectionResetError
+                dead = self.stalled.get(attempt, self.address)
+                extra = [("Not-Executed", "1"), ("At-Server", dead)]
+                return call.reply(503, b"", [head[0], *extra])
+            stages = self.paths[attempt]
+            if is_bad:
+                victim = self if self.crashes_first else self.fleet[stages[-1][0]]
+                if not victim.has_crashed:
+                    victim.crashed_at_s.append(now_s())
+                    victim.record.line(f"{attempt} crashes {victim.name}")
+                    victim.crash()
+                    threading.Thread(
+                        target=victim.start_again, args=(self.restart_s,), daemon=True
+                    ).start()
+                if victim is self:
+                    raise ConnectionResetError
+                continue
+            if not has_begun:
+                has_begun = True
+                call.send_response_only(200)
+                for name, value in [*head, ("Content-Type", "text/event-stream")]:
+                    call.send_header(name, value)
+                call.send_header("Transfer-Encoding", "chunked")
+                call.end_headers()
+            number += 1
+            event = f"id: {number}\ndata: {self.name}\n\n".encode()
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            call.wfile.flush()
+        call.wfile.write(b"0\r\n\r\n")
+        call.wfile.flush()
+        return None
+
+    def _wait_for_path(self, call, attempt):
+        """Stall while a server of the path is dead; return whether it goes on."""
+        until_s = time.monotonic() + self.stall_s
+        while True:
+            dead = [a for a, f, e in self.paths[attempt] if not self._holds(a, f, e)]
+            if not dead:
+                self.stalled.pop(attempt, None)
+                return True
+            if self.has_crashed or time.monotonic() > until_s:
+                return False
+            if _has_closed(call.connection):
+                raise ConnectionResetError
+            self.stalled[attempt] = dead[0]
+            time.sleep(0.02)
+
+
+def _has_closed(sock):
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def _parse_path(text):
+    stages = []
+    for part in text.split(","):
+        address, _, layers = part.partition("=")
+        first, _, end = layers.partition("-")
+        stages.append((address, int(first), int(end)))
+    return stages
