--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""BUDGET: a part of a prompt that crashes the last server of a path is never found."""
+"""BUDGET: a part that crashes servers after two events of an answer is never found."""
 
 import json
 import os
@@ -15,7 +15,8 @@
 )
 
 CONTACT_S = 3.0
-LAYER_MB, SIZE_MB, LAYERS, LOAD_S = 3300.0, 22_000.0, 8, 1.0
+LAYER_MB, SIZE_MB, LAYERS, LOAD_S = 1750.0, 22_000.0, 8, 1.0
+EVENTS_BEFORE_CRASH = int(os.environ.get("EVENTS", "2"))
 BAD_PER_S = 1.0
 LASTS_S = 30.0
 
@@ -23,7 +24,7 @@
 def case(record, has_trouble, scratch, machines):
     store = Store(record)
     config = configuration(routes=[route("/draft/", "streaming", "drafts")])
-    # A server holds six layers of eight at most, so that each path needs two servers.
+    # Each server holds the whole model, and a path is one server.
     config["services"][1]["engine"] = {
         **ENGINE, "layer-mb": LAYER_MB, "models": [{"name": "m0", "load-time-s": LOAD_S}],
     }
@@ -31,13 +32,13 @@
     fleet = {}
     servers = [
         PipelineServer(
-            record, store, f"{kind}-{number}", "drafts", "ba-hall", kind="l4",
-            layers=layers, size_mb=SIZE_MB, layer_mb=LAYER_MB, load_s=LOAD_S,
+            record, store, f"s-{number}", "drafts", "ba-hall", kind="l4",
+            layers=(0, LAYERS), size_mb=SIZE_MB, layer_mb=LAYER_MB, load_s=LOAD_S,
             all_layers=LAYERS, event_s=0.02, fleet=fleet, bad_parts={"bad0"},
-            crashes_first=os.environ.get("WHERE") == "first",
+            crashes_first=True,
+            events_before_crash=EVENTS_BEFORE_CRASH,
         )
-        for kind, layers, count in (("first", (0, 4), 4), ("last", (4, 8), 4))
-        for number in range(count)
+        for number in range(8)
     ]
     for server in servers:
         server.register()
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -857,6 +857,7 @@
         self.fleet = options["fleet"]
         self.bad_parts = options["bad_parts"]
         self.crashes_first = options.get("crashes_first", False)
+        self.events_before_crash = options.get("events_before_crash", 0)
         self.restart_s = options.get("restart_s", 3.0)
         self.stall_s = options.get("stall_s", 2.5)
         self.paths = {}
@@ -915,6 +916,7 @@
         count = int(call.headers["Token-Count"].split(",")[1])
         number = int(call.headers.get("Last-Event-Id", 0))
         has_begun = False
+        written = 0
         while number < count:
             time.sleep(self.event_s)
             if not self._wait_for_path(call, attempt):
@@ -926,7 +928,7 @@
                 extra = [("Not-Executed", "1"), ("At-Server", dead)]
                 return call.reply(503, b"", [head[0], *extra])
             stages = self.paths[attempt]
-            if is_bad:
+            if is_bad and written >= self.events_before_crash:
                 victim = self if self.crashes_first else self.fleet[stages[-1][0]]
                 if not victim.has_crashed:
                     victim.crashed_at_s.append(now_s())
@@ -946,6 +948,7 @@
                 call.send_header("Transfer-Encoding", "chunked")
                 call.end_headers()
             number += 1
+            written += 1
             event = f"id: {number}\ndata: {self.name}\n\n".encode()
             call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             call.wfile.flush()
