--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """DRAIN: a server that was cut off from the store leaves, and is used again after."""
 
 import json
+import os
 import sys
 import time
 from pathlib import Path
@@ -14,7 +15,7 @@
 
 DRAIN_S = 2.0
 PING_S = 1.2
-CUT_S = 6.0
+CUT_S = 5.0
 
 
 def case(record, has_trouble, scratch, machines):
@@ -27,7 +28,10 @@
     leaving = Server(record, store, "s-leaves", "drafts", "ba-hall", layers=(0, 4), **options)
     other = Server(record, store, "s-other", "drafts", "za-hall", layers=(0, 4), **options)
     second = Server(record, store, "s-second", "drafts", "ba-hall", layers=(4, 8), **options)
-    for server in (leaving, other, second):
+    plain = [
+        Server(record, store, f"l-{number}", "lookups", "za-hall") for number in range(2)
+    ]
+    for server in (leaving, other, second, *plain):
         server.register()
     machine = Machine(1, "ba-hall", store.address, scratch, ["ba-hall", "za-hall"])
     machines.append(machine)
@@ -72,4 +76,7 @@
     ]
 
 
-run_case(Path(__file__).parent, case)
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""With TROUBLE=0 in the environment the case runs without the disruption."""
+
+run_case(Path(__file__).parent, case, HAS_TROUBLE)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -484,7 +484,8 @@
 
     def __init__(self, number, zone, store_address, folder, zones):
         self.name = f"edge-{zone}-{number}"
-        self.host = f"127.0.{os.getpid() % 200 + 20}.{number}"
+        pid = os.getpid()
+        self.host = f"127.{pid // 250 % 250 + 1}.{pid % 250 + 1}.{number}"
         self.frontend = free_port(self.host)
         self.ready = free_port(self.host)
         first = free_port(self.host)
@@ -683,10 +684,13 @@
     }
 
 
-def run_case(folder, case):
-    """Run a case in a temporary folder; exit with 0, 1 or 2 as the rule held."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+def run_case(folder, case, has_trouble):
+    """Run a case in a temporary folder; exit with 0, 1 or 2 as the rule held.
+
+    Without `has_trouble` the case does the same without the disruption.
+    """
     record = Record(Path(folder) / "record.txt")
+    record.line("with the disruption" if has_trouble else "without the disruption")
     machines = []
     with tempfile.TemporaryDirectory() as scratch:
         try:
