Read options of chervilstall-edge from an INI file, and say when routes are ranked

Admission by room, the load exchange and limits on memory get a section each. 'auto' follows the configuration: a feature is in force while the streams of a pipeline service have two or more priorities. Without the file all options have their defaults, so deployments without ranked streams are served as before.

--- a/src/chervilstall/commands/edge.py
+++ b/src/chervilstall/commands/edge.py
@@ -27,11 +27,13 @@
 from chervilstall.commands.listening import bind_listener
 from chervilstall.platform.protocol import NODE_FILE_VARIABLE
 from chervilstall.platform.node import read_node
+from chervilstall.settings.edge import OPTIONS_VARIABLE, read_edge_settings
 
 
-def serve(path: Path) -> ExitCode:
+def serve(path: Path, options: Path | None) -> ExitCode:
     """Run the router until SIGTERM or SIGINT."""
     settings = read_node(path)
+    edge_settings = read_edge_settings(options)
     listener = bind_listener(settings.frontend_address)
 
     # Imported after binding, so that callers can already connect.
@@ -43,7 +45,7 @@
 
     writer.common_fields["vm"] = settings.vm
     gevent.spawn(writer.run)
-    server = EdgeServer(settings, path, listener=listener)
+    server = EdgeServer(settings, path, listener=listener, edge_settings=edge_settings)
     server.start()
     on_timed_stop_signals(server.drain_and_stop)
     on_reload_signal(server.reload)
@@ -52,9 +54,10 @@
     return ExitCode.DONE
 
 
-def check(path: Path) -> ExitCode:
+def check(path: Path, options: Path | None) -> ExitCode:
     """Check the settings and exit."""
     read_node(path)
+    read_edge_settings(options)
     print("The settings are valid.")
     return ExitCode.DONE
 
@@ -62,14 +65,17 @@
 def run() -> None:
     """Entry point."""
     path = Path(os.environ.get(NODE_FILE_VARIABLE, ""))
+    options_name = os.environ.get(OPTIONS_VARIABLE, "")
+    options = Path(options_name) if options_name else None
     action = serve
     if len(sys.argv) > 1:
         from chervilstall.commands.edge_options import parse_command
 
         command = parse_command()
         path = command.settings or path
+        options = command.options or options
         action = check if command.check else serve
-    run_and_exit(lambda: action(path))
+    run_and_exit(lambda: action(path, options))
 
 
 if __name__ == "__main__":
--- a/src/chervilstall/commands/edge_options.py
+++ b/src/chervilstall/commands/edge_options.py
@@ -12,6 +12,7 @@
 
 from chervilstall.commands.exits import EXIT_HELP
 from chervilstall.platform.protocol import NODE_FILE_VARIABLE
+from chervilstall.settings.edge import OPTIONS_VARIABLE
 
 
 @cappa.command(
@@ -28,6 +29,13 @@
         Path | None,
         cappa.Arg(help=f"Settings file; defaults to ${NODE_FILE_VARIABLE}."),
     ] = None
+    options: Annotated[
+        Path | None,
+        cappa.Arg(
+            long=True,
+            help=f"INI file of options; defaults to ${OPTIONS_VARIABLE}, if set.",
+        ),
+    ] = None
     check: Annotated[
         bool, cappa.Arg(long=True, help="Check the settings and exit.")
     ] = False
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -49,6 +49,7 @@
 from chervilstall.platform.leases import PlatformLeases
 from chervilstall.platform.watcher import StoreWatcher
 from chervilstall.quarantine.prompts import PromptQuarantine
+from chervilstall.settings.edge import EdgeSettings
 from chervilstall.settings.leases import LeaseSettings
 from chervilstall.settings.node import NodeSettings
 from chervilstall.settings.option import Address
@@ -85,8 +86,10 @@
         settings_path: Path,
         metrics_port: int = METRICS_PORT,
         listener: socket | None = None,
+        edge_settings: EdgeSettings = EdgeSettings(),
     ) -> None:
         self.settings = settings
+        self.edge_settings = edge_settings
         self.settings_file = SettingsFile(settings_path)
         self.fleet_view = FleetView(settings.bounds.drain_s)
         self.store = PlatformStore(settings.store)
--- a/src/chervilstall/fleet/records.py
+++ b/src/chervilstall/fleet/records.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 from chervilstall.ids import ServiceName, TargetId, WorkspaceName, ZoneName
 from chervilstall.settings.option import Address
@@ -192,6 +193,29 @@
             return route.priority
         return self.priorities.get(workspace, route.priority)
 
+    def ranks(self, service: ServiceName) -> bool:
+        """Return whether streams of a service have two or more priorities.
+
+        The priorities of workspaces count, as they override those of routes.
+        """
+        priorities = {
+            route.priority
+            for route in self.routes
+            if route.kind is RouteKind.STREAMING
+            and any(each.service == service for each in route.weighted_services)
+        }
+        if priorities:
+            priorities.update(self.priorities.values())
+        return len(priorities) > 1
+
+    @cached_property
+    def ranks_pipeline(self) -> bool:
+        """Return whether the requests of some pipeline service have priorities."""
+        return any(
+            service.pipeline is not None and self.ranks(service.name)
+            for service in self.services.values()
+        )
+
     def __post_init__(self) -> None:
         for route in self.routes:
             self._by_host.setdefault(route.host, []).append(route)
--- /dev/null
+++ b/src/chervilstall/settings/edge.py
@@ -0,0 +1,85 @@
+"""Settings of our own for the router on the platform, in an optional INI file."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from pathlib import Path
+
+from chervilstall.settings.option import option
+
+OPTIONS_VARIABLE = "CHERVILSTALL_EDGE_OPTIONS"
+"""Environment variable that names the file; without it every option has its default."""
+
+
+class FeatureMode(Enum):
+    """Whether a feature is in force.
+
+    `AUTO` follows the platform's configuration: the feature is in force while the
+    configuration ranks the routes of a pipeline service by priority.
+    """
+
+    AUTO = "auto"
+    ON = "on"
+    OFF = "off"
+
+    def is_in_force(self, is_ranked: bool) -> bool:
+        """Return whether the feature is in force.
+
+        `is_ranked` says whether the configuration ranks the routes of a pipeline.
+        """
+        match self:
+            case FeatureMode.AUTO:
+                return is_ranked
+            case FeatureMode.ON:
+                return True
+            case FeatureMode.OFF:
+                return False
+
+
+@dataclass(frozen=True)
+class AdmissionByRoomSettings:
+    """Section `admission`: admission to model services by free memory and priority."""
+
+    mode: FeatureMode = option(
+        "Whether requests to model services are admitted by room.", FeatureMode.AUTO
+    )
+
+
+@dataclass(frozen=True)
+class LoadExchangeSettings:
+    """Section `load_exchange`: what the routers of a zone tell each other."""
+
+    mode: FeatureMode = option(
+        "Whether routers tell each other the load they put on targets.",
+        FeatureMode.AUTO,
+    )
+
+
+@dataclass(frozen=True)
+class ProcessLimitSettings:
+    """Section `process`: memory and descriptors that callers may take up."""
+
+
+@dataclass(frozen=True)
+class EdgeSettings:
+    """All sections of the file."""
+
+    admission: AdmissionByRoomSettings = field(default_factory=AdmissionByRoomSettings)
+    load_exchange: LoadExchangeSettings = field(default_factory=LoadExchangeSettings)
+    process: ProcessLimitSettings = field(default_factory=ProcessLimitSettings)
+
+
+EDGE_SECTIONS: dict[str, type] = {
+    "admission": AdmissionByRoomSettings,
+    "load_exchange": LoadExchangeSettings,
+    "process": ProcessLimitSettings,
+}
+
+
+def read_edge_settings(path: Path | None) -> EdgeSettings:
+    """Read the file, or return the defaults without one. Raises InvalidSettings."""
+    if path is None:
+        return EdgeSettings()
+    # Imported here, as a start without the file should not pay for the INI parser.
+    from chervilstall.settings.ini import read_sections
+
+    return EdgeSettings(**read_sections(path.read_text(), path.name, EDGE_SECTIONS))
--- a/src/chervilstall/settings/reference.py
+++ b/src/chervilstall/settings/reference.py
@@ -6,6 +6,7 @@
 
 from chervilstall.settings.agents import AGENT_SECTIONS, PLANNER_SECTIONS
 from chervilstall.settings.documents import DOCUMENT_KINDS
+from chervilstall.settings.edge import EDGE_SECTIONS
 from chervilstall.settings.ini import option_specs
 from chervilstall.settings.option import describe_type
 from chervilstall.settings.processes import ROUTER_SECTIONS
@@ -78,6 +79,10 @@
     for name, (cls, readers) in sections.items():
         parts.append(f"### [{name}]\n\nRead by {', '.join(readers)}.")
         parts.append(section_table(cls))
+    parts.append("## Options file of chervilstall-edge")
+    for name, cls in EDGE_SECTIONS.items():
+        parts.append(f"### `chervilstall-edge`: section [{name}]")
+        parts.append(section_table(cls))
     parts.append("## Documents under paths")
     for kind in DOCUMENT_KINDS:
         parts.append(f"### `{kind.pattern}`: section [{kind.section}]")
