Spread the moves of streams away from draining targets

Streams whose path has a draining target all got another path within 25 ms, so their prompts queued at the few targets that hold the same layers, and callers saw pauses beyond their objective: in a planned replacement, 111 of 703 streams were late. Each router now draws the moment of each move between now and 0.8 of the drain bound; streams that are expected to end before stay where they are.

The pause of each move is now recorded by cause. In force where the streams of a service are ranked, or by an option.

--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -17,6 +17,7 @@
 from chervilstall.edge.crashes.sharing import QuarantineSharing
 from chervilstall.edge.draining import DrainSchedule
 from chervilstall.edge.endpoints import OperatorEndpoints, bad_request_response
+from chervilstall.edge.graceful_stop import GracefulStop
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.notices import TargetNotices
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
@@ -49,7 +50,7 @@
 from chervilstall.platform.leases import PlatformLeases
 from chervilstall.platform.watcher import StoreWatcher
 from chervilstall.quarantine.prompts import PromptQuarantine
-from chervilstall.settings.edge import EdgeSettings
+from chervilstall.settings.edge import EdgeSettings, FeatureMode
 from chervilstall.settings.leases import LeaseSettings
 from chervilstall.settings.node import NodeSettings
 from chervilstall.settings.option import Address
@@ -66,11 +67,6 @@
 METRICS_PORT = 9464
 HOUSEKEEPING_INTERVAL_S = 0.5
 PRUNE_INTERVAL_TURNS = 60
-LISTENER_CLOSE_LEAD_S = 0.6
-"""Time before the last answers at which new connections are no longer accepted."""
-
-LAST_ANSWERS_S = 0.15
-"""Shortest time for the final answers to requests that cannot end."""
 
 
 class EdgeServer:
@@ -214,8 +210,24 @@
             self.target_reach,
             peer_relay,
         )
+        rerouter = self.stream_monitor.rerouter
+        rerouter.record_pause = self.metrics.record_pause
+        rerouter.spreads_moves = lambda: self._is_in_force(
+            self.edge_settings.streams.spread_moves
+        )
         return EdgeApplication(
-            self.fleet_view, plain, streams, self.budget, self.metrics
+            self.fleet_view,
+            plain,
+            streams,
+            self.budget,
+            self.metrics,
+            stream_durations=rerouter.durations,
+        )
+
+    def _is_in_force(self, mode: FeatureMode) -> bool:
+        configuration = self.fleet_view.configuration
+        return mode.is_in_force(
+            configuration is not None and configuration.ranks_pipeline
         )
 
     def _build_suspicion_sharing(self) -> SuspicionSharing:
@@ -361,33 +373,9 @@
             after_s=schedule.elapsed_s,
         )
         self.planner_lease.stop()
-        self._sleep_until(schedule.streams_until_s)
-        log.info("streams refused from now on", after_s=schedule.elapsed_s)
-        self.caller_listener.close_idle()
-        self._wait_until_quiet(schedule.answers_until_s - LISTENER_CLOSE_LEAD_S)
-        self.caller_listener.stop_listening()
-        self._wait_until_quiet(schedule.answers_until_s)
-        self.app.answer_all()
-        # A loop that stood still may be past the end already.
-        end_s = max(schedule.end_s, time.monotonic() + LAST_ANSWERS_S)
-        self._wait_until_quiet(end_s)
-        self.app.log_unfinished()
-        log.info(
-            "stopped",
-            unfinished=self.app.running_requests,
-            after_s=schedule.elapsed_s,
-        )
+        GracefulStop(self.app, self.caller_listener).run(schedule)
         self.stop()
 
-    @staticmethod
-    def _sleep_until(moment_s: float) -> None:
-        gevent.sleep(max(0.0, moment_s - time.monotonic()))
-
-    def _wait_until_quiet(self, until_s: float) -> None:
-        self.caller_listener.wait_until_quiet(
-            lambda: self.app.running_requests, until_s
-        )
-
     def stop(self) -> None:
         """Kill all tasks and connections at once."""
         gevent.killall(self._tasks, block=False)
--- a/src/chervilstall/edge/streams/live_stream.py
+++ b/src/chervilstall/edge/streams/live_stream.py
@@ -1,6 +1,7 @@
 """State of one stream in progress, kept for the stream monitor."""
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from chervilstall.edge.exchange import Exchange
@@ -25,6 +26,7 @@
 
     `last_event_at_s` is a monotonic time; until the first event it is that of the send.
     `mean_gap_s` is a moving average of the time between events, 0 until there are two.
+    `on_next_event` is called once with the time of the next event, a monotonic one.
     """
 
     request: EdgeRequest
@@ -35,6 +37,7 @@
     events: int = 0
     mean_gap_s: float = 0.0
     is_rerouting: bool = False
+    on_next_event: Callable[[float], None] | None = None
 
     @property
     def has_event(self) -> bool:
@@ -59,6 +62,9 @@
             self.mean_gap_s += GAP_WEIGHT * (gap_s - self.mean_gap_s)
         self.last_event_at_s = now_s
         self.events += 1
+        if self.on_next_event is not None:
+            self.on_next_event(now_s)
+            self.on_next_event = None
 
     def passes_through(self, target: Target) -> bool:
         """Return whether a target is part of the stream's path."""
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -142,6 +142,7 @@
         if self._generation != self.fleet_view.generation:
             self._generation = self.fleet_view.generation
             self.rerouter.reroute_from_leaving()
+        self.rerouter.step(now_s)
         self.slow_detector.step(self.streams, now_s)
 
     def _should_end(self, stream: LiveStream, now_s: float) -> bool:
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -6,12 +6,21 @@
 
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
 
 import gevent
 
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
+from chervilstall.edge.request import EdgeRequest
+from chervilstall.edge.streams.durations import StreamDurations
 from chervilstall.edge.streams.live_stream import LiveStream
+from chervilstall.edge.streams.planned_moves import (
+    MOVE_SHARE,
+    MoveDecision,
+    MoveOutlook,
+    MoveSchedule,
+)
 from chervilstall.fleet.records import Target, TargetReadiness
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import RequestId
@@ -26,12 +35,22 @@
 """Wait for a new prefill from which other first targets are considered."""
 
 
+class PauseCause(Enum):
+    """Why a stream was given another path and paused."""
+
+    DRAIN = "drain"
+    FAULT = "fault"
+
+
 @dataclass
 class StreamRerouter:
     """Gives streams another path with the same first target.
 
     `streams` holds the open exchanges by request ID. `end_exchange` ends a stream's
     exchange, so that it is resumed over another path, and returns whether it did.
+    While `spreads_moves` returns true, streams leave draining targets one after the
+    other, and those that `durations` expects to end before stay. `record_pause` is
+    called with the pause of each stream that was given another path, in seconds.
     """
 
     fleet_view: FleetView
@@ -39,6 +58,13 @@
     rate_limiter: TargetRateLimiter
     streams: Mapping[RequestId, LiveStream]
     end_exchange: Callable[[LiveStream], bool]
+    durations: StreamDurations = field(default_factory=StreamDurations)
+    spreads_moves: Callable[[], bool] = lambda: False
+    record_pause: Callable[[EdgeRequest, PauseCause, float], None] = (
+        lambda request, cause, pause_s: None
+    )
+    schedule: MoveSchedule = field(default_factory=MoveSchedule)
+    _waiting: dict[RequestId, LiveStream] = field(default_factory=dict)
 
     def reroute_around(self, target: Target) -> None:
         """Reroute every stream whose path contains a target."""
@@ -55,9 +81,75 @@
         """
         for stream in list(self.streams.values()):
             for stage in stream.path.stages[1:]:
-                if self._has_to_leave(stage):
+                if not self._has_to_leave(stage):
+                    continue
+                if self.spreads_moves() and self._is_reachable(stage.target):
+                    self._waiting[stream.request.request_id] = stream
+                else:
                     self._start_reroute(stream, stage.target)
-                    break
+                break
+
+    def step(self, now_s: float) -> None:
+        """Move the streams whose time to leave a draining target has come."""
+        for request_id, stream in list(self._waiting.items()):
+            if self.streams.get(request_id) is not stream:
+                self._stop_waiting(request_id)
+                continue
+            if stream.is_rerouting or not self.schedule.is_due(request_id, now_s):
+                continue
+            leaving = next(filter(self._has_to_leave, stream.path.stages[1:]), None)
+            if leaving is None:
+                self._stop_waiting(request_id)
+                continue
+            outlook = self._outlook(stream, leaving.target, now_s)
+            if self.schedule.decide(request_id, outlook) is MoveDecision.MOVE:
+                self._stop_waiting(request_id)
+                self._start_reroute(stream, leaving.target)
+
+    def _stop_waiting(self, request_id: RequestId) -> None:
+        del self._waiting[request_id]
+        self.schedule.forget(request_id)
+
+    def _outlook(
+        self, stream: LiveStream, leaving: Target, now_s: float
+    ) -> MoveOutlook:
+        request = stream.request
+        left_s = MOVE_SHARE * self.fleet_view.drain_s
+        left_s -= self.fleet_view.draining_s(leaving)
+        duration_s = self.durations.expected_s(
+            request.service.name, request.fields.answer_tokens
+        )
+        return MoveOutlook(
+            now_s,
+            now_s + left_s,
+            request.arrived_at_s + duration_s if duration_s else None,
+            self._pause_s(stream, leaving),
+            request.route.gap_slo_s,
+        )
+
+    def _pause_s(self, stream: LiveStream, leaving: Target) -> float:
+        """Return the expected time between two events if a stream moved now."""
+        path = self._path_around(stream, leaving)
+        pipeline = stream.request.service.pipeline
+        if path is None or pipeline is None:
+            return 0.0
+        wait_s = self.chooser.prefill_wait_s(
+            pipeline, path, stream.request.prefill_tokens, stream.path
+        )
+        return stream.mean_gap_s + wait_s
+
+    def _path_around(self, stream: LiveStream, avoided: Target) -> Path | None:
+        """Return another path with the same first target, None if there is none."""
+        first = stream.path.first
+        if first.incarnation == avoided.incarnation:
+            return None
+        path_request = PathRequest(
+            stream.request.expected_tokens, frozenset({avoided.id}), first.id
+        )
+        return self.chooser.choose(stream.request.service, path_request)
+
+    def _is_reachable(self, target: Target) -> bool:
+        return target.zone not in self.fleet_view.unreachable_zones
 
     def _has_to_leave(self, stage: PathStage) -> bool:
         target = self.fleet_view.targets.get(stage.target.id)
@@ -66,7 +158,7 @@
             return False
         if target.state is TargetReadiness.DRAINING:
             return True
-        return target.zone in self.fleet_view.unreachable_zones
+        return not self._is_reachable(target)
 
     def _start_reroute(self, stream: LiveStream, avoided: Target) -> None:
         if not stream.is_rerouting:
@@ -80,16 +172,8 @@
             stream.is_rerouting = False
 
     def _reroute_once(self, stream: LiveStream, avoided: Target) -> None:
-        first = stream.path.first
         is_leaving = not self.fleet_view.is_suspected(avoided)
-        path = None
-        if first.incarnation != avoided.incarnation:
-            path_request = PathRequest(
-                stream.request.expected_tokens,
-                frozenset({avoided.id}),
-                first.id,
-            )
-            path = self.chooser.choose(stream.request.service, path_request)
+        path = self._path_around(stream, avoided)
         if path is None:
             if not is_leaving:
                 self.end_exchange(stream)
@@ -144,6 +228,17 @@
             self.chooser.load.remove(stream.path, request.expected_tokens)
             stream.path = path
             self.chooser.load.add(path, request.expected_tokens)
+            is_fault = self.fleet_view.is_suspected(avoided)
+            cause = PauseCause.FAULT if is_fault else PauseCause.DRAIN
+            self._measure_pause(stream, cause)
             stream.last_event_at_s = time.monotonic()
         elif self.fleet_view.is_suspected(avoided):
             self.end_exchange(stream)
+
+    def _measure_pause(self, stream: LiveStream, cause: PauseCause) -> None:
+        since_s = stream.last_event_at_s
+
+        def record(at_s: float) -> None:
+            self.record_pause(stream.request, cause, at_s - since_s)
+
+        stream.on_next_event = record
--- a/src/chervilstall/fleet/view.py
+++ b/src/chervilstall/fleet/view.py
@@ -375,7 +375,11 @@
             return False
         if target.state is TargetReadiness.READY:
             return False
-        return self._leaving.draining_s(target) < self.drain_s * DRAIN_USE_SHARE
+        return self.draining_s(target) < self.drain_s * DRAIN_USE_SHARE
+
+    def draining_s(self, target: Target) -> float:
+        """Return for how long a target may have been leaving; infinite if unknown."""
+        return self._leaving.draining_s(target)
 
     def find_by_address(self, address: str) -> Target | None:
         """Return the target at an address that started last, or None."""
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -59,6 +59,16 @@
     """Section `process`: memory and descriptors that callers may take up."""
 
 
+@dataclass(frozen=True)
+class StreamSettings:
+    """Section `streams`: streams in progress."""
+
+    spread_moves: FeatureMode = option(
+        "Whether streams leave a draining target one after the other.",
+        FeatureMode.AUTO,
+    )
+
+
 @dataclass(frozen=True)
 class EdgeSettings:
     """All sections of the file."""
@@ -66,12 +76,14 @@
     admission: AdmissionByRoomSettings = field(default_factory=AdmissionByRoomSettings)
     load_exchange: LoadExchangeSettings = field(default_factory=LoadExchangeSettings)
     process: ProcessLimitSettings = field(default_factory=ProcessLimitSettings)
+    streams: StreamSettings = field(default_factory=StreamSettings)
 
 
 EDGE_SECTIONS: dict[str, type] = {
     "admission": AdmissionByRoomSettings,
     "load_exchange": LoadExchangeSettings,
     "process": ProcessLimitSettings,
+    "streams": StreamSettings,
 }
 
 
--- a/src/chervilstall/telemetry/edge_metrics.py
+++ b/src/chervilstall/telemetry/edge_metrics.py
@@ -65,6 +65,12 @@
         """Record the time to the first event of a stream, in seconds."""
         self._record(("first_event", *request.labels), elapsed_s)
 
+    def record_pause(
+        self, request: MeasuredRequest, cause: Enum, pause_s: float
+    ) -> None:
+        """Record the pause of a stream that was given another path, in seconds."""
+        self._record((f"pause_{cause.value}", *request.labels), pause_s)
+
     def record_finished(
         self, request: MeasuredRequest, outcome: RequestOutcome, elapsed_s: float
     ) -> None:
