Connect to the stages of a silent stream, to find a crashed one at once

A stream whose middle stage crashes was found by the report of its first target, which lags by 0.2 s behind, after 0.12 s of silence: its pause was beyond what callers accept before the order for another path was sent. A refusal counts only while another stage accepts, since a router that has lost its links finds all of them refusing; all streams that use the crashed target are led around it. In force where the streams of a service are ranked, or by an option.

--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -215,6 +215,9 @@
         rerouter.spreads_moves = lambda: self._is_in_force(
             self.edge_settings.streams.spread_moves
         )
+        self.stream_monitor.stage_check.is_in_force = lambda: self._is_in_force(
+            self.edge_settings.streams.check_stages
+        )
         return EdgeApplication(
             self.fleet_view,
             plain,
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -19,6 +19,7 @@
 from chervilstall.edge.streams.live_stream import EVENT_SILENCE_LIMIT_S, LiveStream
 from chervilstall.edge.streams.rerouter import StreamRerouter
 from chervilstall.edge.streams.slow_targets import SlowTargetDetector
+from chervilstall.edge.streams.stage_check import StageCheck
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.suspicion import SuspicionKind
@@ -98,6 +99,7 @@
             self.streams,
             self._end_exchange,
         )
+        self.stage_check = StageCheck(self._handle_refused)
 
     def run(self) -> None:
         """Check all streams until the process ends; one task runs this."""
@@ -122,6 +124,7 @@
         ):
             retain_keys(state, present)
         self.slow_detector.prune(present)
+        self.stage_check.prune(present)
 
     def step(self) -> None:
         """Check all streams once."""
@@ -137,6 +140,7 @@
                 self._suspect_idle_first(stream)
                 if self._end_exchange(stream):
                     continue
+            self.stage_check.check(stream)
             self._query(stream.path.first, now_s)
             self.on_silence(stream.path.first)
         if self._generation != self.fleet_view.generation:
@@ -320,6 +324,11 @@
             self.fleet_view.suspect(target, reason, kind=SuspicionKind.STALLING)
             self.rerouter.reroute_around(target)
 
+    def _handle_refused(self, target: Target) -> None:
+        """Lead streams around a target in the middle of a path that has crashed."""
+        self.fleet_view.suspect(target, "refuses connections")
+        self.rerouter.reroute_around(target)
+
     def _end_stalled(self, request_id: RequestId) -> None:
         """End a stalled stream's exchange so that the relay uses another path."""
         stream = self.streams.get(request_id)
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -67,6 +67,9 @@
         "Whether streams leave a draining target one after the other.",
         FeatureMode.AUTO,
     )
+    check_stages: FeatureMode = option(
+        "Whether a router connects to all stages of a silent stream.", FeatureMode.AUTO
+    )
 
 
 @dataclass(frozen=True)
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -7,6 +7,7 @@
 
 import time
 from collections import Counter
+from enum import Enum
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -284,17 +285,29 @@
     return client
 
 
-def refuses_connections(address: Address, timeout_s: float) -> bool:
-    """Return whether nothing listens at an address; False where that isn't known."""
+class ListenerState(Enum):
+    """What a connection attempt shows about the listener at an address."""
+
+    ACCEPTS = "accepts"
+    REFUSES = "refuses"
+    UNKNOWN = "unknown"
+
+
+def probe_listener(address: Address, timeout_s: float) -> ListenerState:
+    """Connect and close; a silent address is UNKNOWN, as it may be cut off."""
     try:
         with gevent.Timeout(timeout_s, TimeoutError):
             gevent.socket.create_connection((address.host, address.port)).close()
     except ConnectionRefusedError:
-        return True
+        return ListenerState.REFUSES
     except OSError:
-        # Includes the timeout: a silent target may be cut off.
-        return False
-    return False
+        return ListenerState.UNKNOWN
+    return ListenerState.ACCEPTS
+
+
+def refuses_connections(address: Address, timeout_s: float) -> bool:
+    """Return whether nothing listens at an address; False where that isn't known."""
+    return probe_listener(address, timeout_s) is ListenerState.REFUSES
 
 
 def read_server_event(response: Any) -> bytes | None:
