Reuse connections for reports and health checks of targets

More than half of the new connections to targets were those of reports and health checks, most of them while the store is away and each router polls the targets of its zone. In force where the streams of a service are ranked, or by an option. Which features are in force is decided in edge/features.py.

--- /dev/null
+++ b/src/chervilstall/edge/features.py
@@ -0,0 +1,33 @@
+"""Which optional decisions of a router are in force."""
+
+from dataclasses import dataclass
+
+from chervilstall.fleet.view import FleetView
+from chervilstall.settings.edge import EdgeSettings, FeatureMode
+
+
+@dataclass
+class Features:
+    """The operator's choices, applied to the configuration that is in force."""
+
+    settings: EdgeSettings
+    fleet_view: FleetView
+
+    def is_in_force(self, mode: FeatureMode) -> bool:
+        """Return whether a feature with this mode is in force at present."""
+        configuration = self.fleet_view.configuration
+        return mode.is_in_force(
+            configuration is not None and configuration.ranks_pipeline
+        )
+
+    def spreads_moves(self) -> bool:
+        """Return whether streams leave a draining target one after the other."""
+        return self.is_in_force(self.settings.streams.spread_moves)
+
+    def checks_stages(self) -> bool:
+        """Return whether the stages of silent streams are probed."""
+        return self.is_in_force(self.settings.streams.check_stages)
+
+    def keeps_report_connections(self) -> bool:
+        """Return whether reports and health checks reuse connections."""
+        return self.is_in_force(self.settings.connections.keep_for_reports)
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -17,6 +17,7 @@
 from chervilstall.edge.crashes.sharing import QuarantineSharing
 from chervilstall.edge.draining import DrainSchedule
 from chervilstall.edge.endpoints import OperatorEndpoints, bad_request_response
+from chervilstall.edge.features import Features
 from chervilstall.edge.graceful_stop import GracefulStop
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.notices import TargetNotices
@@ -48,9 +49,10 @@
 from chervilstall.placement.planner import PlacementPlanner
 from chervilstall.platform.kv import PlatformStore
 from chervilstall.platform.leases import PlatformLeases
+from chervilstall.platform.targets import kept_calls
 from chervilstall.platform.watcher import StoreWatcher
 from chervilstall.quarantine.prompts import PromptQuarantine
-from chervilstall.settings.edge import EdgeSettings, FeatureMode
+from chervilstall.settings.edge import EdgeSettings
 from chervilstall.settings.leases import LeaseSettings
 from chervilstall.settings.node import NodeSettings
 from chervilstall.settings.option import Address
@@ -85,9 +87,9 @@
         edge_settings: EdgeSettings = EdgeSettings(),
     ) -> None:
         self.settings = settings
-        self.edge_settings = edge_settings
         self.settings_file = SettingsFile(settings_path)
         self.fleet_view = FleetView(settings.bounds.drain_s)
+        self.features = Features(edge_settings, self.fleet_view)
         self.store = PlatformStore(settings.store)
         self.store.on_new_era = self._handle_new_era
         self.leases = PlatformLeases(self.store)
@@ -212,12 +214,9 @@
         )
         rerouter = self.stream_monitor.rerouter
         rerouter.record_pause = self.metrics.record_pause
-        rerouter.spreads_moves = lambda: self._is_in_force(
-            self.edge_settings.streams.spread_moves
-        )
-        self.stream_monitor.stage_check.is_in_force = lambda: self._is_in_force(
-            self.edge_settings.streams.check_stages
-        )
+        rerouter.spreads_moves = self.features.spreads_moves
+        self.stream_monitor.stage_check.is_in_force = self.features.checks_stages
+        kept_calls.is_in_force = self.features.keeps_report_connections
         return EdgeApplication(
             self.fleet_view,
             plain,
@@ -227,12 +226,6 @@
             stream_durations=rerouter.durations,
         )
 
-    def _is_in_force(self, mode: FeatureMode) -> bool:
-        configuration = self.fleet_view.configuration
-        return mode.is_in_force(
-            configuration is not None and configuration.ranks_pipeline
-        )
-
     def _build_suspicion_sharing(self) -> SuspicionSharing:
         sharing = SuspicionSharing(
             self.settings.zone,
@@ -307,6 +300,7 @@
                 self.prune_departed_targets()
             self.fleet_view.expire()
             self.quarantine.expire()
+            kept_calls.expire()
             configuration = self.fleet_view.configuration
             if configuration is not None:
                 limits = configuration.limits
@@ -353,6 +347,8 @@
         gauges["services_out_of_reach"] = len(self.target_reach.out_of_reach)
         gauges["requests_running"] = self.app.running_requests
         gauges["store_calls_total"] = self.store.calls
+        gauges["report_connections_total"] = kept_calls.opened
+        gauges["report_connections_reused_total"] = kept_calls.reused
         gauges["orders_total"] = self.planner.orders_sent
         gauges["collections"] = sum(stats["collections"] for stats in gc.get_stats())
         return self.metrics.exposition()
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -18,6 +18,7 @@
 from chervilstall.settings.option import Address, parse_address
 from chervilstall.target.calls import Call, CallResponse, call_once
 from chervilstall.target.connection import JSON_HEADERS
+from chervilstall.target.kept_calls import KeptCalls
 
 CALL_TIMEOUT_S = 1.5
 RESPONSE_MAX_BYTES = 1_000_000
@@ -25,6 +26,10 @@
 """Share of the memory in use up to which a target certainly admits another request."""
 
 ACCEPTED_STATUSES = frozenset({200, 202})
+
+kept_calls = KeptCalls()
+"""Connections of this process for reports and health checks."""
+
 LAYERS_MAX = 1_000_000
 TARGET_ID_PATTERN = re.compile(r"[!-+\--~]{1,200}")
 """Printable ASCII without a comma, since the ID is sent in headers."""
@@ -287,6 +292,8 @@
     settings = TargetSettings(connect_timeout_s=timeout_s)
     call = Call(method, path, timeout_s, body, JSON_HEADERS, RESPONSE_MAX_BYTES)
     try:
+        if method == "GET":
+            return kept_calls.call(address, settings, call)
         return call_once(address, settings, call)
     except (OSError, HTTPParseError):
         return None
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -72,6 +72,16 @@
     )
 
 
+@dataclass(frozen=True)
+class ConnectionSettings:
+    """Section `connections`: connections to targets."""
+
+    keep_for_reports: FeatureMode = option(
+        "Whether reports and health checks of targets reuse connections.",
+        FeatureMode.AUTO,
+    )
+
+
 @dataclass(frozen=True)
 class EdgeSettings:
     """All sections of the file."""
@@ -80,6 +90,7 @@
     load_exchange: LoadExchangeSettings = field(default_factory=LoadExchangeSettings)
     process: ProcessLimitSettings = field(default_factory=ProcessLimitSettings)
     streams: StreamSettings = field(default_factory=StreamSettings)
+    connections: ConnectionSettings = field(default_factory=ConnectionSettings)
 
 
 EDGE_SECTIONS: dict[str, type] = {
@@ -87,6 +98,7 @@
     "load_exchange": LoadExchangeSettings,
     "process": ProcessLimitSettings,
     "streams": StreamSettings,
+    "connections": ConnectionSettings,
 }
 
 
--- a/src/chervilstall/target/calls.py
+++ b/src/chervilstall/target/calls.py
@@ -1,10 +1,11 @@
-"""Short HTTP calls, each over a connection of its own."""
+"""Short HTTP calls, by default each over a connection of its own."""
 
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
+from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketPoolResponse
 
 from chervilstall.settings.connections import TargetSettings
@@ -23,7 +24,8 @@
     """Response to a short call; `headers` are keyed by lower-case name.
 
     `sent_at_s` and `responded_at_s` are the monotonic times at which the call began and
-    at which its status and headers were there.
+    at which its status and headers were there. `has_trailing_bytes` says whether bytes
+    that belong to no request came after it.
     """
 
     status: int
@@ -31,6 +33,7 @@
     headers: dict[str, str]
     sent_at_s: float
     responded_at_s: float
+    has_trailing_bytes: bool = False
 
 
 @dataclass(frozen=True)
@@ -71,23 +74,33 @@
     HTTPParseError where no complete response arrived.
     """
     client = single_use_client(address, settings, call.timeout_s, call.body_max_bytes)
-    sent_at_s = time.monotonic()
     try:
-        with gevent.Timeout(call.timeout_s, TimeoutError):
-            response = client.request(
-                call.method, call.path, body=call.body, headers=call.headers
-            )
-            responded_at_s = time.monotonic()
-            if (response.content_length or 0) > call.body_max_bytes:
-                raise BodyTooLarge(f"the body has {response.content_length} bytes")
-            content = b"" if call.long_body is not None else response.read()
-        if call.long_body is not None:
-            content = _read_pieces(response, call.long_body)
+        return exchange(client, call)
     finally:
         client.close()
+
+
+def exchange(client: HTTPClient, call: Call) -> CallResponse:
+    """Make a call with a client, which the caller closes or keeps."""
+    sent_at_s = time.monotonic()
+    with gevent.Timeout(call.timeout_s, TimeoutError):
+        response = client.request(
+            call.method, call.path, body=call.body, headers=call.headers
+        )
+        responded_at_s = time.monotonic()
+        if (response.content_length or 0) > call.body_max_bytes:
+            raise BodyTooLarge(f"the body has {response.content_length} bytes")
+        content = b"" if call.long_body is not None else response.read()
+    if call.long_body is not None:
+        content = _read_pieces(response, call.long_body)
     fields = {name.lower(): str(value) for name, value in response.headers}
     return CallResponse(
-        response.status_code, content, fields, sent_at_s, responded_at_s
+        response.status_code,
+        content,
+        fields,
+        sent_at_s,
+        responded_at_s,
+        response._trailing_data_dropped,
     )
 
 
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -163,6 +163,22 @@
         return sock
 
 
+class ReusablePool(SingleUsePool):
+    """A pool whose one connection may be used again after a complete response."""
+
+    is_reusable = False
+
+    def return_socket(self, sock: gevent.socket.socket) -> None:
+        super().return_socket(sock)
+        self.is_reusable = True
+
+    def get_socket(self) -> gevent.socket.socket:
+        if not self.is_reusable:
+            return super().get_socket()
+        self.is_reusable = False
+        return self.socket
+
+
 class SingleResponse(HTTPSocketPoolResponse):
     """A response that ends with its HTTP message and takes a bounded amount of memory.
 
@@ -276,12 +292,28 @@
     unread_max_bytes: int = UNREAD_MAX_BYTES,
 ) -> HTTPClient:
     """Return a client that sends a single request, once, over a new connection."""
+    arguments = pool_arguments(address, settings, network_timeout_s)
+    return _client(address, SingleUsePool(size=1, **arguments), unread_max_bytes)
+
+
+def reusable_client(
+    address: Address,
+    settings: TargetSettings,
+    network_timeout_s: float,
+    unread_max_bytes: int = UNREAD_MAX_BYTES,
+) -> HTTPClient:
+    """Return a client for one request after the other over a single connection."""
+    arguments = pool_arguments(address, settings, network_timeout_s)
+    return _client(address, ReusablePool(size=1, **arguments), unread_max_bytes)
+
+
+def _client(
+    address: Address, pool: SingleUsePool, unread_max_bytes: int
+) -> SingleUseClient:
     client = SingleUseClient(address.host, address.port, disable_ipv6=True)
     client.unread_max_bytes = unread_max_bytes
     client.default_headers.clear()
-    client._connection_pool = SingleUsePool(
-        size=1, **pool_arguments(address, settings, network_timeout_s)
-    )
+    client._connection_pool = pool
     return client
 
 
