Rank streams by their route where their workspaces are equally urgent

A workspace's priority takes precedence over that of the route. Where all workspaces have one, as on the ranked deployment, all streams were passed on as equally urgent, so targets took drafts before urgent requests. The route's priority now decides between requests that are otherwise equal: the priority that is passed on is the rank of both. Configurations whose streams don't differ in urgency pass priorities on as before.

--- a/src/chervilstall/fleet/records.py
+++ b/src/chervilstall/fleet/records.py
@@ -188,25 +188,48 @@
     _by_host: dict[str, list[Route]] = field(default_factory=dict, compare=False)
 
     def priority(self, route: Route, workspace: WorkspaceName | None) -> int:
-        """Return the priority of a workspace's requests on a route."""
-        if workspace is None:
-            return route.priority
-        return self.priorities.get(workspace, route.priority)
+        """Return the priority of a workspace's requests on a route.
+
+        The workspace's priority takes precedence. Where streams are ranked, the route's
+        own one decides between requests that are otherwise equal, and the result is
+        the rank among all pairs of both.
+        """
+        pair = self._priority_pair(route, self._own_priority(workspace))
+        if not self.ranks_pipeline:
+            return pair[0]
+        return self._priority_ranks[pair]
+
+    def _own_priority(self, workspace: WorkspaceName | None) -> int | None:
+        return None if workspace is None else self.priorities.get(workspace)
+
+    @staticmethod
+    def _priority_pair(route: Route, own: int | None) -> tuple[int, int]:
+        return (route.priority if own is None else own, route.priority)
+
+    @cached_property
+    def _priority_ranks(self) -> dict[tuple[int, int], int]:
+        """Return the rank of each pair of a request's and its route's priority."""
+        pairs = {
+            self._priority_pair(route, own)
+            for route in self.routes
+            for own in {None, *self.priorities.values()}
+        }
+        return {pair: rank for rank, pair in enumerate(sorted(pairs))}
 
     def ranks(self, service: ServiceName) -> bool:
         """Return whether streams of a service have two or more priorities.
 
-        The priorities of workspaces count, as they override those of routes.
+        The priorities of workspaces count, as they take precedence over those of
+        routes.
         """
-        priorities = {
-            route.priority
+        pairs = {
+            self._priority_pair(route, own)
             for route in self.routes
             if route.kind is RouteKind.STREAMING
             and any(each.service == service for each in route.weighted_services)
+            for own in {None, *self.priorities.values()}
         }
-        if priorities:
-            priorities.update(self.priorities.values())
-        return len(priorities) > 1
+        return len(pairs) > 1
 
     @cached_property
     def ranks_pipeline(self) -> bool:
