--- /dev/null
+++ b/tests/fleet/statements.feature
@@ -0,0 +1,61 @@
+Feature: What a target said holds for its incarnation, whatever becomes of its entry
+
+  # Guards against DRAIN: a target that leaves got requests again 4 s later, as its entry had
+  # expired and came back, or came from an older copy of the store.
+  Scenario Outline: A target that leaves by its <source> gets no work after <event>
+    Given a fleet view with a target
+    And the target says in its <source> that it leaves
+    When <event>
+    Then the target gets no work
+
+    Examples:
+      | source | event                                                |
+      | answer | its entry expires and comes back 4 s later            |
+      | entry  | its entry expires and comes back 4 s later            |
+      | answer | its entry expires and the store returns from a copy   |
+      | entry  | its entry expires and the store returns from a copy   |
+      | entry  | its entry is ready again in a copy of an unknown era  |
+      | answer | its entry expires 500 times and comes back each time  |
+
+  # Guards against an answer that is not taken up because the entry expired before it came.
+  Scenario: An answer that says so after the entry has expired counts
+    Given a fleet view with a target
+    When the target's entry is deleted
+    And the target says in its answer that it leaves
+    And its entry expires and comes back 4 s later
+    Then the target gets no work
+
+  # Guards against a target that is never used again.
+  Scenario: A target that has started again under its id gets work
+    Given a fleet view with a target
+    And the target says in its answer that it leaves
+    When the target starts again under the same id
+    Then the target gets work
+
+  # Guards against an entry of an earlier start that hides the present one.
+  Scenario: An older start of a target in a copy of the store doesn't replace the present one
+    Given a fleet view with a target
+    And the target starts again under the same id
+    When the store returns from a copy with the entry of the earlier start
+    Then the target gets work
+
+  # Guards against requests to a target whose removal the store has acknowledged.
+  Scenario: A target that was gone is not used because a copy of the store still has its entry
+    Given a fleet view with a target
+    And the target's entry has counted 7 heartbeats
+    When the target's entry is deleted
+    And the store returns from a copy that holds the entry
+    Then the target is not used
+    When the target writes its entry again
+    Then the target gets work
+
+  # Guards against LIMIT: a limit or a pause was forgotten as the target's entry expired.
+  Scenario: A limit and a pause outlast the target's entry
+    Given a fleet view with a target
+    And the target has named a limit of 0.1 a second and a pause of 60 s
+    When the target's entry is deleted
+    And the state of departed targets is dropped
+    And its entry expires and comes back 4 s later
+    Then the limit and the pause still hold
+    When the target starts again under the same id
+    Then neither holds
