Keep what targets say per incarnation, whatever becomes of their entries

Cause: the fleet view and the rate limiter dropped that a target leaves, its limit and its pause together with its entry. An entry that expired and came back, or that came from an older copy of the store, gave the target work again. The client of the store took a rise of its era from 0 for the first header, and ended at an era of more than 4,300 digits.

Change: fleet/statements.py keeps leaving, limit, pause and gone by incarnation, each with the time at which it was learnt, bounded by count; the view and the limiter use it. Leaving is final. An entry in a copy of the store counts for a target that was gone only if it shows more heartbeats or is written again. The first era that a response names is the one to compare with.

The soak's target that drains and returns is another incarnation now, as a target that leaves ends; it returned as the same one before.

--- a/src/chervilstall/edge/limits/notices.py
+++ b/src/chervilstall/edge/limits/notices.py
@@ -28,4 +28,4 @@
         if head.status == HTTP_UNAVAILABLE and head.retry_after_s is not None:
             self.rate_limiter.record_pause(target, head.retry_after_s)
         if head.is_leaving:
-            self.fleet_view.note_leaving(target)
+            self.fleet_view.note_leaving(target.incarnation, by="response")
--- a/src/chervilstall/edge/limits/rate_limits.py
+++ b/src/chervilstall/edge/limits/rate_limits.py
@@ -18,8 +18,8 @@
 from collections.abc import Callable, Container, Mapping
 from dataclasses import dataclass, field
 
-from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target, TargetIncarnation
+from chervilstall.fleet.statements import NamedLimit, TargetStatements
 from chervilstall.ids import TargetId, VmId, ZoneName
 from chervilstall.rendezvous import rendezvous_score
 from chervilstall.telemetry.events import EventLog
@@ -46,26 +46,6 @@
 """
 
 
-@dataclass(frozen=True)
-class NamedLimit:
-    """A target's limit in requests a second.
-
-    `confirmed_at_s` is the monotonic time at which this router last learned of it.
-    """
-
-    target: Target
-    per_s: float
-    confirmed_at_s: float
-
-
-@dataclass(frozen=True)
-class Pause:
-    """A target that wants no requests from this router until a monotonic time."""
-
-    target: Target
-    until_s: float
-
-
 @dataclass
 class TargetRateLimiter:
     """Keeps one router's part of the limits that targets name.
@@ -73,15 +53,14 @@
     `vm` is this router and `routers` maps all registered routers to their zones.
     Routers in the zone of a target come first when its requests are dealt out.
     `on_change` is called when a response shows that a limit was named, changed or
-    lifted.
+    lifted. `statements` holds the limits and pauses.
     """
 
     vm: VmId
     zone: ZoneName
     routers: Mapping[VmId, ZoneName] = field(default_factory=dict)
     on_change: Callable[[Target], None] | None = None
-    _limits: dict[TargetIncarnation, NamedLimit] = field(default_factory=dict)
-    _pauses: dict[TargetIncarnation, Pause] = field(default_factory=dict)
+    statements: TargetStatements = field(default_factory=TargetStatements)
     _sends_s: dict[TargetIncarnation, deque[float]] = field(
         default_factory=lambda: defaultdict(deque)
     )
@@ -90,7 +69,7 @@
 
     def limit_per_s(self, target: Target) -> float | None:
         """Return the limit that a target names, or None if it names none."""
-        limit = self._limits.get(target.incarnation)
+        limit = self.statements.limits.get(target.incarnation)
         return None if limit is None else limit.per_s
 
     def record_response(
@@ -102,7 +81,7 @@
         only if its request was sent after the limit was last confirmed; otherwise the
         target may have made the response before.
         """
-        known = self._limits.get(target.incarnation)
+        known = self.statements.limits.get(target.incarnation)
         if limit_per_s is None:
             if known is None or known.confirmed_at_s >= sent_at_s:
                 return
@@ -113,28 +92,28 @@
 
     def apply_limit(self, target: Target, limit_per_s: float | None) -> None:
         """Put a target's limit in force, or end it where it is None."""
-        known = self._limits.pop(target.incarnation, None)
+        known = self.statements.limits.get(target.incarnation)
         if limit_per_s is None:
             if known is not None:
+                del self.statements.limits[target.incarnation]
                 log.info("target names no limit any more", target=target.id)
             return
-        limit = NamedLimit(target, limit_per_s, time.monotonic())
-        self._limits[target.incarnation] = limit
+        limit = self.statements.note_limit(target, limit_per_s)
         if known is None or known.per_s != limit_per_s:
             log.warning(
                 "target names a limit",
                 target=target.id,
                 per_s=limit_per_s,
-                own_part=self._part(limit),
+                own_part=self._part(target.id, limit),
                 routers=len(self.routers),
             )
 
     def record_pause(self, target: Target, for_s: float) -> None:
         """Record that a target wants no requests from this router for a time."""
         until_s = time.monotonic() + for_s
-        known = self._pauses.get(target.incarnation)
+        known = self.statements.pauses.get(target.incarnation)
         if known is None or known.until_s < until_s:
-            self._pauses[target.incarnation] = Pause(target, until_s)
+            self.statements.note_pause(target, until_s)
             log.info("target wants a pause", target=target.id, for_s=round(for_s, 2))
 
     # Requests
@@ -149,21 +128,29 @@
 
         There is none while the target wants a pause.
         """
-        pause = self._pauses.get(target.incarnation)
+        return self._has_room(target.incarnation)
+
+    def _has_room(self, incarnation: TargetIncarnation) -> bool:
+        pause = self.statements.pauses.get(incarnation)
         if pause is not None:
             if time.monotonic() < pause.until_s:
                 return False
-            del self._pauses[target.incarnation]
-        limit = self._limits.get(target.incarnation)
+            del self.statements.pauses[incarnation]
+        limit = self.statements.limits.get(incarnation)
         if limit is None:
             return True
-        return len(self._recent_sends_s(target.incarnation)) < self._part(limit)
+        sends = len(self._recent_sends_s(incarnation))
+        return sends < self._part(incarnation.target_id, limit)
 
     def exhausted_targets(self) -> frozenset[TargetId]:
         """Return the targets that may get no request from this router at present."""
-        named = [limit.target for limit in self._limits.values()]
-        named += [pause.target for pause in self._pauses.values()]
-        return frozenset(target.id for target in named if not self.may_send(target))
+        named = [*self.statements.limits, *self.statements.pauses]
+        return frozenset(
+            incarnation.target_id
+            for incarnation in named
+            if not self.statements.is_replaced(incarnation)
+            and not self._has_room(incarnation)
+        )
 
     def _recent_sends_s(self, incarnation: TargetIncarnation) -> deque[float]:
         sends_s = self._sends_s[incarnation]
@@ -172,24 +159,29 @@
             sends_s.popleft()
         return sends_s
 
-    def _part(self, limit: NamedLimit) -> int:
+    def _part(self, target_id: TargetId, limit: NamedLimit) -> int:
         """Return how many requests this router may send in a window."""
         requests = limit.per_s * WINDOW_S
         routers = {**self.routers, self.vm: self.zone}
         each, rest = divmod(int(requests) + SPARE_REQUESTS, len(routers))
-        return each + (rest > 0 and self._rank(limit.target, routers) < rest)
+        if not rest:
+            return each
+        return each + (self._rank(target_id, limit.zone, routers) < rest)
 
-    def _rank(self, target: Target, routers: Mapping[VmId, ZoneName]) -> int:
+    def _rank(
+        self, target_id: TargetId, zone: ZoneName, routers: Mapping[VmId, ZoneName]
+    ) -> int:
         """Return this router's place in the order for a target, from 0."""
 
         def place(vm: VmId) -> tuple[bool, int]:
-            return routers[vm] != target.zone, rendezvous_score(target.id, vm)
+            return routers[vm] != zone, rendezvous_score(target_id, vm)
 
         own = place(self.vm)
         return sum(place(vm) < own for vm in routers)
 
     def prune(self, present: Container[TargetIncarnation]) -> None:
-        """Drop the state of targets that are gone."""
-        retain_keys(self._limits, present)
-        retain_keys(self._pauses, present)
-        retain_keys(self._sends_s, present)
+        """Drop the sends to targets that are gone, once they don't count any more."""
+        for incarnation in list(self._sends_s):
+            if incarnation in present or self._recent_sends_s(incarnation):
+                continue
+            del self._sends_s[incarnation]
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -101,7 +101,9 @@
         self.chooser = PathChooser(
             self.fleet_view, settings.zone, max(1, len(settings.zones))
         )
-        self.rate_limiter = TargetRateLimiter(settings.vm, settings.zone)
+        self.rate_limiter = TargetRateLimiter(
+            settings.vm, settings.zone, statements=self.fleet_view.statements
+        )
         self.stream_monitor = StreamMonitor(
             self.fleet_view,
             self.chooser,
@@ -333,6 +335,7 @@
         configuration = self.fleet_view.configuration
         gauges["configuration_version"] = configuration.version if configuration else 0
         gauges["targets"] = len(self.fleet_view.targets)
+        gauges["target_statements"] = len(self.fleet_view.statements)
         gauges["streams"] = len(self.stream_monitor.streams)
         gauges["parts_under_quarantine"] = len(self.quarantine.entries)
         gauges["services_out_of_reach"] = len(self.target_reach.out_of_reach)
--- a/src/chervilstall/fleet/records.py
+++ b/src/chervilstall/fleet/records.py
@@ -244,7 +244,7 @@
     `started_at_ms` is the time of its start in Unix milliseconds and tells a restart
     under the same id apart; it is 0 where each restart gets a new id. `accelerator`
     names the accelerator type. `revision` is the store revision of the entry's last
-    change.
+    change, and `heartbeats` the count of heartbeats in it, 0 if it names none.
     """
 
     id: TargetId
@@ -256,6 +256,7 @@
     accelerator: str
     layers: LayerRange
     revision: int
+    heartbeats: int = 0
 
     @property
     def incarnation(self) -> "TargetIncarnation":
@@ -263,7 +264,7 @@
         return TargetIncarnation(self.id, self.started_at_ms)
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class TargetIncarnation:
     """Identity of one start of a target; a restart is another and keeps no state."""
 
--- a/src/chervilstall/fleet/view.py
+++ b/src/chervilstall/fleet/view.py
@@ -11,7 +11,6 @@
 from gevent.event import Event
 
 from chervilstall.fleet.lapses import LapsedEntries
-from chervilstall.fleet.leaving import LeavingTargets
 from chervilstall.fleet.records import (
     LayerRange,
     RouterConfiguration,
@@ -19,6 +18,7 @@
     TargetIncarnation,
     TargetReadiness,
 )
+from chervilstall.fleet.statements import TargetStatements
 from chervilstall.fleet.suspicion import Suspicion, SuspicionKind
 from chervilstall.ids import ServiceName, TargetId, ZoneName
 from chervilstall.telemetry.events import EventLog
@@ -62,7 +62,8 @@
     forward pass divided by the usual time. `outage_since_s` is the monotonic time since
     which the store has not been readable, or None. `complete_at_s` is the monotonic
     time up to which every change of a target's entry is known. `on_suspicion` is called
-    for each new suspicion that other routers should learn of.
+    for each new suspicion that other routers should learn of. `statements` holds what
+    targets said, also while they have no entry.
     """
 
     drain_s: float
@@ -76,9 +77,9 @@
     outage_since_s: float | None = None
     complete_at_s: float = float("-inf")
     on_suspicion: Callable[[Target, SuspicionKind], None] | None = None
+    statements: TargetStatements = field(default_factory=TargetStatements)
     _suspicions: dict[TargetIncarnation, Suspicion] = field(default_factory=dict)
     _suspicion_counts: dict[TargetIncarnation, int] = field(default_factory=dict)
-    _leaving: LeavingTargets = field(default_factory=LeavingTargets)
     _lapsed: LapsedEntries = field(default_factory=LapsedEntries)
 
     # Configuration
@@ -114,8 +115,10 @@
         if known is not None and known.revision >= target.revision:
             return
         # The entry may have changed at any time since the view was complete.
-        target = self._leaving.apply_to(target, self.complete_at_s)
-        self.targets[target.id] = target
+        used = self.statements.apply_to(target, self.complete_at_s)
+        if used is None:
+            return
+        self.targets[target.id] = target = used
         self._lapsed.discard(target.id)
         self.generation += 1
         if known is not None and known.incarnation == target.incarnation:
@@ -138,20 +141,18 @@
         """Record the time up to which every change of a target's entry is known."""
         self.complete_at_s = max(self.complete_at_s, at_s)
 
-    def note_leaving(self, target: Target) -> None:
+    def note_leaving(self, incarnation: TargetIncarnation, by: str) -> None:
         """Record that a target said in a response that it leaves.
 
-        It counts as draining until it is gone, whatever its entry says.
+        It counts as draining from then on, whatever becomes of its entry.
         """
-        known = self.targets.get(target.id)
-        if known is None or known.incarnation != target.incarnation:
+        if not self.statements.note_leaving(incarnation, time.monotonic()):
             return
-        if self._leaving.is_certain(known):
-            return
-        self._leaving.mark_certain(known)
-        self.targets[known.id] = self._leaving.apply_to(known, time.monotonic())
-        self.generation += 1
-        log.info("target leaving", target=known.id, by="response")
+        log.info("target leaving", target=incarnation.target_id, by=by)
+        known = self.targets.get(incarnation.target_id)
+        if known is not None and known.incarnation == incarnation:
+            self.targets[known.id] = replace(known, state=TargetReadiness.DRAINING)
+            self.generation += 1
 
     def _log_state(self, target: Target) -> None:
         log.info(
@@ -215,7 +216,7 @@
     def _delete_target(self, target_id: TargetId) -> None:
         target = self.targets.pop(target_id)
         self._lapsed.discard(target_id)
-        self._leaving.forget(target)
+        self.statements.note_gone(target)
         self._suspicions.pop(target.incarnation, None)
         self._suspicion_counts.pop(target.incarnation, None)
         self.slowness.pop(target.incarnation, None)
@@ -245,12 +246,12 @@
     def forget_revisions(self) -> None:
         """Accept every entry again, as the store came back from an earlier copy.
 
-        What the store lost is still known here: the configuration, and which targets
-        leave. Entries that it lost are missing until their targets write them again.
+        What the store lost is still known here: the configuration, and what targets
+        said. Entries that it lost are missing until their targets write them again.
         """
         for target in list(self.targets.values()):
             self.targets[target.id] = replace(target, revision=0)
-        self._leaving.mark_all_certain()
+        self.statements.note_restored()
         self.generation += 1
         self.note_outage()
 
@@ -375,7 +376,7 @@
             return False
         if target.state is TargetReadiness.READY:
             return False
-        return self._leaving.draining_s(target) < self.drain_s * DRAIN_USE_SHARE
+        return self.statements.draining_s(target) < self.drain_s * DRAIN_USE_SHARE
 
     def find_by_address(self, address: str) -> Target | None:
         """Return the target at an address that started last, or None."""
--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -31,6 +31,9 @@
 STALL_TIMEOUT_S = 2.0
 """Longest wait for the next piece of a long response."""
 
+ERA_DIGITS_MAX = 18
+"""Digits of an era that are read; a longer number is no count of returns."""
+
 HTTP_HISTORY_GONE = 410
 HTTP_PRECONDITION_FAILED = 412
 
@@ -130,8 +133,9 @@
     StoreFailed if that is not known.
 
     `era` counts how often the store came back from an earlier copy of its content, as
-    far as its responses have told; `on_new_era` is called when it grows. The response
-    that shows it, and any that still comes from an earlier era, raise EraChanged.
+    its responses tell, from any number on; it is 0 while none has told. `on_new_era` is
+    called when it grows after that. The response that shows it, and any that still
+    comes from an earlier era, raise EraChanged.
 
     `entries_received_at_s` is the monotonic time at which a part of a watch, a listing
     or an entry has last arrived.
@@ -141,6 +145,7 @@
         self.settings = settings
         self.calls = 0
         self.era = 0
+        self._is_era_known = False
         self.on_new_era: Callable[[], None] = lambda: None
         self.entries_received_at_s = float("-inf")
         self._entries_body = LongBody(STALL_TIMEOUT_S, self._note_received)
@@ -333,15 +338,20 @@
 
     def _check_era(self, response: CallResponse) -> None:
         text = response.headers.get(protocol.STORE_ERA.lower(), "")
-        if not text.isdecimal() or int(text) == self.era:
+        if not text.isdecimal() or len(text) > ERA_DIGITS_MAX:
+            if text:
+                log.warning("era of the store not readable", era=text[:40])
             return
-        is_first = self.era == 0
-        is_new = int(text) > self.era
-        self.era = max(self.era, int(text))
-        if is_first:
+        era = int(text)
+        if not self._is_era_known:
+            self._is_era_known, self.era = True, era
+        if era == self.era:
             return
-        if is_new:
-            log.warning("store came back from an earlier copy", era=self.era)
+        if era > self.era:
+            log.warning(
+                "store came back from an earlier copy", era=era, before=self.era
+            )
+            self.era = era
             self.on_new_era()
         raise EraChanged("the store came back from an earlier copy")
 
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -45,6 +45,8 @@
     state: Literal["ready", "draining"]
     # Start in Unix milliseconds; with the ID it identifies one incarnation.
     born: Count = 0
+    # Heartbeats so far. In a report, `sequence` counts orders.
+    sequence: Count = 0
     # Type of the accelerator.
     type: str = ""
     layers: _Layers | None = None
@@ -72,6 +74,7 @@
         entry.type,
         _layers(entry.layers),
         revision,
+        entry.sequence,
     )
 
 
--- a/src/chervilstall/soak/faults.py
+++ b/src/chervilstall/soak/faults.py
@@ -252,5 +252,7 @@
         self.fleet.unregister(target)
         self._wait_random_time()
         target.server.is_leaving = False
+        # A target that leaves ends, so the one that returns is another incarnation.
+        target.starts += 1
         self.fleet.register(target)
         return target.name
--- a/src/chervilstall/soak/fleet.py
+++ b/src/chervilstall/soak/fleet.py
@@ -234,6 +234,7 @@
             target.zone,
             target.server.layers,
             state,
+            target.starts,
         )
 
     def unregister(self, target: SoakTarget) -> None:
--- a/src/chervilstall/soak/targets.py
+++ b/src/chervilstall/soak/targets.py
@@ -77,10 +77,15 @@
 
 @dataclass
 class SoakTarget:
-    """A simulated target behind a link proxy."""
+    """A simulated target behind a link proxy.
+
+    `starts` counts how often it has started again, and is the start that its entry
+    names.
+    """
 
     name: str
     service: str
     zone: str
     server: PacedTarget
     link: LinkProxy
+    starts: int = 0
--- a/src/chervilstall/standin/platform_fixtures.py
+++ b/src/chervilstall/standin/platform_fixtures.py
@@ -97,6 +97,7 @@
     zone: str,
     layers: LayerRange,
     state: str = "ready",
+    started_at_ms: int = 0,
 ) -> None:
     """Write the entry with which a target registers itself."""
     entry: dict[str, Any] = {
@@ -105,6 +106,7 @@
         "zone": zone,
         "state": state,
         "sequence": 7,
+        "born": started_at_ms,
         "type": "card",
     }
     if len(layers):
--- a/tests/fleet/statements.feature
+++ b/tests/fleet/statements.feature
@@ -16,6 +16,8 @@
       | entry  | its entry expires and the store returns from a copy   |
       | entry  | its entry is ready again in a copy of an unknown era  |
       | answer | its entry expires 500 times and comes back each time  |
+      | answer | 7299 other entries expire with its own and come back |
+      | entry  | 7299 other entries expire with its own and come back |
 
   # Guards against an answer that is not taken up because the entry expired before it came.
   Scenario: An answer that says so after the entry has expired counts
@@ -59,3 +61,8 @@
     Then the limit and the pause still hold
     When the target starts again under the same id
     Then neither holds
+
+  # Guards against memory that grows with every target that ever left.
+  Scenario: What is kept of 7300 targets that are replaced 10 times stays within its bound
+    When each of 7300 targets names a limit, wants a pause, leaves and is replaced 10 times
+    Then at most 36236 statements are kept, in at most 10 MB
--- a/tests/steps/statement_steps.py
+++ b/tests/steps/statement_steps.py
@@ -2,16 +2,18 @@
 
 import dataclasses
 import time
+import tracemalloc
 
 from behave import given, then, when
 from behave.runner import Context
 
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.fleet.records import Target, TargetReadiness
+from chervilstall.fleet.statements import TargetStatements
 from chervilstall.fleet.view import FleetView
-from chervilstall.ids import VmId
+from chervilstall.ids import TargetId, VmId
 from tests.support.clock import Clock
-from tests.support.model_targets import LOCAL
+from tests.support.model_targets import LOCAL, make_target
 
 PAST_DRAIN_S = 4.0
 REVISIONS_APART = 100
@@ -46,7 +48,7 @@
 def say_leaving(context: Context, source: str) -> None:
     advance(context, 0.0)
     if source == "answer":
-        context.fleet_view.note_leaving(context.target)
+        context.fleet_view.note_leaving(context.target.incarnation, by="response")
     else:
         write_entry(context, state=TargetReadiness.DRAINING)
 
@@ -70,6 +72,24 @@
         expire_and_return(context)
 
 
+@when("{count:d} other entries expire with its own and come back")
+def expire_all(context: Context, count: int) -> None:
+    fleet_view: FleetView = context.fleet_view
+    others = [
+        dataclasses.replace(context.target, id=TargetId(f"other-{number}"))
+        for number in range(count)
+    ]
+    for target in others:
+        fleet_view.update_target(target)
+    expire_and_return(context)
+    for target in others:
+        fleet_view.remove_target(target.id)
+        fleet_view.update_target(dataclasses.replace(target, revision=2))
+        fleet_view.remove_target(target.id)
+    fleet_view.remove_target(context.target.id)
+    write_entry(context)
+
+
 def return_from_copy(context: Context, entry: Target) -> None:
     """Let the store lose some seconds, with an entry as it was at revision 1."""
     fleet_view: FleetView = context.fleet_view
@@ -164,3 +184,33 @@
     assert limiter.limit_per_s(context.target) is None
     assert limiter.may_send(context.target)
     assert not limiter.exhausted_targets()
+
+
+@when(
+    "each of {count:d} targets names a limit, wants a pause, leaves and is replaced "
+    "{times:d} times"
+)
+def replace_targets(context: Context, count: int, times: int) -> None:
+    base = make_target("a", LOCAL, 0, 8)
+    tracemalloc.start()
+    context.add_cleanup(tracemalloc.stop)
+    before_bytes, _ = tracemalloc.get_traced_memory()
+    context.statements = TargetStatements()
+    for turn in range(times + 1):
+        for number in range(count):
+            target_id = TargetId(f"target-{turn}-of-zone-{number}")
+            target = dataclasses.replace(base, id=target_id)
+            context.statements.apply_to(target, 0.0)
+            context.statements.note_limit(target, 1.0 + number)
+            context.statements.note_pause(target, 2.0 + number)
+            context.statements.note_leaving(target.incarnation, 3.0 + number)
+            if turn < times:
+                context.statements.note_gone(target)
+    after_bytes, _ = tracemalloc.get_traced_memory()
+    context.kept_bytes = after_bytes - before_bytes
+
+
+@then("at most {count:d} statements are kept, in at most {size_mb:d} MB")
+def check_bounded(context: Context, count: int, size_mb: int) -> None:
+    assert len(context.statements) <= count, len(context.statements)
+    assert context.kept_bytes <= size_mb * 1_000_000, context.kept_bytes
