Show that what comes over another router is not taken up, and that an older one's 503 is passed on (fails)

What a target says of itself in an answer over another router is recorded there only, and a 408, 429 or 503 of a target that a router of an older version returns without the mark that nothing ran is passed to the caller as a refusal.

--- a/tests/edge/forwarding.feature
+++ b/tests/edge/forwarding.feature
@@ -58,3 +58,37 @@
     Then each is answered with 404
     When a router that is asked for 3 retries says that it lends 9007199254740992
     Then the cut-off router may use 3 of them
+
+  # Guards against DRAIN: what a target says in an answer was taken up by the router before it only.
+  Scenario Outline: A target that says in an answer over another router that it leaves is left
+    Given each target says in its answers that it leaves
+    When a <kind> of one target is served over <router>
+    Then the cut-off router takes just that target for leaving
+    And the caller isn't told which one it was
+
+    Examples:
+      | kind   | router                                      |
+      | lookup | another router                              |
+      | draft  | another router                              |
+      | lookup | a router of an older version that names it  |
+
+  # Guards against REFUSED: a router of an older version passes on a target's 408, 429 or 503 that is
+  # not marked, though the target has run the request.
+  Scenario Outline: A <kind> to which an older router returns <answer> gets <status>
+    Given the other routers are of an older version and return <answer>
+    When a <kind> is sent to the cut-off router and comes back
+    Then the response is <status>
+
+    Examples:
+      | kind   | answer                             | status |
+      | lookup | 503 of a target                    | 502    |
+      | lookup | 429 of a target                    | 502    |
+      | lookup | 408 of a target                    | 502    |
+      | hold   | 503 of a target                    | 502    |
+      | draft  | 503 of a target                    | 502    |
+      | draft  | 429 of a target                    | 502    |
+      | lookup | 503 without a signature            | 502    |
+      | lookup | 503 with a router's unknown error  | 502    |
+      | lookup | 503 with a router's refusal        | 503    |
+      | draft  | 503 with a router's refusal        | 503    |
+      | lookup | 503 of a target, marked as not run | 503    |
