Take up what targets say over another router, and pass on no refusal that is not marked

Cause: PeerRelay handed on the answers of other routers without reading what their targets announce, and took any 408, 429 or 503 for a refusal. Routers of older versions pass on those of targets that have run the request.

Change: a router that serves a forwarded request names the target in Chervilstall-Responder; the router of the caller records leaving and limit of that incarnation and drops the header. Of an older router Instance-Id counts where the target sent it. A 408, 429 or 503 over another router is passed on only if it is marked as not executed, or unsigned with the body of a router's error that says 'not run'; else the caller gets 502.

--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -40,6 +40,7 @@
     TIMEOUT = "no answer in time"
     STALLED = "stalled"
     CALLER_LEFT = "caller left"
+    UNMARKED_REFUSAL = "refusal that does not say that nothing ran"
 
 
 class ExchangeFailed(Exception):
--- a/src/chervilstall/edge/limits/notices.py
+++ b/src/chervilstall/edge/limits/notices.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
-from chervilstall.fleet.records import Target
+from chervilstall.fleet.records import Target, TargetIncarnation
 from chervilstall.fleet.view import FleetView
 from chervilstall.platform.headers import HTTP_MISDIRECTED, ResponseHead
 
@@ -29,3 +29,27 @@
             self.rate_limiter.record_pause(target, head.retry_after_s)
         if head.is_leaving:
             self.fleet_view.note_leaving(target.incarnation, by="response")
+
+    def record_passed_on(
+        self,
+        responder: TargetIncarnation | None,
+        head: ResponseHead,
+        sent_at_s: float,
+    ) -> None:
+        """Record the response of a target that came through another router.
+
+        A router of an older version doesn't name its `responder`; the target may have
+        done so itself. The pause in a refusal concerns only the router that got it.
+        """
+        if responder is None and head.responder is not None:
+            known = self.fleet_view.targets.get(head.responder)
+            responder = None if known is None else known.incarnation
+        if responder is None or head.status == HTTP_MISDIRECTED:
+            return
+        if head.is_leaving:
+            self.fleet_view.note_leaving(responder, by="response to another router")
+        target = self.fleet_view.targets.get(responder.target_id)
+        if target is None or target.incarnation != responder:
+            return
+        if head.limit_per_s is not None:
+            self.rate_limiter.record_response(target, head.limit_per_s, sent_at_s)
--- a/src/chervilstall/edge/peers/forwarding.py
+++ b/src/chervilstall/edge/peers/forwarding.py
@@ -6,16 +6,21 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from chervilstall.errors import ErrorKind
-from chervilstall.platform.headers import HeaderFields
+from chervilstall.fleet.records import Target, TargetIncarnation
+from chervilstall.ids import TargetId
+from chervilstall.platform.headers import HeaderFields, ResponseHead
 
 FORWARDING_KEY = "chervilstall.forwarding"
 """Environment key of the `Forwarding` of a request that another router sent."""
 
 CONFIGURATION_HEADER = "Chervilstall-Configuration"
 ATTEMPTS_HEADER = "Chervilstall-Attempts"
+RESPONDER_HEADER = "Chervilstall-Responder"
+"""Header of a response to another router: start and id of the target it comes from."""
+
 UNABLE_HEADER = "Chervilstall-Unable"
 """Header of a refusal after which another router may still serve the request."""
 
@@ -73,3 +78,26 @@
 def is_unable(headers: HeaderFields) -> bool:
     """Return whether a response says that its router could not take the request."""
     return any(name.lower() == UNABLE_HEADER.lower() for name, _ in headers)
+
+
+def name_responder(head: ResponseHead, target: Target) -> ResponseHead:
+    """Return a target's response with the header that names it to another router."""
+    responder = (RESPONDER_HEADER, f"{target.started_at_ms} {target.id}")
+    return replace(head, headers=(*head.headers, responder))
+
+
+def read_responder(headers: HeaderFields) -> TargetIncarnation | None:
+    """Return the target that another router names, None where it names none."""
+    by_name = {name.lower(): value for name, value in headers}
+    started, _, target_id = by_name.get(RESPONDER_HEADER.lower(), "").partition(" ")
+    try:
+        return TargetIncarnation(TargetId(target_id), int(started))
+    except ValueError:
+        return None
+
+
+def without_responder(head: ResponseHead) -> ResponseHead:
+    """Return a response as its target sent it."""
+    name = RESPONDER_HEADER.lower()
+    fields = tuple(each for each in head.headers if each[0].lower() != name)
+    return head if fields == head.headers else replace(head, headers=fields)
--- a/src/chervilstall/edge/peers/relay.py
+++ b/src/chervilstall/edge/peers/relay.py
@@ -5,15 +5,32 @@
 """
 
 import random
+import time
 from dataclasses import dataclass
 
-from chervilstall.edge.exchange import CompleteResponse, Exchange, ExchangeFailed
-from chervilstall.edge.peers.forwarding import Forwarding, is_unable
+from chervilstall.edge.error_responses import is_router_refusal
+from chervilstall.edge.exchange import (
+    CompleteResponse,
+    Exchange,
+    ExchangeFailed,
+    ExchangeFailure,
+)
+from chervilstall.edge.limits.notices import TargetNotices
+from chervilstall.edge.peers.forwarding import (
+    Forwarding,
+    is_unable,
+    read_responder,
+    without_responder,
+)
 from chervilstall.edge.peers.search import ReachSearch
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.view import FleetView
-from chervilstall.platform.headers import ResponseHead, router_headers
+from chervilstall.platform.headers import (
+    NOT_RUN_STATUSES,
+    ResponseHead,
+    router_headers,
+)
 from chervilstall.platform.peers import Peer
 from chervilstall.telemetry.events import EventLog
 
@@ -30,10 +47,14 @@
 
 @dataclass
 class PeerRelay:
-    """Forwards requests to other routers."""
+    """Forwards requests to other routers.
+
+    `notices` puts in force what targets announce in responses that come that way.
+    """
 
     search: ReachSearch
     fleet_view: FleetView
+    notices: TargetNotices | None = None
 
     def run(self, request: EdgeRequest, attempts_max: int) -> CompleteResponse:
         """Forward a request and return the whole response.
@@ -43,7 +64,7 @@
         """
         exchange, head = self.open(request, attempts_max)
         try:
-            return exchange.read_response(head, request.remaining_s)
+            return self.read(exchange, head)
         finally:
             exchange.close()
 
@@ -65,6 +86,7 @@
             if request.remaining_s <= 0.0:
                 break
             exchange = self._exchange(request, peer, attempts_max, last_event_id)
+            sent_at_s = time.monotonic()
             try:
                 head = exchange.send_request(request.remaining_s)
             except ExchangeFailed as error:
@@ -79,12 +101,40 @@
                 log.routine("forwarded", request=request.request_id, peer=peer.vm)
                 self.search.mark_able(service, peer)
                 exchange.abort_at_deadline()
-                return exchange, head
+                return exchange, self._record(head, sent_at_s)
             exchange.close()
             self.search.mark_unable(service, peer)
             log.info("router unable", peer=peer.vm, request=request.request_id)
         raise out_of_reach_error()
 
+    @staticmethod
+    def read(exchange: Exchange, head: ResponseHead) -> CompleteResponse:
+        """Read the whole response that another router passed on.
+
+        Raises ExchangeFailed also for a refusal of which neither its target nor a
+        router says that nothing ran: routers of older versions pass on those of targets
+        that have run the request.
+        """
+        response = exchange.read_response(head, exchange.request.remaining_s)
+        if head.status not in NOT_RUN_STATUSES or head.is_not_executed:
+            return response
+        if not head.is_signed and is_router_refusal(response.body):
+            return response
+        log.warning(
+            "unmarked refusal",
+            request=exchange.request.request_id,
+            status=head.status,
+            by="router",
+        )
+        raise ExchangeFailed(ExchangeFailure.UNMARKED_REFUSAL, was_sent=True)
+
+    def _record(self, head: ResponseHead, sent_at_s: float) -> ResponseHead:
+        """Record what a target says of itself; return the response as it sent it."""
+        if self.notices is not None:
+            responder = read_responder(head.headers)
+            self.notices.record_passed_on(responder, head, sent_at_s)
+        return without_responder(head)
+
     def _exchange(
         self, request: EdgeRequest, peer: Peer, attempts_max: int, last_event_id: str
     ) -> Exchange:
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -18,6 +18,7 @@
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.notices import TargetNotices
 from chervilstall.edge.limits.rate_limits import AT_LIMIT, TargetRateLimiter
+from chervilstall.edge.peers.forwarding import name_responder
 from chervilstall.edge.peers.relay import OUT_OF_REACH, PeerRelay
 from chervilstall.edge.reach.targets import TargetReach
 from chervilstall.edge.request import EdgeRequest
@@ -257,6 +258,8 @@
         try:
             head = exchange.send_request(timeout_s)
             self.notices.record(target, head, sent_at_s)
+            if request.forwarding is not None:
+                head = name_responder(head, target)
             response = exchange.read_response(
                 head, request.remaining_s - RESPONSE_RESERVE_S
             )
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -194,7 +194,7 @@
     def _build_application(self) -> EdgeApplication:
         notices = TargetNotices(self.fleet_view, self.rate_limiter)
         crash_guard = CrashGuard(self.quarantine, self.crash_observer)
-        peer_relay = PeerRelay(self.reach_search, self.fleet_view)
+        peer_relay = PeerRelay(self.reach_search, self.fleet_view, notices)
         plain = PlainRelay(
             PlainTargetChooser(self.fleet_view, self.settings.zone, self.rate_limiter),
             self.fleet_view,
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -19,6 +19,7 @@
 )
 from chervilstall.edge.limits.attempts import AttemptLimit
 from chervilstall.edge.limits.rate_limits import AT_LIMIT
+from chervilstall.edge.peers.forwarding import name_responder
 from chervilstall.edge.peers.relay import OUT_OF_REACH, out_of_reach_error
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.streams.context import StreamBroken, StreamContext, stream_error
@@ -113,7 +114,7 @@
                 self._pending_event = self._read_first_event()
                 self.head = head
                 return head
-            response = self._exchange.read_response(head, request.remaining_s)
+            response = self.context.peer_relay.read(self._exchange, head)
         except ExchangeFailed as error:
             self._is_at_peer = self._may_have_run = True
             self._last_failure = error.failure.value
@@ -236,7 +237,7 @@
         self.context.notices.record(path.first, head, sent_at_s)
         if not head.is_not_executed:
             self.attempts.record(path.first)
-        return head
+        return head if request.forwarding is None else name_responder(head, path.first)
 
     def _read_non_stream(
         self, path: Path, head: ResponseHead
--- a/src/chervilstall/platform/headers.py
+++ b/src/chervilstall/platform/headers.py
@@ -7,7 +7,7 @@
 from geventhttpclient.header import Headers
 
 from chervilstall.fleet.records import Target
-from chervilstall.ids import PartId, RequestId, WorkspaceName
+from chervilstall.ids import PartId, RequestId, TargetId, WorkspaceName
 from chervilstall.paths.records import Path
 from chervilstall.platform import protocol
 from chervilstall.platform.targets import encode_path
@@ -97,6 +97,10 @@
     return value if 0.0 <= value < 1e12 else None
 
 
+def _parse_target(text: str | None) -> TargetId | None:
+    return TargetId(text) if text else None
+
+
 @dataclass(frozen=True)
 class ForwardFields:
     """Values of the headers that the router adds to a request it forwards."""
@@ -165,7 +169,8 @@
     `limit_per_s` is the number of requests a second that the responder takes from all
     routers together, None if it names no limit. `is_leaving` is true if the responder
     is about to exit. `retry_after_s` is the time for which a refusing responder wants
-    no more requests from this router, None if it names none.
+    no more requests from this router, None if it names none. `responder` is the ID of
+    the responder where it states it.
     """
 
     status: int
@@ -179,6 +184,7 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     retry_after_s: float | None = None
+    responder: TargetId | None = None
 
 
 def read_response_head(response: Any, request: RequestId) -> ResponseHead:
@@ -209,4 +215,5 @@
         limit_per_s=_parse_number(by_name.get(protocol.RATE_LIMIT.lower(), "")),
         retry_after_s=_parse_number(by_name.get(protocol.RETRY_AFTER.lower(), "")),
         is_leaving=by_name.get(protocol.LEAVING.lower()) == "1",
+        responder=_parse_target(by_name.get(protocol.ANSWERING_TARGET.lower())),
     )
--- a/tests/support/cut_fleet.py
+++ b/tests/support/cut_fleet.py
@@ -299,7 +299,7 @@
         search = ReachSearch(directory, fleet_view, partial(self._start_asking, event))
         search._searches[SERVICE].is_settled = cast(Any, event)
         self.searches[peer.vm] = search
-        return ModelPeerRelay(search, fleet_view, self)
+        return ModelPeerRelay(search, fleet_view, fleet=self)
 
     def _start_asking(
         self,
