--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -99,7 +99,9 @@
         self.chooser = PathChooser(
             self.fleet_view, settings.zone, max(1, len(settings.zones))
         )
-        self.rate_limiter = TargetRateLimiter(settings.vm, settings.zone)
+        self.rate_limiter = TargetRateLimiter(
+            settings.vm, settings.zone, statements=self.fleet_view.statements
+        )
         self.stream_monitor = StreamMonitor(
             self.fleet_view,
             self.chooser,
@@ -190,7 +192,7 @@
     def _build_application(self) -> EdgeApplication:
         notices = TargetNotices(self.fleet_view, self.rate_limiter)
         crash_guard = CrashGuard(self.quarantine, self.crash_observer)
-        peer_relay = PeerRelay(self.reach_search, self.fleet_view)
+        peer_relay = PeerRelay(self.reach_search, self.fleet_view, notices)
         plain = PlainRelay(
             PlainTargetChooser(self.fleet_view, self.settings.zone, self.rate_limiter),
             self.fleet_view,
@@ -342,6 +344,7 @@
         configuration = self.fleet_view.configuration
         gauges["configuration_version"] = configuration.version if configuration else 0
         gauges["targets"] = len(self.fleet_view.targets)
+        gauges["target_statements"] = len(self.fleet_view.statements)
         gauges["streams"] = len(self.stream_monitor.streams)
         gauges["parts_under_quarantine"] = len(self.quarantine.entries)
         gauges["services_out_of_reach"] = len(self.target_reach.out_of_reach)
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -115,7 +115,7 @@
     ) -> MoveOutlook:
         request = stream.request
         left_s = MOVE_SHARE * self.fleet_view.drain_s
-        left_s -= self.fleet_view.draining_s(leaving)
+        left_s -= self.fleet_view.statements.draining_s(leaving)
         duration_s = self.durations.expected_s(
             request.service.name, request.fields.answer_tokens
         )
