Add the load that other routers report to the choice of paths

The load by other routers was guessed: own load times the routers of the zone. PeerLoads holds what routers report, by router and summed by target incarnation, and drops the figures of a router 1.8 s after it took them. The guess now covers only routers that don't report, by the mean of all whose load is known; without reports all choices are as before. Nothing reports yet.

--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -17,12 +17,14 @@
     Pipeline,
     Service,
     Target,
+    TargetIncarnation,
     TargetReadiness,
 )
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import TargetId, ZoneName
 from chervilstall.paths.capacity import step_factor, token_capacity
 from chervilstall.paths.load import LoadTracker
+from chervilstall.paths.peer_loads import PeerLoads
 from chervilstall.paths.records import Path, PathStage
 
 HOP_MS = 0.3
@@ -111,7 +113,7 @@
 
     `zone` is the router's own zone. `zone_count` and `router_count` are the numbers of
     zones and of running routers, from which the load by other routers is estimated.
-    `load` counts this router's own requests.
+    `load` counts this router's own requests, `peer_loads` those that others report.
     """
 
     fleet_view: FleetView
@@ -120,6 +122,7 @@
     router_count: int = 1
     rng: random.Random = field(default_factory=random.Random)
     load: LoadTracker = field(default_factory=LoadTracker)
+    peer_loads: PeerLoads = field(default_factory=PeerLoads)
 
     def choose(self, service: Service, request: PathRequest) -> Path | None:
         """Return the cheapest path for a request, or None if there is none.
@@ -259,15 +262,15 @@
         """Return the time until every stage of a path has prefilled a prompt.
 
         Where a request moves from the path `before`, stages that both paths share have
-        prefilled it already. Other routers are assumed to send as many prompts, since
-        they have the same information as this one.
+        prefilled it already. Routers that don't report are assumed to send as many
+        prompts, since they have the same information as this one.
         """
         longest_s = 0.0
         for stage in _added_stages(path, before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
             wait_s = (
-                self.load.prefill_backlog_s(stage.target.incarnation)
-                + own_s * self._similar_routers
+                self._prefill_backlog_s(stage.target.incarnation)
+                + own_s * self._unseen_factor
             )
             longest_s = max(longest_s, wait_s)
         transfer_s = self._transfer_s(pipeline, path, tokens)
@@ -280,13 +283,11 @@
     ) -> None:
         """Queue a prompt at the stages of a path that have yet to prefill it.
 
-        It counts once for each router that is assumed to act like this one.
+        It counts once for each router assumed to act like this one without reporting.
         """
         for stage in _added_stages(path, before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
-            self.load.add_prefill(
-                stage.target.incarnation, own_s * self._similar_routers
-            )
+            self.load.add_prefill(stage.target.incarnation, own_s * self._unseen_factor)
         self.load.add_transfer(self._transfer_s(pipeline, path, tokens))
 
     def _transfer_s(self, pipeline: Pipeline, path: Path, tokens: float) -> float:
@@ -316,19 +317,36 @@
         self, target: Target, tokens: float, capacity_tokens: float
     ) -> float:
         cost_ms = HOP_MS + REQUEST_MS * self.load.requests.get(target.incarnation, 0)
-        cost_ms += (
-            PREFILL_WEIGHT * self.load.prefill_backlog_s(target.incarnation) * 1e3
-        )
+        cost_ms += PREFILL_WEIGHT * self._prefill_backlog_s(target.incarnation) * 1e3
         if target.incarnation in self.fleet_view.slowness:
             cost_ms += SLOW_MS
         if target.state is TargetReadiness.DRAINING:
             cost_ms += DRAINING_MS
         if self.load.is_full(target.incarnation):
             cost_ms += FULL_MS
-        own_tokens = self.load.tokens.get(target.incarnation, 0.0) + tokens
-        use = own_tokens * self._similar_routers / capacity_tokens
+        known_tokens = self.known_tokens(target.incarnation) + tokens
+        use = known_tokens * self._unseen_factor / capacity_tokens
         return cost_ms + USE_MS * max(0.0, use - USE_THRESHOLD) ** 2
 
+    def known_tokens(self, incarnation: TargetIncarnation) -> float:
+        """Return the tokens in flight of this router and those that report."""
+        own = self.load.tokens.get(incarnation, 0.0)
+        return own + self.peer_loads.tokens(incarnation)
+
+    def _prefill_backlog_s(self, incarnation: TargetIncarnation) -> float:
+        own_s = self.load.prefill_backlog_s(incarnation)
+        return own_s + self.peer_loads.prefill_backlog_s(incarnation)
+
+    @property
+    def _unseen_factor(self) -> float:
+        """Return the load of all routers as a multiple of the load that is known.
+
+        Routers that don't report are assumed to load a target as those do on average
+        whose load is known, this one included.
+        """
+        known_routers = 1 + self.peer_loads.reporting_routers
+        return max(1.0, self._similar_routers / known_routers)
+
     @property
     def _similar_routers(self) -> float:
         """Return how many routers are assumed to load a target as this one does."""
--- /dev/null
+++ b/src/chervilstall/paths/peer_loads.py
@@ -0,0 +1,195 @@
+"""Load that other routers report to put on targets, and the age of their figures."""
+
+import time
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from chervilstall.fleet.records import TargetIncarnation
+from chervilstall.ids import VmId, WorkspaceName
+
+FRESH_S = 1.8
+"""Age from which on a router's figures are not used any more."""
+
+
+@dataclass(frozen=True)
+class TargetLoad:
+    """What one router's own requests take up at one target.
+
+    `tokens` and `requests` are in flight, `prefill_ms` is the time that the target
+    needs for the prompts queued there. `refusals` counts requests that it refused for
+    lack of capacity within the last second. Whole numbers, so that sums over routers
+    don't drift as figures are replaced.
+    """
+
+    tokens: int = 0
+    requests: int = 0
+    prefill_ms: int = 0
+    refusals: int = 0
+
+
+NO_LOAD = TargetLoad()
+
+
+@dataclass(frozen=True)
+class DemandClass:
+    """Requests of one priority and workspace; a lower priority is more urgent."""
+
+    priority: int
+    workspace: WorkspaceName | None
+
+
+@dataclass
+class RouterReport:
+    """The latest figures of one router and when it took them, in monotonic seconds."""
+
+    taken_at_s: float
+    loads: dict[TargetIncarnation, TargetLoad] = field(default_factory=dict)
+    demand: dict[DemandClass, int] = field(default_factory=dict)
+
+
+@dataclass
+class _Sum:
+    """Figures of all reporting routers for one target.
+
+    `prefill_at` is the sum of the times of the queues in ms, weighted by the queues.
+    """
+
+    tokens: int = 0
+    requests: int = 0
+    prefill_ms: int = 0
+    refusals: int = 0
+    prefill_at: int = 0
+    reports: int = 0
+
+    def add(self, load: TargetLoad, taken_at_ms: int, sign: int) -> None:
+        self.tokens += sign * load.tokens
+        self.requests += sign * load.requests
+        self.prefill_ms += sign * load.prefill_ms
+        self.refusals += sign * load.refusals
+        self.prefill_at += sign * load.prefill_ms * taken_at_ms
+        self.reports += sign
+
+
+@dataclass
+class PeerLoads:
+    """Sums what the other routers of the zone report, by target incarnation.
+
+    The figures of a router that stops reporting are dropped after `FRESH_S`. Without
+    reports all figures are 0.
+    """
+
+    reports: dict[VmId, RouterReport] = field(default_factory=dict)
+    _sums: dict[TargetIncarnation, _Sum] = field(default_factory=dict)
+    _oldest_at_s: float = float("inf")
+
+    def tokens(self, incarnation: TargetIncarnation) -> float:
+        """Return the tokens in flight that reporting routers sent to a target."""
+        known = self._sum(incarnation)
+        return 0.0 if known is None else float(known.tokens)
+
+    def requests(self, incarnation: TargetIncarnation) -> float:
+        """Return the requests in flight that reporting routers sent to a target."""
+        known = self._sum(incarnation)
+        return 0.0 if known is None else float(known.requests)
+
+    def refusals(self, incarnation: TargetIncarnation) -> float:
+        """Return how often a target refused reporting routers in one second."""
+        known = self._sum(incarnation)
+        return 0.0 if known is None else float(known.refusals)
+
+    def prefill_backlog_s(self, incarnation: TargetIncarnation) -> float:
+        """Return the time for the prompts that reporting routers queued at a target.
+
+        What the target has prefilled since the reports is taken off.
+        """
+        known = self._sum(incarnation)
+        if known is None or not known.prefill_ms:
+            return 0.0
+        age_s = time.monotonic() - known.prefill_at / known.prefill_ms / 1e3
+        return max(0.0, known.prefill_ms / 1e3 - max(0.0, age_s))
+
+    @property
+    def reporting_routers(self) -> int:
+        """Return the number of other routers whose figures are fresh."""
+        self.expire()
+        return len(self.reports)
+
+    @property
+    def age_s(self) -> float:
+        """Return the age of the oldest figure in use, 0 without reports."""
+        self.expire()
+        if not self.reports:
+            return 0.0
+        return max(0.0, time.monotonic() - self._oldest_at_s)
+
+    def demand(self) -> dict[DemandClass, int]:
+        """Return the requests that reporting routers received in one second."""
+        self.expire()
+        total: dict[DemandClass, int] = {}
+        for report in self.reports.values():
+            for demand_class, requests in report.demand.items():
+                total[demand_class] = total.get(demand_class, 0) + requests
+        return total
+
+    def replace(self, vm: VmId, report: RouterReport) -> None:
+        """Use a router's full copy in place of all that it reported before."""
+        self.drop(vm)
+        self.reports[vm] = report
+        self._add(report.loads.items(), report.taken_at_s, 1)
+        self._oldest_at_s = min(self._oldest_at_s, report.taken_at_s)
+
+    def update(
+        self,
+        vm: VmId,
+        taken_at_s: float,
+        changes: Mapping[TargetIncarnation, TargetLoad],
+        demand: dict[DemandClass, int],
+    ) -> None:
+        """Apply what changed since a router's last report; other figures still hold.
+
+        A target without load is named with `NO_LOAD`. A router without a report is
+        ignored, as its other figures aren't known.
+        """
+        known = self.reports.get(vm)
+        if known is None:
+            return
+        loads = {**known.loads, **changes}
+        loads = {each: load for each, load in loads.items() if load != NO_LOAD}
+        self.replace(vm, RouterReport(taken_at_s, loads, demand))
+
+    def drop(self, vm: VmId) -> None:
+        """Drop a router's figures."""
+        report = self.reports.pop(vm, None)
+        if report is None:
+            return
+        self._add(report.loads.items(), report.taken_at_s, -1)
+        times_s = (each.taken_at_s for each in self.reports.values())
+        self._oldest_at_s = min(times_s, default=float("inf"))
+
+    def expire(self) -> None:
+        """Drop the figures of routers that no longer report."""
+        oldest_allowed_s = time.monotonic() - FRESH_S
+        if self._oldest_at_s >= oldest_allowed_s:
+            return
+        for vm, report in list(self.reports.items()):
+            if report.taken_at_s < oldest_allowed_s:
+                self.drop(vm)
+
+    def _add(
+        self,
+        loads: Iterable[tuple[TargetIncarnation, TargetLoad]],
+        taken_at_s: float,
+        sign: int,
+    ) -> None:
+        taken_at_ms = int(taken_at_s * 1e3)
+        for incarnation, load in loads:
+            known = self._sums.get(incarnation)
+            if known is None:
+                known = self._sums[incarnation] = _Sum()
+            known.add(load, taken_at_ms, sign)
+            if not known.reports:
+                del self._sums[incarnation]
+
+    def _sum(self, incarnation: TargetIncarnation) -> _Sum | None:
+        self.expire()
+        return self._sums.get(incarnation)
