--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -28,6 +28,7 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.http_response import StartResponse, status_line
 from chervilstall.ids import WorkspaceName
+from chervilstall.paths.peer_loads import DemandClass
 from chervilstall.platform.headers import (
     HeaderFields,
     RequestFields,
@@ -300,6 +301,9 @@
             response = self.plain_relay.run(request)
             yield from self._send_complete(request, response, start_response)
             return
+        if request.forwarding is None:
+            demand_class = DemandClass(request.priority, request.workspace)
+            self.stream_context.chooser.load.demand.add(demand_class)
         relay = StreamRelay(self.stream_context, request)
         try:
             result = relay.begin()
--- /dev/null
+++ b/src/chervilstall/edge/loads/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange of the load on targets between the routers of a zone."""
--- a/src/chervilstall/edge/peers/directory.py
+++ b/src/chervilstall/edge/peers/directory.py
@@ -98,9 +98,21 @@
     """Return what the other routers are told of the router with these settings.
 
     `address` is the one at which it takes forwarded requests, on its first internal
-    port. It relays changes on the next one, if it has one.
+    port. It relays changes on the next one and reports its load on the one after that,
+    if it has them.
     """
-    relay_address = None
-    if settings.ports and settings.ports[0] < settings.ports[-1]:
-        relay_address = Address(settings.host, settings.ports[0] + 1)
-    return Peer(settings.vm, settings.zone, address, relay_address, settings.link_mbps)
+    return Peer(
+        settings.vm,
+        settings.zone,
+        address,
+        _internal_address(settings, 1),
+        settings.link_mbps,
+        _internal_address(settings, 2),
+    )
+
+
+def _internal_address(settings: NodeSettings, number: int) -> Address | None:
+    """Return the address on an internal port, counted from 0, if there is one."""
+    if not settings.ports or settings.ports[0] + number > settings.ports[-1]:
+        return None
+    return Address(settings.host, settings.ports[0] + number)
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -21,6 +21,7 @@
 from chervilstall.edge.limits.notices import TargetNotices
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.limits.sharing import LimitSharing
+from chervilstall.edge.loads.exchange import LoadExchange
 from chervilstall.edge.loop_pulse import LoopPulse
 from chervilstall.edge.peers.directory import PeerDirectory, describe_own
 from chervilstall.edge.peers.listener import PeerEndpoint
@@ -49,7 +50,7 @@
 from chervilstall.platform.leases import PlatformLeases
 from chervilstall.platform.watcher import StoreWatcher
 from chervilstall.quarantine.prompts import PromptQuarantine
-from chervilstall.settings.edge import EdgeSettings
+from chervilstall.settings.edge import EdgeSettings, FeatureMode
 from chervilstall.settings.leases import LeaseSettings
 from chervilstall.settings.node import NodeSettings
 from chervilstall.settings.option import Address
@@ -162,6 +163,12 @@
         self.changes = ChangeService(
             self.store_watcher, relay_choice, lambda: self.is_draining
         )
+        self.load_exchange = LoadExchange(
+            self.peer_directory,
+            self.fleet_view,
+            self.chooser,
+            lambda: self._is_in_force(edge_settings.load_exchange.mode),
+        )
         self.store_probe = StoreProbe(self.store, self.store_watcher, self.registry.key)
         self.caller_listener = Server(
             listener or settings.frontend_address,
@@ -251,6 +258,13 @@
             and self.fleet_view.are_targets_loaded
         )
 
+    def _is_in_force(self, mode: FeatureMode) -> bool:
+        """Return whether the configuration in force calls for a feature."""
+        configuration = self.fleet_view.configuration
+        return configuration is not None and mode.is_in_force(
+            configuration.ranks_pipeline
+        )
+
     def _serving_version(self) -> int | None:
         """Return the version of the configuration; None if no new work is taken."""
         configuration = self.fleet_view.configuration
@@ -267,6 +281,7 @@
             self.settings, self.peer_listener.bound_address
         )
         self.changes.choice.own = self.registry.peer
+        self.load_exchange.own = self.registry.peer
         self.readiness_listener.start()
         self.metrics_listener.start()
         runners = [self.store_watcher.run, self.store_probe.run]
@@ -277,6 +292,7 @@
             self.outage_poller.run,
             self.zone_prober.run,
             self.target_reach.run,
+            self.load_exchange.run,
             lambda: self.reach_search.run(self.target_reach.out_of_reach.keys()),
             self._run_housekeeping,
         ]
@@ -340,6 +356,7 @@
         gauges["store_calls_total"] = self.store.calls
         gauges["orders_total"] = self.planner.orders_sent
         gauges["collections"] = sum(stats["collections"] for stats in gc.get_stats())
+        self.load_exchange.set_gauges(gauges)
         return self.metrics.exposition()
 
     def drain_and_stop(self, told_at_s: float) -> None:
@@ -392,6 +409,7 @@
         """Kill all tasks and connections at once."""
         gevent.killall(self._tasks, block=False)
         self.changes.stop()
+        self.load_exchange.stop()
         self.caller_listener.kill_connections()
         self.peer_listener.kill_connections()
         self.readiness_listener.kill_connections()
--- a/src/chervilstall/edge/streams/paths.py
+++ b/src/chervilstall/edge/streams/paths.py
@@ -42,6 +42,7 @@
         faulty = named[0] if named else path.first
         self.refusing.add(faulty.id)
         self.chooser.load.note_full(faulty.incarnation, FULL_S)
+        self.chooser.load.refusals.add(faulty.incarnation)
         return faulty
 
     def choose(self) -> Path | None:
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -268,10 +268,8 @@
         longest_s = 0.0
         for stage in _added_stages(path, before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
-            wait_s = (
-                self._prefill_backlog_s(stage.target.incarnation)
-                + own_s * self._unseen_factor
-            )
+            known_s = self._known_prefill_s(stage.target.incarnation) + own_s
+            wait_s = known_s * self._unseen_factor
             longest_s = max(longest_s, wait_s)
         transfer_s = self._transfer_s(pipeline, path, tokens)
         if not transfer_s:
@@ -287,7 +285,9 @@
         """
         for stage in _added_stages(path, before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
-            self.load.add_prefill(stage.target.incarnation, own_s * self._unseen_factor)
+            incarnation = stage.target.incarnation
+            peers_s = self.peer_loads.prefill_backlog_s(incarnation)
+            self.load.add_prefill(incarnation, own_s, peers_s, self._unseen_factor)
         self.load.add_transfer(self._transfer_s(pipeline, path, tokens))
 
     def _transfer_s(self, pipeline: Pipeline, path: Path, tokens: float) -> float:
@@ -317,7 +317,8 @@
         self, target: Target, tokens: float, capacity_tokens: float
     ) -> float:
         cost_ms = HOP_MS + REQUEST_MS * self.load.requests.get(target.incarnation, 0)
-        cost_ms += PREFILL_WEIGHT * self._prefill_backlog_s(target.incarnation) * 1e3
+        backlog_s = self._known_prefill_s(target.incarnation) * self._unseen_factor
+        cost_ms += PREFILL_WEIGHT * backlog_s * 1e3
         if target.incarnation in self.fleet_view.slowness:
             cost_ms += SLOW_MS
         if target.state is TargetReadiness.DRAINING:
@@ -333,7 +334,7 @@
         own = self.load.tokens.get(incarnation, 0.0)
         return own + self.peer_loads.tokens(incarnation)
 
-    def _prefill_backlog_s(self, incarnation: TargetIncarnation) -> float:
+    def _known_prefill_s(self, incarnation: TargetIncarnation) -> float:
         own_s = self.load.prefill_backlog_s(incarnation)
         return own_s + self.peer_loads.prefill_backlog_s(incarnation)
 
--- a/src/chervilstall/platform/peers.py
+++ b/src/chervilstall/platform/peers.py
@@ -16,8 +16,9 @@
 class Peer:
     """A router that takes forwarded requests, and its availability zone.
 
-    It relays changes of the store at `relay_address`, if it has one. `link_mbps` is the
-    rate of its link in Mbit/s, or 0 if that is not known.
+    It relays changes of the store at `relay_address`, and reports its load on targets
+    at `loads_address`, if it has them. `link_mbps` is the rate of its link in Mbit/s,
+    or 0 if that is not known.
     """
 
     vm: VmId
@@ -25,6 +26,7 @@
     address: Address
     relay_address: Address | None = None
     link_mbps: int = 0
+    loads_address: Address | None = None
 
 
 class _Entry(msgspec.Struct, omit_defaults=True):
@@ -32,6 +34,7 @@
     address: str
     relay: str = ""
     link_mbps: Count = 0
+    loads: str = ""
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -45,7 +48,8 @@
 def encode_peer(peer: Peer) -> bytes:
     """Encode a router's entry."""
     relay = str(peer.relay_address) if peer.relay_address is not None else ""
-    entry = _Entry(peer.zone, str(peer.address), relay, peer.link_mbps)
+    loads = str(peer.loads_address) if peer.loads_address is not None else ""
+    entry = _Entry(peer.zone, str(peer.address), relay, peer.link_mbps, loads)
     return msgspec.json.encode(entry)
 
 
@@ -58,4 +62,19 @@
     except ValueError:
         return None
     vm = VmId(key.removeprefix(PEERS_PREFIX))
-    return Peer(vm, ZoneName(entry.zone), address, relay_address, entry.link_mbps)
+    return Peer(
+        vm,
+        ZoneName(entry.zone),
+        address,
+        relay_address,
+        entry.link_mbps,
+        _optional_address(entry.loads),
+    )
+
+
+def _optional_address(text: str) -> Address | None:
+    """Return an address, or None for a malformed one, which nothing depends on."""
+    try:
+        return parse_address(text)
+    except ValueError:
+        return None
