Spread requests by share where routers know each other's load

With the same figures, all routers sent their requests to the target with the least load until the next figures came. While routers report, the cost that load causes is now floored near the mean of the targets that hold the same layer, and the random part gives shares that fall smoothly with cost. Without reports, choices are as before.

The guess for routers that don't report now takes the zone's own number of routers, where that is known.

--- a/src/chervilstall/edge/loads/neighbours.py
+++ b/src/chervilstall/edge/loads/neighbours.py
@@ -23,7 +23,7 @@
 """Targets of a zone times neighbours for which a router's bytes last, see
 `docs/CAPACITY.md`."""
 
-INTERVAL_MIN_S = 0.35
+INTERVAL_MIN_S = 0.25
 INTERVAL_MAX_S = 1.4
 """Longest time between two reports; a report that is not replaced expires later."""
 
--- a/src/chervilstall/edge/registry.py
+++ b/src/chervilstall/edge/registry.py
@@ -177,6 +177,8 @@
         router_count = max(1, len(self._router_zones))
         self.budget.router_count = router_count
         self.chooser.router_count = router_count
+        zones = list(self._router_zones.values())
+        self.chooser.zone_routers = zones.count(self.zone)
         self.standby.update_interval()
 
     def _apply_suspicion(self, content: bytes) -> None:
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -9,7 +9,6 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from chervilstall.fleet.records import (
@@ -22,10 +21,12 @@
 )
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import TargetId, ZoneName
+from chervilstall.paths.boundaries import layer_boundaries, layer_exits
 from chervilstall.paths.capacity import step_factor, token_capacity
 from chervilstall.paths.load import LoadTracker
 from chervilstall.paths.peer_loads import PeerLoads
 from chervilstall.paths.records import Path, PathStage
+from chervilstall.paths.spread import TargetCost, spread_costs_ms
 
 HOP_MS = 0.3
 REMOTE_ZONE_MS = 10.0
@@ -112,7 +113,8 @@
     """Chooses paths for the requests of one router.
 
     `zone` is the router's own zone. `zone_count` and `router_count` are the numbers of
-    zones and of running routers, from which the load by other routers is estimated.
+    zones and of running routers, from which the load by other routers is estimated;
+    `zone_routers` is the number of those in the router's zone, or 0 if not known.
     `load` counts this router's own requests, `peer_loads` those that others report.
     """
 
@@ -123,6 +125,7 @@
     rng: random.Random = field(default_factory=random.Random)
     load: LoadTracker = field(default_factory=LoadTracker)
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
+    zone_routers: int = 0
 
     def choose(self, service: Service, request: PathRequest) -> Path | None:
         """Return the cheapest path for a request, or None if there is none.
@@ -178,7 +181,7 @@
         request: PathRequest,
         may_exit_early: bool,
     ) -> "_CostedPath | None":
-        boundaries = _boundaries(targets, pipeline.layers)
+        boundaries = layer_boundaries(targets, pipeline.layers)
         starts = sorted({target.layers.first for target in targets})
         layer_ms = {target.id: self._layer_ms(pipeline, target) for target in targets}
         target_costs_ms = self._target_costs_ms(pipeline, targets, request.tokens)
@@ -196,7 +199,7 @@
                     continue
                 entry_ms, before = entry
                 entry_ms += target_costs_ms[target.id]
-                for end in _exits(boundary, target, starts, may_exit_early):
+                for end in layer_exits(boundary, target, starts, may_exit_early):
                     layers = LayerRange(boundary, min(end, pipeline.layers))
                     cost_ms = entry_ms + len(layers) * layer_ms[target.id]
                     known = reached[layers.end].get(target.id)
@@ -304,32 +307,45 @@
         capacities = {
             target.id: max(1.0, token_capacity(pipeline, target)) for target in targets
         }
+        costs = {
+            target.id: self._target_cost(target, tokens, capacities[target.id])
+            for target in targets
+        }
+        if self.peer_loads.reporting_routers:
+            return spread_costs_ms(targets, costs, self.rng)
         mean_capacity = sum(capacities.values()) / max(1, len(capacities))
-        costs: dict[TargetId, float] = {}
-        for target in targets:
-            capacity = capacities[target.id]
-            jitter = self.rng.expovariate(1.0) * mean_capacity / capacity
-            cost_ms = self._target_cost_ms(target, tokens, capacity)
-            costs[target.id] = cost_ms + JITTER_MS * min(jitter, JITTER_MAX)
-        return costs
-
-    def _target_cost_ms(
+        costs_ms: dict[TargetId, float] = {}
+        for target_id, cost in costs.items():
+            jitter = self.rng.expovariate(1.0) * mean_capacity / cost.capacity_tokens
+            cost_ms = cost.other_ms + cost.load_ms
+            costs_ms[target_id] = cost_ms + JITTER_MS * min(jitter, JITTER_MAX)
+        return costs_ms
+
+    def _target_cost(
         self, target: Target, tokens: float, capacity_tokens: float
-    ) -> float:
-        cost_ms = HOP_MS + REQUEST_MS * self.load.requests.get(target.incarnation, 0)
-        backlog_s = self._known_prefill_s(target.incarnation) * self._unseen_factor
-        cost_ms += PREFILL_WEIGHT * backlog_s * 1e3
-        if target.incarnation in self.fleet_view.slowness:
-            cost_ms += SLOW_MS
+    ) -> TargetCost:
+        incarnation = target.incarnation
+        other_ms = HOP_MS
+        if incarnation in self.fleet_view.slowness:
+            other_ms += SLOW_MS
         if target.state is TargetReadiness.DRAINING:
-            cost_ms += DRAINING_MS
-        if self.load.is_full(target.incarnation):
-            cost_ms += FULL_MS
-        known_tokens = self.known_tokens(target.incarnation) + tokens
-        use = known_tokens * self._unseen_factor / capacity_tokens
-        return cost_ms + USE_MS * max(0.0, use - USE_THRESHOLD) ** 2
-
-    def known_tokens(self, incarnation: TargetIncarnation) -> float:
+            other_ms += DRAINING_MS
+        if self.load.is_full(incarnation):
+            other_ms += FULL_MS
+        factor = self._unseen_factor
+        load_ms = REQUEST_MS * self.load.requests.get(incarnation, 0)
+        backlog_s = self._known_prefill_s(incarnation) * factor
+        load_ms += PREFILL_WEIGHT * backlog_s * 1e3
+        known_tokens = self._known_tokens(incarnation) + tokens
+        use = known_tokens * factor / capacity_tokens
+        load_ms += USE_MS * max(0.0, use - USE_THRESHOLD) ** 2
+        return TargetCost(load_ms, other_ms, capacity_tokens)
+
+    def estimated_tokens(self, incarnation: TargetIncarnation) -> float:
+        """Return the tokens in flight of all routers at a target, as estimated here."""
+        return self._known_tokens(incarnation) * self._unseen_factor
+
+    def _known_tokens(self, incarnation: TargetIncarnation) -> float:
         """Return the tokens in flight of this router and those that report."""
         own = self.load.tokens.get(incarnation, 0.0)
         return own + self.peer_loads.tokens(incarnation)
@@ -345,8 +361,11 @@
         Routers that don't report are assumed to load a target as those do on average
         whose load is known, this one included.
         """
-        known_routers = 1 + self.peer_loads.reporting_routers
-        return max(1.0, self._similar_routers / known_routers)
+        reporting_routers = self.peer_loads.reporting_routers
+        if not reporting_routers:
+            return self._similar_routers
+        zone_routers = self.zone_routers or self.router_count / self.zone_count
+        return max(1.0, zone_routers / (1 + reporting_routers))
 
     @property
     def _similar_routers(self) -> float:
@@ -363,28 +382,6 @@
     return [stage for stage in path.stages if stage not in before.stages]
 
 
-def _boundaries(targets: Iterable[Target], layers: int) -> list[int]:
-    boundaries = {0, layers}
-    for target in targets:
-        boundaries.add(target.layers.first)
-        boundaries.add(target.layers.end)
-    return sorted(boundaries)
-
-
-def _exits(
-    boundary: int, target: Target, starts: list[int], may_exit_early: bool
-) -> list[int]:
-    """Return the boundaries at which a path may leave a target.
-
-    These are the end of its layers and, with `may_exit_early`, the boundaries before it
-    at which the layers of another target start.
-    """
-    end = target.layers.end
-    if not may_exit_early:
-        return [end]
-    return [start for start in starts if boundary < start < end] + [end]
-
-
 def _stages_of(node: _SearchNode) -> tuple[PathStage, ...]:
     stages: list[PathStage] = []
     current: _SearchNode | None = node
--- /dev/null
+++ b/src/chervilstall/paths/spread.py
@@ -0,0 +1,94 @@
+"""Random part of the cost of targets for routers that know each other's load.
+
+With the same figures, all routers would send their requests to the target with the
+least load until the next figures arrive, and to another one then. So interchangeable
+targets get shares of the requests that fall smoothly with their cost, and the least
+loaded ones get little more than targets of mean load.
+"""
+
+import math
+import random
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from chervilstall.fleet.records import Target
+from chervilstall.ids import TargetId
+
+SPREAD_MS = 2.0
+"""Cost that reduces a target's share of requests to 1/e."""
+
+ADVANTAGE_MS = 0.3 * SPREAD_MS
+"""Most by which a target with less load than the others is cheaper than their mean.
+
+It then gets at most about exp(0.3) = 1.35 times the share of one of the others.
+"""
+
+LUCK_MIN, LUCK_MAX = -1.5, 3.0
+"""Bounds of the random part, as multiples of `SPREAD_MS`.
+
+Chance alone thus never outweighs the penalty for another zone.
+"""
+
+
+@dataclass(frozen=True)
+class TargetCost:
+    """Cost of a target: the part that load causes, and all of the rest."""
+
+    load_ms: float
+    other_ms: float
+    capacity_tokens: float
+
+
+@dataclass(frozen=True)
+class _Holders:
+    """Targets that hold a layer: their number, and sums of their costs and capacity."""
+
+    count: int
+    load_ms: float
+    capacity_tokens: float
+
+    def least_load_ms(self, cost: TargetCost) -> float:
+        """Return the least load cost that one of these targets counts with."""
+        if self.count == 1:
+            return cost.load_ms
+        others_ms = (self.load_ms - cost.load_ms) / (self.count - 1)
+        return others_ms - ADVANTAGE_MS
+
+
+def spread_costs_ms(
+    targets: Iterable[Target],
+    costs: Mapping[TargetId, TargetCost],
+    rng: random.Random,
+) -> dict[TargetId, float]:
+    """Return the costs of targets with their random part.
+
+    Of targets that hold the same layers at the same cost, each is the cheapest with a
+    probability in proportion to its capacity.
+    """
+    held = list(targets)
+    starts = {target.layers.first for target in held}
+    holders = {first: _holders(first, held, costs) for first in starts}
+    spread: dict[TargetId, float] = {}
+    for target in held:
+        cost, alike = costs[target.id], holders[target.layers.first]
+        load_ms = max(cost.load_ms, alike.least_load_ms(cost))
+        capacity_share = cost.capacity_tokens / alike.capacity_tokens
+        draw = max(rng.expovariate(1.0), 1e-9) / capacity_share
+        luck = min(LUCK_MAX, max(LUCK_MIN, math.log(draw)))
+        spread[target.id] = cost.other_ms + load_ms + SPREAD_MS * luck
+    return spread
+
+
+def _holders(
+    layer: int, targets: list[Target], costs: Mapping[TargetId, TargetCost]
+) -> _Holders:
+    held = [
+        costs[target.id]
+        for target in targets
+        if target.layers.first <= layer < target.layers.end
+    ]
+    return _Holders(
+        len(held),
+        sum(cost.load_ms for cost in held),
+        sum(cost.capacity_tokens for cost in held),
+    )
