--- a/src/chervilstall/edge/loads/messages.py
+++ b/src/chervilstall/edge/loads/messages.py
@@ -36,6 +36,9 @@
     requests: Figure
 
 
+Demand = Annotated[list[ClassDemand], msgspec.Meta(max_length=DEMAND_MAX)]
+
+
 class LoadMessage(msgspec.Struct, frozen=True, array_like=True):
     """What one router tells the others.
 
@@ -44,7 +47,7 @@
     `is_full`, targets that are not named have no load; else they have the load of the
     message before. The lists have one item for each target: the difference of its key
     to the one before, requests, tokens in units of `TOKENS_UNIT`, prefill in units of
-    `PREFILL_UNIT_MS`, and refusals.
+    `PREFILL_UNIT_MS`, and refusals. `demand` is None if the last one still holds.
     """
 
     format: int
@@ -58,7 +61,7 @@
     tokens: Figures
     prefill: Figures
     refusals: Figures
-    demand: Annotated[list[ClassDemand], msgspec.Meta(max_length=DEMAND_MAX)]
+    demand: Demand | None
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/chervilstall/edge/loads/neighbours.py
+++ b/src/chervilstall/edge/loads/neighbours.py
@@ -11,7 +11,7 @@
 from chervilstall.platform.peers import Peer
 from chervilstall.rendezvous import rendezvous_score
 
-BYTES_PER_S_MAX = 12_600.0
+BYTES_PER_S_MAX = 12_000.0
 """Bytes that a router may send and receive a second, of the 14 KB/s allowed to it."""
 
 NEIGHBOURS_MAX = 20
--- a/src/chervilstall/edge/loads/receiver.py
+++ b/src/chervilstall/edge/loads/receiver.py
@@ -8,6 +8,7 @@
 from chervilstall.edge.loads.messages import (
     PREFILL_UNIT_MS,
     TOKENS_UNIT,
+    ClassDemand,
     LoadMessage,
 )
 from chervilstall.fleet.records import TargetIncarnation
@@ -99,12 +100,9 @@
 
     def _apply(self, vm: VmId, message: LoadMessage, taken_at_s: float) -> None:
         loads = self._loads(message)
-        demand = {
-            DemandClass(each.priority, _workspace(each.workspace)): each.requests
-            for each in message.demand
-        }
+        demand = None if message.demand is None else _demand(message.demand)
         if message.is_full:
-            self.peer_loads.replace(vm, RouterReport(taken_at_s, loads, demand))
+            self.peer_loads.replace(vm, RouterReport(taken_at_s, loads, demand or {}))
         else:
             self.peer_loads.update(vm, taken_at_s, loads, demand)
 
@@ -130,5 +128,12 @@
             self.peer_loads.drop(vm)
 
 
+def _demand(classes: list[ClassDemand]) -> dict[DemandClass, int]:
+    return {
+        DemandClass(each.priority, _workspace(each.workspace)): each.requests
+        for each in classes
+    }
+
+
 def _workspace(name: str | None) -> WorkspaceName | None:
     return None if name is None else WorkspaceName(name)
--- a/src/chervilstall/edge/loads/reporter.py
+++ b/src/chervilstall/edge/loads/reporter.py
@@ -24,6 +24,9 @@
 FULL_EVERY = 4
 """Messages from one full copy to the next."""
 
+DEMAND_INTERVAL_S = 0.9
+"""Least time between two messages with demand, which counts the last second."""
+
 
 @dataclass
 class LoadReporter:
@@ -37,6 +40,7 @@
     run: int = field(default_factory=lambda: random.getrandbits(48))
     _sequence: int = 0
     _sent: dict[int, TargetLoad] = field(default_factory=dict)
+    _demand_at_s: float = float("-inf")
 
     def next_message(self) -> LoadMessage:
         """Return the next message; it has to be sent."""
@@ -62,7 +66,7 @@
             [each.tokens // TOKENS_UNIT for each in figures],
             [each.prefill_ms // PREFILL_UNIT_MS for each in figures],
             [each.refusals for each in figures],
-            self._demand(),
+            self._next_demand(is_full),
         )
 
     def current_loads(self) -> dict[TargetIncarnation, TargetLoad]:
@@ -84,8 +88,15 @@
                 loads[incarnation] = target_load
         return loads
 
-    def _demand(self) -> list[ClassDemand]:
-        """Return the demand of all classes, or of the largest if there are many."""
+    def _next_demand(self, is_full: bool) -> list[ClassDemand] | None:
+        """Return the demand of all classes, or of the largest if there are many.
+
+        None says that the last one was sent just before.
+        """
+        now_s = time.monotonic()
+        if not is_full and now_s < self._demand_at_s + DEMAND_INTERVAL_S:
+            return None
+        self._demand_at_s = now_s
         counts = self.load.demand.counts()
         largest = sorted(counts, key=lambda each: -counts[each])[:DEMAND_MAX]
         return [
--- a/src/chervilstall/paths/peer_loads.py
+++ b/src/chervilstall/paths/peer_loads.py
@@ -143,18 +143,19 @@
         vm: VmId,
         taken_at_s: float,
         changes: Mapping[TargetIncarnation, TargetLoad],
-        demand: dict[DemandClass, int],
+        demand: dict[DemandClass, int] | None = None,
     ) -> None:
         """Apply what changed since a router's last report; other figures still hold.
 
-        A target without load is named with `NO_LOAD`. A router without a report is
-        ignored, as its other figures aren't known.
+        A target without load is named with `NO_LOAD`. Without `demand`, the last one
+        holds. A router without a report is ignored, as its other figures aren't known.
         """
         known = self.reports.get(vm)
         if known is None:
             return
         loads = {**known.loads, **changes}
         loads = {each: load for each, load in loads.items() if load != NO_LOAD}
+        demand = known.demand if demand is None else demand
         self.replace(vm, RouterReport(taken_at_s, loads, demand))
 
     def drop(self, vm: VmId) -> None:
