--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -8,6 +8,7 @@
 from chervilstall.edge.server import EdgeServer
 from chervilstall.fleet.records import LayerRange
 from chervilstall.ids import VmId, ZoneName
+from chervilstall.settings.edge import EdgeSettings
 from chervilstall.settings.node import NodeBounds, NodeSettings, StoreAddress
 from chervilstall.settings.option import Address
 from chervilstall.soak.cut_links import RouterLinks, RouterStoreView
@@ -42,7 +43,8 @@
 class Platform:
     """A store, targets and routers in one process.
 
-    With a `first_port`, each router gets internal ports from there on. With `has_links`
+    With a `first_port`, each router gets internal ports from there on. Each has the
+    options `edge_settings`. With `has_links`
     each router reaches the targets over links of its own, `links`, in the order of the
     routers.
     """
@@ -53,6 +55,7 @@
     targets: dict[str, PlatformTarget] = field(default_factory=dict)
     routers: list[EdgeServer] = field(default_factory=list)
     first_port: int = 0
+    edge_settings: EdgeSettings = EdgeSettings()
     has_links: bool = False
     links: list[RouterLinks] = field(default_factory=list)
     _store_views: list[RouterStoreView] = field(default_factory=list)
@@ -147,7 +150,9 @@
         `callers` may be a bound socket to listen on.
         """
         settings = self.node_settings(zone)
-        router = EdgeServer(settings, Path("/nonexistent"), 0, callers)
+        router = EdgeServer(
+            settings, Path("/nonexistent"), 0, callers, self.edge_settings
+        )
         router.start()
         self.routers.append(router)
         if wait:
