--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -9,7 +9,6 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from chervilstall.fleet.records import (
@@ -17,13 +16,17 @@
     Pipeline,
     Service,
     Target,
+    TargetIncarnation,
     TargetReadiness,
 )
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import TargetId, ZoneName
+from chervilstall.paths.boundaries import layer_boundaries, layer_exits
 from chervilstall.paths.capacity import step_factor, token_capacity
 from chervilstall.paths.load import LoadTracker
+from chervilstall.paths.peer_loads import PeerLoads
 from chervilstall.paths.records import Path, PathStage
+from chervilstall.paths.spread import TargetCost, spread_costs_ms
 
 HOP_MS = 0.3
 REMOTE_ZONE_MS = 10.0
@@ -110,8 +113,9 @@
     """Chooses paths for the requests of one router.
 
     `zone` is the router's own zone. `zone_count` and `router_count` are the numbers of
-    zones and of running routers, from which the load by other routers is estimated.
-    `load` counts this router's own requests.
+    zones and of running routers, from which the load by other routers is estimated;
+    `zone_routers` is the number of those in the router's zone, or 0 if not known.
+    `load` counts this router's own requests, `peer_loads` those that others report.
     """
 
     fleet_view: FleetView
@@ -120,6 +124,8 @@
     router_count: int = 1
     rng: random.Random = field(default_factory=random.Random)
     load: LoadTracker = field(default_factory=LoadTracker)
+    peer_loads: PeerLoads = field(default_factory=PeerLoads)
+    zone_routers: int = 0
 
     def choose(self, service: Service, request: PathRequest) -> Path | None:
         """Return the cheapest path for a request, or None if there is none.
@@ -175,7 +181,7 @@
         request: PathRequest,
         may_exit_early: bool,
     ) -> "_CostedPath | None":
-        boundaries = _boundaries(targets, pipeline.layers)
+        boundaries = layer_boundaries(targets, pipeline.layers)
         starts = sorted({target.layers.first for target in targets})
         layer_ms = {target.id: self._layer_ms(pipeline, target) for target in targets}
         target_costs_ms = self._target_costs_ms(pipeline, targets, request.tokens)
@@ -193,7 +199,7 @@
                     continue
                 entry_ms, before = entry
                 entry_ms += target_costs_ms[target.id]
-                for end in _exits(boundary, target, starts, may_exit_early):
+                for end in layer_exits(boundary, target, starts, may_exit_early):
                     layers = LayerRange(boundary, min(end, pipeline.layers))
                     cost_ms = entry_ms + len(layers) * layer_ms[target.id]
                     known = reached[layers.end].get(target.id)
@@ -259,16 +265,14 @@
         """Return the time until every stage of a path has prefilled a prompt.
 
         Where a request moves from the path `before`, stages that both paths share have
-        prefilled it already. Other routers are assumed to send as many prompts, since
-        they have the same information as this one.
+        prefilled it already. Routers that don't report are assumed to send as many
+        prompts, since they have the same information as this one.
         """
         longest_s = 0.0
         for stage in _added_stages(path, before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
-            wait_s = (
-                self.load.prefill_backlog_s(stage.target.incarnation)
-                + own_s * self._similar_routers
-            )
+            known_s = self._known_prefill_s(stage.target.incarnation) + own_s
+            wait_s = known_s * self._unseen_factor
             longest_s = max(longest_s, wait_s)
         transfer_s = self._transfer_s(pipeline, path, tokens)
         if not transfer_s:
@@ -280,13 +284,13 @@
     ) -> None:
         """Queue a prompt at the stages of a path that have yet to prefill it.
 
-        It counts once for each router that is assumed to act like this one.
+        It counts once for each router assumed to act like this one without reporting.
         """
         for stage in _added_stages(path, before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
-            self.load.add_prefill(
-                stage.target.incarnation, own_s * self._similar_routers
-            )
+            incarnation = stage.target.incarnation
+            peers_s = self.peer_loads.prefill_backlog_s(incarnation)
+            self.load.add_prefill(incarnation, own_s, peers_s, self._unseen_factor)
         self.load.add_transfer(self._transfer_s(pipeline, path, tokens))
 
     def _transfer_s(self, pipeline: Pipeline, path: Path, tokens: float) -> float:
@@ -303,31 +307,65 @@
         capacities = {
             target.id: max(1.0, token_capacity(pipeline, target)) for target in targets
         }
+        costs = {
+            target.id: self._target_cost(target, tokens, capacities[target.id])
+            for target in targets
+        }
+        if self.peer_loads.reporting_routers:
+            return spread_costs_ms(targets, costs, self.rng)
         mean_capacity = sum(capacities.values()) / max(1, len(capacities))
-        costs: dict[TargetId, float] = {}
-        for target in targets:
-            capacity = capacities[target.id]
-            jitter = self.rng.expovariate(1.0) * mean_capacity / capacity
-            cost_ms = self._target_cost_ms(target, tokens, capacity)
-            costs[target.id] = cost_ms + JITTER_MS * min(jitter, JITTER_MAX)
-        return costs
-
-    def _target_cost_ms(
+        costs_ms: dict[TargetId, float] = {}
+        for target_id, cost in costs.items():
+            jitter = self.rng.expovariate(1.0) * mean_capacity / cost.capacity_tokens
+            cost_ms = cost.other_ms + cost.load_ms
+            costs_ms[target_id] = cost_ms + JITTER_MS * min(jitter, JITTER_MAX)
+        return costs_ms
+
+    def _target_cost(
         self, target: Target, tokens: float, capacity_tokens: float
-    ) -> float:
-        cost_ms = HOP_MS + REQUEST_MS * self.load.requests.get(target.incarnation, 0)
-        cost_ms += (
-            PREFILL_WEIGHT * self.load.prefill_backlog_s(target.incarnation) * 1e3
-        )
-        if target.incarnation in self.fleet_view.slowness:
-            cost_ms += SLOW_MS
+    ) -> TargetCost:
+        incarnation = target.incarnation
+        other_ms = HOP_MS
+        if incarnation in self.fleet_view.slowness:
+            other_ms += SLOW_MS
         if target.state is TargetReadiness.DRAINING:
-            cost_ms += DRAINING_MS
-        if self.load.is_full(target.incarnation):
-            cost_ms += FULL_MS
-        own_tokens = self.load.tokens.get(target.incarnation, 0.0) + tokens
-        use = own_tokens * self._similar_routers / capacity_tokens
-        return cost_ms + USE_MS * max(0.0, use - USE_THRESHOLD) ** 2
+            other_ms += DRAINING_MS
+        if self.load.is_full(incarnation):
+            other_ms += FULL_MS
+        factor = self._unseen_factor
+        load_ms = REQUEST_MS * self.load.requests.get(incarnation, 0)
+        backlog_s = self._known_prefill_s(incarnation) * factor
+        load_ms += PREFILL_WEIGHT * backlog_s * 1e3
+        known_tokens = self._known_tokens(incarnation) + tokens
+        use = known_tokens * factor / capacity_tokens
+        load_ms += USE_MS * max(0.0, use - USE_THRESHOLD) ** 2
+        return TargetCost(load_ms, other_ms, capacity_tokens)
+
+    def estimated_tokens(self, incarnation: TargetIncarnation) -> float:
+        """Return the tokens in flight of all routers at a target, as estimated here."""
+        return self._known_tokens(incarnation) * self._unseen_factor
+
+    def _known_tokens(self, incarnation: TargetIncarnation) -> float:
+        """Return the tokens in flight of this router and those that report."""
+        own = self.load.tokens.get(incarnation, 0.0)
+        return own + self.peer_loads.tokens(incarnation)
+
+    def _known_prefill_s(self, incarnation: TargetIncarnation) -> float:
+        own_s = self.load.prefill_backlog_s(incarnation)
+        return own_s + self.peer_loads.prefill_backlog_s(incarnation)
+
+    @property
+    def _unseen_factor(self) -> float:
+        """Return the load of all routers as a multiple of the load that is known.
+
+        Routers that don't report are assumed to load a target as those do on average
+        whose load is known, this one included.
+        """
+        reporting_routers = self.peer_loads.reporting_routers
+        if not reporting_routers:
+            return self._similar_routers
+        zone_routers = self.zone_routers or self.router_count / self.zone_count
+        return max(1.0, zone_routers / (1 + reporting_routers))
 
     @property
     def _similar_routers(self) -> float:
@@ -344,28 +382,6 @@
     return [stage for stage in path.stages if stage not in before.stages]
 
 
-def _boundaries(targets: Iterable[Target], layers: int) -> list[int]:
-    boundaries = {0, layers}
-    for target in targets:
-        boundaries.add(target.layers.first)
-        boundaries.add(target.layers.end)
-    return sorted(boundaries)
-
-
-def _exits(
-    boundary: int, target: Target, starts: list[int], may_exit_early: bool
-) -> list[int]:
-    """Return the boundaries at which a path may leave a target.
-
-    These are the end of its layers and, with `may_exit_early`, the boundaries before it
-    at which the layers of another target start.
-    """
-    end = target.layers.end
-    if not may_exit_early:
-        return [end]
-    return [start for start in starts if boundary < start < end] + [end]
-
-
 def _stages_of(node: _SearchNode) -> tuple[PathStage, ...]:
     stages: list[PathStage] = []
     current: _SearchNode | None = node
