Show that clients exhaust the memory and descriptors of a router process (fails)

Heads are checked only after all of their lines were read, bodies have a fixed sum whatever the VM has, long answers are held whole for callers that read slowly, and 10,000 connections are allowed beside 4,100 descriptors.

The feature runs a real process on a VM of 110 MB with crowds of 40 clients.

--- /dev/null
+++ b/tests/edge/process_limits.feature
@@ -0,0 +1,56 @@
+Feature: No client ends a router process by memory or descriptors
+
+  Background:
+    Given a platform with targets for a crowd
+
+  # Guards against heads that are checked only after all of their lines were read: 60
+  # clients with 95 lines of 60,000 bytes raised a process from 27 to 363 MB.
+  Scenario Outline: Heads over the limit don't exhaust the memory of a router
+    Given a router process on a VM with 110 MB
+    When 40 clients send <crowd> to its <listener> listener
+    Then an ordinary request is answered
+    And the process lives, within 110 MB
+
+    Examples:
+      | crowd                      | listener  |
+      | long header lines          | callers   |
+      | a request line without end | callers   |
+      | empty lines without end    | callers   |
+      | long header lines          | peers     |
+      | long header lines          | metrics   |
+      | long header lines          | readiness |
+
+  # Guards against a sum of bodies that ignores the memory of the VM, against a chunked body that
+  # reserves its maximum at once, and against bodies that stop short and keep their memory.
+  Scenario Outline: Large bodies that stop short leave memory for ordinary requests
+    Given a router process on a VM with 110 MB
+    When 40 clients send <crowd> to its <listener> listener
+    Then an ordinary request is answered
+    And an ordinary request with a chunked body is answered
+    And the process lives, within 110 MB
+
+    Examples:
+      | crowd                                | listener |
+      | bodies with a length that stop short | callers  |
+      | chunked bodies that stop short       | callers  |
+
+  # Guards against more connections than the VM has descriptors: 10,000 were allowed.
+  Scenario: More connections than descriptors close silent ones and stop no listener
+    Given a router process on a VM with 110 MB and 320 descriptors
+    When 400 clients send nothing to its callers listener
+    Then an ordinary request is answered
+    And the process has at most 320 descriptors
+    And the process is ready
+    And the process lives, within 110 MB
+
+  # Guards against long answers that are held whole, twice, for each caller that reads slowly.
+  Scenario Outline: Answers that many callers read slowly don't exhaust the memory
+    Given a router process on a VM with 110 MB
+    When 40 clients request <path> and read slowly
+    Then an ordinary request is answered
+    And the process lives, within 110 MB
+
+    Examples:
+      | path         |
+      | /long/answer |
+      | /draft/a     |
--- /dev/null
+++ b/tests/steps/process_limit_steps.py
@@ -0,0 +1,150 @@
+"""Steps with crowds that try to take up the memory and descriptors of a router."""
+
+import http.client
+from collections.abc import Iterable, Iterator
+
+from behave import given, then, when
+from behave.runner import Context
+
+from chervilstall.fleet.records import LayerRange
+from chervilstall.http_response import StartResponse, status_line
+from chervilstall.standin.platform_fixtures import (
+    LAYERS,
+    build_configuration,
+    build_request_headers,
+    build_route,
+)
+from chervilstall.wsgi import HEADERS_KEY, Environ
+from tests.support.agent_fleet import eventually
+from tests.support.crowd import CROWDS, Crowd
+from tests.support.limited_router import LimitedRouter
+from tests.support.platform import Platform
+
+MEGABYTE = 1_000_000
+LONG_ANSWER = b"x" * 3_500_000
+EVENT_BYTES = 200_000
+LIMITS = {
+    "max-header-bytes": 16_384,
+    "max-body-bytes": 4_194_304,
+    "header-timeout-ms": 3000,
+    "idle-timeout-ms": 15_000,
+}
+SMALL_BODY = b"small" * 200
+
+
+def add_long_target(platform: Platform, name: str, service: str) -> None:
+    """Add a target whose answers and events are long."""
+    layers = LayerRange(0, LAYERS) if service == "drafts" else None
+    target = platform.add_target(name, service, "ba-hall", layers)
+
+    def answer(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        headers = {key.lower(): value for key, value in environ[HEADERS_KEY]}
+        if "attempt-id" not in headers:
+            return target(environ, start_response)
+        fields = [("Attempt-Id", headers["attempt-id"]), ("Server-Signature", "long")]
+        if service != "drafts":
+            start_response(status_line(200), fields)
+            return [LONG_ANSWER]
+        fields.append(("Content-Type", "text/event-stream"))
+        start_response(status_line(200), fields)
+        return events()
+
+    def events() -> Iterator[bytes]:
+        for number in range(1, 61):
+            yield b"id: %d\ndata: " % number + b"x" * EVENT_BYTES + b"\n\n"
+
+    target.server.application = answer
+
+
+@given("a platform with targets for a crowd")
+def start_platform(context: Context) -> None:
+    config = build_configuration(limits=LIMITS)
+    # The crowd's answers are long, and no time is checked.
+    config["routes"] = [{**each, "timeout-ms": 20_000} for each in config["routes"]]
+    long_route = build_route("/long/", "idempotent", "long", **{"timeout-ms": 20_000})
+    config["routes"].append(long_route)
+    config["services"].append({"name": "long", "health-path": "/healthz"})
+    context.platform = Platform()
+    context.platform.start(config)
+    context.stoppables.append(context.platform)
+    context.platform.add_target("lookup-1", "lookups", "ba-hall")
+    add_long_target(context.platform, "long-1", "long")
+    add_long_target(context.platform, "draft-1", "drafts")
+
+
+def start_router(context: Context, **limits: int) -> None:
+    """Start a router process on a VM with the given limits."""
+    context.limited_router = LimitedRouter(context.platform, **limits)
+    context.stoppables.append(context.limited_router)
+    eventually(context.limited_router.is_ready, 30.0)
+
+
+@given("a router process on a VM with {memory_mb:d} MB")
+def start_with_memory(context: Context, memory_mb: int) -> None:
+    start_router(context, memory_mb=memory_mb, max_fds=4100)
+
+
+@given("a router process on a VM with {memory_mb:d} MB and {count:d} descriptors")
+def start_with_descriptors(context: Context, memory_mb: int, count: int) -> None:
+    start_router(context, memory_mb=memory_mb, max_fds=count)
+
+
+def start_crowd(context: Context, listener: str) -> Crowd:
+    """Return a crowd at one of the router's listeners."""
+    crowd = Crowd(context.limited_router.addresses[listener])
+    context.stoppables.append(crowd)
+    return crowd
+
+
+@when("{count:d} clients send {crowd} to its {listener} listener")
+def send_crowd(context: Context, count: int, crowd: str, listener: str) -> None:
+    start_crowd(context, listener).send_all(count, CROWDS[crowd])
+
+
+@when("{count:d} clients request {path} and read slowly")
+def read_crowd(context: Context, count: int, path: str) -> None:
+    start_crowd(context, "callers").read_slowly(count, path)
+
+
+@then("the process lives, within {memory_mb:d} MB")
+def check_memory(context: Context, memory_mb: int) -> None:
+    router = context.limited_router
+    assert router.process.poll() is None, router.process.returncode
+    peak_bytes = router.memory_peak_bytes
+    assert peak_bytes <= memory_mb * MEGABYTE, peak_bytes
+
+
+@then("the process has at most {count:d} descriptors")
+def check_descriptors(context: Context, count: int) -> None:
+    descriptors = context.limited_router.descriptors
+    assert descriptors <= count, descriptors
+
+
+def request(context: Context, body: bytes | Iterable[bytes]) -> tuple[int, bytes]:
+    """Send an ordinary request and return the status and body of its answer."""
+    address = context.limited_router.caller_address
+    connection = http.client.HTTPConnection(address.host, address.port, timeout=20)
+    try:
+        headers = build_request_headers("ordinary", 10.0)
+        connection.request("POST", "/lookup/a", body=body, headers=headers)
+        response = connection.getresponse()
+        return response.status, response.read()
+    finally:
+        connection.close()
+
+
+@then("an ordinary request is answered")
+def check_answered(context: Context) -> None:
+    answer = request(context, SMALL_BODY)
+    assert answer == (200, b"answer to ordinary"), answer
+
+
+@then("an ordinary request with a chunked body is answered")
+def check_chunked_answered(context: Context) -> None:
+    answer = request(context, iter([SMALL_BODY]))
+    assert answer == (200, b"answer to ordinary"), answer
+
+
+@then("the process is ready")
+def check_ready(context: Context) -> None:
+    eventually(context.limited_router.is_ready, 10.0)
