Check the limits on heads while they are read, on every listener

The limits on a request's head held only once all of its lines were read: 100 lines of 65,537 bytes each. Now the sum of the header lines is checked with each line, one byte over the limit at most is read, and the answer is 431 at once. Time runs from the first byte instead of the end of the request line. Up to four empty lines before a request are ignored, more get 400. The rest of a refused request is read in pieces of 16,384 bytes; one read could keep 4 MB for each connection. The limits of the configuration hold as soon as it is read, and for other routers, too. The handler moves to a module of its own.

--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -21,6 +21,7 @@
 from chervilstall.edge.limits.notices import TargetNotices
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.limits.sharing import LimitSharing
+from chervilstall.edge.listeners import apply_caller_limits
 from chervilstall.edge.loop_pulse import LoopPulse
 from chervilstall.edge.peers.directory import PeerDirectory, describe_own
 from chervilstall.edge.peers.listener import PeerEndpoint
@@ -41,6 +42,7 @@
 from chervilstall.edge.streams.context import StreamContext
 from chervilstall.edge.streams.monitor import StreamMonitor
 from chervilstall.edge.streams.slow_targets import SlowTargetDetector
+from chervilstall.fleet.records import CallerLimits
 from chervilstall.fleet.view import FleetView
 from chervilstall.lease.holder import LeaseHolder
 from chervilstall.paths.choice import PathChooser
@@ -261,6 +263,7 @@
     def start(self) -> None:
         """Start the listeners and all background tasks."""
         log.info("started", zone=self.settings.zone, pid=os.getpid())
+        self._apply_caller_limits()
         self.caller_listener.start()
         self.peer_listener.start()
         self.registry.peer = describe_own(
@@ -285,6 +288,8 @@
 
     def _run_housekeeping(self) -> None:
         turn = 0
+        self.fleet_view.loaded.wait(HOUSEKEEPING_INTERVAL_S)
+        self._apply_caller_limits()
         while True:
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
             turn += 1
@@ -292,14 +297,14 @@
                 self.prune_departed_targets()
             self.fleet_view.expire()
             self.quarantine.expire()
-            configuration = self.fleet_view.configuration
-            if configuration is not None:
-                limits = configuration.limits
-                self.caller_listener.set_timeouts(
-                    limits.header_timeout_s, limits.idle_timeout_s
-                )
+            self._apply_caller_limits()
             self._reload_settings()
 
+    def _apply_caller_limits(self) -> None:
+        configuration = self.fleet_view.configuration
+        limits = configuration.limits if configuration else CallerLimits()
+        apply_caller_limits(limits, self.caller_listener, self.peer_listener)
+
     def prune_departed_targets(self) -> None:
         """Drop the state of targets that are gone, so that memory use stays bounded."""
         targets = self.fleet_view.targets
--- a/src/chervilstall/wsgi.py
+++ b/src/chervilstall/wsgi.py
@@ -1,45 +1,45 @@
-"""The WSGI server that all HTTP listeners of the project use.
+"""The WSGI server that all HTTP listeners of the project use."""
 
-gevent's server leaves Nagle's algorithm enabled, so the body of a keep-alive response
-waits for the peer's delayed acknowledgement. The handler here disables it, limits the
-time that a peer may take to send its headers, and responds to malformed requests in
-JSON.
-"""
-
-import struct
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from contextlib import closing
-from socket import (
-    IPPROTO_TCP,
-    MSG_DONTWAIT,
-    MSG_PEEK,
-    SHUT_RDWR,
-    SHUT_WR,
-    SO_LINGER,
-    SOL_SOCKET,
-    TCP_NODELAY,
-    socket,
-)
+from socket import SHUT_RDWR, socket
 from typing import Any
 
 import gevent
 import gevent.pool
 import gevent.socket
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIServer
 
-from chervilstall.http_response import (
-    HttpResponse,
-    StartResponse,
-    json_response,
-    status_line,
-)
+from chervilstall.http_response import HttpResponse
 from chervilstall.settings.option import Address
 from chervilstall.waiting import is_readable
-from chervilstall.wsgi_input import UndrainedInput
-
-Environ = dict[str, Any]
-Application = Callable[[Environ, StartResponse], Iterable[bytes]]
+from chervilstall.wsgi_handler import (
+    HEADERS_KEY,
+    REQUEST_TARGET_KEY,
+    RESET_ON_CLOSE,
+    SOCKET_KEY,
+    Application,
+    Environ,
+    Handler,
+    default_bad_request_response,
+    read_body,
+)
+from chervilstall.wsgi_head import HeaderTimeout
+
+__all__ = [
+    "HEADERS_KEY",
+    "REQUEST_TARGET_KEY",
+    "RESET_ON_CLOSE",
+    "SOCKET_KEY",
+    "Environ",
+    "Handler",
+    "Server",
+    "read_body",
+]
+
+HEAD_MAX_BYTES = 65_536
+"""Largest header of a request at a listener whose peers set no lower limit."""
 
 QUIET_POLL_S = 0.05
 QUIET_POLLS_MIN = 2
@@ -49,28 +49,6 @@
 """Longest time for accepting the connections that wait as a listener is closed."""
 
 ACCEPT_POLL_S = 0.001
-LINGER_S = 1.0
-LINGER_BYTES = 4_000_000
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which closing a socket resets its connection."""
-
-REQUEST_TARGET_KEY = "chervilstall.target"
-"""Environment key of the request target, exactly as it was sent."""
-
-HEADERS_KEY = "chervilstall.headers"
-"""Environment key of the header fields, in the order in which they were sent."""
-
-SOCKET_KEY = "chervilstall.socket"
-"""Environment key of the socket of the caller's connection."""
-
-
-def read_body(environ: Environ) -> bytes:
-    """Read the whole request body of a trusted peer."""
-    return environ["wsgi.input"].read()
-
-
-class HeaderTimeout(ValueError):
-    """A peer took too long to send its headers."""
 
 
 class NullLog:
@@ -80,166 +58,6 @@
         """Discard `message`."""
 
 
-class Handler(WSGIHandler):
-    """Connection handler with TCP_NODELAY, a header deadline and JSON errors.
-
-    One task serves one connection. The server that owns the handler provides the
-    deadlines and the response to malformed requests. A connection whose request body
-    was not read completely is closed after the response.
-    """
-
-    wsgi_input: UndrainedInput
-    _write_buffer: bytearray | None = None
-    _has_read_request = False
-
-    def log_request(self) -> None:
-        """Log nothing; components write logs of their own."""
-
-    def _write_with_headers(self, data: bytes) -> None:
-        # Send the headers and the first chunk of the body in one write.
-        self._write_buffer = bytearray()
-        super()._write_with_headers(data)
-        buffered, self._write_buffer = self._write_buffer, None
-        super()._sendall(buffered)
-
-    def _sendall(self, data: bytes) -> None:
-        if self._write_buffer is not None:
-            self._write_buffer += data
-            return
-        super()._sendall(data)
-
-    def handle(self) -> None:
-        self.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-        # Applies to every read and write, so a peer that stops reading is disconnected.
-        self.socket.settimeout(self.server.idle_timeout_s)
-        super().handle()
-
-    def read_requestline(self) -> str:
-        if self.server.is_closing_idle and self._has_read_request:
-            return ""
-        self._has_read_request = True
-        self.server.idle.add(self)
-        try:
-            return self._await_requestline()
-        finally:
-            self.server.idle.discard(self)
-
-    def has_unread_bytes(self) -> bool:
-        """Return whether the socket has received bytes that no task has read yet."""
-        try:
-            return bool(self.socket._sock.recv(1, MSG_PEEK | MSG_DONTWAIT))
-        except OSError:
-            # Nothing has come, or the peer has already closed the connection.
-            return False
-
-    def _await_requestline(self) -> str:
-        with gevent.Timeout(self.server.idle_timeout_s, False):
-            return super().read_requestline()
-        return ""
-
-    def read_request(self, raw_requestline: str) -> bool:
-        with gevent.Timeout(self.server.header_timeout_s, HeaderTimeout):
-            return super().read_request(raw_requestline)
-
-    def get_environ(self) -> Environ:
-        environ = super().get_environ()
-        environ[REQUEST_TARGET_KEY] = self.path
-        environ[HEADERS_KEY] = self.headers.items()
-        environ[SOCKET_KEY] = self.socket
-        body = environ["wsgi.input"]
-        environ["wsgi.input"] = self.wsgi_input = UndrainedInput(
-            body.rfile, body.content_length, body.socket, body.chunked_input
-        )
-        return environ
-
-    def handle_one_request(self) -> bool | None:
-        result = super().handle_one_request()
-        if isinstance(result, tuple):
-            self._send_error(int(result[0]))
-            return None
-        if result and self.wsgi_input.has_unread_bytes:
-            self._linger()
-            return None
-        return result
-
-    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
-        if isinstance(ex, HeaderTimeout):
-            return "408", b""
-        text = str(ex)
-        if "Line too long" in text or "more than" in text:
-            return "431", b""
-        return "400", b""
-
-    def run_application(self) -> None:
-        try:
-            super().run_application()
-        except BaseException:
-            # Also the end of the task, by which a stop of the server ends a response.
-            self._mark_response_as_cut()
-            raise
-
-    def _mark_response_as_cut(self) -> None:
-        """Let the connection be reset where its regular end would end the response."""
-        is_framed = self.response_use_chunked or (
-            self.provided_content_length is not None
-        )
-        if is_framed or not self.headers_sent:
-            return
-        try:
-            self.socket.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
-        except OSError:
-            # The peer has already closed the connection.
-            return
-
-    def handle_error(self, t: type, v: object, tb: object) -> None:
-        """Close the connection without an error if the peer is gone or timed out."""
-        if issubclass(t, OSError):
-            self.close_connection = True
-            return
-        super().handle_error(t, v, tb)
-
-    def _send_error_response_if_possible(self, error_code: int) -> None:
-        # The application was already called, so this isn't just a malformed request.
-        self.close_connection = True
-        if not self.response_length:
-            self._send_error(500)
-
-    def _send_error(self, status: int) -> None:
-        response = self.server.bad_request_response(status)
-        lines = [f"HTTP/1.1 {status_line(response.status)}"]
-        lines += [f"{name}: {value}" for name, value in response.headers]
-        lines += [f"Content-Length: {len(response.body)}", "Connection: close", "", ""]
-        self.close_connection = True
-        try:
-            self.socket.sendall("\r\n".join(lines).encode("latin-1") + response.body)
-        except OSError:
-            return
-        self._linger()
-
-    def _linger(self) -> None:
-        """Wait for the peer to close before closing the socket.
-
-        Closing a socket with unread bytes sends a reset, which could discard the
-        response before the peer has read it.
-        """
-        try:
-            with gevent.Timeout(LINGER_S, False):
-                self.socket.shutdown(SHUT_WR)
-                remaining_bytes = LINGER_BYTES
-                while remaining_bytes > 0:
-                    chunk = self.socket.recv(remaining_bytes)
-                    if not chunk:
-                        return
-                    remaining_bytes -= len(chunk)
-        except OSError:
-            return
-
-
-def default_bad_request_response(status: int) -> HttpResponse:
-    """Return the response to a request that could not be parsed."""
-    return json_response(status, {"error": status_line(status)})
-
-
 def _listener_and_host(address: Address | socket) -> tuple[Any, str]:
     """Return the listener argument for gevent's server, and the host."""
     match address:
@@ -278,7 +96,8 @@
         self.idle_timeout_s = idle_timeout_s
         self.bad_request_response = bad_request_response
         self.connections = gevent.pool.Pool(connections_max)
-        self.idle: set[Handler] = set()
+        self.head_bytes_max = HEAD_MAX_BYTES
+        self.idle: dict[Handler, None] = {}
         self.is_closing_idle = False
         self._handshakes = 0
         listener, host = _listener_and_host(address)
@@ -334,11 +153,6 @@
             quiet_polls = 0 if is_busy else quiet_polls + 1
         return quiet_polls >= QUIET_POLLS_MIN
 
-    def set_timeouts(self, header_timeout_s: float, idle_timeout_s: float) -> None:
-        """Change the timeouts, from the next request of each connection on."""
-        self.header_timeout_s = header_timeout_s
-        self.idle_timeout_s = idle_timeout_s
-
     def close_idle(self) -> None:
         """Close idle connections, and others as soon as they become idle.
 
--- a/tests/edge/process_limits.feature
+++ b/tests/edge/process_limits.feature
@@ -20,6 +20,22 @@
       | long header lines          | metrics   |
       | long header lines          | readiness |
 
+  # Guards against limits that hold only at the end of a head, which may never come.
+  Scenario Outline: A head that is refused is refused before its end
+    Given a router process on a VM with 110 MB
+    When a client sends <head> and leaves the head open
+    Then it gets status <status>
+    And an ordinary request is answered
+
+    Examples:
+      | head                   | status |
+      | 18900 bytes of headers | 431    |
+      | 101 header lines       | 431    |
+      | a long request line    | 431    |
+      | 5 empty lines          | 400    |
+      | half a request line    | 408    |
+      | 1 empty line           | 408    |
+
   # Guards against a sum of bodies that ignores the memory of the VM, against a chunked body that
   # reserves its maximum at once, and against bodies that stop short and keep their memory.
   Scenario Outline: Large bodies that stop short leave memory for ordinary requests
--- a/tests/steps/process_limit_steps.py
+++ b/tests/steps/process_limit_steps.py
@@ -15,10 +15,11 @@
     build_route,
 )
 from chervilstall.wsgi import HEADERS_KEY, Environ
+from tests.steps.start_steps import read_status_line
 from tests.support.agent_fleet import eventually
-from tests.support.crowd import CROWDS, Crowd
+from tests.support.crowd import CROWDS, Crowd, request_line
 from tests.support.limited_router import LimitedRouter
-from tests.support.platform import Platform
+from tests.support.platform import Platform, open_connection
 
 MEGABYTE = 1_000_000
 LONG_ANSWER = b"x" * 3_500_000
@@ -29,6 +30,7 @@
     "header-timeout-ms": 3000,
     "idle-timeout-ms": 15_000,
 }
+LONG = b"X-Long: " + b"x" * 17_000
 SMALL_BODY = b"small" * 200
 
 
@@ -101,6 +103,28 @@
     start_crowd(context, listener).send_all(count, CROWDS[crowd])
 
 
+OPEN_HEADS = {
+    "18900 bytes of headers": request_line() + b"X-Fill: aaaaaaaaaa\r\n" * 90 + LONG,
+    "101 header lines": request_line() + b"X-Fill: a\r\n" * 101,
+    "a long request line": b"GET /" + b"x" * 9000,
+    "5 empty lines": b"\r\n" * 5,
+    "half a request line": b"GET /loo",
+    "1 empty line": b"\r\n",
+}
+
+
+@when("a client sends {head} and leaves the head open")
+def send_open_head(context: Context, head: str) -> None:
+    context.connection = open_connection(context.limited_router.caller_address)
+    context.connection.sendall(OPEN_HEADS[head])
+
+
+@then("it gets status {status:d}")
+def check_open_head(context: Context, status: int) -> None:
+    line = read_status_line(context.connection)
+    assert line.split()[1:2] == [str(status).encode()], line
+
+
 @when("{count:d} clients request {path} and read slowly")
 def read_crowd(context: Context, count: int, path: str) -> None:
     start_crowd(context, "callers").read_slowly(count, path)
--- a/tests/support/limited_router.py
+++ b/tests/support/limited_router.py
@@ -1,4 +1,4 @@
-"""A router in a process of its own, on a VM whose memory and descriptors are limited."""
+"""A router in a process of its own, on a VM with limits on memory and descriptors."""
 
 import json
 import os
