Bound connections below the descriptors, and close silent ones first

Each listener allowed 10,000 connections where a VM has 4,100 descriptors. The limits now follow limits.max-fds, or the soft limit of the process if that is lower, and the memory that a connection takes; callers, other routers and operators have limits of their own, and the rest stays for connections to the store, targets and other routers. At its limit a listener closes connections that run no request, and where there are none, requests whose clients have stalled. An accept that fails for lack of descriptors is repeated after a pause. More requests than descriptors for targets are refused unsent. The gateway's and agent's listeners are bounded, too. Counters are on the metrics address. Listeners move to a module of their own.

--- a/src/chervilstall/agent/operators.py
+++ b/src/chervilstall/agent/operators.py
@@ -21,6 +21,7 @@
 from chervilstall.gateway.auth import bearer_token_digest
 from chervilstall.http_response import HttpResponse, StartResponse, json_response
 from chervilstall.ids import ChangeId, Revision, WorkspaceName, new_change_id
+from chervilstall.process_limits.derived import OPERATOR_CONNECTIONS_MAX
 from chervilstall.settings.problems import InvalidSettings
 from chervilstall.wsgi import Environ, Server, read_body
 
@@ -238,7 +239,9 @@
 
     def __init__(self, runtime: AgentRuntime) -> None:
         self.server = Server(
-            runtime.settings.operators.listen, OperatorApplication(runtime)
+            runtime.settings.operators.listen,
+            OperatorApplication(runtime),
+            OPERATOR_CONNECTIONS_MAX,
         )
 
     def start(self) -> None:
--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -60,8 +60,9 @@
     """Serves callers' requests according to the present view of the fleet.
 
     Until `startup_wait_until_s`, a monotonic time, requests wait for the first
-    configuration. `admitted` holds the requests that are being served. `drain` is the
-    schedule of a shutdown in progress; `begin_drain` sets it.
+    configuration. `admitted` holds the requests that are being served, at most
+    `requests_max`. `drain` is the schedule of a shutdown in progress; `begin_drain`
+    sets it.
     """
 
     fleet_view: FleetView
@@ -70,6 +71,7 @@
     budget: FleetRetryBudget
     metrics: EdgeMetrics
     client_memory: ClientMemory
+    requests_max: int
     drain: DrainSchedule | None = None
     running_requests: int = 0
     admitted: set[EdgeRequest] = field(default_factory=set)
@@ -196,6 +198,10 @@
                 ErrorKind.NO_TARGET, "the service of the route is not configured"
             )
         body = self.body_reader.read(environ, configuration.limits, holding)
+        if len(self.admitted) >= self.requests_max:
+            raise ChervilstallError(
+                ErrorKind.OVERLOADED, "no descriptor for a connection to a target"
+            )
         # Checked after the body, which may take long to arrive.
         self._check_drain(route, service, fields)
         deadline_s = arrived_at_s + route.timeout_s
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -16,12 +16,12 @@
 from chervilstall.edge.crashes.observer import CrashObserver
 from chervilstall.edge.crashes.sharing import QuarantineSharing
 from chervilstall.edge.draining import DrainSchedule
-from chervilstall.edge.endpoints import OperatorEndpoints, bad_request_response
+from chervilstall.edge.endpoints import OperatorEndpoints
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.notices import TargetNotices
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.limits.sharing import LimitSharing
-from chervilstall.edge.listeners import apply_caller_limits
+from chervilstall.edge.listeners import build_listeners
 from chervilstall.edge.loop_pulse import LoopPulse
 from chervilstall.edge.peers.directory import PeerDirectory, describe_own
 from chervilstall.edge.peers.listener import PeerEndpoint
@@ -42,7 +42,6 @@
 from chervilstall.edge.streams.context import StreamContext
 from chervilstall.edge.streams.monitor import StreamMonitor
 from chervilstall.edge.streams.slow_targets import SlowTargetDetector
-from chervilstall.fleet.records import CallerLimits
 from chervilstall.fleet.view import FleetView
 from chervilstall.lease.holder import LeaseHolder
 from chervilstall.paths.choice import PathChooser
@@ -50,16 +49,15 @@
 from chervilstall.platform.kv import PlatformStore
 from chervilstall.platform.leases import PlatformLeases
 from chervilstall.platform.watcher import StoreWatcher
-from chervilstall.process_limits.derived import derive_limits
+from chervilstall.process_limits.derived import ProcessLimits, derive_limits
 from chervilstall.quarantine.prompts import PromptQuarantine
 from chervilstall.settings.edge import EdgeSettings
 from chervilstall.settings.leases import LeaseSettings
 from chervilstall.settings.node import NodeSettings
-from chervilstall.settings.option import Address
 from chervilstall.telemetry.edge_metrics import EdgeMetrics
 from chervilstall.telemetry.events import EventLog
 from chervilstall.telemetry.gc_tuning import tune_garbage_collector
-from chervilstall.wsgi import Server
+from chervilstall.waiting import sleep_until
 
 log = EventLog("router")
 
@@ -125,7 +123,7 @@
         )
         limits = derive_limits(settings, edge_settings.process)
         self.client_memory = limits.new_memory()
-        self.app = self._build_application()
+        self.app = self._build_application(limits)
         self.planner_lease = LeaseHolder(
             self.leases,
             PLANNER_LEASE,
@@ -168,33 +166,30 @@
             self.store_watcher, relay_choice, lambda: self.is_draining
         )
         self.store_probe = StoreProbe(self.store, self.store_watcher, self.registry.key)
-        self.caller_listener = Server(
-            listener or settings.frontend_address,
-            self.app,
-            bad_request_response=bad_request_response,
-        )
-        peer_port = settings.ports[0] if settings.ports else 0
         reach = ReachEndpoint(
             self.target_reach.check_lately,
             self.reach_search.reaching,
             self._serving_version,
             self.budget.lend,
         )
-        self.peer_listener = Server(
-            Address(settings.host, peer_port), PeerEndpoint(self.app, reach)
-        )
         endpoints = OperatorEndpoints(lambda: self.is_ready, self.metrics_text)
-        self.readiness_listener = Server(settings.ready_address, endpoints)
-        self.metrics_listener = Server(
-            Address(settings.ready_address.host, metrics_port), endpoints
+        self.listeners = build_listeners(
+            settings,
+            metrics_port,
+            limits,
+            self.client_memory,
+            listener or settings.frontend_address,
+            (self.app, PeerEndpoint(self.app, reach), endpoints),
         )
+        self.caller_listener = self.listeners.callers
+        self.peer_listener = self.listeners.peers
         self.suspicion_sharing = self._build_suspicion_sharing()
         self.is_draining = False
         self.loop_pulse = LoopPulse()
         self._stopped = Event()
         self._tasks: list[gevent.Greenlet] = []
 
-    def _build_application(self) -> EdgeApplication:
+    def _build_application(self, limits: ProcessLimits) -> EdgeApplication:
         notices = TargetNotices(self.fleet_view, self.rate_limiter)
         crash_guard = CrashGuard(self.quarantine, self.crash_observer)
         peer_relay = PeerRelay(self.reach_search, self.fleet_view)
@@ -226,6 +221,7 @@
             self.budget,
             self.metrics,
             self.client_memory,
+            limits.requests_max,
         )
 
     def _build_suspicion_sharing(self) -> SuspicionSharing:
@@ -271,15 +267,12 @@
     def start(self) -> None:
         """Start the listeners and all background tasks."""
         log.info("started", zone=self.settings.zone, pid=os.getpid())
-        self._apply_caller_limits()
-        self.caller_listener.start()
-        self.peer_listener.start()
+        self.listeners.apply_limits(self.fleet_view.configuration)
+        self.listeners.start()
         self.registry.peer = describe_own(
             self.settings, self.peer_listener.bound_address
         )
         self.changes.choice.own = self.registry.peer
-        self.readiness_listener.start()
-        self.metrics_listener.start()
         runners = [self.store_watcher.run, self.store_probe.run]
         runners += [self.registry.run, self.planner_lease.run, self.planner.run]
         runners += [
@@ -297,7 +290,7 @@
     def _run_housekeeping(self) -> None:
         turn = 0
         self.fleet_view.loaded.wait(HOUSEKEEPING_INTERVAL_S)
-        self._apply_caller_limits()
+        self.listeners.apply_limits(self.fleet_view.configuration)
         while True:
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
             turn += 1
@@ -305,14 +298,9 @@
                 self.prune_departed_targets()
             self.fleet_view.expire()
             self.quarantine.expire()
-            self._apply_caller_limits()
+            self.listeners.apply_limits(self.fleet_view.configuration)
             self._reload_settings()
 
-    def _apply_caller_limits(self) -> None:
-        configuration = self.fleet_view.configuration
-        limits = configuration.limits if configuration else CallerLimits()
-        apply_caller_limits(limits, self.caller_listener, self.peer_listener)
-
     def prune_departed_targets(self) -> None:
         """Drop the state of targets that are gone, so that memory use stays bounded."""
         targets = self.fleet_view.targets
@@ -353,6 +341,7 @@
         gauges["store_calls_total"] = self.store.calls
         gauges["orders_total"] = self.planner.orders_sent
         gauges["collections"] = sum(stats["collections"] for stats in gc.get_stats())
+        gauges.update(self.listeners.gauges(self.client_memory))
         return self.metrics.exposition()
 
     def drain_and_stop(self, told_at_s: float) -> None:
@@ -374,7 +363,7 @@
             after_s=schedule.elapsed_s,
         )
         self.planner_lease.stop()
-        self._sleep_until(schedule.streams_until_s)
+        sleep_until(schedule.streams_until_s)
         log.info("streams refused from now on", after_s=schedule.elapsed_s)
         self.caller_listener.close_idle()
         self._wait_until_quiet(schedule.answers_until_s - LISTENER_CLOSE_LEAD_S)
@@ -392,10 +381,6 @@
         )
         self.stop()
 
-    @staticmethod
-    def _sleep_until(moment_s: float) -> None:
-        gevent.sleep(max(0.0, moment_s - time.monotonic()))
-
     def _wait_until_quiet(self, until_s: float) -> None:
         self.caller_listener.wait_until_quiet(
             lambda: self.app.running_requests, until_s
@@ -405,10 +390,7 @@
         """Kill all tasks and connections at once."""
         gevent.killall(self._tasks, block=False)
         self.changes.stop()
-        self.caller_listener.kill_connections()
-        self.peer_listener.kill_connections()
-        self.readiness_listener.kill_connections()
-        self.metrics_listener.kill_connections()
+        self.listeners.kill_connections()
         self._stopped.set()
 
     def wait(self) -> None:
--- a/src/chervilstall/gateway/server.py
+++ b/src/chervilstall/gateway/server.py
@@ -13,6 +13,10 @@
 from chervilstall.gateway.app import GatewayApplication
 from chervilstall.gateway.responses import bad_request_response
 from chervilstall.gateway.runtime import RouterRuntime, RouterState
+from chervilstall.process_limits.derived import (
+    OPERATOR_CONNECTIONS_MAX,
+    bound_connections,
+)
 from chervilstall.settings.option import Address
 from chervilstall.settings.processes import ListenSettings
 from chervilstall.telemetry.gc_tuning import tune_garbage_collector
@@ -67,13 +71,15 @@
         self.caller_listener = Server(
             listen.callers,
             GatewayApplication(runtime),
-            connections_max=listen.connections_max,
+            connections_max=bound_connections(listen.connections_max),
             header_timeout_s=listen.header_timeout_s,
             idle_timeout_s=listen.caller_silence_s,
             bad_request_response=bad_request_response,
             **self._tls_arguments(listen),
         )
-        self.admin_listener = Server(listen.admin, AdminApplication(runtime))
+        self.admin_listener = Server(
+            listen.admin, AdminApplication(runtime), OPERATOR_CONNECTIONS_MAX
+        )
         self._tasks: list[gevent.Greenlet] = []
 
     def _tls_arguments(self, listen: ListenSettings) -> dict[str, Any]:
--- a/src/chervilstall/process_limits/memory.py
+++ b/src/chervilstall/process_limits/memory.py
@@ -84,6 +84,11 @@
         is_young = self._memory.clock() - self._started_at_s < WINDOW_S
         return is_young, self._previous_bytes + self._window_bytes, -self.size_bytes
 
+    @property
+    def is_stalled(self) -> bool:
+        """Return whether the client has moved nothing in the last window or more."""
+        return self.rank()[:2] == (False, 0)
+
     def give_way(self) -> None:
         """Free all bytes for another client."""
         evict = self._evict
@@ -161,6 +166,13 @@
         ]
         return min(candidates, key=Holding.rank, default=None)
 
+    def evict_stalled(self, count: int) -> int:
+        """Evict holdings whose clients move nothing; return how many there were."""
+        stalled = [each for each in self.evictable if each.is_stalled]
+        for holding in stalled[:count]:
+            self._evict(holding)
+        return len(stalled[:count])
+
     def _evict(self, holding: Holding) -> None:
         is_young, moved_bytes, _ = holding.rank()
         self.evictions[holding.kind] += 1
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -79,6 +79,35 @@
         unit="bytes",
         minimum=1_024,
     )
+    connection_memory_share: float = option(
+        "Share of the VM's memory for connections of callers and other routers.",
+        0.25,
+        minimum=0.02,
+        maximum=0.8,
+    )
+    files_reserved: int = option(
+        "Descriptors kept for files and the process's own use.",
+        200,
+        unit="descriptors",
+        minimum=20,
+    )
+    connection_descriptor_share: float = option(
+        "Share of the other descriptors for connections of callers and other routers.",
+        0.6,
+        minimum=0.05,
+        maximum=0.8,
+    )
+    peer_connection_share: float = option(
+        "Share of these connections that only other routers may use.",
+        0.15,
+        minimum=0.01,
+        maximum=0.5,
+    )
+    operator_connections: int = option(
+        "Connections to the metrics listener, and to the readiness listener.",
+        16,
+        minimum=1,
+    )
 
 
 @dataclass(frozen=True)
--- a/src/chervilstall/waiting.py
+++ b/src/chervilstall/waiting.py
@@ -1,8 +1,10 @@
 """Waits for events that several tasks wait for, and looks without a wait."""
 
+import time
 from select import POLLIN
 from typing import Protocol
 
+import gevent
 from gevent.event import Event
 from gevent.monkey import get_original
 
@@ -35,3 +37,8 @@
     poll = _poll()
     poll.register(connection, POLLIN)
     return bool(poll.poll(0))
+
+
+def sleep_until(moment_s: float) -> None:
+    """Sleep until a monotonic time, which may be past."""
+    gevent.sleep(max(0.0, moment_s - time.monotonic()))
--- a/src/chervilstall/wsgi.py
+++ b/src/chervilstall/wsgi.py
@@ -1,9 +1,11 @@
 """The WSGI server that all HTTP listeners of the project use."""
 
+import errno
 import time
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
 from contextlib import closing
-from socket import SHUT_RDWR, socket
+from socket import socket
 from typing import Any
 
 import gevent
@@ -12,7 +14,13 @@
 from gevent.pywsgi import WSGIServer
 
 from chervilstall.http_response import HttpResponse
+from chervilstall.process_limits.connections import (
+    Silence,
+    SilentConnection,
+    choose_to_close,
+)
 from chervilstall.settings.option import Address
+from chervilstall.telemetry.events import EventLog
 from chervilstall.waiting import is_readable
 from chervilstall.wsgi_handler import (
     HEADERS_KEY,
@@ -38,6 +46,15 @@
     "read_body",
 ]
 
+log = EventLog("listener")
+
+SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+ACCEPT_PAUSE_S = 0.1
+"""Pause of accepting while nothing can be closed for another connection."""
+
+CLOSED_AT_ONCE_PART = 32
+"""A listener at its limit closes one in so many of its connections at once."""
+
 HEAD_MAX_BYTES = 65_536
 """Largest header of a request at a listener whose peers set no lower limit."""
 
@@ -98,8 +115,13 @@
         self.connections = gevent.pool.Pool(connections_max)
         self.head_bytes_max = HEAD_MAX_BYTES
         self.idle: dict[Handler, None] = {}
+        self.inside_head: dict[Handler, None] = {}
+        self.lingering: dict[Handler, None] = {}
+        self.counters: Counter[str] = Counter()
+        self.evict_stalled: Callable[[int], int] = lambda count: 0
         self.is_closing_idle = False
         self._handshakes = 0
+        self._is_awaiting_room = False
         listener, host = _listener_and_host(address)
         super().__init__(
             listener,
@@ -111,6 +133,8 @@
             environ={"SERVER_NAME": host},
             **ssl_arguments,
         )
+        # gevent asks this before each accept.
+        self.full = self._make_room
 
     @property
     def bound_address(self) -> Address:
@@ -138,6 +162,68 @@
         with closing(tls_socket):
             return self.handle(tls_socket, address)
 
+    def do_read(self) -> Any:
+        """Accept a connection; pause where descriptors or memory do not suffice."""
+        try:
+            return super().do_read()
+        except OSError as error:
+            if error.errno not in SHORTAGES:
+                raise
+            self.counters["accepts_failed"] += 1
+            log.routine("accept failed", listener=str(self.address), why=str(error))
+            self._close_silent()
+            self.stop_accepting()
+            gevent.spawn_later(ACCEPT_PAUSE_S, self._start_accepting_if_started)
+            return None
+
+    def _make_room(self) -> bool:
+        """Return whether no connection can be accepted now; close silent ones if so."""
+        if not self.connections.full():
+            return False
+        if not self._close_silent() and not self._is_awaiting_room:
+            self._is_awaiting_room = True
+            gevent.spawn(self._await_room)
+        return True
+
+    def _await_room(self) -> None:
+        """Close silent connections as soon as there are any, while no place is free."""
+        while self.started and self.connections.full() and not self._close_silent():
+            gevent.sleep(ACCEPT_PAUSE_S)
+        self._is_awaiting_room = False
+
+    def _close_silent(self) -> int:
+        """Close some of the connections that run no request; return their number.
+
+        Without any, requests whose clients have stalled are evicted.
+        """
+        count = max(1, self.connections.size // CLOSED_AT_ONCE_PART)
+        chosen = choose_to_close(self._silent_connections(), count)
+        if not chosen:
+            evicted = self.evict_stalled(count)
+            self.counters["stalled_evicted"] += evicted
+            return evicted
+        for each in chosen:
+            self.counters[f"closed_{each.silence.value}"] += 1
+            each.connection.disconnect()
+        log.routine(
+            "closed silent connections",
+            listener=str(self.address),
+            count=len(chosen),
+            waited_for=chosen[0].silence.value,
+            address=chosen[0].address,
+            open=len(self.connections),
+        )
+        return len(chosen)
+
+    def _silent_connections(self) -> Iterator[SilentConnection[Handler]]:
+        for handler in self.lingering:
+            yield handler.silent_connection(Silence.REFUSED)
+        for handler in self.idle:
+            if not handler.has_unread_bytes():
+                yield handler.silent_connection(handler.idle_silence)
+        for handler in self.inside_head:
+            yield handler.silent_connection(Silence.HEAD)
+
     def wait_until_quiet(
         self, count_running: Callable[[], int], until_s: float
     ) -> bool:
@@ -160,12 +246,8 @@
         """
         self.is_closing_idle = True
         for handler in list(self.idle):
-            try:
-                if not handler.has_unread_bytes():
-                    handler.socket.shutdown(SHUT_RDWR)
-            except OSError:
-                # The peer has already closed the connection.
-                continue
+            if not handler.has_unread_bytes():
+                handler.disconnect()
 
     def stop_listening(self) -> None:
         """Close the listener once every connection that waits there is accepted.
--- a/src/chervilstall/wsgi_handler.py
+++ b/src/chervilstall/wsgi_handler.py
@@ -12,6 +12,7 @@
     IPPROTO_TCP,
     MSG_DONTWAIT,
     MSG_PEEK,
+    SHUT_RDWR,
     SHUT_WR,
     SO_LINGER,
     SOL_SOCKET,
@@ -28,9 +29,13 @@
     json_response,
     status_line,
 )
+from chervilstall.process_limits.connections import Silence, SilentConnection
+from chervilstall.telemetry.events import EventLog
 from chervilstall.wsgi_head import HeaderTimeout, HeadReader, HeadTooLarge
 from chervilstall.wsgi_input import UndrainedInput
 
+log = EventLog("listener")
+
 Environ = dict[str, Any]
 Application = Callable[[Environ, StartResponse], Iterable[bytes]]
 
@@ -101,11 +106,17 @@
         self._has_read_request = True
         self._head_until_s = time.monotonic() + self.server.header_timeout_s
         self._head = HeadReader(self.rfile, self.server.head_bytes_max)
+        self.server.inside_head[self] = None
         with self._head_deadline():
             return self._head.read_request_line()
 
     def _has_next_request(self) -> bool:
-        """Wait for the first byte of a request; return whether one has come."""
+        """Wait for the first byte of a request; return whether one has come.
+
+        A listener at its limit keeps no connection open for another request.
+        """
+        if self._has_read_request and self.server.connections.full():
+            return self.has_unread_bytes() and bool(self.rfile.peek(1))
         self.server.idle[self] = None
         try:
             with gevent.Timeout(self.server.idle_timeout_s, False):
@@ -114,6 +125,23 @@
             self.server.idle.pop(self, None)
         return False
 
+    @property
+    def idle_silence(self) -> Silence:
+        """Return what the connection waits for while it is idle."""
+        return Silence.NEXT_REQUEST if self._has_read_request else Silence.FIRST_BYTE
+
+    def silent_connection(self, silence: Silence) -> "SilentConnection[Handler]":
+        """Return this connection for the choice of those to close."""
+        return SilentConnection(self, silence, str(self.client_address[0]))
+
+    def disconnect(self) -> None:
+        """End the connection; the task that serves it sees its end."""
+        try:
+            self.socket.shutdown(SHUT_RDWR)
+        except OSError:
+            # The peer has already closed the connection.
+            return
+
     def _head_deadline(self) -> gevent.Timeout:
         remaining_s = max(0.0, self._head_until_s - time.monotonic())
         return gevent.Timeout(remaining_s, HeaderTimeout)
@@ -131,8 +159,11 @@
             return False
 
     def read_request(self, raw_requestline: str) -> bool:
-        with self._head_deadline():
-            return super().read_request(raw_requestline)
+        try:
+            with self._head_deadline():
+                return super().read_request(raw_requestline)
+        finally:
+            self.server.inside_head.pop(self, None)
 
     def get_environ(self) -> Environ:
         environ = super().get_environ()
@@ -151,6 +182,8 @@
         except (HeadTooLarge, HeaderTimeout) as error:
             # Raised by the request line; gevent handles those of the other lines.
             result = self._handle_client_error(error)
+        finally:
+            self.server.inside_head.pop(self, None)
         if isinstance(result, tuple):
             self._send_error(int(result[0]))
             return None
@@ -206,6 +239,13 @@
             self._send_error(500)
 
     def _send_error(self, status: int) -> None:
+        self.server.counters[f"refused_{status}"] += 1
+        log.routine(
+            "request refused unread",
+            status=status,
+            listener=str(self.server.address),
+            address=str(self.client_address[0]),
+        )
         response = self.server.bad_request_response(status)
         lines = [f"HTTP/1.1 {status_line(response.status)}"]
         lines += [f"{name}: {value}" for name, value in response.headers]
@@ -223,6 +263,7 @@
         Closing a socket with unread bytes sends a reset, which could discard the
         response before the peer has read it.
         """
+        self.server.lingering[self] = None
         try:
             with gevent.Timeout(LINGER_S, False):
                 self.socket.shutdown(SHUT_WR)
@@ -234,6 +275,8 @@
                     remaining_bytes -= received_bytes
         except OSError:
             return
+        finally:
+            self.server.lingering.pop(self, None)
 
 
 def default_bad_request_response(status: int) -> HttpResponse:
--- a/tests/edge/process_limits.feature
+++ b/tests/edge/process_limits.feature
@@ -59,6 +59,27 @@
     And the process is ready
     And the process lives, within 110 MB
 
+  # Guards against requests that stop before their end and keep all connections until
+  # their timeouts.
+  Scenario: Small bodies that stop short don't keep all connections
+    Given a router process on a VM with 110 MB and 320 descriptors
+    When 120 clients send small bodies that stop short to its callers listener
+    Then an ordinary request is answered
+    And the process has at most 320 descriptors
+    And the process lives, within 110 MB
+
+  # Guards against a listener that ends when descriptors run out.
+  Scenario: A listener accepts again once there are descriptors
+    Given a listener whose next 3 accepts fail for lack of descriptors
+    When a client connects to the listener and sends a request
+    Then the listener answers it, and has counted 3 failures
+
+  # Guards against connections that are closed although they run a request, or before others
+  # that wait longer for less.
+  Scenario: Connections that run no request are closed in order
+    Then refused connections are closed before silent, idle and half-open ones
+    And of two addresses the one with more connections is closed first
+
   # Guards against long answers that are held whole, twice, for each caller that reads slowly.
   Scenario Outline: Answers that many callers read slowly don't exhaust the memory
     Given a router process on a VM with 110 MB
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -114,7 +114,7 @@
 @then("the router is not ready")
 @then("it becomes unready at once")
 def check_not_ready(context: Context) -> None:
-    address = context.router.readiness_listener.bound_address
+    address = context.router.listeners.readiness.bound_address
     connection = http.client.HTTPConnection(address.host, address.port, timeout=5)
     connection.request("GET", "/chervilstall/readyz")
     status = connection.getresponse().status
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -66,6 +66,11 @@
         yield b"%x\r\n" % PIECE_BYTES + b"x" * PIECE_BYTES + b"\r\n"
 
 
+def small_body() -> Iterator[bytes]:
+    """Send the first half of a small body."""
+    yield request_line() + b"Content-Length: 200\r\n\r\n" + b"x" * 100
+
+
 def silence() -> Iterator[bytes]:
     """Send nothing."""
     return iter(())
@@ -77,6 +82,7 @@
     "empty lines without end": empty_lines,
     "bodies with a length that stop short": body_with_length,
     "chunked bodies that stop short": body_in_chunks,
+    "small bodies that stop short": small_body,
     "nothing": silence,
 }
 
