--- a/src/chervilstall/edge/features.py
+++ b/src/chervilstall/edge/features.py
@@ -28,6 +28,10 @@
         """Return whether the stages of silent streams are probed."""
         return self.is_in_force(self.settings.streams.check_stages)
 
+    def exchanges_load(self) -> bool:
+        """Return whether routers tell each other the load that they put on targets."""
+        return self.is_in_force(self.settings.load_exchange.mode)
+
     def keeps_report_connections(self) -> bool:
         """Return whether reports and health checks reuse connections."""
         return self.is_in_force(self.settings.connections.keep_for_reports)
--- a/src/chervilstall/edge/graceful_stop.py
+++ b/src/chervilstall/edge/graceful_stop.py
@@ -3,11 +3,10 @@
 import time
 from dataclasses import dataclass
 
-import gevent
-
 from chervilstall.edge.app import EdgeApplication
 from chervilstall.edge.draining import DrainSchedule
 from chervilstall.telemetry.events import EventLog
+from chervilstall.waiting import sleep_until
 from chervilstall.wsgi import Server
 
 log = EventLog("router")
@@ -28,7 +27,7 @@
 
     def run(self, schedule: DrainSchedule) -> None:
         """Return once all requests have ended, or at the end of the schedule."""
-        _sleep_until(schedule.streams_until_s)
+        sleep_until(schedule.streams_until_s)
         log.info("streams refused from now on", after_s=schedule.elapsed_s)
         self.listener.close_idle()
         self._wait_until_quiet(schedule.answers_until_s - LISTENER_CLOSE_LEAD_S)
@@ -47,7 +46,3 @@
 
     def _wait_until_quiet(self, until_s: float) -> None:
         self.listener.wait_until_quiet(lambda: self.app.running_requests, until_s)
-
-
-def _sleep_until(moment_s: float) -> None:
-    gevent.sleep(max(0.0, moment_s - time.monotonic()))
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -16,13 +16,14 @@
 from chervilstall.edge.crashes.observer import CrashObserver
 from chervilstall.edge.crashes.sharing import QuarantineSharing
 from chervilstall.edge.draining import DrainSchedule
-from chervilstall.edge.endpoints import OperatorEndpoints, bad_request_response
+from chervilstall.edge.endpoints import OperatorEndpoints
 from chervilstall.edge.features import Features
 from chervilstall.edge.graceful_stop import GracefulStop
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.notices import TargetNotices
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.limits.sharing import LimitSharing
+from chervilstall.edge.listeners import build_listeners
 from chervilstall.edge.loads.exchange import LoadExchange
 from chervilstall.edge.loop_pulse import LoopPulse
 from chervilstall.edge.peers.directory import PeerDirectory, describe_own
@@ -52,15 +53,14 @@
 from chervilstall.platform.leases import PlatformLeases
 from chervilstall.platform.targets import kept_calls
 from chervilstall.platform.watcher import StoreWatcher
+from chervilstall.process_limits.derived import ProcessLimits, derive_limits
 from chervilstall.quarantine.prompts import PromptQuarantine
-from chervilstall.settings.edge import EdgeSettings, FeatureMode
+from chervilstall.settings.edge import EdgeSettings
 from chervilstall.settings.leases import LeaseSettings
 from chervilstall.settings.node import NodeSettings
-from chervilstall.settings.option import Address
 from chervilstall.telemetry.edge_metrics import EdgeMetrics
 from chervilstall.telemetry.events import EventLog
 from chervilstall.telemetry.gc_tuning import tune_garbage_collector
-from chervilstall.wsgi import Server
 
 log = EventLog("router")
 
@@ -121,7 +121,9 @@
             self.fleet_view,
             lambda report: self.quarantine_sharing.share_crash(report),
         )
-        self.app = self._build_application()
+        limits = derive_limits(settings, edge_settings.process)
+        self.client_memory = limits.new_memory()
+        self.app = self._build_application(limits)
         self.planner_lease = LeaseHolder(
             self.leases,
             PLANNER_LEASE,
@@ -167,36 +169,33 @@
             self.peer_directory,
             self.fleet_view,
             self.chooser,
-            lambda: self._is_in_force(edge_settings.load_exchange.mode),
+            self.features.exchanges_load,
         )
         self.store_probe = StoreProbe(self.store, self.store_watcher, self.registry.key)
-        self.caller_listener = Server(
-            listener or settings.frontend_address,
-            self.app,
-            bad_request_response=bad_request_response,
-        )
-        peer_port = settings.ports[0] if settings.ports else 0
         reach = ReachEndpoint(
             self.target_reach.check_lately,
             self.reach_search.reaching,
             self._serving_version,
             self.budget.lend,
         )
-        self.peer_listener = Server(
-            Address(settings.host, peer_port), PeerEndpoint(self.app, reach)
-        )
         endpoints = OperatorEndpoints(lambda: self.is_ready, self.metrics_text)
-        self.readiness_listener = Server(settings.ready_address, endpoints)
-        self.metrics_listener = Server(
-            Address(settings.ready_address.host, metrics_port), endpoints
+        self.listeners = build_listeners(
+            settings,
+            metrics_port,
+            limits,
+            self.client_memory,
+            listener or settings.frontend_address,
+            (self.app, PeerEndpoint(self.app, reach), endpoints),
         )
+        self.caller_listener = self.listeners.callers
+        self.peer_listener = self.listeners.peers
         self.suspicion_sharing = self._build_suspicion_sharing()
         self.is_draining = False
         self.loop_pulse = LoopPulse()
         self._stopped = Event()
         self._tasks: list[gevent.Greenlet] = []
 
-    def _build_application(self) -> EdgeApplication:
+    def _build_application(self, limits: ProcessLimits) -> EdgeApplication:
         notices = TargetNotices(self.fleet_view, self.rate_limiter)
         crash_guard = CrashGuard(self.quarantine, self.crash_observer)
         peer_relay = PeerRelay(self.reach_search, self.fleet_view, notices)
@@ -232,6 +231,8 @@
             streams,
             self.budget,
             self.metrics,
+            self.client_memory,
+            limits.requests_max,
             stream_durations=rerouter.durations,
         )
 
@@ -268,13 +269,6 @@
             and self.fleet_view.are_targets_loaded
         )
 
-    def _is_in_force(self, mode: FeatureMode) -> bool:
-        """Return whether the configuration in force calls for a feature."""
-        configuration = self.fleet_view.configuration
-        return configuration is not None and mode.is_in_force(
-            configuration.ranks_pipeline
-        )
-
     def _serving_version(self) -> int | None:
         """Return the version of the configuration; None if no new work is taken."""
         configuration = self.fleet_view.configuration
@@ -285,15 +279,13 @@
     def start(self) -> None:
         """Start the listeners and all background tasks."""
         log.info("started", zone=self.settings.zone, pid=os.getpid())
-        self.caller_listener.start()
-        self.peer_listener.start()
+        self.listeners.apply_limits(self.fleet_view.configuration)
+        self.listeners.start()
         self.registry.peer = describe_own(
             self.settings, self.peer_listener.bound_address
         )
         self.changes.choice.own = self.registry.peer
         self.load_exchange.own = self.registry.peer
-        self.readiness_listener.start()
-        self.metrics_listener.start()
         runners = [self.store_watcher.run, self.store_probe.run]
         runners += [self.registry.run, self.planner_lease.run, self.planner.run]
         runners += [
@@ -311,6 +303,8 @@
 
     def _run_housekeeping(self) -> None:
         turn = 0
+        self.fleet_view.loaded.wait(HOUSEKEEPING_INTERVAL_S)
+        self.listeners.apply_limits(self.fleet_view.configuration)
         while True:
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
             turn += 1
@@ -319,12 +313,7 @@
             self.fleet_view.expire()
             self.quarantine.expire()
             kept_calls.expire()
-            configuration = self.fleet_view.configuration
-            if configuration is not None:
-                limits = configuration.limits
-                self.caller_listener.set_timeouts(
-                    limits.header_timeout_s, limits.idle_timeout_s
-                )
+            self.listeners.apply_limits(self.fleet_view.configuration)
             self._reload_settings()
 
     def prune_departed_targets(self) -> None:
@@ -370,6 +359,7 @@
         gauges["report_connections_reused_total"] = kept_calls.reused
         gauges["orders_total"] = self.planner.orders_sent
         gauges["collections"] = sum(stats["collections"] for stats in gc.get_stats())
+        gauges.update(self.listeners.gauges(self.client_memory))
         self.load_exchange.set_gauges(gauges)
         return self.metrics.exposition()
 
@@ -400,10 +390,7 @@
         gevent.killall(self._tasks, block=False)
         self.changes.stop()
         self.load_exchange.stop()
-        self.caller_listener.kill_connections()
-        self.peer_listener.kill_connections()
-        self.readiness_listener.kill_connections()
-        self.metrics_listener.kill_connections()
+        self.listeners.kill_connections()
         self._stopped.set()
 
     def wait(self) -> None:
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -58,6 +58,57 @@
 class ProcessLimitSettings:
     """Section `process`: memory and descriptors that callers may take up."""
 
+    memory_assumed_mb: int = option(
+        "Memory of a VM whose node file names none.", 200, unit="MB", minimum=50
+    )
+    client_memory_share: float = option(
+        "Share of the VM's memory for the bodies and answers of callers.",
+        0.3,
+        minimum=0.02,
+        maximum=0.8,
+    )
+    reserve_share: float = option(
+        "Share of this memory that only small bodies and answers may use.",
+        0.125,
+        minimum=0.0,
+        maximum=0.5,
+    )
+    small_body_bytes: int = option(
+        "Largest body or answer that may use the reserve.",
+        65_536,
+        unit="bytes",
+        minimum=1_024,
+    )
+    connection_memory_share: float = option(
+        "Share of the VM's memory for connections of callers and other routers.",
+        0.25,
+        minimum=0.02,
+        maximum=0.8,
+    )
+    files_reserved: int = option(
+        "Descriptors kept for files and the process's own use.",
+        200,
+        unit="descriptors",
+        minimum=20,
+    )
+    connection_descriptor_share: float = option(
+        "Share of the other descriptors for connections of callers and other routers.",
+        0.6,
+        minimum=0.05,
+        maximum=0.8,
+    )
+    peer_connection_share: float = option(
+        "Share of these connections that only other routers may use.",
+        0.15,
+        minimum=0.01,
+        maximum=0.5,
+    )
+    operator_connections: int = option(
+        "Connections to the metrics listener, and to the readiness listener.",
+        16,
+        minimum=1,
+    )
+
 
 @dataclass(frozen=True)
 class StreamSettings:
