--- a/src/chervilstall/admission/queue.py
+++ b/src/chervilstall/admission/queue.py
@@ -1,23 +1,17 @@
 """The router's admission queue: classes by urgency, workspaces by weight.
 
-Inside a class, workspaces share by start-time fair queueing: each has a virtual time
-that grows by cost ÷ weight when one of its requests starts, and the workspace with
-the lowest virtual time is next. Between classes, the more urgent one goes first. Part
-of the concurrency is reserved for urgent requests. While drafts wait, another part is
-reserved for them, so that they make progress under any load.
+Inside a class, workspaces share by start-time fair queueing. Between classes, the more
+urgent one goes first. Part of the concurrency is reserved for urgent requests. While
+drafts wait, another part is reserved for them, so that they make progress under any
+load.
 """
 
-import heapq
-import itertools
 import time
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Generic, TypeVar
-
-from gevent.event import Event
+from typing import TypeVar
 
 from chervilstall.admission.classes import CLASSES_BY_URGENCY
+from chervilstall.admission.fair_queue import FairQueue, QueuedRequest
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import WorkspaceName
 from chervilstall.settings.documents import RequestClass
@@ -25,9 +19,6 @@
 
 T = TypeVar("T")
 
-RESERVE_TRIES = 8
-"""Workspaces tried per start, as the next request of one may need a full target."""
-
 WAIT_SMOOTHING = 0.05
 """Weight of a new sample in the moving average of the time in the queue."""
 
@@ -35,95 +26,16 @@
 RETRY_AFTER_MAX_S = 30.0
 
 
-@dataclass
-class QueuedRequest(Generic[T]):
-    """A queued request.
-
-    `reserve` reserves capacity at targets, or returns None if there is none.
-    """
-
-    workspace: WorkspaceName
-    request_class: RequestClass
-    weight: float
-    cost: float
-    reserve: Callable[[], T | None]
-    queued_at_s: float
-    reservation: T | None = None
-    is_abandoned: bool = False
-    ready: Event = field(default_factory=Event)
-
-
-@dataclass
-class _WorkspaceQueue:
-    requests: deque[QueuedRequest] = field(default_factory=deque)
-    virtual_time: float = 0.0
+class _ClassQueue(FairQueue):
+    """The queued requests of one class, and the number of those that run.
 
-
-class _ClassQueue:
-    """The queued requests of one class, by workspace.
-
-    `wait_s` is a moving average of the time in the queue. `_heap` holds the
-    workspaces with queued requests, ordered by virtual time.
+    `wait_s` is a moving average of the time in the queue.
     """
 
     def __init__(self) -> None:
-        self.length = 0
+        super().__init__()
         self.running = 0
         self.wait_s = 0.0
-        self._workspaces: dict[WorkspaceName, _WorkspaceQueue] = {}
-        self._heap: list[tuple[float, int, WorkspaceName]] = []
-        self._tie_breaker = itertools.count()
-        self._virtual_time = 0.0
-
-    def push(self, request: QueuedRequest) -> None:
-        queue = self._workspaces.setdefault(request.workspace, _WorkspaceQueue())
-        if not queue.requests:
-            queue.virtual_time = max(queue.virtual_time, self._virtual_time)
-            self._push_workspace(request.workspace, queue)
-        queue.requests.append(request)
-        self.length += 1
-
-    def _push_workspace(self, name: WorkspaceName, queue: _WorkspaceQueue) -> None:
-        heapq.heappush(self._heap, (queue.virtual_time, next(self._tie_breaker), name))
-
-    def start_next(self) -> QueuedRequest | None:
-        """Start the next request in fair order that can reserve capacity, or None."""
-        tried: list[WorkspaceName] = []
-        next_request = None
-        while self._heap and len(tried) < RESERVE_TRIES:
-            _, _, name = heapq.heappop(self._heap)
-            queue = self._workspaces[name]
-            self._drop_abandoned(queue)
-            if not queue.requests:
-                self._remove_unless_ahead(name, queue)
-                continue
-            request = queue.requests[0]
-            reservation = request.reserve()
-            tried.append(name)
-            if reservation is None:
-                continue
-            request.reservation = reservation
-            queue.requests.popleft()
-            self.length -= 1
-            self._virtual_time = max(self._virtual_time, queue.virtual_time)
-            queue.virtual_time += request.cost / request.weight
-            next_request = request
-            break
-        for name in tried:
-            queue = self._workspaces[name]
-            if queue.requests:
-                self._push_workspace(name, queue)
-        return next_request
-
-    def _drop_abandoned(self, queue: _WorkspaceQueue) -> None:
-        while queue.requests and queue.requests[0].is_abandoned:
-            queue.requests.popleft()
-
-    def _remove_unless_ahead(self, name: WorkspaceName, queue: _WorkspaceQueue) -> None:
-        # A workspace ahead of the class's virtual time keeps its own, so that it gains
-        # nothing by letting its queue run empty.
-        if queue.virtual_time <= self._virtual_time:
-            del self._workspaces[name]
 
 
 class AdmissionQueue:
@@ -178,7 +90,7 @@
         if reservation is not None:
             return reservation
         request: QueuedRequest[T] = QueuedRequest(
-            workspace, request_class, weight, cost, reserve, now_s
+            workspace, weight, cost, reserve, now_s
         )
         queue.push(request)
         self.dispatch()
@@ -212,8 +124,7 @@
             request.ready.wait(max(0.0, deadline_s - time.monotonic()))
         finally:
             if request.reservation is None:
-                request.is_abandoned = True
-                queue.length -= 1
+                queue.abandon(request)
         waited_s = time.monotonic() - request.queued_at_s
         queue.wait_s += (waited_s - queue.wait_s) * WAIT_SMOOTHING
 
