Admit streams by room, priority and workspace before their first send

With too little capacity, requests filled the targets' queues in the order of their arrival, whatever their priority. A router now estimates the room of a model service in tokens, keeps to its share of it and to what other routers report to be free, and starts, queues or refuses a stream by priority and workspace before it is sent. It decides while admission.mode is in force; requests are only counted otherwise.

--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -19,6 +19,7 @@
 )
 from chervilstall.edge.plain_relay import PlainRelay
 from chervilstall.edge.request import EdgeRequest
+from chervilstall.edge.room.gate import RoomGate, hold_room
 from chervilstall.edge.streams.context import StreamBroken, StreamContext
 from chervilstall.edge.streams.durations import StreamDurations
 from chervilstall.edge.streams.relay import StreamRelay
@@ -59,7 +60,8 @@
     """Serves callers' requests according to the present view of the fleet.
 
     Until `startup_wait_until_s`, a monotonic time, requests wait for the first
-    configuration. `admitted` holds the requests that are being served. `drain` is the
+    configuration. `room_gate` admits streams by the room at their targets. `admitted`
+    holds the requests that are being served. `drain` is the
     schedule of a shutdown in progress; `begin_drain` sets it.
     """
 
@@ -68,6 +70,7 @@
     stream_context: StreamContext
     budget: FleetRetryBudget
     metrics: EdgeMetrics
+    room_gate: RoomGate | None = None
     drain: DrainSchedule | None = None
     running_requests: int = 0
     admitted: set[EdgeRequest] = field(default_factory=set)
@@ -300,15 +303,16 @@
             response = self.plain_relay.run(request)
             yield from self._send_complete(request, response, start_response)
             return
-        relay = StreamRelay(self.stream_context, request)
-        try:
-            result = relay.begin()
-            if isinstance(result, CompleteResponse):
-                yield from self._send_complete(request, result, start_response)
-                return
-            yield from self._forward_stream(request, relay, result, start_response)
-        finally:
-            relay.close()
+        with hold_room(self.room_gate, request):
+            relay = StreamRelay(self.stream_context, request)
+            try:
+                result = relay.begin()
+                if isinstance(result, CompleteResponse):
+                    yield from self._send_complete(request, result, start_response)
+                    return
+                yield from self._forward_stream(request, relay, result, start_response)
+            finally:
+                relay.close()
 
     def _send_complete(
         self,
@@ -333,6 +337,8 @@
         start_response(*self._response_start(head.status, head.headers, None))
         request.first_event_s = time.monotonic() - request.arrived_at_s
         self.metrics.record_first_event(request, request.first_event_s)
+        if self.room_gate is not None:
+            self.room_gate.record_first_event(request)
         try:
             yield from relay.events()
         except StreamBroken as error:
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -25,7 +25,8 @@
     `sent_at_s` is the monotonic time of the latest send,
     `queued_s` is the time from arrival to the first send, `first_event_s`
     from arrival to the first event of a stream, and `longest_gap_s` the longest time
-    between two events. A lower `priority` is more urgent. `forwarding` is what the
+    between two events. `refusals` counts the targets that refused the request for
+    lack of room. A lower `priority` is more urgent. `forwarding` is what the
     router said that forwarded the request here, if one did. `abort_callbacks` are
     called when the caller disconnects or the deadline is moved to the present.
     """
@@ -50,6 +51,7 @@
     first_event_s: float | None = None
     longest_gap_s: float | None = None
     events_forwarded: int = 0
+    refusals: int = 0
     forwarding: Forwarding | None = None
     abort_callbacks: set[Callable[[], None]] = field(default_factory=set)
 
--- /dev/null
+++ b/src/chervilstall/edge/room/service.py
@@ -0,0 +1,341 @@
+"""Which requests of one service begin, wait or are refused, by room and urgency.
+
+A router may use its share of the service's room, times the factor of `ShareScale`, and
+what the reports of the other routers show to be free. Within that limit, each class
+leaves free what the more urgent classes ask for, and each workspace of a class gets
+what it asks for up to a common level. The least urgent class gets a small rate of
+tokens under any load.
+"""
+
+import random
+import time
+from dataclasses import dataclass, field
+from functools import partial
+
+from chervilstall.admission.fair_queue import QueuedRequest
+from chervilstall.clock import Clock
+from chervilstall.edge.room.classes import (
+    ACTIVE_S,
+    TOKENS_MIN,
+    ClassLedger,
+    ClassUse,
+    RoomRequest,
+)
+from chervilstall.edge.room.scale import SHORT_MAX, ShareScale
+from chervilstall.edge.room.view import RoomEstimate, RoomView
+from chervilstall.fleet.records import Service
+from chervilstall.settings.edge import AdmissionByRoomSettings
+
+HOLD_INITIAL_S = 2.0
+HOLD_WEIGHT = 0.05
+"""Weight of the latest request in the moving average of the time that one runs."""
+
+COVERED_MIN = 0.8
+"""Part of the routers whose load must be known for the free room to count as known."""
+
+GROWTH_SHARERS = 4.0
+"""How many times its part of the free room a router may take before new reports.
+
+Demand differs between routers by a factor of three, so few take as much at a time.
+"""
+
+REPORT_INTERVAL_S = 0.25
+URGENT_EXCESS = 2.0
+"""Part of its limit by which a router may exceed it for the most urgent class.
+
+All routers leave free what that class asks of them, so one that is asked for more takes
+what others don't need. The excess shrinks to nothing as targets refuse or are late.
+"""
+
+TURN_KEPT_S = 10.0
+RETRY_AFTER_MIN_S = 0.25
+RETRY_AFTER_JITTER = 0.2
+REMAINING_SHARE = 1.0 / 3.0
+"""Part of the time that a caller has left that it may be told to wait."""
+
+PRUNE_INTERVAL_S = 10.0
+RATE_MIN = 1e-6
+
+
+@dataclass(frozen=True)
+class RoomTicket:
+    """A request that holds room since `began_at_s`."""
+
+    request: RoomRequest
+    began_at_s: float
+
+
+@dataclass(frozen=True)
+class RoomLimits:
+    """Tokens that this router may have in flight, and the estimate they come from.
+
+    `urgent_tokens` is the limit for the most urgent class, `tokens` for all others, and
+    `base_tokens` the part that needs no reports of other routers.
+    """
+
+    base_tokens: float
+    tokens: float
+    urgent_tokens: float
+    estimate: RoomEstimate
+
+
+@dataclass
+class ServiceRoom:
+    """Admits the requests of one service at one router.
+
+    `offer` starts or queues a request; the caller waits on its `ready` and calls
+    `give_up` if it doesn't start in time, `release` when a started one has ended.
+    `hold_s` is how long a request runs on average.
+    """
+
+    service: Service
+    settings: AdmissionByRoomSettings
+    view: RoomView
+    clock: Clock = time.monotonic
+    rng: random.Random = field(default_factory=random.Random)
+    ledger: ClassLedger = field(default_factory=ClassLedger)
+    hold_s: float = HOLD_INITIAL_S
+    scale: ShareScale = field(init=False)
+    _beyond_tokens: float = 0.0
+    _beyond_at_s: float = float("-inf")
+    _pruned_at_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.scale = ShareScale(self.settings, self.clock)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is in flight or waits."""
+        is_waiting = any(use.queue.length for use in self.ledger.classes.values())
+        return self.ledger.tokens < TOKENS_MIN and not is_waiting
+
+    # Requests
+
+    def account(self, request: RoomRequest) -> RoomTicket:
+        """Count a request that begins without a decision."""
+        now_s = self.clock()
+        self.ledger.record_demand(request, now_s)
+        self.ledger.take(request)
+        self._prune(now_s)
+        return RoomTicket(request, now_s)
+
+    def offer(self, request: RoomRequest) -> QueuedRequest[RoomTicket]:
+        """Start a request if there is room for it now, or queue it."""
+        now_s = self.clock()
+        self._prune(now_s)
+        self.ledger.record_demand(request, now_s)
+        use = self.ledger.use(request.priority)
+        reserve = partial(self._reserve, request)
+        queued = QueuedRequest(request.workspace, 1.0, request.tokens, reserve, now_s)
+        use.queue.push(queued)
+        use.queued_tokens += request.tokens
+        self.dispatch()
+        if queued.reservation is None:
+            self.scale.note_held_back()
+        return queued
+
+    def withdraw(self, request: RoomRequest, queued: QueuedRequest[RoomTicket]) -> None:
+        """Undo an offer that nobody waits for any more."""
+        if queued.reservation is not None:
+            self.release(queued.reservation)
+            return
+        use = self.ledger.use(request.priority)
+        use.queue.abandon(queued)
+        use.queued_tokens = max(0.0, use.queued_tokens - request.tokens)
+
+    def give_up(self, request: RoomRequest, queued: QueuedRequest[RoomTicket]) -> float:
+        """Take a request out of the queue; return after how long it should return."""
+        now_s = self.clock()
+        self.withdraw(request, queued)
+        use = self.ledger.use(request.priority)
+        use.queue.keep_turn(request.workspace, now_s, now_s + TURN_KEPT_S)
+        retry_after_s = self._retry_after_s(request, use, now_s)
+        use.note_refused(request.tokens, now_s + retry_after_s)
+        return retry_after_s
+
+    def release(self, ticket: RoomTicket) -> None:
+        """Free the room of a request that has ended, and start what waits for it."""
+        held_s = self.clock() - ticket.began_at_s
+        self.hold_s += HOLD_WEIGHT * (held_s - self.hold_s)
+        self._beyond_tokens += ticket.request.tokens
+        self.ledger.release(ticket.request)
+        self.dispatch()
+
+    def dispatch(self) -> None:
+        """Start queued requests in order as long as there is room for them."""
+        for _, use in self.ledger.by_urgency():
+            while use.queue.length:
+                started = use.queue.start_next()
+                if started is None:
+                    break
+                use.queued_tokens = max(0.0, use.queued_tokens - started.cost)
+                started.ready.set()
+
+    # Room
+
+    def limits(self) -> RoomLimits | None:
+        """Return the present limits, None while the service's capacity isn't known."""
+        estimate = self.view.estimate(self.service)
+        if estimate.capacity_tokens <= 0.0:
+            return None
+        own = self.ledger.tokens
+        share = estimate.share_tokens
+        is_covered = 1 + estimate.reporting >= COVERED_MIN * estimate.sharers
+        base = share * self.scale.update(own / share, is_covered)
+        if not is_covered:
+            calm = max(0.0, 1.0 - self.scale.short_part / SHORT_MAX)
+            excess = URGENT_EXCESS * calm if self._has_ranks() else 0.0
+            return RoomLimits(base, base, base * (1.0 + excess), estimate)
+        beyond = self._refill_beyond(estimate)
+        free = estimate.free_tokens
+        reserve = self.settings.reserve_share * estimate.capacity_tokens
+        kept = reserve if self._has_ranks() else 0.0
+        return RoomLimits(
+            base,
+            max(base, own + min(beyond, free - kept)),
+            max(base, own + min(beyond, free)),
+            estimate,
+        )
+
+    def _refill_beyond(self, estimate: RoomEstimate) -> float:
+        """Return the tokens that may begin beyond the base before new reports."""
+        now_s = self.clock()
+        elapsed_s = min(1.0, now_s - self._beyond_at_s)
+        self._beyond_at_s = now_s
+        part = min(1.0, GROWTH_SHARERS / estimate.sharers) * estimate.free_tokens
+        window_s = max(REPORT_INTERVAL_S, estimate.age_s)
+        typical = self.service.pipeline.typical_tokens if self.service.pipeline else 0.0
+        self._beyond_tokens = min(
+            max(part, 2.0 * typical),
+            self._beyond_tokens + part * elapsed_s / window_s,
+        )
+        return self._beyond_tokens
+
+    def _has_ranks(self) -> bool:
+        return len(self.ledger.active(self.clock())) > 1
+
+    def _reserve(self, request: RoomRequest) -> RoomTicket | None:
+        """Take the room for a request, or return None if it has to wait."""
+        now_s = self.clock()
+        limits = self.limits()
+        if limits is not None and not self._has_room(request, limits, now_s):
+            if not self._take_floor(request, limits, now_s):
+                return None
+        if limits is not None:
+            after = self.ledger.tokens + request.tokens
+            self._beyond_tokens -= min(
+                request.tokens, max(0.0, after - limits.base_tokens)
+            )
+        self.ledger.take(request)
+        return RoomTicket(request, now_s)
+
+    def _has_room(self, request: RoomRequest, limits: RoomLimits, now_s: float) -> bool:
+        own = self.ledger.tokens
+        if own < TOKENS_MIN:
+            # A share below one request still lets one run at a time.
+            return True
+        room = self._class_room(request.priority, limits, now_s)
+        is_most_urgent = self._is_most_urgent(request.priority, now_s)
+        limit = limits.urgent_tokens if is_most_urgent else limits.tokens
+        if own + request.tokens > limit:
+            return False
+        if self.ledger.tokens_from(request.priority) + request.tokens > room:
+            return False
+        return not self._is_above_level(request, room, now_s)
+
+    def _class_room(self, priority: int, limits: RoomLimits, now_s: float) -> float:
+        """Return the tokens that a class and all less urgent ones may use."""
+        if self._is_most_urgent(priority, now_s):
+            return limits.urgent_tokens
+        asked = 0.0
+        most_urgent_asked = 0.0
+        for other, use in self.ledger.by_urgency():
+            if other >= priority:
+                break
+            demand = use.demand.per_s(now_s) * self.hold_s
+            # A class that asks for less than it has in flight needs what it has.
+            demand = max(demand, use.tokens)
+            most_urgent_asked = most_urgent_asked or demand
+            asked += demand
+        reserve = min(self.settings.reserve_share * limits.tokens, most_urgent_asked)
+        return limits.tokens - asked - reserve
+
+    def _is_most_urgent(self, priority: int, now_s: float) -> bool:
+        return not any(
+            use.tokens >= TOKENS_MIN or now_s - use.asked_at_s < ACTIVE_S
+            for use in self.ledger.more_urgent(priority)
+        )
+
+    def _is_above_level(self, request: RoomRequest, room: float, now_s: float) -> bool:
+        """Return whether a workspace has more than its part of its class's room."""
+        use = self.ledger.use(request.priority)
+        workspace = use.workspaces.get(request.workspace)
+        if workspace is None or workspace.tokens < TOKENS_MIN:
+            return False
+        level = use.level(room, self.hold_s, now_s)
+        return workspace.tokens + request.tokens > level
+
+    def _take_floor(
+        self, request: RoomRequest, limits: RoomLimits, now_s: float
+    ) -> bool:
+        """Use the floor of the least urgent class, if there are several classes."""
+        active = self.ledger.active(now_s)
+        if len(active) < 2 or request.priority != active[-1]:
+            return False
+        use = self.ledger.use(request.priority)
+        floor = self.settings.floor_share * limits.base_tokens
+        use.add_floor(floor / self.hold_s, max(floor, request.tokens), now_s)
+        if use.floor_tokens < request.tokens:
+            return False
+        use.floor_tokens -= request.tokens
+        return True
+
+    # Waiting
+
+    def expected_wait_s(self, request: RoomRequest) -> float:
+        """Return when a queued request is expected to start, without those refused."""
+        now_s = self.clock()
+        use = self.ledger.use(request.priority)
+        ahead = self._queued_ahead(request, use, now_s)
+        return ahead / self._freeing_rate(request, use, now_s)
+
+    def _queued_ahead(self, request: RoomRequest, use: ClassUse, now_s: float) -> float:
+        """Return the tokens that have to be freed first, with the request's own."""
+        ahead = sum(
+            other.queued_tokens for other in self.ledger.more_urgent(request.priority)
+        )
+        in_class = use.queue.cost_ahead(request.workspace, now_s)
+        return ahead + max(request.tokens, in_class)
+
+    def _freeing_rate(self, request: RoomRequest, use: ClassUse, now_s: float) -> float:
+        """Return the tokens a second that become free for a request.
+
+        Less urgent classes get only what they and those below free, and the floor. A
+        workspace above its level gets only what it frees itself.
+        """
+        hold_s = max(self.hold_s, RATE_MIN)
+        freeing = self.ledger.tokens_from(request.priority)
+        limits = self.limits()
+        if limits is not None:
+            room = self._class_room(request.priority, limits, now_s)
+            if self._is_above_level(request, room, now_s):
+                freeing = min(freeing, use.workspaces[request.workspace].tokens)
+            freeing += self.settings.floor_share * limits.base_tokens
+        return max(freeing / hold_s, RATE_MIN)
+
+    def _retry_after_s(
+        self, request: RoomRequest, use: ClassUse, now_s: float
+    ) -> float:
+        """Return when the caller should return, so that callers return in turn."""
+        ahead = self._queued_ahead(request, use, now_s) + use.returning_tokens(now_s)
+        for other in self.ledger.more_urgent(request.priority):
+            ahead += other.returning_tokens(now_s)
+        wait_s = ahead / self._freeing_rate(request, use, now_s)
+        jitter = self.rng.uniform(-RETRY_AFTER_JITTER, RETRY_AFTER_JITTER)
+        wait_s = max(RETRY_AFTER_MIN_S, wait_s * (1.0 + jitter))
+        return min(wait_s, max(0.0, request.remaining_s) * REMAINING_SHARE)
+
+    def _prune(self, now_s: float) -> None:
+        if now_s - self._pruned_at_s >= PRUNE_INTERVAL_S:
+            self._pruned_at_s = now_s
+            self.ledger.prune(now_s)
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -34,6 +34,7 @@
 from chervilstall.edge.reach.targets import TargetReach
 from chervilstall.edge.reach.zones import ZoneProber
 from chervilstall.edge.registry import ROUTERS_ASSUMED, RouterRegistry
+from chervilstall.edge.room.wiring import build_room_gate
 from chervilstall.edge.settings_file import SettingsFile
 from chervilstall.edge.standby import CHECK_INTERVAL_S
 from chervilstall.edge.store_handlers import build_handlers
@@ -49,7 +50,7 @@
 from chervilstall.platform.leases import PlatformLeases
 from chervilstall.platform.watcher import StoreWatcher
 from chervilstall.quarantine.prompts import PromptQuarantine
-from chervilstall.settings.edge import EdgeSettings
+from chervilstall.settings.edge import EdgeSettings, FeatureMode
 from chervilstall.settings.leases import LeaseSettings
 from chervilstall.settings.node import NodeSettings
 from chervilstall.settings.option import Address
@@ -214,8 +215,23 @@
             self.target_reach,
             peer_relay,
         )
+        admission = self.edge_settings.admission
+        room_gate = build_room_gate(
+            self.chooser,
+            self.target_reach,
+            admission,
+            lambda: self._is_in_force(admission.mode),
+            self.metrics,
+        )
         return EdgeApplication(
-            self.fleet_view, plain, streams, self.budget, self.metrics
+            self.fleet_view, plain, streams, self.budget, self.metrics, room_gate
+        )
+
+    def _is_in_force(self, mode: FeatureMode) -> bool:
+        """Return whether a feature is in force by the present configuration."""
+        configuration = self.fleet_view.configuration
+        return mode.is_in_force(
+            configuration is not None and configuration.ranks_pipeline
         )
 
     def _build_suspicion_sharing(self) -> SuspicionSharing:
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -261,6 +261,7 @@
 
     def _record_refusal(self, path: Path, head: ResponseHead) -> None:
         faulty = self.paths.record_refusal(path, head.faulty_address)
+        self.request.refusals += head.status == 503 and not head.is_leaving
         log.warning(
             "target refused",
             request=self.request.request_id,
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -42,6 +42,39 @@
     mode: FeatureMode = option(
         "Whether requests to model services are admitted by room.", FeatureMode.AUTO
     )
+    reserve_share: float = option(
+        "Part of the room that is kept free for the most urgent requests, as far as "
+        "they come.",
+        0.1,
+        minimum=0.0,
+        maximum=0.5,
+    )
+    floor_share: float = option(
+        "Part of the room that the least urgent requests get under any load.",
+        0.05,
+        minimum=0.0,
+        maximum=0.5,
+    )
+    queue_objective_share: float = option(
+        "Part of its route's latency objective that a request may wait for room.",
+        0.25,
+        minimum=0.0,
+        maximum=1.0,
+    )
+    share_scale_min: float = option(
+        "Lower bound of the factor of a router's share, while targets refuse requests "
+        "or answer late.",
+        0.5,
+        minimum=0.05,
+        maximum=1.0,
+    )
+    share_scale_max: float = option(
+        "Upper bound of that factor, while the routers don't tell each other their "
+        "load and targets answer in time.",
+        8.0,
+        minimum=1.0,
+        maximum=100.0,
+    )
 
 
 @dataclass(frozen=True)
--- a/src/chervilstall/telemetry/edge_metrics.py
+++ b/src/chervilstall/telemetry/edge_metrics.py
@@ -1,6 +1,7 @@
 """Request counters and latency histograms of a router, by workspace and route."""
 
 from collections import defaultdict
+from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
@@ -54,11 +55,13 @@
     """Counters and latency histograms of one process, with a bounded number of series.
 
     Requests beyond the bounds are counted under the workspace and route `other`.
+    `sources` return the lines of series that other parts of the router keep.
     """
 
     def __init__(self) -> None:
         self.counters: dict[Series, int] = defaultdict(int)
         self.gauges: dict[str, float] = {}
+        self.sources: list[Callable[[], list[str]]] = []
         self._histograms: dict[Series, HdrHistogram] = {}
 
     def record_first_event(self, request: MeasuredRequest, elapsed_s: float) -> None:
@@ -97,6 +100,8 @@
         for name, value in sorted(self.gauges.items()):
             lines.append(f"# TYPE chervilstall_{name} gauge")
             lines.append(f"chervilstall_{name} {value:g}")
+        for source in self.sources:
+            lines += source()
         lines.append("# TYPE chervilstall_latency_seconds summary")
         for (measure, workspace, route), histogram in sorted(self._histograms.items()):
             labels = f'measure="{measure}",workspace="{workspace}",route="{route}"'
