Learn a shortage at the targets from the time to first events, too

With a factor that grew until answers were late, a third of the routers' share was queued at the targets in a model of 60 routers. The factor now grows only while first events come as fast as usual.

--- a/src/chervilstall/edge/room/gate.py
+++ b/src/chervilstall/edge/room/gate.py
@@ -26,6 +26,7 @@
 
 log = EventLog("room")
 
+OBJECTIVE_MIN_S = 0.01
 NO_WORKSPACE = WorkspaceName("")
 SERVICES_MAX = 256
 """Services with counts; those that the configuration drops make place for new ones."""
@@ -86,7 +87,8 @@
         elif request.sends == 1:
             # After a failed send, the fault has made the answer late.
             elapsed_s = request.first_event_s - request.queued_s
-            room.scale.record_answer(elapsed_s > request.route.latency_slo_s)
+            delay = elapsed_s / max(request.route.latency_slo_s, OBJECTIVE_MIN_S)
+            room.scale.record_answer(delay > 1.0, delay)
 
     def _room(self, request: EdgeRequest) -> ServiceRoom:
         service = request.service
--- a/src/chervilstall/edge/room/scale.py
+++ b/src/chervilstall/edge/room/scale.py
@@ -2,8 +2,8 @@
 
 The capacity divided by the number of routers is only a first guess of what a router may
 use: demand differs between routers, and requests may take more memory than they
-declare. The factor grows while the limit holds requests back and targets answer in
-time, and shrinks while targets refuse requests or answer late.
+declare. The factor grows while the limit holds requests back and targets answer as fast
+as they usually do. It shrinks while they refuse requests or answer late.
 """
 
 import time
@@ -23,12 +23,24 @@
 CALM_MAX = 0.05
 """The same, below which it may grow."""
 
+DELAY_RISE_MAX = 0.1
+"""Rise of the time to the first event, in objectives, up to which the factor grows.
+
+Requests that wait at the targets show in this time before they are late.
+"""
+
+USUAL_RISE_PER_S = 0.005
+"""Speed at which the usual time to the first event, a minimum, follows a rise."""
+
 SHRINK_FACTOR = 0.88
 SHRINK_INTERVAL_S = 0.5
 """Shortest time between two steps down: about the time to a first event."""
 
+GROWTH_DELAY_S = 1.0
+"""Time after a step down in which the factor does not grow."""
+
 FAST_GROWTH = 1.2
-SLOW_GROWTH = 1.03
+SLOW_GROWTH = 1.02
 NEAR_LAST_PEAK = 0.85
 """Part of the factor at the last shortage up to which it grows fast again."""
 
@@ -43,30 +55,56 @@
 class ShareScale:
     """The factor of a router's share for one service.
 
-    `is_covered` says that the load of nearly all routers is known: what is free is
-    known then, and the factor doesn't exceed 1.
+    `short_part` is the recent part of answers that were refused or late. `delay` is the
+    recent time to the first event, in units of the objective, and `usual_delay` that of
+    targets with room. `update` learns from them.
     """
 
     settings: AdmissionByRoomSettings
     clock: Clock = time.monotonic
     value: float = 1.0
     short_part: float = 0.0
+    delay: float | None = None
+    usual_delay: float = float("inf")
     _has_held_back: bool = False
     _peak: float = float("inf")
     _stepped_at_s: float = float("-inf")
     _shrunk_at_s: float = float("-inf")
 
-    def record_answer(self, is_short: bool) -> None:
-        """Record whether targets refused a request or began its answer late."""
+    def record_answer(self, is_short: bool, delay: float | None = None) -> None:
+        """Record whether targets refused a request or began its answer late.
+
+        `delay` is the time to the first event divided by the objective, if there is one.
+        """
         sample = 1.0 if is_short else 0.0
         self.short_part += SAMPLE_WEIGHT * (sample - self.short_part)
+        if delay is None:
+            return
+        if self.delay is None:
+            self.delay = delay
+        self.delay += SAMPLE_WEIGHT * (delay - self.delay)
 
     def note_held_back(self) -> None:
         """Record that the limit delayed or refused a request."""
         self._has_held_back = True
 
+    @property
+    def calm(self) -> float:
+        """Return 1 while targets show no shortage, down to 0 as they do."""
+        return max(0.0, 1.0 - self.short_part / SHORT_MAX) * (not self._is_delayed)
+
+    @property
+    def _is_delayed(self) -> bool:
+        return self.delay is not None and (
+            self.delay > self.usual_delay + DELAY_RISE_MAX
+        )
+
     def update(self, used_share: float, is_covered: bool) -> float:
-        """Return the factor; `used_share` is the use divided by the router's share."""
+        """Return the factor; `used_share` is the use divided by the router's share.
+
+        `is_covered` says that the load of nearly all routers is known: what is free is
+        known then, and the factor doesn't exceed 1.
+        """
         now_s = self.clock()
         if is_covered:
             self.value = min(self.value, 1.0)
@@ -74,32 +112,43 @@
             return self.value
         self._stepped_at_s = now_s
         self.short_part *= SHORT_DECAY
+        if self.delay is not None:
+            risen = self.usual_delay + USUAL_RISE_PER_S * STEP_S
+            self.usual_delay = min(self.delay, risen)
         if self.short_part > SHORT_MAX:
             self._shrink(used_share)
-        elif self.short_part < CALM_MAX and (self._has_held_back or self.value < 1.0):
-            self._grow(is_covered)
+        elif self._has_held_back or self.value < 1.0:
+            self._grow(1.0 if is_covered else self.settings.share_scale_max)
         self._has_held_back = False
         return self.value
 
     def _shrink(self, used_share: float) -> None:
-        if self.clock() - self._shrunk_at_s < SHRINK_INTERVAL_S:
-            return
-        if used_share < USE_MIN:
+        now_s = self.clock()
+        if now_s - self._shrunk_at_s < SHRINK_INTERVAL_S or used_share < USE_MIN:
             # With that much room, faults rather than a shortage make answers late.
             return
+        self._shrunk_at_s = now_s
         self._peak = self.value
-        # Without a higher use, a lower limit is not what the answers tell about.
+        # A factor far above the use has to come down to the use to have an effect.
         value = min(self.value, max(used_share, 1.0)) * SHRINK_FACTOR
         self.value = max(self.settings.share_scale_min, value)
-        # The effect shows only in the answers to requests that are sent from now on.
-        self._shrunk_at_s = self.clock()
+        # Half way, as most answers to come are to requests that were sent before.
         self.short_part = (SHORT_MAX + CALM_MAX) / 2.0
-        log.info("share shrinks", scale=round(self.value, 2), used=round(used_share, 2))
-
-    def _grow(self, is_covered: bool) -> None:
+        log.info(
+            "share shrinks",
+            scale=round(self.value, 2),
+            used=round(used_share, 2),
+            delay=None if self.delay is None else round(self.delay, 2),
+            usual_delay=round(self.usual_delay, 2) if self.delay is not None else None,
+        )
+
+    def _grow(self, maximum: float) -> None:
+        if self.short_part >= CALM_MAX or self._is_delayed:
+            return
+        if self.clock() - self._shrunk_at_s < GROWTH_DELAY_S:
+            return
         is_near = self.value > self._peak * NEAR_LAST_PEAK
         growth = SLOW_GROWTH if is_near else FAST_GROWTH
-        maximum = 1.0 if is_covered else self.settings.share_scale_max
         self.value = min(maximum, self.value * growth)
         if self.value > self._peak:
             self._peak = float("inf")
--- a/src/chervilstall/edge/room/service.py
+++ b/src/chervilstall/edge/room/service.py
@@ -7,6 +7,7 @@
 tokens under any load.
 """
 
+import math
 import random
 import time
 from dataclasses import dataclass, field
@@ -21,7 +22,7 @@
     ClassUse,
     RoomRequest,
 )
-from chervilstall.edge.room.scale import SHORT_MAX, ShareScale
+from chervilstall.edge.room.scale import ShareScale
 from chervilstall.edge.room.view import RoomEstimate, RoomView
 from chervilstall.fleet.records import Service
 from chervilstall.settings.edge import AdmissionByRoomSettings
@@ -85,7 +86,7 @@
 
     `offer` starts or queues a request; the caller waits on its `ready` and calls
     `give_up` if it doesn't start in time, `release` when a started one has ended.
-    `hold_s` is how long a request runs on average.
+    `hold_s` is how long a request runs on average, `mean_tokens` its size.
     """
 
     service: Service
@@ -95,6 +96,7 @@
     rng: random.Random = field(default_factory=random.Random)
     ledger: ClassLedger = field(default_factory=ClassLedger)
     hold_s: float = HOLD_INITIAL_S
+    mean_tokens: float = 0.0
     scale: ShareScale = field(init=False)
     _beyond_tokens: float = 0.0
     _beyond_at_s: float = float("-inf")
@@ -157,7 +159,10 @@
         """Free the room of a request that has ended, and start what waits for it."""
         held_s = self.clock() - ticket.began_at_s
         self.hold_s += HOLD_WEIGHT * (held_s - self.hold_s)
-        self._beyond_tokens += ticket.request.tokens
+        tokens = ticket.request.tokens
+        self.mean_tokens = self.mean_tokens or tokens
+        self.mean_tokens += HOLD_WEIGHT * (tokens - self.mean_tokens)
+        self._beyond_tokens += tokens
         self.ledger.release(ticket.request)
         self.dispatch()
 
@@ -183,13 +188,11 @@
         is_covered = 1 + estimate.reporting >= COVERED_MIN * estimate.sharers
         base = share * self.scale.update(own / share, is_covered)
         if not is_covered:
-            calm = max(0.0, 1.0 - self.scale.short_part / SHORT_MAX)
-            excess = URGENT_EXCESS * calm if self._has_ranks() else 0.0
+            excess = URGENT_EXCESS * self.scale.calm if self._has_ranks() else 0.0
             return RoomLimits(base, base, base * (1.0 + excess), estimate)
         beyond = self._refill_beyond(estimate)
         free = estimate.free_tokens
-        reserve = self.settings.reserve_share * estimate.capacity_tokens
-        kept = reserve if self._has_ranks() else 0.0
+        kept = self._unused_reserve() * estimate.capacity_tokens
         return RoomLimits(
             base,
             max(base, own + min(beyond, free - kept)),
@@ -211,6 +214,19 @@
         )
         return self._beyond_tokens
 
+    def _unused_reserve(self) -> float:
+        """Return the part of the room to keep free for the most urgent class.
+
+        The other routers are assumed to have as large a part of its requests.
+        """
+        if not self._has_ranks():
+            return 0.0
+        use = self.ledger.use(min(self.ledger.classes))
+        asked = use.demand.per_s(self.clock()) * self.hold_s
+        part = use.tokens / max(self.ledger.tokens, TOKENS_MIN)
+        reserve = self.settings.reserve_share
+        return max(0.0, min(reserve, asked / max(self.ledger.tokens, 1.0)) - part)
+
     def _has_ranks(self) -> bool:
         return len(self.ledger.active(self.clock())) > 1
 
@@ -248,17 +264,13 @@
         if self._is_most_urgent(priority, now_s):
             return limits.urgent_tokens
         asked = 0.0
-        most_urgent_asked = 0.0
-        for other, use in self.ledger.by_urgency():
-            if other >= priority:
-                break
-            demand = use.demand.per_s(now_s) * self.hold_s
-            # A class that asks for less than it has in flight needs what it has.
-            demand = max(demand, use.tokens)
-            most_urgent_asked = most_urgent_asked or demand
-            asked += demand
-        reserve = min(self.settings.reserve_share * limits.tokens, most_urgent_asked)
-        return limits.tokens - asked - reserve
+        used = 0.0
+        for use in self.ledger.more_urgent(priority):
+            asked += use.demand.per_s(now_s) * self.hold_s
+            used += use.tokens
+        # Requests come at random, so that what is asked for varies by about the root.
+        asked += math.sqrt(asked * self.mean_tokens)
+        return limits.tokens - max(asked, used)
 
     def _is_most_urgent(self, priority: int, now_s: float) -> bool:
         return not any(
@@ -278,12 +290,20 @@
     def _take_floor(
         self, request: RoomRequest, limits: RoomLimits, now_s: float
     ) -> bool:
-        """Use the floor of the least urgent class, if there are several classes."""
-        active = self.ledger.active(now_s)
-        if len(active) < 2 or request.priority != active[-1]:
+        """Use the floor of the classes below the most urgent one.
+
+        They divide it by their demand, so that none gets less than a less urgent one.
+        """
+        if self._is_most_urgent(request.priority, now_s):
             return False
         use = self.ledger.use(request.priority)
-        floor = self.settings.floor_share * limits.base_tokens
+        demands = [
+            each.demand.per_s(now_s)
+            for priority, each in self.ledger.classes.items()
+            if not self._is_most_urgent(priority, now_s)
+        ]
+        part = use.demand.per_s(now_s) / max(sum(demands), RATE_MIN)
+        floor = self.settings.floor_share * limits.base_tokens * part
         use.add_floor(floor / self.hold_s, max(floor, request.tokens), now_s)
         if use.floor_tokens < request.tokens:
             return False
