Count requests whose first event is late as soon as it is late

Targets that prefer more urgent requests let others wait for seconds, so that their first events told of a shortage only after it had grown.

--- a/src/chervilstall/edge/room/classes.py
+++ b/src/chervilstall/edge/room/classes.py
@@ -24,7 +24,7 @@
     """What a request needs. A lower `priority` is more urgent.
 
     `wait_max_s` is the longest time in the queue, `remaining_s` the time that its
-    caller has left.
+    caller has left, and `objective_s` the time in which the first event should come.
     """
 
     workspace: WorkspaceName
@@ -32,6 +32,7 @@
     tokens: float
     wait_max_s: float
     remaining_s: float
+    objective_s: float
 
 
 @dataclass
--- a/src/chervilstall/edge/room/gate.py
+++ b/src/chervilstall/edge/room/gate.py
@@ -26,7 +26,6 @@
 
 log = EventLog("room")
 
-OBJECTIVE_MIN_S = 0.01
 NO_WORKSPACE = WorkspaceName("")
 SERVICES_MAX = 256
 """Services with counts; those that the configuration drops make place for new ones."""
@@ -51,6 +50,7 @@
     is_out_of_reach: Callable[[ServiceName], bool] = _never_out_of_reach
     metrics: RoomMetrics = field(default_factory=RoomMetrics)
     rooms: dict[ServiceName, ServiceRoom] = field(default_factory=dict)
+    _tickets: dict[EdgeRequest, RoomTicket] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.view.own_tokens = self.own_tokens
@@ -68,27 +68,28 @@
         """
         room = self._room(request)
         ticket = self._admit(room, request)
+        self._tickets[request] = ticket
         try:
             yield
         finally:
-            if request.first_event_s is None and request.refusals:
-                room.scale.record_answer(is_short=True)
+            del self._tickets[request]
+            if request.refusals and ticket.is_awaited:
+                room.record_refusal(ticket)
             room.release(ticket)
 
     def record_first_event(self, request: EdgeRequest) -> None:
         """Learn from the time to the first event whether the targets have room."""
-        if request.first_event_s is None or request.queued_s is None:
-            return
         room = self.rooms.get(request.service.name)
-        if room is None:
+        ticket = self._tickets.get(request)
+        if room is None or ticket is None:
             return
         if request.refusals:
-            room.scale.record_answer(is_short=True)
+            room.record_refusal(ticket)
         elif request.sends == 1:
+            room.record_first_event(ticket)
+        else:
             # After a failed send, the fault has made the answer late.
-            elapsed_s = request.first_event_s - request.queued_s
-            delay = elapsed_s / max(request.route.latency_slo_s, OBJECTIVE_MIN_S)
-            room.scale.record_answer(delay > 1.0, delay)
+            ticket.is_awaited = False
 
     def _room(self, request: EdgeRequest) -> ServiceRoom:
         service = request.service
@@ -209,6 +210,7 @@
         request.expected_tokens,
         wait_max_s,
         request.caller_remaining_s,
+        objective_s,
     )
 
 
--- a/src/chervilstall/edge/room/scale.py
+++ b/src/chervilstall/edge/room/scale.py
@@ -16,7 +16,11 @@
 log = EventLog("room")
 
 STEP_S = 0.25
-SAMPLE_WEIGHT = 0.08
+SAMPLE_WEIGHT = 0.1
+DELAY_WEIGHT = 0.2
+GROWTH_USE_MIN = 0.75
+"""Part of its limit that a router must use for the limit to grow."""
+
 SHORT_MAX = 0.1
 """Part of the answers that are refused or late from which the factor shrinks."""
 
@@ -39,8 +43,13 @@
 GROWTH_DELAY_S = 1.0
 """Time after a step down in which the factor does not grow."""
 
-FAST_GROWTH = 1.2
-SLOW_GROWTH = 1.02
+FAST_GROWTH = 0.1
+SLOW_GROWTH = 0.02
+"""Growth per step. As it is added and shrinking multiplies, routers get alike."""
+
+FAST_AFTER_S = 5.0
+"""Time without a step down after which the factor grows fast beyond its last peak."""
+
 NEAR_LAST_PEAK = 0.85
 """Part of the factor at the last shortage up to which it grows fast again."""
 
@@ -74,7 +83,7 @@
     def record_answer(self, is_short: bool, delay: float | None = None) -> None:
         """Record whether targets refused a request or began its answer late.
 
-        `delay` is the time to the first event divided by the objective, if there is one.
+        `delay` is the time to the first event divided by the objective.
         """
         sample = 1.0 if is_short else 0.0
         self.short_part += SAMPLE_WEIGHT * (sample - self.short_part)
@@ -82,7 +91,7 @@
             return
         if self.delay is None:
             self.delay = delay
-        self.delay += SAMPLE_WEIGHT * (delay - self.delay)
+        self.delay += DELAY_WEIGHT * (delay - self.delay)
 
     def note_held_back(self) -> None:
         """Record that the limit delayed or refused a request."""
@@ -117,7 +126,9 @@
             self.usual_delay = min(self.delay, risen)
         if self.short_part > SHORT_MAX:
             self._shrink(used_share)
-        elif self._has_held_back or self.value < 1.0:
+        elif self.value < 1.0 or (
+            self._has_held_back and used_share >= self.value * GROWTH_USE_MIN
+        ):
             self._grow(1.0 if is_covered else self.settings.share_scale_max)
         self._has_held_back = False
         return self.value
@@ -148,7 +159,6 @@
         if self.clock() - self._shrunk_at_s < GROWTH_DELAY_S:
             return
         is_near = self.value > self._peak * NEAR_LAST_PEAK
-        growth = SLOW_GROWTH if is_near else FAST_GROWTH
-        self.value = min(maximum, self.value * growth)
-        if self.value > self._peak:
-            self._peak = float("inf")
+        is_slow = is_near and self.clock() - self._shrunk_at_s < FAST_AFTER_S
+        growth = SLOW_GROWTH if is_slow else FAST_GROWTH
+        self.value = min(maximum, self.value + growth)
--- a/src/chervilstall/edge/room/service.py
+++ b/src/chervilstall/edge/room/service.py
@@ -10,6 +10,7 @@
 import math
 import random
 import time
+from collections import deque
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -34,10 +35,10 @@
 COVERED_MIN = 0.8
 """Part of the routers whose load must be known for the free room to count as known."""
 
-GROWTH_SHARERS = 4.0
+GROWTH_SHARERS = 8.0
 """How many times its part of the free room a router may take before new reports.
 
-Demand differs between routers by a factor of three, so few take as much at a time.
+Few routers grow at a time, and those that do find less room with the next reports.
 """
 
 REPORT_INTERVAL_S = 0.25
@@ -54,16 +55,21 @@
 REMAINING_SHARE = 1.0 / 3.0
 """Part of the time that a caller has left that it may be told to wait."""
 
+OBJECTIVE_MIN_S = 0.01
 PRUNE_INTERVAL_S = 10.0
 RATE_MIN = 1e-6
 
 
-@dataclass(frozen=True)
+@dataclass(eq=False)
 class RoomTicket:
-    """A request that holds room since `began_at_s`."""
+    """A request that holds room since `began_at_s`.
+
+    `is_awaited` is true until its first event has come or is late.
+    """
 
     request: RoomRequest
     began_at_s: float
+    is_awaited: bool = False
 
 
 @dataclass(frozen=True)
@@ -98,6 +104,7 @@
     hold_s: float = HOLD_INITIAL_S
     mean_tokens: float = 0.0
     scale: ShareScale = field(init=False)
+    _awaited: deque[RoomTicket] = field(default_factory=deque)
     _beyond_tokens: float = 0.0
     _beyond_at_s: float = float("-inf")
     _pruned_at_s: float = 0.0
@@ -125,6 +132,7 @@
         """Start a request if there is room for it now, or queue it."""
         now_s = self.clock()
         self._prune(now_s)
+        self._record_late(now_s)
         self.ledger.record_demand(request, now_s)
         use = self.ledger.use(request.priority)
         reserve = partial(self._reserve, request)
@@ -155,8 +163,35 @@
         use.note_refused(request.tokens, now_s + retry_after_s)
         return retry_after_s
 
+    def record_first_event(self, ticket: RoomTicket) -> None:
+        """Record that a target has begun the answer to a request."""
+        if ticket.is_awaited:
+            ticket.is_awaited = False
+            elapsed_s = self.clock() - ticket.began_at_s
+            delay = elapsed_s / max(ticket.request.objective_s, OBJECTIVE_MIN_S)
+            self.scale.record_answer(delay > 1.0, delay)
+
+    def record_refusal(self, ticket: RoomTicket) -> None:
+        """Record that a target had no room for a request."""
+        ticket.is_awaited = False
+        self.scale.record_answer(is_short=True)
+
+    def _record_late(self, now_s: float) -> None:
+        """Record the requests whose first event is late by now, each once.
+
+        They may wait long while targets prefer others, so their events tell too late.
+        """
+        for ticket in list(self._awaited):
+            late_at_s = ticket.began_at_s + ticket.request.objective_s
+            if ticket.is_awaited and now_s >= late_at_s:
+                ticket.is_awaited = False
+                self.scale.record_answer(is_short=True, delay=1.0)
+            if not ticket.is_awaited:
+                self._awaited.remove(ticket)
+
     def release(self, ticket: RoomTicket) -> None:
         """Free the room of a request that has ended, and start what waits for it."""
+        ticket.is_awaited = False
         held_s = self.clock() - ticket.began_at_s
         self.hold_s += HOLD_WEIGHT * (held_s - self.hold_s)
         tokens = ticket.request.tokens
@@ -243,7 +278,9 @@
                 request.tokens, max(0.0, after - limits.base_tokens)
             )
         self.ledger.take(request)
-        return RoomTicket(request, now_s)
+        ticket = RoomTicket(request, now_s, is_awaited=True)
+        self._awaited.append(ticket)
+        return ticket
 
     def _has_room(self, request: RoomRequest, limits: RoomLimits, now_s: float) -> bool:
         own = self.ledger.tokens
--- a/tests/support/room_fleet.py
+++ b/tests/support/room_fleet.py
@@ -1,6 +1,6 @@
 """A fleet of routers that admit by room, with a model of the targets and callers.
 
-Time is simulated. The targets are one pool of tokens: a request that finds the pool full
+Time is simulated. The targets are one pool of tokens: a request that finds it full
 waits there in order of priority, and is refused if too much waits already. Its first
 event is late if the waits at the router and in the pool take longer than the objective.
 Callers make one further attempt after the Retry-After time.
@@ -54,7 +54,7 @@
 
 @dataclass(frozen=True)
 class Demand:
-    """Requests of one kind. `load` is a share of the capacity, as a function of time."""
+    """Requests of one kind. `load` returns a share of the capacity at a time."""
 
     priority: int
     workspace: str
@@ -180,6 +180,7 @@
             call.tokens,
             objective_s * router.room.settings.queue_objective_share,
             remaining_s,
+            objective_s,
         )
         queued = router.room.offer(asked)
         router.waiting[id(call)] = (call, queued, asked)
@@ -217,17 +218,15 @@
             entry = (call.demand.priority, next(self._order), call, router, ticket)
             heapq.heappush(self._pool_queue, entry)
         else:
-            router.room.scale.record_answer(is_short=True)
+            router.room.record_refusal(ticket)
             self._release(router, ticket)
             self._retry(call, 1.0 + self.rng.random())
 
     def _start(self, call: Call, router: Router, ticket: RoomTicket) -> None:
         self.pool_tokens += call.tokens
-        sent_at_s = ticket.began_at_s
         first_event_at_s = self.now_s + PREFILL_S
+        self.at(first_event_at_s, lambda: router.room.record_first_event(ticket))
         objective_s = OBJECTIVES_S[call.demand.priority]
-        delay = (first_event_at_s - sent_at_s) / objective_s
-        router.room.scale.record_answer(delay > 1.0, delay)
         call.is_served = first_event_at_s - call.attempt_at_s <= objective_s
         call.served_at_s = self.now_s
         hold_s = HOLD_S * self.rng.uniform(0.7, 1.3)
