--- a/src/chervilstall/edge/room/service.py
+++ b/src/chervilstall/edge/room/service.py
@@ -222,16 +222,17 @@
         share = estimate.share_tokens
         is_covered = 1 + estimate.reporting >= COVERED_MIN * estimate.sharers
         base = share * self.scale.update(own / share, is_covered)
+        excess = URGENT_EXCESS * self.scale.calm if self._has_ranks() else 0.0
+        urgent = base * (1.0 + excess)
         if not is_covered:
-            excess = URGENT_EXCESS * self.scale.calm if self._has_ranks() else 0.0
-            return RoomLimits(base, base, base * (1.0 + excess), estimate)
+            return RoomLimits(base, base, urgent, estimate)
         beyond = self._refill_beyond(estimate)
         free = estimate.free_tokens
         kept = self._unused_reserve() * estimate.capacity_tokens
         return RoomLimits(
             base,
             max(base, own + min(beyond, free - kept)),
-            max(base, own + min(beyond, free)),
+            max(urgent, own + min(beyond, free)),
             estimate,
         )
 
