Protect workspaces that ask for less than their part of a class's room

A workspace that asks for more leaves the deviation of the others' demand free, and those may exceed the router's share while targets show no shortage.

--- a/src/chervilstall/edge/room/classes.py
+++ b/src/chervilstall/edge/room/classes.py
@@ -1,5 +1,6 @@
 """Requests in flight and demand of one service, by priority and workspace."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -65,14 +66,24 @@
     _level: float = float("inf")
     _level_at_s: float = float("-inf")
 
-    def level(self, room_tokens: float, hold_s: float, now_s: float) -> float:
-        """Return the tokens up to which each workspace gets what it asks for."""
+    def level(
+        self, room_tokens: float, hold_s: float, mean_tokens: float, now_s: float
+    ) -> float:
+        """Return the tokens up to which each workspace gets what it asks for.
+
+        Workspaces that ask for less than that do so at random. The others leave about
+        the deviation of their demand free.
+        """
         if now_s - self._level_at_s >= LEVEL_REFRESH_S:
             self._level_at_s = now_s
             demands = [
                 each.demand.per_s(now_s) * hold_s for each in self.workspaces.values()
             ]
-            self._level = fair_level(demands, max(0.0, room_tokens))
+            room_tokens = max(0.0, room_tokens)
+            level = fair_level(demands, room_tokens)
+            below = sum(demand for demand in demands if demand < level)
+            deviation = math.sqrt(below * mean_tokens)
+            self._level = fair_level(demands, max(0.0, room_tokens - deviation))
         return self._level
 
     def note_refused(self, tokens: float, returns_at_s: float) -> None:
--- a/src/chervilstall/edge/room/scale.py
+++ b/src/chervilstall/edge/room/scale.py
@@ -47,7 +47,7 @@
 SLOW_GROWTH = 0.02
 """Growth per step. As it is added and shrinking multiplies, routers get alike."""
 
-FAST_AFTER_S = 5.0
+FAST_AFTER_S = 20.0
 """Time without a step down after which the factor grows fast beyond its last peak."""
 
 NEAR_LAST_PEAK = 0.85
@@ -141,7 +141,7 @@
         self._shrunk_at_s = now_s
         self._peak = self.value
         # A factor far above the use has to come down to the use to have an effect.
-        value = min(self.value, max(used_share, 1.0)) * SHRINK_FACTOR
+        value = min(self.value, max(used_share, 1.0) / GROWTH_USE_MIN) * SHRINK_FACTOR
         self.value = max(self.settings.share_scale_min, value)
         # Half way, as most answers to come are to requests that were sent before.
         self.short_part = (SHORT_MAX + CALM_MAX) / 2.0
--- a/src/chervilstall/edge/room/service.py
+++ b/src/chervilstall/edge/room/service.py
@@ -76,8 +76,9 @@
 class RoomLimits:
     """Tokens that this router may have in flight, and the estimate they come from.
 
-    `urgent_tokens` is the limit for the most urgent class, `tokens` for all others, and
-    `base_tokens` the part that needs no reports of other routers.
+    `urgent_tokens` is the limit for the most urgent class of several, and for a small
+    workspace of the most urgent class, `tokens` that for all others. `base_tokens` is
+    the part that needs no reports of other routers.
     """
 
     base_tokens: float
@@ -222,8 +223,7 @@
         share = estimate.share_tokens
         is_covered = 1 + estimate.reporting >= COVERED_MIN * estimate.sharers
         base = share * self.scale.update(own / share, is_covered)
-        excess = URGENT_EXCESS * self.scale.calm if self._has_ranks() else 0.0
-        urgent = base * (1.0 + excess)
+        urgent = base * (1.0 + URGENT_EXCESS * self.scale.calm)
         if not is_covered:
             return RoomLimits(base, base, urgent, estimate)
         beyond = self._refill_beyond(estimate)
@@ -289,9 +289,10 @@
             # A share below one request still lets one run at a time.
             return True
         room = self._class_room(request.priority, limits, now_s)
-        is_most_urgent = self._is_most_urgent(request.priority, now_s)
-        limit = limits.urgent_tokens if is_most_urgent else limits.tokens
-        if own + request.tokens > limit:
+        if self._is_most_urgent(request.priority, now_s):
+            if self._has_ranks() or self._is_small(request, room, now_s):
+                room = limits.urgent_tokens
+        elif own + request.tokens > limits.tokens:
             return False
         if self.ledger.tokens_from(request.priority) + request.tokens > room:
             return False
@@ -300,7 +301,7 @@
     def _class_room(self, priority: int, limits: RoomLimits, now_s: float) -> float:
         """Return the tokens that a class and all less urgent ones may use."""
         if self._is_most_urgent(priority, now_s):
-            return limits.urgent_tokens
+            return limits.urgent_tokens if self._has_ranks() else limits.tokens
         asked = 0.0
         used = 0.0
         for use in self.ledger.more_urgent(priority):
@@ -322,8 +323,24 @@
         workspace = use.workspaces.get(request.workspace)
         if workspace is None or workspace.tokens < TOKENS_MIN:
             return False
-        level = use.level(room, self.hold_s, now_s)
-        return workspace.tokens + request.tokens > level
+        level = use.level(room, self.hold_s, self.mean_tokens, now_s)
+        if workspace.tokens + request.tokens <= level:
+            return False
+        return not self._is_small(request, room, now_s)
+
+    def _is_small(self, request: RoomRequest, room: float, now_s: float) -> bool:
+        """Return whether a workspace asks for less than its part of its class's room.
+
+        Others ask for more then. They leave its part free at all routers together, but
+        not always at the one that it asks.
+        """
+        use = self.ledger.use(request.priority)
+        workspace = use.workspaces.get(request.workspace)
+        if workspace is None:
+            return False
+        level = use.level(room, self.hold_s, self.mean_tokens, now_s)
+        asked = workspace.demand.per_s(now_s) * self.hold_s
+        return asked < level < float("inf")
 
     def _take_floor(
         self, request: RoomRequest, limits: RoomLimits, now_s: float
