--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -19,6 +19,7 @@
 )
 from chervilstall.edge.plain_relay import PlainRelay
 from chervilstall.edge.request import EdgeRequest
+from chervilstall.edge.room.gate import RoomGate, hold_room
 from chervilstall.edge.streams.context import StreamBroken, StreamContext
 from chervilstall.edge.streams.durations import StreamDurations
 from chervilstall.edge.streams.relay import StreamRelay
@@ -62,8 +63,8 @@
 
     Until `startup_wait_until_s`, a monotonic time, requests wait for the first
     configuration. `admitted` holds the requests that are being served, at most
-    `requests_max`. `drain` is the schedule of a shutdown in progress; `begin_drain`
-    sets it.
+    `requests_max`. `room_gate` admits streams by the room at their targets. `drain` is
+    the schedule of a shutdown in progress; `begin_drain` sets it.
     """
 
     fleet_view: FleetView
@@ -73,6 +74,7 @@
     metrics: EdgeMetrics
     client_memory: ClientMemory
     requests_max: int
+    room_gate: RoomGate | None = None
     drain: DrainSchedule | None = None
     running_requests: int = 0
     admitted: set[EdgeRequest] = field(default_factory=set)
@@ -308,15 +310,16 @@
         if request.forwarding is None:
             demand_class = DemandClass(request.priority, request.workspace)
             self.stream_context.chooser.load.demand.add(demand_class)
-        relay = StreamRelay(self.stream_context, request)
-        try:
-            result = relay.begin()
-            if isinstance(result, CompleteResponse):
-                yield from self._send_complete(request, result, start_response)
-                return
-            yield from self._forward_stream(request, relay, result, start_response)
-        finally:
-            relay.close()
+        with hold_room(self.room_gate, request):
+            relay = StreamRelay(self.stream_context, request)
+            try:
+                result = relay.begin()
+                if isinstance(result, CompleteResponse):
+                    yield from self._send_complete(request, result, start_response)
+                    return
+                yield from self._forward_stream(request, relay, result, start_response)
+            finally:
+                relay.close()
 
     def _send_complete(
         self,
@@ -341,6 +344,8 @@
         start_response(*self._response_start(head.status, head.headers, None))
         request.first_event_s = time.monotonic() - request.arrived_at_s
         self.metrics.record_first_event(request, request.first_event_s)
+        if self.room_gate is not None:
+            self.room_gate.record_first_event(request)
         try:
             yield from relay.events()
         except StreamBroken as error:
--- a/src/chervilstall/edge/features.py
+++ b/src/chervilstall/edge/features.py
@@ -28,6 +28,10 @@
         """Return whether the stages of silent streams are probed."""
         return self.is_in_force(self.settings.streams.check_stages)
 
+    def admits_by_room(self) -> bool:
+        """Return whether streams are admitted by room, priority and workspace."""
+        return self.is_in_force(self.settings.admission.mode)
+
     def exchanges_load(self) -> bool:
         """Return whether routers tell each other the load that they put on targets."""
         return self.is_in_force(self.settings.load_exchange.mode)
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -9,10 +9,9 @@
 import gevent
 from gevent.event import Event
 
-from chervilstall.edge.app import EdgeApplication
+from chervilstall.edge.assembly import build_application
 from chervilstall.edge.changes.relays import RelayChoice
 from chervilstall.edge.changes.service import ChangeService
-from chervilstall.edge.crashes.guard import CrashGuard
 from chervilstall.edge.crashes.observer import CrashObserver
 from chervilstall.edge.crashes.sharing import QuarantineSharing
 from chervilstall.edge.draining import DrainSchedule
@@ -20,7 +19,6 @@
 from chervilstall.edge.features import Features
 from chervilstall.edge.graceful_stop import GracefulStop
 from chervilstall.edge.limits.budget import FleetRetryBudget
-from chervilstall.edge.limits.notices import TargetNotices
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.limits.sharing import LimitSharing
 from chervilstall.edge.listeners import build_listeners
@@ -30,9 +28,7 @@
 from chervilstall.edge.peers.listener import PeerEndpoint
 from chervilstall.edge.peers.loans import RetryLoans
 from chervilstall.edge.peers.reach_report import ReachEndpoint
-from chervilstall.edge.peers.relay import PeerRelay
 from chervilstall.edge.peers.search import ReachSearch
-from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
 from chervilstall.edge.reach.outage import OutagePoller
 from chervilstall.edge.reach.suspicions import SuspicionSharing
 from chervilstall.edge.reach.targets import TargetReach
@@ -42,7 +38,6 @@
 from chervilstall.edge.standby import CHECK_INTERVAL_S
 from chervilstall.edge.store_handlers import build_handlers
 from chervilstall.edge.store_probe import StoreProbe
-from chervilstall.edge.streams.context import StreamContext
 from chervilstall.edge.streams.monitor import StreamMonitor
 from chervilstall.edge.streams.slow_targets import SlowTargetDetector
 from chervilstall.fleet.view import FleetView
@@ -53,7 +48,7 @@
 from chervilstall.platform.leases import PlatformLeases
 from chervilstall.platform.targets import kept_calls
 from chervilstall.platform.watcher import StoreWatcher
-from chervilstall.process_limits.derived import ProcessLimits, derive_limits
+from chervilstall.process_limits.derived import derive_limits
 from chervilstall.quarantine.prompts import PromptQuarantine
 from chervilstall.settings.edge import EdgeSettings
 from chervilstall.settings.leases import LeaseSettings
@@ -123,7 +118,7 @@
         )
         limits = derive_limits(settings, edge_settings.process)
         self.client_memory = limits.new_memory()
-        self.app = self._build_application(limits)
+        self.app = build_application(self, limits)
         self.planner_lease = LeaseHolder(
             self.leases,
             PLANNER_LEASE,
@@ -195,47 +190,6 @@
         self._stopped = Event()
         self._tasks: list[gevent.Greenlet] = []
 
-    def _build_application(self, limits: ProcessLimits) -> EdgeApplication:
-        notices = TargetNotices(self.fleet_view, self.rate_limiter)
-        crash_guard = CrashGuard(self.quarantine, self.crash_observer)
-        peer_relay = PeerRelay(self.reach_search, self.fleet_view, notices)
-        plain = PlainRelay(
-            PlainTargetChooser(self.fleet_view, self.settings.zone, self.rate_limiter),
-            self.fleet_view,
-            self.budget,
-            self.rate_limiter,
-            notices,
-            crash_guard,
-            self.target_reach,
-            peer_relay,
-        )
-        streams = StreamContext(
-            self.fleet_view,
-            self.chooser,
-            self.budget,
-            self.stream_monitor,
-            self.rate_limiter,
-            notices,
-            crash_guard,
-            self.target_reach,
-            peer_relay,
-        )
-        rerouter = self.stream_monitor.rerouter
-        rerouter.record_pause = self.metrics.record_pause
-        rerouter.spreads_moves = self.features.spreads_moves
-        self.stream_monitor.stage_check.is_in_force = self.features.checks_stages
-        kept_calls.is_in_force = self.features.keeps_report_connections
-        return EdgeApplication(
-            self.fleet_view,
-            plain,
-            streams,
-            self.budget,
-            self.metrics,
-            self.client_memory,
-            limits.requests_max,
-            stream_durations=rerouter.durations,
-        )
-
     def _build_suspicion_sharing(self) -> SuspicionSharing:
         sharing = SuspicionSharing(
             self.settings.zone,
