Test admission by room in a model of a fleet; let the excess follow shortages

The excess over a router's share for the most urgent class now shrinks and grows step by step, since it went on and off with the measured delay.

--- a/src/chervilstall/edge/room/scale.py
+++ b/src/chervilstall/edge/room/scale.py
@@ -18,7 +18,7 @@
 STEP_S = 0.25
 SAMPLE_WEIGHT = 0.1
 DELAY_WEIGHT = 0.2
-GROWTH_USE_MIN = 0.75
+GROWTH_USE_MIN = 0.6
 """Part of its limit that a router must use for the limit to grow."""
 
 SHORT_MAX = 0.1
@@ -53,6 +53,15 @@
 NEAR_LAST_PEAK = 0.85
 """Part of the factor at the last shortage up to which it grows fast again."""
 
+EXCESS_MAX = 2.0
+"""Part of its limit by which a router may exceed it for what others leave free for it.
+
+All routers leave free what their most urgent class asks for, so one that is asked for
+more of it takes what others don't need.
+"""
+
+EXCESS_GROWTH = 0.1
+EXCESS_SHRINK_FACTOR = 0.6
 USE_MIN = 0.5
 """Part of its share that a router must use to take a late answer for a shortage."""
 
@@ -64,14 +73,16 @@
 class ShareScale:
     """The factor of a router's share for one service.
 
-    `short_part` is the recent part of answers that were refused or late. `delay` is the
-    recent time to the first event, in units of the objective, and `usual_delay` that of
-    targets with room. `update` learns from them.
+    `excess` is the part of its limit by which the router may exceed it for the most
+    urgent requests. `short_part` is the recent part of answers that were refused or
+    late. `delay` is the recent time to the first event, in units of the objective, and
+    `usual_delay` that of targets with room. `update` learns from them.
     """
 
     settings: AdmissionByRoomSettings
     clock: Clock = time.monotonic
     value: float = 1.0
+    excess: float = EXCESS_MAX / 2.0
     short_part: float = 0.0
     delay: float | None = None
     usual_delay: float = float("inf")
@@ -97,11 +108,6 @@
         """Record that the limit delayed or refused a request."""
         self._has_held_back = True
 
-    @property
-    def calm(self) -> float:
-        """Return 1 while targets show no shortage, down to 0 as they do."""
-        return max(0.0, 1.0 - self.short_part / SHORT_MAX) * (not self._is_delayed)
-
     @property
     def _is_delayed(self) -> bool:
         return self.delay is not None and (
@@ -124,6 +130,10 @@
         if self.delay is not None:
             risen = self.usual_delay + USUAL_RISE_PER_S * STEP_S
             self.usual_delay = min(self.delay, risen)
+        if self.short_part > CALM_MAX or self._is_delayed:
+            self.excess *= EXCESS_SHRINK_FACTOR
+        else:
+            self.excess = min(EXCESS_MAX, self.excess + EXCESS_GROWTH)
         if self.short_part > SHORT_MAX:
             self._shrink(used_share)
         elif self.value < 1.0 or (
--- a/src/chervilstall/edge/room/service.py
+++ b/src/chervilstall/edge/room/service.py
@@ -42,12 +42,8 @@
 """
 
 REPORT_INTERVAL_S = 0.25
-URGENT_EXCESS = 2.0
-"""Part of its limit by which a router may exceed it for the most urgent class.
-
-All routers leave free what that class asks of them, so one that is asked for more takes
-what others don't need. The excess shrinks to nothing as targets refuse or are late.
-"""
+SMALL_MARGIN = 1.25
+"""Allowance for the error of a measured demand, of which few requests are known."""
 
 TURN_KEPT_S = 10.0
 RETRY_AFTER_MIN_S = 0.25
@@ -223,7 +219,7 @@
         share = estimate.share_tokens
         is_covered = 1 + estimate.reporting >= COVERED_MIN * estimate.sharers
         base = share * self.scale.update(own / share, is_covered)
-        urgent = base * (1.0 + URGENT_EXCESS * self.scale.calm)
+        urgent = base * (1.0 + self.scale.excess)
         if not is_covered:
             return RoomLimits(base, base, urgent, estimate)
         beyond = self._refill_beyond(estimate)
@@ -340,7 +336,7 @@
             return False
         level = use.level(room, self.hold_s, self.mean_tokens, now_s)
         asked = workspace.demand.per_s(now_s) * self.hold_s
-        return asked < level < float("inf")
+        return level < float("inf") and asked < level * SMALL_MARGIN
 
     def _take_floor(
         self, request: RoomRequest, limits: RoomLimits, now_s: float
--- a/tests/support/room_fleet.py
+++ b/tests/support/room_fleet.py
@@ -9,7 +9,6 @@
 import heapq
 import itertools
 import random
-from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -100,7 +99,7 @@
         self.pool_tokens = 0.0
         self.calls: list[Call] = []
         self._pool_queue: list[tuple[int, int, Call, Router, RoomTicket]] = []
-        self._pool_queued = 0.0
+        self.pool_queued = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         view = FleetView(drain_s=2.0)
@@ -213,8 +212,8 @@
     def _send(self, call: Call, router: Router, ticket: RoomTicket) -> None:
         if self.pool_tokens + call.tokens <= self.capacity:
             self._start(call, router, ticket)
-        elif self._pool_queued + call.tokens <= QUEUE_SHARE * self.capacity:
-            self._pool_queued += call.tokens
+        elif self.pool_queued + call.tokens <= QUEUE_SHARE * self.capacity:
+            self.pool_queued += call.tokens
             entry = (call.demand.priority, next(self._order), call, router, ticket)
             heapq.heappush(self._pool_queue, entry)
         else:
@@ -239,7 +238,7 @@
             if self.pool_tokens + first.tokens > self.capacity:
                 break
             heapq.heappop(self._pool_queue)
-            self._pool_queued -= first.tokens
+            self.pool_queued -= first.tokens
             self._start(first, owner, first_ticket)
         self._release(router, ticket)
 
@@ -269,8 +268,18 @@
 
     def tokens_served(self, workspace: str, from_s: float, to_s: float) -> float:
         """Return the tokens of a workspace's calls that were served in time."""
-        by_workspace: dict[str, float] = defaultdict(float)
-        for call in self.calls:
-            if call.is_served and from_s <= call.served_at_s < to_s:
-                by_workspace[call.demand.workspace] += call.tokens
-        return by_workspace[workspace]
+        return sum(
+            call.tokens
+            for call in self.calls
+            if call.is_served
+            and call.demand.workspace == workspace
+            and from_s <= call.served_at_s < to_s
+        )
+
+    def tokens_asked(self, workspace: str, from_s: float, to_s: float) -> float:
+        """Return the tokens of a workspace's calls."""
+        return sum(
+            call.tokens
+            for call in self.calls
+            if call.demand.workspace == workspace and from_s <= call.began_at_s < to_s
+        )
