--- a/src/chervilstall/edge/room/scale.py
+++ b/src/chervilstall/edge/room/scale.py
@@ -43,7 +43,7 @@
 GROWTH_DELAY_S = 1.0
 """Time after a step down in which the factor does not grow."""
 
-FAST_GROWTH = 0.15
+FAST_GROWTH = 0.25
 SLOW_GROWTH = 0.02
 """Growth per step. As it is added and shrinking multiplies, routers get alike."""
 
