--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -38,6 +38,7 @@
 """Sleep of a request to an unresponsive target."""
 SERVER_SIGNATURE = "stand-in.1"
 ENDLESS_CHUNK = b"X" * 16_384
+CALL_PATHS = frozenset({"/chervilstall/report", "/chervilstall/order", "/healthz"})
 
 
 class PlatformTarget:
@@ -118,6 +119,12 @@
         """Serve one request."""
         if self.is_silent:
             gevent.sleep(SILENCE_S)
+        if environ["PATH_INFO"] in CALL_PATHS:
+            expected = dict(environ[HEADERS_KEY]).get("Expect-Instance", "")
+            self.log.calls.append((environ["PATH_INFO"], expected))
+            if expected not in ("", self.name):
+                headers = (("Instance-Id", self.name),)
+                return HttpResponse(421, b"{}", headers).start(start_response)
         match environ["PATH_INFO"]:
             case "/chervilstall/report":
                 return json_response(200, self._build_report()).start(start_response)
