Name the target in every call that is meant for it, and take a 421 for another target's address

Cause: orders, reports, health checks and probes named only an address. An order for a target that had crashed was carried out by one of another service that had its address by then; a request for another router could be run by a target at its address.

Change: each call of platform/targets carries Expect-Instance, and so do requests and questions to other routers, which ignore it. A 421 means that another instance has the address: the planner plans without the target, the stream monitor and the outage poller avoid it as one that refuses, links and zones count as working, and a request for another router goes on to the next one. No order is sent after it, and no link is examined because of it.

The models in tests/ take the target instead of its address, as the calls do.

--- a/src/chervilstall/edge/limits/notices.py
+++ b/src/chervilstall/edge/limits/notices.py
@@ -5,7 +5,8 @@
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.fleet.records import Target, TargetIncarnation
 from chervilstall.fleet.view import FleetView
-from chervilstall.platform.headers import HTTP_MISDIRECTED, ResponseHead
+from chervilstall.platform.headers import ResponseHead
+from chervilstall.platform.targets import HTTP_MISDIRECTED
 
 HTTP_UNAVAILABLE = 503
 
--- a/src/chervilstall/edge/peers/reach_report.py
+++ b/src/chervilstall/edge/peers/reach_report.py
@@ -18,6 +18,7 @@
 from chervilstall.decoding import INTEGER_MAX, Count, decode_untrusted
 from chervilstall.http_response import HttpResponse, json_response
 from chervilstall.ids import ServiceName, VmId
+from chervilstall.platform import protocol
 from chervilstall.platform.peers import Peer
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.target.calls import Call, call_once
@@ -80,7 +81,10 @@
     fields = {SERVICE_FIELD: service, RETRIES_FIELD: str(retries)}
     path = f"{REACH_PATH}?{urlencode(fields)}"
     settings = TargetSettings(connect_timeout_s=ASK_TIMEOUT_S)
-    call = Call("GET", path, ASK_TIMEOUT_S, body_max_bytes=REPORT_MAX_BYTES)
+    headers: dict[str, str] = {protocol.EXPECTED_TARGET: peer.vm}
+    call = Call(
+        "GET", path, ASK_TIMEOUT_S, headers=headers, body_max_bytes=REPORT_MAX_BYTES
+    )
     try:
         response = call_once(peer.address, settings, call)
         if response.status == UNKNOWN_QUESTION:
--- a/src/chervilstall/edge/peers/relay.py
+++ b/src/chervilstall/edge/peers/relay.py
@@ -32,6 +32,7 @@
     router_headers,
 )
 from chervilstall.platform.peers import Peer
+from chervilstall.platform.targets import HTTP_MISDIRECTED
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("edge")
@@ -97,7 +98,8 @@
                 self.search.mark_unable(service, peer)
                 log.warning("router not reached", peer=peer.vm, why=str(error))
                 continue
-            if not is_unable(head.headers):
+            # A target that has the router's address by now refuses with 421.
+            if head.status != HTTP_MISDIRECTED and not is_unable(head.headers):
                 log.routine("forwarded", request=request.request_id, peer=peer.vm)
                 self.search.mark_able(service, peer)
                 exchange.abort_at_deadline()
@@ -142,7 +144,7 @@
         assert configuration is not None
         forwarding = Forwarding(configuration.version, attempts_max)
         headers = router_headers(
-            request.fields, request.caller_remaining_s, last_event_id
+            request.fields, request.caller_remaining_s, last_event_id, peer.vm
         )
         for name, value in forwarding.headers:
             headers.add(name, value)
--- a/src/chervilstall/edge/reach/outage.py
+++ b/src/chervilstall/edge/reach/outage.py
@@ -16,7 +16,13 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import ZoneName
 from chervilstall.placement.planner import PlacementPlanner
-from chervilstall.platform.targets import TargetHealth, fetch_health, fetch_report
+from chervilstall.platform.targets import (
+    NoReport,
+    TargetHealth,
+    TargetReport,
+    fetch_health,
+    fetch_report,
+)
 
 OUTAGE_DELAY_S = 1.0
 """Time without the store after which targets are polled."""
@@ -76,18 +82,20 @@
         return chosen
 
     def _poll(self, target: Target, health_path: str) -> None:
-        report = fetch_report(target.address, POLL_ROUND_S / 2.0)
-        if report is None:
+        report = fetch_report(target, POLL_ROUND_S / 2.0)
+        if report is NoReport.MISDIRECTED:
+            self._avoid(target, report.value)
+        if not isinstance(report, TargetReport):
             return
         self.fleet_view.apply_report(target, report.layers)
         if not health_path:
             return
         if fetch_health(target, health_path, POLL_ROUND_S / 2.0) is TargetHealth.CLOSED:
             # The target is leaving or failing; without the store, no entry says which.
-            self.fleet_view.suspect(
-                target,
-                "reports that it is closed",
-                shared=False,
-                kind=SuspicionKind.REFUSING,
-            )
-            self.planner.handle_suspicion(target, SuspicionKind.REFUSING)
+            self._avoid(target, "reports that it is closed")
+
+    def _avoid(self, target: Target, reason: str) -> None:
+        """Avoid a target of which is known that it takes no work."""
+        kind = SuspicionKind.REFUSING
+        self.fleet_view.suspect(target, reason, shared=False, kind=kind)
+        self.planner.handle_suspicion(target, kind)
--- a/src/chervilstall/edge/reach/targets.py
+++ b/src/chervilstall/edge/reach/targets.py
@@ -165,7 +165,7 @@
 
     def _probe(self, target: Target) -> bool:
         self.rate_limiter.record_send(target)
-        if not responds(target.address, PROBE_TIMEOUT_S):
+        if not responds(target, PROBE_TIMEOUT_S):
             return False
         self.record_response(target.service)
         self.probed_at_s[target.incarnation] = time.monotonic()
--- a/src/chervilstall/edge/reach/zones.py
+++ b/src/chervilstall/edge/reach/zones.py
@@ -65,9 +65,7 @@
         """Probe some targets of a zone at once, and return whether any responds."""
         targets = self._targets(zone)
         probed = random.sample(targets, min(probes_max, len(targets)))
-        probes = [
-            gevent.spawn(fetch_report, each.address, PROBE_TIMEOUT_S) for each in probed
-        ]
+        probes = [gevent.spawn(fetch_report, each, PROBE_TIMEOUT_S) for each in probed]
         gevent.joinall(probes)
         return any(probe.value is not None for probe in probes)
 
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -26,6 +26,7 @@
 from chervilstall.ids import RequestId, TargetId
 from chervilstall.paths.choice import PathChooser
 from chervilstall.platform.targets import (
+    NoReport,
     TargetReport,
     fetch_report,
 )
@@ -247,11 +248,11 @@
 
     def _diagnose(self, first: Target) -> None:
         try:
-            report = fetch_report(first.address, REPORT_TIMEOUT_S)
+            report = fetch_report(first, REPORT_TIMEOUT_S)
         finally:
             self._record_query_end(first)
-        if report is None:
-            self.fleet_view.suspect(first, "did not return its report")
+        if not isinstance(report, TargetReport):
+            self._suspect_without_report(first, report)
             self._end_streams_of(first)
             return
         interval_s = self._query_interval_s.get(first.id, QUERY_INTERVAL_S)
@@ -264,6 +265,17 @@
             self.chooser.load.note_full(first.incarnation, QUEUE_AVOID_S)
         self._handle_stalled(first, report)
 
+    def _suspect_without_report(self, target: Target, report: NoReport | None) -> None:
+        """Avoid a target that did not return its report, or whose address has another.
+
+        A response of another target shows that the links work.
+        """
+        if report is None:
+            self.fleet_view.suspect(target, "did not return its report")
+        else:
+            kind = SuspicionKind.REFUSING
+            self.fleet_view.suspect(target, report.value, kind=kind)
+
     def _end_streams_of(self, first: Target) -> None:
         for stream in list(self.streams.values()):
             is_silent = stream.silence_s > EVENT_SILENCE_LIMIT_S
@@ -288,15 +300,15 @@
 
     def _check_refusal(self, target: Target) -> None:
         try:
-            report = fetch_report(target.address, REPORT_AGE_S)
-            if report is not None:
+            report = fetch_report(target, REPORT_AGE_S)
+            if isinstance(report, TargetReport):
                 # Reports lag by some hundred milliseconds and may predate the refusal.
                 gevent.sleep(REPORT_AGE_S)
-                report = fetch_report(target.address)
+                report = fetch_report(target)
         finally:
             self._record_query_end(target)
-        if report is None:
-            self.fleet_view.suspect(target, "did not return its report")
+        if not isinstance(report, TargetReport):
+            self._suspect_without_report(target, report)
             return
         self.fleet_view.apply_report(target, report.layers)
         if self.fleet_view.targets.get(target.id) != target:
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -132,7 +132,7 @@
         self.chooser.note_prefill(
             request.service.pipeline, path, request.prefill_tokens, stream.path
         )
-        response = send_order(first.address, RepathOrder(request.request_id, path))
+        response = send_order(first, RepathOrder(request.request_id, path))
         log.warning(
             "stream led around a target",
             request=request.request_id,
--- a/src/chervilstall/edge/streams/slow_targets.py
+++ b/src/chervilstall/edge/streams/slow_targets.py
@@ -13,7 +13,7 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import RequestId, TargetId
 from chervilstall.paths.choice import PathChooser
-from chervilstall.platform.targets import fetch_report
+from chervilstall.platform.targets import TargetReport, fetch_report
 
 SLOW_RATIO = 2.0
 """Ratio to the baseline from which a path counts as slow."""
@@ -105,6 +105,6 @@
         gevent.spawn(self._fetch_slowness, target)
 
     def _fetch_slowness(self, target: Target) -> None:
-        report = fetch_report(target.address)
-        if report is not None:
+        report = fetch_report(target)
+        if isinstance(report, TargetReport):
             self.fleet_view.note_slowness(target, report.slowness)
--- a/src/chervilstall/placement/planner.py
+++ b/src/chervilstall/placement/planner.py
@@ -25,7 +25,13 @@
 from chervilstall.lease.holder import LeaseHolder, LeaseTerm, boot_clock_s
 from chervilstall.placement.group import LayerHolder
 from chervilstall.placement.plan import LayerAssignment, plan
-from chervilstall.platform.targets import PlaceOrder, fetch_report, send_order
+from chervilstall.platform.targets import (
+    NoReport,
+    PlaceOrder,
+    TargetReport,
+    fetch_report,
+    send_order,
+)
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("planner")
@@ -181,13 +187,21 @@
 
     def _probe(self, target: Target) -> None:
         try:
-            report = fetch_report(target.address, PROBE_TIMEOUT_S)
+            report = fetch_report(target, PROBE_TIMEOUT_S)
         finally:
             self._probing.discard(target.incarnation)
-        if report is not None:
-            return
-        self._mark_dead(target)
-        self.on_silence(target)
+        self._check_report(target, report)
+
+    def _check_report(
+        self, target: Target, report: TargetReport | NoReport | None
+    ) -> None:
+        """Plan without a target that gave no report, or whose address has another."""
+        match report:
+            case None:
+                self._mark_dead(target)
+                self.on_silence(target)
+            case NoReport.MISDIRECTED:
+                self._mark_dead(target)
 
     def _mark_dead(self, target: Target) -> None:
         """Plan without a target until its entry is gone or DEAD_S has passed."""
@@ -320,11 +334,10 @@
         orders_begun = self._fetch_orders_begun(target)
         if orders_begun is None:
             self._back_off(target)
-            self.on_silence(target)
             return
         order = PlaceOrder(assignment.layers, orders_begun, term.epoch)
         self.orders_sent += 1
-        answer = send_order(target.address, order)
+        answer = send_order(target, order)
         log.info(
             "order given",
             target=target.id,
@@ -342,18 +355,21 @@
             self._orders_begun.pop(target.incarnation, None)
         elif not answer.is_accepted:
             self._back_off(target)
+        if answer.is_misdirected:
+            self._mark_dead(target)
 
     def _fetch_orders_begun(self, target: Target) -> int | None:
         """Return how many orders a target has begun, asking it if that is not known.
 
-        A target that gives no report counts as dead, and the result is None.
+        A target that gives no report counts as dead, as one whose address belongs to
+        another target does, and the result is None.
         """
         known = self._orders_begun.get(target.incarnation)
         if known is not None:
             return known
-        report = fetch_report(target.address)
-        if report is None:
-            self._mark_dead(target)
+        report = fetch_report(target)
+        if not isinstance(report, TargetReport):
+            self._check_report(target, report)
             return None
         self._orders_begun[target.incarnation] = report.orders_begun
         return report.orders_begun
--- a/src/chervilstall/platform/headers.py
+++ b/src/chervilstall/platform/headers.py
@@ -7,15 +7,14 @@
 from geventhttpclient.header import Headers
 
 from chervilstall.fleet.records import Target
-from chervilstall.ids import PartId, RequestId, TargetId, WorkspaceName
+from chervilstall.ids import PartId, RequestId, TargetId, VmId, WorkspaceName
 from chervilstall.paths.records import Path
 from chervilstall.platform import protocol
-from chervilstall.platform.targets import encode_path
+from chervilstall.platform.targets import HTTP_MISDIRECTED, encode_path
 
 PRIORITY_MAX = 9
 """The least urgent priority that a target knows; 0 is the most urgent."""
 
-HTTP_MISDIRECTED = 421
 NOT_RUN_STATUSES = frozenset({408, HTTP_MISDIRECTED, 429, 503})
 """Statuses that promise a caller that its request has not run and never will.
 
@@ -136,12 +135,13 @@
 
 
 def router_headers(
-    fields: RequestFields, remaining_s: float, last_event_id: str
+    fields: RequestFields, remaining_s: float, last_event_id: str, router: VmId
 ) -> Headers:
     """Build the headers of a request that goes to another router.
 
     They are the caller's, with the time that is left. `last_event_id` replaces that of
-    the caller if it is set.
+    the caller if it is set. A target that has the address of `router` by now refuses
+    the request, since it is not the instance that is expected.
     """
     headers = Headers()
     for name, value in fields.forwarded_headers:
@@ -149,6 +149,7 @@
             continue
         headers.add(name, value)
     headers.add(protocol.DEADLINE, str(max(1, int(remaining_s * 1e3))))
+    headers.add(protocol.EXPECTED_TARGET, router)
     if fields.credential:
         headers.add(protocol.CREDENTIAL, fields.credential)
     if last_event_id:
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -18,6 +18,9 @@
 from chervilstall.settings.option import Address, parse_address
 from chervilstall.target.calls import Call, CallResponse, call_once
 from chervilstall.target.connection import JSON_HEADERS
+from chervilstall.telemetry.events import EventLog
+
+log = EventLog("fleet")
 
 CALL_TIMEOUT_S = 1.5
 RESPONSE_MAX_BYTES = 1_000_000
@@ -25,6 +28,7 @@
 """Share of the memory in use up to which a target certainly admits another request."""
 
 ACCEPTED_STATUSES = frozenset({200, 202})
+HTTP_MISDIRECTED = 421
 LAYERS_MAX = 1_000_000
 TARGET_ID_PATTERN = re.compile(r"[!-+\--~]{1,200}")
 """Printable ASCII without a comma, since the ID is sent in headers."""
@@ -154,11 +158,22 @@
         return self.memory_used < FREE_MEMORY_USE_MAX * self.memory_total
 
 
+class NoReport(Enum):
+    """Why there is no report of a target although something responded.
+
+    MISDIRECTED: its address belongs to another target by now.
+    """
+
+    MISDIRECTED = "another target has its address"
+
+
 def fetch_report(
-    address: Address, timeout_s: float = CALL_TIMEOUT_S
-) -> TargetReport | None:
+    target: Target, timeout_s: float = CALL_TIMEOUT_S
+) -> TargetReport | NoReport | None:
     """Fetch a target's report; None if there is no valid one in time."""
-    response = _call(address, "GET", protocol.REPORT_PATH, b"", timeout_s)
+    response = _call(target, "GET", protocol.REPORT_PATH, b"", timeout_s)
+    if response is not None and response.status == HTTP_MISDIRECTED:
+        return NoReport.MISDIRECTED
     if response is None or response.status != 200:
         return None
     try:
@@ -199,7 +214,7 @@
     target rejected the call because it is full, or if another target at the same
     address responded.
     """
-    response = _call(target.address, "GET", path, b"", timeout_s)
+    response = _call(target, "GET", path, b"", timeout_s)
     if response is None or protocol.NOT_EXECUTED.lower() in response.headers:
         return TargetHealth.UNKNOWN
     if response.headers.get(protocol.ANSWERING_TARGET.lower()) != target.id:
@@ -245,11 +260,17 @@
         """Return whether the target accepted the order or had carried it out before."""
         return self.status in ACCEPTED_STATUSES
 
+    @property
+    def is_misdirected(self) -> bool:
+        """Return whether another target has the address by now; it did nothing."""
+        return self.status == HTTP_MISDIRECTED
+
 
-def send_order(address: Address, order: PlaceOrder | RepathOrder) -> OrderResponse:
+def send_order(target: Target, order: PlaceOrder | RepathOrder) -> OrderResponse:
     """Send an order and return the response.
 
-    An order without a response may still be carried out, even later.
+    An order without a response may still be carried out, even later, but only by the
+    target that it is meant for.
     """
     body: dict[str, Any]
     match order:
@@ -264,7 +285,7 @@
             }
         case RepathOrder(request, path):
             body = {"op": "repath", "id": request, "path": encode_path(path)}
-    response = _call(address, "POST", protocol.ORDER_PATH, msgspec.json.encode(body))
+    response = _call(target, "POST", protocol.ORDER_PATH, msgspec.json.encode(body))
     if response is None:
         return OrderResponse(0)
     return OrderResponse(
@@ -272,24 +293,36 @@
     )
 
 
-def responds(address: Address, timeout_s: float) -> bool:
+def responds(target: Target, timeout_s: float) -> bool:
     """Return whether a target responds to a call, whatever its response says.
 
-    The call needs no request slot of the target.
+    The call needs no request slot of the target. A response of another target at the
+    same address shows as well that the link works.
     """
-    return _call(address, "GET", protocol.REPORT_PATH, b"", timeout_s) is not None
+    return _call(target, "GET", protocol.REPORT_PATH, b"", timeout_s) is not None
 
 
 def _call(
-    address: Address,
+    target: Target,
     method: str,
     path: str,
     body: bytes,
     timeout_s: float = CALL_TIMEOUT_S,
 ) -> CallResponse | None:
+    """Make a call that only `target` carries out, also if its address was reused."""
     settings = TargetSettings(connect_timeout_s=timeout_s)
-    call = Call(method, path, timeout_s, body, JSON_HEADERS, RESPONSE_MAX_BYTES)
+    headers = {**JSON_HEADERS, protocol.EXPECTED_TARGET: target.id}
+    call = Call(method, path, timeout_s, body, headers, RESPONSE_MAX_BYTES)
     try:
-        return call_once(address, settings, call)
+        response = call_once(target.address, settings, call)
     except (OSError, HTTPParseError):
         return None
+    if response.status == HTTP_MISDIRECTED:
+        log.info(
+            "address of another target",
+            target=target.id,
+            address=str(target.address),
+            path=path,
+            responder=response.headers.get(protocol.ANSWERING_TARGET.lower(), ""),
+        )
+    return response
--- a/tests/steps/target_reach_steps.py
+++ b/tests/steps/target_reach_steps.py
@@ -67,7 +67,7 @@
     zones = {"its own zone only": {0}, "one other zone only": {1}, "none": set()}
     context.zones_within_reach = zones[which]
     patched = patch.object(
-        reach_targets, "responds", lambda address, _: responds(context, address)
+        reach_targets, "responds", lambda target, _: responds(context, target.address)
     )
     patched.start()
     context.add_cleanup(patched.stop)
--- a/tests/support/loading_fleet.py
+++ b/tests/support/loading_fleet.py
@@ -261,14 +261,16 @@
         for fleet in self.fleets:
             fleet.start()
 
-    def send_order(self, address: Address, order: PlaceOrder) -> OrderResponse:
+    def send_order(self, target: Target, order: PlaceOrder) -> OrderResponse:
         """Give an order to a target."""
+        address = target.address
         return self.by_host[address.host].send_order(address, order)
 
     def fetch_report(
-        self, address: Address, timeout_s: float = 1.0
+        self, target: Target, timeout_s: float = 1.0
     ) -> TargetReport | None:
         """Return the report of a target, or None if it is down."""
+        address = target.address
         return self.by_host[address.host].fetch_report(address)
 
     def stop(self) -> None:
--- a/tests/support/partly_cut_router.py
+++ b/tests/support/partly_cut_router.py
@@ -82,8 +82,8 @@
         addresses = [target.address for target in self.fleet_view.targets.values()]
         self.within_reach = set(self.rng.sample(addresses, self.case.reached))
 
-    def _responds(self, address: Address, timeout_s: float) -> bool:
-        return address in self.within_reach
+    def _responds(self, target: Target, timeout_s: float) -> bool:
+        return target.address in self.within_reach
 
     def _build_relay(self, clock: Clock) -> PlainRelay:
         limiter = TargetRateLimiter(VmId("vm-1"), ZoneName("zone-0"))
