--- a/src/chervilstall/edge/room/view.py
+++ b/src/chervilstall/edge/room/view.py
@@ -17,7 +17,7 @@
 from chervilstall.paths.capacity import token_capacity
 from chervilstall.paths.choice import PathChooser
 
-REFRESH_S = 0.05
+REFRESH_S = 0.1
 """Shortest time between two sums over all targets, which take most of the time."""
 
 REPORT_AGE_MAX_S = 2.0
