Account for long events and heads, and show that no cut answer looks complete

Events of up to 262,144 bytes were held about three times for each stream without a sum, and so were the headers of requests at targets. Both now take part in the budget beyond what a connection is expected to hold. A stream whose caller takes nothing while an event waits can be cut: its last chunk is missing. The crowds of slow readers now read the rest of their answers, and each has its stated length or, for a stream, no last chunk unless it is whole.

--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field, replace
 
 from chervilstall.edge.answers import AnswerSender
-from chervilstall.edge.bodies import BodyReader
+from chervilstall.edge.bodies import BodyReader, account_head
 from chervilstall.edge.disconnect import DisconnectMonitor
 from chervilstall.edge.draining import DrainSchedule, shutting_down_error
 from chervilstall.edge.error_responses import error_response
@@ -191,6 +191,7 @@
         size = sum(len(name) + len(value) + 4 for name, value in environ[HEADERS_KEY])
         if size > configuration.limits.header_bytes:
             raise ChervilstallError(ErrorKind.HEADERS_TOO_LARGE, f"{size} bytes")
+        account_head(memory.answer, size)
         target = environ[REQUEST_TARGET_KEY]
         host = fields.host.rpartition(":")[0] or fields.host
         route = configuration.find_route(host.lower(), target.partition("?")[0])
--- a/src/chervilstall/edge/bodies.py
+++ b/src/chervilstall/edge/bodies.py
@@ -13,6 +13,12 @@
 
 RETRY_AFTER_S = 1.0
 READ_BYTES = 65_536
+HEAD_FREE_BYTES = 2_048
+"""Size up to which headers count as part of their connection."""
+
+HEAD_COPIES = 3
+"""Headers are held as fields, as those for targets, and while they are sent."""
+
 CHUNKED_READ_BYTES = 4_096
 """Each chunk of a read is an object of its own, many times as large as a tiny chunk."""
 
@@ -31,6 +37,14 @@
     )
 
 
+def account_head(holding: Holding, size_bytes: int) -> None:
+    """Account for a request's headers. Raises OVERLOADED without room."""
+    try:
+        holding.grow(HEAD_COPIES * max(0, size_bytes - HEAD_FREE_BYTES))
+    except MemoryShort as error:
+        raise _out_of_memory_error() from error
+
+
 class _ArrivingBody:
     """The part of a body that has arrived, and the task that reads the rest."""
 
--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -33,6 +33,12 @@
 UNREAD_MAX_BYTES = 262_144
 """Largest event of a stream, and largest part of another body read ahead."""
 
+EVENT_FREE_BYTES = 4_096
+"""Size up to which an event counts as part of its connection."""
+
+EVENT_COPIES = 3
+"""A large event is copied out of what was read, and into the chunk that is sent."""
+
 EVENT_DELIMITER = b"\n\n"
 
 
@@ -91,6 +97,7 @@
             address, CONNECT_SETTINGS, READ_TIMEOUT_S, UNREAD_MAX_BYTES
         )
         self._response: Any = None
+        self._event_bytes = 0
         self._expiry: gevent.Greenlet | None = None
 
     def send_request(self, timeout_s: float) -> ResponseHead:
@@ -197,19 +204,33 @@
     def read_event(self) -> bytes | None:
         """Return the next event including its delimiter, or None after the last one.
 
-        Raises ExchangeFailed for an event that is cut off by the end of the connection.
+        Raises ExchangeFailed for an event that is cut off by the end of the connection,
+        and MemoryShort for a large one without room.
         """
+        self._response.on_unread = self._account_unread
+        self._account_unread(self._response.unread_bytes)
         try:
             event = self._response.readline(EVENT_DELIMITER)
         except (OSError, HTTPParseError) as error:
             raise self._error(ExchangeFailure.CLOSED) from error
         if event:
+            self._account_unread(self._response.unread_bytes + len(event))
             return event
         remainder = self._response.read()
         if remainder.strip() or self.abort_reason is not None:
             raise self._error(ExchangeFailure.CLOSED)
         return None
 
+    def _account_unread(self, size_bytes: int) -> None:
+        """Account for what is held of a stream, unless it is only a little."""
+        held_bytes = EVENT_COPIES * size_bytes if size_bytes > EVENT_FREE_BYTES else 0
+        change_bytes = held_bytes - self._event_bytes
+        if change_bytes > 0:
+            self.request.answer_holding.grow(change_bytes)
+        else:
+            self.request.answer_holding.shrink(-change_bytes)
+        self._event_bytes = held_bytes
+
     def abort_at_deadline(self) -> None:
         """Abort at the deadline of the request, where no monitor does that."""
         remaining_s = max(0.0, self.request.remaining_s)
@@ -240,6 +261,8 @@
     def close(self) -> None:
         """Close the connection; a target stops work when its connection closes."""
         self.request.abort_callbacks.discard(self._abort_with_request)
+        if self._event_bytes:
+            self._account_unread(0)
         if self._expiry is not None:
             self._expiry.kill(block=False)
         if self._response is not None:
--- a/src/chervilstall/process_limits/memory.py
+++ b/src/chervilstall/process_limits/memory.py
@@ -56,7 +56,8 @@
         return self.size_bytes + size_bytes <= self._memory.large_max_bytes
 
     def shrink(self, size_bytes: int) -> None:
-        """Free a part of the bytes."""
+        """Free a part of the bytes, unless an eviction has freed them."""
+        size_bytes = min(size_bytes, self.size_bytes)
         self._memory.used_bytes -= size_bytes
         self.size_bytes -= size_bytes
 
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -7,6 +7,7 @@
 
 import time
 from collections import Counter
+from collections.abc import Callable
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -173,12 +174,19 @@
 
     A head that the end of the connection cuts off raises HTTPConnectionClosed.
     A head of more than HEAD_MAX_BYTES, or a body of which more than `unread_max_bytes`
-    wait to be read, raises HTTPParseError.
+    wait to be read, raises HTTPParseError. `on_unread` is called with the number of
+    bytes that wait before more are added.
     """
 
     final_status = 0
     head_bytes = 0
     unread_max_bytes = UNREAD_MAX_BYTES
+    on_unread: Callable[[int], object] | None = None
+
+    @property
+    def unread_bytes(self) -> int:
+        """Return the size of the part of the body that waits to be read."""
+        return len(self._body_buffer)
 
     @property
     def status_code(self) -> int:
@@ -215,6 +223,8 @@
                 raise HTTPParseError("the head of the response is too large")
         elif len(self._body_buffer) > self.unread_max_bytes:
             raise BodyTooLarge("too much of the response waits to be read")
+        elif self.on_unread is not None:
+            self.on_unread(len(self._body_buffer) + size_bytes)
 
 
 class SingleUseClient(HTTPClient):
--- a/tests/edge/process_limits.feature
+++ b/tests/edge/process_limits.feature
@@ -86,6 +86,7 @@
     When <count> clients request <path> and read slowly
     Then an ordinary request is answered
     And the process lives, within 110 MB
+    And no answer that was cut looks complete
 
     Examples:
       | count | path         |
--- a/tests/steps/process_limit_steps.py
+++ b/tests/steps/process_limit_steps.py
@@ -1,8 +1,10 @@
 """Steps with crowds that try to take up the memory and descriptors of a router."""
 
 import http.client
+import re
 from collections.abc import Iterable, Iterator
 
+import gevent
 from behave import given, then, when
 from behave.runner import Context
 
@@ -17,12 +19,13 @@
 from chervilstall.wsgi import HEADERS_KEY, Environ
 from tests.steps.start_steps import read_status_line
 from tests.support.agent_fleet import eventually
-from tests.support.crowd import CROWDS, Crowd, request_line
+from tests.support.crowd import CROWDS, LAST_CHUNK, Crowd, request_line
 from tests.support.limited_router import LimitedRouter
 from tests.support.platform import Platform, open_connection
 
 MEGABYTE = 1_000_000
 LONG_ANSWER = b"x" * 3_500_000
+EVENTS = 60
 EVENT_BYTES = 200_000
 LIMITS = {
     "max-header-bytes": 16_384,
@@ -52,7 +55,7 @@
         return events()
 
     def events() -> Iterator[bytes]:
-        for number in range(1, 61):
+        for number in range(1, EVENTS + 1):
             yield b"id: %d\ndata: " % number + b"x" * EVENT_BYTES + b"\n\n"
 
     target.server.application = answer
@@ -127,7 +130,28 @@
 
 @when("{count:d} clients request {path} and read slowly")
 def read_crowd(context: Context, count: int, path: str) -> None:
-    start_crowd(context, "callers").read_slowly(count, path)
+    context.crowd = start_crowd(context, "callers")
+    context.crowd.read_slowly(count, path)
+
+
+def is_false_end(answer: bytes) -> bool:
+    """Return whether an answer looks complete although a part of it is missing."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    if b" 200 " not in head:
+        return False
+    if b"chunked" in head.lower():
+        return body.endswith(LAST_CHUNK) and body.count(b"id: ") != EVENTS
+    length = re.search(rb"content-length: (\d+)", head.lower())
+    return length is None or int(length[1]) != len(LONG_ANSWER)
+
+
+@then("no answer that was cut looks complete")
+def check_cut_answers(context: Context) -> None:
+    crowd = context.crowd
+    tasks = [gevent.spawn(crowd.read_rest, each) for each in crowd.connections]
+    gevent.joinall(tasks)
+    false_ends = [task.value[:300] for task in tasks if is_false_end(task.value)]
+    assert not false_ends, false_ends
 
 
 @then("the process lives, within {memory_mb:d} MB")
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -20,6 +20,9 @@
 ENDLESS_BYTES = 6_000_000
 """What a client without end sends at most."""
 
+LAST_CHUNK = b"\r\n0\r\n\r\n"
+READ_REST_S = 2.0
+
 Sender = Callable[[], Iterable[bytes]]
 
 
@@ -93,6 +96,7 @@
     def __init__(self, address: Address) -> None:
         self.address = address
         self.connections: list[socket.socket] = []
+        self.answers: dict[socket.socket, bytes] = {}
 
     def send_all(self, count: int, sender: Sender) -> None:
         """Let `count` clients send; return when none can send any more."""
@@ -125,11 +129,26 @@
             connection.connect((self.address.host, self.address.port))
             request = request_line(path, number) + b"Token-Count: 100,60\r\n"
             connection.sendall(request + b"Content-Length: 0\r\n\r\n")
-            connection.recv(100)
+            self.answers[connection] = connection.recv(100)
         except OSError:
             # The router refuses or closes the connection, which it is allowed to.
             return
 
+    def read_rest(self, connection: socket.socket) -> bytes:
+        """Return all that comes on a connection until it ends or the caller leaves."""
+        answer = bytearray(self.answers.get(connection, b""))
+        connection.settimeout(READ_REST_S)
+        try:
+            while not answer.endswith(LAST_CHUNK):
+                piece = connection.recv(PIECE_BYTES)
+                if not piece:
+                    break
+                answer += piece
+        except OSError:
+            # A reset, or a router that sends no more.
+            return bytes(answer)
+        return bytes(answer)
+
     def stop(self) -> None:
         """Close all connections."""
         for connection in self.connections:
