--- a/src/chervilstall/edge/draining.py
+++ b/src/chervilstall/edge/draining.py
@@ -14,10 +14,15 @@
 """
 
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from chervilstall.edge.request import EdgeRequest
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.records import Route
+from chervilstall.telemetry.events import EventLog
+
+log = EventLog("edge")
 
 BALANCER_NOTICES_S = 2.0
 """Time after the stop signal in which the load balancer may not have noticed it.
@@ -123,3 +128,21 @@
     def takes_plain(self, now_s: float, expected_s: float) -> bool:
         """Return whether another request that usually takes `expected_s` is taken."""
         return now_s + expected_s <= self.answers_until_s
+
+
+def log_interrupted(requests: Iterable[EdgeRequest], started_at_s: float) -> None:
+    """Log each request that a stop interrupts, and when it had arrived.
+
+    `started_at_s` is the monotonic time at which the shutdown began.
+    """
+    now_s = time.monotonic()
+    for request in requests:
+        log.warning(
+            "interrupted by the stop",
+            request=request.request_id,
+            route=request.route.name,
+            arrived_after_s=round(request.arrived_at_s - started_at_s, 3),
+            age_s=round(now_s - request.arrived_at_s, 3),
+            sends=request.sends,
+            events_passed=request.events_forwarded,
+        )
