--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -34,7 +34,6 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.http_response import StartResponse, status_line
 from chervilstall.ids import WorkspaceName
-from chervilstall.paths.peer_loads import DemandClass
 from chervilstall.platform.headers import (
     HeaderFields,
     RequestFields,
@@ -302,9 +301,7 @@
             response = self.plain_relay.run(request)
             yield from self._send_complete(request, response, start_response, sender)
             return
-        if request.forwarding is None:
-            demand_class = DemandClass(request.priority, request.workspace)
-            self.stream_context.chooser.load.demand.add(demand_class)
+        self.stream_context.record_demand(request)
         with hold_room(self.room_gate, request):
             yield from self._relay_stream(request, start_response, sender)
 
--- a/src/chervilstall/edge/streams/context.py
+++ b/src/chervilstall/edge/streams/context.py
@@ -14,6 +14,7 @@
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.fleet.view import FleetView
 from chervilstall.paths.choice import PathChooser
+from chervilstall.paths.peer_loads import DemandClass
 
 
 class StreamBroken(ConnectionAbortedError):
@@ -34,6 +35,12 @@
     target_reach: TargetReach
     peer_relay: PeerRelay
 
+    def record_demand(self, request: EdgeRequest) -> None:
+        """Count a caller's request; the router that forwarded one has counted it."""
+        if request.forwarding is None:
+            demand_class = DemandClass(request.priority, request.workspace)
+            self.chooser.load.demand.add(demand_class)
+
 
 def stream_error(
     request: EdgeRequest, may_have_run: bool, reason: str
