--- a/tests/steps/forwarded_answer_steps.py
+++ b/tests/steps/forwarded_answer_steps.py
@@ -57,8 +57,8 @@
 
 def replace_answers(app: EdgeApplication, answer: object) -> None:
     """Let a router return what `answer` makes of each request."""
-    app._relay = lambda request, start_response: app._send_complete(
-        request, answer(request), start_response
+    app._relay = lambda request, start_response, sender: app._send_complete(
+        request, answer(request), start_response, sender
     )
 
 
--- a/tests/steps/room_gate_steps.py
+++ b/tests/steps/room_gate_steps.py
@@ -21,6 +21,7 @@
 from chervilstall.ids import TargetId, WorkspaceName
 from chervilstall.paths.choice import PathChooser
 from chervilstall.platform.headers import read_request_fields
+from chervilstall.process_limits.memory import ClientMemory, Holding, HoldingKind
 from chervilstall.settings.edge import AdmissionByRoomSettings
 from tests.support.model_targets import LAYERS, LOCAL, SERVICE, make_target
 from tests.support.room_fleet import Reports
@@ -29,6 +30,7 @@
 """Two streams fit at a target that holds all layers, 15,000 tokens, but not three."""
 
 TIMEOUT_S = 9.0
+MEMORY_BYTES = 1_000
 ROUTE = Route(
     "drafts",
     "drafts.example",
@@ -53,8 +55,19 @@
     last_event_id = str(changes.pop("last_event_id", ""))
     fields = dataclasses.replace(fields, last_event_id=last_event_id)
     now_s = time.monotonic()
+    memory = ClientMemory(MEMORY_BYTES, reserve_bytes=0, small_bytes=0)
     request = EdgeRequest(
-        fields, "POST", "/", b"", ROUTE, SERVICE, None, 1, now_s, now_s + TIMEOUT_S
+        fields,
+        "POST",
+        "/",
+        b"",
+        ROUTE,
+        SERVICE,
+        None,
+        1,
+        now_s,
+        now_s + TIMEOUT_S,
+        Holding(memory, HoldingKind.ANSWER),
     )
     for name, value in changes.items():
         setattr(request, name, value)
