Show that a target that says in its report that it leaves is used on (fails)

While the store is silent, the routers ask the targets of their zone for reports; what a report's Server-Leaving says was not read.

--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -3,6 +3,7 @@
 import errno
 import time
 from collections.abc import Callable, Iterable, Iterator
+from dataclasses import replace
 from typing import Any, NoReturn
 
 import gevent
@@ -127,7 +128,9 @@
                 return HttpResponse(421, b"{}", headers).start(start_response)
         match environ["PATH_INFO"]:
             case "/chervilstall/report":
-                return json_response(200, self._build_report()).start(start_response)
+                report = json_response(200, self._build_report())
+                headers = (*report.headers, *self._notice_headers())
+                return replace(report, headers=headers).start(start_response)
             case "/chervilstall/order":
                 return self._apply_order(environ, start_response)
             case "/healthz":
--- a/tests/edge/expected_target.feature
+++ b/tests/edge/expected_target.feature
@@ -55,3 +55,10 @@
     And the addresses of the other routers belong to targets of lookups by now
     When 1 lookup is sent to the cut-off router, and is not served
     Then no target ran anything
+
+  # Guards against DRAIN: without the store, what a target says in its report was not taken up.
+  Scenario: A target that says in its report that it leaves is left while the store is silent
+    Given a platform with a model in parts in both zones
+    And the first target of the own zone says in its answers that it leaves
+    When the store is silent for a while
+    Then the router takes that target for leaving
--- a/tests/steps/expected_target_steps.py
+++ b/tests/steps/expected_target_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from chervilstall.fleet.records import Target
+from chervilstall.fleet.records import Target, TargetReadiness
 from chervilstall.ids import ServiceName, TargetId, ZoneName
 from chervilstall.platform.peers import Peer
 from tests.steps.forwarding_steps import REQUEST, cut_router, lookup_targets
@@ -158,3 +158,8 @@
 def send_to_reused(context: Context) -> None:
     response = send(cut_router(context), "/lookup/x", request=REQUEST)
     assert response.status == 503, response
+
+
+@then("the router takes that target for leaving")
+def check_taken_for_leaving(context: Context) -> None:
+    eventually(lambda: some_target(context).state is TargetReadiness.DRAINING)
