--- a/src/chervilstall/edge/reach/outage.py
+++ b/src/chervilstall/edge/reach/outage.py
@@ -88,6 +88,8 @@
         if not isinstance(report, TargetReport):
             return
         self.fleet_view.apply_report(target, report.layers)
+        if report.is_leaving:
+            self.fleet_view.note_leaving(target.incarnation, by="report")
         if not health_path:
             return
         if fetch_health(target, health_path, POLL_ROUND_S / 2.0) is TargetHealth.CLOSED:
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -255,6 +255,8 @@
             self._suspect_without_report(first, report)
             self._end_streams_of(first)
             return
+        if report.is_leaving:
+            self.fleet_view.note_leaving(first.incarnation, by="report")
         interval_s = self._query_interval_s.get(first.id, QUERY_INTERVAL_S)
         if not report.stalled:
             # The target is only slow, so more frequent queries would not help.
--- a/src/chervilstall/edge/streams/slow_targets.py
+++ b/src/chervilstall/edge/streams/slow_targets.py
@@ -108,3 +108,5 @@
         report = fetch_report(target)
         if isinstance(report, TargetReport):
             self.fleet_view.note_slowness(target, report.slowness)
+            if report.is_leaving:
+                self.fleet_view.note_leaving(target.incarnation, by="report")
--- a/src/chervilstall/platform/headers.py
+++ b/src/chervilstall/platform/headers.py
@@ -10,7 +10,7 @@
 from chervilstall.ids import PartId, RequestId, TargetId, VmId, WorkspaceName
 from chervilstall.paths.records import Path
 from chervilstall.platform import protocol
-from chervilstall.platform.targets import HTTP_MISDIRECTED, encode_path
+from chervilstall.platform.targets import HTTP_MISDIRECTED, encode_path, is_leaving
 
 PRIORITY_MAX = 9
 """The least urgent priority that a target knows; 0 is the most urgent."""
@@ -215,6 +215,6 @@
         faulty_address=by_name.get(protocol.FAULTY_TARGET.lower(), ""),
         limit_per_s=_parse_number(by_name.get(protocol.RATE_LIMIT.lower(), "")),
         retry_after_s=_parse_number(by_name.get(protocol.RETRY_AFTER.lower(), "")),
-        is_leaving=by_name.get(protocol.LEAVING.lower()) == "1",
+        is_leaving=is_leaving(by_name),
         responder=_parse_target(by_name.get(protocol.ANSWERING_TARGET.lower())),
     )
--- a/src/chervilstall/platform/targets.py
+++ b/src/chervilstall/platform/targets.py
@@ -1,6 +1,7 @@
 """Decoding of targets' store entries, and the calls that targets serve."""
 
 import re
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 from ipaddress import IPv4Address
@@ -139,7 +140,8 @@
 
     `slowness` is the ratio of the time for a pass to the usual time. `orders_begun`
     counts the orders accepted since the start. The unit of `memory_used` and
-    `memory_total` is tokens times layers.
+    `memory_total` is tokens times layers. `is_leaving` is true if the target is about
+    to exit.
     """
 
     slowness: float
@@ -151,6 +153,7 @@
     memory_total: float
     stalled: tuple[StalledRequest, ...]
     layers: LayerRange
+    is_leaving: bool = False
 
     @property
     def has_free_memory(self) -> bool:
@@ -194,9 +197,15 @@
         report.kv_total_count,
         stalled,
         _layers(report.layers),
+        is_leaving(response.headers),
     )
 
 
+def is_leaving(headers: Mapping[str, str]) -> bool:
+    """Return whether a response, by its lower-case headers, is of a leaving target."""
+    return headers.get(protocol.LEAVING.lower()) == "1"
+
+
 class TargetHealth(Enum):
     """Whether a target accepts new work, by its own statement."""
 
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -129,8 +129,8 @@
         match environ["PATH_INFO"]:
             case "/chervilstall/report":
                 report = json_response(200, self._build_report())
-                headers = (*report.headers, *self._notice_headers())
-                return replace(report, headers=headers).start(start_response)
+                fields = (*report.headers, *self._notice_headers())
+                return replace(report, headers=fields).start(start_response)
             case "/chervilstall/order":
                 return self._apply_order(environ, start_response)
             case "/healthz":
