Tell other zones the sums of a zone's load, where these are small

A router knew nothing of what other zones' routers put on its targets. Each router now also listens to one router of each other zone, paired in the order of their rings, and hears the sums of that zone about once a second. The sums take at most 1.5 KB/s of a router; where they are larger, none are sent. A sum is never passed on, so that nothing is counted twice. PeerLoads.tokens, requests and prefill_backlog_s include these sums; covered_routers says for how many routers all figures stand.

--- a/src/chervilstall/edge/loads/exchange.py
+++ b/src/chervilstall/edge/loads/exchange.py
@@ -26,6 +26,11 @@
 )
 from chervilstall.edge.loads.receiver import LoadReceiver
 from chervilstall.edge.loads.reporter import LoadReporter
+from chervilstall.edge.loads.zones import (
+    INTERVAL_MAX_S,
+    ZoneSums,
+    sums_interval_s,
+)
 from chervilstall.edge.peers.directory import PeerDirectory
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import VmId
@@ -57,12 +62,17 @@
 FRAME_BYTES = 2
 """Bytes that ZMTP adds to a short message."""
 
+REPORT_PREFIXES = (b"m", b"z")
+SUMS_PREFIX = b"S"
+"""First byte of messages with the sums of a zone, which neighbours don't read."""
+
 
 @dataclass
 class _Sockets:
     context: "zmq.Context[zmq.Socket[bytes]]"
     publisher: "zmq.Socket[bytes]"
     subscriber: "zmq.Socket[bytes]"
+    zones: "zmq.Socket[bytes]"
 
     def close(self) -> None:
         self.context.destroy(linger=0)
@@ -86,11 +96,14 @@
     messages_dropped: int = 0
     _reporter: LoadReporter = field(init=False)
     _receiver: LoadReceiver = field(init=False)
+    _zone_sums: ZoneSums = field(init=False)
     _sockets: _Sockets | None = None
     _neighbours: dict[VmId, Address] = field(default_factory=dict)
+    _speakers: set[Address] = field(default_factory=set)
     _bind_at_s: float = float("-inf")
     _check_at_s: float = float("-inf")
     _send_at_s: float = float("-inf")
+    _send_sums_at_s: float = float("-inf")
     _mean_bytes: float = 0.0
 
     def __post_init__(self) -> None:
@@ -98,6 +111,7 @@
         self._reporter = LoadReporter(vm, self.chooser.load)
         keys = TargetKeys(self.fleet_view)
         self._receiver = LoadReceiver(vm, self.chooser.peer_loads, keys)
+        self._zone_sums = ZoneSums(vm, self.chooser, keys)
 
     def run(self) -> None:
         """Exchange load until the process ends; one task runs this."""
@@ -111,10 +125,13 @@
                 read_at_s = now_s
                 gevent.sleep(CHECK_INTERVAL_S)
                 continue
-            self._read(self._sockets, read_at_s)
+            self._read(self._sockets.subscriber, len(self._neighbours), read_at_s)
+            self._read(self._sockets.zones, len(self._speakers), read_at_s)
             read_at_s = now_s
             if now_s >= self._send_at_s:
                 self._send(self._sockets)
+            if now_s >= self._send_sums_at_s:
+                self._send_sums(self._sockets)
             gevent.sleep(READ_INTERVAL_S)
 
     def _check(self) -> None:
@@ -128,6 +145,7 @@
             self._start()
         if self._sockets is not None:
             self._update_neighbours(self._sockets)
+            self._update_speakers(self._sockets)
 
     def _start(self) -> None:
         own = self.own
@@ -166,11 +184,25 @@
         before, now = set(self._neighbours.values()), set(addresses.values())
         self._neighbours = addresses
         self._receiver.retain(set(addresses))
+        self._reconnect(sockets.subscriber, before, now)
+        log.info("neighbours changed", neighbours=len(addresses), limit=limit)
+
+    def _update_speakers(self, sockets: _Sockets) -> None:
+        """Listen to one router of each other zone."""
+        assert self.own is not None
+        self._zone_sums.update_speakers(self.own, self.directory.peers)
+        speakers = self._zone_sums.speakers.values()
+        now = {peer.loads_address for peer in speakers if peer.loads_address}
+        self._reconnect(sockets.zones, self._speakers, now)
+        self._speakers = now
+
+    def _reconnect(
+        self, socket: "zmq.Socket[bytes]", before: set[Address], now: set[Address]
+    ) -> None:
         for address in before - now:
-            self._call(sockets.subscriber.disconnect, address)
+            self._call(socket.disconnect, address)
         for address in now - before:
-            self._call(sockets.subscriber.connect, address)
-        log.info("neighbours changed", neighbours=len(addresses), limit=limit)
+            self._call(socket.connect, address)
 
     def _call(self, function: Callable[[str], object], address: Address) -> None:
         import zmq
@@ -180,25 +212,32 @@
         except zmq.ZMQError as error:
             log.warning("neighbour not used", at=str(address), why=str(error))
 
-    def _read(self, sockets: _Sockets, read_at_s: float) -> None:
+    def _read(
+        self, socket: "zmq.Socket[bytes]", senders: int, read_at_s: float
+    ) -> None:
         """Apply all messages that arrived since `read_at_s`."""
         import zmq
 
-        # A neighbour that sends without end doesn't keep this task.
-        for _ in range(WAITING_MESSAGES_MAX * max(1, len(self._neighbours))):
+        # A router that sends without end doesn't keep this task.
+        for _ in range(WAITING_MESSAGES_MAX * max(1, senders)):
             try:
-                data = sockets.subscriber.recv(zmq.NOBLOCK)
+                data = socket.recv(zmq.NOBLOCK)
             except zmq.Again:
                 return
             self.received_bytes += len(data) + FRAME_BYTES
             self._handle(data, read_at_s)
 
     def _handle(self, data: bytes, read_at_s: float) -> None:
+        is_sum = data.startswith(SUMS_PREFIX)
         try:
-            message = decode_message(data)
+            message = decode_message(data.removeprefix(SUMS_PREFIX))
         except ValueError as error:
             self._drop(str(error), len(data))
             return
+        if is_sum:
+            if not self._zone_sums.handle(message, read_at_s):
+                self._drop("not a sum of a zone listened to", len(data), message.vm)
+            return
         if message.vm not in self._neighbours:
             self._drop("not from a neighbour", len(data), message.vm)
             return
@@ -226,11 +265,34 @@
         seconds = interval_s(neighbours, self._mean_bytes)
         self._send_at_s = time.monotonic() + seconds - READ_INTERVAL_S / 2
 
+    def _send_sums(self, sockets: _Sockets) -> None:
+        """Publish the sums of the zone, unless they are too large."""
+        import zmq
+
+        self._send_sums_at_s = time.monotonic() + INTERVAL_MAX_S
+        other_zones = len(self._speakers)
+        message = self._zone_sums.next_message(self._reporter) if other_zones else None
+        if message is None:
+            return
+        try:
+            data = SUMS_PREFIX + encode_message(message)
+            size = len(data) + FRAME_BYTES
+            seconds = sums_interval_s(other_zones, size)
+            if seconds is None:
+                return
+            sockets.publisher.send(data, zmq.NOBLOCK)
+        except (ValueError, zmq.ZMQError) as error:
+            log.warning("load of the zone not reported", why=str(error))
+            return
+        self.sent_bytes += size * other_zones
+        self._send_sums_at_s = time.monotonic() + seconds
+
     def set_gauges(self, gauges: dict[str, float]) -> None:
         """Set the metrics of the exchange."""
         loads = self.chooser.peer_loads
         gauges["load_reporting_routers"] = loads.reporting_routers
         gauges["load_age_seconds"] = round(loads.age_s, 3)
+        gauges["load_covered_routers"] = loads.covered_routers
         gauges["load_neighbours"] = len(self._neighbours)
         gauges["load_sent_bytes_total"] = self.sent_bytes
         gauges["load_received_bytes_total"] = self.received_bytes
@@ -238,8 +300,9 @@
 
     def stop(self) -> None:
         """Close all connections and drop all figures."""
-        self._neighbours = {}
+        self._neighbours, self._speakers = {}, set()
         self._receiver.retain(set())
+        self._zone_sums.clear()
         if self._sockets is not None:
             self._sockets.close()
             self._sockets = None
@@ -249,8 +312,9 @@
     import zmq
 
     context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
-    publisher, subscriber = context.socket(zmq.PUB), context.socket(zmq.SUB)
-    for socket in (publisher, subscriber):
+    publisher = context.socket(zmq.PUB)
+    subscriber, zones = context.socket(zmq.SUB), context.socket(zmq.SUB)
+    for socket in (publisher, subscriber, zones):
         socket.linger = 0
         socket.sndhwm = WAITING_MESSAGES_MAX
         socket.rcvhwm = WAITING_MESSAGES_MAX
@@ -260,5 +324,7 @@
         socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
         socket.reconnect_ivl = RECONNECT_MS
         socket.reconnect_ivl_max = RECONNECT_MAX_MS
-    subscriber.subscribe(b"")
-    return _Sockets(context, publisher, subscriber)
+    for prefix in REPORT_PREFIXES:
+        subscriber.subscribe(prefix)
+    zones.subscribe(SUMS_PREFIX)
+    return _Sockets(context, publisher, subscriber, zones)
--- a/src/chervilstall/edge/loads/messages.py
+++ b/src/chervilstall/edge/loads/messages.py
@@ -48,6 +48,8 @@
     message before. The lists have one item for each target: the difference of its key
     to the one before, requests, tokens in units of `TOKENS_UNIT`, prefill in units of
     `PREFILL_UNIT_MS`, and refusals. `demand` is None if the last one still holds.
+    The sums of a zone are full copies; they stand for `routers` routers, and the oldest
+    figure in them is `age_ms` old.
     """
 
     format: int
@@ -62,6 +64,8 @@
     prefill: Figures
     refusals: Figures
     demand: Demand | None
+    routers: Figure = 1
+    age_ms: Figure = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/chervilstall/edge/loads/receiver.py
+++ b/src/chervilstall/edge/loads/receiver.py
@@ -73,14 +73,16 @@
     keys: TargetKeys
     _senders: dict[VmId, _Sender] = field(default_factory=dict)
 
-    def handle(self, message: LoadMessage, not_before_s: float) -> None:
-        """Apply one message.
+    def handle(
+        self, message: LoadMessage, not_before_s: float, name: VmId | None = None
+    ) -> None:
+        """Apply one message, under a name other than that of the sender if given.
 
         It arrived after the monotonic time `not_before_s`, when no message was left
         waiting. A router's first message tells how its clock differs, so that it is
         passed over if it may have waited.
         """
-        vm = VmId(message.vm)
+        vm = name or VmId(message.vm)
         now_s = time.monotonic()
         sender = self._senders.get(vm)
         if sender is None or sender.run != message.run:
@@ -93,6 +95,7 @@
             return
         sender.sequence = message.sequence
         taken_at_s = sender.taken_at_s(message.sent_at_ms / 1e3, now_s)
+        taken_at_s -= message.age_ms / 1e3
         if now_s - taken_at_s > FRESH_S or not (message.is_full or is_next):
             self.peer_loads.drop(vm)
             return
@@ -102,7 +105,8 @@
         loads = self._loads(message)
         demand = None if message.demand is None else _demand(message.demand)
         if message.is_full:
-            self.peer_loads.replace(vm, RouterReport(taken_at_s, loads, demand or {}))
+            report = RouterReport(taken_at_s, loads, demand or {}, message.routers)
+            self.peer_loads.replace(vm, report)
         else:
             self.peer_loads.update(vm, taken_at_s, loads, demand)
 
--- a/src/chervilstall/edge/loads/reporter.py
+++ b/src/chervilstall/edge/loads/reporter.py
@@ -52,22 +52,8 @@
         named = loads if is_full else _changes(self._sent, loads)
         self._sent = loads
         self._sequence += 1
-        keys = sorted(named)
-        figures = [named[key] for key in keys]
-        return LoadMessage(
-            FORMAT,
-            self.vm,
-            self.run,
-            self._sequence,
-            int(time.monotonic() * 1e3),
-            is_full,
-            [later - earlier for earlier, later in pairwise([0, *keys])],
-            [each.requests for each in figures],
-            [each.tokens // TOKENS_UNIT for each in figures],
-            [each.prefill_ms // PREFILL_UNIT_MS for each in figures],
-            [each.refusals for each in figures],
-            self._next_demand(is_full),
-        )
+        demand = self._next_demand(is_full)
+        return build_message(self.vm, self.run, self._sequence, is_full, named, demand)
 
     def current_loads(self) -> dict[TargetIncarnation, TargetLoad]:
         """Return the load on each target, in the units of the messages."""
@@ -105,6 +91,37 @@
         ]
 
 
+def build_message(
+    vm: VmId,
+    run: int,
+    sequence: int,
+    is_full: bool,
+    loads: Mapping[int, TargetLoad],
+    demand: list[ClassDemand] | None,
+    routers: int = 1,
+    age_s: float = 0.0,
+) -> LoadMessage:
+    """Return a message that is sent now, with loads by the keys of targets."""
+    keys = sorted(loads)
+    figures = [loads[key] for key in keys]
+    return LoadMessage(
+        FORMAT,
+        vm,
+        run,
+        sequence,
+        int(time.monotonic() * 1e3),
+        is_full,
+        [later - earlier for earlier, later in pairwise([0, *keys])],
+        [each.requests for each in figures],
+        [each.tokens // TOKENS_UNIT for each in figures],
+        [each.prefill_ms // PREFILL_UNIT_MS for each in figures],
+        [each.refusals for each in figures],
+        demand,
+        routers,
+        int(age_s * 1e3),
+    )
+
+
 def _bounded(figure: int) -> int:
     return min(max(0, figure), FIGURE_MAX)
 
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -269,7 +269,7 @@
         prompts, since they have the same information as this one.
         """
         longest_s = 0.0
-        for stage in _added_stages(path, before):
+        for stage in path.stages_added(before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
             known_s = self._known_prefill_s(stage.target.incarnation) + own_s
             wait_s = known_s * self._unseen_factor
@@ -286,7 +286,7 @@
 
         It counts once for each router assumed to act like this one without reporting.
         """
-        for stage in _added_stages(path, before):
+        for stage in path.stages_added(before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
             incarnation = stage.target.incarnation
             peers_s = self.peer_loads.prefill_backlog_s(incarnation)
@@ -336,19 +336,21 @@
         load_ms = REQUEST_MS * self.load.requests.get(incarnation, 0)
         backlog_s = self._known_prefill_s(incarnation) * factor
         load_ms += PREFILL_WEIGHT * backlog_s * 1e3
-        known_tokens = self._known_tokens(incarnation) + tokens
-        use = known_tokens * factor / capacity_tokens
+        zone_tokens = (self._known_tokens(incarnation) + tokens) * factor
+        remote_tokens = self.peer_loads.remote_tokens(incarnation)
+        use = (zone_tokens + remote_tokens) / capacity_tokens
         load_ms += USE_MS * max(0.0, use - USE_THRESHOLD) ** 2
         return TargetCost(load_ms, other_ms, capacity_tokens)
 
     def estimated_tokens(self, incarnation: TargetIncarnation) -> float:
         """Return the tokens in flight of all routers at a target, as estimated here."""
-        return self._known_tokens(incarnation) * self._unseen_factor
+        known = self._known_tokens(incarnation) * self._unseen_factor
+        return known + self.peer_loads.remote_tokens(incarnation)
 
     def _known_tokens(self, incarnation: TargetIncarnation) -> float:
-        """Return the tokens in flight of this router and those that report."""
+        """Return the tokens in flight of this router and those of its zone."""
         own = self.load.tokens.get(incarnation, 0.0)
-        return own + self.peer_loads.tokens(incarnation)
+        return own + self.peer_loads.zone_tokens(incarnation)
 
     def _known_prefill_s(self, incarnation: TargetIncarnation) -> float:
         own_s = self.load.prefill_backlog_s(incarnation)
@@ -361,11 +363,15 @@
         Routers that don't report are assumed to load a target as those do on average
         whose load is known, this one included.
         """
-        reporting_routers = self.peer_loads.reporting_routers
-        if not reporting_routers:
+        if not self.peer_loads.reporting_routers:
             return self._similar_routers
+        return self.zone_factor
+
+    @property
+    def zone_factor(self) -> float:
+        """Return the routers of the zone as a multiple of those whose load is known."""
         zone_routers = self.zone_routers or self.router_count / self.zone_count
-        return max(1.0, zone_routers / (1 + reporting_routers))
+        return max(1.0, zone_routers / (1 + self.peer_loads.reporting_routers))
 
     @property
     def _similar_routers(self) -> float:
@@ -376,12 +382,6 @@
         )
 
 
-def _added_stages(path: Path, before: Path | None) -> list[PathStage]:
-    if before is None:
-        return list(path.stages)
-    return [stage for stage in path.stages if stage not in before.stages]
-
-
 def _stages_of(node: _SearchNode) -> tuple[PathStage, ...]:
     stages: list[PathStage] = []
     current: _SearchNode | None = node
--- a/src/chervilstall/paths/peer_loads.py
+++ b/src/chervilstall/paths/peer_loads.py
@@ -43,11 +43,15 @@
 
 @dataclass
 class RouterReport:
-    """The latest figures of one router and when it took them, in monotonic seconds."""
+    """The latest figures of one router and when it took them, in monotonic seconds.
+
+    The figures of another zone are those of `routers` routers.
+    """
 
     taken_at_s: float
     loads: dict[TargetIncarnation, TargetLoad] = field(default_factory=dict)
     demand: dict[DemandClass, int] = field(default_factory=dict)
+    routers: int = 1
 
 
 @dataclass
@@ -77,58 +81,100 @@
 
 @dataclass
 class PeerLoads:
-    """Sums what the other routers of the zone report, by target incarnation.
+    """Sums what the other routers report, by target incarnation.
 
-    The figures of a router that stops reporting are dropped after `FRESH_S`. Without
-    reports all figures are 0.
+    `reports` are those of routers of the own zone. `other_zones` holds one report for
+    each other zone that is known, by its name, with sums over its routers. Figures that
+    are no longer renewed are dropped after `FRESH_S`. Without reports all figures are
+    0.
     """
 
     reports: dict[VmId, RouterReport] = field(default_factory=dict)
+    other_zones: "PeerLoads | None" = None
     _sums: dict[TargetIncarnation, _Sum] = field(default_factory=dict)
     _oldest_at_s: float = float("inf")
 
     def tokens(self, incarnation: TargetIncarnation) -> float:
-        """Return the tokens in flight that reporting routers sent to a target."""
+        """Return the tokens in flight at a target that others report, of all zones."""
+        return self.zone_tokens(incarnation) + self.remote_tokens(incarnation)
+
+    def zone_tokens(self, incarnation: TargetIncarnation) -> float:
+        """Return the tokens in flight at a target that routers of the zone report."""
         known = self._sum(incarnation)
         return 0.0 if known is None else float(known.tokens)
 
+    def remote_tokens(self, incarnation: TargetIncarnation) -> float:
+        """Return the tokens in flight at a target that other zones report."""
+        return 0.0 if self.other_zones is None else self.other_zones.tokens(incarnation)
+
     def requests(self, incarnation: TargetIncarnation) -> float:
-        """Return the requests in flight that reporting routers sent to a target."""
+        """Return the requests in flight at a target that others report."""
         known = self._sum(incarnation)
-        return 0.0 if known is None else float(known.requests)
+        requests = 0.0 if known is None else float(known.requests)
+        if self.other_zones is not None:
+            requests += self.other_zones.requests(incarnation)
+        return requests
 
     def refusals(self, incarnation: TargetIncarnation) -> float:
-        """Return how often a target refused reporting routers in one second."""
+        """Return how often a target refused routers of the zone in one second."""
         known = self._sum(incarnation)
         return 0.0 if known is None else float(known.refusals)
 
     def prefill_backlog_s(self, incarnation: TargetIncarnation) -> float:
-        """Return the time for the prompts that reporting routers queued at a target.
+        """Return the time for the prompts that others queued at a target.
 
         What the target has prefilled since the reports is taken off.
         """
         known = self._sum(incarnation)
+        backlog_s = 0.0
+        if self.other_zones is not None:
+            backlog_s = self.other_zones.prefill_backlog_s(incarnation)
         if known is None or not known.prefill_ms:
-            return 0.0
+            return backlog_s
         age_s = time.monotonic() - known.prefill_at / known.prefill_ms / 1e3
-        return max(0.0, known.prefill_ms / 1e3 - max(0.0, age_s))
+        return backlog_s + max(0.0, known.prefill_ms / 1e3 - max(0.0, age_s))
 
     @property
     def reporting_routers(self) -> int:
-        """Return the number of other routers whose figures are fresh."""
+        """Return the number of other routers of the zone whose figures are fresh."""
         self.expire()
         return len(self.reports)
 
+    @property
+    def covered_routers(self) -> int:
+        """Return the number of other routers, of all zones, that figures stand for."""
+        self.expire()
+        covered = sum(report.routers for report in self.reports.values())
+        if self.other_zones is not None:
+            covered += self.other_zones.covered_routers
+        return covered
+
     @property
     def age_s(self) -> float:
         """Return the age of the oldest figure in use, 0 without reports."""
+        remote_s = 0.0 if self.other_zones is None else self.other_zones.age_s
+        return max(remote_s, self.zone_age_s)
+
+    @property
+    def zone_age_s(self) -> float:
+        """Return the age of the oldest figure of the zone, 0 without reports."""
         self.expire()
         if not self.reports:
             return 0.0
         return max(0.0, time.monotonic() - self._oldest_at_s)
 
+    def zone_loads(self) -> dict[TargetIncarnation, TargetLoad]:
+        """Return the sums over the routers of the zone that report."""
+        self.expire()
+        return {
+            incarnation: TargetLoad(
+                known.tokens, known.requests, known.prefill_ms, known.refusals
+            )
+            for incarnation, known in self._sums.items()
+        }
+
     def demand(self) -> dict[DemandClass, int]:
-        """Return the requests that reporting routers received in one second."""
+        """Return the requests that routers of the zone received in one second."""
         self.expire()
         total: dict[DemandClass, int] = {}
         for report in self.reports.values():
--- a/src/chervilstall/paths/records.py
+++ b/src/chervilstall/paths/records.py
@@ -36,3 +36,9 @@
         """Return how often the path crosses from one zone to another."""
         zones = [stage.target.zone for stage in self.stages]
         return sum(earlier != later for earlier, later in pairwise(zones))
+
+    def stages_added(self, before: "Path | None") -> list[PathStage]:
+        """Return the stages that the path `before`, if there is one, doesn't have."""
+        if before is None:
+            return list(self.stages)
+        return [stage for stage in self.stages if stage not in before.stages]
--- a/tests/edge/load_exchange.feature
+++ b/tests/edge/load_exchange.feature
@@ -7,6 +7,12 @@
     And none of them reports load of its own
     And the metrics of the routers name 2 reporting routers
 
+  Scenario: Each router knows the load that the routers of another zone put on a target
+    Given a platform with 2 routers in each of two zones that exchange load
+    When a router has 4 requests in flight at a target
+    Then the others count 4 requests there within 5 s
+    And none of them reports load of its own
+
   # Guards against an exchange in deployments that don't rank their routes.
   Scenario: Routers whose configuration ranks no routes exchange nothing
     Given a platform with 2 routers whose options are the defaults
--- a/tests/paths/peer_loads.feature
+++ b/tests/paths/peer_loads.feature
@@ -70,3 +70,22 @@
   # Guards against sums that drift away from the figures that they add up.
   Scenario: Sums of figures are exact after any sequence of reports
     Then after 2,000 random reports the sums are those of the reports in use
+
+  # Guards against room that other zones' routers have taken and nobody here knows of.
+  Scenario: The load of another zone's routers counts once, for 2 s at most
+    Given a router that listens to one of 4 routers of another zone
+    When these have 3 requests each at a target and report to each other
+    Then the router counts 12 requests there, of 4 routers
+    And it counts none 2 s after the last sums
+
+  # Guards against load that is counted twice as a router and its zone report it.
+  Scenario: What a zone has told comes back to none of its routers
+    Given a router that listens to one of 4 routers of another zone
+    When these have 3 requests each at a target and report to each other
+    Then none of the 4 counts more than the 9 requests of the others
+
+  # Guards against zones that all listen to one router, and that a dead one keeps silent.
+  Scenario: The routers of two zones are paired evenly, and a silent one is passed over
+    Given zones of 20, 30 and 10 routers
+    Then no router is listened to by more than 3 routers of another zone
+    And a router that hears nothing for 3 s listens to another one
--- a/tests/steps/load_exchange_steps.py
+++ b/tests/steps/load_exchange_steps.py
@@ -69,6 +69,15 @@
         eventually(lambda router=router: reporting(router) == count - 1)
 
 
+@given("a platform with 2 routers in each of two zones that exchange load")
+def start_two_zones(context: Context) -> None:
+    start_routers(context, 2, EXCHANGING)
+    for _ in range(2):
+        context.platform.add_router("za-hall")
+    for router in context.routers:
+        eventually(lambda router=router: reporting(router) == 1)
+
+
 @given("a platform with {count:d} routers whose options are the defaults")
 def start_default(context: Context, count: int) -> None:
     start_routers(context, count, EdgeSettings())
