Show that routers that know each other's load overfill fast targets (fails)

In a model of 20 routers before 6 fast and 6 slow targets with demand for 0.75 of all memory, the fast targets are in use by up to 1.15 while the slow ones are nearly empty (0.12). The cost that load causes is floored near the mean of all targets that hold the layer, also of those of another type, so that free slow targets never look free.

--- a/tests/paths/peer_loads.feature
+++ b/tests/paths/peer_loads.feature
@@ -26,6 +26,11 @@
       | 195     | 4     |
       | 2100    | 2     |
 
+  # Guards against fast targets that all routers overfill while slow ones are empty.
+  Scenario: Fast targets are not overfilled while slow ones have room
+    Given the model of a zone of 20 routers, half of whose targets are slow
+    Then the fast targets are in use by at most 1.0 over 24 s, and the slow ones by 0.3
+
   # Guards against load that stays counted after its router is gone, and load that is lost.
   Scenario Outline: The figures of a router that <fault> are used for 2 s at most
     Given two routers that report to each other
--- a/tests/steps/peer_load_steps.py
+++ b/tests/steps/peer_load_steps.py
@@ -93,6 +93,22 @@
     assert most <= 1.5 * steady, (place, most / steady)
 
 
+@given("the model of a zone of 20 routers, half of whose targets are slow")
+def start_mixed(context: Context) -> None:
+    context.zone = LoadZone(ZoneCase(20, 6, 29, 150.0, is_mixed=True), seed=1)
+    context.stoppables.append(context.zone)
+
+
+@then("the fast targets are in use by at most 1.0 over 24 s, and the slow ones by 0.3")
+def check_mixed(context: Context) -> None:
+    zone, uses = context.zone, []
+    for _ in range(24):
+        zone.run(1.0)
+        uses.append(zone.use("card"))
+    assert max(uses) <= 1.0, uses
+    assert zone.use("slow") >= 0.3, zone.use("slow")
+
+
 class Pair:
     """A router that reports to another one, which has no load of its own."""
 
--- a/tests/support/load_zone.py
+++ b/tests/support/load_zone.py
@@ -37,6 +37,7 @@
 """Shortest and longest stream: 34 to 58 events of 5 tokens, 32 ms a token."""
 
 USE = 0.75
+SLOW_FACTOR = 15.0
 
 
 @dataclass(frozen=True)
@@ -44,7 +45,8 @@
     """One zone of a fleet: its routers, and targets for each half of the layers.
 
     `zone_targets` is the number of targets that a zone of this size has, where the
-    model plays fewer.
+    model plays fewer. With `is_mixed`, the targets of every second copy of the model
+    take `SLOW_FACTOR` times as long for a step.
     """
 
     routers: int
@@ -52,6 +54,7 @@
     zone_targets: int
     requests_per_s: float
     reporting: bool = True
+    is_mixed: bool = False
 
 
 @dataclass
@@ -98,14 +101,22 @@
             make_target(f"t{number}", LOCAL, first, end)
             for number, (first, end) in enumerate(halves)
         ]
+        if self.case.is_mixed:
+            self.targets = [
+                replace(target, accelerator="slow") if number // 2 % 2 else target
+                for number, target in enumerate(self.targets)
+            ]
         # Targets hold as much as the requests take up at the use `USE`.
         streams = self.case.requests_per_s * sum(STREAM_S) / 2.0
         tokens = streams * TOKENS / self.case.targets / USE
         capacity = token_capacity(PIPELINE, self.targets[0])
         bytes_per_token = PIPELINE.kv_bytes_per_token * capacity / tokens
         per_target = self.case.requests_per_s / self.case.targets
+        card = PIPELINE.accelerators["card"]
+        slow = replace(card, name="slow", step_factor=SLOW_FACTOR)
         pipeline = replace(
             PIPELINE,
+            accelerators={"card": card, "slow": slow},
             kv_bytes_per_token=bytes_per_token,
             prefill_tokens_per_s=PIPELINE.prefill_tokens_per_s * per_target / 40.0,
         )
@@ -185,6 +196,16 @@
         loads = (router.chooser.load for router in self.routers.values())
         return sum(load.tokens.get(incarnation, 0.0) for load in loads)
 
+    def use(self, accelerator: str) -> float:
+        """Return the mean share of the memory in use of targets of a type."""
+        uses = [
+            self.true_tokens(target.incarnation)
+            / token_capacity(self.service.pipeline, target)
+            for target in self.targets
+            if target.accelerator == accelerator
+        ]
+        return sum(uses) / len(uses)
+
     def estimate_errors(self) -> tuple[float, float]:
         """Return the mean square error of the estimates, and of the former guess."""
         square, guess_square = [], []
