Give up a part of the share while the room is used beyond the capacity

Routers used their shares while others had more than theirs, so that at four times the capacity 0.05 of the capacity waited at the targets. The factor of ShareScale now also applies to the capacity when the load of all routers is known.

--- a/src/chervilstall/edge/room/scale.py
+++ b/src/chervilstall/edge/room/scale.py
@@ -62,6 +62,9 @@
 
 EXCESS_GROWTH = 0.1
 EXCESS_SHRINK_FACTOR = 0.6
+COVERED_MAX = 1.0
+"""Upper bound while the load of nearly all routers is known, and so what is free."""
+
 USE_MIN = 0.5
 """Part of its share that a router must use to take a late answer for a shortage."""
 
@@ -122,7 +125,7 @@
         """
         now_s = self.clock()
         if is_covered:
-            self.value = min(self.value, 1.0)
+            self.value = min(self.value, COVERED_MAX)
         if now_s - self._stepped_at_s < STEP_S:
             return self.value
         self._stepped_at_s = now_s
@@ -139,7 +142,8 @@
         elif self.value < 1.0 or (
             self._has_held_back and used_share >= self.value * GROWTH_USE_MIN
         ):
-            self._grow(1.0 if is_covered else self.settings.share_scale_max)
+            maximum = self.settings.share_scale_max
+            self._grow(min(COVERED_MAX, maximum) if is_covered else maximum)
         self._has_held_back = False
         return self.value
 
--- a/src/chervilstall/edge/room/service.py
+++ b/src/chervilstall/edge/room/service.py
@@ -11,7 +11,7 @@
 import random
 import time
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 from chervilstall.admission.fair_queue import QueuedRequest
@@ -32,9 +32,17 @@
 HOLD_WEIGHT = 0.05
 """Weight of the latest request in the moving average of the time that one runs."""
 
+OVERUSE_WEIGHT = 3.0
+"""Part of its share that a router gives up, by the part of the room used too much.
+
+Routers may use their shares while others have more than theirs.
+"""
+
+OVERUSE_FACTOR_MIN = 0.5
 COVERED_MIN = 0.8
 """Part of the routers whose load must be known for the free room to count as known."""
 
+GROWTH_SHARERS_MIN = 2.0
 GROWTH_SHARERS = 8.0
 """How many times its part of the free room a router may take before new reports.
 
@@ -218,7 +226,14 @@
         own = self.ledger.tokens
         share = estimate.share_tokens
         is_covered = 1 + estimate.reporting >= COVERED_MIN * estimate.sharers
-        base = share * self.scale.update(own / share, is_covered)
+        scale = self.scale.update(own / share, is_covered)
+        if is_covered:
+            # What all use is known, so the factor applies to the capacity itself.
+            capacity = estimate.capacity_tokens * scale
+            estimate = replace(estimate, capacity_tokens=capacity)
+            over = max(0.0, estimate.used_tokens / capacity - 1.0)
+            scale *= max(OVERUSE_FACTOR_MIN, 1.0 - OVERUSE_WEIGHT * over)
+        base = share * scale
         urgent = base * (1.0 + self.scale.excess)
         if not is_covered:
             return RoomLimits(base, base, urgent, estimate)
@@ -237,7 +252,9 @@
         now_s = self.clock()
         elapsed_s = min(1.0, now_s - self._beyond_at_s)
         self._beyond_at_s = now_s
-        part = min(1.0, GROWTH_SHARERS / estimate.sharers) * estimate.free_tokens
+        growth = GROWTH_SHARERS_MIN
+        growth += (GROWTH_SHARERS - growth) * min(1.0, self.scale.excess)
+        part = min(1.0, growth / estimate.sharers) * estimate.free_tokens
         window_s = max(REPORT_INTERVAL_S, estimate.age_s)
         typical = self.service.pipeline.typical_tokens if self.service.pipeline else 0.0
         self._beyond_tokens = min(
