Wait for the memory of a cut answer until its sender has dropped it

An answer that was cut counted as free at once, so the next one was read beside it: with 28 MB in the budget the process took 59 MB more than at its start. Its bytes now count until its task has ended, and a large answer waits for them. An answer of known length is read into one buffer. The shares of the VM's memory are 0.25 for bodies and answers and 0.2 for connections, so that a VM of 160 MB keeps more than half for the fleet view and the interpreter.

--- a/src/chervilstall/edge/answers.py
+++ b/src/chervilstall/edge/answers.py
@@ -21,12 +21,12 @@
         self._connection = connection
         self._holding = holding
 
-    def send_body(self, body: bytes) -> Iterator[bytes]:
+    def send_body(self, body: bytes | bytearray) -> Iterator[bytes]:
         """Yield the parts of a complete body."""
-        self._holding.allow_eviction(self._cut)
+        self._holding.allow_eviction(self._cut, frees_late=True)
         try:
             for start in range(0, len(body), PIECE_BYTES):
-                yield body[start : start + PIECE_BYTES]
+                yield bytes(body[start : start + PIECE_BYTES])
                 self._record_sent(PIECE_BYTES)
         finally:
             self._holding.forbid_eviction()
@@ -34,7 +34,7 @@
     def send_events(self, events: Iterator[bytes]) -> Iterator[bytes]:
         """Yield the events of a stream; the next one is read once one is sent."""
         for event in events:
-            self._holding.allow_eviction(self._cut)
+            self._holding.allow_eviction(self._cut, frees_late=True)
             try:
                 yield event
             finally:
--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -70,7 +70,7 @@
     """A target's response with its complete body."""
 
     head: ResponseHead
-    body: bytes
+    body: bytes | bytearray
 
 
 class Exchange:
@@ -164,7 +164,7 @@
         fields = ("content-length", "transfer-encoding")
         return not any(name in self._response for name in fields)
 
-    def _read_body(self) -> bytes:
+    def _read_body(self) -> bytes | bytearray:
         """Read the body into memory that is accounted for.
 
         The room for one of known length is awaited as a whole, and the target has to
@@ -178,18 +178,30 @@
             raise self._error(ExchangeFailure.MALFORMED)
         if length is not None:
             self._await_room(length)
+            return self._read_exactly(length)
         pieces: list[bytes] = []
         size_bytes = 0
         while True:
             piece = self._response.read(READ_CHUNK_BYTES)
             if not piece:
                 return b"".join(pieces)
-            pieces.append(bytes(piece))
+            pieces.append(piece)
             size_bytes += len(piece)
             if size_bytes > RESPONSE_MAX_BYTES:
                 raise self._error(ExchangeFailure.MALFORMED)
-            if length is None:
-                self.request.answer_holding.grow(len(piece))
+            self.request.answer_holding.grow(len(piece))
+
+    def _read_exactly(self, length: int) -> bytearray:
+        """Read a body of known length, or as much as comes, without a second copy."""
+        body = bytearray(length)
+        size_bytes = 0
+        while size_bytes < length:
+            piece = self._response.read(READ_CHUNK_BYTES)
+            if not piece:
+                break
+            body[size_bytes : size_bytes + len(piece)] = piece
+            size_bytes += len(piece)
+        return body
 
     def _await_room(self, size_bytes: int) -> None:
         holding = self.request.answer_holding
@@ -266,5 +278,7 @@
         if self._expiry is not None:
             self._expiry.kill(block=False)
         if self._response is not None:
+            # Otherwise both would refer to each other until a garbage collection.
+            self._response.on_unread = None
             self._response.release()
         self._client.close()
--- a/src/chervilstall/process_limits/memory.py
+++ b/src/chervilstall/process_limits/memory.py
@@ -27,14 +27,17 @@
 class Holding:
     """The bytes that one request holds. The end of its `with` block frees them.
 
-    While `evict` is set, the memory may take the bytes back: it counts them as free and
-    calls `evict`, which has to drop them at once.
+    After `allow_eviction` the memory may take the bytes back by a call of `evict`. They
+    count as free at once if it drops them, or at the end of the `with` block if the
+    holding `frees_late`.
     """
 
     def __init__(self, memory: "ClientMemory", kind: HoldingKind) -> None:
         self.kind = kind
         self.size_bytes = 0
         self.is_evicted = False
+        self._frees_late = False
+        self._is_leaving = False
         self._memory = memory
         self._evict: Callable[[], object] | None = None
         self._evictable_from_s = self._window_at_s = memory.clock()
@@ -58,12 +61,17 @@
     def shrink(self, size_bytes: int) -> None:
         """Free a part of the bytes, unless an eviction has freed them."""
         size_bytes = min(size_bytes, self.size_bytes)
+        if self._is_leaving:
+            self._memory.leaving_bytes -= size_bytes
         self._memory.used_bytes -= size_bytes
         self.size_bytes -= size_bytes
 
-    def allow_eviction(self, evict: Callable[[], object]) -> None:
+    def allow_eviction(
+        self, evict: Callable[[], object], frees_late: bool = False
+    ) -> None:
         """Let the memory take the bytes back by a call of `evict`, from now on."""
         self._evict = evict
+        self._frees_late = frees_late
         self._evictable_from_s = self._memory.clock()
         self._memory.evictable[self] = None
 
@@ -111,10 +119,15 @@
         return not self.is_young and not self.moved_bytes
 
     def give_way(self) -> None:
-        """Free all bytes for another client."""
+        """Give all bytes to another client."""
         evict = self._evict
         self.is_evicted = True
-        self.free()
+        if self._frees_late:
+            self.forbid_eviction()
+            self._is_leaving = True
+            self._memory.leaving_bytes += self.size_bytes
+        else:
+            self.free()
         if evict is not None:
             evict()
 
@@ -175,6 +188,7 @@
         self.small_bytes = small_bytes
         self.clock = clock
         self.used_bytes = 0
+        self.leaving_bytes = 0
         self.evictable: dict[Holding, None] = {}
         self.evictions: Counter[HoldingKind] = Counter()
         self.refusals: Counter[HoldingKind] = Counter()
@@ -193,16 +207,24 @@
         return RequestMemory(self)
 
     def take(self, holding: Holding, size_bytes: int, evict_young: bool = True) -> bool:
-        """Account for more bytes of a holding; return whether there was room."""
+        """Account for more bytes of a holding; return whether there was room.
+
+        Bytes that are about to be freed are room, unless the holding can wait for them,
+        which is so without `evict_young`.
+        """
+        if holding.is_evicted:
+            return False
         is_small = holding.size_bytes + size_bytes <= self.small_bytes
         limit_bytes = self.bytes_max if is_small else self.large_max_bytes
-        while self.used_bytes + size_bytes > limit_bytes:
+        while self.used_bytes - self.leaving_bytes + size_bytes > limit_bytes:
             slowest = self._slowest(holding, is_small)
             if slowest is None or slowest is holding:
                 return False
             if slowest.is_young and not evict_young:
                 return False
             self._evict(slowest)
+        if not evict_young and self.used_bytes + size_bytes > limit_bytes:
+            return False
         holding.size_bytes += size_bytes
         self.used_bytes += size_bytes
         return True
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -63,7 +63,7 @@
     )
     client_memory_share: float = option(
         "Share of the VM's memory for the bodies and answers of callers.",
-        0.3,
+        0.25,
         minimum=0.02,
         maximum=0.8,
     )
@@ -81,7 +81,7 @@
     )
     connection_memory_share: float = option(
         "Share of the VM's memory for connections of callers and other routers.",
-        0.25,
+        0.2,
         minimum=0.02,
         maximum=0.8,
     )
--- a/tests/steps/client_memory_steps.py
+++ b/tests/steps/client_memory_steps.py
@@ -113,6 +113,32 @@
         assert context.case.is_refused is is_refused, size
 
 
+@given("an answer of {size:d} bytes that its caller has not read for {age:d} s")
+def add_unread(context: Context, size: int, age: int) -> None:
+    case = context.case
+    case.unread = case.memory.hold(HoldingKind.ANSWER)
+    case.unread.grow(size)
+    case.unread.allow_eviction(lambda: case.evicted.append("first"), frees_late=True)
+    case.now_s += age
+
+
+@when("an answer of {size:d} bytes waits for room")
+def wait_for_room(context: Context, size: int) -> None:
+    case = context.case
+    waiting = case.memory.hold(HoldingKind.ANSWER)
+    case.granted = [waiting.try_grow(size), waiting.try_grow(size)]
+    case.unread.free()
+    case.granted.append(waiting.try_grow(size))
+
+
+@then("the first answer is cut, and the other waits until it is gone")
+def check_wait(context: Context) -> None:
+    case = context.case
+    assert case.evicted == ["first"], case.evicted
+    assert case.granted == [False, False, True], case.granted
+    assert case.memory.leaving_bytes == 0, case.memory.leaving_bytes
+
+
 @given("a node file with {memory_mb:d} MB of memory")
 def read_node_file(context: Context, memory_mb: int) -> None:
     content = json.dumps({**NODE, "limits": {"memory-mb": memory_mb}}).encode()
