--- a/src/chervilstall/telemetry/events.py
+++ b/src/chervilstall/telemetry/events.py
@@ -22,6 +22,10 @@
 """Buffered lines from which routine lines are dropped, to leave room for the others."""
 
 ROUTINE_LINES_PER_S = 40
+LINE_MAX_BYTES = 2_048
+"""Size above which long texts are cut; callers choose some of them, such as ids."""
+
+TEXT_MAX_CHARACTERS = 128
 WRITE_PAUSE_S = 0.05
 BATCH_LINES = 200
 
@@ -35,6 +39,10 @@
     ERROR = "error"
 
 
+def _clip(value: object) -> object:
+    return value[:TEXT_MAX_CHARACTERS] if isinstance(value, str) else value
+
+
 class EventWriter:
     """Buffers the lines of one process and writes them without blocking it.
 
@@ -62,9 +70,11 @@
         if self.dropped_lines:
             fields["dropped_lines"] = self.dropped_lines
             self.dropped_lines = 0
-        self._lines.append(
-            msgspec.json.encode({**fields, **self.common_fields}) + b"\n"
-        )
+        line = msgspec.json.encode({**fields, **self.common_fields})
+        if len(line) > LINE_MAX_BYTES:
+            clipped = {name: _clip(value) for name, value in fields.items()}
+            line = msgspec.json.encode({**clipped, **self.common_fields})
+        self._lines.append(line + b"\n")
         self._has_lines.set()
 
     def _is_sampled_out(self, event: str) -> bool:
--- a/tests/edge/logs.feature
+++ b/tests/edge/logs.feature
@@ -12,5 +12,11 @@
     When 1000 routine lines and 10 warnings are logged
     Then at most 80 routine lines and all 10 warnings arrive
 
+  # Guards against callers that fill the memory with lines that hold long ids.
+  Scenario: Long texts in lines are cut
+    Given logs into a pipe that nobody reads
+    When 4000 warnings with an id of 16000 characters are logged
+    Then the lines take at most 8 MB
+
   Scenario: Metrics have a bounded number of series and include quantiles
     Then 5000 workspaces make at most 2001 series and quantiles are given
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -56,6 +56,19 @@
     gevent.sleep(0.2)
 
 
+@when("{count:d} warnings with an id of {length:d} characters are logged")
+def log_long_ids(context: Context, count: int, length: int) -> None:
+    for _ in range(count):
+        fields: dict[str, object] = {"event": "refused", "request": "x" * length}
+        context.writer.add(EventLevel.WARNING, fields)
+
+
+@then("the lines take at most {size_mb:d} MB")
+def check_lines_size(context: Context, size_mb: int) -> None:
+    size = sum(len(line) for line in context.writer._lines)
+    assert 0 < size <= size_mb * 1_000_000, size
+
+
 @then("logging took less than 2 seconds and lines were dropped")
 def check_not_blocked(context: Context) -> None:
     assert context.elapsed_s < 2.0, context.elapsed_s
