--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -57,10 +57,6 @@
 """
 
 
-def _to_milliseconds(time_s: float | None) -> float | None:
-    return None if time_s is None else round(time_s * 1e3, 1)
-
-
 @dataclass
 class EdgeApplication:
     """Serves callers' requests according to the present view of the fleet.
@@ -154,7 +150,7 @@
             kind=error.kind.value,
             status=error.response.status,
             why=error.message,
-            after_ms=_to_milliseconds(time.monotonic() - arrived_at_s),
+            after_ms=round((time.monotonic() - arrived_at_s) * 1e3, 1),
             sends=request.sends if request is not None else 0,
             route=request.route.name if request is not None else "",
             retry_after_s=error.retry_after_s if error.response.is_retryable else None,
--- a/src/chervilstall/edge/error_responses.py
+++ b/src/chervilstall/edge/error_responses.py
@@ -34,14 +34,14 @@
     return HttpResponse(error.response.status, body, tuple(headers))
 
 
-def is_router_refusal(body: bytes) -> bool:
+def is_router_refusal(body: bytes | bytearray) -> bool:
     """Return whether a router wrote a body, and by it the request has not run.
 
     Routers of any version write such bodies. An error that this version doesn't know
     promises nothing.
     """
     try:
-        kind = ErrorKind(decode_untrusted(_decoder, body).error)
+        kind = ErrorKind(decode_untrusted(_decoder, bytes(body)).error)
     except ValueError:
         return False
     return ERROR_RESPONSES[kind].execution is ExecutionState.NO
