--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -57,6 +57,10 @@
 """
 
 
+def _to_milliseconds(time_s: float | None) -> float | None:
+    return None if time_s is None else round(time_s * 1e3, 1)
+
+
 @dataclass
 class EdgeApplication:
     """Serves callers' requests according to the present view of the fleet.
@@ -150,7 +154,7 @@
             kind=error.kind.value,
             status=error.response.status,
             why=error.message,
-            after_ms=round((time.monotonic() - arrived_at_s) * 1e3, 1),
+            after_ms=_to_milliseconds(time.monotonic() - arrived_at_s),
             sends=request.sends if request is not None else 0,
             route=request.route.name if request is not None else "",
             retry_after_s=error.retry_after_s if error.response.is_retryable else None,
@@ -264,9 +268,8 @@
             return
         now_s = time.monotonic()
         if service.pipeline is not None:
-            expected_s = self.stream_durations.expected_s(
-                service.name, fields.answer_tokens
-            )
+            durations = self.stream_durations
+            expected_s = durations.expected_s(service.name, fields.answer_tokens)
             is_taken = self.drain.takes_stream(now_s, expected_s, route.is_resumable)
         else:
             expected_s = self.drain.expected_plain_s(now_s, route)
