--- a/src/chervilstall/edge/assembly.py
+++ b/src/chervilstall/edge/assembly.py
@@ -51,7 +51,6 @@
         features.settings.admission,
         features.admits_by_room,
         server.metrics,
-        server.chooser.peer_loads,
     )
     rerouter = server.stream_monitor.rerouter
     rerouter.record_pause = server.metrics.record_pause
--- a/src/chervilstall/edge/room/gate.py
+++ b/src/chervilstall/edge/room/gate.py
@@ -17,6 +17,7 @@
 from chervilstall.edge.room.classes import ACTIVE_S, RoomRequest
 from chervilstall.edge.room.metrics import RefusalReason, RoomMetrics
 from chervilstall.edge.room.service import RoomTicket, ServiceRoom
+from chervilstall.edge.room.shortage import ShortageDetector
 from chervilstall.edge.room.view import RoomView
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import ServiceName, WorkspaceName
@@ -41,13 +42,15 @@
 
     `is_in_force` says whether it decides; it counts in any case. `is_out_of_reach`
     returns whether this router reaches no target of a service: another router takes
-    its requests then, and no decision is made here.
+    its requests then, and no decision is made here. With a `shortage`, it decides only
+    while there is one.
     """
 
     view: RoomView
     settings: AdmissionByRoomSettings
     is_in_force: Callable[[], bool]
     is_out_of_reach: Callable[[ServiceName], bool] = _never_out_of_reach
+    shortage: ShortageDetector | None = None
     metrics: RoomMetrics = field(default_factory=RoomMetrics)
     rooms: dict[ServiceName, ServiceRoom] = field(default_factory=dict)
     _tickets: dict[EdgeRequest, RoomTicket] = field(default_factory=dict)
@@ -149,7 +152,9 @@
             return False
         if self.is_out_of_reach(request.service.name):
             return False
-        return self.is_in_force()
+        if not self.is_in_force():
+            return False
+        return self.shortage is None or self.shortage.is_present()
 
     @staticmethod
     def _wait(
@@ -174,6 +179,8 @@
         asked = _describe(request, self.settings)
         retry_after_s = room.give_up(asked, queued)
         self.metrics.record_refusal(reason, asked.priority, asked.workspace)
+        if self.shortage is not None:
+            self.shortage.note_held_back()
         limits = room.limits()
         log.warning(
             "no room",
--- a/src/chervilstall/paths/peer_loads.py
+++ b/src/chervilstall/paths/peer_loads.py
@@ -178,6 +178,11 @@
         oldest_s = min((report.taken_at_s for report in recent), default=now_s)
         return RouterReport(oldest_s, sums, routers=len(recent))
 
+    def total_refusals(self) -> int:
+        """Return how often targets refused other routers in one second."""
+        self.expire()
+        return sum(known.refusals for known in self._sums.values())
+
     def demand(self) -> dict[DemandClass, int]:
         """Return the requests that routers of the zone received in one second."""
         self.expire()
