--- a/src/chervilstall/edge/room/shortage.py
+++ b/src/chervilstall/edge/room/shortage.py
@@ -30,8 +30,8 @@
 UNCONFIRMED_MAX_S = 15.0
 """Time after the last sign by targets in which a router's own refusals are signs.
 
-Targets refuse few requests while routers hold them back, but an estimate that is too low
-must not keep a shortage up that is over.
+Targets refuse few requests while routers hold them back, but an estimate that is too
+low must not keep a shortage up that is over.
 """
 
 
@@ -48,7 +48,7 @@
     """Tells from refusals of the last second whether there is a shortage.
 
     `read` returns those of this router and of the others that report. A request that
-    this router refuses for lack of room is a sign, too, for a while after one of those.
+    this router refuses for lack of room is a sign as well, for a while after those.
     """
 
     read: Callable[[], RecentRefusals]
