Compare load among targets of one type only, so that slow ones look free

The floor of the cost that load causes came from all targets that hold a layer, so that free slow targets cost as much as loaded fast ones, and all routers overfilled these. The floor and the shares are now those of one type, and types compete by their whole cost. The random part is 1 ms instead of 2 ms, so that a slower type is chosen by chance more rarely.

peer_loads and choice of tests/paths, load_exchange of tests/edge: 42 passed.

--- a/src/chervilstall/paths/spread.py
+++ b/src/chervilstall/paths/spread.py
@@ -14,7 +14,7 @@
 from chervilstall.fleet.records import Target
 from chervilstall.ids import TargetId
 
-SPREAD_MS = 2.0
+SPREAD_MS = 1.0
 """Cost that reduces a target's share of requests to 1/e."""
 
 ADVANTAGE_MS = 0.3 * SPREAD_MS
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True)
 class _Holders:
-    """Targets that hold a layer: their number, and sums of their costs and capacity."""
+    """Targets of a type that hold a layer: number, sums of their costs and capacity."""
 
     count: int
     load_ms: float
@@ -62,15 +62,18 @@
 ) -> dict[TargetId, float]:
     """Return the costs of targets with their random part.
 
-    Of targets that hold the same layers at the same cost, each is the cheapest with a
-    probability in proportion to its capacity.
+    Of targets of a type that hold the same layers at the same cost, each is the
+    cheapest with a probability in proportion to its capacity. Targets of another type
+    compete by their whole cost, so that requests go to a slower type once the load
+    of the faster one costs more.
     """
     held = list(targets)
-    starts = {target.layers.first for target in held}
-    holders = {first: _holders(first, held, costs) for first in starts}
+    kinds = {(target.accelerator, target.layers.first) for target in held}
+    holders = {kind: _holders(*kind, held, costs) for kind in kinds}
     spread: dict[TargetId, float] = {}
     for target in held:
-        cost, alike = costs[target.id], holders[target.layers.first]
+        cost = costs[target.id]
+        alike = holders[target.accelerator, target.layers.first]
         load_ms = max(cost.load_ms, alike.least_load_ms(cost))
         capacity_share = cost.capacity_tokens / alike.capacity_tokens
         draw = max(rng.expovariate(1.0), 1e-9) / capacity_share
@@ -80,12 +83,16 @@
 
 
 def _holders(
-    layer: int, targets: list[Target], costs: Mapping[TargetId, TargetCost]
+    accelerator: str,
+    layer: int,
+    targets: list[Target],
+    costs: Mapping[TargetId, TargetCost],
 ) -> _Holders:
     held = [
         costs[target.id]
         for target in targets
-        if target.layers.first <= layer < target.layers.end
+        if target.accelerator == accelerator
+        and target.layers.first <= layer < target.layers.end
     ]
     return _Holders(
         len(held),
