--- a/tests/edge/load_exchange.feature
+++ b/tests/edge/load_exchange.feature
@@ -7,6 +7,11 @@
     And none of them reports load of its own
     And the metrics of the routers name 2 reporting routers
 
+  Scenario: Each router knows what the callers of the others ask for
+    Given a platform with 2 routers that exchange load
+    When callers ask one router for 10 streams a second
+    Then the other one knows of 5 to 15 requests of that priority and workspace
+
   Scenario: Each router knows the load that the routers of another zone put on a target
     Given a platform with 2 routers in each of two zones that exchange load
     When a router has 4 requests in flight at a target
--- a/tests/steps/load_exchange_steps.py
+++ b/tests/steps/load_exchange_steps.py
@@ -10,16 +10,22 @@
 from behave.runner import Context
 
 from chervilstall.edge.server import EdgeServer
-from chervilstall.ids import TargetId
+from chervilstall.ids import TargetId, WorkspaceName
+from chervilstall.paths.peer_loads import DemandClass
 from chervilstall.paths.records import Path, PathStage
 from chervilstall.settings.edge import (
     EdgeSettings,
     FeatureMode,
     LoadExchangeSettings,
 )
-from chervilstall.standin.platform_fixtures import build_configuration, build_route
+from chervilstall.standin.platform_fixtures import (
+    WORKSPACE,
+    build_configuration,
+    build_route,
+)
 from chervilstall.telemetry.events import writer
 from tests.support.agent_fleet import eventually
+from tests.support.platform import send
 from tests.support.platform_scenario import start_platform
 from tests.support.router_harness import HOST
 
@@ -98,6 +104,23 @@
     assert imported.stdout.strip() == "False", imported.stdout
 
 
+@when("callers ask one router for 10 streams a second")
+def ask_for_streams(context: Context) -> None:
+    # No target holds the model, so that they are refused: demand isn't what is served.
+    for number in range(40):
+        request = f"demand-{number}"
+        gevent.spawn(send, context.routers[0], "/draft/x", request=request)
+        gevent.sleep(0.1)
+
+
+@then("the other one knows of 5 to 15 requests of that priority and workspace")
+def check_demand(context: Context) -> None:
+    demand = context.routers[1].chooser.peer_loads.demand()
+    assert list(demand) == [DemandClass(1, WorkspaceName(WORKSPACE))], demand
+    assert 5 <= sum(demand.values()) <= 15, demand
+    assert context.routers[0].chooser.peer_loads.demand() == {}
+
+
 def write_routes(context: Context, version: int, urgent: int) -> None:
     """Write a configuration with a second route of the model, of a priority."""
     config = build_configuration(version)
