--- a/src/chervilstall/gateway/app.py
+++ b/src/chervilstall/gateway/app.py
@@ -20,6 +20,7 @@
 from chervilstall.gateway.services import ServiceRequest, ServiceRun
 from chervilstall.http_response import HttpResponse, StartResponse, json_response
 from chervilstall.ids import RequestId, new_request_id
+from chervilstall.process_limits.memory import Holding, HoldingKind
 from chervilstall.target.contract import ServiceCall
 from chervilstall.telemetry.logs import ComponentLog
 from chervilstall.wsgi import Environ
@@ -31,6 +32,8 @@
 TEXT_PATH = "/v1/completions"
 MODELS_PATH = "/v1/models"
 SERVICES_PREFIX = "/services/"
+HOLDING_KEY = "chervilstall.holding"
+"""Environment key of what accounts for the memory of the request's body."""
 
 
 class GatewayApplication:
@@ -52,13 +55,15 @@
         """Serve one request; every failure becomes an error response."""
         request_id = new_request_id()
         self.runtime.request_tracker.start()
+        holding = self.runtime.client_memory.hold(HoldingKind.BODY)
+        environ[HOLDING_KEY] = holding
         is_streaming = False
         try:
             body = self._serve(request_id, environ, start_response)
             if isinstance(body, list):
                 return body
             is_streaming = True
-            return TrackedStream(body, self.runtime)
+            return TrackedStream(body, self.runtime, holding)
         except ChervilstallError as error:
             return self._respond_error(error, request_id, start_response)
         except gevent.GreenletExit:
@@ -71,6 +76,7 @@
             return self._respond_error(internal_error, request_id, start_response)
         finally:
             if not is_streaming:
+                holding.free()
                 self.runtime.request_tracker.finish()
 
     def _respond_error(
@@ -110,7 +116,9 @@
 
     def _read_body(self, environ: Environ) -> bytes:
         """Read the body, which may take so long that the router stops meanwhile."""
-        body = read_caller_body(environ, self.runtime.settings.listen)
+        body = read_caller_body(
+            environ, self.runtime.settings.listen, environ[HOLDING_KEY]
+        )
         self.runtime.require_serving()
         return body
 
@@ -164,9 +172,15 @@
 
 
 class TrackedStream:
-    """A streamed response body; its request counts as running until `close`."""
+    """A streamed response body; its request counts as running until `close`.
+
+    `holding` accounts for the request's body until then.
+    """
 
-    def __init__(self, chunks: Iterator[bytes], runtime: RouterRuntime) -> None:
+    def __init__(
+        self, chunks: Iterator[bytes], runtime: RouterRuntime, holding: Holding
+    ) -> None:
+        self._holding = holding
         self._chunks = chunks
         self._runtime = runtime
         self._is_closed = False
@@ -182,4 +196,5 @@
         try:
             self._chunks.close()  # type: ignore[attr-defined]
         finally:
+            self._holding.free()
             self._runtime.request_tracker.finish()
--- a/src/chervilstall/gateway/parsing.py
+++ b/src/chervilstall/gateway/parsing.py
@@ -10,6 +10,8 @@
 
 from chervilstall.admission.classes import default_deadline_s
 from chervilstall.errors import ChervilstallError, ErrorKind
+from chervilstall.process_limits.bodies import ArrivingBody, BodyEvicted
+from chervilstall.process_limits.memory import Holding, MemoryShort
 from chervilstall.settings.documents import RequestClass
 from chervilstall.settings.processes import AdmissionSettings, ListenSettings
 from chervilstall.wsgi import Environ
@@ -18,7 +20,6 @@
 MAX_TOKENS_LIMIT = 32_768
 IDEMPOTENCY_KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,255}")
 DEADLINE_MAX_S = 3_600.0
-READ_CHUNK_BYTES = 65_536
 
 Body = TypeVar("Body", "ChatBody", "TextBody")
 TokenCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS_LIMIT)]
@@ -120,10 +121,12 @@
     return ChervilstallError(ErrorKind.BAD_REQUEST, message)
 
 
-def read_caller_body(environ: Environ, settings: ListenSettings) -> bytes:
-    """Read the request body, bounded in size and time.
+def read_caller_body(
+    environ: Environ, settings: ListenSettings, holding: Holding
+) -> bytes:
+    """Read the request body, bounded in size and time, accounted for by `holding`.
 
-    Raises BODY_TOO_LARGE, REQUEST_TIMEOUT or BAD_REQUEST.
+    Raises BODY_TOO_LARGE, REQUEST_TIMEOUT, OVERLOADED or BAD_REQUEST.
     """
     length_text = environ.get("CONTENT_LENGTH") or ""
     if length_text and not length_text.isdigit():
@@ -134,35 +137,31 @@
     if not is_chunked and length_text in ("", "0"):
         return b""
     timeout = gevent.Timeout(settings.body_timeout_s)
+    arriving = ArrivingBody(environ, holding, settings.body_max_bytes)
     try:
         with timeout:
-            body = _read_bounded(environ, settings)
+            body = arriving.read()
     except gevent.Timeout as expired:
         if expired is not timeout:
             raise
         raise ChervilstallError(
             ErrorKind.REQUEST_TIMEOUT, "the body did not arrive in time"
         ) from expired
+    except (BodyEvicted, MemoryShort) as error:
+        raise ChervilstallError(
+            ErrorKind.OVERLOADED, "not enough memory for the request body"
+        ) from error
     except (OSError, ValueError) as error:
         raise bad_request_error("the body is malformed or cut off") from error
+    finally:
+        arriving.end()
+    if len(body) > settings.body_max_bytes:
+        raise _body_too_large_error(settings)
     if length_text and len(body) != int(length_text):
         raise bad_request_error("the body is shorter than Content-Length")
     return body
 
 
-def _read_bounded(environ: Environ, settings: ListenSettings) -> bytes:
-    chunks: list[bytes] = []
-    size_bytes = 0
-    while True:
-        chunk = environ["wsgi.input"].read(READ_CHUNK_BYTES)
-        if not chunk:
-            return b"".join(chunks)
-        size_bytes += len(chunk)
-        if size_bytes > settings.body_max_bytes:
-            raise _body_too_large_error(settings)
-        chunks.append(chunk)
-
-
 def _body_too_large_error(settings: ListenSettings) -> ChervilstallError:
     return ChervilstallError(
         ErrorKind.BODY_TOO_LARGE,
--- a/src/chervilstall/gateway/runtime.py
+++ b/src/chervilstall/gateway/runtime.py
@@ -15,6 +15,7 @@
 from chervilstall.gateway.service_guard import ServiceGuard
 from chervilstall.gateway.target_poller import TargetPoller
 from chervilstall.idempotency.contract import ClaimService
+from chervilstall.process_limits.memory import ClientMemory
 from chervilstall.routing.explanation import ExplanationLog
 from chervilstall.routing.fleet import build_fleet, is_fleet_same
 from chervilstall.routing.selector import ChainSelector
@@ -88,6 +89,12 @@
         self.running -= 1
 
 
+RESERVE_PART = 8
+"""One in so many bytes for bodies is kept for small ones."""
+
+SMALL_BODY_BYTES = 65_536
+
+
 class RouterRuntime:
     """The components of one router.
 
@@ -104,6 +111,10 @@
         self.state = RouterState.STARTING
         self.metrics = Metrics(settings.metrics)
         self.request_tracker = RequestTracker()
+        bodies_max_bytes = settings.listen.bodies_max_bytes
+        self.client_memory = ClientMemory(
+            bodies_max_bytes, bodies_max_bytes // RESERVE_PART, SMALL_BODY_BYTES
+        )
         self.explanations = ExplanationLog()
         self.authenticator = Authenticator()
         self.queue = AdmissionQueue(settings.admission)
--- a/src/chervilstall/settings/processes.py
+++ b/src/chervilstall/settings/processes.py
@@ -50,6 +50,12 @@
     body_max_bytes: int = option(
         "Size limit of a request body.", 4_000_000, unit="bytes", minimum=1
     )
+    bodies_max_bytes: int = option(
+        "Limit on the request bodies of all callers together.",
+        64_000_000,
+        unit="bytes",
+        minimum=10_000,
+    )
     header_timeout_s: float = option(
         "Timeout of receiving a request's headers.", 5.0, unit="s", minimum=0.05
     )
