--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -212,6 +212,8 @@
                 holding.grow(size_bytes)
                 return
             gevent.sleep(ROOM_POLL_S)
+            if self.abort_reason is not None:
+                raise self._error(self.abort_reason)
 
     def read_event(self) -> bytes | None:
         """Return the next event including its delimiter, or None after the last one.
