Scale only the zone's own prefill for routers that don't report

The prefill that other zones report was multiplied with the routers of this zone that don't report, as if it were theirs. It is now added after that. Names in the exchange and in the spread of costs follow the usual terms.

--- a/src/chervilstall/edge/loads/exchange.py
+++ b/src/chervilstall/edge/loads/exchange.py
@@ -99,7 +99,7 @@
     _zone_sums: ZoneSums = field(init=False)
     _sockets: _Sockets | None = None
     _neighbours: dict[VmId, Address] = field(default_factory=dict)
-    _speakers: set[Address] = field(default_factory=set)
+    _sources: set[Address] = field(default_factory=set)
     _bind_at_s: float = float("-inf")
     _check_at_s: float = float("-inf")
     _send_at_s: float = float("-inf")
@@ -126,7 +126,7 @@
                 gevent.sleep(CHECK_INTERVAL_S)
                 continue
             self._read(self._sockets.subscriber, len(self._neighbours), read_at_s)
-            self._read(self._sockets.zones, len(self._speakers), read_at_s)
+            self._read(self._sockets.zones, len(self._sources), read_at_s)
             read_at_s = now_s
             if now_s >= self._send_at_s:
                 self._send(self._sockets)
@@ -145,7 +145,7 @@
             self._start()
         if self._sockets is not None:
             self._update_neighbours(self._sockets)
-            self._update_speakers(self._sockets)
+            self._update_sources(self._sockets)
 
     def _start(self) -> None:
         own = self.own
@@ -187,14 +187,14 @@
         self._reconnect(sockets.subscriber, before, now)
         log.info("neighbours changed", neighbours=len(addresses), limit=limit)
 
-    def _update_speakers(self, sockets: _Sockets) -> None:
+    def _update_sources(self, sockets: _Sockets) -> None:
         """Listen to one router of each other zone."""
         assert self.own is not None
-        self._zone_sums.update_speakers(self.own, self.directory.peers)
-        speakers = self._zone_sums.speakers.values()
-        now = {peer.loads_address for peer in speakers if peer.loads_address}
-        self._reconnect(sockets.zones, self._speakers, now)
-        self._speakers = now
+        self._zone_sums.update_sources(self.own, self.directory.peers)
+        sources = self._zone_sums.sources.values()
+        now = {peer.loads_address for peer in sources if peer.loads_address}
+        self._reconnect(sockets.zones, self._sources, now)
+        self._sources = now
 
     def _reconnect(
         self, socket: "zmq.Socket[bytes]", before: set[Address], now: set[Address]
@@ -270,7 +270,7 @@
         import zmq
 
         self._send_sums_at_s = time.monotonic() + INTERVAL_MAX_S
-        other_zones = len(self._speakers)
+        other_zones = len(self._sources)
         message = self._zone_sums.next_message(self._reporter) if other_zones else None
         if message is None:
             return
@@ -300,7 +300,7 @@
 
     def stop(self) -> None:
         """Close all connections and drop all figures."""
-        self._neighbours, self._speakers = {}, set()
+        self._neighbours, self._sources = {}, set()
         self._receiver.retain(set())
         self._zone_sums.clear()
         if self._sockets is not None:
--- a/src/chervilstall/edge/loads/zones.py
+++ b/src/chervilstall/edge/loads/zones.py
@@ -59,7 +59,7 @@
     chooser: PathChooser
     keys: TargetKeys
     run: int = field(default_factory=lambda: random.getrandbits(48))
-    speakers: dict[VmId, Peer] = field(default_factory=dict)
+    sources: dict[VmId, Peer] = field(default_factory=dict)
     _receiver: LoadReceiver = field(init=False)
     _sequence: int = 0
     _skipped: dict[ZoneName, int] = field(default_factory=lambda: defaultdict(int))
@@ -104,14 +104,14 @@
 
     def handle(self, message: LoadMessage, not_before_s: float) -> bool:
         """Apply the sums of another zone; return False if nobody asked the sender."""
-        speaker = self.speakers.get(VmId(message.vm))
-        if speaker is None or not message.is_full:
+        source = self.sources.get(VmId(message.vm))
+        if source is None or not message.is_full:
             return False
-        self._heard_at_s[speaker.zone] = time.monotonic()
-        self._receiver.handle(message, not_before_s, VmId(speaker.zone))
+        self._heard_at_s[source.zone] = time.monotonic()
+        self._receiver.handle(message, not_before_s, VmId(source.zone))
         return True
 
-    def update_speakers(self, own: Peer, peers: Iterable[Peer]) -> None:
+    def update_sources(self, own: Peer, peers: Iterable[Peer]) -> None:
         """Choose the routers to listen to, others for zones that are silent."""
         zones: dict[ZoneName, list[Peer]] = defaultdict(list)
         for peer in [own, *peers]:
@@ -120,7 +120,7 @@
         rings = {zone: sorted(zones[zone], key=_ring_order) for zone in zones}
         position = rings[own.zone].index(own) / len(rings[own.zone])
         now_s = time.monotonic()
-        self.speakers = {}
+        self.sources = {}
         for zone, ring in rings.items():
             if zone == own.zone:
                 continue
@@ -128,13 +128,13 @@
                 self._heard_at_s[zone] = now_s
                 self._skipped[zone] += 1
             index = int(position * len(ring)) + self._skipped[zone]
-            speaker = ring[index % len(ring)]
-            self.speakers[speaker.vm] = speaker
+            source = ring[index % len(ring)]
+            self.sources[source.vm] = source
         self._receiver.retain({VmId(zone) for zone in rings})
 
     def clear(self) -> None:
         """Drop all figures."""
-        self.speakers = {}
+        self.sources = {}
         self._receiver.retain(set())
 
 
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -271,8 +271,7 @@
         longest_s = 0.0
         for stage in path.stages_added(before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
-            known_s = self._known_prefill_s(stage.target.incarnation) + own_s
-            wait_s = known_s * self._unseen_factor
+            wait_s = self._prefill_backlog_s(stage.target.incarnation, own_s)
             longest_s = max(longest_s, wait_s)
         transfer_s = self._transfer_s(pipeline, path, tokens)
         if not transfer_s:
@@ -334,8 +333,7 @@
         if self.load.is_full(incarnation):
             other_ms += FULL_MS
         load_ms = REQUEST_MS * self.load.requests.get(incarnation, 0)
-        backlog_s = self._known_prefill_s(incarnation) * factor
-        load_ms += PREFILL_WEIGHT * backlog_s * 1e3
+        load_ms += PREFILL_WEIGHT * self._prefill_backlog_s(incarnation) * 1e3
         zone_tokens = (self._known_tokens(incarnation) + tokens) * factor
         remote_tokens = self.peer_loads.remote_tokens(incarnation)
         use = (zone_tokens + remote_tokens) / capacity_tokens
@@ -352,9 +350,15 @@
         own = self.load.tokens.get(incarnation, 0.0)
         return own + self.peer_loads.zone_tokens(incarnation)
 
-    def _known_prefill_s(self, incarnation: TargetIncarnation) -> float:
-        own_s = self.load.prefill_backlog_s(incarnation)
-        return own_s + self.peer_loads.prefill_backlog_s(incarnation)
+    def _prefill_backlog_s(
+        self, incarnation: TargetIncarnation, added_s: float = 0.0
+    ) -> float:
+        """Return the time for all prompts at a target, with one more of this router."""
+        peers = self.peer_loads
+        known_s = self.load.prefill_backlog_s(incarnation) + added_s
+        known_s += peers.zone_prefill_backlog_s(incarnation)
+        remote_s = peers.remote_prefill_backlog_s(incarnation)
+        return known_s * self._unseen_factor + remote_s
 
     @property
     def _unseen_factor(self) -> float:
--- a/src/chervilstall/paths/peer_loads.py
+++ b/src/chervilstall/paths/peer_loads.py
@@ -121,18 +121,26 @@
         return 0.0 if known is None else float(known.refusals)
 
     def prefill_backlog_s(self, incarnation: TargetIncarnation) -> float:
-        """Return the time for the prompts that others queued at a target.
+        """Return the time for the prompts that others queued at a target."""
+        zone_s = self.zone_prefill_backlog_s(incarnation)
+        return zone_s + self.remote_prefill_backlog_s(incarnation)
+
+    def zone_prefill_backlog_s(self, incarnation: TargetIncarnation) -> float:
+        """Return the time for the prompts that routers of the zone queued at a target.
 
         What the target has prefilled since the reports is taken off.
         """
         known = self._sum(incarnation)
-        backlog_s = 0.0
-        if self.other_zones is not None:
-            backlog_s = self.other_zones.prefill_backlog_s(incarnation)
         if known is None or not known.prefill_ms:
-            return backlog_s
+            return 0.0
         age_s = time.monotonic() - known.prefill_at / known.prefill_ms / 1e3
-        return backlog_s + max(0.0, known.prefill_ms / 1e3 - max(0.0, age_s))
+        return max(0.0, known.prefill_ms / 1e3 - max(0.0, age_s))
+
+    def remote_prefill_backlog_s(self, incarnation: TargetIncarnation) -> float:
+        """Return the time for the prompts that other zones queued at a target."""
+        if self.other_zones is None:
+            return 0.0
+        return self.other_zones.prefill_backlog_s(incarnation)
 
     @property
     def reporting_routers(self) -> int:
--- a/src/chervilstall/paths/spread.py
+++ b/src/chervilstall/paths/spread.py
@@ -23,7 +23,7 @@
 It then gets at most about exp(0.3) = 1.35 times the share of one of the others.
 """
 
-LUCK_MIN, LUCK_MAX = -1.5, 3.0
+NOISE_MIN, NOISE_MAX = -1.5, 3.0
 """Bounds of the random part, as multiples of `SPREAD_MS`.
 
 Chance alone thus never outweighs the penalty for another zone.
@@ -77,8 +77,8 @@
         load_ms = max(cost.load_ms, alike.least_load_ms(cost))
         capacity_share = cost.capacity_tokens / alike.capacity_tokens
         draw = max(rng.expovariate(1.0), 1e-9) / capacity_share
-        luck = min(LUCK_MAX, max(LUCK_MIN, math.log(draw)))
-        spread[target.id] = cost.other_ms + load_ms + SPREAD_MS * luck
+        noise = min(NOISE_MAX, max(NOISE_MIN, math.log(draw)))
+        spread[target.id] = cost.other_ms + load_ms + SPREAD_MS * noise
     return spread
 
 
--- a/tests/paths/peer_loads.feature
+++ b/tests/paths/peer_loads.feature
@@ -14,7 +14,7 @@
       | 2100    |
 
   # Guards against all routers sending to the target that their figures say is empty.
-  Scenario Outline: A target that comes back gets no crowd from <routers> routers
+  Scenario Outline: A target that comes back attracts no thundering herd of <routers> routers
     Given the model of one zone of a fleet of <routers> routers, with <seeds> seeds
     When a target is away for 2 s and comes back
     Then no target gets more than 1.5 times its steady share in any of 9 seconds
--- a/tests/steps/zone_sum_steps.py
+++ b/tests/steps/zone_sum_steps.py
@@ -60,7 +60,7 @@
     context.others = [SumRouter(peer, 4) for peer in context.peers[1:]]
     for router in [context.listener, *context.others]:
         others = [peer for peer in context.peers if peer != router.peer]
-        router.sums.update_speakers(router.peer, others)
+        router.sums.update_sources(router.peer, others)
 
 
 @when("these have 3 requests each at a target and report to each other")
@@ -87,7 +87,7 @@
         return
     message = decode_message(encode_message(sums))
     for router in [context.listener, *context.others]:
-        is_asked = sender.peer.vm in router.sums.speakers
+        is_asked = sender.peer.vm in router.sums.sources
         assert router.sums.handle(message, now_s) == is_asked
 
 
@@ -130,10 +130,10 @@
     for peer in context.peers:
         router = SumRouter(peer, 1)
         others = [other for other in context.peers if other != peer]
-        router.sums.update_speakers(peer, others)
-        zones = {speaker.zone for speaker in router.sums.speakers.values()}
+        router.sums.update_sources(peer, others)
+        zones = {source.zone for source in router.sums.sources.values()}
         assert zones == {ZoneName(name) for name in "abc"} - {peer.zone}
-        listeners.update((vm, peer.zone) for vm in router.sums.speakers)
+        listeners.update((vm, peer.zone) for vm in router.sums.sources)
     assert max(listeners.values()) <= 3, listeners.most_common(3)
 
 
@@ -143,11 +143,11 @@
     context.stoppables.append(clock)
     own, *others = context.peers
     router = SumRouter(own, 1)
-    router.sums.update_speakers(own, others)
-    before = set(router.sums.speakers)
+    router.sums.update_sources(own, others)
+    before = set(router.sums.sources)
     clock.now_s += SILENCE_S - 0.1
-    router.sums.update_speakers(own, others)
-    assert set(router.sums.speakers) == before
+    router.sums.update_sources(own, others)
+    assert set(router.sums.sources) == before
     clock.now_s += 0.2
-    router.sums.update_speakers(own, others)
-    assert not before & set(router.sums.speakers)
+    router.sums.update_sources(own, others)
+    assert not before & set(router.sums.sources)
