Check that answers of targets without end stay within the memory

The feature sends 40 requests to a target whose answer has no length and no end. The step of the slow readers waits 2 s until the stand-in targets, which run in the test's process, have filled all buffers: in one run beside other work the router's connect to such a target took longer than 0.6 s, and the ordinary request got 503, not run.

--- a/tests/edge/process_limits.feature
+++ b/tests/edge/process_limits.feature
@@ -93,3 +93,10 @@
       | 40    | /long/answer |
       | 40    | /draft/a     |
       | 150   | /draft/a     |
+
+  # Guards against answers without a length or an end, which are read up to 4 MB each.
+  Scenario: Answers of targets without end don't exhaust the memory
+    Given a router process on a VM with 110 MB
+    When 40 clients request /endless/a and read slowly
+    Then an ordinary request is answered
+    And the process lives, within 110 MB
--- a/tests/steps/process_limit_steps.py
+++ b/tests/steps/process_limit_steps.py
@@ -26,6 +26,9 @@
 MEGABYTE = 1_000_000
 LONG_ANSWER = b"x" * 3_500_000
 EVENTS = 60
+SETTLE_S = 2.0
+"""Time in which the crowd's targets, which run in this process, fill all buffers."""
+
 EVENT_BYTES = 200_000
 LIMITS = {
     "max-header-bytes": 16_384,
@@ -47,6 +50,9 @@
         if "attempt-id" not in headers:
             return target(environ, start_response)
         fields = [("Attempt-Id", headers["attempt-id"]), ("Server-Signature", "long")]
+        if service == "endless":
+            start_response(status_line(200), fields)
+            return endless()
         if service != "drafts":
             start_response(status_line(200), fields)
             return [LONG_ANSWER]
@@ -54,6 +60,10 @@
         start_response(status_line(200), fields)
         return events()
 
+    def endless() -> Iterator[bytes]:
+        while True:
+            yield b"x" * 16_384
+
     def events() -> Iterator[bytes]:
         for number in range(1, EVENTS + 1):
             yield b"id: %d\ndata: " % number + b"x" * EVENT_BYTES + b"\n\n"
@@ -66,14 +76,16 @@
     config = build_configuration(limits=LIMITS)
     # The crowd's answers are long, and no time is checked.
     config["routes"] = [{**each, "timeout-ms": 20_000} for each in config["routes"]]
-    long_route = build_route("/long/", "idempotent", "long", **{"timeout-ms": 20_000})
-    config["routes"].append(long_route)
-    config["services"].append({"name": "long", "health-path": "/healthz"})
+    for name in ("long", "endless"):
+        times = {"timeout-ms": 20_000}
+        config["routes"].append(build_route(f"/{name}/", "idempotent", name, **times))
+        config["services"].append({"name": name, "health-path": "/healthz"})
     context.platform = Platform()
     context.platform.start(config)
     context.stoppables.append(context.platform)
     context.platform.add_target("lookup-1", "lookups", "ba-hall")
     add_long_target(context.platform, "long-1", "long")
+    add_long_target(context.platform, "endless-1", "endless")
     add_long_target(context.platform, "draft-1", "drafts")
 
 
@@ -132,6 +144,7 @@
 def read_crowd(context: Context, count: int, path: str) -> None:
     context.crowd = start_crowd(context, "callers")
     context.crowd.read_slowly(count, path)
+    gevent.sleep(SETTLE_S)
 
 
 def is_false_end(answer: bytes) -> bool:
