--- a/tests/support/quarantine_fleet.py
+++ b/tests/support/quarantine_fleet.py
@@ -47,6 +47,7 @@
 WAY_S = (0.001, 0.03)
 EVENT_INTERVAL_S = (0.03, 0.2)
 ANSWER_S = (0.5, 5.0)
+ANSWER_EVENTS = (34, 58)
 
 
 @dataclass
@@ -223,7 +224,10 @@
                 request.harmless,
                 self.is_in_touch(index, self.now_s),
             )
-        self._try(Relay(self.routers[index], request, self._guarded(request)))
+        relay = Relay(self.routers[index], request, self._guarded(request))
+        if self.case.events_before_crash:
+            relay.answer_events = self.rng.randint(*ANSWER_EVENTS)
+        self._try(relay)
 
     def _guarded(self, request: PromptRequest) -> GuardedRequest:
         return guarded_request(request, self.case.has_prompts)
@@ -344,6 +348,9 @@
     def _write_first_event(self, send: Send) -> None:
         if send.number not in send.target.running:
             return
+        if self.case.events_before_crash:
+            self._write_events(send)
+            return
         crashing = self._crashing_parts(send.relay.request)
         if crashing:
             self._crash(send.target, crashing)
@@ -357,6 +364,22 @@
         self._in(interval_s, lambda: self._write_event(send))
         self._in(self.rng.uniform(*ANSWER_S), lambda: self._end(send))
 
+    def _write_events(self, send: Send) -> None:
+        """Write the next event of an answer, or crash, until the answer has ended."""
+        if send.number not in send.target.running:
+            return
+        crashing = self._crashing_parts(send.relay.request)
+        if crashing and send.events == self.case.events_before_crash:
+            self._crash(send.target, crashing)
+            return
+        if send.relay.guarded.events_forwarded >= send.relay.answer_events:
+            self._end(send)
+            return
+        send.events += 1
+        self._write_event(send)
+        interval_s = self.rng.uniform(*EVENT_INTERVAL_S)
+        self._in(interval_s, lambda: self._write_events(send))
+
     def _write_event(self, send: Send) -> None:
         """Write an event, which is lost if a crash comes before it has arrived."""
 
