--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -192,6 +192,8 @@
     def _build_application(self) -> EdgeApplication:
         notices = TargetNotices(self.fleet_view, self.rate_limiter)
         crash_guard = CrashGuard(self.quarantine, self.crash_observer)
+        self.stream_monitor.on_stalled = crash_guard.record_stalled
+        self.stream_monitor.rerouter.is_given_up = crash_guard.is_given_up
         peer_relay = PeerRelay(self.reach_search, self.fleet_view)
         plain = PlainRelay(
             PlainTargetChooser(self.fleet_view, self.settings.zone, self.rate_limiter),
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -83,6 +83,7 @@
     streams: dict[RequestId, LiveStream] = field(default_factory=dict)
     on_silence: Callable[[Target], None] = lambda target: None
     on_no_retry: Callable[[EdgeRequest], None] = lambda request: None
+    on_stalled: Callable[[EdgeRequest, Target], None] = lambda request, target: None
     _querying: set[TargetId] = field(default_factory=set)
     _queried_at_s: dict[TargetId, float] = field(default_factory=dict)
     _query_interval_s: dict[TargetId, float] = field(default_factory=dict)
@@ -315,6 +316,9 @@
             target = self.fleet_view.find_by_address(str(address))
             if target is None:
                 continue
+            for stream in list(self.streams.values()):
+                if stream.passes_through(target):
+                    self.on_stalled(stream.request, target)
             reason = f"stalls requests sent through {first.id}"
             self.fleet_view.suspect(target, reason, kind=SuspicionKind.STALLING)
             self.rerouter.reroute_around(target)
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -11,6 +11,7 @@
 import gevent
 
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
+from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.fleet.records import Target, TargetReadiness
 from chervilstall.fleet.view import FleetView
@@ -31,7 +32,8 @@
     """Gives streams another path with the same first target.
 
     `streams` holds the open exchanges by request ID. `end_exchange` ends a stream's
-    exchange, so that it is resumed over another path, and returns whether it did.
+    exchange, so that it is resumed over another path, and returns whether it did. A
+    request that `is_given_up` gets no other target.
     """
 
     fleet_view: FleetView
@@ -39,6 +41,7 @@
     rate_limiter: TargetRateLimiter
     streams: Mapping[RequestId, LiveStream]
     end_exchange: Callable[[LiveStream], bool]
+    is_given_up: Callable[[EdgeRequest], bool] = lambda request: False
 
     def reroute_around(self, target: Target) -> None:
         """Reroute every stream whose path contains a target."""
@@ -82,6 +85,10 @@
     def _reroute_once(self, stream: LiveStream, avoided: Target) -> None:
         first = stream.path.first
         is_leaving = not self.fleet_view.is_suspected(avoided)
+        if self.is_given_up(stream.request):
+            if not is_leaving:
+                self.end_exchange(stream)
+            return
         path = None
         if first.incarnation != avoided.incarnation:
             path_request = PathRequest(
--- a/tests/support/quarantine_fleet.py
+++ b/tests/support/quarantine_fleet.py
@@ -13,7 +13,6 @@
 from tests.support.clock import Clock
 from tests.support.quarantine_refusals import refused_sound_requests
 from tests.support.quarantine_router import (
-    GuardedRequest,
     GuardedRouter,
     ModelFleetView,
     guarded_request,
@@ -32,6 +31,7 @@
     WARM_UP_S,
     PromptRequest,
     QuarantineCase,
+    crashing_parts,
     draw_request,
 )
 from tests.support.simulated_tasks import SimulatedTasks
@@ -47,7 +47,6 @@
 WAY_S = (0.001, 0.03)
 EVENT_INTERVAL_S = (0.03, 0.2)
 ANSWER_S = (0.5, 5.0)
-ANSWER_EVENTS = (34, 58)
 
 
 @dataclass
@@ -224,14 +223,12 @@
                 request.harmless,
                 self.is_in_touch(index, self.now_s),
             )
-        relay = Relay(self.routers[index], request, self._guarded(request))
+        guarded = guarded_request(request, self.case.has_prompts)
+        relay = Relay(self.routers[index], request, guarded)
         if self.case.events_before_crash:
-            relay.answer_events = self.rng.randint(*ANSWER_EVENTS)
+            relay.answer_events = self.rng.randint(34, 58)
         self._try(relay)
 
-    def _guarded(self, request: PromptRequest) -> GuardedRequest:
-        return guarded_request(request, self.case.has_prompts)
-
     def _fail(self, request: PromptRequest) -> None:
         """End a request without an answer; its caller may repeat it."""
         if request.attempt >= REPEATS_MAX:
@@ -256,6 +253,7 @@
             return
         relay.attempts += 1
         relay.guarded.sent_at_s = self.clock.now_s
+        relay.guarded.target_events = 0
         self._sequence += 1
         record = self.entries.read(router.index, target)
         send = Send(self._sequence, relay, target, record)
@@ -324,7 +322,7 @@
             self._on_way(lambda: self._see_refusal(send))
             return
         target.running[send.number] = send
-        crashing = self._crashing_parts(relay.request)
+        crashing = crashing_parts(self.case, relay.request, self.now_s)
         if crashing:
             self.arrivals.append(
                 PartArrival(
@@ -338,20 +336,13 @@
         wait_s = self.rng.uniform(*self.case.first_event_s)
         self._in(wait_s, lambda: self._write_first_event(send))
 
-    def _crashing_parts(self, request: PromptRequest) -> frozenset[str]:
-        """Return the parts of a request that crash its targets now."""
-        if not self.case.sound_before or self.now_s < self.case.crashing_from_s:
-            return request.crashing
-        names = {part.name for part in self.case.crashing}
-        return request.crashing | names.intersection(request.parts)
-
     def _write_first_event(self, send: Send) -> None:
         if send.number not in send.target.running:
             return
         if self.case.events_before_crash:
             self._write_events(send)
             return
-        crashing = self._crashing_parts(send.relay.request)
+        crashing = crashing_parts(self.case, send.relay.request, self.now_s)
         if crashing:
             self._crash(send.target, crashing)
             return
@@ -368,7 +359,7 @@
         """Write the next event of an answer, or crash, until the answer has ended."""
         if send.number not in send.target.running:
             return
-        crashing = self._crashing_parts(send.relay.request)
+        crashing = crashing_parts(self.case, send.relay.request, self.now_s)
         if crashing and send.events == self.case.events_before_crash:
             self._crash(send.target, crashing)
             return
--- a/tests/support/quarantine_traffic.py
+++ b/tests/support/quarantine_traffic.py
@@ -192,3 +192,13 @@
     return PromptRequest(
         number, service, tuple(parts), crashing, names - crashing, digest_of(number)
     )
+
+
+def crashing_parts(
+    case: QuarantineCase, request: PromptRequest, now_s: float
+) -> frozenset[str]:
+    """Return the parts of a request that crash its targets now."""
+    if not case.sound_before or now_s < case.crashing_from_s:
+        return request.crashing
+    names = {part.name for part in case.crashing}
+    return request.crashing | names.intersection(request.parts)
