--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -361,9 +361,7 @@
                 log.warning("stream resumed", request=request, after_event=after)
                 return
             if response is not None:
-                raise StreamBroken(
-                    "a resumed stream got a response that is not a stream"
-                )
+                raise StreamBroken("a resumed stream got another kind of response")
 
     def _can_retry_resume(self) -> bool:
         """Return whether another try to resume could still succeed in time.
