--- a/src/chervilstall/edge/room/classes.py
+++ b/src/chervilstall/edge/room/classes.py
@@ -9,10 +9,17 @@
 from chervilstall.edge.room.rates import DecayingRate
 from chervilstall.ids import WorkspaceName
 
+HOLD_INITIAL_S = 2.0
+HOLD_WEIGHT = 0.05
+"""Weight of the latest request in the moving average of the time that one runs."""
+
 ACTIVE_S = 10.0
 """Time from its last request in which a class or workspace counts as active."""
 
 RETURN_SLOT_S = 0.25
+LEVEL_DEVIATIONS = 0.7
+"""Deviations of the demand of small workspaces that large ones leave free."""
+
 TOKENS_MIN = 0.5
 """Tokens below which nothing is in flight; sums of fractions don't end at 0."""
 
@@ -82,7 +89,7 @@
             room_tokens = max(0.0, room_tokens)
             level = fair_level(demands, room_tokens)
             below = sum(demand for demand in demands if demand < level)
-            deviation = math.sqrt(below * mean_tokens)
+            deviation = LEVEL_DEVIATIONS * math.sqrt(below * mean_tokens)
             self._level = fair_level(demands, max(0.0, room_tokens - deviation))
         return self._level
 
@@ -110,10 +117,15 @@
 
 @dataclass
 class ClassLedger:
-    """All classes of one service. `tokens` is the sum of the tokens in flight."""
+    """All classes of one service. `tokens` is the sum of the tokens in flight.
+
+    `hold_s` is how long a request runs on average, `mean_tokens` its size.
+    """
 
     classes: dict[int, ClassUse] = field(default_factory=dict)
     tokens: float = 0.0
+    hold_s: float = HOLD_INITIAL_S
+    mean_tokens: float = 0.0
 
     def use(self, priority: int) -> ClassUse:
         """Return the class of a priority."""
@@ -135,8 +147,11 @@
         workspace = use.workspaces.setdefault(request.workspace, WorkspaceUse())
         workspace.tokens += request.tokens
 
-    def release(self, request: RoomRequest) -> None:
-        """Drop the tokens of a request that has ended."""
+    def release(self, request: RoomRequest, held_s: float) -> None:
+        """Drop the tokens of a request that has ended after `held_s`."""
+        self.hold_s += HOLD_WEIGHT * (held_s - self.hold_s)
+        self.mean_tokens = self.mean_tokens or request.tokens
+        self.mean_tokens += HOLD_WEIGHT * (request.tokens - self.mean_tokens)
         use = self.use(request.priority)
         self.tokens = max(0.0, self.tokens - request.tokens)
         use.tokens = max(0.0, use.tokens - request.tokens)
@@ -155,6 +170,17 @@
             if now_s - use.asked_at_s < ACTIVE_S
         )
 
+    def has_ranks(self, now_s: float) -> bool:
+        """Return whether requests of several priorities came lately."""
+        return len(self.active(now_s)) > 1
+
+    def is_most_urgent(self, priority: int, now_s: float) -> bool:
+        """Return whether no more urgent request came lately or is in flight."""
+        return not any(
+            use.tokens >= TOKENS_MIN or now_s - use.asked_at_s < ACTIVE_S
+            for use in self.more_urgent(priority)
+        )
+
     def more_urgent(self, priority: int) -> Iterator[ClassUse]:
         """Yield the classes that are more urgent than a priority."""
         for other, use in self.classes.items():
--- a/src/chervilstall/edge/room/gate.py
+++ b/src/chervilstall/edge/room/gate.py
@@ -99,7 +99,7 @@
             room = ServiceRoom(service, self.settings, self.view, self.view.clock)
             self.rooms[service.name] = room
         # A later configuration may describe the service differently.
-        room.service = service
+        room.limiter.service = service
         return room
 
     def _drop_idle_rooms(self) -> None:
--- a/src/chervilstall/edge/room/scale.py
+++ b/src/chervilstall/edge/room/scale.py
@@ -36,7 +36,7 @@
 USUAL_RISE_PER_S = 0.005
 """Speed at which the usual time to the first event, a minimum, follows a rise."""
 
-SHRINK_FACTOR = 0.88
+SHRINK_FACTOR = 0.92
 SHRINK_INTERVAL_S = 0.5
 """Shortest time between two steps down: about the time to a first event."""
 
--- a/src/chervilstall/edge/room/service.py
+++ b/src/chervilstall/edge/room/service.py
@@ -7,49 +7,26 @@
 tokens under any load.
 """
 
-import math
 import random
 import time
 from collections import deque
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from functools import partial
 
 from chervilstall.admission.fair_queue import QueuedRequest
 from chervilstall.clock import Clock
 from chervilstall.edge.room.classes import (
-    ACTIVE_S,
     TOKENS_MIN,
     ClassLedger,
     ClassUse,
     RoomRequest,
 )
+from chervilstall.edge.room.limits import RoomLimiter, RoomLimits
 from chervilstall.edge.room.scale import ShareScale
-from chervilstall.edge.room.view import RoomEstimate, RoomView
+from chervilstall.edge.room.view import RoomView
 from chervilstall.fleet.records import Service
 from chervilstall.settings.edge import AdmissionByRoomSettings
 
-HOLD_INITIAL_S = 2.0
-HOLD_WEIGHT = 0.05
-"""Weight of the latest request in the moving average of the time that one runs."""
-
-OVERUSE_WEIGHT = 3.0
-"""Part of its share that a router gives up, by the part of the room used too much.
-
-Routers may use their shares while others have more than theirs.
-"""
-
-OVERUSE_FACTOR_MIN = 0.5
-COVERED_MIN = 0.8
-"""Part of the routers whose load must be known for the free room to count as known."""
-
-GROWTH_SHARERS_MIN = 2.0
-GROWTH_SHARERS = 8.0
-"""How many times its part of the free room a router may take before new reports.
-
-Few routers grow at a time, and those that do find less room with the next reports.
-"""
-
-REPORT_INTERVAL_S = 0.25
 SMALL_MARGIN = 1.25
 """Allowance for the error of a measured demand, of which few requests are known."""
 
@@ -76,28 +53,12 @@
     is_awaited: bool = False
 
 
-@dataclass(frozen=True)
-class RoomLimits:
-    """Tokens that this router may have in flight, and the estimate they come from.
-
-    `urgent_tokens` is the limit for the most urgent class of several, and for a small
-    workspace of the most urgent class, `tokens` that for all others. `base_tokens` is
-    the part that needs no reports of other routers.
-    """
-
-    base_tokens: float
-    tokens: float
-    urgent_tokens: float
-    estimate: RoomEstimate
-
-
 @dataclass
 class ServiceRoom:
     """Admits the requests of one service at one router.
 
     `offer` starts or queues a request; the caller waits on its `ready` and calls
     `give_up` if it doesn't start in time, `release` when a started one has ended.
-    `hold_s` is how long a request runs on average, `mean_tokens` its size.
     """
 
     service: Service
@@ -106,16 +67,16 @@
     clock: Clock = time.monotonic
     rng: random.Random = field(default_factory=random.Random)
     ledger: ClassLedger = field(default_factory=ClassLedger)
-    hold_s: float = HOLD_INITIAL_S
-    mean_tokens: float = 0.0
     scale: ShareScale = field(init=False)
+    limiter: RoomLimiter = field(init=False)
     _awaited: deque[RoomTicket] = field(default_factory=deque)
-    _beyond_tokens: float = 0.0
-    _beyond_at_s: float = float("-inf")
     _pruned_at_s: float = 0.0
 
     def __post_init__(self) -> None:
         self.scale = ShareScale(self.settings, self.clock)
+        self.limiter = RoomLimiter(
+            self.service, self.settings, self.view, self.ledger, self.scale, self.clock
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -198,12 +159,8 @@
         """Free the room of a request that has ended, and start what waits for it."""
         ticket.is_awaited = False
         held_s = self.clock() - ticket.began_at_s
-        self.hold_s += HOLD_WEIGHT * (held_s - self.hold_s)
-        tokens = ticket.request.tokens
-        self.mean_tokens = self.mean_tokens or tokens
-        self.mean_tokens += HOLD_WEIGHT * (tokens - self.mean_tokens)
-        self._beyond_tokens += tokens
-        self.ledger.release(ticket.request)
+        self.limiter.note_ended(ticket.request.tokens)
+        self.ledger.release(ticket.request, held_s)
         self.dispatch()
 
     def dispatch(self) -> None:
@@ -220,77 +177,17 @@
 
     def limits(self) -> RoomLimits | None:
         """Return the present limits, None while the service's capacity isn't known."""
-        estimate = self.view.estimate(self.service)
-        if estimate.capacity_tokens <= 0.0:
-            return None
-        own = self.ledger.tokens
-        share = estimate.share_tokens
-        is_covered = 1 + estimate.reporting >= COVERED_MIN * estimate.sharers
-        scale = self.scale.update(own / share, is_covered)
-        if is_covered:
-            # What all use is known, so the factor applies to the capacity itself.
-            capacity = estimate.capacity_tokens * scale
-            estimate = replace(estimate, capacity_tokens=capacity)
-            over = max(0.0, estimate.used_tokens / capacity - 1.0)
-            scale *= max(OVERUSE_FACTOR_MIN, 1.0 - OVERUSE_WEIGHT * over)
-        base = share * scale
-        urgent = base * (1.0 + self.scale.excess)
-        if not is_covered:
-            return RoomLimits(base, base, urgent, estimate)
-        beyond = self._refill_beyond(estimate)
-        free = estimate.free_tokens
-        kept = self._unused_reserve() * estimate.capacity_tokens
-        return RoomLimits(
-            base,
-            max(base, own + min(beyond, free - kept)),
-            max(urgent, own + min(beyond, free)),
-            estimate,
-        )
-
-    def _refill_beyond(self, estimate: RoomEstimate) -> float:
-        """Return the tokens that may begin beyond the base before new reports."""
-        now_s = self.clock()
-        elapsed_s = min(1.0, now_s - self._beyond_at_s)
-        self._beyond_at_s = now_s
-        growth = GROWTH_SHARERS_MIN
-        growth += (GROWTH_SHARERS - growth) * min(1.0, self.scale.excess)
-        part = min(1.0, growth / estimate.sharers) * estimate.free_tokens
-        window_s = max(REPORT_INTERVAL_S, estimate.age_s)
-        typical = self.service.pipeline.typical_tokens if self.service.pipeline else 0.0
-        self._beyond_tokens = min(
-            max(part, 2.0 * typical),
-            self._beyond_tokens + part * elapsed_s / window_s,
-        )
-        return self._beyond_tokens
-
-    def _unused_reserve(self) -> float:
-        """Return the part of the room to keep free for the most urgent class.
-
-        The other routers are assumed to have as large a part of its requests.
-        """
-        if not self._has_ranks():
-            return 0.0
-        use = self.ledger.use(min(self.ledger.classes))
-        asked = use.demand.per_s(self.clock()) * self.hold_s
-        part = use.tokens / max(self.ledger.tokens, TOKENS_MIN)
-        reserve = self.settings.reserve_share
-        return max(0.0, min(reserve, asked / max(self.ledger.tokens, 1.0)) - part)
-
-    def _has_ranks(self) -> bool:
-        return len(self.ledger.active(self.clock())) > 1
+        return self.limiter.limits()
 
     def _reserve(self, request: RoomRequest) -> RoomTicket | None:
         """Take the room for a request, or return None if it has to wait."""
         now_s = self.clock()
-        limits = self.limits()
+        limits = self.limiter.limits()
         if limits is not None and not self._has_room(request, limits, now_s):
             if not self._take_floor(request, limits, now_s):
                 return None
         if limits is not None:
-            after = self.ledger.tokens + request.tokens
-            self._beyond_tokens -= min(
-                request.tokens, max(0.0, after - limits.base_tokens)
-            )
+            self.limiter.note_started(request.tokens, limits)
         self.ledger.take(request)
         ticket = RoomTicket(request, now_s, is_awaited=True)
         self._awaited.append(ticket)
@@ -301,9 +198,9 @@
         if own < TOKENS_MIN:
             # A share below one request still lets one run at a time.
             return True
-        room = self._class_room(request.priority, limits, now_s)
-        if self._is_most_urgent(request.priority, now_s):
-            if self._has_ranks() or self._is_small(request, room, now_s):
+        room = self.limiter.class_room(request.priority, limits, now_s)
+        if self.ledger.is_most_urgent(request.priority, now_s):
+            if self.ledger.has_ranks(now_s) or self._is_small(request, room, now_s):
                 room = limits.urgent_tokens
         elif own + request.tokens > limits.tokens:
             return False
@@ -311,32 +208,13 @@
             return False
         return not self._is_above_level(request, room, now_s)
 
-    def _class_room(self, priority: int, limits: RoomLimits, now_s: float) -> float:
-        """Return the tokens that a class and all less urgent ones may use."""
-        if self._is_most_urgent(priority, now_s):
-            return limits.urgent_tokens if self._has_ranks() else limits.tokens
-        asked = 0.0
-        used = 0.0
-        for use in self.ledger.more_urgent(priority):
-            asked += use.demand.per_s(now_s) * self.hold_s
-            used += use.tokens
-        # Requests come at random, so that what is asked for varies by about the root.
-        asked += math.sqrt(asked * self.mean_tokens)
-        return limits.tokens - max(asked, used)
-
-    def _is_most_urgent(self, priority: int, now_s: float) -> bool:
-        return not any(
-            use.tokens >= TOKENS_MIN or now_s - use.asked_at_s < ACTIVE_S
-            for use in self.ledger.more_urgent(priority)
-        )
-
     def _is_above_level(self, request: RoomRequest, room: float, now_s: float) -> bool:
         """Return whether a workspace has more than its part of its class's room."""
         use = self.ledger.use(request.priority)
         workspace = use.workspaces.get(request.workspace)
         if workspace is None or workspace.tokens < TOKENS_MIN:
             return False
-        level = use.level(room, self.hold_s, self.mean_tokens, now_s)
+        level = use.level(room, self.ledger.hold_s, self.ledger.mean_tokens, now_s)
         if workspace.tokens + request.tokens <= level:
             return False
         return not self._is_small(request, room, now_s)
@@ -351,8 +229,8 @@
         workspace = use.workspaces.get(request.workspace)
         if workspace is None:
             return False
-        level = use.level(room, self.hold_s, self.mean_tokens, now_s)
-        asked = workspace.demand.per_s(now_s) * self.hold_s
+        level = use.level(room, self.ledger.hold_s, self.ledger.mean_tokens, now_s)
+        asked = workspace.demand.per_s(now_s) * self.ledger.hold_s
         return level < float("inf") and asked < level * SMALL_MARGIN
 
     def _take_floor(
@@ -362,17 +240,17 @@
 
         They divide it by their demand, so that none gets less than a less urgent one.
         """
-        if self._is_most_urgent(request.priority, now_s):
+        if self.ledger.is_most_urgent(request.priority, now_s):
             return False
         use = self.ledger.use(request.priority)
         demands = [
             each.demand.per_s(now_s)
             for priority, each in self.ledger.classes.items()
-            if not self._is_most_urgent(priority, now_s)
+            if not self.ledger.is_most_urgent(priority, now_s)
         ]
         part = use.demand.per_s(now_s) / max(sum(demands), RATE_MIN)
         floor = self.settings.floor_share * limits.base_tokens * part
-        use.add_floor(floor / self.hold_s, max(floor, request.tokens), now_s)
+        use.add_floor(floor / self.ledger.hold_s, max(floor, request.tokens), now_s)
         if use.floor_tokens < request.tokens:
             return False
         use.floor_tokens -= request.tokens
@@ -401,11 +279,11 @@
         Less urgent classes get only what they and those below free, and the floor. A
         workspace above its level gets only what it frees itself.
         """
-        hold_s = max(self.hold_s, RATE_MIN)
+        hold_s = max(self.ledger.hold_s, RATE_MIN)
         freeing = self.ledger.tokens_from(request.priority)
-        limits = self.limits()
+        limits = self.limiter.limits()
         if limits is not None:
-            room = self._class_room(request.priority, limits, now_s)
+            room = self.limiter.class_room(request.priority, limits, now_s)
             if self._is_above_level(request, room, now_s):
                 freeing = min(freeing, use.workspaces[request.workspace].tokens)
             freeing += self.settings.floor_share * limits.base_tokens
--- a/tests/steps/room_gate_steps.py
+++ b/tests/steps/room_gate_steps.py
@@ -83,7 +83,7 @@
 
 @given("streams end after a tenth of a second on average")
 def set_hold(context: Context) -> None:
-    context.room.hold_s = 0.1
+    context.room.ledger.hold_s = 0.1
 
 
 @when("another stream comes")
--- a/tests/steps/room_steps.py
+++ b/tests/steps/room_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from chervilstall.admission.leased_shares import fair_level
 from tests.support.room_fleet import HOLD_S, Call, Demand, RoomFleet
 
 SEED = 1
@@ -39,7 +40,6 @@
 
 @when("one workspace asks for twice the capacity and two for a quarter each")
 def run_workspaces(context: Context) -> None:
-    context.fair_shares = {"large": 0.5, "small-1": 0.25, "small-2": 0.25}
     demands = [Demand(0, "large", lambda _: 2.0)]
     demands += [Demand(0, name, lambda _: 0.25) for name in ("small-1", "small-2")]
     context.room_fleet.run(demands, RUN_S)
@@ -111,12 +111,15 @@
 def check_fair_shares(context: Context, part: float) -> None:
     fleet: RoomFleet = context.room_fleet
     run_tokens = fleet.capacity / HOLD_S * (MEASURED_TO_S - MEASURED_FROM_S)
-    for name, share in context.fair_shares.items():
-        tokens = fleet.tokens_served(name, MEASURED_FROM_S, MEASURED_TO_S)
-        fair = share * run_tokens
-        # A small workspace can't get more than it asked for.
-        fair = min(fair, fleet.tokens_asked(name, MEASURED_FROM_S, MEASURED_TO_S))
-        assert tokens >= part * fair, (name, tokens / fair)
+    asked = {
+        name: fleet.tokens_asked(name, MEASURED_FROM_S, MEASURED_TO_S)
+        for name in ("large", "small-1", "small-2")
+    }
+    level = fair_level(list(asked.values()), run_tokens)
+    for name, tokens in asked.items():
+        fair = min(level, tokens)
+        served = fleet.tokens_served(name, MEASURED_FROM_S, MEASURED_TO_S)
+        assert served >= part * fair, (name, served / fair)
 
 
 @then("from 2 s after the step the targets are full and little waits there")
