--- a/src/chervilstall/edge/room/scale.py
+++ b/src/chervilstall/edge/room/scale.py
@@ -62,6 +62,9 @@
 
 EXCESS_GROWTH = 0.1
 EXCESS_SHRINK_FACTOR = 0.6
+COVERED_EXCESS_SHRINK_FACTOR = 0.8
+"""The same while other limits hold, as the load of nearly all routers is known."""
+
 COVERED_MAX = 1.0
 """Upper bound while the load of nearly all routers is known, and so what is free."""
 
@@ -134,7 +137,9 @@
             risen = self.usual_delay + USUAL_RISE_PER_S * STEP_S
             self.usual_delay = min(self.delay, risen)
         if self.short_part > CALM_MAX or self._is_delayed:
-            self.excess *= EXCESS_SHRINK_FACTOR
+            self.excess *= (
+                COVERED_EXCESS_SHRINK_FACTOR if is_covered else EXCESS_SHRINK_FACTOR
+            )
         else:
             self.excess = min(EXCESS_MAX, self.excess + EXCESS_GROWTH)
         if self.short_part > SHORT_MAX:
