--- a/src/chervilstall/edge/loads/neighbours.py
+++ b/src/chervilstall/edge/loads/neighbours.py
@@ -11,7 +11,7 @@
 from chervilstall.platform.peers import Peer
 from chervilstall.rendezvous import rendezvous_score
 
-BYTES_PER_S_MAX = 11_000.0
+BYTES_PER_S_MAX = 10_700.0
 """Bytes that a router may send and receive a second for reports.
 
 With those for the sums of zones, they stay below the 14 KB/s allowed to a router.
