--- a/src/chervilstall/quarantine/prompts.py
+++ b/src/chervilstall/quarantine/prompts.py
@@ -4,9 +4,9 @@
 it and had not begun to answer that request, if no answer with the part has begun since
 the first of them while others have. Crashes later in an answer are counted by stages,
 of which each is refuted by answers that get further (`stages.py`). Parts with which
-answers have begun before need more, and the crashes that a part under quarantine explains speak against no other. A
-part under quarantine at one service is put under quarantine at the others as well,
-except at those where answers with it have begun.
+answers have begun before need more, and the crashes that a part under quarantine
+explains speak against no other. A part under quarantine at one service is put under
+quarantine at the others as well, except where answers with it have begun.
 
 A request as a whole is one more part, which only its repeats share. Three crashes put
 it under quarantine if no repeat was answered since the first of them. Where it explains
