--- a/src/chervilstall/quarantine/prompts.py
+++ b/src/chervilstall/quarantine/prompts.py
@@ -6,7 +6,7 @@
 of which each is refuted by answers that get further (`stages.py`). Parts with which
 answers have begun before need more, and the crashes that a part under quarantine
 explains speak against no other. A part under quarantine at one service is put under
-quarantine at the others as well, except at those where answers with it have begun.
+quarantine at the others as well, except where answers with it have begun.
 
 A request as a whole is one more part, which only its repeats share. Three crashes put
 it under quarantine if no repeat was answered since the first of them. Where it explains
