Scale the known load by the routers that it stands for, and mend what a reader met

The load that others report includes sums of other zones, but the room view scaled it by the routers of the own zone alone, so the use was estimated up to three times too high while such sums arrived. It now takes the number of routers that all figures stand for. Found by reading; not reproduced in a run.

The rest are doc comments that didn't match the code or stopped a reader, and a log line where sums are too large to be sent.

--- a/src/chervilstall/edge/loads/exchange.py
+++ b/src/chervilstall/edge/loads/exchange.py
@@ -160,7 +160,7 @@
         try:
             sockets.publisher.bind(f"tcp://{own.loads_address}")
         except zmq.ZMQError as error:
-            # The guess of the others' load covers for this router's figures.
+            # Others estimate this router's load as they do for any that doesn't report.
             sockets.close()
             log.error("load not exchanged", at=str(own.loads_address), why=str(error))
             return
@@ -279,6 +279,7 @@
             size = len(data) + FRAME_BYTES
             seconds = sums_interval_s(other_zones, size)
             if seconds is None:
+                log.routine("sums too large", size=size, zones=other_zones)
                 return
             sockets.publisher.send(data, zmq.NOBLOCK)
         except (ValueError, zmq.ZMQError) as error:
--- a/src/chervilstall/edge/loads/zones.py
+++ b/src/chervilstall/edge/loads/zones.py
@@ -108,6 +108,7 @@
         if source is None or not message.is_full:
             return False
         self._heard_at_s[source.zone] = time.monotonic()
+        # One report a zone: the zone's name stands for the VM that sends its sums.
         self._receiver.handle(message, not_before_s, VmId(source.zone))
         return True
 
--- a/src/chervilstall/edge/room/classes.py
+++ b/src/chervilstall/edge/room/classes.py
@@ -17,6 +17,8 @@
 """Time from its last request in which a class or workspace counts as active."""
 
 RETURN_SLOT_S = 0.25
+"""Width of the slots in which refused requests are expected back."""
+
 LEVEL_DEVIATIONS = 0.7
 """Deviations of the demand of small workspaces that large ones leave free."""
 
@@ -56,9 +58,9 @@
 class ClassUse:
     """Tokens in flight, demand and queue of the requests of one priority.
 
-    `floor_tokens` is what the class may start regardless of others if it is the least
-    urgent one. `refused_tokens` holds the tokens of requests that were refused, each
-    with the time at which its caller is to return.
+    `floor_tokens` is what the class may start regardless of others if it isn't the
+    most urgent one. `refused_tokens` holds the tokens of requests that were refused,
+    each with the time at which its caller is to return.
     """
 
     tokens: float = 0.0
--- a/src/chervilstall/edge/room/limits.py
+++ b/src/chervilstall/edge/room/limits.py
@@ -18,6 +18,8 @@
 """
 
 OVERUSE_FACTOR_MIN = 0.5
+"""Least factor of the share while the room is used beyond the capacity."""
+
 NEAR_DEVIATIONS = 0.5
 """Deviations left free in addition as the most urgent class fills the limit."""
 
@@ -63,7 +65,10 @@
     _beyond_at_s: float = float("-inf")
 
     def limits(self) -> RoomLimits | None:
-        """Return the present limits, None while the service's capacity isn't known."""
+        """Advance the scale and the growth to now, and return the limits.
+
+        The result is None while the service's capacity isn't known.
+        """
         estimate = self.view.estimate(self.service)
         if estimate.capacity_tokens <= 0.0:
             return None
@@ -72,7 +77,7 @@
         is_covered = 1 + estimate.reporting >= COVERED_MIN * estimate.sharers
         scale = self.scale.update(own / share, is_covered)
         if is_covered:
-            # What all use is known, so the factor applies to the capacity itself.
+            # The use of all routers is known, so the factor is one of the capacity.
             capacity = estimate.capacity_tokens * scale
             estimate = replace(estimate, capacity_tokens=capacity)
             over = max(0.0, estimate.used_tokens / capacity - 1.0)
--- a/src/chervilstall/edge/room/metrics.py
+++ b/src/chervilstall/edge/room/metrics.py
@@ -23,7 +23,7 @@
     """Room wasn't expected within the time that the request may wait."""
 
     WAITED_IN_VAIN = "waited_in_vain"
-    """It was expected, but didn't come."""
+    """The longest wait passed before there was room."""
 
 
 @dataclass
--- a/src/chervilstall/edge/room/scale.py
+++ b/src/chervilstall/edge/room/scale.py
@@ -16,8 +16,14 @@
 log = EventLog("room")
 
 STEP_S = 0.25
+"""Shortest time between two changes of the factor."""
+
 SAMPLE_WEIGHT = 0.1
+"""Weight of the latest answer in the moving average of bad ones."""
+
 DELAY_WEIGHT = 0.2
+"""Weight of the latest time to a first event in its moving average."""
+
 GROWTH_USE_MIN = 0.6
 """Part of its limit that a router must use for the limit to grow."""
 
--- a/src/chervilstall/edge/room/service.py
+++ b/src/chervilstall/edge/room/service.py
@@ -3,8 +3,8 @@
 A router may use its share of the service's room, times the factor of `ShareScale`, and
 what the reports of the other routers show to be free. Within that limit, each class
 leaves free what the more urgent classes ask for, and each workspace of a class gets
-what it asks for up to a common level. The least urgent class gets a small rate of
-tokens under any load.
+what it asks for up to a common level. The classes below the most urgent one get a
+small rate of tokens under any load.
 """
 
 import random
@@ -31,6 +31,8 @@
 """Allowance for the error of a measured demand, of which few requests are known."""
 
 TURN_KEPT_S = 10.0
+"""Time for which a refused workspace keeps its place in the fair order."""
+
 RETRY_AFTER_MIN_S = 0.25
 RETRY_AFTER_JITTER = 0.2
 REMAINING_SHARE = 1.0 / 3.0
--- a/src/chervilstall/edge/room/view.py
+++ b/src/chervilstall/edge/room/view.py
@@ -28,8 +28,8 @@
     """What other routers say about the load that they put on targets."""
 
     @property
-    def reporting_routers(self) -> int:
-        """Return the number of other routers whose figures are fresh."""
+    def covered_routers(self) -> int:
+        """Return the number of other routers that fresh figures stand for."""
 
     @property
     def age_s(self) -> float:
@@ -125,7 +125,7 @@
         age_s = self.peer_loads.age_s
         if age_s > REPORT_AGE_MAX_S:
             return 0, age_s
-        return min(self.peer_loads.reporting_routers, sharers - 1), age_s
+        return min(self.peer_loads.covered_routers, sharers - 1), age_s
 
     def _refresh(self, service: Service, sums: _Sums, reporting: int) -> None:
         generation = self.chooser.fleet_view.generation
--- a/src/chervilstall/fleet/statements.py
+++ b/src/chervilstall/fleet/statements.py
@@ -17,21 +17,21 @@
 log = EventLog("fleet")
 
 DEPARTED_MAX = 2048
-"""Incarnations without an entry of which it is kept what they said.
+"""Incarnations without a store entry whose statements are kept.
 
-That covers more than a day of 1,154 departures from 7,300 targets. The statements of
-incarnations that have an entry are bounded by the entries.
+These are more than a day's departures, 1,154, from a fleet of 7,300 targets. The
+statements of incarnations that have an entry are bounded by the entries.
 """
 
 GONE_MAX = 8192
-"""Incarnations of which it is kept that they are gone; more than a fleet of 7,300, as
-all entries may expire at once.
+"""Incarnations remembered as gone; more than a fleet of 7,300 targets, as all entries
+may expire at once.
 """
 
 
 @dataclass(frozen=True, slots=True)
 class Leaving:
-    """That an incarnation leaves, which is final.
+    """The final statement of an incarnation that it is leaving.
 
     `since_s` is the earliest monotonic time at which it may have said so.
     """
--- a/src/chervilstall/heard_clock.py
+++ b/src/chervilstall/heard_clock.py
@@ -1,4 +1,4 @@
-"""The time in which this process could have heard something.
+"""Event-loop lag: how much of a time span this process could not read responses in.
 
 While the process is not run, or one task holds its event loop, responses wait unread
 and time-outs become due. A silence that is judged by the plain clock then blames a peer
@@ -18,7 +18,7 @@
 """Lateness of a pulse that doesn't count; the tasks of one turn take some ms each."""
 
 HEARD_MIN_S = 0.2
-"""Time in which a sound peer is heard; most respond within a millisecond or two, and a
+"""Time in which a healthy peer responds: most do within a millisecond or two, and a
 lost packet costs 0.2 s.
 """
 
--- a/src/chervilstall/paths/peer_loads.py
+++ b/src/chervilstall/paths/peer_loads.py
@@ -187,7 +187,7 @@
         return RouterReport(oldest_s, sums, routers=len(recent))
 
     def total_refusals(self) -> int:
-        """Return how often targets refused other routers in one second."""
+        """Return how often targets refused other routers of the zone in one second."""
         self.expire()
         return sum(known.refusals for known in self._sums.values())
 
--- a/src/chervilstall/process_limits/derived.py
+++ b/src/chervilstall/process_limits/derived.py
@@ -9,8 +9,7 @@
 
 BYTES_PER_MB = 1_000_000
 CONNECTION_BYTES = 25_000
-"""Measured: 17 KB for a silent connection, 21 KB for one inside a head of 14 KB."""
-
+"""A silent connection takes 17 KB, and one inside a head of 14 KB takes 21 KB."""
 
 OPERATOR_CONNECTIONS_MAX = 256
 """Connections to a listener for operators, where no setting gives a number."""
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -50,7 +50,7 @@
         maximum=0.5,
     )
     floor_share: float = option(
-        "Part of the room that the least urgent requests get under any load.",
+        "Part of the room that all but the most urgent requests get under any load.",
         0.05,
         minimum=0.0,
         maximum=0.5,
--- a/tests/steps/room_gate_steps.py
+++ b/tests/steps/room_gate_steps.py
@@ -231,7 +231,7 @@
 def make_uneven_layers(context: Context) -> None:
     half = LAYERS // 2
     context.room_view = make_view((0, half), (0, half), (half, LAYERS))
-    reports = Reports(reporting_routers=3, others_tokens=900.0, targets=1)
+    reports = Reports(covered_routers=3, others_tokens=900.0, targets=1)
     context.room_view.peer_loads = reports
     context.room_view.chooser.router_count = 4
 
--- a/tests/support/room_fleet.py
+++ b/tests/support/room_fleet.py
@@ -41,7 +41,7 @@
 class Reports:
     """What the other routers last said; the model sets it every `EXCHANGE_S`."""
 
-    reporting_routers: int = 0
+    covered_routers: int = 0
     age_s: float = EXCHANGE_S
     others_tokens: float = 0.0
     targets: int = 1
@@ -148,7 +148,7 @@
         total = sum(router.room.ledger.tokens for router in self.routers)
         for router in self.routers:
             router.reports.others_tokens = total - router.room.ledger.tokens
-            router.reports.reporting_routers = len(self.routers) - 1
+            router.reports.covered_routers = len(self.routers) - 1
         if self.now_s < until_s:
             self.at(self.now_s + EXCHANGE_S, lambda: self._exchange(until_s))
 
