Choose paths without the load that others report, unless an option asks for it

Load is compared among targets of one type, so slow targets look free; the model of the exchange doesn't have the cost of a slow path. The option guides_paths turns the choice on. What a path is needed for moves to the records of paths.

--- a/src/chervilstall/edge/features.py
+++ b/src/chervilstall/edge/features.py
@@ -36,6 +36,10 @@
         """Return whether routers tell each other the load that they put on targets."""
         return self.is_in_force(self.settings.load_exchange.mode)
 
+    def guides_paths(self) -> bool:
+        """Return whether load that others report counts in the choice of paths."""
+        return self.is_in_force(self.settings.load_exchange.guides_paths)
+
     def keeps_report_connections(self) -> bool:
         """Return whether reports and health checks reuse connections."""
         return self.is_in_force(self.settings.connections.keep_for_reports)
--- a/src/chervilstall/edge/streams/paths.py
+++ b/src/chervilstall/edge/streams/paths.py
@@ -7,8 +7,8 @@
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.records import Target
 from chervilstall.ids import TargetId
-from chervilstall.paths.choice import PathChooser, PathRequest
-from chervilstall.paths.records import Path
+from chervilstall.paths.choice import PathChooser
+from chervilstall.paths.records import Path, PathRequest
 
 FULL_S = 0.3
 """Time for which a target that refused a request counts as full."""
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -24,8 +24,8 @@
 from chervilstall.fleet.records import Target, TargetReadiness
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import RequestId
-from chervilstall.paths.choice import PathChooser, PathRequest
-from chervilstall.paths.records import Path, PathStage
+from chervilstall.paths.choice import PathChooser
+from chervilstall.paths.records import Path, PathRequest, PathStage
 from chervilstall.platform.targets import RepathOrder, send_order
 from chervilstall.telemetry.events import EventLog
 
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -9,6 +9,7 @@
 
 import random
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from chervilstall.fleet.records import (
@@ -25,7 +26,7 @@
 from chervilstall.paths.capacity import step_factor, token_capacity
 from chervilstall.paths.load import LoadTracker
 from chervilstall.paths.peer_loads import PeerLoads
-from chervilstall.paths.records import Path, PathStage
+from chervilstall.paths.records import Path, PathRequest, PathStage
 from chervilstall.paths.spread import TargetCost, spread_costs_ms
 
 HOP_MS = 0.3
@@ -73,21 +74,6 @@
 STAGES_MAX = 32
 
 
-@dataclass(frozen=True)
-class PathRequest:
-    """What a path is needed for.
-
-    `tokens` is the expected size of the request. The path uses no target in `avoid`,
-    and where `first` is given it begins there. It does not begin at a target in
-    `avoid_first`.
-    """
-
-    tokens: float
-    avoid: frozenset[TargetId] = frozenset()
-    first: TargetId | None = None
-    avoid_first: frozenset[TargetId] = frozenset()
-
-
 @dataclass
 class _SearchNode:
     """Cheapest path found so far that runs all layers up to a boundary.
@@ -115,7 +101,8 @@
     `zone` is the router's own zone. `zone_count` and `router_count` are the numbers of
     zones and of running routers, from which the load by other routers is estimated;
     `zone_routers` is the number of those in the router's zone, or 0 if not known.
-    `load` counts this router's own requests, `peer_loads` those that others report.
+    `load` counts this router's own requests. `peer_loads` holds those that others
+    report; they count in the choice of a path while `guides_paths` returns true.
     """
 
     fleet_view: FleetView
@@ -125,6 +112,8 @@
     rng: random.Random = field(default_factory=random.Random)
     load: LoadTracker = field(default_factory=LoadTracker)
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
+    guides_paths: Callable[[], bool] = lambda: True
+    _no_loads: PeerLoads = field(default_factory=PeerLoads)
     zone_routers: int = 0
 
     def choose(self, service: Service, request: PathRequest) -> Path | None:
@@ -288,7 +277,7 @@
         for stage in path.stages_added(before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
             incarnation = stage.target.incarnation
-            peers_s = self.peer_loads.prefill_backlog_s(incarnation)
+            peers_s = self._path_loads.prefill_backlog_s(incarnation)
             self.load.add_prefill(incarnation, own_s, peers_s, self._unseen_factor)
         self.load.add_transfer(self._transfer_s(pipeline, path, tokens))
 
@@ -311,7 +300,7 @@
             target.id: self._target_cost(target, tokens, capacities[target.id], factor)
             for target in targets
         }
-        if self.peer_loads.reporting_routers:
+        if self._path_loads.reporting_routers:
             return spread_costs_ms(targets, costs, self.rng)
         mean_capacity = sum(capacities.values()) / max(1, len(capacities))
         costs_ms: dict[TargetId, float] = {}
@@ -335,7 +324,7 @@
         load_ms = REQUEST_MS * self.load.requests.get(incarnation, 0)
         load_ms += PREFILL_WEIGHT * self._prefill_backlog_s(incarnation) * 1e3
         zone_tokens = (self._known_tokens(incarnation) + tokens) * factor
-        remote_tokens = self.peer_loads.remote_tokens(incarnation)
+        remote_tokens = self._path_loads.remote_tokens(incarnation)
         use = (zone_tokens + remote_tokens) / capacity_tokens
         load_ms += USE_MS * max(0.0, use - USE_THRESHOLD) ** 2
         return TargetCost(load_ms, other_ms, capacity_tokens)
@@ -343,23 +332,28 @@
     def estimated_tokens(self, incarnation: TargetIncarnation) -> float:
         """Return the tokens in flight of all routers at a target, as estimated here."""
         known = self._known_tokens(incarnation) * self._unseen_factor
-        return known + self.peer_loads.remote_tokens(incarnation)
+        return known + self._path_loads.remote_tokens(incarnation)
 
     def _known_tokens(self, incarnation: TargetIncarnation) -> float:
         """Return the tokens in flight of this router and those of its zone."""
         own = self.load.tokens.get(incarnation, 0.0)
-        return own + self.peer_loads.zone_tokens(incarnation)
+        return own + self._path_loads.zone_tokens(incarnation)
 
     def _prefill_backlog_s(
         self, incarnation: TargetIncarnation, added_s: float = 0.0
     ) -> float:
         """Return the time for all prompts at a target, with one more of this router."""
-        peers = self.peer_loads
+        peers = self._path_loads
         known_s = self.load.prefill_backlog_s(incarnation) + added_s
         known_s += peers.zone_prefill_backlog_s(incarnation)
         remote_s = peers.remote_prefill_backlog_s(incarnation)
         return known_s * self._unseen_factor + remote_s
 
+    @property
+    def _path_loads(self) -> PeerLoads:
+        """Return the reported load that counts in the choice of a path."""
+        return self.peer_loads if self.guides_paths() else self._no_loads
+
     @property
     def _unseen_factor(self) -> float:
         """Return the load of all routers as a multiple of the load that is known.
@@ -367,7 +361,7 @@
         Routers that don't report are assumed to load a target as those do on average
         whose load is known, this one included.
         """
-        reporting_routers = self.peer_loads.reporting_routers
+        reporting_routers = self._path_loads.reporting_routers
         if not reporting_routers:
             return self._similar_routers
         return max(1.0, self.routers_of_zone / (1 + reporting_routers))
--- a/src/chervilstall/paths/records.py
+++ b/src/chervilstall/paths/records.py
@@ -4,6 +4,7 @@
 from itertools import pairwise
 
 from chervilstall.fleet.records import LayerRange, Target
+from chervilstall.ids import TargetId
 from chervilstall.settings.option import Address
 
 
@@ -42,3 +43,18 @@
         if before is None:
             return list(self.stages)
         return [stage for stage in self.stages if stage not in before.stages]
+
+
+@dataclass(frozen=True)
+class PathRequest:
+    """What a path is needed for.
+
+    `tokens` is the expected size of the request. The path uses no target in `avoid`,
+    and where `first` is given it begins there. It does not begin at a target in
+    `avoid_first`.
+    """
+
+    tokens: float
+    avoid: frozenset[TargetId] = frozenset()
+    first: TargetId | None = None
+    avoid_first: frozenset[TargetId] = frozenset()
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -85,6 +85,10 @@
         "Whether routers tell each other the load they put on targets.",
         FeatureMode.AUTO,
     )
+    guides_paths: FeatureMode = option(
+        "Whether load that other routers report counts in the choice of paths.",
+        FeatureMode.OFF,
+    )
 
 
 @dataclass(frozen=True)
--- a/tests/steps/odd_entry_steps.py
+++ b/tests/steps/odd_entry_steps.py
@@ -11,7 +11,7 @@
 
 from chervilstall.edge.server import EdgeServer
 from chervilstall.ids import ServiceName, TargetId
-from chervilstall.paths.choice import PathRequest
+from chervilstall.paths.records import PathRequest
 from chervilstall.platform import protocol
 from chervilstall.platform.kv import Entry
 from chervilstall.platform.limits import SharedLimit, encode_limit
--- a/tests/steps/path_steps.py
+++ b/tests/steps/path_steps.py
@@ -11,8 +11,8 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.paths import choice
 from chervilstall.paths.capacity import token_capacity
-from chervilstall.paths.choice import PathChooser, PathRequest
-from chervilstall.paths.records import PathStage
+from chervilstall.paths.choice import PathChooser
+from chervilstall.paths.records import PathRequest, PathStage
 from tests.support.model_targets import (
     LAYERS,
     LOCAL,
--- a/tests/support/load_zone.py
+++ b/tests/support/load_zone.py
@@ -24,8 +24,8 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import VmId
 from chervilstall.paths.capacity import token_capacity
-from chervilstall.paths.choice import PathChooser, PathRequest
-from chervilstall.paths.records import Path
+from chervilstall.paths.choice import PathChooser
+from chervilstall.paths.records import Path, PathRequest
 from chervilstall.platform.peers import Peer
 from chervilstall.settings.option import Address
 from tests.support.clock import Clock
