--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -342,7 +342,6 @@
 
     def _handle_refused(self, target: Target) -> None:
         """Lead streams around a target in the middle of a path that has crashed."""
-        self._record_stalled(target)
         self.fleet_view.suspect(target, "refuses connections")
         self.rerouter.reroute_around(target)
 
