--- a/src/chervilstall/edge/assembly.py
+++ b/src/chervilstall/edge/assembly.py
@@ -52,9 +52,7 @@
         features.admits_by_room,
         server.metrics,
     )
-    server.stream_monitor.on_stalled = crash_guard.record_stalled
     rerouter = server.stream_monitor.rerouter
-    rerouter.is_given_up = crash_guard.is_given_up
     rerouter.record_pause = server.metrics.record_pause
     rerouter.spreads_moves = features.spreads_moves
     server.stream_monitor.stage_check.is_in_force = features.checks_stages
--- a/src/chervilstall/edge/crashes/guard.py
+++ b/src/chervilstall/edge/crashes/guard.py
@@ -1,6 +1,5 @@
 """Keeps requests that crash targets away from them."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from chervilstall.edge.crashes.observer import CrashObserver
@@ -11,7 +10,9 @@
 from chervilstall.quarantine.prompts import SUSPECT_CRASHES_MIN, PromptQuarantine
 from chervilstall.quarantine.records import PartKey
 from chervilstall.quarantine.refusal import check_parts
-from chervilstall.quarantine.reports import STAGE_EVENTS, STAGES, stage_after
+
+BEGUN_EVENTS = 2
+"""Events of one target after which it has begun an answer and survived that."""
 
 
 @dataclass
@@ -23,57 +24,41 @@
 
     def check(self, request: EdgeRequest, may_have_run: bool) -> None:
         """Raise ChervilstallError for a request that may crash its next target."""
+        if request.has_begun:
+            return
         check_parts(
-            self.quarantine,
-            request.service.name,
-            _parts(request),
-            may_have_run,
-            request.has_begun,
+            self.quarantine, request.service.name, _parts(request), may_have_run
         )
 
     def is_given_up(self, request: EdgeRequest) -> bool:
         """Return whether a request that lost its target is not to be sent again."""
+        if request.has_begun:
+            return False
         service = request.service.name
         parts = _parts(request)
-        if any(
+        return self.quarantine.is_suspect(service, parts) or any(
             self.quarantine.is_quarantined(PartKey(service, part)) for part in parts
-        ):
-            return True
-        return not request.has_begun and self.quarantine.is_suspect(service, parts)
-
-    def record_event(self, request: EdgeRequest) -> None:
-        """Record an event that the present targets of a stream have sent."""
-        request.target_events += 1
-        if request.target_events not in STAGE_EVENTS:
-            return
-        stage = STAGE_EVENTS.index(request.target_events)
-        request.has_begun = True
-        self._record_passed(request, (stage,))
+        )
+
+    def record_event(self, request: EdgeRequest, events: int) -> None:
+        """Record an event, of which the present target has now sent `events`."""
+        if events >= BEGUN_EVENTS:
+            self._record_begun(request)
 
     def record_end(self, request: EdgeRequest) -> None:
-        """Record that a stream has ended as a whole.
+        """Record that a stream has ended as a whole."""
+        if request.events_forwarded:
+            self._record_begun(request)
 
-        The rest of an answer says nothing of what comes before, so that a resumed one,
-        or one that lost a later target of its path, does not count.
-        """
-        if not request.events_forwarded or request.targets_lost:
-            return
-        if request.target_events < request.events_forwarded:
-            return
-        if request.fields.last_event_id:
+    def _record_begun(self, request: EdgeRequest) -> None:
+        if request.has_begun:
             return
         request.has_begun = True
-        # The stages before were recorded with the events that passed them.
-        self._record_passed(request, STAGES[stage_after(request.target_events) :])
-
-    def _record_passed(self, request: EdgeRequest, stages: Iterable[int]) -> None:
-        self.quarantine.record_begun(
-            request.service.name, _parts(request), stages, request.sent_at_s
-        )
+        self.quarantine.record_begun(request.service.name, _parts(request))
 
     def record_answer(self, request: EdgeRequest) -> None:
         """Record that a target of a plain service has answered and survived that."""
-        self._record_passed(request, STAGES)
+        self.quarantine.record_begun(request.service.name, _parts(request))
 
     def record_failure(
         self, request: EdgeRequest, first: Target, error: ExchangeFailed
@@ -81,21 +66,14 @@
         """Record that the target of a request, of a stream the first, failed it."""
         if not error.was_sent or error.failure is not ExchangeFailure.CLOSED:
             return
-        self.crash_observer.record_lost(first, request)
-        request.targets_lost += 1
-
-    def record_stalled(self, request: EdgeRequest, target: Target) -> None:
-        """Record that a stream waits for a later target of its path."""
-        if request.stalled_on == target.incarnation:
+        if request.has_begun:
             return
-        request.stalled_on = target.incarnation
-        self.crash_observer.record_lost(target, request)
+        self.crash_observer.record_lost(first, request)
         request.targets_lost += 1
-        request.target_events = 0
 
     def await_verdict(self, request: EdgeRequest, first: Target) -> None:
         """Wait until a crash is known that the check before the next send needs."""
-        if request.targets_lost < SUSPECT_CRASHES_MIN:
+        if request.has_begun or request.targets_lost < SUSPECT_CRASHES_MIN:
             return
         self.crash_observer.await_verdict(first, max(0.0, request.remaining_s))
 
--- a/src/chervilstall/edge/crashes/observer.py
+++ b/src/chervilstall/edge/crashes/observer.py
@@ -1,8 +1,5 @@
 """Finds out whether a target that lost requests has crashed.
 
-The target is the first of a path, which closed the connection, or a later one, on which
-the first target's report says that streams wait.
-
 A target that closes a connection may be full, or reset some requests while it serves
 others. It counts as crashed if it refuses connections just afterwards, or has started
 again by its entry.
@@ -20,7 +17,6 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import CrashId, PartId
 from chervilstall.quarantine.records import CrashReport, LostRequest
-from chervilstall.quarantine.reports import stage_after
 from chervilstall.target.connection import refuses_connections
 from chervilstall.telemetry.events import EventLog
 
@@ -38,7 +34,7 @@
 
 @dataclass
 class CrashObserver:
-    """Reports the crashes of targets that held requests without a whole answer.
+    """Reports the crashes of targets that held requests without an answer.
 
     `on_crash` is called with each crash, and again where more of the requests that it
     ended become known.
@@ -55,14 +51,11 @@
     )
 
     def record_lost(self, target: Target, request: EdgeRequest) -> None:
-        """Record that a target has stopped to run a request that it had received."""
+        """Record that a target closed a request's connection before it had begun."""
         now_s = time.monotonic()
         # Of several copies of a request the one that was sent last is kept.
         copy = LostRequest(
-            request.digest,
-            request.fields.prompt_parts,
-            now_s - request.sent_at_s,
-            request.target_events,
+            request.digest, request.fields.prompt_parts, now_s - request.sent_at_s
         )
         lost = self._lost.setdefault(target.incarnation, {})
         known = lost.get(copy.digest, copy)
@@ -91,14 +84,11 @@
         crashed_at_s = self._crashed_at_s.get(target.incarnation, float("-inf"))
         if lost_at_s - crashed_at_s > VERDICT_VALID_S:
             crashed_at_s = self._crashed_at_s[target.incarnation] = lost_at_s
-        early = [each for each in lost.values() if not stage_after(each.events)]
-        late = [each for each in lost.values() if stage_after(each.events)]
-        parts = {part for request in early for part in request.parts}
+        parts = {part for request in lost.values() for part in request.parts}
         log.warning(
             "target crashed",
             target=target.id,
             parts=len(parts),
-            late_requests=len(late),
             requests=list(lost)[:LOGGED_REQUESTS_MAX],
         )
         self.fleet_view.suspect(target, "crashed")
@@ -108,8 +98,7 @@
                 target.service,
                 tuple(sorted(parts)),
                 age_s=time.monotonic() - crashed_at_s,
-                requests=tuple(early)[:REPORTED_REQUESTS_MAX],
-                late=tuple(late)[:REPORTED_REQUESTS_MAX],
+                requests=tuple(lost.values())[:REPORTED_REQUESTS_MAX],
             )
         )
 
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -6,7 +6,7 @@
 from functools import cached_property
 
 from chervilstall.edge.peers.forwarding import Forwarding
-from chervilstall.fleet.records import Route, Service, TargetIncarnation
+from chervilstall.fleet.records import Route, Service
 from chervilstall.ids import PartId, RequestId, WorkspaceName
 from chervilstall.platform.headers import RequestFields
 from chervilstall.process_limits.memory import Holding
@@ -22,11 +22,10 @@
     ends, whichever comes first. `sends` counts every try, including those that reached
     no target. `has_reserved_retry` is true while a retry is reserved for the request in
     the budget. `has_begun` is true once a target has begun a stream and survived that,
-    and `targets_lost` counts those that were lost on the way, of which the last that a
-    stream waited for is `stalled_on`. `target_events` counts the events that came from
-    the present targets, none of which was lost since. `sent_at_s` is the monotonic time
-    of the latest send, `queued_s` the time from arrival to the first one,
-    `first_event_s` from arrival to the first event, `longest_gap_s` the longest time
+    and `targets_lost` counts those that closed its connection before.
+    `sent_at_s` is the monotonic time of the latest send,
+    `queued_s` is the time from arrival to the first send, `first_event_s`
+    from arrival to the first event of a stream, and `longest_gap_s` the longest time
     between two events. `refusals` counts the targets that refused the request for
     lack of room. A lower `priority` is more urgent. `forwarding` is what the
     router said that forwarded the request here, if one did. `abort_callbacks` are
@@ -50,8 +49,6 @@
     has_reserved_retry: bool = False
     has_begun: bool = False
     targets_lost: int = 0
-    target_events: int = 0
-    stalled_on: TargetIncarnation | None = None
     sent_at_s: float = 0.0
     queued_s: float | None = None
     first_event_s: float | None = None
@@ -131,7 +128,6 @@
         """Count a send; the first one sets `queued_s`."""
         self.sends += 1
         self.sent_at_s = time.monotonic()
-        self.target_events = 0
         if self.queued_s is None:
             self.queued_s = self.sent_at_s - self.arrived_at_s
 
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -85,7 +85,6 @@
     streams: dict[RequestId, LiveStream] = field(default_factory=dict)
     on_silence: Callable[[Target], None] = lambda target: None
     on_no_retry: Callable[[EdgeRequest], None] = lambda request: None
-    on_stalled: Callable[[EdgeRequest, Target], None] = lambda request, target: None
     _querying: set[TargetId] = field(default_factory=set)
     _queried_at_s: dict[TargetId, float] = field(default_factory=dict)
     _query_interval_s: dict[TargetId, float] = field(default_factory=dict)
@@ -335,7 +334,6 @@
             target = self.fleet_view.find_by_address(str(address))
             if target is None:
                 continue
-            self._record_stalled(target)
             reason = f"stalls requests sent through {first.id}"
             self.fleet_view.suspect(target, reason, kind=SuspicionKind.STALLING)
             self.rerouter.reroute_around(target)
@@ -345,12 +343,6 @@
         self.fleet_view.suspect(target, "refuses connections")
         self.rerouter.reroute_around(target)
 
-    def _record_stalled(self, target: Target) -> None:
-        """Report the requests that wait for a target that doesn't respond."""
-        for stream in list(self.streams.values()):
-            if stream.passes_through(target):
-                self.on_stalled(stream.request, target)
-
     def _end_stalled(self, request_id: RequestId) -> None:
         """End a stalled stream's exchange so that the relay uses another path."""
         stream = self.streams.get(request_id)
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -47,8 +47,7 @@
     """Gives streams another path with the same first target.
 
     `streams` holds the open exchanges by request ID. `end_exchange` ends a stream's
-    exchange, so that it is resumed over another path, and returns whether it did. A
-    request that `is_given_up` gets no other target.
+    exchange, so that it is resumed over another path, and returns whether it did.
     While `spreads_moves` returns true, streams leave draining targets one after the
     other, and those that `durations` expects to end before stay. `record_pause` is
     called with the pause of each stream that was given another path, in seconds.
@@ -59,7 +58,6 @@
     rate_limiter: TargetRateLimiter
     streams: Mapping[RequestId, LiveStream]
     end_exchange: Callable[[LiveStream], bool]
-    is_given_up: Callable[[EdgeRequest], bool] = lambda request: False
     durations: StreamDurations = field(default_factory=StreamDurations)
     spreads_moves: Callable[[], bool] = lambda: False
     record_pause: Callable[[EdgeRequest, PauseCause, float], None] = (
@@ -175,10 +173,6 @@
 
     def _reroute_once(self, stream: LiveStream, avoided: Target) -> None:
         is_leaving = not self.fleet_view.is_suspected(avoided)
-        if self.is_given_up(stream.request):
-            if not is_leaving:
-                self.end_exchange(stream)
-            return
         path = self._path_around(stream, avoided)
         if path is None:
             if not is_leaving:
--- a/src/chervilstall/quarantine/evidence.py
+++ b/src/chervilstall/quarantine/evidence.py
@@ -81,11 +81,10 @@
 
 @dataclass
 class EvidenceLog:
-    """Evidence against parts at one stage, and the parts that answers passed it with.
+    """Evidence against parts, and the parts with which answers began lately.
 
-    A part that crashes targets at a stage of the answer crashes each one that comes to
-    it. One answer that passes the stage, for which it is said to have begun here,
-    therefore voids all evidence of before against the request and the parts of its
+    A part that crashes targets crashes each one that begins an answer on it. One answer
+    that begins therefore voids all evidence against the request and the parts of its
     prompt.
     """
 
@@ -137,26 +136,12 @@
             known = self.evidence[key] = PartEvidence(begun_before)
         return known
 
-    def add_begun(
-        self, service: ServiceName, keys: Iterable[PartKey], at_s: float
-    ) -> None:
-        """Add an answer that began; `keys` are its request and its prompt's parts.
-
-        It speaks for them against the crashes until the monotonic time `at_s`.
-        """
+    def add_begun(self, service: ServiceName, keys: Iterable[PartKey]) -> None:
+        """Add an answer that began; `keys` are its request and its prompt's parts."""
         self._begun_counts[service] += 1
         for key in keys:
-            _remember(self._begun_times_s(key), key, at_s)
-            known = self.evidence.get(key)
-            if known is None:
-                continue
-            known.was_begun = True
-            for crash, crashed_at_s in list(known.crashed_at_s.items()):
-                if crashed_at_s <= at_s:
-                    known.drop(crash)
-                    known.begun_before = self._begun_counts[service]
-            if not known.crashed_at_s:
-                del self.evidence[key]
+            self.evidence.pop(key, None)
+            _remember(self._begun_times_s(key), key)
 
     def _begun_times_s(self, key: PartKey) -> OrderedDict[PartKey, float]:
         """Return the times of answers; the many requests don't push out parts."""
@@ -165,7 +150,7 @@
     def void(self, key: PartKey) -> None:
         """Drop all evidence against a part that dates from before now."""
         self.evidence.pop(key, None)
-        _remember(self._voided_at_s, key, time.monotonic())
+        _remember(self._voided_at_s, key)
 
     def begun_count(self, service: ServiceName) -> int:
         """Return how many answers of a service have begun since the start."""
@@ -174,7 +159,7 @@
     def others_begun(self, key: PartKey) -> int:
         """Return how many answers began since the first crash against a part.
 
-        Those with the part were sent before it, or they would have voided the evidence.
+        None of them had the part, since one with it would have voided the evidence.
         """
         return self._begun_counts[key.service] - self.evidence[key].begun_before
 
@@ -236,9 +221,9 @@
             del self.evidence[key]
 
 
-def _remember(times: OrderedDict[PartKey, float], key: PartKey, at_s: float) -> None:
-    """Record a time for a part unless a later one is known, and limit the parts."""
-    times[key] = max(at_s, times.get(key, at_s))
+def _remember(times: OrderedDict[PartKey, float], key: PartKey) -> None:
+    """Record the present time for a part, and forget the part recorded first."""
+    times[key] = time.monotonic()
     times.move_to_end(key)
     if len(times) > BEGUN_KEYS_MAX:
         times.popitem(last=False)
--- a/src/chervilstall/quarantine/prompts.py
+++ b/src/chervilstall/quarantine/prompts.py
@@ -2,11 +2,10 @@
 
 A part is put under quarantine after three crashes of targets that held a request with
 it and had not begun to answer that request, if no answer with the part has begun since
-the first of them while others have. Crashes later in an answer are counted by stages,
-of which each is refuted by answers that get further (`stages.py`). Parts with which
-answers have begun before need more, and the crashes that a part under quarantine
-explains speak against no other. A part under quarantine at one service is put under
-quarantine at the others as well, except where answers with it have begun.
+the first of them while others have. Parts with which answers have begun before need
+more, and the crashes that a part under quarantine explains speak against no other. A
+part under quarantine at one service is put under quarantine at the others as well,
+except at those where answers with it have begun.
 
 A request as a whole is one more part, which only its repeats share. Three crashes put
 it under quarantine if no repeat was answered since the first of them. Where it explains
@@ -23,13 +22,13 @@
 """
 
 import time
-from collections.abc import Callable, Collection, Iterable
+import zlib
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
-from chervilstall.ids import CrashId, PartId, ServiceName
+from chervilstall.ids import PartId, ServiceName
 from chervilstall.quarantine.crash_times import CrashTimes
 from chervilstall.quarantine.evidence import EVIDENCE_VALID_S, EvidenceLog
-from chervilstall.quarantine.presence import CrashPresence
 from chervilstall.quarantine.quarantined import QuarantinedPart
 from chervilstall.quarantine.records import (
     ClaimTrial,
@@ -40,16 +39,26 @@
     QuarantineAction,
     QuarantineEntry,
 )
-from chervilstall.quarantine.reports import (
-    STAGES,
-    WHOLE,
-    all_parts,
-    report_at,
-    with_known_parts,
-)
-from chervilstall.quarantine.stages import StageEvidence
 
+CRASHES_MIN = 3
 SUSPECT_CRASHES_MIN = 2
+OTHERS_BEGUN_MIN = 3
+"""Answers without the part that must have begun meanwhile.
+
+Where nothing is answered at all, the cause is another one.
+"""
+
+FAMILIAR_BEGUN_MIN = 5
+"""Answers of a service after which a router knows the parts that are usual there.
+
+A part that never began is unusual then, and need not wait for other answers: there are
+none while it keeps all targets down.
+"""
+
+KNOWN_CRASHES_MIN = 4
+KNOWN_OTHERS_BEGUN_MIN = 10
+"""The same for parts with which answers have begun before."""
+
 ENFORCE_AFTER_S = 0.5
 """Time after which an entry is in force unless a router knows that it is wrong."""
 
@@ -62,6 +71,7 @@
 Routers that know of answers of another service with the part release it there before.
 """
 
+REPORTED_PARTS_MAX = 2_048
 SAME_PARTS_MAX = 8
 """Limit on the parts put under quarantine together; a caller may name any number."""
 
@@ -79,17 +89,12 @@
     """
 
     on_action: Callable[[QuarantineAction], None] = _ignore
-    _stages: list[StageEvidence] = field(
-        default_factory=lambda: [StageEvidence(stage) for stage in STAGES]
-    )
+    log: EvidenceLog = field(default_factory=EvidenceLog)
     _crash_times: CrashTimes = field(default_factory=CrashTimes)
-    _presence: CrashPresence = field(default_factory=CrashPresence)
     _quarantined: dict[PartKey, QuarantinedPart] = field(default_factory=dict)
+    _often_crashed: set[PartKey] = field(default_factory=set)
     _crashed_services: dict[PartId, set[ServiceName]] = field(default_factory=dict)
 
-    def _log(self, stage: int = 0) -> EvidenceLog:
-        return self._stages[stage].log
-
     # Requests
 
     def refused_part(
@@ -111,9 +116,6 @@
             known = self._quarantined.get(key)
             if known is None or now_s < known.in_force_at_s:
                 continue
-            if not known.entry.is_carried_over and self._is_refuted(known.entry):
-                self._release(key)
-                continue
             for each in (known, *self._carried_from(known.entry)):
                 each.asked_at_s = now_s
             if known.has_trial:
@@ -130,91 +132,116 @@
     def is_suspect(self, service: ServiceName, parts: Iterable[PartId]) -> bool:
         """Return whether a request that lost its target should not be sent again."""
         for part in parts:
-            known = self._log().evidence.get(PartKey(service, part))
+            known = self.log.evidence.get(PartKey(service, part))
             if known is None or known.was_begun:
                 continue
             if len(known.crashed_at_s) >= SUSPECT_CRASHES_MIN:
                 return True
         return False
 
-    def record_begun(
-        self,
-        service: ServiceName,
-        parts: Iterable[PartId],
-        stages: Iterable[int] = STAGES,
-        sent_at_s: float | None = None,
-    ) -> None:
-        """Record that an answer to a request with these parts has passed some stages.
-
-        One of the parts is the request as a whole. It speaks for them against crashes
-        of before `sent_at_s`, the time of its sending; None is the present.
+    def record_begun(self, service: ServiceName, parts: Iterable[PartId]) -> None:
+        """Record that a target has begun to answer a request with these parts.
+
+        One of them is the request as a whole.
         """
-        now_s = time.monotonic()
-        at_s = now_s if sent_at_s is None else sent_at_s
         keys = [PartKey(service, part) for part in parts]
-        for stage in stages:
-            # Answers come to the first stage soon enough after they were sent.
-            self._log(stage).add_begun(service, keys, at_s if stage else now_s)
-            for key in keys:
-                known = self._quarantined.get(key)
-                if known is not None and known.is_refuted_by(stage, at_s):
-                    self._release(key)
-        for evidence in self._stages:
-            often = evidence.often_crashed
-            self._conclude(evidence, [key for key in often if key.service == service])
+        self.log.add_begun(service, keys)
+        for key in keys:
+            if key in self._quarantined:
+                self._release(key)
+        self._quarantine_likeliest(
+            [key for key in self._often_crashed if key.service == service]
+        )
 
     def record_crash(self, report: CrashReport) -> None:
         """Record a crash that this router or another one saw."""
         report = self._crash_times.identify(report)
-        self._presence.add(report)
-        if self._is_explained(report):
-            self._explain([report.crash])
+        digests = (request.digest for request in report.requests)
+        parts = (*report.parts, *digests)
+        if any(PartKey(report.service, part) in self._quarantined for part in parts):
+            self.log.explain([report.crash])
             return
-        added = [(each, each.add_crash(report)) for each in self._stages]
-        for evidence, keys in added:
-            self._conclude(evidence, keys)
+        added = self.log.add_crash(report)
+        for key in added:
+            if len(self.log.evidence[key].crashed_at_s) >= CRASHES_MIN:
+                self._often_crashed.add(key)
+        self._quarantine_likeliest(added)
 
-    def _is_explained(self, report: CrashReport) -> bool:
-        """Return whether a part under quarantine explains a crash."""
-        for key in all_parts(report):
-            known = self._quarantined.get(key)
-            if known is None:
-                continue
-            at_stage = report_at(report, known.entry.stage)
-            digests = (request.digest for request in at_stage.requests)
-            if key.part in at_stage.parts or key.part in digests:
-                return True
-        return False
+    def with_begun_parts(self, report: CrashReport) -> CrashReport:
+        """Return a report of this router with what it knows of the crash and the parts.
+
+        Where callers named very many, those with which answers began are left out, and
+        then some that differ from crash to crash.
+        """
 
-    def _explain(
-        self, crashes: Collection[CrashId], causes: Collection[PartId] = ()
-    ) -> None:
-        for evidence in self._stages:
-            evidence.log.explain(crashes, causes)
+        def has_begun(part: PartId) -> bool:
+            return self.log.has_begun(PartKey(report.service, part))
 
-    def with_begun_parts(self, report: CrashReport) -> CrashReport:
-        """Return a report with what this router knows of the crash and the parts."""
-        known = with_known_parts(report, self._log(), self._log(WHOLE))
-        return replace(known, crash=self._crash_times.name(report))
-
-    def _conclude(self, evidence: StageEvidence, keys: Iterable[PartKey]) -> None:
-        """Put those parts under quarantine that explain the crashes best."""
-        candidates = [key for key in keys if key not in self._quarantined]
-        while same := evidence.likeliest(candidates):
-            crashes = set(evidence.log.evidence[same[0]].crashed_at_s)
+        def rank(part: PartId) -> tuple[bool, int]:
+            return has_begun(part), zlib.crc32(f"{report.crash} {part}".encode())
+
+        parts = tuple(sorted(report.parts, key=rank)[:REPORTED_PARTS_MAX])
+        return replace(
+            report,
+            crash=self._crash_times.name(report),
+            parts=parts,
+            begun_parts=tuple(filter(has_begun, parts)),
+        )
+
+    def _quarantine_likeliest(self, keys: list[PartKey]) -> None:
+        """Put those parts under quarantine that explain the crashes best.
+
+        A request is preferred to the parts of its prompt that explain no more.
+        """
+        candidates = [key for key in keys if self._has_enough_evidence(key)]
+        while candidates:
+            best = max(candidates, key=self._rank)
+            crashes = set(self.log.evidence[best].crashed_at_s)
+            # Parts that always came together cannot be told apart.
+            same = [
+                key
+                for key in candidates
+                if self._rank(key) == self._rank(best)
+                and set(self.log.evidence[key].crashed_at_s) == crashes
+            ]
             for key in same[:SAME_PARTS_MAX]:
-                self._propose(key, evidence)
-            self._explain(crashes, {key.part for key in same})
-            candidates = [key for key in candidates if key not in same]
+                self._propose(key)
+            self.log.explain(crashes, {key.part for key in same})
+            candidates = [key for key in candidates if self._has_enough_evidence(key)]
+
+    def _rank(self, key: PartKey) -> tuple[bool, int, bool]:
+        known = self.log.evidence[key]
+        return not known.was_begun, len(known.crashed_at_s), key.is_request
 
-    def _propose(self, key: PartKey, evidence: StageEvidence) -> None:
-        known = evidence.log.evidence[key]
+    def _has_enough_evidence(self, key: PartKey) -> bool:
+        known = self.log.evidence.get(key)
+        if known is None or key in self._quarantined:
+            return False
+        crashes_min, others_min = CRASHES_MIN, OTHERS_BEGUN_MIN
+        if known.was_begun:
+            crashes_min, others_min = KNOWN_CRASHES_MIN, KNOWN_OTHERS_BEGUN_MIN
+        if len(known.crashed_at_s) < crashes_min:
+            return False
+        if known.crashes < crashes_min:
+            return False
+        if key.is_request:
+            return True
+        if known.is_of_one_request:
+            return False
+        if not known.was_begun and self._is_familiar(key.service):
+            return True
+        return self.log.others_begun(key) >= others_min
+
+    def _is_familiar(self, service: ServiceName) -> bool:
+        return self.log.begun_count(service) >= FAMILIAR_BEGUN_MIN
+
+    def _propose(self, key: PartKey) -> None:
+        known = self.log.evidence[key]
         entry = QuarantineEntry(
             key,
             time.monotonic() - known.first_at_s,
             tuple(sorted(known.crashed_at_s)),
             not known.was_begun and not key.is_request,
-            stage=evidence.stage,
         )
         # Others must know this entry before those that are carried over from it.
         self.on_action(Propose(entry))
@@ -231,8 +258,7 @@
     def _is_harmless_here(self, key: PartKey) -> bool:
         """Return whether a quarantine at another service must not be carried over."""
         since_s = self._crashing_since_s(key.part) - ENFORCE_AFTER_S - DELIVERY_MAX_S
-        log = self._log()
-        return log.has_begun(key) or log.voided_at_s(key) > since_s
+        return self.log.has_begun(key) or self.log.voided_at_s(key) > since_s
 
     def _crashing_since_s(self, part: PartId) -> float:
         """Return since when a part is kept away from a service that it crashed."""
@@ -274,16 +300,13 @@
 
         An entry that `is_old`, as one read at the start, is in force at once.
         """
+        crashes = [self._crash_times.known_as(crash) for crash in entry.crashes]
+        self.log.explain(crashes, {entry.key.part})
         known = self._quarantined.get(entry.key)
-        if known is None and not is_old and self._is_refuted(entry):
-            self._release(entry.key)
-            return
-        crashes = {self._crash_times.known_as(crash) for crash in entry.crashes}
-        if entry.is_new:
-            # Its proposer may not have known of all crashes that the part was at.
-            crashes.update(self._presence.with_part(entry.key.part))
-        self._explain(crashes, {entry.key.part})
         if known is None:
+            if self._is_refuted(entry) and not is_old:
+                self._release(entry.key)
+                return
             delay_s = ENFORCE_AFTER_S
             if entry.is_carried_over:
                 delay_s = self._carried_delay_s(entry.key.part)
@@ -297,44 +320,18 @@
             known.entry = replace(known.entry, trials=entry.trials)
 
     def _is_refuted(self, entry: QuarantineEntry) -> bool:
-        """Return whether what this router knows refutes an entry.
-
-        An answer that was sent before the crashes says nothing of the time since then.
-        It counts only where a part that never was answered explains them as well.
-        """
+        """Return whether this router knows of an answer that refutes an entry."""
         if entry.is_carried_over:
             return self._is_harmless_here(entry.key)
-        log = self._log(entry.stage)
-        first_at_s = time.monotonic() - entry.evidence_age_s
-        if log.begun_at_s(entry.key) > first_at_s:
-            return True
-        if entry.is_new and not log.has_begun(entry.key):
-            return False
-        return self._is_explained_by_new(entry)
-
-    def _is_explained_by_new(self, entry: QuarantineEntry) -> bool:
-        """Return whether parts without answers were at all crashes of an entry."""
-        service, log = entry.key.service, self._log(entry.stage)
-        crashes = {self._crash_times.known_as(crash) for crash in entry.crashes}
-        causes = {
-            key.part
-            for key in self._quarantined
-            if key.service == service and key != entry.key and not log.has_begun(key)
-        }
-        return self._presence.is_explained(
-            crashes,
-            lambda part: log.has_begun(PartKey(service, part)),
-            entry.key.part,
-            causes,
-        )
+        if entry.is_new:
+            return self.log.has_begun(entry.key)
+        first_at_s = time.monotonic() - entry.evidence_age_s - DELIVERY_MAX_S
+        return self.log.begun_at_s(entry.key) > first_at_s
 
     def _add(self, entry: QuarantineEntry, delay_s: float) -> None:
         now_s = time.monotonic()
-        first_at_s = now_s - entry.evidence_age_s
-        if entry.is_carried_over:
-            first_at_s = float("-inf")
         self._quarantined[entry.key] = QuarantinedPart(
-            entry, now_s + delay_s, now_s, now_s, now_s, first_at_s
+            entry, now_s + delay_s, now_s, now_s, now_s
         )
         if entry.is_carried_over:
             return
@@ -343,14 +340,13 @@
         if key.is_request:
             # It is carried over once it is asked for at another service.
             return
-        for service in self._log().begun_services:
+        for service in self.log.begun_services:
             self._carry_over(PartKey(service, key.part))
 
     def remove_entry(self, key: PartKey) -> None:
         """Set a part free, and void the evidence of before."""
         known = self._quarantined.pop(key, None)
-        for evidence in self._stages:
-            evidence.log.void(key)
+        self.log.void(key)
         if known is None or known.entry.is_carried_over:
             return
         services = self._crashed_services[key.part]
@@ -386,9 +382,9 @@
 
     def expire(self) -> None:
         """Drop what is past, and have entries kept that are still needed."""
-        for evidence in self._stages:
-            evidence.expire()
+        self.log.expire()
         self._crash_times.expire(EVIDENCE_VALID_S)
+        self._often_crashed &= self.log.evidence.keys()
         now_s = time.monotonic()
         for key, known in list(self._quarantined.items()):
             if known.is_past(now_s):
--- a/src/chervilstall/quarantine/quarantined.py
+++ b/src/chervilstall/quarantine/quarantined.py
@@ -29,8 +29,7 @@
     """A part under quarantine as one router knows it; times are monotonic.
 
     `tried_at_s` is when the entry or its latest trial began, `kept_at_s` when the entry
-    was last written, `asked_at_s` when a request with the part was last asked for, and
-    `first_crash_at_s` when the first crash was that speaks against it. With
+    was last written, `asked_at_s` when a request with the part was last asked for. With
     `has_trial` the next request with it is let through, if no other part refuses it.
     """
 
@@ -39,7 +38,6 @@
     tried_at_s: float
     kept_at_s: float
     asked_at_s: float
-    first_crash_at_s: float = float("-inf")
     has_trial: bool = False
     is_claiming: bool = False
 
@@ -60,10 +58,6 @@
             return TRIAL_AFTER_S * TRIAL_FACTOR**trials
         return LATER_TRIAL_AFTER_S
 
-    def is_refuted_by(self, stage: int, sent_at_s: float) -> bool:
-        """Return whether an answer refutes the entry by passing a stage."""
-        return stage >= self.entry.stage and sent_at_s > self.first_crash_at_s
-
     def is_past(self, now_s: float) -> bool:
         """Return whether nobody has asked for the part for so long that it is freed."""
         return now_s - max(self.asked_at_s, self.kept_at_s) > KEPT_S
--- a/src/chervilstall/quarantine/records.py
+++ b/src/chervilstall/quarantine/records.py
@@ -29,17 +29,15 @@
 
 @dataclass(frozen=True)
 class LostRequest:
-    """A request that a target had received and not answered as it crashed.
+    """A request that a target had received and not begun to answer as it crashed.
 
     `parts` are those of its prompt. `held_s` is the time from its sending to the crash,
-    in seconds, and `events` counts what its caller's router got of the answer from the
-    targets of that path.
+    in seconds.
     """
 
     digest: PartId
     parts: tuple[PartId, ...] = ()
     held_s: float = 0.0
-    events: int = 0
 
 
 @dataclass(frozen=True)
@@ -49,9 +47,7 @@
     `requests` are those that the target had received and not begun to answer, and
     `parts` are those that stood in their prompts. With those in `begun_parts` the
     router has seen answers begin at some time. `age_s` is the time since the crash, in
-    seconds. `late` are the requests whose answers had begun, and `answered_parts` those
-    of all parts with which the router has seen whole answers. Routers of older versions
-    don't read these two.
+    seconds.
     """
 
     crash: CrashId
@@ -60,8 +56,6 @@
     begun_parts: tuple[PartId, ...] = ()
     age_s: float = 0.0
     requests: tuple[LostRequest, ...] = ()
-    late: tuple[LostRequest, ...] = ()
-    answered_parts: tuple[PartId, ...] = ()
 
     def holders(self, part: PartId) -> Collection[PartId]:
         """Return the digests of the requests whose prompts hold a part."""
@@ -77,8 +71,7 @@
     the time of the proposal. `is_new` says that the proposer knows of no answer that
     ever began with the part; of a request as a whole only answers since the first crash
     count. `trials` counts the requests that were let through since,
-    to see whether the part is harmless after all. `stage` is the stage of the answer
-    that the targets had not passed as they crashed.
+    to see whether the part is harmless after all.
     """
 
     key: PartKey
@@ -86,7 +79,6 @@
     crashes: tuple[CrashId, ...] = ()
     is_new: bool = True
     trials: int = 0
-    stage: int = 0
 
     @property
     def is_carried_over(self) -> bool:
@@ -103,7 +95,7 @@
 
 @dataclass(frozen=True)
 class Clear:
-    """Ask for a part to be released, as an answer with it has come."""
+    """Ask for a part to be released, as an answer with it has begun."""
 
     key: PartKey
 
