--- a/tests/run.py
+++ b/tests/run.py
@@ -18,9 +18,6 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 WORKERS = 4
-RUN_FIRST = frozenset({"quarantine_fleets.feature"})
-"""Features that take longest, so that the others run beside them."""
-
 RUN_ALONE = frozenset({"process_limits.feature"})
 """Features that run apart from others, as they measure the memory of processes."""
 
@@ -139,7 +136,7 @@
     if not paths:
         paths = sorted((ROOT / "tests").rglob("*.feature"))
     # Stable, so that the features keep their order otherwise.
-    paths.sort(key=lambda path: (path.name in RUN_ALONE, path.name not in RUN_FIRST))
+    paths.sort(key=lambda path: path.name in RUN_ALONE)
     shared = sum(path.name not in RUN_ALONE for path in paths)
     with ThreadPoolExecutor(WORKERS) as pool:
         results = list(pool.map(run_feature, range(shared), paths[:shared]))
