--- a/tests/steps/load_exchange_steps.py
+++ b/tests/steps/load_exchange_steps.py
@@ -31,6 +31,7 @@
 
 FIRST_PORT = 21_400
 EXCHANGING = EdgeSettings(load_exchange=LoadExchangeSettings(mode=FeatureMode.ON))
+FOLLOWING = EdgeSettings(load_exchange=LoadExchangeSettings(mode=FeatureMode.AUTO))
 TARGET = TargetId("first")
 TOKENS = 640.0
 REQUESTS = 4
@@ -90,6 +91,11 @@
     start_routers(context, count, EdgeSettings())
 
 
+@given("a platform with {count:d} routers that exchange load while routes are ranked")
+def start_following(context: Context, count: int) -> None:
+    start_routers(context, count, FOLLOWING)
+
+
 @then("they neither bind a port for load nor load the transport for it within 1.5 s")
 def check_not_started(context: Context) -> None:
     gevent.sleep(1.5)
