Find targets on a stream's path that answer no connection

A target that lost power refuses nothing. Streams through it paused until the report of their first target named it, or until that report was 0.5 s late, or for 1.2 s.

The check of a silent stream's stages now includes the first one. Where a connect gets no answer within 20 ms, two more follow at once and another one after 50 ms. Without any answer for 80 ms the target counts as dark, if a target of the same zone accepts meanwhile, no event came through it and the router's timers were not late. Its streams are led around it or resumed. A connect that fails for another reason than silence is told apart from it. To compare, targets are probed that had no check in the last half second.

--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -6,6 +6,7 @@
 other path exists, the exchange is ended, and the relay resumes over another path.
 """
 
+import random
 import time
 from collections.abc import Callable, Container
 from dataclasses import dataclass, field
@@ -100,7 +101,12 @@
             self.streams,
             self._end_exchange,
         )
-        self.stage_check = StageCheck(self._handle_refused)
+        self.stage_check = StageCheck(
+            self._handle_refused,
+            self._handle_dark,
+            neighbours=self._neighbours,
+            has_shown_life=self._has_event_through,
+        )
 
     def run(self) -> None:
         """Check all streams until the process ends; one task runs this."""
@@ -343,6 +349,31 @@
         self.fleet_view.suspect(target, "refuses connections")
         self.rerouter.reroute_around(target)
 
+    def _handle_dark(self, target: Target) -> None:
+        """Lead streams around a target that answers no connection, or resume them."""
+        self.fleet_view.suspect(target, "answers no connection")
+        self.rerouter.reroute_around(target)
+        self._end_streams_of(target)
+
+    def _neighbours(self, target: Target) -> list[Target]:
+        """Return the trusted targets of a target's service and zone, at random."""
+        ready = self.fleet_view.ready_targets(target.service)
+        found = [
+            each
+            for each in ready
+            if each.zone == target.zone and not self.fleet_view.is_suspected(each)
+        ]
+        return random.sample(found, len(found))
+
+    def _has_event_through(self, target: Target, since_s: float) -> bool:
+        """Return whether an event came over a path through a target since a time."""
+        return any(
+            stream.has_event
+            and stream.last_event_at_s >= since_s
+            and stream.passes_through(target)
+            for stream in self.streams.values()
+        )
+
     def _end_stalled(self, request_id: RequestId) -> None:
         """End a stalled stream's exchange so that the relay uses another path."""
         stream = self.streams.get(request_id)
--- a/src/chervilstall/edge/streams/stage_check.py
+++ b/src/chervilstall/edge/streams/stage_check.py
@@ -1,84 +1,216 @@
-"""Detection of crashed targets in the middle of a path, without waiting for a report.
+"""Detection of lost targets on the path of a silent stream, without their reports.
 
 A report shows a stalled request only some hundred milliseconds after it stalled, which
-is longer than callers accept between two events. The system of a crashed target refuses
-connections at once, so a router that finds a stream silent connects to its stages.
+is longer than callers accept between two events. A router that finds a stream silent
+therefore connects to the stages of its path. The system of a crashed target refuses at
+once. A target that lost power neither accepts nor refuses; it counts as lost if several
+connects to it get no answer while another target of its zone accepts.
 """
 
 import time
-from collections.abc import Callable, Container
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
+from itertools import islice
+from typing import NamedTuple
 
 import gevent
-from gevent.event import Event
+from gevent.event import AsyncResult
 
 from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target
+from chervilstall.heard_clock import HEARD
 from chervilstall.ids import TargetId
+from chervilstall.paths.records import Path
 from chervilstall.target.connection import ListenerState, probe_listener
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("edge")
 
-CONNECT_TIMEOUT_S = 0.1
-"""A target accepts or refuses within a millisecond or two; silence proves nothing."""
+
+class ConnectRound(NamedTuple):
+    """Connects that are made at once, and the wait for an answer after them."""
+
+    connects: int
+    wait_s: float
+
+
+ROUNDS = (ConnectRound(1, 0.02), ConnectRound(2, 0.03), ConnectRound(1, 0.03))
+"""Connects of one check; none is given up before the last wait ends.
+
+A target accepts within a millisecond or two, so one connect settles most checks. A
+single lost packet can't look like a dark target, since two connects are made at once.
+The last connect comes 50 ms after the first, as a busy target may have a full accept
+queue for a moment. Its system then drops connects, and repeats come after 1 s only.
+"""
+
+CHECK_S = sum(each.wait_s for each in ROUNDS)
+"""Time without an answer from which a target may count as dark."""
+
+LATE_MAX_S = 0.03
+"""Lateness of a check's timers from which the router may have missed an answer."""
 
 COMPARE_S = 0.005
-"""Wait for another stage to accept before the first one is probed to compare."""
+"""Wait for another stage to accept before other targets are probed to compare."""
 
+COMPARED_MAX = 2
 CHECK_INTERVAL_S = 0.5
 """Shortest time between two checks of a target by this router."""
 
 
-def _probe(target: Target) -> ListenerState:
-    return probe_listener(target.address, CONNECT_TIMEOUT_S)
+def _probe(target: Target, timeout_s: float) -> ListenerState:
+    return probe_listener(target.address, timeout_s)
+
+
+def _no_neighbours(target: Target) -> Iterable[Target]:
+    return ()
 
 
 @dataclass
 class StageCheck:
-    """Connects to the later stages of silent streams while `is_in_force` returns true.
+    """Connects to the stages of silent streams while `is_in_force` returns true.
+
+    `on_refused` is called with each later stage that refuses connections, `on_dark`
+    with each stage that does not answer them, while another target accepts: a router
+    that is cut off gets the same from all of them. For a dark one, the other target is
+    of the same zone, as the link to the zone may be cut. A refusing first stage needs
+    no check, since the connection to it ends.
 
-    `on_refused` is called with each target that refuses connections while another one
-    accepts: a router that is cut off finds all of them refusing. The first stage is
-    only probed to compare, as the connection to it ends when it crashes.
+    `neighbours` returns more targets of a target's zone to compare with, and
+    `has_shown_life` whether an event has come through a target since a monotonic time.
     """
 
     on_refused: Callable[[Target], None]
+    on_dark: Callable[[Target], None] = lambda target: None
     is_in_force: Callable[[], bool] = lambda: False
-    probe: Callable[[Target], ListenerState] = _probe
+    probe: Callable[[Target, float], ListenerState] = _probe
+    neighbours: Callable[[Target], Iterable[Target]] = _no_neighbours
+    has_shown_life: Callable[[Target, float], bool] = lambda target, since_s: False
     _checked_at_s: dict[TargetId, float] = field(default_factory=dict)
+    _accepted: dict[TargetId, tuple[Target, float]] = field(default_factory=dict)
 
     def check(self, stream: LiveStream) -> None:
-        """Check the later stages of a stream that were not checked lately."""
+        """Check the stages of a stream that were not checked lately."""
         if not self.is_in_force():
             return
-        now_s = time.monotonic()
-        has_accepted = Event()
-        for stage in stream.path.stages[1:]:
-            target = stage.target
-            checked_at_s = self._checked_at_s.get(target.id, float("-inf"))
-            if now_s - checked_at_s < CHECK_INTERVAL_S:
-                continue
-            self._checked_at_s[target.id] = now_s
-            gevent.spawn(self._check, target, stream.path.first, has_accepted)
-
-    def _check(self, target: Target, first: Target, has_accepted: Event) -> None:
-        match self.probe(target):
+        for stage in stream.path.stages:
+            if self._may_check(stage.target):
+                self._checked_at_s[stage.target.id] = time.monotonic()
+                gevent.spawn(self._check, stage.target, stream.path)
+
+    def _may_check(self, target: Target) -> bool:
+        checked_at_s = self._checked_at_s.get(target.id, float("-inf"))
+        return time.monotonic() - checked_at_s >= CHECK_INTERVAL_S
+
+    def _check(self, target: Target, path: Path) -> None:
+        began_at_s = time.monotonic()
+        match self._connect(target):
             case ListenerState.ACCEPTS:
-                has_accepted.set()
-            case ListenerState.REFUSES:
-                if not self._is_reaching_others(first, has_accepted):
-                    log.info("stage refuses, as others do", target=target.id)
-                    return
-                log.warning("stage refuses connections", target=target.id)
-                self.on_refused(target)
-
-    def _is_reaching_others(self, first: Target, has_accepted: Event) -> bool:
-        if has_accepted.wait(COMPARE_S):
-            return True
-        return self.probe(first) is ListenerState.ACCEPTS
+                self._accepted[target.id] = target, time.monotonic()
+            case ListenerState.REFUSES if target.id != path.first.id:
+                self._judge_refusing(target, path, began_at_s)
+            case ListenerState.SILENT:
+                self._judge_silent(target, path, began_at_s)
+
+    def _connect(self, target: Target) -> ListenerState:
+        """Connect in rounds until there is an answer; SILENT if there is none."""
+        answer: AsyncResult[ListenerState] = AsyncResult()
+
+        def connect(timeout_s: float) -> None:
+            state = self.probe(target, timeout_s)
+            if state is not ListenerState.SILENT:
+                answer.set(state)
+
+        tasks: list[gevent.Greenlet] = []
+        left_s = CHECK_S
+        try:
+            for each in ROUNDS:
+                tasks += [gevent.spawn(connect, left_s) for _ in range(each.connects)]
+                if answer.wait(each.wait_s) is not None:
+                    return answer.get()
+                left_s -= each.wait_s
+            return ListenerState.SILENT
+        finally:
+            gevent.killall(tasks, block=False)
+
+    def _judge_refusing(self, target: Target, path: Path, began_at_s: float) -> None:
+        compared = self._find_accepting(target, path, began_at_s, lambda other: True)
+        if compared is None:
+            log.info("stage refuses, as others do", target=target.id)
+            return
+        log.warning("stage refuses connections", target=target.id, compared=compared.id)
+        self.on_refused(target)
+
+    def _judge_silent(self, target: Target, path: Path, began_at_s: float) -> None:
+        late_s = time.monotonic() - began_at_s - CHECK_S
+        if late_s > LATE_MAX_S or HEARD.lost_since(began_at_s) > 0.0:
+            late_ms = round(late_s * 1e3)
+            log.info("stage silent, timers late", target=target.id, late_ms=late_ms)
+            return
+        compared = self._find_accepting(
+            target, path, began_at_s, lambda other: other.zone == target.zone
+        )
+        if compared is None:
+            log.info("stage silent, as others are", target=target.id)
+            return
+        if self.has_shown_life(target, began_at_s):
+            log.info("stage accepts nothing, but streams go on", target=target.id)
+            return
+        log.warning(
+            "stage answers no connection",
+            target=target.id,
+            compared=compared.id,
+            for_ms=round((time.monotonic() - began_at_s) * 1e3),
+        )
+        self.on_dark(target)
+
+    def _find_accepting(
+        self,
+        target: Target,
+        path: Path,
+        since_s: float,
+        is_comparable: Callable[[Target], bool],
+    ) -> Target | None:
+        """Return another target that has accepted since a time, or does now."""
+        found = self._accepted_since(since_s, target, is_comparable)
+        if found is None:
+            gevent.sleep(COMPARE_S)
+            found = self._accepted_since(since_s, target, is_comparable)
+        if found is not None:
+            return found
+        others = [path.first, *self.neighbours(target)]
+        probed = islice(
+            (
+                other
+                for other in others
+                if other.id != target.id
+                and is_comparable(other)
+                and self._may_check(other)
+            ),
+            COMPARED_MAX,
+        )
+        gevent.joinall([self._spawn_comparison(other) for other in probed])
+        return self._accepted_since(since_s, target, is_comparable)
+
+    def _spawn_comparison(self, other: Target) -> gevent.Greenlet:
+        self._checked_at_s[other.id] = time.monotonic()
+        return gevent.spawn(self._compare, other)
+
+    def _compare(self, other: Target) -> None:
+        if self.probe(other, ROUNDS[0].wait_s) is ListenerState.ACCEPTS:
+            self._accepted[other.id] = other, time.monotonic()
+
+    def _accepted_since(
+        self, since_s: float, target: Target, is_comparable: Callable[[Target], bool]
+    ) -> Target | None:
+        for other, accepted_at_s in self._accepted.values():
+            if other.id == target.id or accepted_at_s < since_s:
+                continue
+            if is_comparable(other):
+                return other
+        return None
 
     def prune(self, present: Container[TargetId]) -> None:
         """Drop the state of targets that are gone."""
         retain_keys(self._checked_at_s, present)
+        retain_keys(self._accepted, present)
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -339,16 +339,22 @@
 
     ACCEPTS = "accepts"
     REFUSES = "refuses"
+    SILENT = "silent"
     UNKNOWN = "unknown"
 
 
 def probe_listener(address: Address, timeout_s: float) -> ListenerState:
-    """Connect and close; a silent address is UNKNOWN, as it may be cut off."""
+    """Connect and close; an address without an answer in time is SILENT.
+
+    Any other error, such as a lack of descriptors, makes it UNKNOWN.
+    """
     try:
         with gevent.Timeout(timeout_s, TimeoutError):
             gevent.socket.create_connection((address.host, address.port)).close()
     except ConnectionRefusedError:
         return ListenerState.REFUSES
+    except TimeoutError:
+        return ListenerState.SILENT
     except OSError:
         return ListenerState.UNKNOWN
     return ListenerState.ACCEPTS
--- a/tests/edge/stage_check.feature
+++ b/tests/edge/stage_check.feature
@@ -1,10 +1,11 @@
-Feature: A silent stream shows which stage of its path has crashed
+Feature: A silent stream shows which stage of its path has crashed or lost power
 
   # Guards against streams that pause for as long as reports lag after a crash on their path.
   Scenario Outline: The stages that refuse connections are found
     Given a silent stream over stages <stages>, of which <refusing> refuse connections
     When its stages are checked
     Then the targets <found> count as crashed
+    And the targets nobody count as dark
 
     Examples:
       | stages  | refusing | found   |
@@ -32,3 +33,100 @@
     And stages aren't to be checked
     When its stages are checked
     Then the targets nobody count as crashed
+    And nothing was probed
+
+  # Guards against streams that pause until a report tells of a target that lost power.
+  # Also against a router without links, to which all targets look dark.
+  Scenario Outline: The stages that answer no connection are found while others accept
+    Given a silent stream over stages <stages>, of which <dark> answer no connection
+    When its stages are checked
+    Then the targets <found> count as dark
+    And the targets nobody count as crashed
+
+    Examples:
+      | stages  | dark  | found  |
+      | a,b,c,d | c     | c      |
+      | a,b,c,d | a     | a      |
+      | a,b,c,d | b,d   | b,d    |
+      | a,b,c   | a,b,c | nobody |
+
+  # Guards against streams that leave a healthy target for a fault of its link or a busy moment.
+  Scenario Outline: A stage that answers late or not at once doesn't count as dark
+    Given a silent stream over stages a,b,c, of which nobody answer no connection
+    And connects to <where> <fault>
+    When its stages are checked
+    Then the targets nobody count as dark
+
+    Examples:
+      | where | fault                                  |
+      | b     | get no answer the first time           |
+      | b     | get no answer in the first 45 ms       |
+      | b     | are answered after 60 ms               |
+      | a,b,c | are answered after 100 ms              |
+      | b     | fail for want of descriptors           |
+
+  # Guards against a router that missed the answers while its own loop was held.
+  Scenario: Nothing is concluded of the time in which the loop was held
+    Given a silent stream over stages a,b,c, of which nobody answer no connection
+    And connects to b are answered after 60 ms
+    When its stages are checked, and the loop is held for 150 ms
+    Then the targets nobody count as dark
+
+  # Guards against streams that leave a target whose accept queue is full while it serves others.
+  Scenario: A target through which events come doesn't count as dark
+    Given a silent stream over stages a,b,c, of which b answer no connection
+    And events of other streams come through b
+    When its stages are checked
+    Then the targets nobody count as dark
+
+  # Guards against a cut link to a zone that makes its targets look dark from other zones only.
+  Scenario Outline: A target of another zone is only compared with targets of its own zone
+    Given a silent stream over stages a,b,c, of which b answer no connection
+    And b is in another zone, in which <neighbours>
+    When its stages are checked
+    Then the targets <found> count as dark
+
+    Examples:
+      | neighbours          | found  |
+      | there is no other   | nobody |
+      | a target accepts    | b      |
+      | no target answers   | nobody |
+
+  # Guards against connects that cost targets more time than the requests.
+  Scenario: A target gets one check in half a second, whoever asks
+    Given a silent stream over stages a,b, of which b answer no connection
+    When its stages are checked
+    And its stages are checked
+    Then a was probed 1 times and b 4 times
+
+  # Guards against a state of a listener that no real connect has.
+  Scenario Outline: A connect tells what is at an address
+    Given an address at which a listener <behaves>
+    Then a connect to it within 50 ms shows that it <state>
+
+    Examples:
+      | behaves           | state   |
+      | accepts           | accepts |
+      | is closed         | refuses |
+      | has a full queue  | silent  |
+
+  # Guards against a stream that waits for a report of the stage that lost power.
+  Scenario: A stream is led around a later stage that answers no connection
+    Given a platform with a model in parts in both zones
+    And a second copy of the last part in the own zone
+    And the first target stalls on the last part after 4 events
+    And the target of the last part answers no connection, and no report tells so
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And the first target was given another path
+    And the stream paused for less than 400 ms
+
+  # Guards against a stream that waits until the report of its first target is late.
+  Scenario: A stream is resumed elsewhere once its first target answers no connection
+    Given a platform with a model in parts in both zones
+    And a second copy of the last part in the own zone
+    And no stream is ended for its silence alone
+    And the first target of the own zone stops sending and answers no connection
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And the request ran 2 times
--- a/tests/steps/stage_check_steps.py
+++ b/tests/steps/stage_check_steps.py
@@ -1,41 +1,124 @@
 """Steps for the check of the stages of silent streams, with probes that are told."""
 
+import time
 from collections import Counter
 from types import SimpleNamespace
 
 import gevent
+import gevent.socket
 from behave import given, then, when
 from behave.runner import Context
 
-from chervilstall.edge.streams.stage_check import StageCheck
-from chervilstall.target.connection import ListenerState
+from chervilstall.edge.streams.stage_check import CHECK_S, StageCheck
+from chervilstall.settings.option import Address
+from chervilstall.target.connection import ListenerState, probe_listener
+from tests.steps.standstill_steps import native_sleep
 from tests.support.agent_fleet import eventually
 
+HOST = "127.0.0.1"
+BETWEEN_CONNECTS_S = 0.005
+
+
+class FakeListeners:
+    """Answers connects as told; `delay_s` and `deaf_s` are by the name of a target."""
+
+    def __init__(self, refusing: list[str], dark: list[str]) -> None:
+        self.refusing, self.dark = refusing, dark
+        self.probed: Counter[str] = Counter()
+        self.delay_s: dict[str, float] = {}
+        self.deaf_s: dict[str, float] = {}
+        self.lost: set[str] = set()
+        self.without_descriptors: set[str] = set()
+        self.first_at_s: dict[str, float] = {}
+
+    def probe(self, target: SimpleNamespace, timeout_s: float) -> ListenerState:
+        name = target.id
+        self.probed[name] += 1
+        now_s = time.monotonic()
+        since_s = now_s - self.first_at_s.setdefault(name, now_s)
+        is_lost = name in self.lost and self.probed[name] == 1
+        if name in self.refusing:
+            return ListenerState.REFUSES
+        if name in self.without_descriptors:
+            return ListenerState.UNKNOWN
+        delay_s = self.delay_s.get(name, 0.0)
+        is_deaf = is_lost or since_s < self.deaf_s.get(name, 0.0)
+        if name in self.dark or is_deaf or delay_s > timeout_s:
+            gevent.sleep(timeout_s)
+            return ListenerState.SILENT
+        gevent.sleep(delay_s)
+        return ListenerState.ACCEPTS
+
 
 def _names(text: str) -> list[str]:
     return [] if text == "nobody" else text.split(",")
 
 
-@given("a silent stream over stages {stages}, of which {refusing} refuse connections")
-def set_stream(context: Context, stages: str, refusing: str) -> None:
-    context.probed = Counter()
-    context.found = []
-    targets = [SimpleNamespace(id=name) for name in _names(stages)]
+def _create(context: Context, stages: str, refusing: str, dark: str) -> None:
+    context.crashed, context.dark = [], []
+    context.targets = {
+        name: SimpleNamespace(id=name, zone="near") for name in _names(stages)
+    }
+    targets = list(context.targets.values())
     path = SimpleNamespace(
         stages=[SimpleNamespace(target=target) for target in targets],
         first=targets[0],
     )
     context.stream = SimpleNamespace(path=path)
+    context.listeners = FakeListeners(_names(refusing), _names(dark))
+    context.check = StageCheck(
+        lambda target: context.crashed.append(target.id),
+        lambda target: context.dark.append(target.id),
+        lambda: True,
+        context.listeners.probe,
+    )
+
+
+@given("a silent stream over stages {stages}, of which {refusing} refuse connections")
+def set_refusing(context: Context, stages: str, refusing: str) -> None:
+    _create(context, stages, refusing, "nobody")
+
+
+@given("a silent stream over stages {stages}, of which {dark} answer no connection")
+def set_dark(context: Context, stages: str, dark: str) -> None:
+    _create(context, stages, "nobody", dark)
+
+
+@given("connects to {names} get no answer the first time")
+def lose_first(context: Context, names: str) -> None:
+    context.listeners.lost = set(_names(names))
+
 
-    def probe(target: SimpleNamespace) -> ListenerState:
-        context.probed[target.id] += 1
-        is_refusing = target.id in _names(refusing)
-        return ListenerState.REFUSES if is_refusing else ListenerState.ACCEPTS
+@given("connects to {names} get no answer in the first {deaf_ms:d} ms")
+def fill_queue(context: Context, names: str, deaf_ms: int) -> None:
+    context.listeners.deaf_s = dict.fromkeys(_names(names), deaf_ms / 1e3)
 
-    def note(target: SimpleNamespace) -> None:
-        context.found.append(target.id)
 
-    context.check = StageCheck(note, lambda: True, probe)
+@given("connects to {names} are answered after {delay_ms:d} ms")
+def delay_answers(context: Context, names: str, delay_ms: int) -> None:
+    context.listeners.delay_s = dict.fromkeys(_names(names), delay_ms / 1e3)
+
+
+@given("connects to {names} fail for want of descriptors")
+def exhaust_descriptors(context: Context, names: str) -> None:
+    context.listeners.without_descriptors = set(_names(names))
+
+
+@given("events of other streams come through {name}")
+def show_life(context: Context, name: str) -> None:
+    context.check.has_shown_life = lambda target, since_s: target.id == name
+
+
+@given("{name} is in another zone, in which {neighbours}")
+def move_zone(context: Context, name: str, neighbours: str) -> None:
+    context.targets[name].zone = "far"
+    other = SimpleNamespace(id="other", zone="far")
+    match neighbours:
+        case "a target accepts":
+            context.check.neighbours = lambda target: [other]
+        case "no target answers":
+            context.listeners.dark.append("other")
+            context.check.neighbours = lambda target: [other]
 
 
 @given("stages aren't to be checked")
@@ -46,15 +129,68 @@
 @when("its stages are checked")
 def check_stages(context: Context) -> None:
     context.check.check(context.stream)
-    gevent.sleep(0.05)
+    gevent.sleep(CHECK_S + 0.06)
+
+
+@when("its stages are checked, and the loop is held for {hold_ms:d} ms")
+def check_while_held(context: Context, hold_ms: int) -> None:
+    context.check.check(context.stream)
+    gevent.sleep(0.01)
+    native_sleep(hold_ms / 1e3)
+    gevent.sleep(CHECK_S + 0.06)
 
 
 @then("the targets {found} count as crashed")
-def check_found(context: Context, found: str) -> None:
-    eventually(lambda: sorted(context.found) == _names(found))
+def check_crashed(context: Context, found: str) -> None:
+    eventually(lambda: sorted(context.crashed) == _names(found))
+
+
+@then("the targets {found} count as dark")
+def check_dark(context: Context, found: str) -> None:
+    eventually(lambda: sorted(context.dark) == _names(found))
 
 
 @then("each later stage was probed once")
 def check_probed(context: Context) -> None:
     later = [stage.target.id for stage in context.stream.path.stages[1:]]
-    assert [context.probed[name] for name in later] == [1] * len(later)
+    assert [context.listeners.probed[name] for name in later] == [1] * len(later)
+
+
+@then("nothing was probed")
+def check_not_probed(context: Context) -> None:
+    assert not context.listeners.probed, context.listeners.probed
+
+
+@then("{one} was probed {count:d} times and {other} {other_count:d} times")
+def check_counts(
+    context: Context, one: str, count: int, other: str, other_count: int
+) -> None:
+    probed = context.listeners.probed
+    assert (probed[one], probed[other]) == (count, other_count), probed
+
+
+@given("an address at which a listener {behaves}")
+def add_listener(context: Context, behaves: str) -> None:
+    listener = gevent.socket.socket()
+    context.add_cleanup(listener.close)
+    listener.bind((HOST, 0))
+    context.address = Address(HOST, listener.getsockname()[1])
+    match behaves:
+        case "accepts":
+            listener.listen()
+        case "is closed":
+            listener.close()
+        case "has a full queue":
+            listener.listen(0)
+            for _ in range(2):
+                filling = gevent.socket.socket()
+                context.add_cleanup(filling.close)
+                filling.setblocking(False)
+                filling.connect_ex((HOST, context.address.port))
+                gevent.sleep(BETWEEN_CONNECTS_S)
+
+
+@then("a connect to it within {timeout_ms:d} ms shows that it {state}")
+def check_state(context: Context, timeout_ms: int, state: str) -> None:
+    found = probe_listener(context.address, timeout_ms / 1e3)
+    assert found is ListenerState(state), found
