Send a draft again in time if its first target is dark

A stream without a first event was checked after 0.35 s, and a connect that hung ended after 0.6 s only, also when the exchange was aborted. Callers' objectives for the first event are 0.3 to 1 s.

The first target is checked once a quarter of what the objective leaves after the send has passed. If it is dark, the exchange is closed and the request is sent over another path: at most once where a target may have run it, on resumable routes, with a retry of the budget. An abort now ends a connect in progress; such a request has reached no target and takes no retry. Targets through which an event has just come are not checked, which also saves connects while many streams are slow.

--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -123,7 +123,7 @@
         except ConnectFailed as error:
             raise self._error(ExchangeFailure.NO_CONNECTION, was_sent=False) from error
         except TimeoutError as error:
-            raise self._error(ExchangeFailure.TIMEOUT, self._is_connected()) from error
+            raise self._error(ExchangeFailure.TIMEOUT, self.is_connected()) from error
         except (OSError, HTTPConnectionClosed) as error:
             raise self._error(ExchangeFailure.CLOSED) from error
         except HTTPParseError as error:
@@ -136,10 +136,11 @@
         return head
 
     def _notice_slow_connect(self) -> None:
-        if self.on_slow_connect is not None and not self._is_connected():
+        if self.on_slow_connect is not None and not self.is_connected():
             self.on_slow_connect()
 
-    def _is_connected(self) -> bool:
+    def is_connected(self) -> bool:
+        """Return whether there was a connection; without one nothing was sent."""
         pool: Any = self._client._connection_pool
         return bool(pool.is_opened)
 
--- a/src/chervilstall/edge/streams/live_stream.py
+++ b/src/chervilstall/edge/streams/live_stream.py
@@ -16,6 +16,14 @@
 FIRST_EVENT_SILENCE_LIMIT_S = 0.35
 """The same before the first event, while prompts are prefilled."""
 
+FIRST_CHECK_SHARE = 0.25
+"""Share of what is left of the objective for the first event, after the send, in which
+the first target has to begin. A check and a second send take about 0.2 s more.
+"""
+
+FIRST_CHECK_MIN_S = 0.1
+"""Most first events come after less than this; shorter waits cost many checks."""
+
 GAP_WEIGHT = 0.2
 """Weight of the latest gap in the moving average."""
 
@@ -49,6 +57,24 @@
         """Return how long the stream may be silent before it is checked."""
         return EVENT_SILENCE_LIMIT_S if self.has_event else FIRST_EVENT_SILENCE_LIMIT_S
 
+    @property
+    def first_check_s(self) -> float:
+        """Return how long the first event may take before its target is checked."""
+        request = self.request
+        due_at_s = request.arrived_at_s + request.route.latency_slo_s
+        share_s = FIRST_CHECK_SHARE * (due_at_s - self.last_event_at_s)
+        return min(max(share_s, FIRST_CHECK_MIN_S), FIRST_EVENT_SILENCE_LIMIT_S)
+
+    @property
+    def is_unsent(self) -> bool:
+        """Return whether the request has reached no first target yet."""
+        return not self.attempts.counted and not self.exchange.is_connected()
+
+    @property
+    def is_sent_again(self) -> bool:
+        """Return whether another first target may have run the request before."""
+        return any(each != self.path.first.id for each in self.attempts.counted)
+
     @property
     def silence_s(self) -> float:
         """Return the time since the last event, or since the request was sent."""
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -19,6 +19,7 @@
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.streams.live_stream import EVENT_SILENCE_LIMIT_S, LiveStream
 from chervilstall.edge.streams.rerouter import StreamRerouter
+from chervilstall.edge.streams.signs_of_life import SignsOfLife
 from chervilstall.edge.streams.slow_targets import SlowTargetDetector
 from chervilstall.edge.streams.stage_check import StageCheck
 from chervilstall.fleet.pruning import retain_keys
@@ -102,10 +103,10 @@
             self._end_exchange,
         )
         self.stage_check = StageCheck(
+            SignsOfLife(self.streams),
             self._handle_refused,
             self._handle_dark,
             neighbours=self._neighbours,
-            has_shown_life=self._has_event_through,
         )
 
     def run(self) -> None:
@@ -141,6 +142,8 @@
                 stream.exchange.abort(ExchangeFailure.TIMEOUT)
                 continue
             silence_s = stream.silence_s
+            if self._is_first_event_late(stream, silence_s):
+                self.stage_check.check_first(stream)
             if silence_s <= stream.silence_limit_s:
                 continue
             if self._should_end(stream, now_s):
@@ -156,6 +159,12 @@
         self.rerouter.step(now_s)
         self.slow_detector.step(self.streams, now_s)
 
+    def _is_first_event_late(self, stream: LiveStream, silence_s: float) -> bool:
+        """Return whether the first target of a stream is to be checked early."""
+        if stream.has_event or not self.stage_check.is_in_force():
+            return False
+        return silence_s > stream.first_check_s
+
     def _should_end(self, stream: LiveStream, now_s: float) -> bool:
         """Return whether a silent exchange should be ended without another query."""
         if self.fleet_view.is_unresponsive(stream.path.first):
@@ -199,7 +208,8 @@
         kept and False returned. The same holds for requests that may not be retried,
         and for streams that may go on at no other target than the unresponsive one.
         If a lost first target has not begun the request, the exchange is ended in any
-        case, so that the caller gets its response at once.
+        case, so that the caller gets its response at once. A request that is still
+        connecting for the first time has reached no target and needs no retry.
         """
         request = stream.request
         if self.streams.get(request.request_id) is not stream:
@@ -207,9 +217,10 @@
             return True
         has_begun = request.events_forwarded > 0
         is_lost = is_first_lost and not has_begun
+        is_free = is_lost or stream.is_unsent
         if has_begun and self._is_bound_to_unresponsive(stream):
             return False
-        if not is_lost and not self._reserve_retry(request, has_begun):
+        if not is_free and not self._reserve_retry(request, has_begun):
             return False
         log.warning(
             "stream silent",
@@ -350,10 +361,16 @@
         self.rerouter.reroute_around(target)
 
     def _handle_dark(self, target: Target) -> None:
-        """Lead streams around a target that answers no connection, or resume them."""
+        """Lead streams around a target that answers no connection, or resume them.
+
+        A request without an event is sent again early at most once.
+        """
         self.fleet_view.suspect(target, "answers no connection")
-        self.rerouter.reroute_around(target)
-        self._end_streams_of(target)
+        for stream in list(self.streams.values()):
+            if stream.path.first.incarnation != target.incarnation:
+                self.rerouter.reroute(stream, target)
+            elif stream.request.events_forwarded or not stream.is_sent_again:
+                self._end_exchange(stream)
 
     def _neighbours(self, target: Target) -> list[Target]:
         """Return the trusted targets of a target's service and zone, at random."""
@@ -365,15 +382,6 @@
         ]
         return random.sample(found, len(found))
 
-    def _has_event_through(self, target: Target, since_s: float) -> bool:
-        """Return whether an event came over a path through a target since a time."""
-        return any(
-            stream.has_event
-            and stream.last_event_at_s >= since_s
-            and stream.passes_through(target)
-            for stream in self.streams.values()
-        )
-
     def _end_stalled(self, request_id: RequestId) -> None:
         """End a stalled stream's exchange so that the relay uses another path."""
         stream = self.streams.get(request_id)
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -69,8 +69,12 @@
     def reroute_around(self, target: Target) -> None:
         """Reroute every stream whose path contains a target."""
         for stream in list(self.streams.values()):
-            if stream.passes_through(target):
-                self._start_reroute(stream, target)
+            self.reroute(stream, target)
+
+    def reroute(self, stream: LiveStream, target: Target) -> None:
+        """Reroute a stream if its path contains a target."""
+        if stream.passes_through(target):
+            self._start_reroute(stream, target)
 
     def reroute_from_leaving(self) -> None:
         """Reroute streams around targets that drain or are in an unreachable zone.
--- a/src/chervilstall/edge/streams/stage_check.py
+++ b/src/chervilstall/edge/streams/stage_check.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
 from itertools import islice
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import gevent
 from gevent.event import AsyncResult
@@ -54,6 +54,12 @@
 """Wait for another stage to accept before other targets are probed to compare."""
 
 COMPARED_MAX = 2
+RECENT_LIFE_S = 0.1
+"""Age up to which an event that came through a target makes a check needless."""
+
+EXPECTED_GAP_S = 0.07
+"""Time between two events that is assumed where a stream has had less than two."""
+
 CHECK_INTERVAL_S = 0.5
 """Shortest time between two checks of a target by this router."""
 
@@ -66,6 +72,16 @@
     return ()
 
 
+class LifeSource(Protocol):
+    """What streams show about targets; times are monotonic seconds."""
+
+    def has_event_since(self, target: Target, since_s: float) -> bool:
+        """Return whether an event came through a target since a time."""
+
+    def latest_at_s(self, target: Target) -> float:
+        """Return when the latest event came through a target."""
+
+
 @dataclass
 class StageCheck:
     """Connects to the stages of silent streams while `is_in_force` returns true.
@@ -76,27 +92,44 @@
     of the same zone, as the link to the zone may be cut. A refusing first stage needs
     no check, since the connection to it ends.
 
-    `neighbours` returns more targets of a target's zone to compare with, and
-    `has_shown_life` whether an event has come through a target since a monotonic time.
+    `neighbours` returns more targets of a target's zone to compare with. `life` tells
+    of events that came through targets: such a target is neither dark nor checked.
     """
 
+    life: LifeSource
     on_refused: Callable[[Target], None]
     on_dark: Callable[[Target], None] = lambda target: None
     is_in_force: Callable[[], bool] = lambda: False
     probe: Callable[[Target, float], ListenerState] = _probe
     neighbours: Callable[[Target], Iterable[Target]] = _no_neighbours
-    has_shown_life: Callable[[Target, float], bool] = lambda target, since_s: False
     _checked_at_s: dict[TargetId, float] = field(default_factory=dict)
     _accepted: dict[TargetId, tuple[Target, float]] = field(default_factory=dict)
 
     def check(self, stream: LiveStream) -> None:
         """Check the stages of a stream that were not checked lately."""
-        if not self.is_in_force():
-            return
         for stage in stream.path.stages:
-            if self._may_check(stage.target):
-                self._checked_at_s[stage.target.id] = time.monotonic()
-                gevent.spawn(self._check, stage.target, stream.path)
+            self._start(stage.target, stream)
+
+    def check_first(self, stream: LiveStream) -> None:
+        """Check the first stage of a stream without an event."""
+        self._start(stream.path.first, stream)
+
+    def _start(self, target: Target, stream: LiveStream) -> None:
+        if not self.is_in_force() or not self._may_check(target):
+            return
+        if self._is_cleared(target, stream):
+            return
+        self._checked_at_s[target.id] = time.monotonic()
+        gevent.spawn(self._check, target, stream.path)
+
+    def _is_cleared(self, target: Target, stream: LiveStream) -> bool:
+        """Return whether an event shows that a target isn't why a stream is silent.
+
+        One that came after the stream's next event was due, or just now, does.
+        """
+        due_at_s = stream.last_event_at_s + (stream.mean_gap_s or EXPECTED_GAP_S)
+        since_s = max(due_at_s, time.monotonic() - RECENT_LIFE_S)
+        return self.life.latest_at_s(target) >= since_s
 
     def _may_check(self, target: Target) -> bool:
         checked_at_s = self._checked_at_s.get(target.id, float("-inf"))
@@ -153,7 +186,7 @@
         if compared is None:
             log.info("stage silent, as others are", target=target.id)
             return
-        if self.has_shown_life(target, began_at_s):
+        if self.life.has_event_since(target, began_at_s):
             log.info("stage accepts nothing, but streams go on", target=target.id)
             return
         log.warning(
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -139,7 +139,8 @@
     """A pool that opens one connection and refuses to open a second.
 
     The connection stays open until the pool is closed, so that reading can continue
-    after a read that timed out.
+    after a read that timed out. `socket` is set as soon as it starts to connect, so
+    that another task can end that.
     """
 
     def __init__(self, **arguments: Any) -> None:
@@ -147,6 +148,10 @@
         self.is_opened = False
         self.socket: gevent.socket.socket | None = None
 
+    def _create_tcp_socket(self, *arguments: Any) -> gevent.socket.socket:
+        self.socket = super()._create_tcp_socket(*arguments)
+        return self.socket
+
     def return_socket(self, sock: gevent.socket.socket) -> None:
         self.socket = sock
 
--- a/tests/edge/stage_check.feature
+++ b/tests/edge/stage_check.feature
@@ -130,3 +130,64 @@
     When a draft of 10 events is asked for
     Then the events 1 to 10 arrive once and in order
     And the request ran 2 times
+
+  # Guards against first events that come only after the report or the connect has timed out.
+  Scenario Outline: A draft whose first target is lost <when> begins elsewhere within its objective
+    Given a platform with a model in parts in both zones
+    And the first target of the own zone is lost <when>
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And the first event came within 300 ms, for <retries> retries
+    And the request ran <runs> times
+
+    Examples: a request that was never sent takes no retry
+      | when                    | retries | runs |
+      | before it gets the draft | 0       | 1    |
+      | after it got the draft  | 1       | 2    |
+
+  # Guards against a request that waits for its connect since the budget is used up.
+  Scenario: A draft that reached no target needs no retry to begin elsewhere
+    Given a platform with a model in parts in both zones
+    And the retry budget is used up
+    And the first target of the own zone is lost before it gets the draft
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And the first event came within 300 ms, for 0 retries
+
+  # Guards against a second send where it isn't allowed, or where its retry isn't paid for.
+  Scenario Outline: A draft isn't sent again <where>
+    Given a platform <platform>
+    And <condition>
+    And the first target of the own zone is slow by 0.6 s and looks dark
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And the request ran 1 times
+
+    Examples:
+      | where                     | platform                              | condition                                 |
+      | without a retry           | with a model in parts in both zones   | the retry budget is used up               |
+      | if it can't be resumed    | whose drafts are not resumable        | no stream is ended for its silence alone  |
+
+  # Guards against a request that is sent early to one target after the other.
+  Scenario Outline: A request is sent again at most once because its first target is dark
+    Given a request without an event that <tried> may have run before
+    When its first target goes dark
+    Then it is sent again: <outcome>
+
+    Examples:
+      | tried          | outcome |
+      | no target      | yes     |
+      | first          | yes     |
+      | another target | no      |
+
+  # Guards against checks of a target that is known to be alive.
+  Scenario Outline: A target through which an event came <when> isn't checked
+    Given a silent stream over stages a,b, of which nobody answer no connection
+    And its last event came 120 ms ago, and one through b <ago_ms> ms ago
+    When its stages are checked
+    Then a was probed 1 times and b <probes> times
+
+    Examples:
+      | when                          | ago_ms | probes |
+      | after the next one was due    | 60     | 0      |
+      | before the next one was due   | 80     | 1      |
--- /dev/null
+++ b/tests/steps/dark_target_steps.py
@@ -0,0 +1,144 @@
+"""Steps for streams over targets that answer no connection."""
+
+import time
+from types import SimpleNamespace
+from typing import Any, cast
+from unittest.mock import MagicMock
+
+import gevent
+from behave import given, then, when
+from behave.runner import Context
+
+from chervilstall.edge.streams.live_stream import LiveStream
+from chervilstall.edge.streams.monitor import StreamMonitor
+from chervilstall.fleet.records import Target
+from chervilstall.ids import RequestId, TargetId
+from chervilstall.standin.platform_fixtures import write_target_entry
+from chervilstall.standin.platform_target import PlatformTarget
+from chervilstall.target.connection import ListenerState
+from tests.support.agent_fleet import eventually
+from tests.support.full_listener import open_full_listener
+from tests.support.platform import ZONES
+from tests.support.platform_scenario import FIRST_PART, own_first, pause_stream
+
+
+def _check_stages(context: Context) -> None:
+    """Let the router check stages, and not fetch the reports of silent streams."""
+    monitor = context.router.stream_monitor
+    monitor._query = lambda first, now_s: None
+    monitor.stage_check.is_in_force = lambda: True
+    context.retries = []
+    spend = context.router.budget.spend_reserved
+
+    def spend_counted(service: str) -> None:
+        context.retries.append(service)
+        spend(service)
+
+    context.router.budget.spend_reserved = spend_counted
+
+
+def _make_dark(context: Context, dark: PlatformTarget) -> None:
+    """Let no connect of a check to a target be answered."""
+    _check_stages(context)
+    check = context.router.stream_monitor.stage_check
+    probe = check.probe
+
+    def probe_dark(target: Target, timeout_s: float) -> ListenerState:
+        if target.id != dark.name:
+            return probe(target, timeout_s)
+        gevent.sleep(timeout_s)
+        return ListenerState.SILENT
+
+    check.probe = probe_dark
+
+
+@given("the target of the last part answers no connection, and no report tells so")
+def make_last_dark(context: Context) -> None:
+    _make_dark(context, context.stalled_on)
+    context.pauses_s = []
+    context.router.stream_monitor.rerouter.record_pause = (
+        lambda request, cause, pause_s: context.pauses_s.append(pause_s)
+    )
+
+
+@given("the first target of the own zone stops sending and answers no connection")
+def make_first_dark(context: Context) -> None:
+    first = own_first(context)
+    pause_stream(first, 4, 30.0)
+    _make_dark(context, first)
+
+
+@given("the first target of the own zone is lost {when}")
+def lose_first(context: Context, when: str) -> None:
+    first = own_first(context)
+    if when == "after it got the draft":
+        pause_stream(first, 0, 30.0)
+        _make_dark(context, first)
+        return
+    _check_stages(context)
+    address = open_full_listener(context)
+    context.router.planner_lease.stop()
+    write_target_entry(
+        context.platform.store.state,
+        first.name,
+        "drafts",
+        str(address),
+        ZONES[0],
+        FIRST_PART,
+    )
+    targets = context.router.fleet_view.targets
+    eventually(lambda: targets[TargetId(first.name)].address == address)
+
+
+@given("the first target of the own zone is slow by {pause_s:g} s and looks dark")
+def slow_first(context: Context, pause_s: float) -> None:
+    first = own_first(context)
+    pause_stream(first, 0, pause_s)
+    _make_dark(context, first)
+
+
+@then("the stream paused for less than {limit_ms:d} ms")
+def check_pause(context: Context, limit_ms: int) -> None:
+    assert len(context.pauses_s) == 1, context.pauses_s
+    assert context.pauses_s[0] < limit_ms / 1e3, context.pauses_s
+
+
+@then("the first event came within {limit_ms:d} ms, for {retries:d} retries")
+def check_first_event(context: Context, limit_ms: int, retries: int) -> None:
+    histograms = context.router.metrics._histograms
+    first_event_us = [
+        histogram.get_max_value()
+        for (measure, _, _), histogram in histograms.items()
+        if measure == "first_event"
+    ]
+    assert len(first_event_us) == 1, first_event_us
+    assert first_event_us[0] < limit_ms * 1e3, first_event_us
+    assert len(context.retries) == retries, context.retries
+
+
+@given("a request without an event that {tried} may have run before")
+def create_request(context: Context, tried: str) -> None:
+    first = SimpleNamespace(id="first", incarnation="first")
+    stage = SimpleNamespace(target=first)
+    counted = [] if tried == "no target" else [tried]
+    context.stream = LiveStream(
+        MagicMock(events_forwarded=0, request_id="r1", has_reserved_retry=False),
+        MagicMock(),
+        cast(Any, SimpleNamespace(first=first, stages=[stage])),
+        cast(Any, SimpleNamespace(counted=counted)),
+        time.monotonic(),
+    )
+    context.monitor = StreamMonitor(*(MagicMock() for _ in range(5)))
+    context.monitor.streams[RequestId("r1")] = context.stream
+
+
+@when("its first target goes dark")
+def go_dark(context: Context) -> None:
+    context.monitor._handle_dark(context.stream.path.first)
+    gevent.sleep(0)
+
+
+@then("it is sent again: {outcome}")
+def check_sent_again(context: Context, outcome: str) -> None:
+    exchange = cast(MagicMock, context.stream.exchange)
+    assert exchange.abort.called is (outcome == "yes")
--- a/tests/steps/reroute_steps.py
+++ b/tests/steps/reroute_steps.py
@@ -4,18 +4,12 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from chervilstall.fleet.records import LayerRange, Target
+from chervilstall.fleet.records import LayerRange
 from chervilstall.ids import TargetId
-from chervilstall.standin.platform_target import Behaviour, PlatformTarget
-from chervilstall.target.connection import ListenerState
+from chervilstall.standin.platform_target import Behaviour
 from tests.support.agent_fleet import eventually
 from tests.support.platform import ZONES
-from tests.support.platform_scenario import (
-    LAST_PART,
-    own_first,
-    pause_stream,
-    send_draft,
-)
+from tests.support.platform_scenario import LAST_PART, own_first, send_draft
 
 
 @given("a second copy of the last part in the own zone")
@@ -101,42 +95,3 @@
     assert len(context.platform.executed_request_ids()) == 1, (
         "the stream was sent more than once"
     )
-
-
-def _make_dark(context: Context, dark: PlatformTarget) -> None:
-    """Let no connect to a target be answered, and no report be fetched."""
-    monitor = context.router.stream_monitor
-    monitor._query = lambda first, now_s: None
-    check = monitor.stage_check
-    check.is_in_force = lambda: True
-    probe = check.probe
-
-    def probe_dark(target: Target, timeout_s: float) -> ListenerState:
-        if target.id != dark.name:
-            return probe(target, timeout_s)
-        gevent.sleep(timeout_s)
-        return ListenerState.SILENT
-
-    check.probe = probe_dark
-
-
-@given("the target of the last part answers no connection, and no report tells so")
-def make_last_dark(context: Context) -> None:
-    _make_dark(context, context.stalled_on)
-    context.pauses_s = []
-    context.router.stream_monitor.rerouter.record_pause = (
-        lambda request, cause, pause_s: context.pauses_s.append(pause_s)
-    )
-
-
-@given("the first target of the own zone stops sending and answers no connection")
-def make_first_dark(context: Context) -> None:
-    first = own_first(context)
-    pause_stream(first, 4, 30.0)
-    _make_dark(context, first)
-
-
-@then("the stream paused for less than {limit_ms:d} ms")
-def check_pause(context: Context, limit_ms: int) -> None:
-    assert len(context.pauses_s) == 1, context.pauses_s
-    assert context.pauses_s[0] < limit_ms / 1e3, context.pauses_s
--- a/tests/steps/stage_check_steps.py
+++ b/tests/steps/stage_check_steps.py
@@ -14,9 +14,9 @@
 from chervilstall.target.connection import ListenerState, probe_listener
 from tests.steps.standstill_steps import native_sleep
 from tests.support.agent_fleet import eventually
+from tests.support.full_listener import open_full_listener
 
 HOST = "127.0.0.1"
-BETWEEN_CONNECTS_S = 0.005
 
 
 class FakeListeners:
@@ -64,9 +64,16 @@
         stages=[SimpleNamespace(target=target) for target in targets],
         first=targets[0],
     )
-    context.stream = SimpleNamespace(path=path)
+    context.stream = SimpleNamespace(
+        path=path, last_event_at_s=time.monotonic(), mean_gap_s=0.05
+    )
     context.listeners = FakeListeners(_names(refusing), _names(dark))
+    context.life = SimpleNamespace(
+        has_event_since=lambda target, since_s: False,
+        latest_at_s=lambda target: float("-inf"),
+    )
     context.check = StageCheck(
+        context.life,
         lambda target: context.crashed.append(target.id),
         lambda target: context.dark.append(target.id),
         lambda: True,
@@ -106,7 +113,17 @@
 
 @given("events of other streams come through {name}")
 def show_life(context: Context, name: str) -> None:
-    context.check.has_shown_life = lambda target, since_s: target.id == name
+    context.life.has_event_since = lambda target, since_s: target.id == name
+
+
+@given(
+    "its last event came {own_ms:d} ms ago, and one through {name} {other_ms:d} ms ago"
+)
+def set_events(context: Context, own_ms: int, name: str, other_ms: int) -> None:
+    now_s = time.monotonic()
+    context.stream.last_event_at_s = now_s - own_ms / 1e3
+    latest_at_s = {name: now_s - other_ms / 1e3}
+    context.life.latest_at_s = lambda target: latest_at_s.get(target.id, 0.0)
 
 
 @given("{name} is in another zone, in which {neighbours}")
@@ -171,23 +188,17 @@
 
 @given("an address at which a listener {behaves}")
 def add_listener(context: Context, behaves: str) -> None:
+    if behaves == "has a full queue":
+        context.address = open_full_listener(context)
+        return
     listener = gevent.socket.socket()
     context.add_cleanup(listener.close)
     listener.bind((HOST, 0))
     context.address = Address(HOST, listener.getsockname()[1])
-    match behaves:
-        case "accepts":
-            listener.listen()
-        case "is closed":
-            listener.close()
-        case "has a full queue":
-            listener.listen(0)
-            for _ in range(2):
-                filling = gevent.socket.socket()
-                context.add_cleanup(filling.close)
-                filling.setblocking(False)
-                filling.connect_ex((HOST, context.address.port))
-                gevent.sleep(BETWEEN_CONNECTS_S)
+    if behaves == "accepts":
+        listener.listen()
+    else:
+        listener.close()
 
 
 @then("a connect to it within {timeout_ms:d} ms shows that it {state}")
