Check a silent stream's stages by its own pace

A stream with an event each 35 ms was checked after 0.12 s of silence, as much as three of its intervals, and half of the pause that callers accept.

The stages are now checked after the mean of the stream's intervals and four mean deviations, between 0.07 and 0.12 s, from its fourth interval on. Where the monitor's turn is late, silence may be the router's own: then only the constants apply. Queries of reports are as before.

--- a/src/chervilstall/edge/streams/live_stream.py
+++ b/src/chervilstall/edge/streams/live_stream.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from chervilstall.edge.exchange import Exchange
 from chervilstall.edge.limits.attempts import AttemptLimit
@@ -28,12 +28,57 @@
 """Weight of the latest gap in the moving average."""
 
 
+CHECK_LIMIT_MIN_S = 0.07
+"""Lower bound of the silence after which the stages of a stream are checked.
+
+It is twice the shortest usual time between events, 35 ms.
+"""
+
+INTERVAL_DEVIATIONS = 4.0
+"""Mean deviations beyond the mean interval that are usual, as in TCP's time-out."""
+
+INTERVALS_MIN = 4
+"""Intervals after which a stream's own ones are known well enough."""
+
+
+@dataclass
+class EventInterval:
+    """Moving averages of the time between two events and of its deviation.
+
+    >>> interval = EventInterval()
+    >>> for gap_s in (0.04, 0.06, 0.04, 0.06):
+    ...     interval.record(gap_s)
+    >>> interval.count, round(interval.mean_s, 3)
+    (4, 0.047)
+    """
+
+    count: int = 0
+    mean_s: float = 0.0
+    deviation_s: float = 0.0
+
+    def record(self, gap_s: float) -> None:
+        """Record the time between two events."""
+        self.count += 1
+        if self.count == 1:
+            self.mean_s, self.deviation_s = gap_s, gap_s / 2.0
+            return
+        error_s = gap_s - self.mean_s
+        self.mean_s += GAP_WEIGHT * error_s
+        self.deviation_s += GAP_WEIGHT * (abs(error_s) - self.deviation_s)
+
+    @property
+    def usual_max_s(self) -> float:
+        """Return a time that the next interval will hardly exceed."""
+        return self.mean_s + INTERVAL_DEVIATIONS * self.deviation_s
+
+
 @dataclass
 class LiveStream:
     """A stream in progress over one exchange.
 
     `last_event_at_s` is a monotonic time; until the first event it is that of the send.
-    `mean_gap_s` is a moving average of the time between events, 0 until there are two.
+    `mean_gap_s` is a moving average of the time between events, 0 until there are two,
+    which rises from 0; `interval` starts with the first of these times.
     `on_next_event` is called once with the time of the next event, a monotonic one.
     """
 
@@ -44,6 +89,7 @@
     last_event_at_s: float
     events: int = 0
     mean_gap_s: float = 0.0
+    interval: EventInterval = field(default_factory=EventInterval)
     is_rerouting: bool = False
     on_next_event: Callable[[float], None] | None = None
 
@@ -57,6 +103,14 @@
         """Return how long the stream may be silent before it is checked."""
         return EVENT_SILENCE_LIMIT_S if self.has_event else FIRST_EVENT_SILENCE_LIMIT_S
 
+    @property
+    def check_limit_s(self) -> float:
+        """Return how long the stream may be silent before its stages are checked."""
+        if not self.has_event or self.interval.count < INTERVALS_MIN:
+            return self.silence_limit_s
+        limit_s = max(self.interval.usual_max_s, CHECK_LIMIT_MIN_S)
+        return min(limit_s, self.silence_limit_s)
+
     @property
     def first_check_s(self) -> float:
         """Return how long the first event may take before its target is checked."""
@@ -86,6 +140,7 @@
         if self.has_event:
             gap_s = now_s - self.last_event_at_s
             self.mean_gap_s += GAP_WEIGHT * (gap_s - self.mean_gap_s)
+            self.interval.record(gap_s)
         self.last_event_at_s = now_s
         self.events += 1
         if self.on_next_event is not None:
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -28,16 +28,15 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import RequestId, TargetId
 from chervilstall.paths.choice import PathChooser
-from chervilstall.platform.targets import (
-    NoReport,
-    TargetReport,
-    fetch_report,
-)
+from chervilstall.platform.targets import NoReport, TargetReport, fetch_report
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("edge")
 
 CHECK_INTERVAL_S = 0.025
+LATE_CHECK_S = 0.02
+"""Lateness of a check after which a short silence is no reason to connect."""
+
 LATE_TURN_S = 0.1
 """Lateness of a check after which events that came meanwhile are read first."""
 
@@ -93,6 +92,7 @@
     _queue_reported_at_s: dict[TargetId, float] = field(default_factory=dict)
     _first_event_at_s: dict[TargetId, float] = field(default_factory=dict)
     _generation: int = -1
+    _is_late_turn: bool = False
 
     def __post_init__(self) -> None:
         self.rerouter = StreamRerouter(
@@ -115,6 +115,7 @@
             due_at_s = time.monotonic() + CHECK_INTERVAL_S
             gevent.sleep(CHECK_INTERVAL_S)
             late_s = time.monotonic() - due_at_s
+            self._is_late_turn = late_s > LATE_CHECK_S
             if late_s > LATE_TURN_S:
                 # What came while this process did not run is no silence.
                 gevent.sleep(READING_S)
@@ -142,15 +143,13 @@
                 stream.exchange.abort(ExchangeFailure.TIMEOUT)
                 continue
             silence_s = stream.silence_s
-            if self._is_first_event_late(stream, silence_s):
-                self.stage_check.check_first(stream)
+            self._check_early(stream, silence_s)
             if silence_s <= stream.silence_limit_s:
                 continue
             if self._should_end(stream, now_s):
                 self._suspect_idle_first(stream)
                 if self._end_exchange(stream):
                     continue
-            self.stage_check.check(stream)
             self._query(stream.path.first, now_s)
             self.on_silence(stream.path.first)
         if self._generation != self.fleet_view.generation:
@@ -159,11 +158,19 @@
         self.rerouter.step(now_s)
         self.slow_detector.step(self.streams, now_s)
 
-    def _is_first_event_late(self, stream: LiveStream, silence_s: float) -> bool:
-        """Return whether the first target of a stream is to be checked early."""
-        if stream.has_event or not self.stage_check.is_in_force():
-            return False
-        return silence_s > stream.first_check_s
+    def _check_early(self, stream: LiveStream, silence_s: float) -> None:
+        """Check stages of a stream that is silent for long by its own measure.
+
+        In a late turn its events may merely not have been read.
+        """
+        if not self.stage_check.is_in_force():
+            return
+        if self._is_late_turn and silence_s <= stream.silence_limit_s:
+            return
+        if silence_s > stream.check_limit_s:
+            self.stage_check.check(stream)
+        elif not stream.has_event and silence_s > stream.first_check_s:
+            self.stage_check.check_first(stream)
 
     def _should_end(self, stream: LiveStream, now_s: float) -> bool:
         """Return whether a silent exchange should be ended without another query."""
--- a/tests/steps/dark_target_steps.py
+++ b/tests/steps/dark_target_steps.py
@@ -17,6 +17,7 @@
 from chervilstall.standin.platform_target import PlatformTarget
 from chervilstall.target.connection import ListenerState
 from tests.support.agent_fleet import eventually
+from tests.support.clock import Clock
 from tests.support.full_listener import open_full_listener
 from tests.support.platform import ZONES
 from tests.support.platform_scenario import FIRST_PART, own_first, pause_stream
@@ -142,3 +143,37 @@
 def check_sent_again(context: Context, outcome: str) -> None:
     exchange = cast(MagicMock, context.stream.exchange)
     assert exchange.abort.called is (outcome == "yes")
+
+
+@given("a stream whose events came {gaps} ms after each other")
+def create_paced_stream(context: Context, gaps: str) -> None:
+    create_request(context, "first")
+    context.clock = Clock()
+    context.add_cleanup(context.clock.stop)
+    context.stream.record_event()
+    for gap_ms in gaps.split(","):
+        context.clock.now_s += int(gap_ms) / 1e3
+        context.stream.record_event()
+
+
+@when("it falls silent, and the monitor is {turn}")
+def fall_silent(context: Context, turn: str) -> None:
+    context.checked_after_ms = []
+    monitor, stream = context.monitor, context.stream
+    monitor._is_late_turn = turn == "late"
+    monitor._query = lambda first, now_s: None
+    monitor.fleet_view.is_unresponsive.return_value = False
+    stream.request.deadline_s = float("inf")
+    monitor.stage_check = MagicMock()
+    monitor.stage_check.check = lambda stream: context.checked_after_ms.append(
+        round(stream.silence_s * 1e3)
+    )
+    for _ in range(30):
+        context.clock.now_s += 0.005
+        monitor.step()
+
+
+@then("its stages are first checked after {limit_ms:d} ms")
+def check_first_check(context: Context, limit_ms: int) -> None:
+    first_ms = context.checked_after_ms[0]
+    assert limit_ms < first_ms <= limit_ms + 5, first_ms
