Show the parts of a stream's pause in the metrics

The pause of a stream that lost a target was measured as a whole, and only where its first target got another path for it. What to shorten next could not be seen.

chervilstall_pause_seconds has the silence, the check, the order and the prefill of each pause by cause. Streams that were resumed at another first target are measured, too, also as pause_fault.

--- a/src/chervilstall/edge/assembly.py
+++ b/src/chervilstall/edge/assembly.py
@@ -53,7 +53,8 @@
         server.metrics,
     )
     rerouter = server.stream_monitor.rerouter
-    rerouter.record_pause = server.metrics.record_pause
+    rerouter.pauses.record_pause = server.metrics.record_pause
+    server.metrics.sources.append(rerouter.pauses.exposition)
     rerouter.spreads_moves = features.spreads_moves
     rerouter.keeps_stages = features.checks_stages
     server.stream_monitor.stage_check.is_in_force = features.checks_stages
--- a/src/chervilstall/edge/streams/live_stream.py
+++ b/src/chervilstall/edge/streams/live_stream.py
@@ -81,6 +81,8 @@
     `last_event_at_s` is a monotonic time; until the first event it is that of the send.
     `mean_gap_s` is a moving average of the time between events, 0 until there are two,
     which rises from 0; `interval` starts with the first of these times.
+    `checked_at_s` is when the present silence was first found to be long, `found_at_s`
+    when the latest move to another path began, and `sent_at_s` the time of the send.
     `on_next_event` is called once with the time of the next event, a monotonic one.
     """
 
@@ -94,6 +96,12 @@
     interval: EventInterval = field(default_factory=EventInterval)
     is_rerouting: bool = False
     on_next_event: Callable[[float], None] | None = None
+    checked_at_s: float | None = None
+    found_at_s: float | None = None
+    first_event_at_s: float | None = None
+
+    def __post_init__(self) -> None:
+        self.sent_at_s = self.last_event_at_s
 
     @property
     def has_event(self) -> bool:
@@ -143,12 +151,20 @@
             gap_s = now_s - self.last_event_at_s
             self.mean_gap_s += GAP_WEIGHT * (gap_s - self.mean_gap_s)
             self.interval.record(gap_s)
+        else:
+            self.first_event_at_s = now_s
         self.last_event_at_s = now_s
+        self.checked_at_s = None
         self.events += 1
         if self.on_next_event is not None:
             self.on_next_event(now_s)
             self.on_next_event = None
 
+    def note_check(self) -> None:
+        """Record that the stream is silent for long, unless that is known."""
+        if self.checked_at_s is None:
+            self.checked_at_s = time.monotonic()
+
     def passes_through(self, target: Target) -> bool:
         """Return whether a target is part of the stream's path."""
         return any(
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -6,7 +6,6 @@
 other path exists, the exchange is ended, and the relay resumes over another path.
 """
 
-import random
 import time
 from collections.abc import Callable, Container
 from dataclasses import dataclass, field
@@ -21,7 +20,7 @@
 from chervilstall.edge.streams.rerouter import StreamRerouter
 from chervilstall.edge.streams.signs_of_life import SignsOfLife
 from chervilstall.edge.streams.slow_targets import SlowTargetDetector
-from chervilstall.edge.streams.stage_check import StageCheck
+from chervilstall.edge.streams.stage_check import NeighbourSource, StageCheck
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.suspicion import SuspicionKind
@@ -106,7 +105,7 @@
             SignsOfLife(self.streams),
             self._handle_refused,
             self._handle_dark,
-            neighbours=self._neighbours,
+            neighbours=NeighbourSource(self.fleet_view).find,
         )
 
     def run(self) -> None:
@@ -146,6 +145,7 @@
             self._check_early(stream, silence_s)
             if silence_s <= stream.silence_limit_s:
                 continue
+            stream.note_check()
             if self._should_end(stream, now_s):
                 self._suspect_idle_first(stream)
                 if self._end_exchange(stream):
@@ -168,6 +168,7 @@
         if self._is_late_turn and silence_s <= stream.silence_limit_s:
             return
         if silence_s > stream.check_limit_s:
+            stream.note_check()
             self.stage_check.check(stream)
         elif not stream.has_event and silence_s > stream.first_check_s:
             self.stage_check.check_first(stream)
@@ -235,6 +236,8 @@
             target=stream.path.first.id,
             silent_s=round(stream.silence_s, 3),
         )
+        if has_begun:
+            self.rerouter.pauses.note_ended(stream)
         stream.exchange.abort(ExchangeFailure.STALLED)
         return True
 
@@ -379,16 +382,6 @@
             elif stream.request.events_forwarded or not stream.is_sent_again:
                 self._end_exchange(stream)
 
-    def _neighbours(self, target: Target) -> list[Target]:
-        """Return the trusted targets of a target's service and zone, at random."""
-        ready = self.fleet_view.ready_targets(target.service)
-        found = [
-            each
-            for each in ready
-            if each.zone == target.zone and not self.fleet_view.is_suspected(each)
-        ]
-        return random.sample(found, len(found))
-
     def _end_stalled(self, request_id: RequestId) -> None:
         """End a stalled stream's exchange so that the relay uses another path."""
         stream = self.streams.get(request_id)
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -7,14 +7,13 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from enum import Enum
 
 import gevent
 
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
-from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.streams.durations import StreamDurations
 from chervilstall.edge.streams.live_stream import LiveStream
+from chervilstall.edge.streams.pauses import PauseCause, PauseMeter
 from chervilstall.edge.streams.planned_moves import (
     MOVE_SHARE,
     MoveDecision,
@@ -35,13 +34,6 @@
 """Wait for a new prefill from which other first targets are considered."""
 
 
-class PauseCause(Enum):
-    """Why a stream was given another path and paused."""
-
-    DRAIN = "drain"
-    FAULT = "fault"
-
-
 @dataclass
 class StreamRerouter:
     """Gives streams another path with the same first target.
@@ -51,8 +43,8 @@
     While `spreads_moves` returns true, streams leave draining targets one after the
     other, and those that `durations` expects to end before stay. While `keeps_stages`
     returns true, a new path differs from the old one as little as it can, since each
-    other stage has to prefill the stream's tokens first. `record_pause` is
-    called with the pause of each stream that was given another path, in seconds.
+    other stage has to prefill the stream's tokens first. `pauses` measures the
+    pauses of streams that were given another path.
     """
 
     fleet_view: FleetView
@@ -63,12 +55,12 @@
     durations: StreamDurations = field(default_factory=StreamDurations)
     spreads_moves: Callable[[], bool] = lambda: False
     keeps_stages: Callable[[], bool] = lambda: False
-    record_pause: Callable[[EdgeRequest, PauseCause, float], None] = (
-        lambda request, cause, pause_s: None
-    )
     schedule: MoveSchedule = field(default_factory=MoveSchedule)
     _waiting: dict[RequestId, LiveStream] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.pauses = PauseMeter(self.streams)
+
     def reroute_around(self, target: Target) -> None:
         """Reroute every stream whose path contains a target."""
         for stream in list(self.streams.values()):
@@ -98,6 +90,7 @@
 
     def step(self, now_s: float) -> None:
         """Move the streams whose time to leave a draining target has come."""
+        self.pauses.step(now_s)
         for request_id, stream in list(self._waiting.items()):
             if self.streams.get(request_id) is not stream:
                 self._stop_waiting(request_id)
@@ -198,6 +191,7 @@
     def _start_reroute(self, stream: LiveStream, avoided: Target) -> None:
         if not stream.is_rerouting:
             stream.is_rerouting = True
+            stream.found_at_s = time.monotonic()
             gevent.spawn(self._reroute, stream, avoided)
 
     def _reroute(self, stream: LiveStream, avoided: Target) -> None:
@@ -265,15 +259,7 @@
             self.chooser.load.add(path, request.expected_tokens)
             is_fault = self.fleet_view.is_suspected(avoided)
             cause = PauseCause.FAULT if is_fault else PauseCause.DRAIN
-            self._measure_pause(stream, cause)
+            self.pauses.measure_moved(stream, cause)
             stream.last_event_at_s = time.monotonic()
         elif self.fleet_view.is_suspected(avoided):
             self.end_exchange(stream)
-
-    def _measure_pause(self, stream: LiveStream, cause: PauseCause) -> None:
-        since_s = stream.last_event_at_s
-
-        def record(at_s: float) -> None:
-            self.record_pause(stream.request, cause, at_s - since_s)
-
-        stream.on_next_event = record
--- a/src/chervilstall/edge/streams/stage_check.py
+++ b/src/chervilstall/edge/streams/stage_check.py
@@ -7,6 +7,7 @@
 connects to it get no answer while another target of its zone accepts.
 """
 
+import random
 import time
 from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
@@ -19,6 +20,7 @@
 from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target
+from chervilstall.fleet.view import FleetView
 from chervilstall.heard_clock import HEARD
 from chervilstall.ids import TargetId
 from chervilstall.paths.records import Path
@@ -72,6 +74,22 @@
     return ()
 
 
+@dataclass
+class NeighbourSource:
+    """Finds targets to compare a silent one with."""
+
+    fleet_view: FleetView
+
+    def find(self, target: Target) -> list[Target]:
+        """Return the trusted targets of a target's service and zone, at random."""
+        found = [
+            each
+            for each in self.fleet_view.ready_targets(target.service)
+            if each.zone == target.zone and not self.fleet_view.is_suspected(each)
+        ]
+        return random.sample(found, len(found))
+
+
 class LifeSource(Protocol):
     """What streams show about targets; times are monotonic seconds."""
 
--- a/tests/edge/pauses.feature
+++ b/tests/edge/pauses.feature
@@ -23,3 +23,15 @@
       | keeps      | keep       | added     |
       | keeps      | keep       | 1.0       |
       | may change | may change | above 1.3 |
+
+  # Guards against parts of a pause that don't add up to the whole.
+  Scenario Outline: A pause consists of silence, check, order and prefill
+    Given a stream whose last event came at 0 ms, checked at <checked> ms
+    When it is found at 160 ms that it has to move, which is done at 165 ms
+    Then its next event at 250 ms gives the parts <parts>
+
+    Examples: a stream may be moved before it is checked itself
+      | checked | parts       |
+      | 100     | 100,60,5,85 |
+      | no      | 160,0,5,85  |
+      | 170     | 160,0,5,85  |
--- a/tests/edge/stage_check.feature
+++ b/tests/edge/stage_check.feature
@@ -120,6 +120,7 @@
     Then the events 1 to 10 arrive once and in order
     And the first target was given another path
     And the stream paused for less than 400 ms
+    And the metrics name each part of that pause
 
   # Guards against a stream that waits until the report of its first target is late.
   Scenario: A stream is resumed elsewhere once its first target answers no connection
@@ -130,6 +131,8 @@
     When a draft of 10 events is asked for
     Then the events 1 to 10 arrive once and in order
     And the request ran 2 times
+    And the stream paused for less than 400 ms
+    And the metrics name each part of that pause
 
   # Guards against first events that come only after the report or the connect has timed out.
   Scenario Outline: A draft whose first target is lost <when> begins elsewhere within its objective
--- a/tests/steps/dark_target_steps.py
+++ b/tests/steps/dark_target_steps.py
@@ -36,6 +36,10 @@
         spend(service)
 
     context.router.budget.spend_reserved = spend_counted
+    context.pauses_s = []
+    monitor.rerouter.pauses.record_pause = lambda request, cause, pause_s: (
+        context.pauses_s.append(pause_s)
+    )
 
 
 def _make_dark(context: Context, dark: PlatformTarget) -> None:
@@ -56,10 +60,6 @@
 @given("the target of the last part answers no connection, and no report tells so")
 def make_last_dark(context: Context) -> None:
     _make_dark(context, context.stalled_on)
-    context.pauses_s = []
-    context.router.stream_monitor.rerouter.record_pause = (
-        lambda request, cause, pause_s: context.pauses_s.append(pause_s)
-    )
 
 
 @given("the first target of the own zone stops sending and answers no connection")
@@ -104,6 +104,18 @@
     assert context.pauses_s[0] < limit_ms / 1e3, context.pauses_s
 
 
+@then("the metrics name each part of that pause")
+def check_pause_parts(context: Context) -> None:
+    histograms = context.router.stream_monitor.rerouter.pauses._histograms
+    whole_s = sum(each.get_max_value() for each in histograms.values()) / 1e6
+    # Histograms keep two digits.
+    assert abs(whole_s - context.pauses_s[0]) < 0.03 * whole_s, whole_s
+    text = context.router.metrics.exposition()
+    for part in ("silence", "check", "order", "prefill"):
+        labels = f'cause="fault",component="{part}"'
+        assert f"chervilstall_pause_seconds_count{{{labels}}} 1" in text, text
+
+
 @then("the first event came within {limit_ms:d} ms, for {retries:d} retries")
 def check_first_event(context: Context, limit_ms: int, retries: int) -> None:
     histograms = context.router.metrics._histograms
--- a/tests/steps/pause_model_steps.py
+++ b/tests/steps/pause_model_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from chervilstall.edge.streams.pauses import PauseCause, PauseStart
 from chervilstall.paths.records import PathRequest
 from tests.support.pause_model import (
     SERVICE,
@@ -71,3 +72,25 @@
         assert mean > float(added.removeprefix("above ")), mean
         return
     assert mean == float(added), mean
+
+
+@given("a stream whose last event came at 0 ms, checked at {checked} ms")
+def set_checked(context: Context, checked: str) -> None:
+    context.checked_at_s = None if checked == "no" else int(checked) / 1e3
+
+
+@when(
+    "it is found at {found:d} ms that it has to move, which is done at {ordered:d} ms"
+)
+def move_stream(context: Context, found: int, ordered: int) -> None:
+    context.start = PauseStart(
+        PauseCause.FAULT, 0.0, context.checked_at_s, found / 1e3, ordered / 1e3
+    )
+
+
+@then("its next event at {next_event:d} ms gives the parts {parts}")
+def check_parts(context: Context, next_event: int, parts: str) -> None:
+    found = context.start.components_s(next_event / 1e3).values()
+    assert [round(part_s * 1e3) for part_s in found] == [
+        int(each) for each in parts.split(",")
+    ], found
