--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -18,24 +18,24 @@
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.streams.live_stream import EVENT_SILENCE_LIMIT_S, LiveStream
 from chervilstall.edge.streams.rerouter import StreamRerouter
+from chervilstall.edge.streams.signs_of_life import SignsOfLife
 from chervilstall.edge.streams.slow_targets import SlowTargetDetector
-from chervilstall.edge.streams.stage_check import StageCheck
+from chervilstall.edge.streams.stage_check import NeighbourSource, StageCheck
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target
 from chervilstall.fleet.suspicion import SuspicionKind
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import RequestId, TargetId
 from chervilstall.paths.choice import PathChooser
-from chervilstall.platform.targets import (
-    NoReport,
-    TargetReport,
-    fetch_report,
-)
+from chervilstall.platform.targets import NoReport, TargetReport, fetch_report
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("edge")
 
 CHECK_INTERVAL_S = 0.025
+LATE_CHECK_S = 0.02
+"""Lateness of a check after which a short silence is no reason to connect."""
+
 LATE_TURN_S = 0.1
 """Lateness of a check after which events that came meanwhile are read first."""
 
@@ -91,6 +91,7 @@
     _queue_reported_at_s: dict[TargetId, float] = field(default_factory=dict)
     _first_event_at_s: dict[TargetId, float] = field(default_factory=dict)
     _generation: int = -1
+    _is_late_turn: bool = False
 
     def __post_init__(self) -> None:
         self.rerouter = StreamRerouter(
@@ -100,7 +101,12 @@
             self.streams,
             self._end_exchange,
         )
-        self.stage_check = StageCheck(self._handle_refused)
+        self.stage_check = StageCheck(
+            SignsOfLife(self.streams),
+            self._handle_refused,
+            self._handle_dark,
+            neighbours=NeighbourSource(self.fleet_view).find,
+        )
 
     def run(self) -> None:
         """Check all streams until the process ends; one task runs this."""
@@ -108,6 +114,7 @@
             due_at_s = time.monotonic() + CHECK_INTERVAL_S
             gevent.sleep(CHECK_INTERVAL_S)
             late_s = time.monotonic() - due_at_s
+            self._is_late_turn = late_s > LATE_CHECK_S
             if late_s > LATE_TURN_S:
                 # What came while this process did not run is no silence.
                 gevent.sleep(READING_S)
@@ -135,13 +142,14 @@
                 stream.exchange.abort(ExchangeFailure.TIMEOUT)
                 continue
             silence_s = stream.silence_s
+            self._check_early(stream, silence_s)
             if silence_s <= stream.silence_limit_s:
                 continue
+            stream.note_check()
             if self._should_end(stream, now_s):
                 self._suspect_idle_first(stream)
                 if self._end_exchange(stream):
                     continue
-            self.stage_check.check(stream)
             self._query(stream.path.first, now_s)
             self.on_silence(stream.path.first)
         if self._generation != self.fleet_view.generation:
@@ -150,6 +158,21 @@
         self.rerouter.step(now_s)
         self.slow_detector.step(self.streams, now_s)
 
+    def _check_early(self, stream: LiveStream, silence_s: float) -> None:
+        """Check stages of a stream that is silent for long by its own measure.
+
+        In a late turn its events may merely not have been read.
+        """
+        if not self.stage_check.is_in_force():
+            return
+        if self._is_late_turn and silence_s <= stream.silence_limit_s:
+            return
+        if silence_s > stream.check_limit_s:
+            stream.note_check()
+            self.stage_check.check(stream)
+        elif not stream.has_event and silence_s > stream.first_check_s:
+            self.stage_check.check_first(stream)
+
     def _should_end(self, stream: LiveStream, now_s: float) -> bool:
         """Return whether a silent exchange should be ended without another query."""
         if self.fleet_view.is_unresponsive(stream.path.first):
@@ -193,7 +216,8 @@
         kept and False returned. The same holds for requests that may not be retried,
         and for streams that may go on at no other target than the unresponsive one.
         If a lost first target has not begun the request, the exchange is ended in any
-        case, so that the caller gets its response at once.
+        case, so that the caller gets its response at once. A request that is still
+        connecting for the first time has reached no target and needs no retry.
         """
         request = stream.request
         if self.streams.get(request.request_id) is not stream:
@@ -201,9 +225,10 @@
             return True
         has_begun = request.events_forwarded > 0
         is_lost = is_first_lost and not has_begun
+        is_free = is_lost or stream.is_unsent
         if has_begun and self._is_bound_to_unresponsive(stream):
             return False
-        if not is_lost and not self._reserve_retry(request, has_begun):
+        if not is_free and not self._reserve_retry(request, has_begun):
             return False
         log.warning(
             "stream silent",
@@ -211,6 +236,8 @@
             target=stream.path.first.id,
             silent_s=round(stream.silence_s, 3),
         )
+        if has_begun:
+            self.rerouter.pauses.note_ended(stream)
         stream.exchange.abort(ExchangeFailure.STALLED)
         return True
 
@@ -343,6 +370,18 @@
         self.fleet_view.suspect(target, "refuses connections")
         self.rerouter.reroute_around(target)
 
+    def _handle_dark(self, target: Target) -> None:
+        """Lead streams around a target that answers no connection, or resume them.
+
+        A request without an event is sent again early at most once.
+        """
+        self.fleet_view.suspect(target, "answers no connection")
+        for stream in list(self.streams.values()):
+            if stream.path.first.incarnation != target.incarnation:
+                self.rerouter.reroute(stream, target)
+            elif stream.request.events_forwarded or not stream.is_sent_again:
+                self._end_exchange(stream)
+
     def _end_stalled(self, request_id: RequestId) -> None:
         """End a stalled stream's exchange so that the relay uses another path."""
         stream = self.streams.get(request_id)
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -7,14 +7,13 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from enum import Enum
 
 import gevent
 
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
-from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.streams.durations import StreamDurations
 from chervilstall.edge.streams.live_stream import LiveStream
+from chervilstall.edge.streams.pauses import PauseCause, PauseMeter
 from chervilstall.edge.streams.planned_moves import (
     MOVE_SHARE,
     MoveDecision,
@@ -23,7 +22,7 @@
 )
 from chervilstall.fleet.records import Target, TargetReadiness
 from chervilstall.fleet.view import FleetView
-from chervilstall.ids import RequestId
+from chervilstall.ids import RequestId, TargetId
 from chervilstall.paths.choice import PathChooser
 from chervilstall.paths.records import Path, PathRequest, PathStage
 from chervilstall.platform.targets import RepathOrder, send_order
@@ -35,13 +34,6 @@
 """Wait for a new prefill from which other first targets are considered."""
 
 
-class PauseCause(Enum):
-    """Why a stream was given another path and paused."""
-
-    DRAIN = "drain"
-    FAULT = "fault"
-
-
 @dataclass
 class StreamRerouter:
     """Gives streams another path with the same first target.
@@ -49,8 +41,10 @@
     `streams` holds the open exchanges by request ID. `end_exchange` ends a stream's
     exchange, so that it is resumed over another path, and returns whether it did.
     While `spreads_moves` returns true, streams leave draining targets one after the
-    other, and those that `durations` expects to end before stay. `record_pause` is
-    called with the pause of each stream that was given another path, in seconds.
+    other, and those that `durations` expects to end before stay. While `keeps_stages`
+    returns true, a new path differs from the old one as little as it can, since each
+    other stage has to prefill the stream's tokens first. `pauses` measures the
+    pauses of streams that were given another path.
     """
 
     fleet_view: FleetView
@@ -60,17 +54,22 @@
     end_exchange: Callable[[LiveStream], bool]
     durations: StreamDurations = field(default_factory=StreamDurations)
     spreads_moves: Callable[[], bool] = lambda: False
-    record_pause: Callable[[EdgeRequest, PauseCause, float], None] = (
-        lambda request, cause, pause_s: None
-    )
+    keeps_stages: Callable[[], bool] = lambda: False
     schedule: MoveSchedule = field(default_factory=MoveSchedule)
     _waiting: dict[RequestId, LiveStream] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.pauses = PauseMeter(self.streams)
+
     def reroute_around(self, target: Target) -> None:
         """Reroute every stream whose path contains a target."""
         for stream in list(self.streams.values()):
-            if stream.passes_through(target):
-                self._start_reroute(stream, target)
+            self.reroute(stream, target)
+
+    def reroute(self, stream: LiveStream, target: Target) -> None:
+        """Reroute a stream if its path contains a target."""
+        if stream.passes_through(target):
+            self._start_reroute(stream, target)
 
     def reroute_from_leaving(self) -> None:
         """Reroute streams around targets that drain or are in an unreachable zone.
@@ -91,6 +90,7 @@
 
     def step(self, now_s: float) -> None:
         """Move the streams whose time to leave a draining target has come."""
+        self.pauses.step(now_s)
         for request_id, stream in list(self._waiting.items()):
             if self.streams.get(request_id) is not stream:
                 self._stop_waiting(request_id)
@@ -139,15 +139,43 @@
         return stream.mean_gap_s + wait_s
 
     def _path_around(self, stream: LiveStream, avoided: Target) -> Path | None:
-        """Return another path with the same first target, None if there is none."""
+        """Return another path with the same first target, None if there is none.
+
+        While `keeps_stages` returns true, the path keeps the other stages if it can.
+        """
         first = stream.path.first
         if first.incarnation == avoided.incarnation:
             return None
+        avoid = frozenset({avoided.id})
+        if self.keeps_stages():
+            path = self._choose_around(stream, avoid | self._elsewhere(stream, avoided))
+            if path is not None:
+                return path
+        return self._choose_around(stream, avoid)
+
+    def _choose_around(
+        self, stream: LiveStream, avoid: frozenset[TargetId]
+    ) -> Path | None:
         path_request = PathRequest(
-            stream.request.expected_tokens, frozenset({avoided.id}), first.id
+            stream.request.expected_tokens, avoid, stream.path.first.id
         )
         return self.chooser.choose(stream.request.service, path_request)
 
+    def _elsewhere(self, stream: LiveStream, avoided: Target) -> frozenset[TargetId]:
+        """Return the targets off a path that hold none of the layers of one stage."""
+        kept = {stage.target.id for stage in stream.path.stages}
+        lost = [
+            stage.layers
+            for stage in stream.path.stages
+            if stage.target.id == avoided.id
+        ]
+        return frozenset(
+            target.id
+            for target in self.fleet_view.targets.values()
+            if target.id not in kept
+            and not any(target.layers.overlaps(layers) for layers in lost)
+        )
+
     def _is_reachable(self, target: Target) -> bool:
         return target.zone not in self.fleet_view.unreachable_zones
 
@@ -163,6 +191,7 @@
     def _start_reroute(self, stream: LiveStream, avoided: Target) -> None:
         if not stream.is_rerouting:
             stream.is_rerouting = True
+            stream.found_at_s = time.monotonic()
             gevent.spawn(self._reroute, stream, avoided)
 
     def _reroute(self, stream: LiveStream, avoided: Target) -> None:
@@ -230,15 +259,7 @@
             self.chooser.load.add(path, request.expected_tokens)
             is_fault = self.fleet_view.is_suspected(avoided)
             cause = PauseCause.FAULT if is_fault else PauseCause.DRAIN
-            self._measure_pause(stream, cause)
+            self.pauses.measure_moved(stream, cause)
             stream.last_event_at_s = time.monotonic()
         elif self.fleet_view.is_suspected(avoided):
             self.end_exchange(stream)
-
-    def _measure_pause(self, stream: LiveStream, cause: PauseCause) -> None:
-        since_s = stream.last_event_at_s
-
-        def record(at_s: float) -> None:
-            self.record_pause(stream.request, cause, at_s - since_s)
-
-        stream.on_next_event = record
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -139,7 +139,8 @@
     """A pool that opens one connection and refuses to open a second.
 
     The connection stays open until the pool is closed, so that reading can continue
-    after a read that timed out.
+    after a read that timed out. `socket` is set as soon as it starts to connect, so
+    that another task can end that.
     """
 
     def __init__(self, **arguments: Any) -> None:
@@ -147,6 +148,10 @@
         self.is_opened = False
         self.socket: gevent.socket.socket | None = None
 
+    def _create_tcp_socket(self, *arguments: Any) -> gevent.socket.socket:
+        self.socket = super()._create_tcp_socket(*arguments)
+        return self.socket
+
     def return_socket(self, sock: gevent.socket.socket) -> None:
         self.socket = sock
 
@@ -339,16 +344,22 @@
 
     ACCEPTS = "accepts"
     REFUSES = "refuses"
+    SILENT = "silent"
     UNKNOWN = "unknown"
 
 
 def probe_listener(address: Address, timeout_s: float) -> ListenerState:
-    """Connect and close; a silent address is UNKNOWN, as it may be cut off."""
+    """Connect and close; an address without an answer in time is SILENT.
+
+    Any other error, such as a lack of descriptors, makes it UNKNOWN.
+    """
     try:
         with gevent.Timeout(timeout_s, TimeoutError):
             gevent.socket.create_connection((address.host, address.port)).close()
     except ConnectionRefusedError:
         return ListenerState.REFUSES
+    except TimeoutError:
+        return ListenerState.SILENT
     except OSError:
         return ListenerState.UNKNOWN
     return ListenerState.ACCEPTS
