Keep connections to targets for requests that may be repeated

A connection costs a target 1 ms.

Idempotent requests and resumable streams now take an idle connection to their target and give it back after a complete answer to their own ID with a stated end. It is used again only if it isn't readable, is within the idle time that the target names, and its target is ready, not suspected and the same start. Where it ended before anything was sent, the request goes over a new one in the same attempt; any other failure is one of the attempt, as before. After a failure, no idle connection to the target is used. An interim response no longer gives the connection back before the final one.

The bound per target is max-connections divided by the number of routers, at least one, and a quarter of the descriptors for requests in all. The option keep_for_requests (auto) switches it.

tests/edge/connections.feature is new.

--- a/src/chervilstall/edge/assembly.py
+++ b/src/chervilstall/edge/assembly.py
@@ -32,6 +32,7 @@
         crash_guard,
         server.target_reach,
         peer_relay,
+        server.connections,
     )
     streams = StreamContext(
         server.fleet_view,
@@ -43,6 +44,7 @@
         crash_guard,
         server.target_reach,
         peer_relay,
+        server.connections,
     )
     features = server.features
     room_gate = build_room_gate(
@@ -58,7 +60,9 @@
     server.stream_monitor.stage_check.is_in_force = features.checks_stages
     server.chooser.guides_paths = features.guides_paths
     kept_calls.is_in_force = features.keeps_report_connections
-    return EdgeApplication(
+    server.connections.is_in_force = features.keeps_request_connections
+    server.connections.running = lambda: len(application.admitted)
+    application = EdgeApplication(
         server.fleet_view,
         plain,
         streams,
@@ -69,3 +73,4 @@
         room_gate,
         stream_durations=rerouter.durations,
     )
+    return application
--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -8,18 +8,35 @@
 from typing import Any
 
 import gevent
+from geventhttpclient import HTTPClient
 from geventhttpclient.header import Headers
 from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
 
+from chervilstall.edge.connections import ConnectionSource, carried_one_answer
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.platform.headers import ResponseHead, read_response_head
+from chervilstall.platform.targets import HTTP_MISDIRECTED
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
-from chervilstall.target.connection import ConnectFailed, single_use_client
+from chervilstall.target.connection import (
+    ConnectFailed,
+    reusable_client,
+    single_use_client,
+)
+from chervilstall.target.sending import NothingSent, has_unacknowledged
 
 CONNECT_SETTINGS = TargetSettings(connect_timeout_s=0.6)
 SLOW_CONNECT_S = 0.15
-"""Time after which a connect is slow; a target accepts within a millisecond or two."""
+"""Time after which a connect is slow; a target accepts within a millisecond or two.
+
+The same holds for the acknowledgement of a request over a kept connection.
+"""
+
+HANG_S = 0.35
+"""Silence after which a connection counts as hanging if its caller leaves.
+
+It is that after which a stream without an event is checked.
+"""
 
 READ_TIMEOUT_S = 60.0
 """Upper bound of a single read; deadlines and stalls end an exchange much earlier."""
@@ -75,7 +92,11 @@
 
 
 class Exchange:
-    """Sends a request once over a connection of its own.
+    """Sends a request once, over a connection of its own or from a `source`.
+
+    A connection from the source goes back to it after a complete answer to this request
+    whose end was stated. A kept connection that turns out to have ended before anything
+    was sent is replaced by a new one.
 
     `on_slow_connect` is called if the connect takes longer than `SLOW_CONNECT_S`.
 
@@ -89,18 +110,29 @@
         address: Address,
         headers: Headers,
         on_slow_connect: Callable[[], object] | None = None,
+        source: ConnectionSource | None = None,
     ) -> None:
         self.request = request
+        self.address = address
         self.headers = headers
         self.on_slow_connect = on_slow_connect
         self.abort_reason: ExchangeFailure | None = None
-        self._client = single_use_client(
-            address, CONNECT_SETTINGS, READ_TIMEOUT_S, UNREAD_MAX_BYTES
-        )
+        self._source = source
+        self._client = self._new_client() if source is None else None
+        self._is_reused = False
+        self._has_failed = False
+        self._has_ended = False
+        self._heard_at_s = time.monotonic()
+        self._head: ResponseHead | None = None
         self._response: Any = None
         self._event_bytes = 0
         self._expiry: gevent.Greenlet | None = None
 
+    def _new_client(self) -> HTTPClient:
+        may_keep = self._source is not None and self._source.may_keep
+        make = reusable_client if may_keep else single_use_client
+        return make(self.address, CONNECT_SETTINGS, READ_TIMEOUT_S, UNREAD_MAX_BYTES)
+
     def send_request(self, timeout_s: float) -> ResponseHead:
         """Send the request and return status and headers of the response.
 
@@ -114,12 +146,7 @@
         slow_connect = gevent.spawn_later(SLOW_CONNECT_S, self._notice_slow_connect)
         try:
             with gevent.Timeout(max(timeout_s, 0.0), TimeoutError):
-                self._response = self._client.request(
-                    request.method,
-                    request.target,
-                    body=request.body,
-                    headers=self.headers,
-                )
+                self._response = self._send()
         except ConnectFailed as error:
             raise self._error(ExchangeFailure.NO_CONNECTION, was_sent=False) from error
         except TimeoutError as error:
@@ -130,18 +157,64 @@
             raise self._error(ExchangeFailure.MALFORMED) from error
         finally:
             slow_connect.kill(block=False)
+        self._heard_at_s = time.monotonic()
         head = read_response_head(self._response, request.request_id)
-        if head.status < 200 or not (head.matches_request or head.is_not_executed):
+        if head.status < 200 or not self._is_own(head):
             raise self._error(ExchangeFailure.MALFORMED)
+        self._head = head
         return head
 
+    def _send(self) -> Any:
+        """Send the request and return the response once its head is complete."""
+        source = self._source
+        if source is None:
+            return self._send_over(self._client)
+        self._client = source.take_kept()
+        if self._client is not None:
+            self._is_reused = True
+            try:
+                return self._send_over(self._client)
+            except NothingSent:
+                if self.abort_reason is not None:
+                    raise
+                source.note_not_sent()
+                self._is_reused = False
+        self._client = self._new_client()
+        source.adopt(self._client)
+        return self._send_over(self._client)
+
+    def _send_over(self, client: Any) -> Any:
+        request = self.request
+        return client.request(
+            request.method, request.target, body=request.body, headers=self.headers
+        )
+
+    def _is_own(self, head: ResponseHead) -> bool:
+        """Return whether a response is one to this request.
+
+        Over a kept connection, a refusal that names no request may be a late one of an
+        earlier request, while this one runs.
+        """
+        if head.matches_request:
+            return True
+        if not head.is_not_executed:
+            return False
+        # Of a misdirected request, another target at the address may know no ID.
+        if self._source is not None and head.status != HTTP_MISDIRECTED:
+            self._source.note_unnamed_refusal()
+        return not self._is_reused
+
     def _notice_slow_connect(self) -> None:
-        if self.on_slow_connect is not None and not self._is_connected():
+        is_late = self._is_reused and has_unacknowledged(self._pool.socket)
+        if self.on_slow_connect is not None and (is_late or not self._is_connected()):
             self.on_slow_connect()
 
     def _is_connected(self) -> bool:
-        pool: Any = self._client._connection_pool
-        return bool(pool.is_opened)
+        return self._pool is not None and bool(self._pool.is_opened)
+
+    @property
+    def _pool(self) -> Any:
+        return None if self._client is None else self._client._connection_pool
 
     def read_response(self, head: ResponseHead, timeout_s: float) -> CompleteResponse:
         """Read the body. Raises ExchangeFailed if it is late, cut off or too large."""
@@ -155,6 +228,7 @@
         is_cut = self.abort_reason is not None and self.ends_with_connection()
         if is_cut or not self._response.message_complete:
             raise self._error(ExchangeFailure.CLOSED)
+        self._has_ended = True
         return CompleteResponse(head, body)
 
     def ends_with_connection(self) -> bool:
@@ -228,12 +302,14 @@
             event = self._response.readline(EVENT_DELIMITER)
         except (OSError, HTTPParseError) as error:
             raise self._error(ExchangeFailure.CLOSED) from error
+        self._heard_at_s = time.monotonic()
         if event:
             self._account_unread(self._response.unread_bytes + len(event))
             return event
         remainder = self._response.read()
         if remainder.strip() or self.abort_reason is not None:
             raise self._error(ExchangeFailure.CLOSED)
+        self._has_ended = bool(self._response.message_complete)
         return None
 
     def _account_unread(self, size_bytes: int) -> None:
@@ -257,8 +333,8 @@
         """Shut down the connection; only the first reason is kept."""
         if self.abort_reason is None:
             self.abort_reason = reason
-        pool: Any = self._client._connection_pool
-        if pool.socket is None:
+        pool = self._pool
+        if pool is None or pool.socket is None:
             return
         try:
             pool.socket.shutdown(socket.SHUT_RDWR)
@@ -271,10 +347,35 @@
         self.abort(ExchangeFailure.CALLER_LEFT if has_left else ExchangeFailure.TIMEOUT)
 
     def _error(self, failure: ExchangeFailure, was_sent: bool = True) -> ExchangeFailed:
-        return ExchangeFailed(self.abort_reason or failure, was_sent)
+        failure = self.abort_reason or failure
+        self._note_failure(failure)
+        return ExchangeFailed(failure, was_sent)
+
+    def _note_failure(self, failure: ExchangeFailure) -> None:
+        """Tell the source of the connection once why the exchange failed."""
+        if self._source is None or self._has_failed:
+            return
+        self._has_failed = True
+        silence_s = time.monotonic() - self._heard_at_s
+        if failure is ExchangeFailure.CALLER_LEFT and silence_s < HANG_S:
+            return
+        was_kept = self._is_reused and self._response is None
+        self._source.note_failure(failure.value, was_kept)
+
+    def _may_keep(self) -> bool:
+        """Return whether a later request may use the connection."""
+        if self._head is None or not self._has_ended or self._has_failed:
+            return False
+        is_reusable = getattr(self._pool, "is_reusable", False)
+        if self.abort_reason is not None or not is_reusable:
+            return False
+        return carried_one_answer(self._head, self._response)
 
     def close(self) -> None:
-        """Close the connection; a target stops work when its connection closes."""
+        """End the exchange: give its connection back, or close it.
+
+        A target stops work when its connection closes.
+        """
         self.request.abort_callbacks.discard(self._abort_with_request)
         if self._event_bytes:
             self._account_unread(0)
@@ -284,4 +385,13 @@
             # Otherwise both would refer to each other until a garbage collection.
             self._response.on_unread = None
             self._response.release()
-        self._client.close()
+        may_keep, client = self._may_keep(), self._client
+        # What ends the exchange from now on must not end the next one.
+        self._client = None
+        if self._source is None:
+            if client is not None:
+                client.close()
+        elif not (
+            may_keep and self._head and self._source.keep(self._head.keep_alive_s)
+        ):
+            self._source.close()
--- a/src/chervilstall/edge/features.py
+++ b/src/chervilstall/edge/features.py
@@ -43,3 +43,7 @@
     def keeps_report_connections(self) -> bool:
         """Return whether reports and health checks reuse connections."""
         return self.is_in_force(self.settings.connections.keep_for_reports)
+
+    def keeps_request_connections(self) -> bool:
+        """Return whether requests that may be repeated reuse connections."""
+        return self.is_in_force(self.settings.connections.keep_for_requests)
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -8,6 +8,7 @@
 from collections.abc import Container, Mapping
 from dataclasses import dataclass, field
 
+from chervilstall.edge.connections import TargetConnections
 from chervilstall.edge.crashes.guard import CrashGuard
 from chervilstall.edge.exchange import (
     CompleteResponse,
@@ -139,6 +140,7 @@
     crash_guard: CrashGuard
     target_reach: TargetReach
     peer_relay: PeerRelay
+    connections: TargetConnections
 
     def __post_init__(self) -> None:
         self.chooser.probed_at_s = self.target_reach.probed_at_s
@@ -251,7 +253,8 @@
         )
         headers = forward_headers(request.fields.forwarded_headers, send_fields)
         notice = self.target_reach.failure_notice(request.service.name)
-        exchange = Exchange(request, target.address, headers, notice)
+        source = self.connections.source(request, target)
+        exchange = Exchange(request, target.address, headers, notice, source)
         self.chooser.begin_request(target)
         timeout_s = self._timeout_s(request)
         sent_at_s = time.monotonic()
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -30,7 +30,8 @@
     lack of room. A lower `priority` is more urgent. `forwarding` is what the
     router said that forwarded the request here, if one did. `abort_callbacks` are
     called when the caller disconnects or the deadline is moved to the present.
-    `answer_holding` accounts for what the router holds of the answer.
+    `answer_holding` accounts for what the router holds of the answer. After a send that
+    failed over a kept connection, the request `avoids_kept_connections`.
     """
 
     fields: RequestFields
@@ -57,6 +58,7 @@
     refusals: int = 0
     forwarding: Forwarding | None = None
     abort_callbacks: set[Callable[[], None]] = field(default_factory=set)
+    avoids_kept_connections: bool = False
 
     @property
     def request_id(self) -> RequestId:
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -12,6 +12,7 @@
 from chervilstall.edge.assembly import build_application
 from chervilstall.edge.changes.relays import RelayChoice
 from chervilstall.edge.changes.service import ChangeService
+from chervilstall.edge.connections import TargetConnections
 from chervilstall.edge.crashes.observer import CrashObserver
 from chervilstall.edge.crashes.sharing import QuarantineSharing
 from chervilstall.edge.draining import DrainSchedule
@@ -118,6 +119,11 @@
         )
         limits = derive_limits(settings, edge_settings.process)
         self.client_memory = limits.new_memory()
+        self.connections = TargetConnections(
+            self.fleet_view,
+            lambda: self.chooser.router_count,
+            requests_max=limits.requests_max,
+        )
         self.app = build_application(self, limits)
         self.planner_lease = LeaseHolder(
             self.leases,
@@ -267,6 +273,7 @@
             self.fleet_view.expire()
             self.quarantine.expire()
             kept_calls.expire()
+            self.connections.expire()
             self.listeners.apply_limits(self.fleet_view.configuration)
             self._reload_settings()
 
@@ -311,6 +318,9 @@
         gauges["store_calls_total"] = self.store.calls
         gauges["report_connections_total"] = kept_calls.opened
         gauges["report_connections_reused_total"] = kept_calls.reused
+        gauges["request_connections_total"] = self.connections.opened
+        gauges["request_connections_reused_total"] = self.connections.reused
+        gauges["request_connections_idle"] = len(self.connections.idle)
         gauges["orders_total"] = self.planner.orders_sent
         gauges["collections"] = sum(stats["collections"] for stats in gc.get_stats())
         gauges.update(self.listeners.gauges(self.client_memory))
--- a/src/chervilstall/edge/streams/context.py
+++ b/src/chervilstall/edge/streams/context.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from chervilstall.edge.connections import TargetConnections
 from chervilstall.edge.crashes.guard import CrashGuard
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.notices import TargetNotices
@@ -34,6 +35,7 @@
     crash_guard: CrashGuard
     target_reach: TargetReach
     peer_relay: PeerRelay
+    connections: TargetConnections
 
     def record_demand(self, request: EdgeRequest) -> None:
         """Count a caller's request; the router that forwarded one has counted it."""
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -214,7 +214,8 @@
         )
         headers = forward_headers(request.fields.forwarded_headers, send_fields)
         notice = self.context.target_reach.failure_notice(request.service.name)
-        exchange = Exchange(request, path.first.address, headers, notice)
+        source = self.context.connections.source(request, path.first)
+        exchange = Exchange(request, path.first.address, headers, notice, source)
         self._exchange = exchange
         self._stream = LiveStream(
             request, exchange, path, self.attempts, time.monotonic()
--- a/src/chervilstall/platform/headers.py
+++ b/src/chervilstall/platform/headers.py
@@ -171,7 +171,8 @@
     routers together, None if it names no limit. `is_leaving` is true if the responder
     is about to exit. `retry_after_s` is the time for which a refusing responder wants
     no more requests from this router, None if it names none. `responder` is the ID of
-    the responder where it states it.
+    the responder where it states it. `keep_alive_s` is the time for which the responder
+    keeps the idle connection open, None if it names none, 0 if it closes it.
     """
 
     status: int
@@ -186,6 +187,7 @@
     is_leaving: bool = False
     retry_after_s: float | None = None
     responder: TargetId | None = None
+    keep_alive_s: float | None = None
 
 
 def read_response_head(response: Any, request: RequestId) -> ResponseHead:
@@ -217,4 +219,21 @@
         retry_after_s=_parse_number(by_name.get(protocol.RETRY_AFTER.lower(), "")),
         is_leaving=is_leaving(by_name),
         responder=_parse_target(by_name.get(protocol.ANSWERING_TARGET.lower())),
+        keep_alive_s=_parse_keep_alive(by_name.get(protocol.KEEP_ALIVE.lower(), "")),
     )
+
+
+def _parse_keep_alive(text: str) -> float | None:
+    """Return the idle time that a Keep-Alive header names, 0 if it allows no request.
+
+    Parameters that are unknown or malformed count as not stated.
+    """
+    timeout_s = None
+    for parameter in text.split(","):
+        name, _, value = parameter.partition("=")
+        number = _parse_number(value.strip(' "'))
+        if name.strip().lower() == "max" and number == 0.0:
+            return 0.0
+        if name.strip().lower() == "timeout":
+            timeout_s = number
+    return timeout_s
--- a/src/chervilstall/platform/protocol.py
+++ b/src/chervilstall/platform/protocol.py
@@ -36,6 +36,8 @@
 EVENT_STREAM_TYPE = "text/event-stream"
 """Content type of a response that is a stream of events."""
 
+KEEP_ALIVE = "Keep-Alive"
+
 CONNECTION_HEADERS = frozenset(
     {
         "connection",
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -168,6 +168,11 @@
         "Whether reports and health checks of targets reuse connections.",
         FeatureMode.AUTO,
     )
+    keep_for_requests: FeatureMode = option(
+        "Whether idempotent requests and resumable streams reuse connections to "
+        "targets.",
+        FeatureMode.AUTO,
+    )
 
 
 @dataclass(frozen=True)
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -34,6 +34,7 @@
 
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
+from chervilstall.target.sending import send_first
 
 POOL_SIZE = 64
 EVENT_SEPARATOR = b"\n\n"
@@ -174,6 +175,8 @@
 
     def return_socket(self, sock: gevent.socket.socket) -> None:
         super().return_socket(sock)
+        # Otherwise the pool would keep the task of its first request in memory.
+        self.handed_out.clear()
         self.is_reusable = True
 
     def get_socket(self) -> gevent.socket.socket:
@@ -205,6 +208,11 @@
         """Return the size of the part of the body that waits to be read."""
         return len(self._body_buffer)
 
+    @property
+    def has_trailing_bytes(self) -> bool:
+        """Return whether bytes that belong to no request came after the response."""
+        return bool(self._trailing_data_dropped)
+
     @property
     def status_code(self) -> int:
         return self.final_status
@@ -218,6 +226,13 @@
             raise HTTPProtocolViolationError("unexpected data after the response")
         super()._on_message_begin()
 
+    def _on_message_complete(self) -> None:
+        if self.final_status < FINAL_STATUS_MIN:
+            # The final response comes over the same connection.
+            self.message_complete = True
+            return
+        super()._on_message_complete()
+
     def feed(self, data: str | bytes) -> None:
         if not data and not self._has_final_head():
             raise HTTPConnectionClosed("closed before the end of the headers")
@@ -259,14 +274,17 @@
         body: Any = b"",
         headers: Any = None,
     ) -> SingleResponse:
-        """Send a request and return its response once the headers are complete."""
+        """Send a request and return its response once the headers are complete.
+
+        Raises NothingSent if no byte of the request was accepted for sending.
+        """
         head = self._build_request(method, request_uri, body=body, headers=headers)
         sock = self._connection_pool.get_socket()
         if len(body) > JOINED_BODY_MAX_BYTES:
-            sock.sendall(head.encode("latin-1"))
+            send_first(sock, head.encode("latin-1"))
             sock.sendall(body)
         else:
-            sock.sendall(head.encode("latin-1") + body)
+            send_first(sock, head.encode("latin-1") + body)
         response = SingleResponse(
             sock, self._connection_pool, block_size=self.block_size, method=method
         )
--- /dev/null
+++ b/src/chervilstall/target/sending.py
@@ -0,0 +1,32 @@
+"""What is known of the bytes of a request that were sent over a connection."""
+
+import struct
+from fcntl import ioctl
+from termios import TIOCOUTQ
+
+import gevent.socket
+
+
+class NothingSent(ConnectionError):
+    """The connection had failed before any byte of the request was sent."""
+
+
+def send_first(sock: gevent.socket.socket, data: bytes) -> None:
+    """Send the first bytes of a request. Raises NothingSent if none were accepted."""
+    try:
+        sent_bytes = sock.send(data)
+    except TimeoutError:
+        raise
+    except OSError as error:
+        raise NothingSent(str(error)) from error
+    if sent_bytes < len(data):
+        sock.sendall(memoryview(data)[sent_bytes:])
+
+
+def has_unacknowledged(sock: gevent.socket.socket) -> bool:
+    """Return whether the peer's system has not acknowledged all that was sent."""
+    try:
+        return bool(struct.unpack("i", ioctl(sock.fileno(), TIOCOUTQ, b"\0" * 4))[0])
+    except OSError:
+        # The socket is closed.
+        return False
--- a/src/chervilstall/waiting.py
+++ b/src/chervilstall/waiting.py
@@ -1,6 +1,7 @@
 """Waits for events that several tasks wait for, and looks without a wait."""
 
 import time
+from collections.abc import Iterable
 from select import POLLIN
 from typing import Protocol
 
@@ -39,6 +40,14 @@
     return bool(poll.poll(0))
 
 
+def find_readable(connections: Iterable[HasFileDescriptor]) -> set[int]:
+    """Return the file descriptors of the sockets that `is_readable` is true for."""
+    poll = _poll()
+    for connection in connections:
+        poll.register(connection, POLLIN)
+    return {descriptor for descriptor, _ in poll.poll(0)}
+
+
 def sleep_until(moment_s: float) -> None:
     """Sleep until a monotonic time, which may be past."""
     gevent.sleep(max(0.0, moment_s - time.monotonic()))
--- /dev/null
+++ b/tests/edge/connections.feature
@@ -0,0 +1,133 @@
+Feature: Requests that may be repeated reuse connections to targets
+
+  # Guards against a new connection for each request, which costs a target time and counts
+  # against its limit.
+  Scenario Outline: <requests> requests in calm need few connections: <path>
+    Given a platform whose routers keep connections
+    When <requests> requests for <path> are sent one after the other
+    Then each got its own answer
+    And at most <connections> connections to targets were opened for them
+
+    Examples:
+      | path      | requests | connections |
+      | /lookup/a | 30       | 9           |
+      | /draft/x  | 20       | 6           |
+
+  # Guards against TWICE: a request that may not be repeated over a connection that may fail.
+  Scenario: A request that may not be repeated has a connection of its own
+    Given a platform whose routers keep connections
+    When 5 requests for /lookup/a are sent one after the other
+    And 5 requests for /hold/a are sent one after the other
+    And 5 requests for /lookup/a are sent one after the other
+    Then each got its own answer
+    And no connection carried /hold/a beside another request
+
+  # Guards against reuse where the operator has switched it off.
+  Scenario: Each request has a connection of its own while reuse isn't in force
+    Given a platform whose routers keep no connections
+    When 5 requests for /lookup/a are sent one after the other
+    Then each got its own answer
+    And 5 connections to targets were opened for them
+
+  # Guards against MIXED: an answer to another request reaches a caller. And against a request
+  # that is lost, or repeated from the budget, with a connection that was known to be unusable.
+  Scenario Outline: A target that <fault> gets the next request over another connection
+    Given a scripted target of lookups that <fault>
+    When 2 requests for /lookup/a are sent to it
+    Then each got its own answer
+    And the requests reached the target once each, over 2 connections
+    And no retry was used
+
+    Examples:
+      | fault                                           |
+      | closes the idle connection                      |
+      | resets the idle connection                      |
+      | sends its answer again over the idle connection |
+      | sends its answer twice at once                  |
+      | answers with Connection: close                  |
+      | answers with Keep-Alive: max=0                  |
+      | answers with Keep-Alive: timeout=1              |
+      | answers without a length                        |
+      | answers in HTTP/1.0                             |
+      | answers with an error                           |
+
+  # Guards against connections that are closed although they are sound.
+  Scenario Outline: A target that <fault> gets the next request over the same connection
+    Given a scripted target of lookups that <fault>
+    When 2 requests for /lookup/a are sent to it
+    Then each got its own answer
+    And the requests reached the target once each, over 1 connections
+
+    Examples:
+      | fault                                      |
+      | does nothing wrong                         |
+      | sends an interim answer before each answer |
+
+  # Guards against MIXED and REFUSED: what comes over a kept connection where the answer is
+  # expected belongs to an earlier request.
+  Scenario Outline: A target that <fault> costs a retry and no wrong answer
+    Given a scripted target of lookups that <fault>
+    And another target of lookups in the other zone
+    When 2 requests for /lookup/a are sent to it
+    Then each got its own answer
+    And the requests reached the target once each, over 1 connections
+    And 1 retry was used
+
+    Examples:
+      | fault                                                  |
+      | answers the earlier request as the next one comes      |
+      | refuses without naming a request as the next one comes |
+      | closes as the next request comes                       |
+      | resets as the next request comes                       |
+      | falls silent as the next request comes                 |
+
+  # Guards against callers that wait for one dead connection after the other.
+  Scenario: After one kept connection has hung, no other one to its target is used
+    Given a scripted target of lookups whose connections all fall silent at their next request
+    And another target of lookups in the other zone
+    When 2 requests for /lookup/a are sent to it at a time
+    And 1 requests for /lookup/a are sent to it
+    Then no idle connection to that target is left
+
+  # Guards against a request that goes to whatever has its target's address by now.
+  Scenario Outline: No kept connection is used to a target that <event>
+    Given a scripted target of lookups that does nothing wrong
+    When 1 requests for /lookup/a are sent to it
+    And that scripted target <event>
+    Then no idle connection to that target is used
+
+    Examples:
+      | event                      |
+      | is suspected               |
+      | drains                     |
+      | has started again          |
+      | has gone                   |
+      | is in an unreachable zone  |
+      | has moved to another port  |
+
+  # Guards against MIXED: a second answer can't be told from the right one by an equal ID.
+  Scenario: A connection doesn't carry a request ID twice
+    Given a scripted target of lookups that does nothing wrong
+    When 1 requests for /lookup/a are sent to it
+    And the same request is sent again
+    Then that scripted target saw 2 connections
+
+  # Guards against refusals by a target whose connections are all held by routers.
+  Scenario Outline: <routers> routers keep at most what a target accepts, and one each
+    Given targets that accept 1238 connections from <routers> routers
+    Then each router keeps at most <idle> connections to each
+
+    Examples:
+      | routers | idle |
+      | 6       | 206  |
+      | 77      | 16   |
+      | 195     | 6    |
+      | 2100    | 1    |
+
+  # Guards against requests without a descriptor, as idle connections hold them.
+  Scenario: Idle connections leave the descriptors to requests
+    Given a router with 40 descriptors for connections to targets
+    When 60 targets have answered a request each
+    Then 10 connections are idle
+    When 35 requests run
+    Then 5 connections are idle
--- /dev/null
+++ b/tests/steps/connection_steps.py
@@ -0,0 +1,326 @@
+"""Steps for connections to targets that are kept for requests."""
+
+import json
+import socket
+from collections.abc import Callable
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any, cast
+
+import gevent
+from behave import given, then, when
+from behave.runner import Context
+
+from chervilstall.edge.connections import ConnectionSource, TargetConnections
+from chervilstall.edge.server import EdgeServer
+from chervilstall.fleet.records import NO_LAYERS, Target, TargetReadiness
+from chervilstall.fleet.view import FleetView
+from chervilstall.ids import RequestId, ServiceName, TargetId, ZoneName
+from chervilstall.platform.config import decode_configuration
+from chervilstall.settings.edge import ConnectionSettings, EdgeSettings, FeatureMode
+from chervilstall.settings.option import Address
+from chervilstall.standin.platform_fixtures import (
+    build_configuration,
+    write_target_entry,
+)
+from chervilstall.target.idle_connections import TargetConnection
+from tests.support.agent_fleet import eventually
+from tests.support.platform import ZONES, Platform, send
+from tests.support.platform_scenario import add_lookups, add_model
+from tests.support.router_harness import HOST
+from tests.support.scripted_target import Fault, ScriptedTarget
+
+FAULT_SEEN_S = 0.06
+"""Time in which what a target does after its answer reaches the router."""
+
+SCRIPTED = "scripted"
+
+
+def _start_platform(context: Context, mode: FeatureMode) -> Platform:
+    settings = EdgeSettings(connections=ConnectionSettings(keep_for_requests=mode))
+    context.platform = platform = Platform(edge_settings=settings)
+    context.stoppables.append(platform)
+    platform.start()
+    context.answers = {}
+    return platform
+
+
+def _start_router(context: Context) -> None:
+    """Start a router, and record the retries that it takes from its budget."""
+    context.router = router = context.platform.add_router()
+    context.retries = []
+    try_spend = router.budget.try_spend
+
+    def record(service: ServiceName, is_resume: bool = False) -> bool:
+        context.retries.append(service)
+        return try_spend(service, is_resume)
+
+    router.budget.try_spend = record
+
+
+def _opened(router: EdgeServer) -> int:
+    return router.connections.opened
+
+
+@given("a platform whose routers keep connections")
+def start_keeping(context: Context) -> None:
+    platform = _start_platform(context, FeatureMode.ON)
+    add_lookups(platform)
+    add_model(platform)
+    _start_router(context)
+
+
+@given("a platform whose routers keep no connections")
+def start_not_keeping(context: Context) -> None:
+    add_lookups(_start_platform(context, FeatureMode.OFF))
+    _start_router(context)
+
+
+@given("a scripted target of lookups that {fault}")
+def start_scripted(context: Context, fault: str) -> None:
+    platform = _start_platform(context, FeatureMode.ON)
+    context.target = ScriptedTarget(SCRIPTED, Fault(fault))
+    context.stoppables.append(context.target)
+    _register(context, context.target.address)
+    _start_router(context)
+    assert platform.routers
+
+
+@given(
+    "a scripted target of lookups whose connections all fall silent at their next "
+    "request"
+)
+def start_silent(context: Context) -> None:
+    start_scripted(context, Fault.SILENT_AT_NEXT.value)
+    context.target.is_faulty_always = True
+    # So that requests at a time need a connection each.
+    context.target.answer_s = 0.05
+
+
+def _register(context: Context, address: str, **fields: Any) -> None:
+    state = context.platform.store.state
+    write_target_entry(
+        state, SCRIPTED, "lookups", address, ZONES[0], NO_LAYERS, **fields
+    )
+
+
+@given("another target of lookups in the other zone")
+def add_other(context: Context) -> None:
+    context.platform.add_target("other", "lookups", ZONES[1])
+    eventually(lambda: len(context.router.fleet_view.targets) == 2)
+
+
+def _send(context: Context, path: str) -> None:
+    request = f"request-{len(context.answers) + 1}"
+    context.answers[request] = None
+    context.answers[request] = (path, send(context.router, path, request=request))
+
+
+@when("{count:d} requests for {path} are sent one after the other")
+def send_in_turn(context: Context, count: int, path: str) -> None:
+    for _ in range(count):
+        _send(context, path)
+
+
+@when("{count:d} requests for {path} are sent to it")
+def send_slowly(context: Context, count: int, path: str) -> None:
+    for _ in range(count):
+        _send(context, path)
+        gevent.sleep(FAULT_SEEN_S)
+
+
+@when("{count:d} requests for {path} are sent to it at a time")
+def send_at_once(context: Context, count: int, path: str) -> None:
+    gevent.joinall([gevent.spawn(_send, context, path) for _ in range(count)])
+    assert context.router.connections.idle.count(_address(context)) == count
+
+
+@when("the same request is sent again")
+def send_same(context: Context) -> None:
+    send(context.router, "/lookup/a", request="request-1")
+
+
+@then("each got its own answer")
+def check_answers(context: Context) -> None:
+    for request, (path, response) in context.answers.items():
+        if path.startswith("/draft"):
+            assert response.status == 200, response
+            assert response.body.count(b"id: ") == 10, response
+            continue
+        assert response.body == f"answer to {request}".encode(), (request, response)
+
+
+@then("at most {count:d} connections to targets were opened for them")
+def check_few(context: Context, count: int) -> None:
+    assert _opened(context.router) <= count, _opened(context.router)
+    # A reuse is counted as the connection is given back.
+    eventually(
+        lambda: (
+            _opened(context.router) + context.router.connections.reused
+            == len(context.answers)
+        )
+    )
+
+
+@then("{count:d} connections to targets were opened for them")
+def check_opened(context: Context, count: int) -> None:
+    assert _opened(context.router) == count, _opened(context.router)
+    assert not context.router.connections.reused
+
+
+@then("no connection carried /hold/a beside another request")
+def check_own(context: Context) -> None:
+    # The five holds, and one connection for each of the two rows of lookups at most.
+    assert 6 <= _opened(context.router) <= 7, _opened(context.router)
+    assert context.router.connections.reused >= 8, context.router.connections.reused
+
+
+@then("the requests reached the target once each, over {count:d} connections")
+def check_reached(context: Context, count: int) -> None:
+    arrivals = context.target.arrivals
+    assert [each.request for each in arrivals] == list(context.answers), arrivals
+    assert len({each.connection for each in arrivals}) == count, arrivals
+
+
+@then("that scripted target saw {count:d} connections")
+def check_seen(context: Context, count: int) -> None:
+    assert context.target.connections == count, context.target.arrivals
+
+
+@then("no retry was used")
+def check_no_retry(context: Context) -> None:
+    assert not context.retries, context.retries
+
+
+@then("1 retry was used")
+def check_retry(context: Context) -> None:
+    assert len(context.retries) == 1, context.retries
+
+
+def _address(context: Context) -> Address:
+    return Address(HOST, int(context.target.address.rpartition(":")[2]))
+
+
+@then("no idle connection to that target is left")
+def check_none_left(context: Context) -> None:
+    assert not context.router.connections.idle.count(_address(context))
+
+
+@when("that scripted target {event}")
+def change_target(context: Context, event: str) -> None:
+    view: FleetView = context.router.fleet_view
+    context.known = known = view.targets[TargetId(SCRIPTED)]
+    assert context.router.connections.idle.count(known.address) == 1
+    address = context.target.address
+    match event:
+        case "is suspected":
+            view.suspect(known, "silent")
+        case "is in an unreachable zone":
+            view.mark_zone_unreachable(known.zone)
+        case "drains":
+            _register(context, address, state="draining")
+        case "has started again":
+            _register(context, address, started_at_ms=known.started_at_ms + 1)
+        case "has gone":
+            view._delete_target(known.id)
+        case "has moved to another port":
+            moved = Address(HOST, known.address.port + 1)
+            _register(context, str(moved))
+    if event not in ("is suspected", "is in an unreachable zone"):
+        eventually(lambda: view.targets.get(known.id) != known)
+
+
+def _source(connections: TargetConnections, target: Target) -> ConnectionSource:
+    request = SimpleNamespace(
+        route=SimpleNamespace(is_retryable=True),
+        request_id=RequestId("later"),
+        avoids_kept_connections=False,
+    )
+    return connections.source(cast(Any, request), target)
+
+
+@then("no idle connection to that target is used")
+def check_not_used(context: Context) -> None:
+    connections: TargetConnections = context.router.connections
+    present = context.router.fleet_view.targets.get(context.known.id, context.known)
+    for target in (context.known, present):
+        assert _source(connections, target).take_kept() is None
+    connections.expire()
+    assert not len(connections.idle)
+
+
+def _build_target(number: int, address: Address) -> Target:
+    return Target(
+        TargetId(f"t-{number}"),
+        0,
+        ServiceName("lookups"),
+        address,
+        ZoneName(ZONES[0]),
+        TargetReadiness.READY,
+        "card",
+        NO_LAYERS,
+        revision=1,
+    )
+
+
+def _build_connections(
+    connections_max: int, routers: int, requests_max: int = 1_000
+) -> TargetConnections:
+    service = {"name": "lookups", "max-connections": connections_max}
+    document = build_configuration(services=[service])
+    view = FleetView(drain_s=2.0)
+    view.apply_configuration(decode_configuration(json.dumps(document).encode()), 1)
+    return TargetConnections(view, lambda: routers, lambda: True, requests_max)
+
+
+@given("targets that accept {accepted:d} connections from {routers:d} routers")
+def set_bound(context: Context, accepted: int, routers: int) -> None:
+    context.connections = _build_connections(accepted, routers)
+
+
+@then("each router keeps at most {count:d} connections to each")
+def check_bound(context: Context, count: int) -> None:
+    connections: TargetConnections = context.connections
+    target = _build_target(0, Address(HOST, 1))
+    connections.fleet_view.update_target(target)
+    bound = connections.idle_max(target.address, target.incarnation)
+    assert bound == count, bound
+    other = replace(target.incarnation, started_at_ms=1)
+    assert connections.idle_max(target.address, other) == 0
+
+
+@given("a router with {count:d} descriptors for connections to targets")
+def set_descriptors(context: Context, count: int) -> None:
+    context.connections = _build_connections(1238, 6, count)
+
+
+@when("{count:d} targets have answered a request each")
+def answer_each(context: Context, count: int) -> None:
+    connections: TargetConnections = context.connections
+    for number in range(count):
+        target = _build_target(number, Address(HOST, number + 1))
+        connections.fleet_view.update_target(target)
+        source = _source(connections, target)
+        source.adopt(_fake_client(context.stoppables.append))
+        assert source.keep(None)
+
+
+def _fake_client(add_stoppable: Callable[[Any], None]) -> Any:
+    ours, others = socket.socketpair()
+    add_stoppable(SimpleNamespace(stop=others.close))
+    return SimpleNamespace(
+        _connection_pool=SimpleNamespace(socket=ours), close=ours.close
+    )
+
+
+@when("{count:d} requests run")
+def run_requests(context: Context, count: int) -> None:
+    context.connections.running = lambda: count
+    context.connections.expire()
+
+
+@then("{count:d} connections are idle")
+def check_idle(context: Context, count: int) -> None:
+    idle = context.connections.idle
+    assert len(idle) == count, len(idle)
+    assert all(isinstance(each, TargetConnection) for each in idle._in_order)
--- a/tests/support/partly_cut_router.py
+++ b/tests/support/partly_cut_router.py
@@ -98,6 +98,7 @@
             cast(Any, GUARD),
             reach,
             cast(Any, None),
+            cast(Any, None),
             self,
             clock,
         )
--- a/tests/support/partly_cut_streams.py
+++ b/tests/support/partly_cut_streams.py
@@ -83,6 +83,7 @@
             cast(Any, GUARD),
             TargetReach(self.fleet_view, limiter),
             cast(Any, None),
+            cast(Any, None),
         )
 
     def _ask(self, relay: Any, clock: Clock) -> None:
