--- a/src/chervilstall/process_limits/derived.py
+++ b/src/chervilstall/process_limits/derived.py
@@ -25,7 +25,7 @@
 
     `client_bytes` are for bodies and answers. The numbers of connections are those of
     callers, of other routers, and of each listener for operators. `requests_max` is the
-    number of requests that may be at targets, each over a connection of its own.
+    number of requests that may be at targets, each over one connection at a time.
     """
 
     client_bytes: int
--- a/tests/edge/connections.feature
+++ b/tests/edge/connections.feature
@@ -89,6 +89,26 @@
     And 1 requests for /lookup/a are sent to it
     Then no idle connection to that target is left
 
+  # Guards against streams that wait for a connection that brings nothing any more.
+  Scenario: A stream over a kept connection that hangs goes on elsewhere
+    Given a platform whose routers keep connections
+    When 1 requests for /draft/x are sent one after the other
+    And the first target of the own zone falls silent
+    And 1 requests for /draft/x are sent one after the other
+    Then each got its own answer
+    And 1 retry was used
+
+  # Guards against targets that go on working on a stream that nobody reads, and MIXED: the
+  # rest of that stream reaches the next caller.
+  Scenario: A stream that its caller leaves closes its kept connection
+    Given a platform whose routers keep connections
+    When 1 requests for /draft/x are sent one after the other
+    And a caller disconnects from a draft of 200 events after the first
+    Then the target stops working on it within 500 ms
+    And no connection is idle
+    When 1 requests for /draft/x are sent one after the other
+    Then each got its own answer
+
   # Guards against a request that goes to whatever has its target's address by now.
   Scenario Outline: No kept connection is used to a target that <event>
     Given a scripted target of lookups that does nothing wrong
--- a/tests/steps/connection_steps.py
+++ b/tests/steps/connection_steps.py
@@ -24,9 +24,10 @@
     write_target_entry,
 )
 from chervilstall.target.idle_connections import TargetConnection
+from tests.steps.stream_steps import event_numbers
 from tests.support.agent_fleet import eventually
 from tests.support.platform import ZONES, Platform, send
-from tests.support.platform_scenario import add_lookups, add_model
+from tests.support.platform_scenario import add_lookups, add_model, own_first
 from tests.support.router_harness import HOST
 from tests.support.scripted_target import Fault, ScriptedTarget
 
@@ -145,7 +146,7 @@
     for request, (path, response) in context.answers.items():
         if path.startswith("/draft"):
             assert response.status == 200, response
-            assert response.body.count(b"id: ") == 10, response
+            assert event_numbers(response.body) == list(range(1, 11)), response
             continue
         assert response.body == f"answer to {request}".encode(), (request, response)
 
@@ -206,6 +207,16 @@
     assert not context.router.connections.idle.count(_address(context))
 
 
+@when("the first target of the own zone falls silent")
+def silence_first(context: Context) -> None:
+    own_first(context).is_silent = True
+
+
+@then("no connection is idle")
+def check_none_idle(context: Context) -> None:
+    assert not len(context.router.connections.idle)
+
+
 @when("that scripted target {event}")
 def change_target(context: Context, event: str) -> None:
     view: FleetView = context.router.fleet_view
