Test that a failed kept connection and an unnamed refusal have their effects

Mutations of the code showed that two scenarios passed without what they guard: closing the idle connections beside one that failed, and taking no refusal without an ID over a kept connection.

--- a/tests/edge/connections.feature
+++ b/tests/edge/connections.feature
@@ -89,6 +89,21 @@
     And 1 requests for /lookup/a are sent to it
     Then no idle connection to that target is left
 
+  # Guards against the same, whatever else is known of the target.
+  Scenario: A failure over one connection closes the idle ones to its target alone
+    Given targets that accept 1238 connections from 6 routers
+    And 3 idle connections to a target, and 2 to another one
+    When a request over one of the 3 fails
+    Then 2 connections are idle
+    And the request takes no kept connection again
+
+  # Guards against REFUSED: the refusal is an earlier one, and the request has run.
+  Scenario: A refusal over a kept connection that names no request isn't passed on
+    Given a scripted target of lookups that refuses without naming a request as the next one comes
+    When 2 requests for /lookup/a are sent to it
+    Then the second one is not said to have not run
+    And no kept connection is used for its service
+
   # Guards against streams that wait for a connection that brings nothing any more.
   Scenario: A stream over a kept connection that hangs goes on elsewhere
     Given a platform whose routers keep connections
--- a/tests/steps/connection_steps.py
+++ b/tests/steps/connection_steps.py
@@ -17,6 +17,7 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import RequestId, ServiceName, TargetId, ZoneName
 from chervilstall.platform.config import decode_configuration
+from chervilstall.platform.headers import NOT_RUN_STATUSES
 from chervilstall.settings.edge import ConnectionSettings, EdgeSettings, FeatureMode
 from chervilstall.settings.option import Address
 from chervilstall.standin.platform_fixtures import (
@@ -241,10 +242,12 @@
         eventually(lambda: view.targets.get(known.id) != known)
 
 
-def _source(connections: TargetConnections, target: Target) -> ConnectionSource:
+def _source(
+    connections: TargetConnections, target: Target, request_id: str = "later"
+) -> ConnectionSource:
     request = SimpleNamespace(
         route=SimpleNamespace(is_retryable=True),
-        request_id=RequestId("later"),
+        request_id=RequestId(request_id),
         avoids_kept_connections=False,
     )
     return connections.source(cast(Any, request), target)
@@ -300,6 +303,55 @@
     assert connections.idle_max(target.address, other) == 0
 
 
+def _leave_idle(context: Context, target: Target, count: int) -> None:
+    connections: TargetConnections = context.connections
+    connections.fleet_view.update_target(target)
+    sources = [_source(connections, target, "earlier") for _ in range(count)]
+    for source in sources:
+        source.adopt(_fake_client(context.stoppables.append))
+    for source in sources:
+        assert source.keep(None)
+
+
+@given("{count:d} idle connections to a target, and {others:d} to another one")
+def leave_idle(context: Context, count: int, others: int) -> None:
+    _leave_idle(context, _build_target(1, Address(HOST, 1)), count)
+    _leave_idle(context, _build_target(2, Address(HOST, 2)), others)
+
+
+@when("a request over one of the 3 fails")
+def fail_over_kept(context: Context) -> None:
+    target = _build_target(1, Address(HOST, 1))
+    context.source = source = _source(context.connections, target)
+    assert source.take_kept() is not None
+    source.note_failure("no answer in time", was_kept=True)
+    source.close()
+    # A later one of the target, which has answered since then.
+    _leave_idle(context, target, 1)
+    assert len(context.connections.idle) == 3
+    assert source.take_kept() is None
+    context.connections.idle.drop(target.address)
+
+
+@then("the request takes no kept connection again")
+def check_avoided(context: Context) -> None:
+    assert context.source._request.avoids_kept_connections
+
+
+@then("the second one is not said to have not run")
+def check_unknown(context: Context) -> None:
+    _, response = context.answers["request-2"]
+    assert response.status not in NOT_RUN_STATUSES, response
+    assert response.status == 502, response
+
+
+@then("no kept connection is used for its service")
+def check_service(context: Context) -> None:
+    target = context.router.fleet_view.targets[TargetId(SCRIPTED)]
+    context.router.fleet_view.clear_suspicion(target)
+    assert not _source(context.router.connections, target).may_keep
+
+
 @given("a router with {count:d} descriptors for connections to targets")
 def set_descriptors(context: Context, count: int) -> None:
     context.connections = _build_connections(1238, 6, count)
@@ -307,13 +359,8 @@
 
 @when("{count:d} targets have answered a request each")
 def answer_each(context: Context, count: int) -> None:
-    connections: TargetConnections = context.connections
     for number in range(count):
-        target = _build_target(number, Address(HOST, number + 1))
-        connections.fleet_view.update_target(target)
-        source = _source(connections, target)
-        source.adopt(_fake_client(context.stoppables.append))
-        assert source.keep(None)
+        _leave_idle(context, _build_target(number, Address(HOST, number + 1)), 1)
 
 
 def _fake_client(add_stoppable: Callable[[Any], None]) -> Any:
