--- a/tests/edge/connections.feature
+++ b/tests/edge/connections.feature
@@ -63,6 +63,16 @@
       | does nothing wrong                         |
       | sends an interim answer before each answer |
 
+  # Guards against a retry for a request of which nothing can have reached the target.
+  Scenario: A kept connection that fails before anything is sent is replaced in the same attempt
+    Given a scripted target of lookups that resets the idle connection
+    And the check of idle connections misses what happens just after it
+    When 2 requests for /lookup/a are sent to it
+    Then each got its own answer
+    And the requests reached the target once each, over 2 connections
+    And no retry was used
+    And 2 connections to targets were opened for them
+
   # Guards against MIXED and REFUSED: what comes over a kept connection where the answer is
   # expected belongs to an earlier request.
   Scenario Outline: A target that <fault> costs a retry and no wrong answer
--- a/tests/steps/connection_steps.py
+++ b/tests/steps/connection_steps.py
@@ -3,9 +3,11 @@
 import json
 import socket
 from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any, cast
+from unittest.mock import patch
 
 import gevent
 from behave import given, then, when
@@ -24,6 +26,7 @@
     build_configuration,
     write_target_entry,
 )
+from chervilstall.target import idle_connections
 from chervilstall.target.idle_connections import TargetConnection
 from tests.steps.stream_steps import event_numbers
 from tests.support.agent_fleet import eventually
@@ -106,6 +109,16 @@
     )
 
 
+@given("the check of idle connections misses what happens just after it")
+def blind_check(context: Context) -> None:
+    patches = ExitStack()
+    for name, value in (("is_readable", False), ("find_readable", set())):
+        patches.enter_context(
+            patch.object(idle_connections, name, lambda _, v=value: v)
+        )
+    context.stoppables.append(SimpleNamespace(stop=patches.close))
+
+
 @given("another target of lookups in the other zone")
 def add_other(context: Context) -> None:
     context.platform.add_target("other", "lookups", ZONES[1])
