Return the cost of a target by its parts

An explanation of a choice of path needs the parts of each target's cost, and the search kept only their sums. PathChooser.target_costs returns them; the search adds them in the same order, and penalties for zones are functions of their own. Without a random generator, costs have no random part.

--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -28,14 +28,9 @@
 from chervilstall.paths.peer_loads import PeerLoads
 from chervilstall.paths.records import Path, PathRequest, PathStage
 from chervilstall.paths.spread import TargetCost, spread_costs_ms
+from chervilstall.paths.zone_costs import REMOTE_ZONE_MS, entry_ms, zone_change_ms
 
 HOP_MS = 0.3
-REMOTE_ZONE_MS = 10.0
-"""Penalty for a path that begins outside the router's availability zone."""
-
-ZONE_CHANGE_MS = 150.0
-"""Penalty for crossing zones: every token's activations use the shared links."""
-
 DRAINING_MS = 60.0
 REQUEST_MS = 0.02
 """Cost per request of this router already at the target."""
@@ -103,13 +98,14 @@
     `zone_routers` is the number of those in the router's zone, or 0 if not known.
     `load` counts this router's own requests. `peer_loads` holds those that others
     report; they count in the choice of a path while `guides_paths` returns true.
+    Without `rng`, costs have no random part.
     """
 
     fleet_view: FleetView
     zone: ZoneName
     zone_count: int = 1
     router_count: int = 1
-    rng: random.Random = field(default_factory=random.Random)
+    rng: random.Random | None = field(default_factory=random.Random)
     load: LoadTracker = field(default_factory=LoadTracker)
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
     guides_paths: Callable[[], bool] = lambda: True
@@ -123,7 +119,7 @@
         target that may be used.
         """
         assert service.pipeline is not None
-        targets = self._candidates(service, request)
+        targets = self.candidates(service, request)
         local = [target for target in targets if target.zone == self.zone]
         found = self._find_valid(service.pipeline, local, request)
         if found is not None:
@@ -152,7 +148,8 @@
                 return found
         return None
 
-    def _candidates(self, service: Service, request: PathRequest) -> list[Target]:
+    def candidates(self, service: Service, request: PathRequest) -> list[Target]:
+        """Return the targets that a path of a request may use."""
         candidates: list[Target] = []
         for target in self.fleet_view.targets.values():
             if target.service != service.name or not len(target.layers):
@@ -172,7 +169,7 @@
     ) -> "_CostedPath | None":
         boundaries = layer_boundaries(targets, pipeline.layers)
         starts = sorted({target.layers.first for target in targets})
-        layer_ms = {target.id: self._layer_ms(pipeline, target) for target in targets}
+        layer_ms = {target.id: self.layer_ms(pipeline, target) for target in targets}
         target_costs_ms = self._target_costs_ms(pipeline, targets, request.tokens)
         reached: dict[int, dict[TargetId, _SearchNode]] = defaultdict(dict)
         for boundary in boundaries:
@@ -219,22 +216,20 @@
                 return None
             if target.id in request.avoid_first:
                 return None
-            is_remote = target.zone != self.zone
-            return (REMOTE_ZONE_MS if is_remote else 0.0), None
+            return entry_ms(self.zone, target), None
         if target.state is TargetReadiness.DRAINING:
             return None
         best: tuple[float, _SearchNode | None] | None = None
         for target_id, node in nodes.items():
             if target_id == target.id:
                 continue
-            cost_ms = node.cost_ms
-            if node.stage.target.zone != target.zone:
-                cost_ms += ZONE_CHANGE_MS
+            cost_ms = node.cost_ms + zone_change_ms(node.stage.target, target)
             if best is None or cost_ms < best[0]:
                 best = cost_ms, node
         return best
 
-    def _layer_ms(self, pipeline: Pipeline, target: Target) -> float:
+    def layer_ms(self, pipeline: Pipeline, target: Target) -> float:
+        """Return the time that a target takes for one layer in a decode step."""
         slowness = self.fleet_view.slowness.get(target.incarnation, 1.0)
         factor = step_factor(pipeline, target)
         return pipeline.step_ms * factor * slowness / pipeline.layers
@@ -292,42 +287,49 @@
     def _target_costs_ms(
         self, pipeline: Pipeline, targets: list[Target], tokens: float
     ) -> dict[TargetId, float]:
-        capacities = {
-            target.id: max(1.0, token_capacity(pipeline, target)) for target in targets
-        }
-        factor = self._unseen_factor
-        costs = {
-            target.id: self._target_cost(target, tokens, capacities[target.id], factor)
-            for target in targets
-        }
+        costs = self.target_costs(pipeline, targets, tokens)
         if self._path_loads.reporting_routers:
             return spread_costs_ms(targets, costs, self.rng)
-        mean_capacity = sum(capacities.values()) / max(1, len(capacities))
+        capacities = [cost.capacity_tokens for cost in costs.values()]
+        mean_capacity = sum(capacities) / max(1, len(capacities))
         costs_ms: dict[TargetId, float] = {}
         for target_id, cost in costs.items():
-            jitter = self.rng.expovariate(1.0) * mean_capacity / cost.capacity_tokens
+            draw = 0.0 if self.rng is None else self.rng.expovariate(1.0)
+            jitter = draw * mean_capacity / cost.capacity_tokens
             cost_ms = cost.other_ms + cost.load_ms
             costs_ms[target_id] = cost_ms + JITTER_MS * min(jitter, JITTER_MAX)
         return costs_ms
 
+    def target_costs(
+        self, pipeline: Pipeline, targets: list[Target], tokens: float
+    ) -> dict[TargetId, TargetCost]:
+        """Return the parts of the targets' costs for a request, but the random one."""
+        factor = self._unseen_factor
+        costs: dict[TargetId, TargetCost] = {}
+        for target in targets:
+            capacity_tokens = max(1.0, token_capacity(pipeline, target))
+            cost = self._target_cost(target, tokens, capacity_tokens, factor)
+            costs[target.id] = cost
+        return costs
+
     def _target_cost(
         self, target: Target, tokens: float, capacity_tokens: float, factor: float
     ) -> TargetCost:
         incarnation = target.incarnation
-        other_ms = HOP_MS
-        if incarnation in self.fleet_view.slowness:
-            other_ms += SLOW_MS
-        if target.state is TargetReadiness.DRAINING:
-            other_ms += DRAINING_MS
-        if self.load.is_full(incarnation):
-            other_ms += FULL_MS
-        load_ms = REQUEST_MS * self.load.requests.get(incarnation, 0)
-        load_ms += PREFILL_WEIGHT * self._prefill_backlog_s(incarnation) * 1e3
+        is_draining = target.state is TargetReadiness.DRAINING
         zone_tokens = (self._known_tokens(incarnation) + tokens) * factor
         remote_tokens = self._path_loads.remote_tokens(incarnation)
         use = (zone_tokens + remote_tokens) / capacity_tokens
-        load_ms += USE_MS * max(0.0, use - USE_THRESHOLD) ** 2
-        return TargetCost(load_ms, other_ms, capacity_tokens)
+        return TargetCost(
+            requests_ms=REQUEST_MS * self.load.requests.get(incarnation, 0),
+            prefill_ms=PREFILL_WEIGHT * self._prefill_backlog_s(incarnation) * 1e3,
+            memory_ms=USE_MS * max(0.0, use - USE_THRESHOLD) ** 2,
+            hop_ms=HOP_MS,
+            slow_ms=SLOW_MS if incarnation in self.fleet_view.slowness else 0.0,
+            draining_ms=DRAINING_MS if is_draining else 0.0,
+            full_ms=FULL_MS if self.load.is_full(incarnation) else 0.0,
+            capacity_tokens=capacity_tokens,
+        )
 
     def estimated_tokens(self, incarnation: TargetIncarnation) -> float:
         """Return the tokens in flight of all routers at a target, as estimated here."""
--- a/src/chervilstall/paths/spread.py
+++ b/src/chervilstall/paths/spread.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from chervilstall.fleet.records import Target
 from chervilstall.ids import TargetId
@@ -30,14 +31,32 @@
 """
 
 
-@dataclass(frozen=True)
-class TargetCost:
-    """Cost of a target: the part that load causes, and all of the rest."""
+class TargetCost(NamedTuple):
+    """Parts of the cost of a target, without the random one.
 
-    load_ms: float
-    other_ms: float
+    The first three are caused by load: requests in flight, queued prompts and memory
+    in use. The others are a hop and penalties for a slow, draining or full target.
+    """
+
+    requests_ms: float
+    prefill_ms: float
+    memory_ms: float
+    hop_ms: float
+    slow_ms: float
+    draining_ms: float
+    full_ms: float
     capacity_tokens: float
 
+    @property
+    def load_ms(self) -> float:
+        """Return the part that load causes."""
+        return self.requests_ms + self.prefill_ms + self.memory_ms
+
+    @property
+    def other_ms(self) -> float:
+        """Return the part that doesn't depend on load."""
+        return self.hop_ms + self.slow_ms + self.draining_ms + self.full_ms
+
 
 @dataclass(frozen=True)
 class _Holders:
@@ -58,14 +77,14 @@
 def spread_costs_ms(
     targets: Iterable[Target],
     costs: Mapping[TargetId, TargetCost],
-    rng: random.Random,
+    rng: random.Random | None,
 ) -> dict[TargetId, float]:
     """Return the costs of targets with their random part.
 
     Of targets of a type that hold the same layers at the same cost, each is the
     cheapest with a probability in proportion to its capacity. Targets of another type
     compete by their whole cost, so that requests go to a slower type once the load
-    of the faster one costs more.
+    of the faster one costs more. Without `rng`, the random part is 0.
     """
     held = list(targets)
     kinds = {(target.accelerator, target.layers.first) for target in held}
@@ -76,12 +95,16 @@
         alike = holders[target.accelerator, target.layers.first]
         load_ms = max(cost.load_ms, alike.least_load_ms(cost))
         capacity_share = cost.capacity_tokens / alike.capacity_tokens
-        draw = max(rng.expovariate(1.0), 1e-9) / capacity_share
-        noise = min(NOISE_MAX, max(NOISE_MIN, math.log(draw)))
+        noise = 0.0 if rng is None else _draw_noise(rng, capacity_share)
         spread[target.id] = cost.other_ms + load_ms + SPREAD_MS * noise
     return spread
 
 
+def _draw_noise(rng: random.Random, capacity_share: float) -> float:
+    draw = max(rng.expovariate(1.0), 1e-9) / capacity_share
+    return min(NOISE_MAX, max(NOISE_MIN, math.log(draw)))
+
+
 def _holders(
     accelerator: str,
     layer: int,
