Answer where a request would go at the edge router

Operators could only find out afterwards, from logs, where a request went and why. GET /where on the listeners for operators describes the choice for a given request: the chosen path, the next three, the parts of their costs, the excluded targets and the admission. chervilstallctl where asks for it. Exit codes 6 and 7 tell an unknown name and a router without an answer.

--- a/src/chervilstall/admission/fair_queue.py
+++ b/src/chervilstall/admission/fair_queue.py
@@ -5,9 +5,8 @@
 """
 
 import heapq
-import itertools
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -59,9 +58,14 @@
         self.length = 0
         self._workspaces: dict[WorkspaceName, _WorkspaceQueue] = {}
         self._heap: list[tuple[float, int, WorkspaceName]] = []
-        self._tie_breaker = itertools.count()
+        self._entries = 0
         self._virtual_time = 0.0
 
+    def requests(self) -> Iterator[QueuedRequest]:
+        """Yield the queued requests, also those that were abandoned."""
+        for queue in self._workspaces.values():
+            yield from queue.requests
+
     def push(self, request: QueuedRequest) -> None:
         """Queue a request behind those of its workspace."""
         queue = self._workspaces.setdefault(request.workspace, _WorkspaceQueue())
@@ -114,7 +118,9 @@
         return max(queue.virtual_time, self._virtual_time)
 
     def _push_workspace(self, name: WorkspaceName, queue: _WorkspaceQueue) -> None:
-        heapq.heappush(self._heap, (queue.virtual_time, next(self._tie_breaker), name))
+        # The number of the entry breaks ties, so that names are never compared.
+        heapq.heappush(self._heap, (queue.virtual_time, self._entries, name))
+        self._entries += 1
 
     def start_next(self) -> QueuedRequest | None:
         """Start the next request in fair order that can reserve capacity, or None."""
--- a/src/chervilstall/commands/ctl.py
+++ b/src/chervilstall/commands/ctl.py
@@ -26,6 +26,7 @@
     Status,
     Drain,
     Explain,
+    Where,
     Timeline,
     Bound,
     Histograms,
@@ -33,6 +34,7 @@
     CtlCommand,
 )
 from chervilstall.commands.exits import ExitCode
+from chervilstall.commands.where import ask_where
 from chervilstall.configuration.treefile import read_tree_file
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import new_change_id
@@ -138,6 +140,8 @@
                 print(line)
         case Explain(request):
             start.print_json(call(router, "GET", f"/explain/{request}"))
+        case Where() as where:
+            return ask_where(router, where)
         case Bound():
             start.print_json(call(router, "GET", "/bound"))
         case Histograms():
--- a/src/chervilstall/commands/ctl_options.py
+++ b/src/chervilstall/commands/ctl_options.py
@@ -1,6 +1,6 @@
 """Commands and options of `chervilstallctl`."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
@@ -114,6 +114,42 @@
     logs: Annotated[tuple[str, ...], cappa.Arg(num_args=-1)] = ()
 
 
+@dataclass
+class Where:
+    """Print where a request would go now, and why, without sending it.
+
+    The router is asked on its listener for operators: the metrics address of
+    chervilstall-edge, or the admin address of chervilstall-router.
+    """
+
+    path: Annotated[str, cappa.Arg(help="Path of the request.")]
+    host: Annotated[
+        str, cappa.Arg(long=True, help="Host of the request, for chervilstall-edge.")
+    ] = ""
+    model: Annotated[
+        str,
+        cappa.Arg(long=True, help="Model, for a completion at chervilstall-router."),
+    ] = ""
+    workspace: Annotated[
+        str, cappa.Arg(long=True, help="Workspace that sends the request.")
+    ] = ""
+    prompt_tokens: Annotated[
+        int, cappa.Arg(long=True, help="Size of the prompt in tokens.")
+    ] = 0
+    answer_tokens: Annotated[
+        int, cappa.Arg(long=True, help="Expected size of the answer in tokens.")
+    ] = 0
+    priority: Annotated[
+        int | None,
+        cappa.Arg(long=True, help="Priority instead of that of route and workspace."),
+    ] = None
+    part: Annotated[
+        list[str],
+        cappa.Arg(long=True, help="Shared part of the prompt; may be repeated."),
+    ] = field(default_factory=list)
+    json: Annotated[bool, cappa.Arg(long=True, help="Print JSON.")] = False
+
+
 @dataclass
 class Timeline:
     """Print how the VMs' view of the fleet changed around a time, from their logs."""
@@ -151,6 +187,7 @@
     | Status
     | Drain
     | Explain
+    | Where
     | Timeline
     | Bound
     | Histograms
--- a/src/chervilstall/commands/exits.py
+++ b/src/chervilstall/commands/exits.py
@@ -10,7 +10,8 @@
 
 EXIT_HELP = """\
 Exit codes: 0 done, 1 failed, 2 invalid command line, 3 invalid settings, 4 conflicting
-change, 5 stopped with requests unfinished.
+change, 5 stopped with requests unfinished, 6 unknown route or name, 7 no answer from
+a router.
 """
 
 
@@ -23,6 +24,8 @@
     INVALID_SETTINGS = 3
     CONFLICT = 4
     UNFINISHED = 5
+    NOT_FOUND = 6
+    NO_ANSWER = 7
 
 
 def run_and_exit(action: Callable[[], ExitCode]) -> NoReturn:
--- a/src/chervilstall/edge/app.py
+++ b/src/chervilstall/edge/app.py
@@ -215,7 +215,7 @@
                 ErrorKind.OVERLOADED, "no descriptor for a connection to a target"
             )
         # Checked after the body, which may take long to arrive.
-        self._check_drain(route, service, fields)
+        self.check_drain(route, service, fields)
         deadline_s = arrived_at_s + route.timeout_s
         if fields.timeout_s is not None:
             deadline_s = min(deadline_s, arrived_at_s + fields.timeout_s)
@@ -260,7 +260,7 @@
         for request in self.admitted:
             request.deadline_s = min(request.deadline_s, schedule.answers_until_s)
 
-    def _check_drain(
+    def check_drain(
         self, route: Route, service: Service, fields: RequestFields
     ) -> None:
         """Refuse a request that a shutdown would interrupt, before it is sent."""
--- a/src/chervilstall/edge/endpoints.py
+++ b/src/chervilstall/edge/endpoints.py
@@ -7,6 +7,7 @@
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.http_response import HttpResponse, StartResponse, json_response
 from chervilstall.platform import protocol
+from chervilstall.where_answer import WHERE_PATH
 from chervilstall.wsgi import Environ
 
 ERROR_KINDS = {
@@ -26,16 +27,21 @@
 
 @dataclass
 class OperatorEndpoints:
-    """WSGI application with readiness for the load balancer and metrics."""
+    """WSGI application with readiness for the load balancer and metrics.
+
+    `where` answers the query string of a question where a request would go.
+    """
 
     is_ready: Callable[[], bool]
     metrics_text: Callable[[], str]
+    where: Callable[[str], HttpResponse]
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Serve one request."""
-        return self._respond(environ["PATH_INFO"]).start(start_response)
+        path, query = environ["PATH_INFO"], environ["QUERY_STRING"]
+        return self._respond(path, query).start(start_response)
 
-    def _respond(self, path: str) -> HttpResponse:
+    def _respond(self, path: str, query: str) -> HttpResponse:
         match path:
             case protocol.READY_PATH:
                 is_ready = self.is_ready()
@@ -43,4 +49,6 @@
             case "/metrics":
                 text = self.metrics_text().encode()
                 return HttpResponse(200, text, (("Content-Type", "text/plain"),))
+            case _ if path == WHERE_PATH:
+                return self.where(query)
         return json_response(404, {"error": "no such path"})
--- a/src/chervilstall/edge/limits/rate_limits.py
+++ b/src/chervilstall/edge/limits/rate_limits.py
@@ -16,7 +16,7 @@
 import time
 from collections import defaultdict, deque
 from collections.abc import Callable, Container, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from chervilstall.fleet.records import Target, TargetIncarnation
 from chervilstall.fleet.statements import NamedLimit, TargetStatements
@@ -152,6 +152,19 @@
             and not self._has_room(incarnation)
         )
 
+    def snapshot(self) -> "TargetRateLimiter":
+        """Return a copy for a reader that must change nothing.
+
+        A check for room drops what no longer counts; here it is dropped from the copy.
+        """
+        named = {*self.statements.limits, *self.statements.pauses}
+        known_s = {each: self._sends_s[each] for each in named if each in self._sends_s}
+        sends_s: dict[TargetIncarnation, deque[float]] = defaultdict(deque)
+        sends_s.update((each, deque(times_s)) for each, times_s in known_s.items())
+        pauses = dict(self.statements.pauses)
+        statements = replace(self.statements, pauses=pauses)
+        return replace(self, on_change=None, statements=statements, _sends_s=sends_s)
+
     def _recent_sends_s(self, incarnation: TargetIncarnation) -> deque[float]:
         sends_s = self._sends_s[incarnation]
         first_s = time.monotonic() - WINDOW_S - WAY_MAX_S
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -78,28 +78,34 @@
 
         Targets that have responded after `seen_after_s`, a monotonic time, come first.
         """
-        available = [
+        return min(
+            self.available(service, avoided),
+            key=lambda target: (*self.rank(target, seen_after_s), random.random()),
+            default=None,
+        )
+
+    def available(self, service: Service, avoided: set[TargetId]) -> list[Target]:
+        """Return the ready targets that are not in `avoided` nor at their limit."""
+        return [
             target
             for target in self.fleet_view.ready_targets(service.name)
             if target.id not in avoided and self.rate_limiter.may_send(target)
         ]
-        if not available:
-            return None
-        return min(available, key=lambda target: self._rank(target, seen_after_s))
-
-    def _rank(
-        self, target: Target, seen_after_s: float
-    ) -> tuple[bool, bool, float, float]:
-        load = float(self.in_flight.get(target.incarnation, 0))
-        if target.zone != self.zone:
-            load += OTHER_ZONE_LOAD
+
+    def rank(
+        self, target: Target, seen_after_s: float = float("-inf")
+    ) -> tuple[bool, bool, float]:
+        """Return what targets are compared by; chance decides between equal ones."""
         return (
             self._seen_at_s(target) < seen_after_s,
             self.fleet_view.is_suspected(target),
-            load,
-            random.random(),
+            self.in_flight.get(target.incarnation, 0) + self.zone_load(target),
         )
 
+    def zone_load(self, target: Target) -> float:
+        """Return by how many requests a target counts as more loaded for its zone."""
+        return 0.0 if target.zone == self.zone else OTHER_ZONE_LOAD
+
     def _seen_at_s(self, target: Target) -> float:
         """Return when a target last responded to a request or a probe."""
         never_s = float("-inf")
--- a/src/chervilstall/edge/retry_after.py
+++ b/src/chervilstall/edge/retry_after.py
@@ -16,5 +16,14 @@
 
 def retry_after_s(request: EdgeRequest) -> float:
     """Return the Retry-After time in seconds."""
-    wait_s = RELOAD_S + RETRY_SPREAD_S * random.random()
+    return _wait_s(request, random.random())
+
+
+def retry_after_range_s(request: EdgeRequest) -> tuple[float, float]:
+    """Return the bounds of the Retry-After time in seconds."""
+    return _wait_s(request, 0.0), _wait_s(request, 1.0)
+
+
+def _wait_s(request: EdgeRequest, draw: float) -> float:
+    wait_s = RELOAD_S + RETRY_SPREAD_S * draw
     return min(wait_s, max(0.0, request.caller_remaining_s) * RETRY_WAIT_SHARE)
--- a/src/chervilstall/edge/room/gate.py
+++ b/src/chervilstall/edge/room/gate.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from gevent.event import Event
 
@@ -21,6 +21,7 @@
 from chervilstall.edge.room.view import RoomView
 from chervilstall.errors import ChervilstallError, ErrorKind
 from chervilstall.ids import ServiceName, WorkspaceName
+from chervilstall.paths.choice import PathChooser
 from chervilstall.settings.edge import AdmissionByRoomSettings
 from chervilstall.telemetry.events import EventLog
 from chervilstall.waiting import wait_until_set
@@ -36,6 +37,20 @@
     return False
 
 
+@dataclass(frozen=True)
+class RoomForecast:
+    """What would become of a request: it starts, waits, or is refused at once.
+
+    It is refused if the `expected_wait_s` is longer than the `longest_wait_s`.
+    `retry_after_s` holds the bounds of the Retry-After time.
+    """
+
+    has_room: bool = True
+    expected_wait_s: float = 0.0
+    longest_wait_s: float = 0.0
+    retry_after_s: tuple[float, float] = (0.0, 0.0)
+
+
 @dataclass
 class RoomGate:
     """Admits streams by room, or refuses them before they are sent.
@@ -94,13 +109,43 @@
             # After a failed send, the fault has made the answer late.
             ticket.is_awaited = False
 
+    def forecast(self, request: EdgeRequest, chooser: PathChooser) -> RoomForecast:
+        """Return what would become of a request now, and change nothing.
+
+        `chooser` is a copy of the router's own one, with a snapshot of what others
+        report. Whether there is a shortage is taken from the latest check.
+        """
+        decides = self._may_decide(request) and (
+            self.shortage is None or self.shortage.was_present
+        )
+        if not decides:
+            return RoomForecast()
+        view = replace(
+            self.view, chooser=chooser, peer_loads=chooser.peer_loads, _sums={}
+        )
+        known = self.rooms.get(request.service.name)
+        if known is None:
+            known = self._new_room(request)
+        room = known.detached(view)
+        room.limiter.service = request.service
+        asked = _describe(request, self.settings)
+        queued = room.offer(asked)
+        if queued.reservation is not None:
+            return RoomForecast()
+        wait_s = room.expected_wait_s(asked)
+        room.withdraw(asked, queued)
+        retry_s = room.retry_after_range_s(asked)
+        return RoomForecast(False, wait_s, asked.wait_max_s, retry_s)
+
+    def _new_room(self, request: EdgeRequest) -> ServiceRoom:
+        return ServiceRoom(request.service, self.settings, self.view, self.view.clock)
+
     def _room(self, request: EdgeRequest) -> ServiceRoom:
         service = request.service
         room = self.rooms.get(service.name)
         if room is None:
             self._drop_idle_rooms()
-            room = ServiceRoom(service, self.settings, self.view, self.view.clock)
-            self.rooms[service.name] = room
+            room = self.rooms[service.name] = self._new_room(request)
         # A later configuration may describe the service differently.
         room.limiter.service = service
         return room
@@ -148,13 +193,16 @@
         return queued.reservation
 
     def _decides(self, request: EdgeRequest) -> bool:
+        if not self._may_decide(request):
+            return False
+        return self.shortage is None or self.shortage.is_present()
+
+    def _may_decide(self, request: EdgeRequest) -> bool:
         if request.forwarding is not None or request.fields.last_event_id:
             return False
         if self.is_out_of_reach(request.service.name):
             return False
-        if not self.is_in_force():
-            return False
-        return self.shortage is None or self.shortage.is_present()
+        return self.is_in_force()
 
     @staticmethod
     def _wait(
--- a/src/chervilstall/edge/room/scale.py
+++ b/src/chervilstall/edge/room/scale.py
@@ -116,6 +116,10 @@
             self.delay = delay
         self.delay += DELAY_WEIGHT * (delay - self.delay)
 
+    def hold(self) -> None:
+        """Let the next update return the factor as it is, without a step."""
+        self._stepped_at_s = self.clock()
+
     def note_held_back(self) -> None:
         """Record that the limit delayed or refused a request."""
         self._has_held_back = True
--- a/src/chervilstall/edge/room/service.py
+++ b/src/chervilstall/edge/room/service.py
@@ -7,12 +7,15 @@
 small rate of tokens under any load.
 """
 
+import copy
 import random
 import time
 from collections import deque
 from dataclasses import dataclass, field
 from functools import partial
 
+from gevent.event import Event
+
 from chervilstall.admission.fair_queue import QueuedRequest
 from chervilstall.clock import Clock
 from chervilstall.edge.room.classes import (
@@ -86,6 +89,23 @@
         is_waiting = any(use.queue.length for use in self.ledger.classes.values())
         return self.ledger.tokens < TOKENS_MIN and not is_waiting
 
+    def detached(self, view: RoomView) -> "ServiceRoom":
+        """Return a copy to try a request with, whose view of the targets is `view`.
+
+        What begins, ends or waits in the copy has no effect here, and the factor of its
+        share is as the latest step left it.
+        """
+        shared = (self.service, self.settings, self.clock)
+        replaced: dict[int, object] = {id(each): each for each in shared}
+        replaced[id(self.view)] = view
+        for use in self.ledger.classes.values():
+            for queued in use.queue.requests():
+                replaced[id(queued.ready)] = Event()
+        result = copy.deepcopy(self, replaced)
+        view.own_tokens = lambda service: result.ledger.tokens
+        result.scale.hold()
+        return result
+
     # Requests
 
     def account(self, request: RoomRequest) -> RoomTicket:
@@ -127,7 +147,8 @@
         self.withdraw(request, queued)
         use = self.ledger.use(request.priority)
         use.queue.keep_turn(request.workspace, now_s, now_s + TURN_KEPT_S)
-        retry_after_s = self._retry_after_s(request, use, now_s)
+        jitter = self.rng.uniform(-RETRY_AFTER_JITTER, RETRY_AFTER_JITTER)
+        retry_after_s = self._retry_after_s(request, use, now_s, jitter)
         use.note_refused(request.tokens, now_s + retry_after_s)
         return retry_after_s
 
@@ -291,15 +312,21 @@
             freeing += self.settings.floor_share * limits.base_tokens
         return max(freeing / hold_s, RATE_MIN)
 
+    def retry_after_range_s(self, request: RoomRequest) -> tuple[float, float]:
+        """Return the bounds of the Retry-After that a refused request would get."""
+        now_s = self.clock()
+        use = self.ledger.use(request.priority)
+        low_s = self._retry_after_s(request, use, now_s, -RETRY_AFTER_JITTER)
+        return low_s, self._retry_after_s(request, use, now_s, RETRY_AFTER_JITTER)
+
     def _retry_after_s(
-        self, request: RoomRequest, use: ClassUse, now_s: float
+        self, request: RoomRequest, use: ClassUse, now_s: float, jitter: float
     ) -> float:
         """Return when the caller should return, so that callers return in turn."""
         ahead = self._queued_ahead(request, use, now_s) + use.returning_tokens(now_s)
         for other in self.ledger.more_urgent(request.priority):
             ahead += other.returning_tokens(now_s)
         wait_s = ahead / self._freeing_rate(request, use, now_s)
-        jitter = self.rng.uniform(-RETRY_AFTER_JITTER, RETRY_AFTER_JITTER)
         wait_s = max(RETRY_AFTER_MIN_S, wait_s * (1.0 + jitter))
         return min(wait_s, max(0.0, request.remaining_s) * REMAINING_SHARE)
 
--- a/src/chervilstall/edge/room/shortage.py
+++ b/src/chervilstall/edge/room/shortage.py
@@ -57,13 +57,18 @@
     _checked_at_s: float = float("-inf")
     _confirmed_at_s: float = float("-inf")
 
+    @property
+    def was_present(self) -> bool:
+        """Return whether the latest check found a shortage that still lasts."""
+        return self.clock() < self._until_s
+
     def is_present(self) -> bool:
         """Return whether there is a shortage at present."""
         now_s = self.clock()
         if now_s - self._checked_at_s >= CHECK_INTERVAL_S:
             self._checked_at_s = now_s
             self._check(now_s)
-        return now_s < self._until_s
+        return self.was_present
 
     def _check(self, now_s: float) -> None:
         recent = self.read()
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -40,6 +40,7 @@
 from chervilstall.edge.store_probe import StoreProbe
 from chervilstall.edge.streams.monitor import StreamMonitor
 from chervilstall.edge.streams.slow_targets import SlowTargetDetector
+from chervilstall.edge.where.endpoint import WhereEndpoint
 from chervilstall.fleet.view import FleetView
 from chervilstall.lease.holder import LeaseHolder
 from chervilstall.paths.choice import PathChooser
@@ -173,7 +174,10 @@
             self._serving_version,
             self.budget.lend,
         )
-        endpoints = OperatorEndpoints(lambda: self.is_ready, self.metrics_text)
+        where = WhereEndpoint(self.app, settings.vm, settings.zone)
+        endpoints = OperatorEndpoints(
+            lambda: self.is_ready, self.metrics_text, where.respond
+        )
         self.listeners = build_listeners(
             settings,
             metrics_port,
--- /dev/null
+++ b/src/chervilstall/edge/where/admission.py
@@ -0,0 +1,113 @@
+"""What would become of a request before it is sent to a target."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from chervilstall.edge.app import EdgeApplication
+from chervilstall.edge.limits.rate_limits import AT_LIMIT, TargetRateLimiter
+from chervilstall.edge.peers.relay import OUT_OF_REACH
+from chervilstall.edge.plain_relay import SUSPICION_S
+from chervilstall.edge.request import EdgeRequest
+from chervilstall.edge.retry_after import retry_after_range_s
+from chervilstall.errors import ChervilstallError, ErrorKind
+from chervilstall.ids import PartId
+from chervilstall.paths.choice import PathChooser
+from chervilstall.quarantine.records import PartKey
+from chervilstall.quarantine.refusal import QUARANTINE_RETRY_S
+from chervilstall.where_answer import AdmissionAnswer
+
+ADMITTED = AdmissionAnswer("admitted", "it is sent at once")
+FORWARDED = AdmissionAnswer(
+    "forwarded", "this router reaches too few targets, another router takes it"
+)
+
+
+def refused(
+    error: ChervilstallError, retry_after_s: tuple[float, float] | None = None
+) -> AdmissionAnswer:
+    """Return the answer for a request that ends with an error."""
+    bounds_s = None
+    if error.response.is_retryable:
+        bounds_s = retry_after_s or (error.retry_after_s, error.retry_after_s)
+        bounds_s = (round(bounds_s[0], 2), round(bounds_s[1], 2))
+    return AdmissionAnswer("refused", str(error), error.response.status, bounds_s)
+
+
+@dataclass(frozen=True)
+class AdmissionForecast:
+    """Applies the checks of a request in their order, on snapshots.
+
+    `finds_target` returns whether a target or a path was found.
+    """
+
+    app: EdgeApplication
+    request: EdgeRequest
+    chooser: PathChooser
+    rate_limiter: TargetRateLimiter
+    finds_target: Callable[[], bool]
+
+    def answer(self) -> AdmissionAnswer:
+        """Return the first answer other than that the request is sent at once."""
+        request = self.request
+        try:
+            self.app.check_drain(request.route, request.service, request.fields)
+        except ChervilstallError as error:
+            return refused(error)
+        if len(self.app.admitted) >= self.app.requests_max:
+            reason = "no descriptor for a connection to a target"
+            return refused(ChervilstallError(ErrorKind.OVERLOADED, reason))
+        return self._room() or self._quarantine() or self._targets() or ADMITTED
+
+    def _room(self) -> AdmissionAnswer | None:
+        gate = self.app.room_gate
+        if gate is None or self.request.service.pipeline is None:
+            return None
+        forecast = gate.forecast(self.request, self.chooser)
+        if forecast.has_room:
+            return None
+        if forecast.expected_wait_s > forecast.longest_wait_s:
+            error = ChervilstallError(
+                ErrorKind.OVERLOADED,
+                "the targets have no room: it is expected in "
+                f"{forecast.expected_wait_s:.2f} s, and the request may wait "
+                f"{forecast.longest_wait_s:.2f} s",
+            )
+            return refused(error, forecast.retry_after_s)
+        return AdmissionAnswer(
+            "waits",
+            "the targets have no room yet; the request is refused if it waits in vain",
+            expected_wait_s=round(forecast.expected_wait_s, 3),
+            longest_wait_s=round(forecast.longest_wait_s, 3),
+            retry_after_s=forecast.retry_after_s,
+        )
+
+    def _quarantine(self) -> AdmissionAnswer | None:
+        quarantine = self.app.stream_context.crash_guard.quarantine
+        service = self.request.service.name
+        for part in self.request.fields.prompt_parts:
+            if not quarantine.is_quarantined(PartKey(service, PartId(part))):
+                continue
+            reason = f"part {part} of the prompt crashes targets (quarantine)"
+            error = ChervilstallError(
+                ErrorKind.PROMPT_QUARANTINED, reason, QUARANTINE_RETRY_S
+            )
+            return refused(error)
+        return None
+
+    def _targets(self) -> AdmissionAnswer | None:
+        service = self.request.service
+        reach = self.app.stream_context.target_reach
+        if reach.is_out_of_reach(service.name):
+            return AdmissionAnswer("forwarded", OUT_OF_REACH)
+        if self.finds_target():
+            return None
+        if service.pipeline is not None and reach.lacks_targets(service.name):
+            return FORWARDED
+        reason = "no path covers the model"
+        bounds_s = retry_after_range_s(self.request)
+        if service.pipeline is None:
+            reason = "no target is ready"
+            bounds_s = (SUSPICION_S / 2, SUSPICION_S / 2)
+        if self.rate_limiter.exhausted_targets():
+            reason = f"{reason}; {AT_LIMIT}"
+        return refused(ChervilstallError(ErrorKind.NO_TARGET, reason), bounds_s)
--- a/src/chervilstall/fleet/view.py
+++ b/src/chervilstall/fleet/view.py
@@ -326,6 +326,10 @@
             or target.zone in self.unreachable_zones
         )
 
+    def suspicion(self, target: Target) -> Suspicion | None:
+        """Return why and until when a target itself is avoided, or None."""
+        return self._suspicions.get(target.incarnation)
+
     def is_unresponsive(self, target: Target) -> bool:
         """Return whether a target is suspected of silence or in an unreachable zone."""
         suspicion = self._suspicions.get(target.incarnation)
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -66,7 +66,6 @@
 """Weight of a single wait for prefill against a delay that recurs on every step."""
 
 SLOW_MS = 15.0
-STAGES_MAX = 32
 
 
 @dataclass
@@ -144,7 +143,7 @@
             found = self._search(pipeline, targets, request, may_exit_early)
             if found is None:
                 return None
-            if _is_valid(found.path):
+            if found.path.is_valid:
                 return found
         return None
 
@@ -288,7 +287,7 @@
         self, pipeline: Pipeline, targets: list[Target], tokens: float
     ) -> dict[TargetId, float]:
         costs = self.target_costs(pipeline, targets, tokens)
-        if self._path_loads.reporting_routers:
+        if self.counts_reports:
             return spread_costs_ms(targets, costs, self.rng)
         capacities = [cost.capacity_tokens for cost in costs.values()]
         mean_capacity = sum(capacities) / max(1, len(capacities))
@@ -351,6 +350,11 @@
         remote_s = peers.remote_prefill_backlog_s(incarnation)
         return known_s * self._unseen_factor + remote_s
 
+    @property
+    def counts_reports(self) -> bool:
+        """Return whether load that other routers report counts in the choice."""
+        return bool(self._path_loads.reporting_routers)
+
     @property
     def _path_loads(self) -> PeerLoads:
         """Return the reported load that counts in the choice of a path."""
@@ -389,8 +393,3 @@
         stages.append(current.stage)
         current = current.before
     return tuple(reversed(stages))
-
-
-def _is_valid(path: Path) -> bool:
-    ids = {stage.target.id for stage in path.stages}
-    return len(ids) == len(path.stages) <= STAGES_MAX
--- a/src/chervilstall/paths/peer_loads.py
+++ b/src/chervilstall/paths/peer_loads.py
@@ -1,5 +1,6 @@
 """Load that other routers report to put on targets, and the age of their figures."""
 
+import copy
 import time
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -93,6 +94,22 @@
     other_zones: "PeerLoads | None" = None
     _sums: dict[TargetIncarnation, _Sum] = field(default_factory=dict)
     _oldest_at_s: float = float("inf")
+    _is_snapshot: bool = False
+
+    def snapshot(self) -> "PeerLoads":
+        """Return the figures that are fresh now, for a reader that must change nothing.
+
+        Reading drops overdue figures; here they are dropped from the result alone, and
+        reading the result drops nothing.
+        """
+        others = None if self.other_zones is None else self.other_zones.snapshot()
+        result = PeerLoads(dict(self.reports), others, self._sums, self._oldest_at_s)
+        if self._is_overdue:
+            sums = {each: copy.copy(known) for each, known in self._sums.items()}
+            result._sums = sums
+            result.expire()
+        result._is_snapshot = True
+        return result
 
     def tokens(self, incarnation: TargetIncarnation) -> float:
         """Return the tokens in flight at a target that others report, of all zones."""
@@ -240,13 +257,17 @@
 
     def expire(self) -> None:
         """Drop the figures of routers that no longer report."""
-        oldest_allowed_s = time.monotonic() - FRESH_S
-        if self._oldest_at_s >= oldest_allowed_s:
+        if self._is_snapshot or not self._is_overdue:
             return
+        oldest_allowed_s = time.monotonic() - FRESH_S
         for vm, report in list(self.reports.items()):
             if report.taken_at_s < oldest_allowed_s:
                 self.drop(vm)
 
+    @property
+    def _is_overdue(self) -> bool:
+        return self._oldest_at_s < time.monotonic() - FRESH_S
+
     def _add(
         self,
         loads: Iterable[tuple[TargetIncarnation, TargetLoad]],
--- a/src/chervilstall/paths/records.py
+++ b/src/chervilstall/paths/records.py
@@ -7,6 +7,8 @@
 from chervilstall.ids import TargetId
 from chervilstall.settings.option import Address
 
+STAGES_MAX = 32
+
 
 @dataclass(frozen=True)
 class PathStage:
@@ -38,6 +40,12 @@
         zones = [stage.target.zone for stage in self.stages]
         return sum(earlier != later for earlier, later in pairwise(zones))
 
+    @property
+    def is_valid(self) -> bool:
+        """Return whether the path uses no target twice and is not too long."""
+        ids = {stage.target.id for stage in self.stages}
+        return len(ids) == len(self.stages) <= STAGES_MAX
+
     def stages_added(self, before: "Path | None") -> list[PathStage]:
         """Return the stages that the path `before`, if there is one, doesn't have."""
         if before is None:
