--- a/src/chervilstall/paths/explanation.py
+++ b/src/chervilstall/paths/explanation.py
@@ -116,7 +116,9 @@
 
     No two paths use the same targets in the same order. Another path lacks a target of
     each better one, so a next best path is the cheapest of those found without one of
-    the targets of the paths before. `yield_control` is called between searches.
+    the targets of the paths before. While routers report their load, the least cost of
+    load depends on the targets at hand, so a path of nearly equal cost may be missed.
+    `yield_control` is called between searches.
     """
     paths: list[Path] = []
     chosen = choose(frozenset())
@@ -143,4 +145,4 @@
             if other is not None:
                 entry = (cost_ms(other), len(searched), other, without)
                 heapq.heappush(queue, entry)
-    return paths
+    return [chosen, *sorted(paths[1:], key=cost_ms)]
