Answer where a request would go at chervilstall-router

chervilstallctl where asked the edge router alone. GET /where on the admin listener of chervilstall-router describes the chains or instances by the costs of the selector, the targets that get no such request, and what limits and queue would do. The queue's checks are functions of their own, the limits are tried on a copy, and the drain time is the sum of named parts. The selector draws a few candidates at random; the description compares all, and says so.

--- a/src/chervilstall/admission/queue.py
+++ b/src/chervilstall/admission/queue.py
@@ -59,6 +59,30 @@
         """Return the number of running requests of a class."""
         return self._queues[request_class].running
 
+    def mean_wait_s(self, request_class: RequestClass) -> float:
+        """Return the moving average of the time in the queue of a class."""
+        return self._queues[request_class].wait_s
+
+    def check(self, request_class: RequestClass, deadline_s: float) -> None:
+        """Raise ChervilstallError if a request would be refused without a wait."""
+        queue = self._queues[request_class]
+        if queue.length >= self.settings.queue_length:
+            raise self._overloaded(queue, request_class)
+        if queue.length and time.monotonic() + queue.wait_s > deadline_s:
+            raise ChervilstallError(
+                ErrorKind.DEADLINE_NOT_RUN,
+                f"the mean wait, {queue.wait_s:.1f} s, exceeds the deadline",
+            )
+
+    def may_start_immediately(self, request_class: RequestClass) -> bool:
+        """Return whether a request has its turn now, if a target has capacity."""
+        for name, queue in self._queues.items():
+            if queue.length:
+                return False
+            if name is request_class:
+                break
+        return self._has_room(request_class)
+
     def acquire(
         self,
         workspace: WorkspaceName,
@@ -77,20 +101,13 @@
         Raises ChervilstallError: OVERLOADED if the queue is full, DEADLINE_NOT_RUN if
         the deadline passes, or would pass at the current mean wait.
         """
+        self.check(request_class, deadline_s)
         queue = self._queues[request_class]
-        if queue.length >= self.settings.queue_length:
-            raise self._overloaded(queue, request_class)
-        now_s = time.monotonic()
-        if queue.length and now_s + queue.wait_s > deadline_s:
-            raise ChervilstallError(
-                ErrorKind.DEADLINE_NOT_RUN,
-                f"the mean wait, {queue.wait_s:.1f} s, exceeds the deadline",
-            )
         reservation = self._start_immediately(request_class, reserve)
         if reservation is not None:
             return reservation
         request: QueuedRequest[T] = QueuedRequest(
-            workspace, weight, cost, reserve, now_s
+            workspace, weight, cost, reserve, time.monotonic()
         )
         queue.push(request)
         self.dispatch()
@@ -105,12 +122,7 @@
         self, request_class: RequestClass, reserve: Callable[[], T | None]
     ) -> T | None:
         """Start a request directly if none of its class or a more urgent one waits."""
-        for name, queue in self._queues.items():
-            if queue.length:
-                return None
-            if name is request_class:
-                break
-        if not self._has_room(request_class):
+        if not self.may_start_immediately(request_class):
             return None
         reservation = reserve()
         if reservation is not None:
--- a/src/chervilstall/admission/router_limits.py
+++ b/src/chervilstall/admission/router_limits.py
@@ -1,5 +1,6 @@
 """The limits of one router, and the renewal of its leased shares."""
 
+import copy
 import time
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -79,6 +80,14 @@
         return grants
 
 
+class NoShareService:
+    """Leases nothing, for limits that are only read."""
+
+    def request_shares(self, requests: list[ShareRequest]) -> list[ShareGrant]:
+        """Return no grants."""
+        return []
+
+
 @dataclass
 class AcquiredLimits:
     """What one admitted request acquired.
@@ -124,6 +133,33 @@
         ]:
             share.limit = self._limits.get(name, 0.0)
 
+    def snapshot(self, workspace: WorkspaceName, pipeline: str) -> "RouterLimits":
+        """Return a copy of what limits a request, to try the request with.
+
+        It has only the shares that were leased before, as the first request for a
+        limit leases one.
+        """
+        names = (
+            concurrency_limit(workspace),
+            requests_limit(workspace),
+            pipeline_limit(workspace, pipeline),
+            tokens_limit(workspace),
+        )
+        rates, slots = self._rate_shares, self._concurrency_shares
+        return RouterLimits(
+            self.settings,
+            self.router,
+            NoShareService(),
+            self.clock,
+            {
+                name: self._limits[name]
+                for name in names
+                if name in self._limits and (name in rates or name in slots)
+            },
+            {name: copy.copy(rates[name]) for name in names if name in rates},
+            {name: copy.copy(slots[name]) for name in names if name in slots},
+        )
+
     def admit(
         self, workspace: WorkspaceName, pipeline: str, tokens: float
     ) -> AcquiredLimits:
--- a/src/chervilstall/gateway/admin.py
+++ b/src/chervilstall/gateway/admin.py
@@ -3,9 +3,11 @@
 import msgspec
 
 from chervilstall.gateway.runtime import RouterRuntime, RouterState
+from chervilstall.gateway.where import answer_where
 from chervilstall.http_response import HttpResponse, StartResponse, json_response
 from chervilstall.ids import RequestId
 from chervilstall.settings.documents import RequestClass
+from chervilstall.where_answer import WHERE_PATH
 from chervilstall.wsgi import Environ
 
 EXPLAIN_PREFIX = "/explain/"
@@ -19,9 +21,10 @@
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Serve one request."""
-        return self._respond(environ["PATH_INFO"]).start(start_response)
+        path, query = environ["PATH_INFO"], environ["QUERY_STRING"]
+        return self._respond(path, query).start(start_response)
 
-    def _respond(self, path: str) -> HttpResponse:
+    def _respond(self, path: str, query: str) -> HttpResponse:
         if path.startswith(EXPLAIN_PREFIX):
             return self._explain(path.removeprefix(EXPLAIN_PREFIX))
         match path:
@@ -37,6 +40,8 @@
                 return json_response(200, self._state())
             case "/bound":
                 return json_response(200, self._throughput_bounds())
+            case _ if path == WHERE_PATH:
+                return answer_where(self.runtime, query)
         return json_response(404, {"error": "no such path"})
 
     def _explain(self, request_id: str) -> HttpResponse:
--- a/src/chervilstall/routing/instances.py
+++ b/src/chervilstall/routing/instances.py
@@ -76,6 +76,10 @@
             self.table.get_or_add(instance.target, capacity, instance.concurrency)
         return subset
 
+    def subset(self, service: ServiceName) -> tuple[ServiceTarget, ...]:
+        """Return the instances of a service that this router uses."""
+        return self._instances.get(service, ())
+
     def is_served(self, service: ServiceName) -> bool:
         """Return whether any instance serves a service, even if all are full."""
         return bool(self._instances.get(service))
--- a/src/chervilstall/routing/load.py
+++ b/src/chervilstall/routing/load.py
@@ -7,6 +7,7 @@
 import time
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 from chervilstall.ids import TargetId
 from chervilstall.settings.processes import RoutingSettings
@@ -41,6 +42,18 @@
     PROBING = "probing"
 
 
+class WorkAhead(NamedTuple):
+    """Work that a target has to finish until a request sent now has ended.
+
+    It is the request's own work, that of this router's requests ahead of it, and the
+    estimated work of other routers' requests.
+    """
+
+    request: float
+    own: float
+    others: float
+
+
 @dataclass(slots=True)
 class TargetLoad:
     """Load and health of one target, as this router sees it.
@@ -91,19 +104,27 @@
         """Return the drain time in seconds of a request of `work` sent here now.
 
         That is the time until the target has finished the request and all work ahead
-        of it. Requests of other routers are estimated from the last load report,
-        whose weight decays with its age; urgent requests overtake them.
+        of it.
+        """
+        ahead = self.work_ahead(now_s, work, priority)
+        return (ahead.request + ahead.own + ahead.others) / (
+            self.capacity_per_s * self.slow_start_factor(now_s, slow_start_s)
+        )
+
+    def work_ahead(self, now_s: float, work: float, priority: Priority) -> WorkAhead:
+        """Return the work of a request of `work` sent here now, and that ahead of it.
+
+        Requests of other routers are estimated from the last load report, whose weight
+        decays with its age; urgent requests overtake them.
         """
-        work_ahead = work + sum(self.outstanding[: priority.value + 1])
+        others = 0.0
         waits_for_others = priority is not Priority.URGENT
         if waits_for_others and self.reported_in_flight > self.in_flight:
             age_s = now_s - self.reported_at_s
             decay = 0.5 ** (age_s / REPORT_HALF_LIFE_S)
             other_requests = (self.reported_in_flight - self.in_flight) * decay
-            work_ahead += other_requests * self.mean_outstanding_work(work)
-        return work_ahead / (
-            self.capacity_per_s * self.slow_start_factor(now_s, slow_start_s)
-        )
+            others = other_requests * self.mean_outstanding_work(work)
+        return WorkAhead(work, sum(self.outstanding[: priority.value + 1]), others)
 
     def mean_outstanding_work(self, default: float) -> float:
         """Return the mean outstanding work per request, `default` if idle."""
--- a/src/chervilstall/routing/selector.py
+++ b/src/chervilstall/routing/selector.py
@@ -108,6 +108,10 @@
             priority for priority, spill in state.spills.items() if spill.is_spilling
         ]
 
+    def state(self, capability: Capability) -> CapabilityState | None:
+        """Return the plan and the subsets of a capability, None if it is unknown."""
+        return self._plans.states.get(capability)
+
     def is_served(self, capability: Capability) -> bool:
         """Return whether any chain serves a capability, even if all are full."""
         state = self._plans.states.get(capability)
@@ -242,7 +246,7 @@
             load = self.load_table.loads[engine.target]
             if engine.target in request.avoid or not load.has_room(request.priority):
                 continue
-            cost_s = self._cost_s(load, request, work, now_s)
+            cost_s = self.cost_s(load, request, work, now_s)
             if best is None or cost_s < best[2]:
                 best = (engine, load, cost_s)
         return best
@@ -259,7 +263,7 @@
                 break
         return drawn
 
-    def _cost_s(
+    def cost_s(
         self, load: TargetLoad, request: ChainRequest, work: float, now_s: float
     ) -> float:
         """Return the drain time, less the time that a cached prefix saves."""
--- a/tests/edge/where.feature
+++ b/tests/edge/where.feature
@@ -113,3 +113,10 @@
       | /none/ --host counter.example                   | 6    |
       | /draft/x --host counter.example --prompt-tokens 100000000 | 2 |
     And it ends with exit code 7 where no router answers
+
+  # Guards against questions that together hold up requests: each takes as long as up to
+  # 25 choices of a path.
+  Scenario: One question is answered at a time
+    When two questions come at the same time
+    Then one of the two answers is a refusal with status 429
+    And the next question is answered
--- a/tests/steps/where_steps.py
+++ b/tests/steps/where_steps.py
@@ -475,3 +475,21 @@
     context.running.stop()
     code, _, errors = run_where(context.address, context.where)
     assert code == 7 and "doesn't answer" in errors, (code, errors)
+
+
+@when("two questions come at the same time")
+def ask_twice(context: Context) -> None:
+    query = STREAM.encode()
+    tasks = [gevent.spawn(context.endpoint.respond, query) for _ in range(2)]
+    gevent.joinall(tasks)
+    context.statuses = sorted(task.value.status for task in tasks)
+
+
+@then("one of the two answers is a refusal with status 429")
+def check_one_refused(context: Context) -> None:
+    assert context.statuses == [200, 429], context.statuses
+
+
+@then("the next question is answered")
+def check_next(context: Context) -> None:
+    assert ask(context, STREAM.encode()).status == 200
