--- a/src/chervilstall/commands/where.py
+++ b/src/chervilstall/commands/where.py
@@ -12,6 +12,7 @@
 from chervilstall.decoding import decode_untrusted
 from chervilstall.settings.option import parse_address
 from chervilstall.where_answer import (
+    RANDOM,
     WHERE_PATH,
     AdmissionAnswer,
     RankedPath,
@@ -153,12 +154,15 @@
     if path.is_maximum:
         lines.append("  of the costliest stage:")
     for part in path.parts:
-        if not part.value and part.name != "random":
+        if not part.value and part.name != RANDOM:
             continue
-        line = f"    {part.name} {part.value:g} {part.unit}, from {part.source}"
+        source = part.source if part.name == RANDOM else f"from {part.source}"
+        line = f"    {part.name} {part.value:g} {part.unit}, {source}"
         lines.append(line + _age(part.age_s))
     zero = [
-        part.name for part in path.parts if not part.value and part.name != "random"
+        part.name + _age(part.age_s)
+        for part in path.parts
+        if not part.value and part.name != RANDOM
     ]
     if zero:
         lines.append(f"    0: {', '.join(zero)}")
--- a/src/chervilstall/edge/where/admission.py
+++ b/src/chervilstall/edge/where/admission.py
@@ -18,7 +18,7 @@
 
 ADMITTED = AdmissionAnswer("admitted", "it is sent at once")
 FORWARDED = AdmissionAnswer(
-    "forwarded", "this router reaches too few targets, another router takes it"
+    "forwarded", "this router reaches too few targets and asks another one to take it"
 )
 
 
--- a/src/chervilstall/edge/where/paths.py
+++ b/src/chervilstall/edge/where/paths.py
@@ -19,7 +19,13 @@
 from chervilstall.paths.explanation import PathCost, PathCoster, find_paths
 from chervilstall.paths.records import Path, PathRequest
 from chervilstall.paths.spread import NOISE_MAX, NOISE_MIN, SPREAD_MS
-from chervilstall.where_answer import PATHS_MAX, CostPart, RankedPath, StageAnswer
+from chervilstall.where_answer import (
+    PATHS_MAX,
+    RANDOM,
+    CostPart,
+    RankedPath,
+    StageAnswer,
+)
 
 MS = "ms per decode step"
 REQUESTS = "requests"
@@ -53,6 +59,7 @@
     rate_limiter: TargetRateLimiter
     request: EdgeRequest
     yield_control: Callable[[], object] = _yield_to_other_tasks
+    _search_coster: PathCoster | None = None
 
     @classmethod
     def of(cls, app: EdgeApplication, request: EdgeRequest) -> "StreamRanking":
@@ -80,7 +87,15 @@
         return paths.choose()
 
     def _cost_ms(self, path: Path) -> float:
-        return self._coster().cost(path).total_ms
+        """Return the cost by which the search orders a path.
+
+        Its figures are those of the beginning unless a target has come since, so that
+        a search takes no longer than one choice.
+        """
+        coster = self._search_coster
+        if coster is None or not coster.is_known(path):
+            coster = self._search_coster = self._coster()
+        return coster.cost(path).total_ms
 
     def _coster(self) -> PathCoster:
         path_request = PathRequest(self.request.expected_tokens)
@@ -95,6 +110,7 @@
     def ranked(self) -> tuple[RankedPath, ...]:
         """Return the paths with their costs, all of this moment."""
         found = self.found
+        self.yield_control()
         coster = self._coster()
         return tuple(
             self._describe(path, coster.cost(path))
@@ -114,7 +130,7 @@
             for stage, stage_ms in zip(path.stages, cost.stages_ms, strict=True)
         )
         parts = [self._part(name, part) for name, part in cost.parts_ms.items()]
-        parts.append(CostPart("random", 0.0, MS, "set to 0 here, see the notes"))
+        parts.append(CostPart(RANDOM, 0.0, MS, "set to 0 here, see the notes"))
         return RankedPath(stages, round(cost.total_ms, 3), MS, tuple(parts))
 
     def _part(self, name: str, part_ms: float) -> CostPart:
@@ -214,7 +230,7 @@
         parts = (
             CostPart("requests_in_flight", in_flight, REQUESTS, OWN_LOAD, 0.0),
             CostPart("other_zone", zone_load, REQUESTS, CONFIGURATION),
-            CostPart("random", 0.0, REQUESTS, "set to 0 here, see the notes"),
+            CostPart(RANDOM, 0.0, REQUESTS, "set to 0 here, see the notes"),
         )
         stage = StageAnswer(target.id, target.zone, cost=cost)
         return RankedPath((stage,), cost, REQUESTS, parts)
--- a/src/chervilstall/where_answer.py
+++ b/src/chervilstall/where_answer.py
@@ -14,6 +14,9 @@
 from chervilstall.http_response import HttpResponse, json_response
 
 WHERE_PATH = "/where"
+RANDOM = "random"
+"""Name of the component that is drawn for each request, and left out of the answer."""
+
 QUERY_MAX_BYTES = 4_096
 PARTS_MAX = 8
 TOKENS_MAX = 10_000_000
