Move the estimate of the load of all routers out of the choice of paths

Nothing is chosen differently: three models of a zone (20 routers with and without reports, and 3 routers, 10 s each) sent the same requests to the same targets before and after.

tests/paths/choice.feature and tests/paths/peer_loads.feature pass as before.

--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -24,6 +24,7 @@
 from chervilstall.ids import TargetId, ZoneName
 from chervilstall.paths.boundaries import layer_boundaries, layer_exits
 from chervilstall.paths.capacity import step_factor, token_capacity
+from chervilstall.paths.estimate import LoadEstimate
 from chervilstall.paths.load import LoadTracker
 from chervilstall.paths.peer_loads import PeerLoads
 from chervilstall.paths.records import Path, PathRequest, PathStage
@@ -257,10 +258,10 @@
         prefilled it already. Routers that don't report are assumed to send as many
         prompts, since they have the same information as this one.
         """
-        longest_s = 0.0
+        longest_s, estimate = 0.0, self._estimate
         for stage in path.stages_added(before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
-            wait_s = self._prefill_backlog_s(stage.target.incarnation, own_s)
+            wait_s = estimate.prefill_backlog_s(stage.target.incarnation, own_s)
             longest_s = max(longest_s, wait_s)
         transfer_s = self._transfer_s(pipeline, path, tokens)
         if not transfer_s:
@@ -295,9 +296,11 @@
         capacities = {
             target.id: max(1.0, token_capacity(pipeline, target)) for target in targets
         }
-        factor = self._unseen_factor
+        estimate = self._estimate
         costs = {
-            target.id: self._target_cost(target, tokens, capacities[target.id], factor)
+            target.id: self._target_cost(
+                target, tokens, capacities[target.id], estimate
+            )
             for target in targets
         }
         if self._path_loads.reporting_routers:
@@ -311,7 +314,11 @@
         return costs_ms
 
     def _target_cost(
-        self, target: Target, tokens: float, capacity_tokens: float, factor: float
+        self,
+        target: Target,
+        tokens: float,
+        capacity_tokens: float,
+        estimate: LoadEstimate,
     ) -> TargetCost:
         incarnation = target.incarnation
         other_ms = HOP_MS
@@ -322,32 +329,18 @@
         if self.load.is_full(incarnation):
             other_ms += FULL_MS
         load_ms = REQUEST_MS * self.load.requests.get(incarnation, 0)
-        load_ms += PREFILL_WEIGHT * self._prefill_backlog_s(incarnation) * 1e3
-        zone_tokens = (self._known_tokens(incarnation) + tokens) * factor
-        remote_tokens = self._path_loads.remote_tokens(incarnation)
-        use = (zone_tokens + remote_tokens) / capacity_tokens
+        load_ms += PREFILL_WEIGHT * estimate.prefill_backlog_s(incarnation) * 1e3
+        use = estimate.tokens(incarnation, tokens) / capacity_tokens
         load_ms += USE_MS * max(0.0, use - USE_THRESHOLD) ** 2
         return TargetCost(load_ms, other_ms, capacity_tokens)
 
     def estimated_tokens(self, incarnation: TargetIncarnation) -> float:
         """Return the tokens in flight of all routers at a target, as estimated here."""
-        known = self._known_tokens(incarnation) * self._unseen_factor
-        return known + self._path_loads.remote_tokens(incarnation)
-
-    def _known_tokens(self, incarnation: TargetIncarnation) -> float:
-        """Return the tokens in flight of this router and those of its zone."""
-        own = self.load.tokens.get(incarnation, 0.0)
-        return own + self._path_loads.zone_tokens(incarnation)
+        return self._estimate.tokens(incarnation)
 
-    def _prefill_backlog_s(
-        self, incarnation: TargetIncarnation, added_s: float = 0.0
-    ) -> float:
-        """Return the time for all prompts at a target, with one more of this router."""
-        peers = self._path_loads
-        known_s = self.load.prefill_backlog_s(incarnation) + added_s
-        known_s += peers.zone_prefill_backlog_s(incarnation)
-        remote_s = peers.remote_prefill_backlog_s(incarnation)
-        return known_s * self._unseen_factor + remote_s
+    @property
+    def _estimate(self) -> LoadEstimate:
+        return LoadEstimate(self.load, self._path_loads, self._unseen_factor)
 
     @property
     def _path_loads(self) -> PeerLoads:
