Weigh the prefill of a request's own prompt in the choice of its path

One constant weighed the backlog of prompts at a target alike for all requests, and the prefill of the request's own prompt, and what it does to requests decoding beside it, weren't part of the cost. While prompts.mode is in force (off by default), paths/prompt_cost.py spreads both over the decode steps of the answer, counts them more the nearer they bring the first event to the objective, and adds the delay of the requests in flight at each stage. Reported prefill counts then also where load_exchange.guides_paths is off.

--- a/src/chervilstall/edge/assembly.py
+++ b/src/chervilstall/edge/assembly.py
@@ -57,6 +57,7 @@
     rerouter.spreads_moves = features.spreads_moves
     server.stream_monitor.stage_check.is_in_force = features.checks_stages
     server.chooser.guides_paths = features.guides_paths
+    server.chooser.weighs_prompts = features.weighs_prompts
     kept_calls.is_in_force = features.keeps_report_connections
     return EdgeApplication(
         server.fleet_view,
--- a/src/chervilstall/edge/features.py
+++ b/src/chervilstall/edge/features.py
@@ -40,6 +40,10 @@
         """Return whether load that others report counts in the choice of paths."""
         return self.is_in_force(self.settings.load_exchange.guides_paths)
 
+    def weighs_prompts(self) -> bool:
+        """Return whether paths and sends depend on the size of prompts."""
+        return self.is_in_force(self.settings.prompts.mode)
+
     def keeps_report_connections(self) -> bool:
         """Return whether reports and health checks reuse connections."""
         return self.is_in_force(self.settings.connections.keep_for_reports)
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -8,10 +8,14 @@
 from chervilstall.edge.peers.forwarding import Forwarding
 from chervilstall.fleet.records import Route, Service
 from chervilstall.ids import PartId, RequestId, WorkspaceName
+from chervilstall.paths.records import Prompt
 from chervilstall.platform.headers import RequestFields
 from chervilstall.process_limits.memory import Holding
 from chervilstall.quarantine.identity import request_digest
 
+OBJECTIVE_SHARE_MIN = 0.25
+"""Least part of the objective that counts as left, also where the answer is late."""
+
 
 @dataclass(eq=False)
 class EdgeRequest:
@@ -124,6 +128,22 @@
         """
         return self.fields.prompt_tokens + self.events_forwarded
 
+    @property
+    def prompt(self) -> Prompt | None:
+        """Return the prompt of a stream that waits for its first event.
+
+        It is None for a stream that has begun, and where a size isn't declared.
+        """
+        fields, objective_s = self.fields, self.route.latency_slo_s
+        has_begun = self.events_forwarded or fields.last_event_id
+        if has_begun or objective_s <= 0.0:
+            return None
+        if not fields.prompt_tokens or not fields.answer_tokens:
+            return None
+        left_s = objective_s - (time.monotonic() - self.arrived_at_s)
+        left_s = max(OBJECTIVE_SHARE_MIN * objective_s, left_s)
+        return Prompt(fields.prompt_tokens, fields.answer_tokens, left_s)
+
     def record_send(self) -> None:
         """Count a send; the first one sets `queued_s`."""
         self.sends += 1
--- a/src/chervilstall/edge/streams/paths.py
+++ b/src/chervilstall/edge/streams/paths.py
@@ -76,5 +76,6 @@
             frozenset(avoid),
             first,
             self.rate_limiter.exhausted_targets(),
+            self.request.prompt if self.chooser.weighs_prompts() else None,
         )
         return self.chooser.choose(self.request.service, path_request)
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -27,6 +27,7 @@
 from chervilstall.paths.estimate import LoadEstimate
 from chervilstall.paths.load import LoadTracker
 from chervilstall.paths.peer_loads import PeerLoads
+from chervilstall.paths.prompt_cost import PrefillCosts
 from chervilstall.paths.records import Path, PathRequest, PathStage
 from chervilstall.paths.spread import TargetCost, spread_costs_ms
 
@@ -68,11 +69,7 @@
 Where a zone has more routers, as many are assumed as a zone has on average.
 """
 
-PREFILL_WEIGHT = 0.1
-"""Weight of a single wait for prefill against a delay that recurs on every step."""
-
 SLOW_MS = 15.0
-STAGES_MAX = 32
 
 
 @dataclass
@@ -103,7 +100,8 @@
     zones and of running routers, from which the load by other routers is estimated;
     `zone_routers` is the number of those in the router's zone, or 0 if not known.
     `load` counts this router's own requests. `peer_loads` holds those that others
-    report; they count in the choice of a path while `guides_paths` returns true.
+    report; they count in the choice of a path while `guides_paths` returns true. The
+    prompts that others have queued count also while `weighs_prompts` does.
     """
 
     fleet_view: FleetView
@@ -114,6 +112,7 @@
     load: LoadTracker = field(default_factory=LoadTracker)
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
     guides_paths: Callable[[], bool] = lambda: True
+    weighs_prompts: Callable[[], bool] = lambda: False
     _no_loads: PeerLoads = field(default_factory=PeerLoads)
     zone_routers: int = 0
 
@@ -149,7 +148,7 @@
             found = self._search(pipeline, targets, request, may_exit_early)
             if found is None:
                 return None
-            if _is_valid(found.path):
+            if found.path.is_valid:
                 return found
         return None
 
@@ -173,8 +172,14 @@
     ) -> "_CostedPath | None":
         boundaries = layer_boundaries(targets, pipeline.layers)
         starts = sorted({target.layers.first for target in targets})
-        layer_ms = {target.id: self._layer_ms(pipeline, target) for target in targets}
-        target_costs_ms = self._target_costs_ms(pipeline, targets, request.tokens)
+        prefill = PrefillCosts(
+            pipeline, self._prefill_estimate, request.prompt, self.zone, targets
+        )
+        layer_ms = {
+            target.id: self._layer_ms(pipeline, target) + prefill.layer_ms(target)
+            for target in targets
+        }
+        target_costs_ms = self._target_costs_ms(targets, request.tokens, prefill)
         reached: dict[int, dict[TargetId, _SearchNode]] = defaultdict(dict)
         for boundary in boundaries:
             if boundary >= pipeline.layers:
@@ -258,7 +263,7 @@
         prefilled it already. Routers that don't report are assumed to send as many
         prompts, since they have the same information as this one.
         """
-        longest_s, estimate = 0.0, self._estimate
+        longest_s, estimate = 0.0, self._prefill_estimate
         for stage in path.stages_added(before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
             wait_s = estimate.prefill_backlog_s(stage.target.incarnation, own_s)
@@ -275,11 +280,12 @@
 
         It counts once for each router assumed to act like this one without reporting.
         """
+        estimate = self._prefill_estimate
         for stage in path.stages_added(before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
             incarnation = stage.target.incarnation
-            peers_s = self._path_loads.prefill_backlog_s(incarnation)
-            self.load.add_prefill(incarnation, own_s, peers_s, self._unseen_factor)
+            peers_s = estimate.peers.prefill_backlog_s(incarnation)
+            self.load.add_prefill(incarnation, own_s, peers_s, estimate.unseen_factor)
         self.load.add_transfer(self._transfer_s(pipeline, path, tokens))
 
     def _transfer_s(self, pipeline: Pipeline, path: Path, tokens: float) -> float:
@@ -291,15 +297,16 @@
         )
 
     def _target_costs_ms(
-        self, pipeline: Pipeline, targets: list[Target], tokens: float
+        self, targets: list[Target], tokens: float, prefill: PrefillCosts
     ) -> dict[TargetId, float]:
         capacities = {
-            target.id: max(1.0, token_capacity(pipeline, target)) for target in targets
+            target.id: max(1.0, token_capacity(prefill.pipeline, target))
+            for target in targets
         }
         estimate = self._estimate
         costs = {
             target.id: self._target_cost(
-                target, tokens, capacities[target.id], estimate
+                target, tokens, capacities[target.id], estimate, prefill
             )
             for target in targets
         }
@@ -319,6 +326,7 @@
         tokens: float,
         capacity_tokens: float,
         estimate: LoadEstimate,
+        prefill: PrefillCosts,
     ) -> TargetCost:
         incarnation = target.incarnation
         other_ms = HOP_MS
@@ -329,7 +337,7 @@
         if self.load.is_full(incarnation):
             other_ms += FULL_MS
         load_ms = REQUEST_MS * self.load.requests.get(incarnation, 0)
-        load_ms += PREFILL_WEIGHT * estimate.prefill_backlog_s(incarnation) * 1e3
+        load_ms += prefill.backlog_ms(incarnation)
         use = estimate.tokens(incarnation, tokens) / capacity_tokens
         load_ms += USE_MS * max(0.0, use - USE_THRESHOLD) ** 2
         return TargetCost(load_ms, other_ms, capacity_tokens)
@@ -340,21 +348,29 @@
 
     @property
     def _estimate(self) -> LoadEstimate:
-        return LoadEstimate(self.load, self._path_loads, self._unseen_factor)
+        return self._estimate_with(self._path_loads)
+
+    @property
+    def _prefill_estimate(self) -> LoadEstimate:
+        """Return the estimate from which the prompts at targets are known."""
+        peers = self.peer_loads if self.weighs_prompts() else self._path_loads
+        return self._estimate_with(peers)
+
+    def _estimate_with(self, peers: PeerLoads) -> LoadEstimate:
+        return LoadEstimate(self.load, peers, self._unseen_factor(peers))
 
     @property
     def _path_loads(self) -> PeerLoads:
         """Return the reported load that counts in the choice of a path."""
         return self.peer_loads if self.guides_paths() else self._no_loads
 
-    @property
-    def _unseen_factor(self) -> float:
+    def _unseen_factor(self, peers: PeerLoads) -> float:
         """Return the load of all routers as a multiple of the load that is known.
 
         Routers that don't report are assumed to load a target as those do on average
         whose load is known, this one included.
         """
-        reporting_routers = self._path_loads.reporting_routers
+        reporting_routers = peers.reporting_routers
         if not reporting_routers:
             return self._similar_routers
         return max(1.0, self.routers_of_zone / (1 + reporting_routers))
@@ -380,8 +396,3 @@
         stages.append(current.stage)
         current = current.before
     return tuple(reversed(stages))
-
-
-def _is_valid(path: Path) -> bool:
-    ids = {stage.target.id for stage in path.stages}
-    return len(ids) == len(path.stages) <= STAGES_MAX
--- a/src/chervilstall/paths/estimate.py
+++ b/src/chervilstall/paths/estimate.py
@@ -30,6 +30,13 @@
         known = (self.known_tokens(incarnation) + added) * self.unseen_factor
         return known + self.peers.remote_tokens(incarnation)
 
+    def requests(self, incarnation: TargetIncarnation) -> float:
+        """Return the requests in flight at a target."""
+        known = self.own.requests.get(incarnation, 0)
+        known_or_told = known + self.peers.zone_requests(incarnation)
+        remote = self.peers.remote_requests(incarnation)
+        return known_or_told * self.unseen_factor + remote
+
     def prefill_backlog_s(
         self, incarnation: TargetIncarnation, added_s: float = 0.0
     ) -> float:
--- a/src/chervilstall/paths/peer_loads.py
+++ b/src/chervilstall/paths/peer_loads.py
@@ -109,11 +109,18 @@
 
     def requests(self, incarnation: TargetIncarnation) -> float:
         """Return the requests in flight at a target that others report."""
+        return self.zone_requests(incarnation) + self.remote_requests(incarnation)
+
+    def zone_requests(self, incarnation: TargetIncarnation) -> float:
+        """Return the requests at a target that routers of the zone report."""
         known = self._sum(incarnation)
-        requests = 0.0 if known is None else float(known.requests)
-        if self.other_zones is not None:
-            requests += self.other_zones.requests(incarnation)
-        return requests
+        return 0.0 if known is None else float(known.requests)
+
+    def remote_requests(self, incarnation: TargetIncarnation) -> float:
+        """Return the requests at a target that other zones report."""
+        if self.other_zones is None:
+            return 0.0
+        return self.other_zones.requests(incarnation)
 
     def refusals(self, incarnation: TargetIncarnation) -> float:
         """Return how often a target refused routers of the zone in one second."""
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -170,6 +170,17 @@
     )
 
 
+@dataclass(frozen=True)
+class PromptSettings:
+    """Section `prompts`: long prompts beside short ones."""
+
+    mode: FeatureMode = option(
+        "Whether the prefill of a request's own prompt counts in the choice of its "
+        "path, and several long prompts are sent one after the other.",
+        FeatureMode.OFF,
+    )
+
+
 @dataclass(frozen=True)
 class EdgeSettings:
     """All sections of the file."""
@@ -179,6 +190,7 @@
     process: ProcessLimitSettings = field(default_factory=ProcessLimitSettings)
     streams: StreamSettings = field(default_factory=StreamSettings)
     connections: ConnectionSettings = field(default_factory=ConnectionSettings)
+    prompts: PromptSettings = field(default_factory=PromptSettings)
 
 
 EDGE_SECTIONS: dict[str, type] = {
@@ -187,6 +199,7 @@
     "process": ProcessLimitSettings,
     "streams": StreamSettings,
     "connections": ConnectionSettings,
+    "prompts": PromptSettings,
 }
 
 
