Model long prompts beside short ones without a network

The model plays one of three zones with the engine's times and the product's choice of paths.

tests/paths/prompt_fleet.feature: 3 passed (new, 15 s on a busy machine).

--- /dev/null
+++ b/tests/paths/prompt_fleet.feature
@@ -0,0 +1,15 @@
+Feature: Long prompts and short ones at targets that prefill and decode, in a model
+
+  # Guards against requests of one size that are served worse as prompts are weighed.
+  Scenario Outline: The thirds by prompt size at <routers> routers
+    Given the model of one of three zones of a fleet of <routers> routers
+    When it plays 200 requests each s, a tenth of them long, as before and with prompts weighed
+    Then the times to the first event are printed by third of the prompt size
+    And no third is more than a quarter later than before at the 95th percentile
+    And the largest tenth is served as often as all, within the objective and without it
+
+    Examples:
+      | routers |
+      | 6       |
+      | 60      |
+      | 300     |
