--- a/src/chervilstall/edge/where/paths.py
+++ b/src/chervilstall/edge/where/paths.py
@@ -98,7 +98,8 @@
         return coster.cost(path).total_ms
 
     def _coster(self) -> PathCoster:
-        path_request = PathRequest(self.request.expected_tokens)
+        prompt = self.request.prompt if self.chooser.weighs_prompts() else None
+        path_request = PathRequest(self.request.expected_tokens, prompt=prompt)
         return PathCoster(self.chooser, self.request.service, path_request)
 
     def usable(self) -> frozenset[TargetId]:
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -24,9 +24,12 @@
 from chervilstall.ids import TargetId, ZoneName
 from chervilstall.paths.boundaries import layer_boundaries, layer_exits
 from chervilstall.paths.capacity import step_factor, token_capacity
+from chervilstall.paths.estimate import LoadEstimate
 from chervilstall.paths.load import LoadTracker
 from chervilstall.paths.peer_loads import PeerLoads
+from chervilstall.paths.prompt_cost import PrefillCosts
 from chervilstall.paths.records import Path, PathRequest, PathStage
+from chervilstall.paths.search import CostedPath, SearchNode
 from chervilstall.paths.spread import TargetCost, spread_costs_ms
 from chervilstall.paths.zone_costs import REMOTE_ZONE_MS, entry_ms, zone_change_ms
 
@@ -62,32 +65,9 @@
 Where a zone has more routers, as many are assumed as a zone has on average.
 """
 
-PREFILL_WEIGHT = 0.1
-"""Weight of a single wait for prefill against a delay that recurs on every step."""
-
 SLOW_MS = 15.0
 
 
-@dataclass
-class _SearchNode:
-    """Cheapest path found so far that runs all layers up to a boundary.
-
-    `stage` is its last stage, and `before` the node that it continues.
-    """
-
-    cost_ms: float
-    stage: PathStage
-    before: "_SearchNode | None"
-
-
-@dataclass(frozen=True)
-class _CostedPath:
-    """A path and its cost, all penalties included."""
-
-    path: Path
-    cost_ms: float
-
-
 @dataclass
 class PathChooser:
     """Chooses paths for the requests of one router.
@@ -96,8 +76,9 @@
     zones and of running routers, from which the load by other routers is estimated;
     `zone_routers` is the number of those in the router's zone, or 0 if not known.
     `load` counts this router's own requests. `peer_loads` holds those that others
-    report; they count in the choice of a path while `guides_paths` returns true.
-    Without `rng`, costs have no random part.
+    report; they count in the choice of a path while `guides_paths` returns true. The
+    prompts that others have queued count also while `weighs_prompts` does. Without
+    `rng`, costs have no random part.
     """
 
     fleet_view: FleetView
@@ -108,6 +89,7 @@
     load: LoadTracker = field(default_factory=LoadTracker)
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
     guides_paths: Callable[[], bool] = lambda: True
+    weighs_prompts: Callable[[], bool] = lambda: False
     _no_loads: PeerLoads = field(default_factory=PeerLoads)
     zone_routers: int = 0
 
@@ -133,7 +115,7 @@
 
     def _find_valid(
         self, pipeline: Pipeline, targets: list[Target], request: PathRequest
-    ) -> "_CostedPath | None":
+    ) -> CostedPath | None:
         """Return the cheapest path that uses no target twice and is not too long.
 
         A second search lets paths leave a target only at the end of its layers, which
@@ -165,12 +147,16 @@
         targets: list[Target],
         request: PathRequest,
         may_exit_early: bool,
-    ) -> "_CostedPath | None":
+    ) -> CostedPath | None:
         boundaries = layer_boundaries(targets, pipeline.layers)
         starts = sorted({target.layers.first for target in targets})
-        layer_ms = {target.id: self.layer_ms(pipeline, target) for target in targets}
-        target_costs_ms = self._target_costs_ms(pipeline, targets, request.tokens)
-        reached: dict[int, dict[TargetId, _SearchNode]] = defaultdict(dict)
+        prefill = self.prefill_costs(pipeline, targets, request)
+        layer_ms = {
+            target.id: self.layer_ms(pipeline, target) + prefill.layer_ms(target)
+            for target in targets
+        }
+        target_costs_ms = self._target_costs_ms(targets, request.tokens, prefill)
+        reached: dict[int, dict[TargetId, SearchNode]] = defaultdict(dict)
         for boundary in boundaries:
             if boundary >= pipeline.layers:
                 break
@@ -189,21 +175,19 @@
                     cost_ms = entry_ms + len(layers) * layer_ms[target.id]
                     known = reached[layers.end].get(target.id)
                     if known is None or cost_ms < known.cost_ms:
-                        node = _SearchNode(cost_ms, PathStage(target, layers), before)
+                        node = SearchNode(cost_ms, PathStage(target, layers), before)
                         reached[layers.end][target.id] = node
         ends = reached[pipeline.layers].values()
         best = min(ends, key=lambda node: node.cost_ms, default=None)
-        return (
-            None if best is None else _CostedPath(Path(_stages_of(best)), best.cost_ms)
-        )
+        return None if best is None else CostedPath(best.path(), best.cost_ms)
 
     def _cheapest_entry(
         self,
         boundary: int,
         target: Target,
-        nodes: dict[TargetId, _SearchNode],
+        nodes: dict[TargetId, SearchNode],
         request: PathRequest,
-    ) -> tuple[float, _SearchNode | None] | None:
+    ) -> tuple[float, SearchNode | None] | None:
         """Return the cheapest way to enter a target at a boundary, or None.
 
         The result is the cost and the node to continue from, which is None at the first
@@ -218,7 +202,7 @@
             return entry_ms(self.zone, target), None
         if target.state is TargetReadiness.DRAINING:
             return None
-        best: tuple[float, _SearchNode | None] | None = None
+        best: tuple[float, SearchNode | None] | None = None
         for target_id, node in nodes.items():
             if target_id == target.id:
                 continue
@@ -251,10 +235,10 @@
         prefilled it already. Routers that don't report are assumed to send as many
         prompts, since they have the same information as this one.
         """
-        longest_s = 0.0
+        longest_s, estimate = 0.0, self._prefill_estimate
         for stage in path.stages_added(before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
-            wait_s = self._prefill_backlog_s(stage.target.incarnation, own_s)
+            wait_s = estimate.prefill_backlog_s(stage.target.incarnation, own_s)
             longest_s = max(longest_s, wait_s)
         transfer_s = self._transfer_s(pipeline, path, tokens)
         if not transfer_s:
@@ -268,11 +252,12 @@
 
         It counts once for each router assumed to act like this one without reporting.
         """
+        estimate = self._prefill_estimate
         for stage in path.stages_added(before):
             own_s = pipeline.prefill_s(stage.target.accelerator, stage.layers, tokens)
             incarnation = stage.target.incarnation
-            peers_s = self._path_loads.prefill_backlog_s(incarnation)
-            self.load.add_prefill(incarnation, own_s, peers_s, self._unseen_factor)
+            peers_s = estimate.peers.prefill_backlog_s(incarnation)
+            self.load.add_prefill(incarnation, own_s, peers_s, estimate.unseen_factor)
         self.load.add_transfer(self._transfer_s(pipeline, path, tokens))
 
     def _transfer_s(self, pipeline: Pipeline, path: Path, tokens: float) -> float:
@@ -284,9 +269,9 @@
         )
 
     def _target_costs_ms(
-        self, pipeline: Pipeline, targets: list[Target], tokens: float
+        self, targets: list[Target], tokens: float, prefill: PrefillCosts
     ) -> dict[TargetId, float]:
-        costs = self.target_costs(pipeline, targets, tokens)
+        costs = self.target_costs(targets, tokens, prefill)
         if self.counts_reports:
             return spread_costs_ms(targets, costs, self.rng)
         capacities = [cost.capacity_tokens for cost in costs.values()]
@@ -299,29 +284,40 @@
             costs_ms[target_id] = cost_ms + JITTER_MS * min(jitter, JITTER_MAX)
         return costs_ms
 
+    def prefill_costs(
+        self, pipeline: Pipeline, targets: list[Target], request: PathRequest
+    ) -> PrefillCosts:
+        """Return the prefill component of the targets' costs for a request."""
+        estimate = self._prefill_estimate
+        return PrefillCosts(pipeline, estimate, request.prompt, self.zone, targets)
+
     def target_costs(
-        self, pipeline: Pipeline, targets: list[Target], tokens: float
+        self, targets: list[Target], tokens: float, prefill: PrefillCosts
     ) -> dict[TargetId, TargetCost]:
         """Return the parts of the targets' costs for a request, but the random one."""
-        factor = self._unseen_factor
+        estimate = self._estimate
         costs: dict[TargetId, TargetCost] = {}
         for target in targets:
-            capacity_tokens = max(1.0, token_capacity(pipeline, target))
-            cost = self._target_cost(target, tokens, capacity_tokens, factor)
-            costs[target.id] = cost
+            capacity_tokens = max(1.0, token_capacity(prefill.pipeline, target))
+            costs[target.id] = self._target_cost(
+                target, tokens, capacity_tokens, estimate, prefill
+            )
         return costs
 
     def _target_cost(
-        self, target: Target, tokens: float, capacity_tokens: float, factor: float
+        self,
+        target: Target,
+        tokens: float,
+        capacity_tokens: float,
+        estimate: LoadEstimate,
+        prefill: PrefillCosts,
     ) -> TargetCost:
         incarnation = target.incarnation
         is_draining = target.state is TargetReadiness.DRAINING
-        zone_tokens = (self._known_tokens(incarnation) + tokens) * factor
-        remote_tokens = self._path_loads.remote_tokens(incarnation)
-        use = (zone_tokens + remote_tokens) / capacity_tokens
+        use = estimate.tokens(incarnation, tokens) / capacity_tokens
         return TargetCost(
             requests_ms=REQUEST_MS * self.load.requests.get(incarnation, 0),
-            prefill_ms=PREFILL_WEIGHT * self._prefill_backlog_s(incarnation) * 1e3,
+            prefill_ms=prefill.backlog_ms(incarnation),
             memory_ms=USE_MS * max(0.0, use - USE_THRESHOLD) ** 2,
             hop_ms=HOP_MS,
             slow_ms=SLOW_MS if incarnation in self.fleet_view.slowness else 0.0,
@@ -332,23 +328,20 @@
 
     def estimated_tokens(self, incarnation: TargetIncarnation) -> float:
         """Return the tokens in flight of all routers at a target, as estimated here."""
-        known = self._known_tokens(incarnation) * self._unseen_factor
-        return known + self._path_loads.remote_tokens(incarnation)
+        return self._estimate.tokens(incarnation)
 
-    def _known_tokens(self, incarnation: TargetIncarnation) -> float:
-        """Return the tokens in flight of this router and those of its zone."""
-        own = self.load.tokens.get(incarnation, 0.0)
-        return own + self._path_loads.zone_tokens(incarnation)
+    @property
+    def _estimate(self) -> LoadEstimate:
+        return self._estimate_with(self._path_loads)
 
-    def _prefill_backlog_s(
-        self, incarnation: TargetIncarnation, added_s: float = 0.0
-    ) -> float:
-        """Return the time for all prompts at a target, with one more of this router."""
-        peers = self._path_loads
-        known_s = self.load.prefill_backlog_s(incarnation) + added_s
-        known_s += peers.zone_prefill_backlog_s(incarnation)
-        remote_s = peers.remote_prefill_backlog_s(incarnation)
-        return known_s * self._unseen_factor + remote_s
+    @property
+    def _prefill_estimate(self) -> LoadEstimate:
+        """Return the estimate from which the prompts at targets are known."""
+        peers = self.peer_loads if self.weighs_prompts() else self._path_loads
+        return self._estimate_with(peers)
+
+    def _estimate_with(self, peers: PeerLoads) -> LoadEstimate:
+        return LoadEstimate(self.load, peers, self._unseen_factor(peers))
 
     @property
     def counts_reports(self) -> bool:
@@ -360,14 +353,13 @@
         """Return the reported load that counts in the choice of a path."""
         return self.peer_loads if self.guides_paths() else self._no_loads
 
-    @property
-    def _unseen_factor(self) -> float:
+    def _unseen_factor(self, peers: PeerLoads) -> float:
         """Return the load of all routers as a multiple of the load that is known.
 
         Routers that don't report are assumed to load a target as those do on average
         whose load is known, this one included.
         """
-        reporting_routers = self._path_loads.reporting_routers
+        reporting_routers = peers.reporting_routers
         if not reporting_routers:
             return self._similar_routers
         return max(1.0, self.routers_of_zone / (1 + reporting_routers))
@@ -384,12 +376,3 @@
             self.router_count,
             max(SIMILAR_ROUTERS_MIN, self.router_count / self.zone_count),
         )
-
-
-def _stages_of(node: _SearchNode) -> tuple[PathStage, ...]:
-    stages: list[PathStage] = []
-    current: _SearchNode | None = node
-    while current is not None:
-        stages.append(current.stage)
-        current = current.before
-    return tuple(reversed(stages))
--- a/src/chervilstall/paths/explanation.py
+++ b/src/chervilstall/paths/explanation.py
@@ -11,6 +11,7 @@
 from chervilstall.fleet.records import Pipeline, Service, Target
 from chervilstall.ids import TargetId
 from chervilstall.paths.choice import PathChooser
+from chervilstall.paths.prompt_cost import PrefillCosts
 from chervilstall.paths.records import Path, PathRequest, PathStage
 from chervilstall.paths.spread import TargetCost, spread_costs_ms
 from chervilstall.paths.zone_costs import entry_ms, zone_change_ms
@@ -51,6 +52,7 @@
     service: Service
     request: PathRequest
     pipeline: Pipeline = field(init=False)
+    _prefill: PrefillCosts = field(init=False)
     _costs: dict[TargetId, TargetCost] = field(init=False)
     _spread_ms: dict[TargetId, float] = field(init=False)
 
@@ -59,7 +61,8 @@
         self.pipeline = self.service.pipeline
         targets = self.chooser.candidates(self.service, self.request)
         tokens = self.request.tokens
-        self._costs = self.chooser.target_costs(self.pipeline, targets, tokens)
+        self._prefill = self.chooser.prefill_costs(self.pipeline, targets, self.request)
+        self._costs = self.chooser.target_costs(targets, tokens, self._prefill)
         self._spread_ms = {}
         if self.chooser.counts_reports:
             self._spread_ms = spread_costs_ms(targets, self._costs, None)
@@ -89,6 +92,7 @@
         known_ms = cost.other_ms + cost.load_ms
         floor_ms = self._spread_ms.get(target.id, known_ms) - known_ms
         layer_ms = self.chooser.layer_ms(self.pipeline, target)
+        prefill_ms = self._prefill.layer_ms(target)
         first_ms = entry_ms(self.chooser.zone, target) if before is None else 0.0
         change_ms = 0.0 if before is None else zone_change_ms(before, target)
         return {
@@ -96,6 +100,7 @@
             "hop": cost.hop_ms,
             "requests_in_flight": cost.requests_ms,
             "prefill_backlog": cost.prefill_ms,
+            "own_prefill": len(stage.layers) * prefill_ms,
             "memory_use": cost.memory_ms,
             "load_floor": floor_ms,
             "slow_target": cost.slow_ms,
--- a/src/chervilstall/paths/records.py
+++ b/src/chervilstall/paths/records.py
@@ -53,16 +53,30 @@
         return [stage for stage in self.stages if stage not in before.stages]
 
 
+@dataclass(frozen=True)
+class Prompt:
+    """Prompt of a request that waits for its first event.
+
+    `answer_tokens` is the expected length of the answer, and `objective_s` the time
+    left until the first event is late, which is above 0.
+    """
+
+    tokens: float
+    answer_tokens: float
+    objective_s: float
+
+
 @dataclass(frozen=True)
 class PathRequest:
     """What a path is needed for.
 
     `tokens` is the expected size of the request. The path uses no target in `avoid`,
     and where `first` is given it begins there. It does not begin at a target in
-    `avoid_first`.
+    `avoid_first`. Where `prompt` is given, its prefill is part of the path's cost.
     """
 
     tokens: float
     avoid: frozenset[TargetId] = frozenset()
     first: TargetId | None = None
     avoid_first: frozenset[TargetId] = frozenset()
+    prompt: Prompt | None = None
