--- a/tests/steps/path_steps.py
+++ b/tests/steps/path_steps.py
@@ -157,7 +157,7 @@
 @then("a path over 98 targets takes fewer than 30,000 search nodes")
 def check_search_work(context: Context) -> None:
     nodes = 0
-    original = choice._SearchNode
+    original = choice.SearchNode
 
     def count_node(*arguments: object) -> object:
         nonlocal nodes
@@ -171,11 +171,11 @@
         for number in range(98)
     ]
     chooser = make_chooser(*targets)
-    choice._SearchNode = count_node
+    choice.SearchNode = count_node
     try:
         path = chooser.choose(service, PathRequest(100.0))
     finally:
-        choice._SearchNode = original
+        choice.SearchNode = original
     assert path is None or is_exact(path, 80)
     assert nodes < 30_000, nodes
 
