Move a stream off a draining target also after a failed order

A stream whose order failed stayed on its draining target until that ended, and so did one whose new target began to drain while the stream was led there from a lost one. Both then paused, and took a retry.

Such a stream waits for another moment in the drain bound, and stays only after three failed orders. A stream that ended while its order was on the way no longer leaves its new path counted as load: it was removed for the old one twice and added for the new one for good.

--- a/src/chervilstall/edge/streams/live_stream.py
+++ b/src/chervilstall/edge/streams/live_stream.py
@@ -83,6 +83,7 @@
     which rises from 0; `interval` starts with the first of these times.
     `checked_at_s` is when the present silence was first found to be long, `found_at_s`
     when the latest move to another path began, and `sent_at_s` the time of the send.
+    `moves_failed` counts the moves that did not give the stream another path.
     `on_next_event` is called once with the time of the next event, a monotonic one.
     """
 
@@ -95,6 +96,7 @@
     mean_gap_s: float = 0.0
     interval: EventInterval = field(default_factory=EventInterval)
     is_rerouting: bool = False
+    moves_failed: int = 0
     on_next_event: Callable[[float], None] | None = None
     checked_at_s: float | None = None
     found_at_s: float | None = None
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -33,6 +33,9 @@
 PREFILL_WAIT_S = 0.12
 """Wait for a new prefill from which other first targets are considered."""
 
+MOVES_FAILED_MAX = 3
+"""Failed moves of a stream after which it stays until its draining target ends."""
+
 
 @dataclass
 class StreamRerouter:
@@ -199,6 +202,21 @@
             self._reroute_once(stream, avoided)
         finally:
             stream.is_rerouting = False
+        self._wait_again(stream)
+
+    def _wait_again(self, stream: LiveStream) -> None:
+        """Let a stream that still uses a draining target wait for another moment.
+
+        Its order has failed, or a target of its new path began to drain meanwhile.
+        """
+        request_id = stream.request.request_id
+        if not self.spreads_moves() or self.streams.get(request_id) is not stream:
+            return
+        if stream.moves_failed >= MOVES_FAILED_MAX:
+            return
+        leaving = next(filter(self._has_to_leave, stream.path.stages[1:]), None)
+        if leaving is not None and self._is_reachable(leaving.target):
+            self._waiting[request_id] = stream
 
     def _reroute_once(self, stream: LiveStream, avoided: Target) -> None:
         is_leaving = not self.fleet_view.is_suspected(avoided)
@@ -206,6 +224,7 @@
         if path is None:
             if not is_leaving:
                 self.end_exchange(stream)
+            stream.moves_failed += 1
             return
         if (
             not is_leaving
@@ -253,6 +272,9 @@
             first=first.id,
             status=response.status,
         )
+        if self.streams.get(request.request_id) is not stream:
+            # It has ended meanwhile, and its load was removed with it.
+            return
         if response.is_accepted:
             self.chooser.load.remove(stream.path, request.expected_tokens)
             stream.path = path
@@ -261,5 +283,7 @@
             cause = PauseCause.FAULT if is_fault else PauseCause.DRAIN
             self.pauses.measure_moved(stream, cause)
             stream.last_event_at_s = time.monotonic()
-        elif self.fleet_view.is_suspected(avoided):
+            return
+        stream.moves_failed += 1
+        if self.fleet_view.is_suspected(avoided):
             self.end_exchange(stream)
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -156,7 +156,9 @@
         FeatureMode.AUTO,
     )
     check_stages: FeatureMode = option(
-        "Whether a router connects to all stages of a silent stream.", FeatureMode.AUTO
+        "Whether a router connects to the stages of a silent stream, to find lost "
+        "targets early, and moves streams to paths with few new stages.",
+        FeatureMode.AUTO,
     )
 
 
--- a/tests/edge/planned_moves.feature
+++ b/tests/edge/planned_moves.feature
@@ -36,3 +36,27 @@
     Given a target that drains for 0.4 s of 3 s
     When a stream's move would pause it for 400 ms
     Then the decision is to wait until the latest moment, and to move then
+
+  # Guards against a stream that stays on a draining target until it is cut, as one order failed.
+  Scenario Outline: A stream whose first <failing> orders fail is moved by a later one, or stays
+    Given a stream over a target that began to drain 0.1 s ago
+    When its moves are decided for 3 s, and the first <failing> orders fail
+    Then <orders> orders were sent, and the stream left the target: <left>
+
+    Examples: three failed orders are enough
+      | failing | orders | left |
+      | 0       | 1      | yes  |
+      | 1       | 2      | yes  |
+      | 9       | 3      | no   |
+
+  # Guards against a stream that stays on a target that began to drain while it was moved there.
+  Scenario: A stream that leaves a lost target as its new one begins to drain is moved again
+    Given a stream over a target that is lost
+    When it is led around that target as the new one begins to drain, and 3 s pass
+    Then 2 orders were sent, and the stream left the target: yes
+
+  # Guards against load that stays counted for a stream that ended during its order.
+  Scenario: The load of a stream that ends during its order is removed once
+    Given a stream over a target that began to drain 0.1 s ago
+    When its moves are decided for 3 s, and it ends during the first order
+    Then no target has load
