Check a connected first target later, and one without a connection sooner

While targets are busy, most first events take longer than a quarter of the objective, and each request would have cost one connect more to its target.

A first target with a connection is checked after half of what the objective leaves, one without a connection after 0.1 s, since targets accept within some milliseconds. The time of a check no longer outlives the move of its stream, which would have given a negative silence in the metrics.

--- a/src/chervilstall/edge/streams/live_stream.py
+++ b/src/chervilstall/edge/streams/live_stream.py
@@ -16,13 +16,17 @@
 FIRST_EVENT_SILENCE_LIMIT_S = 0.35
 """The same before the first event, while prompts are prefilled."""
 
-FIRST_CHECK_SHARE = 0.25
-"""Share of what is left of the objective for the first event, after the send, in which
-the first target has to begin. A check and a second send take about 0.2 s more.
+CONNECT_CHECK_S = 0.1
+"""Time without a connection after which the first target is checked.
+
+A target accepts within a millisecond or two.
 """
 
-FIRST_CHECK_MIN_S = 0.1
-"""Most first events come after less than this; shorter waits cost many checks."""
+FIRST_CHECK_SHARE = 0.5
+"""Share of what is left of the objective for the first event, after the send, in which
+the first target has to begin. A check and a second send take about 0.2 s more. An
+earlier check would cost a connect for each request while targets are busy.
+"""
 
 GAP_WEIGHT = 0.2
 """Weight of the latest gap in the moving average."""
@@ -126,10 +130,12 @@
     @property
     def first_check_s(self) -> float:
         """Return how long the first event may take before its target is checked."""
+        if not self.exchange.is_connected():
+            return CONNECT_CHECK_S
         request = self.request
         due_at_s = request.arrived_at_s + request.route.latency_slo_s
         share_s = FIRST_CHECK_SHARE * (due_at_s - self.last_event_at_s)
-        return min(max(share_s, FIRST_CHECK_MIN_S), FIRST_EVENT_SILENCE_LIMIT_S)
+        return min(max(share_s, CONNECT_CHECK_S), FIRST_EVENT_SILENCE_LIMIT_S)
 
     @property
     def is_unsent(self) -> bool:
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -283,6 +283,7 @@
             cause = PauseCause.FAULT if is_fault else PauseCause.DRAIN
             self.pauses.measure_moved(stream, cause)
             stream.last_event_at_s = time.monotonic()
+            stream.checked_at_s = None
             return
         stream.moves_failed += 1
         if self.fleet_view.is_suspected(avoided):
--- a/tests/edge/stage_check.feature
+++ b/tests/edge/stage_check.feature
@@ -212,3 +212,16 @@
       | 35,35,35                | in time | 70       |
       | 35                      | in time | 120      |
       | 35,35,35,35,35,35,35,35 | late    | 120      |
+
+  # Guards against first targets that are checked too late for a second send, or for each request.
+  Scenario Outline: A request with <objective_ms> ms for its first event is checked in time
+    Given a request sent <sent_ms> ms after its arrival that is <state>
+    And its first event is due after <objective_ms> ms
+    Then its first target is checked after <check_ms> ms
+
+    Examples:
+      | sent_ms | state         | objective_ms | check_ms |
+      | 0       | connected     | 500          | 250      |
+      | 0       | connected     | 1000         | 350      |
+      | 400     | connected     | 500          | 100      |
+      | 0       | not connected | 500          | 100      |
--- a/tests/steps/dark_target_steps.py
+++ b/tests/steps/dark_target_steps.py
@@ -189,3 +189,21 @@
 def check_first_check(context: Context, limit_ms: int) -> None:
     first_ms = context.checked_after_ms[0]
     assert limit_ms < first_ms <= limit_ms + 5, first_ms
+
+
+@given("a request sent {sent_ms:d} ms after its arrival that is {state}")
+def create_sent_request(context: Context, sent_ms: int, state: str) -> None:
+    create_request(context, "first")
+    stream = context.stream
+    stream.request.arrived_at_s = stream.last_event_at_s - sent_ms / 1e3
+    stream.exchange.is_connected.return_value = state == "connected"
+
+
+@given("its first event is due after {objective_ms:d} ms")
+def set_objective(context: Context, objective_ms: int) -> None:
+    context.stream.request.route.latency_slo_s = objective_ms / 1e3
+
+
+@then("its first target is checked after {check_ms:d} ms")
+def check_first_limit(context: Context, check_ms: int) -> None:
+    assert round(context.stream.first_check_s * 1e3) == check_ms
