--- a/src/chervilstall/edge/streams/live_stream.py
+++ b/src/chervilstall/edge/streams/live_stream.py
@@ -16,13 +16,17 @@
 FIRST_EVENT_SILENCE_LIMIT_S = 0.35
 """The same before the first event, while prompts are prefilled."""
 
-FIRST_CHECK_SHARE = 0.25
-"""Share of what is left of the objective for the first event, after the send, in which
-the first target has to begin. A check and a second send take about 0.2 s more.
+CONNECT_CHECK_S = 0.1
+"""Time without a connection after which the first target is checked.
+
+A target accepts within a millisecond or two.
 """
 
-FIRST_CHECK_MIN_S = 0.1
-"""Most first events come after less than this; shorter waits cost many checks."""
+FIRST_CHECK_SHARE = 0.5
+"""Share of what is left of the objective for the first event, after the send, in which
+the first target has to begin. A check and a second send take about 0.2 s more. An
+earlier check would cost a connect for each request while targets are busy.
+"""
 
 GAP_WEIGHT = 0.2
 """Weight of the latest gap in the moving average."""
@@ -83,6 +87,7 @@
     which rises from 0; `interval` starts with the first of these times.
     `checked_at_s` is when the present silence was first found to be long, `found_at_s`
     when the latest move to another path began, and `sent_at_s` the time of the send.
+    `moves_failed` counts the moves that did not give the stream another path.
     `on_next_event` is called once with the time of the next event, a monotonic one.
     """
 
@@ -95,6 +100,7 @@
     mean_gap_s: float = 0.0
     interval: EventInterval = field(default_factory=EventInterval)
     is_rerouting: bool = False
+    moves_failed: int = 0
     on_next_event: Callable[[float], None] | None = None
     checked_at_s: float | None = None
     found_at_s: float | None = None
@@ -124,10 +130,12 @@
     @property
     def first_check_s(self) -> float:
         """Return how long the first event may take before its target is checked."""
+        if not self.exchange.is_connected():
+            return CONNECT_CHECK_S
         request = self.request
         due_at_s = request.arrived_at_s + request.route.latency_slo_s
         share_s = FIRST_CHECK_SHARE * (due_at_s - self.last_event_at_s)
-        return min(max(share_s, FIRST_CHECK_MIN_S), FIRST_EVENT_SILENCE_LIMIT_S)
+        return min(max(share_s, CONNECT_CHECK_S), FIRST_EVENT_SILENCE_LIMIT_S)
 
     @property
     def is_unsent(self) -> bool:
