--- a/src/chervilstall/edge/assembly.py
+++ b/src/chervilstall/edge/assembly.py
@@ -46,6 +46,7 @@
         peer_relay,
         server.connections,
     )
+    server.metrics.sources.append(streams.prompt_wait.exposition)
     features = server.features
     room_gate = build_room_gate(
         server.chooser,
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -76,6 +76,7 @@
 
     def begin(self) -> ResponseHead | CompleteResponse:
         """Send the request until a target starts a stream or gives a final response."""
+        self.context.prompt_wait.hold(self.request, self.paths)
         while True:
             response = self._attempt()
             if response is not None:
@@ -134,8 +135,9 @@
         """Return the first event, or None if a resumed stream had none left."""
         assert self._exchange is not None
         event = self._read_event()
-        is_resumed = self.head is not None
-        if event is None and (not is_resumed or self._exchange.ends_with_connection()):
+        if event is None and (
+            self.head is None or self._exchange.ends_with_connection()
+        ):
             # A response without a length may end with its target.
             raise ExchangeFailed(ExchangeFailure.CLOSED, was_sent=True)
         return event
