--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -375,9 +375,7 @@
         request = self.request
         if request.has_caller_disconnected or request.remaining_s <= RESUME_RETRY_S:
             return False
-        if self._is_at_peer:
-            return False
-        if self.context.crash_guard.is_given_up(request):
+        if self._is_at_peer or self.context.crash_guard.is_given_up(request):
             return False
         return request.sends < SENDS_MAX
 
