Bound the checks of stages by the time that they cost targets

At most one check per target, router and half a second is 4,200 connects a second to each target with 2,100 routers, while all streams are slow.

All routers together make at most 5 checks per target and second on average; each has an equal part, and 32 at once, the stages of the longest path.

--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -16,6 +16,7 @@
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
+from chervilstall.edge.streams.connect_allowance import ConnectAllowance
 from chervilstall.edge.streams.live_stream import EVENT_SILENCE_LIMIT_S, LiveStream
 from chervilstall.edge.streams.rerouter import StreamRerouter
 from chervilstall.edge.streams.signs_of_life import SignsOfLife
@@ -101,10 +102,14 @@
             self.streams,
             self._end_exchange,
         )
+        allowance = ConnectAllowance(
+            lambda: len(self.fleet_view.targets), lambda: self.chooser.router_count
+        )
         self.stage_check = StageCheck(
             SignsOfLife(self.streams),
             self._handle_refused,
             self._handle_dark,
+            may_connect=allowance.take,
             neighbours=NeighbourSource(self.fleet_view).find,
         )
 
--- a/src/chervilstall/edge/streams/stage_check.py
+++ b/src/chervilstall/edge/streams/stage_check.py
@@ -112,12 +112,14 @@
 
     `neighbours` returns more targets of a target's zone to compare with. `life` tells
     of events that came through targets: such a target is neither dark nor checked.
+    `may_connect` is asked before each check and bounds their number.
     """
 
     life: LifeSource
     on_refused: Callable[[Target], None]
     on_dark: Callable[[Target], None] = lambda target: None
     is_in_force: Callable[[], bool] = lambda: False
+    may_connect: Callable[[], bool] = lambda: True
     probe: Callable[[Target, float], ListenerState] = _probe
     neighbours: Callable[[Target], Iterable[Target]] = _no_neighbours
     _checked_at_s: dict[TargetId, float] = field(default_factory=dict)
@@ -135,7 +137,7 @@
     def _start(self, target: Target, stream: LiveStream) -> None:
         if not self.is_in_force() or not self._may_check(target):
             return
-        if self._is_cleared(target, stream):
+        if self._is_cleared(target, stream) or not self.may_connect():
             return
         self._checked_at_s[target.id] = time.monotonic()
         gevent.spawn(self._check, target, stream.path)
