Test that a router follows its mode of prompts

The tests of the wait and of the choice set the mode on the parts themselves. A router with the modes on, auto and off now shows that the option reaches the choice of paths and that the series of the wait is among its metrics.

--- a/tests/edge/prompt_wait.feature
+++ b/tests/edge/prompt_wait.feature
@@ -50,3 +50,14 @@
     When a stream with a long prompt is held and its caller disconnects
     Then its wait ends within a quarter of its objective and nothing waits any more
     And the wait is counted on the metrics address
+
+  # Guards against a mode that the router doesn't follow.
+  Scenario Outline: With the mode <mode>, a router <weighs> prompts
+    Given a platform with a router whose mode of prompts is <mode>
+    Then the router <weighs> prompts, and its metrics tell how many waited
+
+    Examples:
+      | mode | weighs       |
+      | on   | weighs       |
+      | auto | ignores      |
+      | off  | ignores      |
--- a/tests/steps/prompt_wait_steps.py
+++ b/tests/steps/prompt_wait_steps.py
@@ -21,8 +21,10 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.paths.choice import PathChooser
 from chervilstall.paths.records import Path, PathStage
+from chervilstall.settings.edge import EdgeSettings, FeatureMode, PromptSettings
 from tests.support.clock import Clock
 from tests.support.model_targets import LOCAL, PIPELINE, make_target
+from tests.support.platform_scenario import start_platform
 from tests.support.stream_requests import ROUTE, make_request
 
 OBJECTIVE_S = 0.5
@@ -226,3 +228,18 @@
 def check_counted(context: Context) -> None:
     lines = context.wait.exposition()
     assert "chervilstall_prompt_wait_seconds_count 1" in lines, lines
+
+
+@given("a platform with a router whose mode of prompts is {mode}")
+def start_router(context: Context, mode: str) -> None:
+    platform = start_platform(context)
+    prompts = PromptSettings(mode=FeatureMode(mode))
+    platform.edge_settings = EdgeSettings(prompts=prompts)
+    context.router = platform.add_router()
+
+
+@then("the router {weighs} prompts, and its metrics tell how many waited")
+def check_mode(context: Context, weighs: str) -> None:
+    assert context.router.chooser.weighs_prompts() == (weighs == "weighs")
+    lines = context.router.metrics_text().splitlines()
+    assert "chervilstall_prompt_wait_seconds_count 0" in lines, lines
