--- a/tests/edge/pauses.feature
+++ b/tests/edge/pauses.feature
@@ -1,7 +1,6 @@
 Feature: Streams pause for a short time after a middle stage is lost
 
   # Guards against pauses above the objective of 250 ms, by the sum of their parts.
-  # The bound isn't met for a dark target: docs/design/pauses.md names the limiting factor.
   Scenario Outline: The loss of one of 30 targets to <fault> pauses 19 in 20 streams for at most <limit_ms> ms
     Given 60 routers with 60 streams each s over 30 targets with the engine's figures
     When a middle stage is lost to <fault>, in 4 trials
@@ -11,7 +10,7 @@
     Examples:
       | fault        | limit_ms | median_ms |
       | a crash      | 250      | 200       |
-      | a power loss | 310      | 250       |
+      | a power loss | 250      | 250       |
 
   # Guards against prompts that stages of the old path would have to read again.
   Scenario Outline: A stream that <keeps> the other stages is led over <added> new ones
