--- a/tests/steps/stage_check_steps.py
+++ b/tests/steps/stage_check_steps.py
@@ -12,7 +12,7 @@
 from chervilstall.edge.streams.connect_allowance import ConnectAllowance
 from chervilstall.edge.streams.live_stream import EventInterval
 from chervilstall.edge.streams.stage_check import CHECK_S, StageCheck
-from chervilstall.paths.choice import STAGES_MAX
+from chervilstall.paths.records import STAGES_MAX
 from chervilstall.settings.option import Address
 from chervilstall.target.connection import ListenerState, probe_listener
 from tests.steps.standstill_steps import native_sleep
