Search each zone by itself before all zones together, and let paths follow reported load in a shortage

A choice that the router's own zone couldn't answer searched all zones at once, whose work grows faster than the square of the targets. The search moves to paths/search.py.

tests/paths/choice.feature: 15 passed, with two new scenarios.

--- a/src/chervilstall/edge/assembly.py
+++ b/src/chervilstall/edge/assembly.py
@@ -61,7 +61,7 @@
     rerouter.spreads_moves = features.spreads_moves
     rerouter.keeps_stages = features.checks_stages
     server.stream_monitor.stage_check.is_in_force = features.checks_stages
-    server.chooser.guides_paths = features.guides_paths
+    server.chooser.guides_paths = lambda: features.guides_paths(room_gate.saw_shortage)
     server.chooser.weighs_prompts = features.weighs_prompts
     kept_calls.is_in_force = features.keeps_report_connections
     server.connections.is_in_force = features.keeps_request_connections
--- a/src/chervilstall/edge/features.py
+++ b/src/chervilstall/edge/features.py
@@ -49,9 +49,16 @@
         """Return whether routers tell each other the load that they put on targets."""
         return self.is_in_force(self.settings.load_exchange.mode)
 
-    def guides_paths(self) -> bool:
-        """Return whether load that others report counts in the choice of paths."""
-        return self.is_in_force(self.settings.load_exchange.guides_paths)
+    def guides_paths(self, is_short: bool) -> bool:
+        """Return whether load that others report counts in the choice of paths.
+
+        `is_short` says whether targets are short of room. With `AUTO`, the load counts
+        only then: with enough room, the fastest path matters more than the emptiest.
+        """
+        mode = self.settings.load_exchange.guides_paths
+        if mode is FeatureMode.AUTO and not (is_short and self.admits_by_room()):
+            return False
+        return self.is_in_force(mode)
 
     def weighs_prompts(self) -> bool:
         """Return whether paths and sends depend on the size of prompts."""
--- a/src/chervilstall/edge/room/gate.py
+++ b/src/chervilstall/edge/room/gate.py
@@ -109,6 +109,11 @@
             # After a failed send, the fault has made the answer late.
             ticket.is_awaited = False
 
+    @property
+    def saw_shortage(self) -> bool:
+        """Return whether the latest check found targets short of room."""
+        return self.shortage is not None and self.shortage.was_present
+
     def forecast(self, request: EdgeRequest, chooser: PathChooser) -> RoomForecast:
         """Return what would become of a request now, and change nothing.
 
--- a/src/chervilstall/paths/boundaries.py
+++ b/src/chervilstall/paths/boundaries.py
@@ -1,5 +1,6 @@
 """Boundaries between layers at which paths change targets."""
 
+from bisect import bisect_left, bisect_right
 from collections.abc import Iterable
 
 from chervilstall.fleet.records import Target
@@ -25,4 +26,5 @@
     end = target.layers.end
     if not may_exit_early:
         return [end]
-    return [start for start in starts if boundary < start < end] + [end]
+    between = slice(bisect_right(starts, boundary), bisect_left(starts, end))
+    return [*starts[between], end]
--- a/src/chervilstall/paths/choice.py
+++ b/src/chervilstall/paths/choice.py
@@ -1,10 +1,8 @@
-"""Search for the cheapest path of a request through a model pipeline.
+"""Choice of the path of a request through a model pipeline, by its cost.
 
 The cost of a path is in milliseconds per decode step: the pass time of each stage, a
 hop for each target, and penalties for crossing availability zones, for targets short
-of memory and for targets that are draining. The search is a dynamic program over the
-layer boundaries. For each boundary and target it keeps the cheapest way to get there,
-so its work grows with the number of targets and not with the number of paths.
+of memory and for targets that are draining.
 """
 
 import random
@@ -13,7 +11,6 @@
 from dataclasses import dataclass, field
 
 from chervilstall.fleet.records import (
-    LayerRange,
     Pipeline,
     Service,
     Target,
@@ -22,16 +19,15 @@
 )
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import TargetId, ZoneName
-from chervilstall.paths.boundaries import layer_boundaries, layer_exits
 from chervilstall.paths.capacity import step_factor, token_capacity
 from chervilstall.paths.estimate import LoadEstimate
 from chervilstall.paths.load import LoadTracker
 from chervilstall.paths.peer_loads import PeerLoads
 from chervilstall.paths.prompt_cost import PrefillCosts
-from chervilstall.paths.records import Path, PathRequest, PathStage
-from chervilstall.paths.search import CostedPath, SearchNode
+from chervilstall.paths.records import Path, PathRequest
+from chervilstall.paths.search import CostedPath, PathSearch, SearchCosts
 from chervilstall.paths.spread import TargetCost, spread_costs_ms
-from chervilstall.paths.zone_costs import REMOTE_ZONE_MS, ZONE_CHANGE_MS, entry_ms
+from chervilstall.paths.zone_costs import REMOTE_ZONE_MS, ZONE_CHANGE_MS
 
 HOP_MS = 0.3
 DRAINING_MS = 60.0
@@ -110,19 +106,47 @@
             jitter_ms = JITTER_MS * len(found.path.stages)
             if found.cost_ms - normal_ms - jitter_ms < REMOTE_ZONE_MS:
                 return found.path
-        found = self._find_valid(service.pipeline, targets, request)
+        found = self._find_in_zones(service.pipeline, targets, request)
         return None if found is None else found.path
 
-    def _find_valid(
+    def _find_in_zones(
         self, pipeline: Pipeline, targets: list[Target], request: PathRequest
+    ) -> CostedPath | None:
+        """Return the cheapest path over all targets.
+
+        A search's work grows with the square of the targets and more, so each zone is
+        searched by itself first. A path that changes zones costs more than the penalty
+        for that, so it is looked for only if no path inside a zone costs less.
+        """
+        costs = self._search_costs(pipeline, targets, request)
+        by_zone: dict[ZoneName, list[Target]] = defaultdict(list)
+        for target in targets:
+            by_zone[target.zone].append(target)
+        best: CostedPath | None = None
+        for members in by_zone.values():
+            found = self._find_valid(pipeline, members, request, costs)
+            if found is not None and (best is None or found.cost_ms < best.cost_ms):
+                best = found
+        if len(by_zone) == 1 or (best is not None and best.cost_ms < ZONE_CHANGE_MS):
+            return best
+        return self._find_valid(pipeline, targets, request, costs) or best
+
+    def _find_valid(
+        self,
+        pipeline: Pipeline,
+        targets: list[Target],
+        request: PathRequest,
+        costs: SearchCosts | None = None,
     ) -> CostedPath | None:
         """Return the cheapest path that uses no target twice and is not too long.
 
         A second search lets paths leave a target only at the end of its layers, which
-        gives fewer and longer stages.
+        gives fewer and longer stages. Without `costs`, each search draws its own.
         """
         for may_exit_early in (True, False):
-            found = self._search(pipeline, targets, request, may_exit_early)
+            drawn = costs or self._search_costs(pipeline, targets, request)
+            search = PathSearch(pipeline, targets, request, self.zone, drawn)
+            found = search.find(may_exit_early)
             if found is None:
                 return None
             if found.path.is_valid:
@@ -141,77 +165,16 @@
                 candidates.append(target)
         return candidates
 
-    def _search(
-        self,
-        pipeline: Pipeline,
-        targets: list[Target],
-        request: PathRequest,
-        may_exit_early: bool,
-    ) -> CostedPath | None:
-        boundaries = layer_boundaries(targets, pipeline.layers)
-        starts = sorted({target.layers.first for target in targets})
+    def _search_costs(
+        self, pipeline: Pipeline, targets: list[Target], request: PathRequest
+    ) -> SearchCosts:
         prefill = self.prefill_costs(pipeline, targets, request)
         layer_ms = {
             target.id: self.layer_ms(pipeline, target) + prefill.layer_ms(target)
             for target in targets
         }
-        target_costs_ms = self._target_costs_ms(targets, request.tokens, prefill)
-        reached: dict[int, dict[TargetId, SearchNode]] = defaultdict(dict)
-        for boundary in boundaries:
-            if boundary >= pipeline.layers:
-                break
-            for target in targets:
-                if not target.layers.first <= boundary < target.layers.end:
-                    continue
-                entry = self._cheapest_entry(
-                    boundary, target, reached[boundary], request
-                )
-                if entry is None:
-                    continue
-                entry_ms, before = entry
-                entry_ms += target_costs_ms[target.id]
-                for end in layer_exits(boundary, target, starts, may_exit_early):
-                    layers = LayerRange(boundary, min(end, pipeline.layers))
-                    cost_ms = entry_ms + len(layers) * layer_ms[target.id]
-                    known = reached[layers.end].get(target.id)
-                    if known is None or cost_ms < known.cost_ms:
-                        node = SearchNode(cost_ms, PathStage(target, layers), before)
-                        reached[layers.end][target.id] = node
-        ends = reached[pipeline.layers].values()
-        best = min(ends, key=lambda node: node.cost_ms, default=None)
-        return None if best is None else CostedPath(best.path(), best.cost_ms)
-
-    def _cheapest_entry(
-        self,
-        boundary: int,
-        target: Target,
-        nodes: dict[TargetId, SearchNode],
-        request: PathRequest,
-    ) -> tuple[float, SearchNode | None] | None:
-        """Return the cheapest way to enter a target at a boundary, or None.
-
-        The result is the cost and the node to continue from, which is None at the first
-        layer. `nodes` are the paths that reach the boundary, by their last target. A
-        draining target may begin a path, but refuses to be a later stage.
-        """
-        if boundary == 0:
-            if request.first is not None and target.id != request.first:
-                return None
-            if target.id in request.avoid_first:
-                return None
-            return entry_ms(self.zone, target), None
-        if target.state is TargetReadiness.DRAINING:
-            return None
-        best: tuple[float, SearchNode | None] | None = None
-        for target_id, node in nodes.items():
-            if target_id == target.id:
-                continue
-            cost_ms = node.cost_ms
-            if node.stage.target.zone != target.zone:
-                cost_ms += ZONE_CHANGE_MS
-            if best is None or cost_ms < best[0]:
-                best = cost_ms, node
-        return best
+        target_ms = self._target_costs_ms(targets, request.tokens, prefill)
+        return SearchCosts(layer_ms, target_ms)
 
     def layer_ms(self, pipeline: Pipeline, target: Target) -> float:
         """Return the time that a target takes for one layer in a decode step."""
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -86,8 +86,9 @@
         FeatureMode.OFF,
     )
     guides_paths: FeatureMode = option(
-        "Whether load that other routers report counts in the choice of paths.",
-        FeatureMode.OFF,
+        "Whether load that other routers report counts in the choice of paths. `auto` "
+        "also requires that admission by room finds targets short of room.",
+        FeatureMode.AUTO,
     )
 
 
--- a/tests/paths/choice.feature
+++ b/tests/paths/choice.feature
@@ -43,3 +43,15 @@
     Given a fast target and a slow copy of the model, and 60 routers in 4 zones
     When this router begins its share of twice the requests that the fast target holds
     Then no more than its share of what the fast target holds goes there
+
+  # Guards against a search of each zone by itself that misses a cheaper path over zones.
+  Scenario: The cheapest path is found although each zone is searched by itself
+    Given 60 fleets over three zones, drawn at random
+    When half of the targets of the router's zone are avoided
+    Then each path costs as much as the cheapest one over all targets
+
+  # Guards against a search over all zones for each request that its own zone can't take.
+  Scenario: No search is over all zones while a path inside one is cheap enough
+    Given 60 fleets over three zones, drawn at random
+    When half of the targets of the router's zone are avoided
+    Then only paths that cost more than a change of zones needed a search over all targets
--- a/tests/steps/path_steps.py
+++ b/tests/steps/path_steps.py
@@ -9,10 +9,10 @@
 
 from chervilstall.fleet.records import AcceleratorType, Target, TargetReadiness
 from chervilstall.fleet.view import FleetView
-from chervilstall.paths import choice
+from chervilstall.paths import search
 from chervilstall.paths.capacity import token_capacity
 from chervilstall.paths.choice import PathChooser
-from chervilstall.paths.records import PathRequest, PathStage
+from chervilstall.paths.records import Path, PathRequest, PathStage
 from tests.support.model_targets import (
     LAYERS,
     LOCAL,
@@ -31,7 +31,7 @@
     return PathChooser(fleet_view, LOCAL)
 
 
-def is_exact(path: choice.Path, layers: int) -> bool:
+def is_exact(path: Path, layers: int) -> bool:
     """Return whether a path runs every layer once, in order, where it is held."""
     reached = 0
     for stage in path.stages:
@@ -104,7 +104,7 @@
         case "had no room":
             context.chooser.load.note_full(target.incarnation, 5.0)
         case "prefills 100 prompts":
-            path = choice.Path((PathStage(target, target.layers),))
+            path = Path((PathStage(target, target.layers),))
             for _ in range(100):
                 context.chooser.note_prefill(PIPELINE, path, 800.0)
         case "is slow":
@@ -157,7 +157,7 @@
 @then("a path over 98 targets takes fewer than 30,000 search nodes")
 def check_search_work(context: Context) -> None:
     nodes = 0
-    original = choice.SearchNode
+    original = search.SearchNode
 
     def count_node(*arguments: object) -> object:
         nonlocal nodes
@@ -171,11 +171,11 @@
         for number in range(98)
     ]
     chooser = make_chooser(*targets)
-    choice.SearchNode = count_node
+    search.SearchNode = count_node
     try:
         path = chooser.choose(service, PathRequest(100.0))
     finally:
-        choice.SearchNode = original
+        search.SearchNode = original
     assert path is None or is_exact(path, 80)
     assert nodes < 30_000, nodes
 
