Connect once more to a silent target after another one has accepted

All connects of a check were lost in a short outage of the router's own link, while the target to compare with was connected to after it: healthy targets counted as dark. The last connect of a check is now made after a comparison of at most 5 ms ago has accepted. Accepts from before count no longer, and comparisons have an interval of their own (0.05 s).

--- a/src/chervilstall/edge/streams/stage_check.py
+++ b/src/chervilstall/edge/streams/stage_check.py
@@ -4,12 +4,12 @@
 is longer than callers accept between two events. A router that finds a stream silent
 therefore connects to the stages of its path. The system of a crashed target refuses at
 once. A target that lost power neither accepts nor refuses; it counts as lost if several
-connects to it get no answer while another target of its zone accepts.
+connects to it get no answer, one of them after another target of its zone accepted.
 """
 
 import random
 import time
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Callable, Container, Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
 from typing import NamedTuple, Protocol
@@ -37,23 +37,33 @@
     wait_s: float
 
 
-ROUNDS = (ConnectRound(1, 0.015), ConnectRound(2, 0.025), ConnectRound(1, 0.02))
-"""Connects of one check; none is given up before the last wait ends.
+ROUNDS = (ConnectRound(1, 0.015), ConnectRound(2, 0.025))
+"""Connects of one check before others are compared; none is given up before its end.
 
 A target accepts within a millisecond or two, so one connect settles most checks. A
 single lost packet can't look like a dark target, since two connects are made at once.
-The last connect comes 40 ms after the first, as a busy target may have a full accept
-queue for a moment. Its system then drops connects, and repeats come after 1 s only.
 """
 
-CHECK_S = sum(each.wait_s for each in ROUNDS)
+ROUNDS_S = sum(each.wait_s for each in ROUNDS)
+CONFIRM_S = 0.02
+"""Wait of the last connect to a silent target, made after another one has accepted.
+
+In a short outage of the router's own link, all earlier connects may be lost while the
+one to the other target is made after it. A busy target may also have a full accept
+queue for a moment; its system then drops connects, and repeats come after 1 s only.
+"""
+
+COMPARE_TIMEOUT_S = 0.015
+CHECK_S = ROUNDS_S + CONFIRM_S
 """Time without an answer from which a target may count as dark."""
 
 LATE_MAX_S = 0.03
 """Lateness of a check's timers from which the router may have missed an answer."""
 
 COMPARE_S = 0.005
-"""Wait for another stage to accept before other targets are probed to compare."""
+"""Wait for another stage to accept before other targets are probed to compare a
+refusing one; age up to which an accept serves several silent ones.
+"""
 
 COMPARED_MAX = 2
 RECENT_LIFE_S = 0.1
@@ -62,9 +72,41 @@
 EXPECTED_GAP_S = 0.07
 """Time between two events that is assumed where a stream has had less than two."""
 
-CHECK_INTERVAL_S = 0.5
+TARGET_CHECK_INTERVAL_S = 0.5
 """Shortest time between two checks of a target by this router."""
 
+COMPARISON_INTERVAL_S = 0.05
+"""Shortest time between two connects to a target to compare others with it."""
+
+
+class _Connects:
+    """Connects of one check to a target, of which the first answer counts."""
+
+    def __init__(
+        self, target: Target, probe: Callable[[Target, float], ListenerState]
+    ) -> None:
+        self.target = target
+        self._probe = probe
+        self._answer: AsyncResult[ListenerState] = AsyncResult()
+        self._tasks: list[gevent.Greenlet] = []
+
+    def start(self, connects: int) -> None:
+        """Make some connects at once; `stop` ends them."""
+        self._tasks += [gevent.spawn(self._connect) for _ in range(connects)]
+
+    def wait(self, timeout_s: float) -> ListenerState:
+        """Return the first answer; SILENT if there is none in time."""
+        return self._answer.wait(timeout_s) or ListenerState.SILENT
+
+    def stop(self) -> None:
+        """End the connects that got no answer."""
+        gevent.killall(self._tasks, block=False)
+
+    def _connect(self) -> None:
+        state = self._probe(self.target, CHECK_S + COMPARE_TIMEOUT_S)
+        if state is not ListenerState.SILENT:
+            self._answer.set(state)
+
 
 def _probe(target: Target, timeout_s: float) -> ListenerState:
     return probe_listener(target.address, timeout_s)
@@ -123,6 +165,8 @@
     probe: Callable[[Target, float], ListenerState] = _probe
     neighbours: Callable[[Target], Iterable[Target]] = _no_neighbours
     _checked_at_s: dict[TargetId, float] = field(default_factory=dict)
+    _compared_at_s: dict[TargetId, float] = field(default_factory=dict)
+    _comparing: dict[TargetId, gevent.Greenlet] = field(default_factory=dict)
     _accepted: dict[TargetId, tuple[Target, float]] = field(default_factory=dict)
 
     def check(self, stream: LiveStream) -> None:
@@ -153,40 +197,34 @@
 
     def _may_check(self, target: Target) -> bool:
         checked_at_s = self._checked_at_s.get(target.id, float("-inf"))
-        return time.monotonic() - checked_at_s >= CHECK_INTERVAL_S
+        return time.monotonic() - checked_at_s >= TARGET_CHECK_INTERVAL_S
 
     def _check(self, target: Target, path: Path) -> None:
         began_at_s = time.monotonic()
-        match self._connect(target):
-            case ListenerState.ACCEPTS:
-                self._accepted[target.id] = target, time.monotonic()
-            case ListenerState.REFUSES if target.id != path.first.id:
-                self._judge_refusing(target, path, began_at_s)
-            case ListenerState.SILENT:
-                self._judge_silent(target, path, began_at_s)
-
-    def _connect(self, target: Target) -> ListenerState:
-        """Connect in rounds until there is an answer; SILENT if there is none."""
-        answer: AsyncResult[ListenerState] = AsyncResult()
-
-        def connect(timeout_s: float) -> None:
-            state = self.probe(target, timeout_s)
-            if state is not ListenerState.SILENT:
-                answer.set(state)
-
-        tasks: list[gevent.Greenlet] = []
-        left_s = CHECK_S
+        connects = _Connects(target, self.probe)
         try:
-            for each in ROUNDS:
-                tasks += [gevent.spawn(connect, left_s) for _ in range(each.connects)]
-                if answer.wait(each.wait_s) is not None:
-                    return answer.get()
-                left_s -= each.wait_s
-            return ListenerState.SILENT
+            match self._connect(connects):
+                case ListenerState.ACCEPTS:
+                    self._accepted[target.id] = target, time.monotonic()
+                case ListenerState.REFUSES if target.id != path.first.id:
+                    self._judge_refusing(target, path, began_at_s)
+                case ListenerState.SILENT:
+                    self._judge_silent(connects, path, began_at_s)
         finally:
-            gevent.killall(tasks, block=False)
+            connects.stop()
+
+    def _connect(self, connects: "_Connects") -> ListenerState:
+        """Connect in rounds until there is an answer; SILENT if there is none."""
+        for each in ROUNDS:
+            connects.start(each.connects)
+            state = connects.wait(each.wait_s)
+            if state is not ListenerState.SILENT:
+                return state
+        return ListenerState.SILENT
 
     def _judge_refusing(self, target: Target, path: Path, began_at_s: float) -> None:
+        if self._accepted_since(began_at_s, target, lambda other: True) is None:
+            gevent.sleep(COMPARE_S)
         compared = self._find_accepting(target, path, began_at_s, lambda other: True)
         if compared is None:
             log.info("stage refuses, as others do", target=target.id)
@@ -194,18 +232,28 @@
         log.warning("stage refuses connections", target=target.id, compared=compared.id)
         self.on_refused(target)
 
-    def _judge_silent(self, target: Target, path: Path, began_at_s: float) -> None:
-        late_s = time.monotonic() - began_at_s - CHECK_S
-        if late_s > LATE_MAX_S or HEARD.lost_since(began_at_s) > 0.0:
-            late_ms = round(late_s * 1e3)
-            log.info("stage silent, timers late", target=target.id, late_ms=late_ms)
+    def _judge_silent(
+        self, connects: "_Connects", path: Path, began_at_s: float
+    ) -> None:
+        target = connects.target
+        if self._was_late(target, began_at_s, ROUNDS_S):
             return
         compared = self._find_accepting(
-            target, path, began_at_s, lambda other: other.zone == target.zone
+            target,
+            path,
+            time.monotonic() - COMPARE_S,
+            lambda other: other.zone == target.zone,
         )
         if compared is None:
             log.info("stage silent, as others are", target=target.id)
             return
+        confirm_at_s = time.monotonic()
+        connects.start(1)
+        if connects.wait(CONFIRM_S) is not ListenerState.SILENT:
+            log.info("stage answers late", target=target.id)
+            return
+        if self._was_late(target, confirm_at_s, CONFIRM_S):
+            return
         if self.life.has_event_since(target, began_at_s):
             log.info("stage accepts nothing, but streams go on", target=target.id)
             return
@@ -217,6 +265,15 @@
         )
         self.on_dark(target)
 
+    def _was_late(self, target: Target, began_at_s: float, wait_s: float) -> bool:
+        """Return whether the router may have missed an answer in a wait."""
+        late_s = time.monotonic() - began_at_s - wait_s
+        if late_s <= LATE_MAX_S and HEARD.lost_since(began_at_s) <= 0.0:
+            return False
+        late_ms = round(late_s * 1e3)
+        log.info("stage silent, timers late", target=target.id, late_ms=late_ms)
+        return True
+
     def _find_accepting(
         self,
         target: Target,
@@ -226,31 +283,52 @@
     ) -> Target | None:
         """Return another target that has accepted since a time, or does now."""
         found = self._accepted_since(since_s, target, is_comparable)
-        if found is None:
-            gevent.sleep(COMPARE_S)
-            found = self._accepted_since(since_s, target, is_comparable)
         if found is not None:
             return found
-        others = [path.first, *self.neighbours(target)]
         probed = islice(
             (
                 other
-                for other in others
+                for other in self._others(path, target)
                 if other.id != target.id
                 and is_comparable(other)
-                and self._may_check(other)
+                and self._may_compare(other)
             ),
             COMPARED_MAX,
         )
         gevent.joinall([self._spawn_comparison(other) for other in probed])
         return self._accepted_since(since_s, target, is_comparable)
 
+    def _others(self, path: Path, target: Target) -> Iterator[Target]:
+        """Yield targets to compare one with: stages that accepted lately come first."""
+        stages = [stage.target for stage in path.stages]
+        yield from sorted(
+            stages,
+            key=lambda each: self._accepted.get(each.id, (each, 0.0))[1],
+            reverse=True,
+        )
+        yield from self.neighbours(target)
+
+    def _may_compare(self, other: Target) -> bool:
+        """Return whether a target is being compared, or was not lately."""
+        if other.id in self._comparing:
+            return True
+        compared_at_s = self._compared_at_s.get(other.id, float("-inf"))
+        return time.monotonic() - compared_at_s >= COMPARISON_INTERVAL_S
+
     def _spawn_comparison(self, other: Target) -> gevent.Greenlet:
-        self._checked_at_s[other.id] = time.monotonic()
-        return gevent.spawn(self._compare, other)
+        if other.id not in self._comparing:
+            self._compared_at_s[other.id] = time.monotonic()
+            self._comparing[other.id] = gevent.spawn(self._compare, other)
+        return self._comparing[other.id]
 
     def _compare(self, other: Target) -> None:
-        if self.probe(other, ROUNDS[0].wait_s) is ListenerState.ACCEPTS:
+        try:
+            self._probe_to_compare(other)
+        finally:
+            del self._comparing[other.id]
+
+    def _probe_to_compare(self, other: Target) -> None:
+        if self.probe(other, COMPARE_TIMEOUT_S) is ListenerState.ACCEPTS:
             self._accepted[other.id] = other, time.monotonic()
 
     def _accepted_since(
@@ -266,4 +344,5 @@
     def prune(self, present: Container[TargetId]) -> None:
         """Drop the state of targets that are gone."""
         retain_keys(self._checked_at_s, present)
+        retain_keys(self._compared_at_s, present)
         retain_keys(self._accepted, present)
