Tell a stream's path change from an event, and a first send from a resend

An order to a first target set the time of the stream's last event, which counted as an event through all targets of the new path: a dark one among them wasn't checked. The silence now has a time of its own, and events count only since the latest path.

An exchange without a connection was ended without a retry also where stages aren't checked, and after refusals, which need a retry. The relay now states whether the request was sent before, and the rule applies only while stages are checked.

--- a/src/chervilstall/edge/streams/live_stream.py
+++ b/src/chervilstall/edge/streams/live_stream.py
@@ -83,10 +83,13 @@
     """A stream in progress over one exchange.
 
     `last_event_at_s` is a monotonic time; until the first event it is that of the send.
+    `silent_since_s` is the same, but starts anew when the stream gets another path.
     `mean_gap_s` is a moving average of the time between events, 0 until there are two,
     which rises from 0; `interval` starts with the first of these times.
     `checked_at_s` is when the present silence was first found to be long, `found_at_s`
     when the latest move to another path began, and `sent_at_s` the time of the send.
+    `was_sent_before` says that a target may have received the request in an earlier
+    attempt, so that another one needs a retry.
     `moves_failed` counts the moves that did not give the stream another path.
     `on_next_event` is called once with the time of the next event, a monotonic one.
     """
@@ -96,6 +99,7 @@
     path: Path
     attempts: AttemptLimit
     last_event_at_s: float
+    was_sent_before: bool = False
     events: int = 0
     mean_gap_s: float = 0.0
     interval: EventInterval = field(default_factory=EventInterval)
@@ -107,13 +111,18 @@
     first_event_at_s: float | None = None
 
     def __post_init__(self) -> None:
-        self.sent_at_s = self.last_event_at_s
+        self.sent_at_s = self.silent_since_s = self.last_event_at_s
 
     @property
     def has_event(self) -> bool:
         """Return whether an event has arrived."""
         return self.events > 0
 
+    @property
+    def has_event_over_path(self) -> bool:
+        """Return whether the latest event came since the stream has its path."""
+        return self.has_event and self.last_event_at_s >= self.silent_since_s
+
     @property
     def silence_limit_s(self) -> float:
         """Return how long the stream may be silent before it is checked."""
@@ -134,13 +143,13 @@
             return CONNECT_CHECK_S
         request = self.request
         due_at_s = request.arrived_at_s + request.route.latency_slo_s
-        share_s = FIRST_CHECK_SHARE * (due_at_s - self.last_event_at_s)
+        share_s = FIRST_CHECK_SHARE * (due_at_s - self.silent_since_s)
         return min(max(share_s, CONNECT_CHECK_S), FIRST_EVENT_SILENCE_LIMIT_S)
 
     @property
     def is_unsent(self) -> bool:
-        """Return whether the request has reached no first target yet."""
-        return not self.attempts.counted and not self.exchange.is_connected()
+        """Return whether no target can have received the request yet."""
+        return not self.was_sent_before and not self.exchange.is_connected()
 
     @property
     def is_sent_again(self) -> bool:
@@ -149,25 +158,31 @@
 
     @property
     def silence_s(self) -> float:
-        """Return the time since the last event, or since the request was sent."""
-        return time.monotonic() - self.last_event_at_s
+        """Return the time since the last event, the latest order or the send."""
+        return time.monotonic() - self.silent_since_s
 
     def record_event(self) -> None:
         """Record an event and update the mean gap."""
         now_s = time.monotonic()
         if self.has_event:
-            gap_s = now_s - self.last_event_at_s
+            gap_s = now_s - self.silent_since_s
             self.mean_gap_s += GAP_WEIGHT * (gap_s - self.mean_gap_s)
             self.interval.record(gap_s)
         else:
             self.first_event_at_s = now_s
-        self.last_event_at_s = now_s
+        self.last_event_at_s = self.silent_since_s = now_s
         self.checked_at_s = None
         self.events += 1
         if self.on_next_event is not None:
             self.on_next_event(now_s)
             self.on_next_event = None
 
+    def change_path(self, path: Path) -> None:
+        """Set another path, over which the next event is awaited from now on."""
+        self.path = path
+        self.silent_since_s = time.monotonic()
+        self.checked_at_s = None
+
     def note_check(self) -> None:
         """Record that the stream is silent for long, unless that is known."""
         if self.checked_at_s is None:
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -205,7 +205,7 @@
         first = stream.path.first
         if stream.has_event or first.zone in self.fleet_view.unreachable_zones:
             return
-        if self._first_event_at_s.get(first.id, 0.0) < stream.last_event_at_s:
+        if self._first_event_at_s.get(first.id, 0.0) < stream.silent_since_s:
             reason = "begins no requests"
             self.fleet_view.suspect(first, reason, kind=SuspicionKind.REFUSING)
 
@@ -222,7 +222,8 @@
         and for streams that may go on at no other target than the unresponsive one.
         If a lost first target has not begun the request, the exchange is ended in any
         case, so that the caller gets its response at once. A request that is still
-        connecting for the first time has reached no target and needs no retry.
+        connecting for the first time has reached no target and needs no retry, where
+        stages are checked.
         """
         request = stream.request
         if self.streams.get(request.request_id) is not stream:
@@ -230,7 +231,7 @@
             return True
         has_begun = request.events_forwarded > 0
         is_lost = is_first_lost and not has_begun
-        is_free = is_lost or stream.is_unsent
+        is_free = is_lost or (self.stage_check.is_in_force() and stream.is_unsent)
         if has_begun and self._is_bound_to_unresponsive(stream):
             return False
         if not is_free and not self._reserve_retry(request, has_begun):
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -219,8 +219,9 @@
         source = self.context.connections.source(request, path.first)
         exchange = Exchange(request, path.first.address, headers, notice, source)
         self._exchange = exchange
+        sent_at_s = time.monotonic()
         self._stream = LiveStream(
-            request, exchange, path, self.attempts, time.monotonic()
+            request, exchange, path, self.attempts, sent_at_s, self._has_arrived
         )
         self.context.stream_monitor.streams[request.request_id] = self._stream
         self.context.chooser.load.add(path, request.expected_tokens)
@@ -235,7 +236,6 @@
             generation=self.context.fleet_view.generation,
             after_event=self.cursor.text,
         )
-        sent_at_s = time.monotonic()
         self.context.rate_limiter.record_send(path.first)
         head = exchange.send_request(request.remaining_s)
         self.context.notices.record(path.first, head, sent_at_s)
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -277,13 +277,11 @@
             return
         if response.is_accepted:
             self.chooser.load.remove(stream.path, request.expected_tokens)
-            stream.path = path
             self.chooser.load.add(path, request.expected_tokens)
             is_fault = self.fleet_view.is_suspected(avoided)
             cause = PauseCause.FAULT if is_fault else PauseCause.DRAIN
             self.pauses.measure_moved(stream, cause)
-            stream.last_event_at_s = time.monotonic()
-            stream.checked_at_s = None
+            stream.change_path(path)
             return
         stream.moves_failed += 1
         if self.fleet_view.is_suspected(avoided):
--- a/src/chervilstall/edge/streams/signs_of_life.py
+++ b/src/chervilstall/edge/streams/signs_of_life.py
@@ -18,7 +18,10 @@
 
 @dataclass
 class SignsOfLife:
-    """Finds the latest event that came through a target; times are monotonic."""
+    """Finds the latest event that came through a target; times are monotonic.
+
+    Events over an earlier path of a stream show nothing about its present one.
+    """
 
     streams: Mapping[RequestId, LiveStream]
     _latest_at_s: dict[TargetIncarnation, float] = field(default_factory=dict)
@@ -27,7 +30,7 @@
     def has_event_since(self, target: Target, since_s: float) -> bool:
         """Return whether an event came over a path through a target since a time."""
         return any(
-            stream.has_event
+            stream.has_event_over_path
             and stream.last_event_at_s >= since_s
             and stream.passes_through(target)
             for stream in self.streams.values()
@@ -44,7 +47,7 @@
     def _sum_up(self) -> dict[TargetIncarnation, float]:
         latest_at_s: dict[TargetIncarnation, float] = {}
         for stream in self.streams.values():
-            if not stream.has_event:
+            if not stream.has_event_over_path:
                 continue
             for stage in stream.path.stages:
                 incarnation = stage.target.incarnation
--- a/src/chervilstall/edge/streams/stage_check.py
+++ b/src/chervilstall/edge/streams/stage_check.py
@@ -191,7 +191,7 @@
 
         One that came after the stream's next event was due, or just now, does.
         """
-        due_at_s = stream.last_event_at_s + (stream.interval.mean_s or EXPECTED_GAP_S)
+        due_at_s = stream.silent_since_s + (stream.interval.mean_s or EXPECTED_GAP_S)
         since_s = max(due_at_s, time.monotonic() - RECENT_LIFE_S)
         return self.life.latest_at_s(target) >= since_s
 
--- a/tests/edge/stage_check.feature
+++ b/tests/edge/stage_check.feature
@@ -199,6 +199,20 @@
       | first          | yes     |
       | another target | no      |
 
+  # Guards against exchanges that are ended without a retry where a resend needs one, and
+  # against a change of what happens where stages aren't checked.
+  Scenario Outline: A silent request without a connection needs <retry> <when>
+    Given a request that <sent>, without a connection or a retry
+    And stages <checked> checked by its router
+    When its exchange is to be ended
+    Then that happens: <outcome>
+
+    Examples:
+      | retry    | when                     | sent               | checked | outcome |
+      | no retry | before it was sent       | was never sent     | are     | yes     |
+      | a retry  | after a refusal          | was sent before    | are     | no      |
+      | a retry  | if stages aren't checked | was never sent     | aren't  | no      |
+
   # Guards against checks of a target that is known to be alive.
   Scenario Outline: A target through which an event came <when> isn't checked
     Given a silent stream over stages a,b, of which nobody answer no connection
@@ -211,6 +225,15 @@
       | after the next one was due    | 40     | 0      |
       | before the next one was due   | 80     | 1      |
 
+  # Guards against an order that is taken for an event through all targets of the new path:
+  # a target of it that is dark would neither be checked nor count as dark.
+  Scenario: An order shows nothing about the targets of the new path
+    Given a request without an event that no target may have run before
+    And an event of it came
+    When it gets another path over the same targets
+    Then no event through its first target is known
+    But the next event through its first target is
+
   # Guards against pauses that are longer since a stream's own pace isn't taken into account.
   # Also against checks of streams whose events merely come unevenly.
   Scenario Outline: A stream with events each <gaps> ms is checked after <limit_ms> ms of silence
--- a/tests/steps/dark_target_steps.py
+++ b/tests/steps/dark_target_steps.py
@@ -3,16 +3,18 @@
 import time
 from types import SimpleNamespace
 from typing import Any, cast
-from unittest.mock import MagicMock
+from unittest.mock import MagicMock, patch
 
 import gevent
 from behave import given, then, when
 from behave.runner import Context
 
+from chervilstall.edge.streams import rerouter as rerouter_module
 from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.edge.streams.monitor import StreamMonitor
 from chervilstall.fleet.records import Target
 from chervilstall.ids import RequestId, TargetId
+from chervilstall.platform.targets import OrderResponse
 from chervilstall.standin.platform_fixtures import write_target_entry
 from chervilstall.standin.platform_target import PlatformTarget
 from chervilstall.target.connection import ListenerState
@@ -145,6 +147,56 @@
     context.monitor.streams[RequestId("r1")] = context.stream
 
 
+@given("a request that {sent}, without a connection or a retry")
+def create_unconnected(context: Context, sent: str) -> None:
+    create_request(context, "no target")
+    context.stream.exchange.is_connected.return_value = False
+    context.stream.was_sent_before = sent == "was sent before"
+    context.monitor.budget.try_reserve.return_value = False
+
+
+@given("stages {checked} checked by its router")
+def set_checked(context: Context, checked: str) -> None:
+    context.monitor.stage_check.is_in_force = lambda: checked == "are"
+
+
+@when("its exchange is to be ended")
+def end_exchange(context: Context) -> None:
+    context.has_ended = context.monitor._end_exchange(context.stream)
+
+
+@then("that happens: {outcome}")
+def check_ended(context: Context, outcome: str) -> None:
+    assert context.has_ended == (outcome == "yes")
+
+
+@given("an event of it came")
+def record_event(context: Context) -> None:
+    context.stream.record_event()
+
+
+@when("it gets another path over the same targets")
+def reroute(context: Context) -> None:
+    stream, rerouter = context.stream, context.monitor.rerouter
+    context.rerouted_at_s = time.monotonic()
+    with patch.object(rerouter_module, "send_order", lambda *_: OrderResponse(200)):
+        rerouter._order_reroute(stream, stream.path, stream.path.first)
+
+
+@then("no event through its first target is known")
+def check_no_event(context: Context) -> None:
+    first, known = context.stream.path.first, context.monitor.stage_check.life
+    assert not known.has_event_since(first, 0.0)
+    assert known.latest_at_s(first) == float("-inf")
+
+
+@then("the next event through its first target is")
+def check_next_event(context: Context) -> None:
+    first, known = context.stream.path.first, context.monitor.stage_check.life
+    context.stream.record_event()
+    assert known.has_event_since(first, context.rerouted_at_s)
+
+
 @when("its first target goes dark")
 def go_dark(context: Context) -> None:
     context.monitor._handle_dark(context.stream.path.first)
@@ -195,7 +247,7 @@
 def create_sent_request(context: Context, sent_ms: int, state: str) -> None:
     create_request(context, "first")
     stream = context.stream
-    stream.request.arrived_at_s = stream.last_event_at_s - sent_ms / 1e3
+    stream.request.arrived_at_s = stream.silent_since_s - sent_ms / 1e3
     stream.exchange.is_connected.return_value = state == "connected"
 
 
--- a/tests/steps/monitor_standstill_steps.py
+++ b/tests/steps/monitor_standstill_steps.py
@@ -37,7 +37,7 @@
 def run_slow_loop(context: Context, turn_s: float, for_s: float) -> None:
     stream = context.stream
     began_at_s = time.monotonic()
-    stream.last_event_at_s = began_at_s
+    stream.silent_since_s = began_at_s
     noticed_after_s: list[float] = []
 
     def note() -> None:
@@ -71,7 +71,7 @@
     monitor, stream = context.monitor, context.stream
     monitor._query = lambda first, now_s: None
     monitor._end_exchange = lambda stream: False
-    stream.last_event_at_s = clock.now_s
+    stream.silent_since_s = clock.now_s
     clock.now_s += 0.3
     monitor.record_first_event(stream.path.first)
     clock.now_s += 0.1 + still_s
--- a/tests/steps/stage_check_steps.py
+++ b/tests/steps/stage_check_steps.py
@@ -71,7 +71,7 @@
         first=targets[0],
     )
     context.stream = SimpleNamespace(
-        path=path, last_event_at_s=time.monotonic(), interval=EventInterval()
+        path=path, silent_since_s=time.monotonic(), interval=EventInterval()
     )
     context.listeners = FakeListeners(_names(refusing), _names(dark))
     context.life = SimpleNamespace(
@@ -134,7 +134,7 @@
 )
 def set_events(context: Context, own_ms: int, name: str, other_ms: int) -> None:
     now_s = time.monotonic()
-    context.stream.last_event_at_s = now_s - own_ms / 1e3
+    context.stream.silent_since_s = now_s - own_ms / 1e3
     latest_at_s = {name: now_s - other_ms / 1e3}
     context.life.latest_at_s = lambda target: latest_at_s.get(target.id, 0.0)
 
