Send no request over a connection that was aborted before its first byte

An abort while the connection was being opened had no effect on it: the request was sent once it was established, beside the resend. And a new connection that failed before the first byte counted as one over which the request was sent, so that a resend cost a retry. The pool now refuses an aborted connection, and NothingSent counts as not sent.

--- a/src/chervilstall/edge/crashes/observer.py
+++ b/src/chervilstall/edge/crashes/observer.py
@@ -17,7 +17,7 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import CrashId, PartId
 from chervilstall.quarantine.records import CrashReport, LostRequest
-from chervilstall.target.connection import refuses_connections
+from chervilstall.target.listener_probe import refuses_connections
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("edge")
--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -1,6 +1,5 @@
 """One HTTP exchange: a request sent once to a target or router, and its response."""
 
-import socket
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -151,6 +150,8 @@
             raise self._error(ExchangeFailure.NO_CONNECTION, was_sent=False) from error
         except TimeoutError as error:
             raise self._error(ExchangeFailure.TIMEOUT, self.is_connected()) from error
+        except NothingSent as error:
+            raise self._error(ExchangeFailure.CLOSED, was_sent=False) from error
         except (OSError, HTTPConnectionClosed) as error:
             raise self._error(ExchangeFailure.CLOSED) from error
         except HTTPParseError as error:
@@ -334,14 +335,8 @@
         """Shut down the connection; only the first reason is kept."""
         if self.abort_reason is None:
             self.abort_reason = reason
-        pool = self._pool
-        if pool is None or pool.socket is None:
-            return
-        try:
-            pool.socket.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The connection is closed already.
-            return
+        if self._pool is not None:
+            self._pool.abort()
 
     def _abort_with_request(self) -> None:
         has_left = self.request.has_caller_disconnected
--- a/src/chervilstall/edge/streams/stage_check.py
+++ b/src/chervilstall/edge/streams/stage_check.py
@@ -24,7 +24,7 @@
 from chervilstall.heard_clock import HEARD
 from chervilstall.ids import TargetId
 from chervilstall.paths.records import Path
-from chervilstall.target.connection import ListenerState, probe_listener
+from chervilstall.target.listener_probe import ListenerState, probe_listener
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("edge")
--- a/src/chervilstall/gateway/service_guard.py
+++ b/src/chervilstall/gateway/service_guard.py
@@ -15,8 +15,8 @@
 from chervilstall.quarantine.records import CrashReport, LostRequest
 from chervilstall.quarantine.refusal import check_parts
 from chervilstall.settings.option import Address
-from chervilstall.target.connection import refuses_connections
 from chervilstall.target.contract import ServiceCall
+from chervilstall.target.listener_probe import refuses_connections
 
 EXAMINE_DELAY_S = 0.02
 CONNECT_TIMEOUT_S = 0.3
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -8,9 +8,9 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from enum import Enum
 from socket import (
     IPPROTO_TCP,
+    SHUT_RDWR,
     SO_KEEPALIVE,
     SOL_SOCKET,
     TCP_KEEPCNT,
@@ -141,12 +141,13 @@
 
     The connection stays open until the pool is closed, so that reading can continue
     after a read that timed out. `socket` is set as soon as it starts to connect, so
-    that another task can end that.
+    that another task can end that with `abort`.
     """
 
     def __init__(self, **arguments: Any) -> None:
         super().__init__(age_max_s=0.0, **arguments)
         self.is_opened = False
+        self.is_aborted = False
         self.socket: gevent.socket.socket | None = None
 
     def _create_tcp_socket(self, *arguments: Any) -> gevent.socket.socket:
@@ -168,10 +169,23 @@
         if self.is_opened:
             raise ConnectionResetError("a single-use connection can't be reopened")
         sock = super().get_socket()
-        self.is_opened = True
         self.socket = sock
+        if self.is_aborted:
+            raise ConnectFailed("aborted before the request was sent")
+        self.is_opened = True
         return sock
 
+    def abort(self) -> None:
+        """Shut the connection down; one that is being opened carries no request."""
+        self.is_aborted = True
+        if self.socket is None:
+            return
+        try:
+            self.socket.shutdown(SHUT_RDWR)
+        except OSError:
+            # The connection is closed already, or not established yet.
+            return
+
 
 class ReusablePool(SingleUsePool):
     """A pool whose one connection may be used again after a complete response."""
@@ -357,37 +371,6 @@
     return client
 
 
-class ListenerState(Enum):
-    """What a connection attempt shows about the listener at an address."""
-
-    ACCEPTS = "accepts"
-    REFUSES = "refuses"
-    SILENT = "silent"
-    UNKNOWN = "unknown"
-
-
-def probe_listener(address: Address, timeout_s: float) -> ListenerState:
-    """Connect and close; an address without an answer in time is SILENT.
-
-    Any other error, such as a lack of descriptors, makes it UNKNOWN.
-    """
-    try:
-        with gevent.Timeout(timeout_s, TimeoutError):
-            gevent.socket.create_connection((address.host, address.port)).close()
-    except ConnectionRefusedError:
-        return ListenerState.REFUSES
-    except TimeoutError:
-        return ListenerState.SILENT
-    except OSError:
-        return ListenerState.UNKNOWN
-    return ListenerState.ACCEPTS
-
-
-def refuses_connections(address: Address, timeout_s: float) -> bool:
-    """Return whether nothing listens at an address; False where that isn't known."""
-    return probe_listener(address, timeout_s) is ListenerState.REFUSES
-
-
 def read_server_event(response: Any) -> bytes | None:
     """Return the data of the next server-sent event, or None at the end.
 
--- a/tests/edge/stage_check.feature
+++ b/tests/edge/stage_check.feature
@@ -213,6 +213,20 @@
       | a retry  | after a refusal          | was sent before    | are     | no      |
       | a retry  | if stages aren't checked | was never sent     | aren't  | no      |
 
+  # Guards against a request that is sent after its exchange was ended, which a target runs
+  # beside the resend, and against a retry for a request of which no byte was sent.
+  Scenario Outline: A request counts as not sent if <what>
+    Given an exchange with a target that accepts
+    When its request is sent, and <what>
+    Then it fails as not sent
+    And the target got no byte of it
+
+    Examples:
+      | what                                            |
+      | it is aborted before its socket exists          |
+      | it is aborted before its connect begins         |
+      | its connection has failed before the first byte |
+
   # Guards against checks of a target that is known to be alive.
   Scenario Outline: A target through which an event came <when> isn't checked
     Given a silent stream over stages a,b, of which nobody answer no connection
--- a/tests/steps/dark_target_steps.py
+++ b/tests/steps/dark_target_steps.py
@@ -17,7 +17,7 @@
 from chervilstall.platform.targets import OrderResponse
 from chervilstall.standin.platform_fixtures import write_target_entry
 from chervilstall.standin.platform_target import PlatformTarget
-from chervilstall.target.connection import ListenerState
+from chervilstall.target.listener_probe import ListenerState
 from tests.support.agent_fleet import eventually
 from tests.support.clock import Clock
 from tests.support.full_listener import open_full_listener
--- a/tests/steps/stage_check_steps.py
+++ b/tests/steps/stage_check_steps.py
@@ -14,7 +14,7 @@
 from chervilstall.edge.streams.stage_check import CHECK_S, StageCheck
 from chervilstall.paths.records import STAGES_MAX
 from chervilstall.settings.option import Address
-from chervilstall.target.connection import ListenerState, probe_listener
+from chervilstall.target.listener_probe import ListenerState, probe_listener
 from tests.steps.standstill_steps import native_sleep
 from tests.support.agent_fleet import eventually
 from tests.support.clock import Clock
