Judge refusals by events as well, and repeat inconclusive checks soon

A draining target refuses connections while its streams go on, and was taken for crashed: all its streams moved at once. Refusals are now ignored if an event came through the target since, and where its entry says that it drains. A check that concluded nothing blocked its target for 0.5 s; it may now be repeated after 0.1 s.

--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -23,7 +23,7 @@
 from chervilstall.edge.streams.slow_targets import SlowTargetDetector
 from chervilstall.edge.streams.stage_check import NeighbourSource, StageCheck
 from chervilstall.fleet.pruning import retain_keys
-from chervilstall.fleet.records import Target
+from chervilstall.fleet.records import Target, TargetReadiness
 from chervilstall.fleet.suspicion import SuspicionKind
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import RequestId, TargetId
@@ -372,7 +372,10 @@
             self.rerouter.reroute_around(target)
 
     def _handle_refused(self, target: Target) -> None:
-        """Lead streams around a target in the middle of a path that has crashed."""
+        """Lead streams around a crashed target; planned moves lead around others."""
+        known = self.fleet_view.targets.get(target.id)
+        if known is not None and known.state is TargetReadiness.DRAINING:
+            return
         self.fleet_view.suspect(target, "refuses connections")
         self.rerouter.reroute_around(target)
 
--- a/src/chervilstall/edge/streams/stage_check.py
+++ b/src/chervilstall/edge/streams/stage_check.py
@@ -75,6 +75,9 @@
 TARGET_CHECK_INTERVAL_S = 0.5
 """Shortest time between two checks of a target by this router."""
 
+REPEAT_S = 0.1
+"""Time until a target may be checked again after a check that concluded nothing."""
+
 COMPARISON_INTERVAL_S = 0.05
 """Shortest time between two connects to a target to compare others with it."""
 
@@ -203,15 +206,27 @@
         began_at_s = time.monotonic()
         connects = _Connects(target, self.probe)
         try:
-            match self._connect(connects):
-                case ListenerState.ACCEPTS:
-                    self._accepted[target.id] = target, time.monotonic()
-                case ListenerState.REFUSES if target.id != path.first.id:
-                    self._judge_refusing(target, path, began_at_s)
-                case ListenerState.SILENT:
-                    self._judge_silent(connects, path, began_at_s)
+            is_conclusive = self._judge(connects, path, began_at_s)
         finally:
             connects.stop()
+        if not is_conclusive:
+            earlier_s = TARGET_CHECK_INTERVAL_S - REPEAT_S
+            self._checked_at_s[target.id] = time.monotonic() - earlier_s
+
+    def _judge(self, connects: "_Connects", path: Path, began_at_s: float) -> bool:
+        """Act on what a check shows; return False if it shows nothing."""
+        target = connects.target
+        match self._connect(connects):
+            case ListenerState.ACCEPTS:
+                self._accepted[target.id] = target, time.monotonic()
+                return True
+            case ListenerState.REFUSES if target.id == path.first.id:
+                return True
+            case ListenerState.REFUSES:
+                return self._judge_refusing(target, path, began_at_s)
+            case ListenerState.SILENT:
+                return self._judge_silent(connects, path, began_at_s)
+        return False
 
     def _connect(self, connects: "_Connects") -> ListenerState:
         """Connect in rounds until there is an answer; SILENT if there is none."""
@@ -222,22 +237,27 @@
                 return state
         return ListenerState.SILENT
 
-    def _judge_refusing(self, target: Target, path: Path, began_at_s: float) -> None:
+    def _judge_refusing(self, target: Target, path: Path, began_at_s: float) -> bool:
         if self._accepted_since(began_at_s, target, lambda other: True) is None:
             gevent.sleep(COMPARE_S)
         compared = self._find_accepting(target, path, began_at_s, lambda other: True)
         if compared is None:
             log.info("stage refuses, as others do", target=target.id)
-            return
+            return False
+        if self.life.has_event_since(target, began_at_s):
+            # One that drains accepts nothing, but its streams go on.
+            log.info("stage refuses connections, but streams go on", target=target.id)
+            return True
         log.warning("stage refuses connections", target=target.id, compared=compared.id)
         self.on_refused(target)
+        return True
 
     def _judge_silent(
         self, connects: "_Connects", path: Path, began_at_s: float
-    ) -> None:
+    ) -> bool:
         target = connects.target
         if self._was_late(target, began_at_s, ROUNDS_S):
-            return
+            return False
         compared = self._find_accepting(
             target,
             path,
@@ -246,17 +266,17 @@
         )
         if compared is None:
             log.info("stage silent, as others are", target=target.id)
-            return
+            return False
         confirm_at_s = time.monotonic()
         connects.start(1)
         if connects.wait(CONFIRM_S) is not ListenerState.SILENT:
             log.info("stage answers late", target=target.id)
-            return
+            return True
         if self._was_late(target, confirm_at_s, CONFIRM_S):
-            return
+            return False
         if self.life.has_event_since(target, began_at_s):
             log.info("stage accepts nothing, but streams go on", target=target.id)
-            return
+            return True
         log.warning(
             "stage answers no connection",
             target=target.id,
@@ -264,6 +284,7 @@
             for_ms=round((time.monotonic() - began_at_s) * 1e3),
         )
         self.on_dark(target)
+        return True
 
     def _was_late(self, target: Target, began_at_s: float, wait_s: float) -> bool:
         """Return whether the router may have missed an answer in a wait."""
--- a/tests/edge/stage_check.feature
+++ b/tests/edge/stage_check.feature
@@ -20,6 +20,33 @@
     When its stages are checked
     Then the targets nobody count as crashed
 
+  # Guards against a crash that is seen in a target which drains: it accepts nothing more.
+  Scenario: A refusing target through which events come doesn't count as crashed
+    Given a silent stream over stages a,b,c, of which b refuse connections
+    And events of other streams come through b
+    When its stages are checked
+    Then the targets nobody count as crashed
+
+  # Guards against the streams of a draining target that all move at once.
+  Scenario Outline: A refusing target that <state> is left to <whom>
+    Given a request without an event that no target may have run before
+    And its first target is known to be <state>
+    When its first target refuses connections
+    Then it is suspected: <outcome>
+
+    Examples:
+      | state    | whom              | outcome |
+      | ready    | the check         | yes     |
+      | draining | the planned moves | no      |
+
+  # Guards against a lost target that is found late since a check of it concluded nothing.
+  Scenario: A check that concluded nothing is repeated soon
+    Given a silent stream over stages a,b,c, of which a,b,c refuse connections
+    When its stages are checked
+    And a and c accept again
+    And its stages are checked
+    Then the targets b count as crashed
+
   # Guards against one connection for each silent stream that shares a stage.
   Scenario: A stage is probed once for all streams that use it
     Given a silent stream over stages a,b,c, of which nobody refuse connections
--- a/tests/steps/dark_target_steps.py
+++ b/tests/steps/dark_target_steps.py
@@ -12,7 +12,7 @@
 from chervilstall.edge.streams import rerouter as rerouter_module
 from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.edge.streams.monitor import StreamMonitor
-from chervilstall.fleet.records import Target
+from chervilstall.fleet.records import Target, TargetReadiness
 from chervilstall.ids import RequestId, TargetId
 from chervilstall.platform.targets import OrderResponse
 from chervilstall.standin.platform_fixtures import write_target_entry
@@ -197,6 +197,23 @@
     assert known.has_event_since(first, context.rerouted_at_s)
 
 
+@given("its first target is known to be {state}")
+def set_state(context: Context, state: str) -> None:
+    known = SimpleNamespace(state=TargetReadiness(state))
+    context.monitor.fleet_view.targets = {"first": known}
+
+
+@when("its first target refuses connections")
+def refuse(context: Context) -> None:
+    context.monitor._handle_refused(context.stream.path.first)
+
+
+@then("it is suspected: {outcome}")
+def check_suspected(context: Context, outcome: str) -> None:
+    suspected = context.monitor.fleet_view.suspect.call_args_list
+    assert bool(suspected) == (outcome == "yes"), suspected
+
+
 @when("its first target goes dark")
 def go_dark(context: Context) -> None:
     context.monitor._handle_dark(context.stream.path.first)
--- a/tests/steps/stage_check_steps.py
+++ b/tests/steps/stage_check_steps.py
@@ -162,6 +162,11 @@
     gevent.sleep(CHECK_S + 0.06)
 
 
+@when("a and c accept again")
+def end_refusals(context: Context) -> None:
+    context.listeners.refusing = ["b"]
+
+
 @when("its stages are checked, and the loop is held for {hold_ms:d} ms")
 def check_while_held(context: Context, hold_ms: int) -> None:
     context.check.check(context.stream)
