Let the parts of a pause add up, and skip comparisons while several stages are silent

An event between the finding and the order made parts of a pause negative, and a stream that was resumed in vain began its pause anew. Three silent checks with no accept now conclude nothing without connects to others. Some terms and doc comments are clearer: EventTimes instead of LifeSource, and why there are two averages of the gaps.

--- a/src/chervilstall/edge/streams/live_stream.py
+++ b/src/chervilstall/edge/streams/live_stream.py
@@ -23,8 +23,8 @@
 """
 
 FIRST_CHECK_SHARE = 0.5
-"""Share of what is left of the objective for the first event, after the send, in which
-the first target has to begin. A check and a second send take about 0.2 s more. An
+"""Share of the time from the send to the objective for the first event after which the
+first target is checked. A check and a second send take about 0.2 s more. An
 earlier check would cost a connect for each request while targets are busy.
 """
 
@@ -85,7 +85,8 @@
     `last_event_at_s` is a monotonic time; until the first event it is that of the send.
     `silent_since_s` is the same, but starts anew when the stream gets another path.
     `mean_gap_s` is a moving average of the time between events, 0 until there are two,
-    which rises from 0; `interval` starts with the first of these times.
+    which rises from 0, so that a few long gaps at the start hardly make a target count
+    as slow; `interval` starts with the first gap, as limits of silence need its size.
     `checked_at_s` is when the present silence was first found to be long, `found_at_s`
     when the latest move to another path began, and `sent_at_s` the time of the send.
     `was_sent_before` says that a target may have received the request in an earlier
--- a/src/chervilstall/edge/streams/pauses.py
+++ b/src/chervilstall/edge/streams/pauses.py
@@ -58,13 +58,15 @@
 
     def components_s(self, next_event_at_s: float) -> dict[PauseComponent, float]:
         """Return how long each part lasted, for a pause that ends at a time."""
-        checked_at_s = self.found_at_s
+        # An event may still come between the finding and the order.
+        found_at_s = max(self.found_at_s, self.last_event_at_s)
+        checked_at_s = found_at_s
         if self.checked_at_s is not None:
-            checked_at_s = min(self.checked_at_s, self.found_at_s)
+            checked_at_s = min(self.checked_at_s, found_at_s)
         return {
             PauseComponent.SILENCE: checked_at_s - self.last_event_at_s,
-            PauseComponent.CHECK: self.found_at_s - checked_at_s,
-            PauseComponent.ORDER: self.ordered_at_s - self.found_at_s,
+            PauseComponent.CHECK: found_at_s - checked_at_s,
+            PauseComponent.ORDER: self.ordered_at_s - found_at_s,
             PauseComponent.PREFILL: next_event_at_s - self.ordered_at_s,
         }
 
@@ -125,6 +127,8 @@
         if first_event_at_s is not None:
             self._record(resumed.request, start, first_event_at_s)
             return
+        # If it is ended again before its first event, the pause is still the same.
+        resumed.last_event_at_s = ended.last_event_at_s
         resumed.on_next_event = lambda at_s: self._record(resumed.request, start, at_s)
 
     def _record(self, request: EdgeRequest, start: PauseStart, at_s: float) -> None:
--- a/src/chervilstall/edge/streams/stage_check.py
+++ b/src/chervilstall/edge/streams/stage_check.py
@@ -66,7 +66,7 @@
 """
 
 COMPARED_MAX = 2
-RECENT_LIFE_S = 0.1
+RECENT_EVENT_S = 0.1
 """Age up to which an event that came through a target makes a check needless."""
 
 EXPECTED_GAP_S = 0.07
@@ -75,6 +75,11 @@
 TARGET_CHECK_INTERVAL_S = 0.5
 """Shortest time between two checks of a target by this router."""
 
+SILENT_MAX = 3
+"""Silent checks at once from which the router's own link is the likely cause, if none
+accepts; other targets then get no connects to compare with.
+"""
+
 REPEAT_S = 0.1
 """Time until a target may be checked again after a check that concluded nothing."""
 
@@ -135,7 +140,7 @@
         return random.sample(found, len(found))
 
 
-class LifeSource(Protocol):
+class EventTimes(Protocol):
     """What streams show about targets; times are monotonic seconds."""
 
     def has_event_since(self, target: Target, since_s: float) -> bool:
@@ -155,12 +160,13 @@
     of the same zone, as the link to the zone may be cut. A refusing first stage needs
     no check, since the connection to it ends.
 
-    `neighbours` returns more targets of a target's zone to compare with. `life` tells
-    of events that came through targets: such a target is neither dark nor checked.
+    `neighbours` returns more targets of a target's zone to compare with. `event_times`
+    tells of events that came through targets: such a target is neither dark, crashed
+    nor checked.
     `may_connect` is asked before each check and bounds their number.
     """
 
-    life: LifeSource
+    event_times: EventTimes
     on_refused: Callable[[Target], None]
     on_dark: Callable[[Target], None] = lambda target: None
     is_in_force: Callable[[], bool] = lambda: False
@@ -170,6 +176,7 @@
     _checked_at_s: dict[TargetId, float] = field(default_factory=dict)
     _compared_at_s: dict[TargetId, float] = field(default_factory=dict)
     _comparing: dict[TargetId, gevent.Greenlet] = field(default_factory=dict)
+    _silent_at_s: dict[TargetId, float] = field(default_factory=dict)
     _accepted: dict[TargetId, tuple[Target, float]] = field(default_factory=dict)
 
     def check(self, stream: LiveStream) -> None:
@@ -195,8 +202,8 @@
         One that came after the stream's next event was due, or just now, does.
         """
         due_at_s = stream.silent_since_s + (stream.interval.mean_s or EXPECTED_GAP_S)
-        since_s = max(due_at_s, time.monotonic() - RECENT_LIFE_S)
-        return self.life.latest_at_s(target) >= since_s
+        since_s = max(due_at_s, time.monotonic() - RECENT_EVENT_S)
+        return self.event_times.latest_at_s(target) >= since_s
 
     def _may_check(self, target: Target) -> bool:
         checked_at_s = self._checked_at_s.get(target.id, float("-inf"))
@@ -235,6 +242,7 @@
             state = connects.wait(each.wait_s)
             if state is not ListenerState.SILENT:
                 return state
+            self._silent_at_s[connects.target.id] = time.monotonic()
         return ListenerState.SILENT
 
     def _judge_refusing(self, target: Target, path: Path, began_at_s: float) -> bool:
@@ -244,7 +252,7 @@
         if compared is None:
             log.info("stage refuses, as others do", target=target.id)
             return False
-        if self.life.has_event_since(target, began_at_s):
+        if self.event_times.has_event_since(target, began_at_s):
             # One that drains accepts nothing, but its streams go on.
             log.info("stage refuses connections, but streams go on", target=target.id)
             return True
@@ -258,6 +266,11 @@
         target = connects.target
         if self._was_late(target, began_at_s, ROUNDS_S):
             return False
+        has_accept = self._accepted_since(began_at_s, target, lambda other: True)
+        silent = sum(at_s >= began_at_s for at_s in self._silent_at_s.values())
+        if silent >= SILENT_MAX and not has_accept:
+            log.info("stages silent, none accepts", target=target.id)
+            return False
         compared = self._find_accepting(
             target,
             path,
@@ -274,7 +287,7 @@
             return True
         if self._was_late(target, confirm_at_s, CONFIRM_S):
             return False
-        if self.life.has_event_since(target, began_at_s):
+        if self.event_times.has_event_since(target, began_at_s):
             log.info("stage accepts nothing, but streams go on", target=target.id)
             return True
         log.warning(
@@ -366,4 +379,5 @@
         """Drop the state of targets that are gone."""
         retain_keys(self._checked_at_s, present)
         retain_keys(self._compared_at_s, present)
+        retain_keys(self._silent_at_s, present)
         retain_keys(self._accepted, present)
--- a/tests/edge/pauses.feature
+++ b/tests/edge/pauses.feature
@@ -35,3 +35,15 @@
       | 100     | 100,60,5,85 |
       | no      | 160,0,5,85  |
       | 170     | 160,0,5,85  |
+
+  # Guards against negative parts, where an event came between the finding and the order.
+  Scenario: The parts of a pause add up if an event came after it was found
+    Given a stream whose last event came at 162 ms, and which wasn't checked
+    When it is found at 160 ms that it has to move, which is done at 165 ms
+    Then its next event at 250 ms gives the parts 0,0,3,85
+
+  # Guards against a pause that seems to begin when a stream was resumed in vain.
+  Scenario: A pause of a stream that is resumed twice is measured from its last event
+    Given a stream that was ended 300 ms after its last event
+    When it is resumed, ended without an event and resumed again
+    Then the pause until its next event is at least 300 ms
--- a/tests/edge/stage_check.feature
+++ b/tests/edge/stage_check.feature
@@ -107,6 +107,13 @@
       | 58        |
       | 62        |
 
+  # Guards against a router without links that connects to all neighbours of all targets.
+  Scenario: Nothing is compared while several stages are silent and none accepts
+    Given a silent stream over stages a,b,c,d, of which a,b,c,d answer no connection
+    When its stages are checked
+    Then the targets nobody count as dark
+    And a was probed 3 times and b 3 times
+
   # Guards against a router that missed the answers while its own loop was held.
   Scenario: Nothing is concluded of the time in which the loop was held
     Given a silent stream over stages a,b,c, of which nobody answer no connection
--- a/tests/steps/dark_target_steps.py
+++ b/tests/steps/dark_target_steps.py
@@ -185,14 +185,14 @@
 
 @then("no event through its first target is known")
 def check_no_event(context: Context) -> None:
-    first, known = context.stream.path.first, context.monitor.stage_check.life
+    first, known = context.stream.path.first, context.monitor.stage_check.event_times
     assert not known.has_event_since(first, 0.0)
     assert known.latest_at_s(first) == float("-inf")
 
 
 @then("the next event through its first target is")
 def check_next_event(context: Context) -> None:
-    first, known = context.stream.path.first, context.monitor.stage_check.life
+    first, known = context.stream.path.first, context.monitor.stage_check.event_times
     context.stream.record_event()
     assert known.has_event_since(first, context.rerouted_at_s)
 
--- a/tests/steps/pause_model_steps.py
+++ b/tests/steps/pause_model_steps.py
@@ -1,11 +1,14 @@
 """Steps for the pauses of streams after the loss of a middle stage."""
 
 import random
+import time
+from unittest.mock import MagicMock
 
 from behave import given, then, when
 from behave.runner import Context
 
-from chervilstall.edge.streams.pauses import PauseCause, PauseStart
+from chervilstall.edge.streams.live_stream import LiveStream
+from chervilstall.edge.streams.pauses import PauseCause, PauseMeter, PauseStart
 from chervilstall.paths.records import PathRequest
 from tests.support.pause_model import (
     SERVICE,
@@ -77,6 +80,13 @@
 @given("a stream whose last event came at 0 ms, checked at {checked} ms")
 def set_checked(context: Context, checked: str) -> None:
     context.checked_at_s = None if checked == "no" else int(checked) / 1e3
+    context.last_event_at_s = 0.0
+
+
+@given("a stream whose last event came at {last:d} ms, and which wasn't checked")
+def set_last_event(context: Context, last: int) -> None:
+    context.checked_at_s = None
+    context.last_event_at_s = last / 1e3
 
 
 @when(
@@ -84,7 +94,11 @@
 )
 def move_stream(context: Context, found: int, ordered: int) -> None:
     context.start = PauseStart(
-        PauseCause.FAULT, 0.0, context.checked_at_s, found / 1e3, ordered / 1e3
+        PauseCause.FAULT,
+        context.last_event_at_s,
+        context.checked_at_s,
+        found / 1e3,
+        ordered / 1e3,
     )
 
 
@@ -94,3 +108,35 @@
     assert [round(part_s * 1e3) for part_s in found] == [
         int(each) for each in parts.split(",")
     ], found
+
+
+def _open_stream(sent_at_s: float) -> LiveStream:
+    return LiveStream(
+        MagicMock(request_id="r1"), MagicMock(), MagicMock(), MagicMock(), sent_at_s
+    )
+
+
+@given("a stream that was ended {ago:d} ms after its last event")
+def end_stream(context: Context, ago: int) -> None:
+    context.streams, context.pauses_s = {}, []
+    context.meter = PauseMeter(
+        context.streams,
+        lambda request, cause, pause_s: context.pauses_s.append(pause_s),
+    )
+    context.ended = _open_stream(time.monotonic() - ago / 1e3)
+    context.meter.note_ended(context.ended)
+
+
+@when("it is resumed, ended without an event and resumed again")
+def resume_twice(context: Context) -> None:
+    for _ in range(2):
+        resumed = context.streams["r1"] = _open_stream(time.monotonic())
+        context.meter.step(time.monotonic())
+        context.meter.note_ended(resumed)
+
+
+@then("the pause until its next event is at least {pause:d} ms")
+def check_resumed_pause(context: Context, pause: int) -> None:
+    context.streams["r1"].record_event()
+    assert len(context.pauses_s) == 1, context.pauses_s
+    assert context.pauses_s[0] >= pause / 1e3, context.pauses_s
--- a/tests/steps/stage_check_steps.py
+++ b/tests/steps/stage_check_steps.py
@@ -74,12 +74,12 @@
         path=path, silent_since_s=time.monotonic(), interval=EventInterval()
     )
     context.listeners = FakeListeners(_names(refusing), _names(dark))
-    context.life = SimpleNamespace(
+    context.event_times = SimpleNamespace(
         has_event_since=lambda target, since_s: False,
         latest_at_s=lambda target: float("-inf"),
     )
     context.check = StageCheck(
-        context.life,
+        context.event_times,
         lambda target: context.crashed.append(target.id),
         lambda target: context.dark.append(target.id),
         lambda: True,
@@ -126,7 +126,7 @@
 
 @given("events of other streams come through {name}")
 def show_life(context: Context, name: str) -> None:
-    context.life.has_event_since = lambda target, since_s: target.id == name
+    context.event_times.has_event_since = lambda target, since_s: target.id == name
 
 
 @given(
@@ -136,7 +136,7 @@
     now_s = time.monotonic()
     context.stream.silent_since_s = now_s - own_ms / 1e3
     latest_at_s = {name: now_s - other_ms / 1e3}
-    context.life.latest_at_s = lambda target: latest_at_s.get(target.id, 0.0)
+    context.event_times.latest_at_s = lambda target: latest_at_s.get(target.id, 0.0)
 
 
 @given("{name} is in another zone, in which {neighbours}")
