--- a/src/chervilstall/edge/crashes/guard.py
+++ b/src/chervilstall/edge/crashes/guard.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from chervilstall.edge.crashes.observer import CrashObserver
-from chervilstall.edge.exchange import ExchangeFailed, ExchangeFailure
+from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.records import Target
 from chervilstall.ids import PartId
--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -4,7 +4,6 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import Enum
 from typing import Any
 
 import gevent
@@ -13,6 +12,7 @@
 from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
 
 from chervilstall.edge.connections import ConnectionSource, carried_one_answer
+from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.platform.headers import ResponseHead, read_response_head
 from chervilstall.platform.targets import HTTP_MISDIRECTED
@@ -59,30 +59,6 @@
 EVENT_DELIMITER = b"\n\n"
 
 
-class ExchangeFailure(Enum):
-    """Why an exchange brought no complete response."""
-
-    NO_CONNECTION = "no connection"
-    CLOSED = "connection closed"
-    MALFORMED = "malformed answer"
-    TIMEOUT = "no answer in time"
-    STALLED = "stalled"
-    CALLER_LEFT = "caller left"
-    UNMARKED_REFUSAL = "refusal that does not say that nothing ran"
-
-
-class ExchangeFailed(Exception):
-    """An exchange ended without a complete response.
-
-    The target may have run the request unless `was_sent` is false.
-    """
-
-    def __init__(self, failure: ExchangeFailure, was_sent: bool) -> None:
-        super().__init__(failure.value)
-        self.failure = failure
-        self.was_sent = was_sent
-
-
 @dataclass(frozen=True)
 class CompleteResponse:
     """A target's response with its complete body."""
--- a/src/chervilstall/edge/peers/relay.py
+++ b/src/chervilstall/edge/peers/relay.py
@@ -9,12 +9,8 @@
 from dataclasses import dataclass
 
 from chervilstall.edge.error_responses import is_router_refusal
-from chervilstall.edge.exchange import (
-    CompleteResponse,
-    Exchange,
-    ExchangeFailed,
-    ExchangeFailure,
-)
+from chervilstall.edge.exchange import CompleteResponse, Exchange
+from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.limits.notices import TargetNotices
 from chervilstall.edge.peers.forwarding import (
     Forwarding,
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -10,12 +10,8 @@
 
 from chervilstall.edge.connections import TargetConnections
 from chervilstall.edge.crashes.guard import CrashGuard
-from chervilstall.edge.exchange import (
-    CompleteResponse,
-    Exchange,
-    ExchangeFailed,
-    ExchangeFailure,
-)
+from chervilstall.edge.exchange import CompleteResponse, Exchange
+from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.notices import TargetNotices
 from chervilstall.edge.limits.rate_limits import AT_LIMIT, TargetRateLimiter
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -12,7 +12,7 @@
 
 import gevent
 
-from chervilstall.edge.exchange import ExchangeFailure
+from chervilstall.edge.exchange_failures import ExchangeFailure
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -11,12 +11,8 @@
 
 import gevent
 
-from chervilstall.edge.exchange import (
-    CompleteResponse,
-    Exchange,
-    ExchangeFailed,
-    ExchangeFailure,
-)
+from chervilstall.edge.exchange import CompleteResponse, Exchange
+from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.limits.attempts import AttemptLimit
 from chervilstall.edge.limits.rate_limits import AT_LIMIT
 from chervilstall.edge.peers.forwarding import name_responder
--- a/tests/steps/target_reach_steps.py
+++ b/tests/steps/target_reach_steps.py
@@ -11,12 +11,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from chervilstall.edge.exchange import (
-    CONNECT_SETTINGS,
-    Exchange,
-    ExchangeFailed,
-    ExchangeFailure,
-)
+from chervilstall.edge.exchange import CONNECT_SETTINGS, Exchange
+from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.reach import targets as reach_targets
 from chervilstall.edge.reach.suspicions import SuspicionSharing
--- a/tests/steps/unframed_steps.py
+++ b/tests/steps/unframed_steps.py
@@ -5,7 +5,7 @@
 from behave.runner import Context
 from gevent.socket import socket, socketpair
 
-from chervilstall.edge.exchange import ExchangeFailure
+from chervilstall.edge.exchange_failures import ExchangeFailure
 from chervilstall.platform.quarantine import CRASHES_PREFIX
 from chervilstall.standin.platform_target import Behaviour
 from tests.steps.request_steps import send_kind
--- a/tests/support/cut_fleet.py
+++ b/tests/support/cut_fleet.py
@@ -18,12 +18,8 @@
 
 import msgspec
 
-from chervilstall.edge.exchange import (
-    SLOW_CONNECT_S,
-    Exchange,
-    ExchangeFailed,
-    ExchangeFailure,
-)
+from chervilstall.edge.exchange import SLOW_CONNECT_S, Exchange
+from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.peers.directory import PeerDirectory
 from chervilstall.edge.peers.forwarding import UNABLE_HEADER
 from chervilstall.edge.peers.reach_report import (
--- a/tests/support/partly_cut_router.py
+++ b/tests/support/partly_cut_router.py
@@ -11,12 +11,8 @@
 from typing import Any, cast
 from unittest.mock import patch
 
-from chervilstall.edge.exchange import (
-    CONNECT_SETTINGS,
-    CompleteResponse,
-    ExchangeFailed,
-    ExchangeFailure,
-)
+from chervilstall.edge.exchange import CONNECT_SETTINGS, CompleteResponse
+from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
 from chervilstall.edge.reach import targets as reach_targets
--- a/tests/support/partly_cut_streams.py
+++ b/tests/support/partly_cut_streams.py
@@ -9,12 +9,8 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from chervilstall.edge.exchange import (
-    CONNECT_SETTINGS,
-    CompleteResponse,
-    ExchangeFailed,
-    ExchangeFailure,
-)
+from chervilstall.edge.exchange import CONNECT_SETTINGS, CompleteResponse
+from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.reach.targets import TargetReach
 from chervilstall.edge.streams.context import StreamContext
--- a/tests/support/quarantine_router.py
+++ b/tests/support/quarantine_router.py
@@ -15,7 +15,7 @@
 from chervilstall.edge.crashes.guard import CrashGuard
 from chervilstall.edge.crashes.observer import CrashObserver
 from chervilstall.edge.crashes.sharing import QuarantineSharing
-from chervilstall.edge.exchange import ExchangeFailed, ExchangeFailure
+from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.errors import ChervilstallError
 from chervilstall.fleet.records import Target, TargetIncarnation
 from chervilstall.ids import PartId, ServiceName, TargetId, VmId
