Use no kept connection for the last attempt of a request

A kept connection that closed or fell silent as the request arrived cost the whole request where its route allows one attempt. Requests now take a kept connection only while a second attempt remains, also by the limit on sends; a new connection may still be kept afterwards. Both rows of the new scenario fail without the change; all 41 of connections.feature pass with it.

--- a/src/chervilstall/edge/connections.py
+++ b/src/chervilstall/edge/connections.py
@@ -86,9 +86,15 @@
     in_use: Counter[Address] = field(default_factory=Counter)
     _unnamed_until_s: dict[ServiceName, float] = field(default_factory=dict)
 
-    def source(self, request: EdgeRequest, target: Target) -> "ConnectionSource":
-        """Return where an exchange of a request with a target gets its connection."""
-        return ConnectionSource(self, request, target)
+    def source(
+        self, request: EdgeRequest, target: Target, attempts_left: int
+    ) -> "ConnectionSource":
+        """Return where an exchange of a request with a target gets its connection.
+
+        `attempts_left` is the number of attempts that the request may still make,
+        including this exchange.
+        """
+        return ConnectionSource(self, request, target, attempts_left)
 
     def may_keep(self, request: EdgeRequest, target: Target) -> bool:
         """Return whether a request may leave its connection to a later one."""
@@ -148,18 +154,27 @@
     """The connection of one exchange with a target, taken, opened and given back."""
 
     def __init__(
-        self, connections: TargetConnections, request: EdgeRequest, target: Target
+        self,
+        connections: TargetConnections,
+        request: EdgeRequest,
+        target: Target,
+        attempts_left: int,
     ) -> None:
         self._connections = connections
         self._request = request
         self._target = target
+        self._attempts_left = attempts_left
         self._connection: TargetConnection | None = None
         self._is_reuse = False
 
     def take_kept(self) -> HTTPClient | None:
-        """Return the client of a kept connection, None if there is none to use."""
+        """Return the client of a kept connection, None if there is none to use.
+
+        A kept connection may fail as the request arrives, so that none is used for the
+        last attempt of a request.
+        """
         connections, target = self._connections, self._target
-        if self._request.avoids_kept_connections:
+        if self._request.avoids_kept_connections or self._attempts_left < 2:
             return None
         if not self.may_keep:
             return None
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -178,7 +178,7 @@
             tried.add(target.id)
             started_at_s = time.monotonic()
             try:
-                response = self._send(request, target)
+                response = self._send(request, target, len(reached))
             except ExchangeFailed as error:
                 reason = error.failure.value
                 self._record_failure(request, target, error, started_at_s)
@@ -249,13 +249,16 @@
             raise self._error(request, may_have_run, OUT_OF_REACH)
         return response
 
-    def _send(self, request: EdgeRequest, target: Target) -> CompleteResponse:
+    def _send(
+        self, request: EdgeRequest, target: Target, reached: int
+    ) -> CompleteResponse:
         send_fields = ForwardFields(
             target, request.caller_remaining_s, request.workspace, request.priority
         )
         headers = forward_headers(request.fields.forwarded_headers, send_fields)
         notice = self.target_reach.failure_notice(request.service.name)
-        source = self.connections.source(request, target)
+        attempts_left = min(request.attempts_max - reached, SENDS_MAX - request.sends)
+        source = self.connections.source(request, target, attempts_left)
         exchange = Exchange(request, target.address, headers, notice, source)
         self.chooser.begin_request(target)
         timeout_s = self._timeout_s(request)
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -198,6 +198,13 @@
             self.context.stream_monitor.on_no_retry(request)
         return False
 
+    @property
+    def _attempts_left(self) -> int:
+        """Return the number of attempts that remain, including the next one."""
+        request = self.request
+        attempts_left = request.attempts_max - len(self.attempts.counted)
+        return min(attempts_left, SENDS_MAX - request.sends)
+
     def _send(self, path: Path) -> ResponseHead:
         request = self.request
         send_fields = ForwardFields(
@@ -210,7 +217,9 @@
         )
         headers = forward_headers(request.fields.forwarded_headers, send_fields)
         notice = self.context.target_reach.failure_notice(request.service.name)
-        source = self.context.connections.source(request, path.first)
+        source = self.context.connections.source(
+            request, path.first, self._attempts_left
+        )
         exchange = Exchange(request, path.first.address, headers, notice, source)
         self._exchange = exchange
         self._stream = LiveStream(
--- a/tests/edge/connections.feature
+++ b/tests/edge/connections.feature
@@ -91,6 +91,19 @@
       | resets as the next request comes                       |
       | falls silent as the next request comes                 |
 
+  # Guards against a request that is lost with a kept connection, as it has no other attempt.
+  Scenario Outline: A request with one attempt isn't lost as a target <fault>
+    Given a scripted target of lookups that <fault>
+    And routes of lookups that allow one attempt
+    When 2 requests for /lookup/a are sent to it
+    Then each got its own answer
+    And the requests reached the target once each, over 2 connections
+
+    Examples:
+      | fault                                  |
+      | closes as the next request comes       |
+      | falls silent as the next request comes |
+
   # Guards against callers that wait for one dead connection after the other.
   Scenario: After one kept connection has hung, no other one to its target is used
     Given a scripted target of lookups whose connections all fall silent at their next request
--- a/tests/steps/connection_steps.py
+++ b/tests/steps/connection_steps.py
@@ -24,6 +24,7 @@
 from chervilstall.settings.option import Address
 from chervilstall.standin.platform_fixtures import (
     build_configuration,
+    build_route,
     write_target_entry,
 )
 from chervilstall.target import idle_connections
@@ -109,6 +110,15 @@
     )
 
 
+@given("routes of lookups that allow one attempt")
+def allow_one_attempt(context: Context) -> None:
+    fields = {"max-attempts": 1}
+    route = build_route("/lookup/", "idempotent", "lookups", **fields)
+    context.platform.write_config(build_configuration(2, routes=[route]))
+    view: FleetView = context.router.fleet_view
+    eventually(lambda: view.configuration and view.configuration.version == 2)
+
+
 @given("the check of idle connections misses what happens just after it")
 def blind_check(context: Context) -> None:
     patches = ExitStack()
@@ -263,7 +273,7 @@
         request_id=RequestId(request_id),
         avoids_kept_connections=False,
     )
-    return connections.source(cast(Any, request), target)
+    return connections.source(cast(Any, request), target, attempts_left=2)
 
 
 @then("no idle connection to that target is used")
