Conclude less about a target from the failure of a connection

Every failure closed the idle connections to its target, also one of a later stage, of a caller that left or of a malformed answer over a new connection.

A request whose kept connection brought a late second answer or an unnamed refusal could take another kept one, since the test was for any response, not one to it. A closed or misused kept connection made a sound plain target suspected; ExchangeFailed now says that a kept connection brought no answer, and plain targets aren't suspected for that. Failures still count for the search for crashing requests.

The silence limits are in one module that exchanges use too. has_unacknowledged took a closed socket's descriptor of -1 to ioctl.

--- a/src/chervilstall/edge/connections.py
+++ b/src/chervilstall/edge/connections.py
@@ -12,6 +12,7 @@
 
 from geventhttpclient import HTTPClient
 
+from chervilstall.edge.exchange_failures import ExchangeFailure
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.records import Target, TargetIncarnation, TargetReadiness
 from chervilstall.fleet.view import FleetView
@@ -45,6 +46,9 @@
 IDLE_SHARE = 0.25
 """Share of the descriptors for requests at targets that idle connections may take."""
 
+HANG_FAILURES = (ExchangeFailure.CLOSED, ExchangeFailure.TIMEOUT)
+"""Failures of a kept connection before its answer that others may share."""
+
 UNNAMED_REFUSAL_S = 60.0
 """Time without kept connections after a refusal that named no request.
 
@@ -214,14 +218,21 @@
         )
         self.close()
 
-    def note_failure(self, why: str, was_kept: bool) -> None:
+    def note_failure(
+        self, failure: ExchangeFailure, was_kept: bool, is_unacknowledged: bool
+    ) -> None:
         """Record that the exchange failed, or was silent until its caller left.
 
-        The idle connections to its target may have failed in the same way. `was_kept`
-        says whether no answer came over a kept connection.
+        `was_kept` says whether no answer came over a kept connection, and
+        `is_unacknowledged` whether the target's system has not acknowledged what was
+        sent. Idle connections to the target are closed only where these show that they
+        may have failed in the same way; other failures leave them sound.
         """
         connections, target = self._connections, self._target
-        dropped = connections.idle.drop(target.address)
+        has_hung = was_kept and failure in HANG_FAILURES
+        dropped = 0
+        if has_hung or is_unacknowledged:
+            dropped = connections.idle.drop(target.address)
         if not was_kept:
             return
         self._request.avoids_kept_connections = True
@@ -229,7 +240,7 @@
             "kept connection failed",
             request=self._request.request_id,
             target=target.id,
-            why=why,
+            why=failure.value,
             closed_beside=dropped,
         )
 
--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -14,6 +14,7 @@
 from chervilstall.edge.connections import ConnectionSource, carried_one_answer
 from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.request import EdgeRequest
+from chervilstall.edge.silence_limits import FIRST_EVENT_SILENCE_LIMIT_S
 from chervilstall.platform.headers import ResponseHead, read_response_head
 from chervilstall.platform.targets import HTTP_MISDIRECTED
 from chervilstall.settings.connections import TargetSettings
@@ -32,12 +33,6 @@
 The same holds for the acknowledgement of a request over a kept connection.
 """
 
-HANG_S = 0.35
-"""Silence after which a connection counts as hanging if its caller leaves.
-
-It is that after which a stream without an event is checked.
-"""
-
 READ_TIMEOUT_S = 60.0
 """Upper bound of a single read; deadlines and stalls end an exchange much earlier."""
 
@@ -74,7 +69,8 @@
     whose end was stated. A kept connection that turns out to have ended before anything
     was sent is replaced by a new one.
 
-    `on_slow_connect` is called if the connect takes longer than `SLOW_CONNECT_S`.
+    `on_slow_start` is called if the connect, or the acknowledgement of a request over a
+    kept connection, takes longer than `SLOW_CONNECT_S`.
 
     `abort` may be called from any task. The task that reads the response then sees the
     connection end and raises ExchangeFailed with the reason that `abort` was given.
@@ -85,19 +81,20 @@
         request: EdgeRequest,
         address: Address,
         headers: Headers,
-        on_slow_connect: Callable[[], object] | None = None,
+        on_slow_start: Callable[[], object] | None = None,
         source: ConnectionSource | None = None,
     ) -> None:
         self.request = request
         self.address = address
         self.headers = headers
-        self.on_slow_connect = on_slow_connect
+        self.on_slow_start = on_slow_start
         self.abort_reason: ExchangeFailure | None = None
         self._source = source
         self._client = self._new_client() if source is None else None
         self._is_reused = False
         self._has_failed = False
         self._has_ended = False
+        self._was_unacknowledged = False
         self._heard_at_s = time.monotonic()
         self._head: ResponseHead | None = None
         self._response: Any = None
@@ -119,7 +116,7 @@
         request.abort_callbacks.add(self._abort_with_request)
         if self.abort_reason is not None:
             raise self._error(self.abort_reason, was_sent=False)
-        slow_connect = gevent.spawn_later(SLOW_CONNECT_S, self._notice_slow_connect)
+        slow_start = gevent.spawn_later(SLOW_CONNECT_S, self._notice_slow_start)
         try:
             with gevent.Timeout(max(timeout_s, 0.0), TimeoutError):
                 self._response = self._send()
@@ -132,7 +129,7 @@
         except HTTPParseError as error:
             raise self._error(ExchangeFailure.MALFORMED) from error
         finally:
-            slow_connect.kill(block=False)
+            slow_start.kill(block=False)
         self._heard_at_s = time.monotonic()
         head = read_response_head(self._response, request.request_id)
         if head.status < 200 or not self._is_own(head):
@@ -180,10 +177,12 @@
             self._source.note_unnamed_refusal()
         return not self._is_reused
 
-    def _notice_slow_connect(self) -> None:
-        is_late = self._is_reused and has_unacknowledged(self._pool.socket)
-        if self.on_slow_connect is not None and (is_late or not self.is_connected()):
-            self.on_slow_connect()
+    def _notice_slow_start(self) -> None:
+        """Report a connect, or an acknowledgement over a kept connection, as slow."""
+        is_unacknowledged = self._is_reused and has_unacknowledged(self._pool.socket)
+        is_slow = is_unacknowledged or not self.is_connected()
+        if self.on_slow_start is not None and is_slow:
+            self.on_slow_start()
 
     def is_connected(self) -> bool:
         """Return whether there was a connection; without one nothing was sent."""
@@ -308,11 +307,15 @@
 
     def abort(self, reason: ExchangeFailure) -> None:
         """Shut down the connection; only the first reason is kept."""
-        if self.abort_reason is None:
+        is_first = self.abort_reason is None
+        if is_first:
             self.abort_reason = reason
         pool = self._pool
         if pool is None or pool.socket is None:
             return
+        if is_first:
+            # After the shutdown, its own packet may count as unacknowledged.
+            self._was_unacknowledged = has_unacknowledged(pool.socket)
         try:
             pool.socket.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -325,19 +328,28 @@
 
     def _error(self, failure: ExchangeFailure, was_sent: bool = True) -> ExchangeFailed:
         failure = self.abort_reason or failure
-        self._note_failure(failure)
-        return ExchangeFailed(failure, was_sent)
+        was_kept = self._is_reused and self._head is None
+        self._note_failure(failure, was_kept)
+        return ExchangeFailed(failure, was_sent, was_kept)
 
-    def _note_failure(self, failure: ExchangeFailure) -> None:
+    def _note_failure(self, failure: ExchangeFailure, was_kept: bool) -> None:
         """Tell the source of the connection once why the exchange failed."""
         if self._source is None or self._has_failed:
             return
         self._has_failed = True
         silence_s = time.monotonic() - self._heard_at_s
-        if failure is ExchangeFailure.CALLER_LEFT and silence_s < HANG_S:
+        is_short = silence_s < FIRST_EVENT_SILENCE_LIMIT_S
+        if failure is ExchangeFailure.CALLER_LEFT and is_short:
             return
-        was_kept = self._is_reused and self._response is None
-        self._source.note_failure(failure.value, was_kept)
+        self._source.note_failure(
+            failure, was_kept, silence_s >= SLOW_CONNECT_S and self._is_unacknowledged()
+        )
+
+    def _is_unacknowledged(self) -> bool:
+        """Return whether the target had not acknowledged all data at the failure."""
+        if self.abort_reason is not None or not self.is_connected():
+            return self._was_unacknowledged
+        return has_unacknowledged(self._pool.socket)
 
     def _may_keep(self) -> bool:
         """Return whether a later request may use the connection."""
--- a/src/chervilstall/edge/exchange_failures.py
+++ b/src/chervilstall/edge/exchange_failures.py
@@ -18,10 +18,14 @@
 class ExchangeFailed(Exception):
     """An exchange ended without a complete response.
 
-    The target may have run the request unless `was_sent` is false.
+    The target may have run the request unless `was_sent` is false. `was_kept` is true
+    if a kept connection brought no answer to the request.
     """
 
-    def __init__(self, failure: ExchangeFailure, was_sent: bool) -> None:
+    def __init__(
+        self, failure: ExchangeFailure, was_sent: bool, was_kept: bool = False
+    ) -> None:
         super().__init__(failure.value)
         self.failure = failure
         self.was_sent = was_sent
+        self.was_kept = was_kept
--- a/src/chervilstall/edge/limits/attempts.py
+++ b/src/chervilstall/edge/limits/attempts.py
@@ -39,10 +39,15 @@
         target = self.fleet_view.targets.get(target_id)
         return target is not None and target.started_at_ms > started_at_ms
 
+    @property
+    def left(self) -> int:
+        """Return how many more targets may be sent the request."""
+        return self.attempts_max - len(self.counted)
+
     @property
     def is_reached(self) -> bool:
         """Return whether only targets that were tried may get the request again."""
-        return len(self.counted) >= self.attempts_max
+        return self.left <= 0
 
     def leaves_another(self, first: Target) -> bool:
         """Return whether the request may go on at a target other than `first`.
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -45,6 +45,13 @@
 
 SUSPICION_S = 1.0
 REFUSAL_SUSPICION_S = 0.25
+KEPT_FAILURES = (ExchangeFailure.CLOSED, ExchangeFailure.MALFORMED)
+"""Failures without an answer over a kept connection that a sound target may cause.
+
+It may have closed the idle connection as the request came, or have sent an answer to an
+earlier one late.
+"""
+
 RESPONSE_RESERVE_S = 0.01
 """Time kept before the deadline for the router's own response."""
 
@@ -323,6 +330,8 @@
         ):
             # The own time-outs ran late, so the target may have been in time.
             return
+        if error.was_kept and error.failure in KEPT_FAILURES:
+            return
         if error.failure is ExchangeFailure.NO_CONNECTION:
             # Lasts longer each time, whatever the time between two requests is.
             self.fleet_view.suspect(target, error.failure.value, shared=False)
--- a/src/chervilstall/edge/streams/live_stream.py
+++ b/src/chervilstall/edge/streams/live_stream.py
@@ -7,15 +7,13 @@
 from chervilstall.edge.exchange import Exchange
 from chervilstall.edge.limits.attempts import AttemptLimit
 from chervilstall.edge.request import EdgeRequest
+from chervilstall.edge.silence_limits import (
+    EVENT_SILENCE_LIMIT_S,
+    FIRST_EVENT_SILENCE_LIMIT_S,
+)
 from chervilstall.fleet.records import Target
 from chervilstall.paths.records import Path
 
-EVENT_SILENCE_LIMIT_S = 0.12
-"""Time without an event after which the stream monitor checks a stream."""
-
-FIRST_EVENT_SILENCE_LIMIT_S = 0.35
-"""The same before the first event, while prompts are prefilled."""
-
 CONNECT_CHECK_S = 0.1
 """Time without a connection after which the first target is checked.
 
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -16,7 +16,8 @@
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.request import EdgeRequest
-from chervilstall.edge.streams.live_stream import EVENT_SILENCE_LIMIT_S, LiveStream
+from chervilstall.edge.silence_limits import EVENT_SILENCE_LIMIT_S
+from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.edge.streams.rerouter import StreamRerouter
 from chervilstall.edge.streams.signs_of_life import SignsOfLife
 from chervilstall.edge.streams.slow_targets import SlowTargetDetector
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -98,7 +98,7 @@
     def _attempt_at_peer(self) -> ResponseHead | CompleteResponse | None:
         """Let another router send the request to the targets."""
         request = self.request
-        attempts_max = request.attempts_max - len(self.attempts.counted)
+        attempts_max = self.attempts.left
         if attempts_max < 1:
             raise self._error(OUT_OF_REACH)
         may_have_run, is_resumed = self._may_have_run, self.head is not None
@@ -198,13 +198,6 @@
             self.context.stream_monitor.on_no_retry(request)
         return False
 
-    @property
-    def _attempts_left(self) -> int:
-        """Return the number of attempts that remain, including the next one."""
-        request = self.request
-        attempts_left = request.attempts_max - len(self.attempts.counted)
-        return min(attempts_left, SENDS_MAX - request.sends)
-
     def _send(self, path: Path) -> ResponseHead:
         request = self.request
         send_fields = ForwardFields(
@@ -217,9 +210,8 @@
         )
         headers = forward_headers(request.fields.forwarded_headers, send_fields)
         notice = self.context.target_reach.failure_notice(request.service.name)
-        source = self.context.connections.source(
-            request, path.first, self._attempts_left
-        )
+        attempts_left = min(self.attempts.left, SENDS_MAX - request.sends)
+        source = self.context.connections.source(request, path.first, attempts_left)
         exchange = Exchange(request, path.first.address, headers, notice, source)
         self._exchange = exchange
         self._stream = LiveStream(
--- a/src/chervilstall/target/sending.py
+++ b/src/chervilstall/target/sending.py
@@ -25,8 +25,11 @@
 
 def has_unacknowledged(sock: gevent.socket.socket) -> bool:
     """Return whether the peer's system has not acknowledged all that was sent."""
+    if sock.fileno() < 0:
+        # The socket is closed; ioctl would raise ValueError.
+        return False
     try:
         return bool(struct.unpack("i", ioctl(sock.fileno(), TIOCOUTQ, b"\0" * 4))[0])
     except OSError:
-        # The socket is closed.
+        # The socket isn't connected.
         return False
--- a/tests/edge/connections.feature
+++ b/tests/edge/connections.feature
@@ -94,7 +94,7 @@
   # Guards against a request that is lost with a kept connection, as it has no other attempt.
   Scenario Outline: A request with one attempt isn't lost as a target <fault>
     Given a scripted target of lookups that <fault>
-    And routes of lookups that allow one attempt
+    And routes of lookups whose limit of attempts is 1
     When 2 requests for /lookup/a are sent to it
     Then each got its own answer
     And the requests reached the target once each, over 2 connections
@@ -120,6 +120,47 @@
     Then 2 connections are idle
     And the request takes no kept connection again
 
+  # Guards against new connections to a target that is sound, or only slow.
+  Scenario Outline: Over <kind> connection, <bytes>, "<why>" leaves <idle> idle ones
+    Given targets that accept 1238 connections from 6 routers
+    And 3 idle connections to a target, and 2 to another one
+    When a request fails over <kind> connection, <bytes>, as <why>
+    Then <idle> connections are idle
+
+    Examples:
+      | kind   | bytes          | why               | idle |
+      | a new  | acknowledged   | stalled           | 5    |
+      | a new  | acknowledged   | caller left       | 5    |
+      | a new  | acknowledged   | malformed answer  | 5    |
+      | a new  | acknowledged   | no answer in time | 5    |
+      | a new  | unacknowledged | stalled           | 2    |
+      | a kept | acknowledged   | caller left       | 5    |
+      | a kept | acknowledged   | malformed answer  | 5    |
+      | a kept | acknowledged   | no answer in time | 2    |
+      | a kept | acknowledged   | connection closed | 2    |
+
+  # Guards against a request that two targets fail in the same way.
+  Scenario: A late answer over a kept connection leads to a new connection for the second attempt
+    Given two scripted targets of lookups that answer late as the next request comes
+    And routes of lookups whose limit of attempts is 3
+    When 2 requests for /lookup/a reach both of them at a time
+    And 1 requests for /lookup/a are sent to it
+    Then each got its own answer
+    And 1 retry was used
+
+  # Guards against a sound target that gets less work after each connection that it closes.
+  Scenario Outline: A plain target that <fault> isn't suspected
+    Given a scripted target of lookups that <fault>
+    And another target of lookups in the other zone
+    When 2 requests for /lookup/a are sent to it
+    Then each got its own answer
+    And that target isn't suspected
+
+    Examples:
+      | fault                                             |
+      | closes as the next request comes                  |
+      | answers the earlier request as the next one comes |
+
   # Guards against REFUSED: the refusal is an earlier one, and the request has run.
   Scenario: A refusal over a kept connection that names no request isn't passed on
     Given a scripted target of lookups that refuses without naming a request as the next one comes
--- a/tests/steps/connection_steps.py
+++ b/tests/steps/connection_steps.py
@@ -14,6 +14,7 @@
 from behave.runner import Context
 
 from chervilstall.edge.connections import ConnectionSource, TargetConnections
+from chervilstall.edge.exchange_failures import ExchangeFailure
 from chervilstall.edge.server import EdgeServer
 from chervilstall.fleet.records import NO_LAYERS, Target, TargetReadiness
 from chervilstall.fleet.view import FleetView
@@ -110,9 +111,9 @@
     )
 
 
-@given("routes of lookups that allow one attempt")
-def allow_one_attempt(context: Context) -> None:
-    fields = {"max-attempts": 1}
+@given("routes of lookups whose limit of attempts is {count:d}")
+def limit_attempts(context: Context, count: int) -> None:
+    fields = {"max-attempts": count}
     route = build_route("/lookup/", "idempotent", "lookups", **fields)
     context.platform.write_config(build_configuration(2, routes=[route]))
     view: FleetView = context.router.fleet_view
@@ -129,6 +130,26 @@
     context.stoppables.append(SimpleNamespace(stop=patches.close))
 
 
+@given("two scripted targets of lookups that answer late as the next request comes")
+def start_two(context: Context) -> None:
+    start_scripted(context, Fault.LATE_ANSWER.value)
+    # So that requests at a time reach both.
+    context.target.answer_s = 0.05
+    context.second = ScriptedTarget("second", Fault.LATE_ANSWER, answer_s=0.05)
+    context.stoppables.append(context.second)
+    state = context.platform.store.state
+    address, zone = context.second.address, ZONES[0]
+    write_target_entry(state, "second", "lookups", address, zone, NO_LAYERS)
+    eventually(lambda: len(context.router.fleet_view.targets) == 2)
+
+
+@when("{count:d} requests for {path} reach both of them at a time")
+def send_to_both(context: Context, count: int, path: str) -> None:
+    gevent.joinall([gevent.spawn(_send, context, path) for _ in range(count)])
+    assert len(context.target.arrivals) == len(context.second.arrivals) == 1
+    assert len(context.router.connections.idle) == count
+
+
 @given("another target of lookups in the other zone")
 def add_other(context: Context) -> None:
     context.platform.add_target("other", "lookups", ZONES[1])
@@ -347,7 +368,7 @@
     target = _build_target(1, Address(HOST, 1))
     context.source = source = _source(context.connections, target)
     assert source.take_kept() is not None
-    source.note_failure("no answer in time", was_kept=True)
+    source.note_failure(ExchangeFailure.TIMEOUT, was_kept=True, is_unacknowledged=False)
     source.close()
     # A later one of the target, which has answered since then.
     _leave_idle(context, target, 1)
@@ -356,6 +377,24 @@
     context.connections.idle.drop(target.address)
 
 
+@when("a request fails over {kind} connection, {bytes_sent}, as {why}")
+def fail_over(context: Context, kind: str, bytes_sent: str, why: str) -> None:
+    source = _source(context.connections, _build_target(1, Address(HOST, 1)))
+    source.adopt(_fake_client(context.stoppables.append))
+    source.note_failure(
+        ExchangeFailure(why),
+        was_kept=kind == "a kept",
+        is_unacknowledged=bytes_sent == "unacknowledged",
+    )
+    source.close()
+
+
+@then("that target isn't suspected")
+def check_sound(context: Context) -> None:
+    view: FleetView = context.router.fleet_view
+    assert not view.is_suspected(view.targets[TargetId(SCRIPTED)])
+
+
 @then("the request takes no kept connection again")
 def check_avoided(context: Context) -> None:
     assert context.source._request.avoids_kept_connections
