Keep at most half of the connections that a target accepts

With 2,100 routers one for each exceeded a limit of 1,238, and with few routers nothing was left for reports, probes and requests with a connection of their own. The bound was applied only as a connection was given back: idle ones beyond it are now also closed as another one is opened and twice a second.

--- a/src/chervilstall/edge/connections.py
+++ b/src/chervilstall/edge/connections.py
@@ -43,6 +43,12 @@
 IDLE_PER_TARGET_MAX = 8
 """Idle connections to a target whose service has no limit on connections."""
 
+KEPT_SHARE = 0.5
+"""Share of the connections that a target accepts that routers may keep or reuse.
+
+The rest is for reports, probes, and requests with a connection of their own.
+"""
+
 IDLE_SHARE = 0.25
 """Share of the descriptors for requests at targets that idle connections may take."""
 
@@ -120,8 +126,8 @@
     def idle_max(self, address: Address, incarnation: TargetIncarnation) -> int:
         """Return how many connections of this router to a target may be kept open.
 
-        Those of all routers together stay within what the target accepts, but each
-        router may keep one.
+        Those of all routers together stay within `KEPT_SHARE` of what the target
+        accepts; where that is less than one for each router, none is kept.
         """
         if not self.is_in_force() or not self.is_trusted(address, incarnation):
             return 0
@@ -130,7 +136,11 @@
         service = configuration and configuration.services.get(target.service)
         if not service or service.connections_max <= 0:
             return IDLE_PER_TARGET_MAX
-        return max(1, service.connections_max // max(1, self.router_count()))
+        return int(KEPT_SHARE * service.connections_max) // max(1, self.router_count())
+
+    def idle_room(self, address: Address, incarnation: TargetIncarnation) -> int:
+        """Return how many idle connections to a target the requests to it leave."""
+        return self.idle_max(address, incarnation) - self.in_use[address]
 
     def make_room(self) -> None:
         """Close idle connections whose descriptors running requests may need."""
@@ -146,7 +156,7 @@
 
     def expire(self) -> None:
         """Close idle connections that won't be used; called twice a second."""
-        self.idle.expire(self.idle_max)
+        self.idle.expire(self.idle_room)
         self.make_room()
         now_s = time.monotonic()
         for service, until_s in list(self._unnamed_until_s.items()):
@@ -201,6 +211,8 @@
         self._connections.make_room()
         self._connections.opened += 1
         self._begin(TargetConnection(client, target.address, target.incarnation))
+        room = self._connections.idle_room(target.address, target.incarnation)
+        self._connections.idle.limit_to(target.address, room)
 
     def _begin(self, connection: TargetConnection) -> HTTPClient:
         self._connection = connection
@@ -264,9 +276,9 @@
         if idle_s <= 0.0 or not self.may_keep:
             return False
         address = connection.address
-        bound = connections.idle_max(address, connection.incarnation)
         # The one that is given back counts as in use until then.
-        if connections.idle.count(address) + connections.in_use[address] > bound:
+        room = connections.idle_room(address, connection.incarnation)
+        if connections.idle.count(address) > room:
             return False
         self._end()
         connections.idle.keep(connection, idle_s)
--- a/src/chervilstall/target/idle_connections.py
+++ b/src/chervilstall/target/idle_connections.py
@@ -114,6 +114,13 @@
         while len(self._in_order) > max(0, total):
             self._close(next(iter(self._in_order)))
 
+    def limit_to(self, address: Address, count: int) -> None:
+        """Close those to an address that were used least lately beyond `count`."""
+        connections = self._by_address.get(address, [])
+        surplus = len(connections) - max(0, count)
+        for connection in connections[: max(0, surplus)]:
+            self._close(connection)
+
     def expire(self, idle_max: Callable[[Address, TargetIncarnation], int]) -> None:
         """Close those that can't be used, and those beyond the bound of their target.
 
--- a/tests/edge/connections.feature
+++ b/tests/edge/connections.feature
@@ -212,16 +212,33 @@
     Then that scripted target saw 2 connections
 
   # Guards against refusals by a target whose connections are all held by routers.
-  Scenario Outline: <routers> routers keep at most what a target accepts, and one each
+  Scenario Outline: <routers> routers keep at most half of what a target accepts
     Given targets that accept 1238 connections from <routers> routers
     Then each router keeps at most <idle> connections to each
 
     Examples:
       | routers | idle |
-      | 6       | 206  |
-      | 77      | 16   |
-      | 195     | 6    |
-      | 2100    | 1    |
+      | 6       | 103  |
+      | 77      | 8    |
+      | 195     | 3    |
+      | 2100    | 0    |
+
+  # Guards against the same while requests also open connections of their own.
+  Scenario: A new connection takes the place of an idle one at the bound
+    Given targets that accept 1238 connections from 195 routers
+    And 3 idle connections to a target, and 2 to another one
+    When 1 requests to it open a connection of their own
+    Then 4 connections are idle
+    When 3 requests to it open a connection of their own
+    Then 2 connections are idle
+
+  # Guards against the same as more routers start.
+  Scenario: Idle connections beyond the bound are closed as it becomes less
+    Given targets that accept 1238 connections from 195 routers
+    And 3 idle connections to a target, and 2 to another one
+    When 1 requests over kept connections to it run
+    And 300 routers share what targets accept
+    Then 3 connections are idle
 
   # Guards against requests without a descriptor, as idle connections hold them.
   Scenario: Idle connections leave the descriptors to requests
--- a/tests/steps/connection_steps.py
+++ b/tests/steps/connection_steps.py
@@ -363,6 +363,26 @@
     _leave_idle(context, _build_target(2, Address(HOST, 2)), others)
 
 
+@when("{count:d} requests to it open a connection of their own")
+def open_own(context: Context, count: int) -> None:
+    for _ in range(count):
+        source = _source(context.connections, _build_target(1, Address(HOST, 1)))
+        source.adopt(_fake_client(context.stoppables.append))
+
+
+@when("{count:d} requests over kept connections to it run")
+def take_kept(context: Context, count: int) -> None:
+    for _ in range(count):
+        source = _source(context.connections, _build_target(1, Address(HOST, 1)))
+        assert source.take_kept() is not None
+
+
+@when("{count:d} routers share what targets accept")
+def change_routers(context: Context, count: int) -> None:
+    context.connections.router_count = lambda: count
+    context.connections.expire()
+
+
 @when("a request over one of the 3 fails")
 def fail_over_kept(context: Context) -> None:
     target = _build_target(1, Address(HOST, 1))
