Let a refusal without a request's ID count for its target, and a drain close idle connections

A refusal that named no request took kept connections from its whole service for 60 s, also if none were kept at that time. It now counts for the one start of the target, and only while connections are kept.

A router that drains kept connections until its process ended. It now closes the idle ones at the start of the drain, or when it is stopped at once, and keeps none from then on.

--- a/src/chervilstall/edge/connections.py
+++ b/src/chervilstall/edge/connections.py
@@ -16,7 +16,6 @@
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.records import Target, TargetIncarnation, TargetReadiness
 from chervilstall.fleet.view import FleetView
-from chervilstall.ids import ServiceName
 from chervilstall.platform.headers import ResponseHead
 from chervilstall.settings.option import Address
 from chervilstall.target.idle_connections import (
@@ -56,7 +55,7 @@
 """Failures of a kept connection before its answer that others may share."""
 
 UNNAMED_REFUSAL_S = 60.0
-"""Time without kept connections after a refusal that named no request.
+"""Time without kept connections to a target after its refusal that named no request.
 
 Over a kept connection it could be a late one of an earlier request.
 """
@@ -82,7 +81,8 @@
 
     `router_count` returns the number of routers that share the connections that a
     target accepts. `requests_max` is the number of descriptors for connections to
-    targets, of which `running` returns how many requests may take up.
+    targets, of which `running` returns how many requests may take up. `is_stopping` is
+    true from the start of the router's drain on.
     """
 
     fleet_view: FleetView
@@ -94,7 +94,8 @@
     reused: int = 0
     idle: IdleConnections = field(default_factory=IdleConnections)
     in_use: Counter[Address] = field(default_factory=Counter)
-    _unnamed_until_s: dict[ServiceName, float] = field(default_factory=dict)
+    is_stopping: bool = False
+    _unnamed_until_s: dict[TargetIncarnation, float] = field(default_factory=dict)
 
     def source(
         self, request: EdgeRequest, target: Target, attempts_left: int
@@ -106,9 +107,19 @@
         """
         return ConnectionSource(self, request, target, attempts_left)
 
+    @property
+    def keeps_any(self) -> bool:
+        """Return whether the router keeps connections for requests at all."""
+        return self.is_in_force() and not self.is_stopping
+
+    def stop_keeping(self) -> None:
+        """Close the idle connections and keep none from now on, as the router stops."""
+        self.is_stopping = True
+        self.idle.limit(0)
+
     def may_keep(self, request: EdgeRequest, target: Target) -> bool:
         """Return whether a request may leave its connection to a later one."""
-        if not request.route.is_retryable or not self.is_in_force():
+        if not request.route.is_retryable or not self.keeps_any:
             return False
         return self.is_trusted(target.address, target.incarnation)
 
@@ -119,7 +130,7 @@
             return False
         if target.address != address or target.state is not TargetReadiness.READY:
             return False
-        if self._unnamed_until_s.get(target.service, 0.0) > time.monotonic():
+        if self._unnamed_until_s.get(incarnation, 0.0) > time.monotonic():
             return False
         return not self.fleet_view.is_suspected(target)
 
@@ -129,7 +140,7 @@
         Those of all routers together stay within `KEPT_SHARE` of what the target
         accepts; where that is less than one for each router, none is kept.
         """
-        if not self.is_in_force() or not self.is_trusted(address, incarnation):
+        if not self.keeps_any or not self.is_trusted(address, incarnation):
             return 0
         target = self.fleet_view.targets[incarnation.target_id]
         configuration = self.fleet_view.configuration
@@ -147,21 +158,23 @@
         bound = int(self.requests_max * IDLE_SHARE)
         self.idle.limit(min(bound, self.requests_max - self.running()))
 
-    def note_unnamed_refusal(self, service: ServiceName) -> None:
-        """Record that a target of a service refuses without naming the request."""
-        now_s = time.monotonic()
-        if self._unnamed_until_s.get(service, 0.0) <= now_s:
-            log.info("connections not kept", service=service, why="unnamed refusal")
-        self._unnamed_until_s[service] = now_s + UNNAMED_REFUSAL_S
+    def note_unnamed_refusal(self, target: Target) -> None:
+        """Record that a target refuses without naming the request."""
+        if not self.keeps_any:
+            return
+        now_s, incarnation = time.monotonic(), target.incarnation
+        if self._unnamed_until_s.get(incarnation, 0.0) <= now_s:
+            log.info("connections not kept", target=target.id, why="unnamed refusal")
+        self._unnamed_until_s[incarnation] = now_s + UNNAMED_REFUSAL_S
 
     def expire(self) -> None:
         """Close idle connections that won't be used; called twice a second."""
         self.idle.expire(self.idle_room)
         self.make_room()
         now_s = time.monotonic()
-        for service, until_s in list(self._unnamed_until_s.items()):
+        for incarnation, until_s in list(self._unnamed_until_s.items()):
             if until_s <= now_s:
-                del self._unnamed_until_s[service]
+                del self._unnamed_until_s[incarnation]
 
 
 class ConnectionSource:
@@ -258,7 +271,7 @@
 
     def note_unnamed_refusal(self) -> None:
         """Record that the target refused without naming the request."""
-        self._connections.note_unnamed_refusal(self._target.service)
+        self._connections.note_unnamed_refusal(self._target)
 
     def keep(self, keep_alive_s: float | None) -> bool:
         """Keep the connection after a complete answer, if the bounds allow it.
--- a/src/chervilstall/edge/server.py
+++ b/src/chervilstall/edge/server.py
@@ -344,6 +344,7 @@
         schedule = DrainSchedule.begin_late(came_at_s, told_at_s, grace_s)
         self.is_draining = True
         self.app.begin_drain(schedule)
+        self.connections.stop_keeping()
         log.info(
             "draining",
             running=self.app.running_requests,
@@ -356,6 +357,7 @@
     def stop(self) -> None:
         """Kill all tasks and connections at once."""
         gevent.killall(self._tasks, block=False)
+        self.connections.stop_keeping()
         self.changes.stop()
         self.load_exchange.stop()
         self.listeners.kill_connections()
