Test what an exchange takes for unacknowledged data

A new outline sends a large body to a target that reads nothing or everything, and ends the exchange by a time-out or as stalled.

--- a/tests/edge/connections.feature
+++ b/tests/edge/connections.feature
@@ -139,6 +139,20 @@
       | a kept | acknowledged   | no answer in time | 2    |
       | a kept | acknowledged   | connection closed | 2    |
 
+  # Guards against a target whose links are lost, and one that is only slow, taken for the other.
+  Scenario Outline: A request to a target that <reads> ends as "<why>" after <silence> s
+    Given targets that accept 1238 connections from 6 routers
+    When a request to a target that <reads> ends as <why> after <silence> s
+    Then <idle> connections are idle
+
+    Examples:
+      | reads         | why               | silence | idle |
+      | reads nothing | no answer in time | 0.3     | 0    |
+      | reads nothing | stalled           | 0.3     | 0    |
+      | reads nothing | no answer in time | 0.05    | 1    |
+      | reads all     | no answer in time | 0.3     | 1    |
+      | reads all     | stalled           | 0.3     | 1    |
+
   # Guards against a request that two targets fail in the same way.
   Scenario: A late answer over a kept connection leads to a new connection for the second attempt
     Given two scripted targets of lookups that answer late as the next request comes
--- a/tests/steps/connection_steps.py
+++ b/tests/steps/connection_steps.py
@@ -1,13 +1,9 @@
 """Steps for connections to targets that are kept for requests."""
 
-import json
-import socket
 import time
-from collections.abc import Callable
 from contextlib import ExitStack
-from dataclasses import replace
 from types import SimpleNamespace
-from typing import Any, cast
+from typing import Any
 from unittest.mock import patch
 
 import gevent
@@ -15,13 +11,11 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from chervilstall.edge.connections import ConnectionSource, TargetConnections
-from chervilstall.edge.exchange_failures import ExchangeFailure
+from chervilstall.edge.connections import TargetConnections
 from chervilstall.edge.server import EdgeServer
-from chervilstall.fleet.records import NO_LAYERS, Target, TargetReadiness
+from chervilstall.fleet.records import NO_LAYERS
 from chervilstall.fleet.view import FleetView
-from chervilstall.ids import RequestId, ServiceName, TargetId, ZoneName
-from chervilstall.platform.config import decode_configuration
+from chervilstall.ids import ServiceName, TargetId
 from chervilstall.platform.headers import NOT_RUN_STATUSES
 from chervilstall.settings.edge import ConnectionSettings, EdgeSettings, FeatureMode
 from chervilstall.settings.option import Address
@@ -31,10 +25,10 @@
     write_target_entry,
 )
 from chervilstall.target import idle_connections
-from chervilstall.target.idle_connections import TargetConnection
 from chervilstall.target.sending import has_unacknowledged
 from tests.steps.stream_steps import event_numbers
 from tests.support.agent_fleet import eventually
+from tests.support.kept_connections import open_source
 from tests.support.platform import ZONES, Platform, send
 from tests.support.platform_scenario import add_lookups, add_model, own_first
 from tests.support.router_harness import HOST
@@ -289,140 +283,22 @@
         eventually(lambda: view.targets.get(known.id) != known)
 
 
-def _source(
-    connections: TargetConnections, target: Target, request_id: str = "later"
-) -> ConnectionSource:
-    request = SimpleNamespace(
-        route=SimpleNamespace(is_retryable=True),
-        request_id=RequestId(request_id),
-        avoids_kept_connections=False,
-    )
-    return connections.source(cast(Any, request), target, attempts_left=2)
-
-
 @then("no idle connection to that target is used")
 def check_not_used(context: Context) -> None:
     connections: TargetConnections = context.router.connections
     present = context.router.fleet_view.targets.get(context.known.id, context.known)
     for target in (context.known, present):
-        assert _source(connections, target).take_kept() is None
+        assert open_source(connections, target).take_kept() is None
     connections.expire()
     assert not len(connections.idle)
 
 
-def _build_target(number: int, address: Address) -> Target:
-    return Target(
-        TargetId(f"t-{number}"),
-        0,
-        ServiceName("lookups"),
-        address,
-        ZoneName(ZONES[0]),
-        TargetReadiness.READY,
-        "card",
-        NO_LAYERS,
-        revision=1,
-    )
-
-
-def _build_connections(
-    connections_max: int, routers: int, requests_max: int = 1_000
-) -> TargetConnections:
-    service = {"name": "lookups", "max-connections": connections_max}
-    document = build_configuration(services=[service])
-    view = FleetView(drain_s=2.0)
-    view.apply_configuration(decode_configuration(json.dumps(document).encode()), 1)
-    return TargetConnections(view, lambda: routers, lambda: True, requests_max)
-
-
-@given("targets that accept {accepted:d} connections from {routers:d} routers")
-def set_bound(context: Context, accepted: int, routers: int) -> None:
-    context.connections = _build_connections(accepted, routers)
-
-
-@then("each router keeps at most {count:d} connections to each")
-def check_bound(context: Context, count: int) -> None:
-    connections: TargetConnections = context.connections
-    target = _build_target(0, Address(HOST, 1))
-    connections.fleet_view.update_target(target)
-    bound = connections.idle_max(target.address, target.incarnation)
-    assert bound == count, bound
-    other = replace(target.incarnation, started_at_ms=1)
-    assert connections.idle_max(target.address, other) == 0
-
-
-def _leave_idle(context: Context, target: Target, count: int) -> None:
-    connections: TargetConnections = context.connections
-    connections.fleet_view.update_target(target)
-    sources = [_source(connections, target, "earlier") for _ in range(count)]
-    for source in sources:
-        source.adopt(_fake_client(context.stoppables.append))
-    for source in sources:
-        assert source.keep(None)
-
-
-@given("{count:d} idle connections to a target, and {others:d} to another one")
-def leave_idle(context: Context, count: int, others: int) -> None:
-    _leave_idle(context, _build_target(1, Address(HOST, 1)), count)
-    _leave_idle(context, _build_target(2, Address(HOST, 2)), others)
-
-
-@when("{count:d} requests to it open a connection of their own")
-def open_own(context: Context, count: int) -> None:
-    for _ in range(count):
-        source = _source(context.connections, _build_target(1, Address(HOST, 1)))
-        source.adopt(_fake_client(context.stoppables.append))
-
-
-@when("{count:d} requests over kept connections to it run")
-def take_kept(context: Context, count: int) -> None:
-    for _ in range(count):
-        source = _source(context.connections, _build_target(1, Address(HOST, 1)))
-        assert source.take_kept() is not None
-
-
-@when("{count:d} routers share what targets accept")
-def change_routers(context: Context, count: int) -> None:
-    context.connections.router_count = lambda: count
-    context.connections.expire()
-
-
-@when("a request over one of the 3 fails")
-def fail_over_kept(context: Context) -> None:
-    target = _build_target(1, Address(HOST, 1))
-    context.source = source = _source(context.connections, target)
-    assert source.take_kept() is not None
-    source.note_failure(ExchangeFailure.TIMEOUT, was_kept=True, is_unacknowledged=False)
-    source.close()
-    # A later one of the target, which has answered since then.
-    _leave_idle(context, target, 1)
-    assert len(context.connections.idle) == 3
-    assert source.take_kept() is None
-    context.connections.idle.drop(target.address)
-
-
-@when("a request fails over {kind} connection, {bytes_sent}, as {why}")
-def fail_over(context: Context, kind: str, bytes_sent: str, why: str) -> None:
-    source = _source(context.connections, _build_target(1, Address(HOST, 1)))
-    source.adopt(_fake_client(context.stoppables.append))
-    source.note_failure(
-        ExchangeFailure(why),
-        was_kept=kind == "a kept",
-        is_unacknowledged=bytes_sent == "unacknowledged",
-    )
-    source.close()
-
-
 @then("that target isn't suspected")
 def check_sound(context: Context) -> None:
     view: FleetView = context.router.fleet_view
     assert not view.is_suspected(view.targets[TargetId(SCRIPTED)])
 
 
-@then("the request takes no kept connection again")
-def check_avoided(context: Context) -> None:
-    assert context.source._request.avoids_kept_connections
-
-
 @then("the second one is not said to have not run")
 def check_unknown(context: Context) -> None:
     _, response = context.answers["request-2"]
@@ -434,36 +310,7 @@
 def check_service(context: Context) -> None:
     target = context.router.fleet_view.targets[TargetId(SCRIPTED)]
     context.router.fleet_view.clear_suspicion(target)
-    assert not _source(context.router.connections, target).may_keep
-
-
-@when("the first of them refuses without naming the request")
-def refuse(context: Context) -> None:
-    target = _build_target(1, Address(HOST, 1))
-    _source(context.connections, target).note_unnamed_refusal()
-
-
-@when("the first of them refuses without naming the request while reuse isn't in force")
-def refuse_before(context: Context) -> None:
-    context.connections.is_in_force = lambda: False
-    refuse(context)
-    context.connections.is_in_force = lambda: True
-
-
-def _takes_kept(context: Context) -> list[bool]:
-    targets = [_build_target(number, Address(HOST, number)) for number in (1, 2)]
-    sources = [_source(context.connections, target) for target in targets]
-    return [source.take_kept() is not None for source in sources]
-
-
-@then("a kept connection is used to the second one only")
-def check_second_only(context: Context) -> None:
-    assert _takes_kept(context) == [False, True]
-
-
-@then("a kept connection is used to both of them")
-def check_both(context: Context) -> None:
-    assert _takes_kept(context) == [True, True]
+    assert not open_source(context.router.connections, target).may_keep
 
 
 @when("the router begins to drain")
@@ -489,35 +336,3 @@
 @then("it has no unacknowledged data")
 def check_acknowledged(context: Context) -> None:
     assert not has_unacknowledged(context.closed)
-
-
-@given("a router with {count:d} descriptors for connections to targets")
-def set_descriptors(context: Context, count: int) -> None:
-    context.connections = _build_connections(1238, 6, count)
-
-
-@when("{count:d} targets have answered a request each")
-def answer_each(context: Context, count: int) -> None:
-    for number in range(count):
-        _leave_idle(context, _build_target(number, Address(HOST, number + 1)), 1)
-
-
-def _fake_client(add_stoppable: Callable[[Any], None]) -> Any:
-    ours, others = socket.socketpair()
-    add_stoppable(SimpleNamespace(stop=others.close))
-    return SimpleNamespace(
-        _connection_pool=SimpleNamespace(socket=ours), close=ours.close
-    )
-
-
-@when("{count:d} requests run")
-def run_requests(context: Context, count: int) -> None:
-    context.connections.running = lambda: count
-    context.connections.expire()
-
-
-@then("{count:d} connections are idle")
-def check_idle(context: Context, count: int) -> None:
-    idle = context.connections.idle
-    assert len(idle) == count, len(idle)
-    assert all(isinstance(each, TargetConnection) for each in idle._in_order)
