--- a/tests/support/partly_cut_router.py
+++ b/tests/support/partly_cut_router.py
@@ -134,7 +134,9 @@
     router: Any = None
     clock: Any = None
 
-    def _send(self, request: EdgeRequest, target: Target) -> CompleteResponse:
+    def _send(
+        self, request: EdgeRequest, target: Target, reached: int
+    ) -> CompleteResponse:
         request.sends += 1
         if target.address not in self.router.within_reach:
             # The links are examined beside a connect that is slow.
