--- a/src/chervilstall/edge/connections.py
+++ b/src/chervilstall/edge/connections.py
@@ -12,10 +12,10 @@
 
 from geventhttpclient import HTTPClient
 
+from chervilstall.edge.exchange_failures import ExchangeFailure
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.fleet.records import Target, TargetIncarnation, TargetReadiness
 from chervilstall.fleet.view import FleetView
-from chervilstall.ids import ServiceName
 from chervilstall.platform.headers import ResponseHead
 from chervilstall.settings.option import Address
 from chervilstall.target.idle_connections import (
@@ -42,11 +42,20 @@
 IDLE_PER_TARGET_MAX = 8
 """Idle connections to a target whose service has no limit on connections."""
 
+KEPT_SHARE = 0.5
+"""Share of the connections that a target accepts that routers may keep or reuse.
+
+The rest is for reports, probes, and requests with a connection of their own.
+"""
+
 IDLE_SHARE = 0.25
 """Share of the descriptors for requests at targets that idle connections may take."""
 
+HANG_FAILURES = (ExchangeFailure.CLOSED, ExchangeFailure.TIMEOUT)
+"""Failures of a kept connection before its answer that others may share."""
+
 UNNAMED_REFUSAL_S = 60.0
-"""Time without kept connections after a refusal that named no request.
+"""Time without kept connections to a target after its refusal that named no request.
 
 Over a kept connection it could be a late one of an earlier request.
 """
@@ -72,7 +81,8 @@
 
     `router_count` returns the number of routers that share the connections that a
     target accepts. `requests_max` is the number of descriptors for connections to
-    targets, of which `running` returns how many requests may take up.
+    targets, of which `running` returns how many requests may take up. `is_stopping` is
+    true from the start of the router's drain on.
     """
 
     fleet_view: FleetView
@@ -84,15 +94,32 @@
     reused: int = 0
     idle: IdleConnections = field(default_factory=IdleConnections)
     in_use: Counter[Address] = field(default_factory=Counter)
-    _unnamed_until_s: dict[ServiceName, float] = field(default_factory=dict)
+    is_stopping: bool = False
+    _unnamed_until_s: dict[TargetIncarnation, float] = field(default_factory=dict)
 
-    def source(self, request: EdgeRequest, target: Target) -> "ConnectionSource":
-        """Return where an exchange of a request with a target gets its connection."""
-        return ConnectionSource(self, request, target)
+    def source(
+        self, request: EdgeRequest, target: Target, attempts_left: int
+    ) -> "ConnectionSource":
+        """Return where an exchange of a request with a target gets its connection.
+
+        `attempts_left` is the number of attempts that the request may still make,
+        including this exchange.
+        """
+        return ConnectionSource(self, request, target, attempts_left)
+
+    @property
+    def keeps_any(self) -> bool:
+        """Return whether the router keeps connections for requests at all."""
+        return self.is_in_force() and not self.is_stopping
+
+    def stop_keeping(self) -> None:
+        """Close the idle connections and keep none from now on, as the router stops."""
+        self.is_stopping = True
+        self.idle.limit(0)
 
     def may_keep(self, request: EdgeRequest, target: Target) -> bool:
         """Return whether a request may leave its connection to a later one."""
-        if not request.route.is_retryable or not self.is_in_force():
+        if not request.route.is_retryable or not self.keeps_any:
             return False
         return self.is_trusted(target.address, target.incarnation)
 
@@ -103,63 +130,78 @@
             return False
         if target.address != address or target.state is not TargetReadiness.READY:
             return False
-        if self._unnamed_until_s.get(target.service, 0.0) > time.monotonic():
+        if self._unnamed_until_s.get(incarnation, 0.0) > time.monotonic():
             return False
         return not self.fleet_view.is_suspected(target)
 
     def idle_max(self, address: Address, incarnation: TargetIncarnation) -> int:
         """Return how many connections of this router to a target may be kept open.
 
-        Those of all routers together stay within what the target accepts, but each
-        router may keep one.
+        Those of all routers together stay within `KEPT_SHARE` of what the target
+        accepts; where that is less than one for each router, none is kept.
         """
-        if not self.is_in_force() or not self.is_trusted(address, incarnation):
+        if not self.keeps_any or not self.is_trusted(address, incarnation):
             return 0
         target = self.fleet_view.targets[incarnation.target_id]
         configuration = self.fleet_view.configuration
         service = configuration and configuration.services.get(target.service)
         if not service or service.connections_max <= 0:
             return IDLE_PER_TARGET_MAX
-        return max(1, service.connections_max // max(1, self.router_count()))
+        return int(KEPT_SHARE * service.connections_max) // max(1, self.router_count())
+
+    def idle_room(self, address: Address, incarnation: TargetIncarnation) -> int:
+        """Return how many idle connections to a target the requests to it leave."""
+        return self.idle_max(address, incarnation) - self.in_use[address]
 
     def make_room(self) -> None:
         """Close idle connections whose descriptors running requests may need."""
         bound = int(self.requests_max * IDLE_SHARE)
         self.idle.limit(min(bound, self.requests_max - self.running()))
 
-    def note_unnamed_refusal(self, service: ServiceName) -> None:
-        """Record that a target of a service refuses without naming the request."""
-        now_s = time.monotonic()
-        if self._unnamed_until_s.get(service, 0.0) <= now_s:
-            log.info("connections not kept", service=service, why="unnamed refusal")
-        self._unnamed_until_s[service] = now_s + UNNAMED_REFUSAL_S
+    def note_unnamed_refusal(self, target: Target) -> None:
+        """Record that a target refuses without naming the request."""
+        if not self.keeps_any:
+            return
+        now_s, incarnation = time.monotonic(), target.incarnation
+        if self._unnamed_until_s.get(incarnation, 0.0) <= now_s:
+            log.info("connections not kept", target=target.id, why="unnamed refusal")
+        self._unnamed_until_s[incarnation] = now_s + UNNAMED_REFUSAL_S
 
     def expire(self) -> None:
         """Close idle connections that won't be used; called twice a second."""
-        self.idle.expire(self.idle_max)
+        self.idle.expire(self.idle_room)
         self.make_room()
         now_s = time.monotonic()
-        for service, until_s in list(self._unnamed_until_s.items()):
+        for incarnation, until_s in list(self._unnamed_until_s.items()):
             if until_s <= now_s:
-                del self._unnamed_until_s[service]
+                del self._unnamed_until_s[incarnation]
 
 
 class ConnectionSource:
     """The connection of one exchange with a target, taken, opened and given back."""
 
     def __init__(
-        self, connections: TargetConnections, request: EdgeRequest, target: Target
+        self,
+        connections: TargetConnections,
+        request: EdgeRequest,
+        target: Target,
+        attempts_left: int,
     ) -> None:
         self._connections = connections
         self._request = request
         self._target = target
+        self._attempts_left = attempts_left
         self._connection: TargetConnection | None = None
         self._is_reuse = False
 
     def take_kept(self) -> HTTPClient | None:
-        """Return the client of a kept connection, None if there is none to use."""
+        """Return the client of a kept connection, None if there is none to use.
+
+        A kept connection may fail as the request arrives, so that none is used for the
+        last attempt of a request.
+        """
         connections, target = self._connections, self._target
-        if self._request.avoids_kept_connections:
+        if self._request.avoids_kept_connections or self._attempts_left < 2:
             return None
         if not self.may_keep:
             return None
@@ -182,6 +224,8 @@
         self._connections.make_room()
         self._connections.opened += 1
         self._begin(TargetConnection(client, target.address, target.incarnation))
+        room = self._connections.idle_room(target.address, target.incarnation)
+        self._connections.idle.limit_to(target.address, room)
 
     def _begin(self, connection: TargetConnection) -> HTTPClient:
         self._connection = connection
@@ -199,14 +243,21 @@
         )
         self.close()
 
-    def note_failure(self, why: str, was_kept: bool) -> None:
+    def note_failure(
+        self, failure: ExchangeFailure, was_kept: bool, is_unacknowledged: bool
+    ) -> None:
         """Record that the exchange failed, or was silent until its caller left.
 
-        The idle connections to its target may have failed in the same way. `was_kept`
-        says whether no answer came over a kept connection.
+        `was_kept` says whether no answer came over a kept connection, and
+        `is_unacknowledged` whether the target's system has not acknowledged what was
+        sent. Idle connections to the target are closed only where these show that they
+        may have failed in the same way; other failures leave them sound.
         """
         connections, target = self._connections, self._target
-        dropped = connections.idle.drop(target.address)
+        has_hung = was_kept and failure in HANG_FAILURES
+        dropped = 0
+        if has_hung or is_unacknowledged:
+            dropped = connections.idle.drop(target.address)
         if not was_kept:
             return
         self._request.avoids_kept_connections = True
@@ -214,13 +265,13 @@
             "kept connection failed",
             request=self._request.request_id,
             target=target.id,
-            why=why,
+            why=failure.value,
             closed_beside=dropped,
         )
 
     def note_unnamed_refusal(self) -> None:
         """Record that the target refused without naming the request."""
-        self._connections.note_unnamed_refusal(self._target.service)
+        self._connections.note_unnamed_refusal(self._target)
 
     def keep(self, keep_alive_s: float | None) -> bool:
         """Keep the connection after a complete answer, if the bounds allow it.
@@ -238,9 +289,9 @@
         if idle_s <= 0.0 or not self.may_keep:
             return False
         address = connection.address
-        bound = connections.idle_max(address, connection.incarnation)
         # The one that is given back counts as in use until then.
-        if connections.idle.count(address) + connections.in_use[address] > bound:
+        room = connections.idle_room(address, connection.incarnation)
+        if connections.idle.count(address) > room:
             return False
         self._end()
         connections.idle.keep(connection, idle_s)
--- a/src/chervilstall/edge/plain_relay.py
+++ b/src/chervilstall/edge/plain_relay.py
@@ -10,12 +10,8 @@
 
 from chervilstall.edge.connections import TargetConnections
 from chervilstall.edge.crashes.guard import CrashGuard
-from chervilstall.edge.exchange import (
-    CompleteResponse,
-    Exchange,
-    ExchangeFailed,
-    ExchangeFailure,
-)
+from chervilstall.edge.exchange import CompleteResponse, Exchange
+from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.limits.budget import FleetRetryBudget
 from chervilstall.edge.limits.notices import TargetNotices
 from chervilstall.edge.limits.rate_limits import AT_LIMIT, TargetRateLimiter
@@ -49,6 +45,13 @@
 
 SUSPICION_S = 1.0
 REFUSAL_SUSPICION_S = 0.25
+KEPT_FAILURES = (ExchangeFailure.CLOSED, ExchangeFailure.MALFORMED)
+"""Failures without an answer over a kept connection that a sound target may cause.
+
+It may have closed the idle connection as the request came, or have sent an answer to an
+earlier one late.
+"""
+
 RESPONSE_RESERVE_S = 0.01
 """Time kept before the deadline for the router's own response."""
 
@@ -182,7 +185,7 @@
             tried.add(target.id)
             started_at_s = time.monotonic()
             try:
-                response = self._send(request, target)
+                response = self._send(request, target, len(reached))
             except ExchangeFailed as error:
                 reason = error.failure.value
                 self._record_failure(request, target, error, started_at_s)
@@ -253,13 +256,16 @@
             raise self._error(request, may_have_run, OUT_OF_REACH)
         return response
 
-    def _send(self, request: EdgeRequest, target: Target) -> CompleteResponse:
+    def _send(
+        self, request: EdgeRequest, target: Target, reached: int
+    ) -> CompleteResponse:
         send_fields = ForwardFields(
             target, request.caller_remaining_s, request.workspace, request.priority
         )
         headers = forward_headers(request.fields.forwarded_headers, send_fields)
         notice = self.target_reach.failure_notice(request.service.name)
-        source = self.connections.source(request, target)
+        attempts_left = min(request.attempts_max - reached, SENDS_MAX - request.sends)
+        source = self.connections.source(request, target, attempts_left)
         exchange = Exchange(request, target.address, headers, notice, source)
         self.chooser.begin_request(target)
         timeout_s = self._timeout_s(request)
@@ -324,6 +330,8 @@
         ):
             # The own time-outs ran late, so the target may have been in time.
             return
+        if error.was_kept and error.failure in KEPT_FAILURES:
+            return
         if error.failure is ExchangeFailure.NO_CONNECTION:
             # Lasts longer each time, whatever the time between two requests is.
             self.fleet_view.suspect(target, error.failure.value, shared=False)
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -11,12 +11,8 @@
 
 import gevent
 
-from chervilstall.edge.exchange import (
-    CompleteResponse,
-    Exchange,
-    ExchangeFailed,
-    ExchangeFailure,
-)
+from chervilstall.edge.exchange import CompleteResponse, Exchange
+from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.limits.attempts import AttemptLimit
 from chervilstall.edge.limits.rate_limits import AT_LIMIT
 from chervilstall.edge.peers.forwarding import name_responder
@@ -103,7 +99,7 @@
     def _attempt_at_peer(self) -> ResponseHead | CompleteResponse | None:
         """Let another router send the request to the targets."""
         request = self.request
-        attempts_max = request.attempts_max - len(self.attempts.counted)
+        attempts_max = self.attempts.left
         if attempts_max < 1:
             raise self._error(OUT_OF_REACH)
         may_have_run, is_resumed = self._may_have_run, self.head is not None
@@ -216,7 +212,8 @@
         )
         headers = forward_headers(request.fields.forwarded_headers, send_fields)
         notice = self.context.target_reach.failure_notice(request.service.name)
-        source = self.context.connections.source(request, path.first)
+        attempts_left = min(self.attempts.left, SENDS_MAX - request.sends)
+        source = self.context.connections.source(request, path.first, attempts_left)
         exchange = Exchange(request, path.first.address, headers, notice, source)
         self._exchange = exchange
         sent_at_s = time.monotonic()
--- a/tests/edge/connections.feature
+++ b/tests/edge/connections.feature
@@ -91,6 +91,19 @@
       | resets as the next request comes                       |
       | falls silent as the next request comes                 |
 
+  # Guards against a request that is lost with a kept connection, as it has no other attempt.
+  Scenario Outline: A request with one attempt isn't lost as a target <fault>
+    Given a scripted target of lookups that <fault>
+    And routes of lookups whose limit of attempts is 1
+    When 2 requests for /lookup/a are sent to it
+    Then each got its own answer
+    And the requests reached the target once each, over 2 connections
+
+    Examples:
+      | fault                                  |
+      | closes as the next request comes       |
+      | falls silent as the next request comes |
+
   # Guards against callers that wait for one dead connection after the other.
   Scenario: After one kept connection has hung, no other one to its target is used
     Given a scripted target of lookups whose connections all fall silent at their next request
@@ -107,12 +120,104 @@
     Then 2 connections are idle
     And the request takes no kept connection again
 
+  # Guards against new connections to a target that is sound, or only slow.
+  Scenario Outline: Over <kind> connection, <bytes>, "<why>" leaves <idle> idle ones
+    Given targets that accept 1238 connections from 6 routers
+    And 3 idle connections to a target, and 2 to another one
+    When a request fails over <kind> connection, <bytes>, as <why>
+    Then <idle> connections are idle
+
+    Examples:
+      | kind   | bytes          | why               | idle |
+      | a new  | acknowledged   | stalled           | 5    |
+      | a new  | acknowledged   | caller left       | 5    |
+      | a new  | acknowledged   | malformed answer  | 5    |
+      | a new  | acknowledged   | no answer in time | 5    |
+      | a new  | unacknowledged | stalled           | 2    |
+      | a kept | acknowledged   | caller left       | 5    |
+      | a kept | acknowledged   | malformed answer  | 5    |
+      | a kept | acknowledged   | no answer in time | 2    |
+      | a kept | acknowledged   | connection closed | 2    |
+
+  # Guards against a target whose links are lost, and one that is only slow, taken for the other.
+  Scenario Outline: A request to a target that <reads> ends as "<why>" after <silence> s
+    Given targets that accept 1238 connections from 6 routers
+    When a request to a target that <reads> ends as <why> after <silence> s
+    Then <idle> connections are idle
+
+    Examples:
+      | reads         | why               | silence | idle |
+      | reads nothing | no answer in time | 0.3     | 0    |
+      | reads nothing | stalled           | 0.3     | 0    |
+      | reads nothing | no answer in time | 0.05    | 1    |
+      | reads all     | no answer in time | 0.3     | 1    |
+      | reads all     | stalled           | 0.3     | 1    |
+
+  # Guards against a request that two targets fail in the same way.
+  Scenario: A late answer over a kept connection leads to a new connection for the second attempt
+    Given two scripted targets of lookups that answer late as the next request comes
+    And routes of lookups whose limit of attempts is 3
+    When 2 requests for /lookup/a reach both of them at a time
+    And 1 requests for /lookup/a are sent to it
+    Then each got its own answer
+    And 1 retry was used
+
+  # Guards against a sound target that gets less work after each connection that it closes.
+  Scenario Outline: A plain target that <fault> isn't suspected
+    Given a scripted target of lookups that <fault>
+    And another target of lookups in the other zone
+    When 2 requests for /lookup/a are sent to it
+    Then each got its own answer
+    And that target isn't suspected
+
+    Examples:
+      | fault                                             |
+      | closes as the next request comes                  |
+      | answers the earlier request as the next one comes |
+
   # Guards against REFUSED: the refusal is an earlier one, and the request has run.
   Scenario: A refusal over a kept connection that names no request isn't passed on
     Given a scripted target of lookups that refuses without naming a request as the next one comes
     When 2 requests for /lookup/a are sent to it
     Then the second one is not said to have not run
-    And no kept connection is used for its service
+    And no kept connection is used for that target
+
+  # Guards against a service without kept connections for a refusal by one of its targets.
+  Scenario: A refusal that names no request counts for its target alone
+    Given targets that accept 1238 connections from 6 routers
+    And 1 idle connections to a target, and 1 to another one
+    When the first of them refuses without naming the request
+    Then a kept connection is used to the second one only
+
+  # Guards against the same for a refusal from the time before connections are kept.
+  Scenario: A refusal that names no request has no effect while no connections are kept
+    Given targets that accept 1238 connections from 6 routers
+    And 1 idle connections to a target, and 1 to another one
+    When the first of them refuses without naming the request while reuse isn't in force
+    Then a kept connection is used to both of them
+
+  # Guards against connections that a router that stops leaves open at targets.
+  Scenario: A router that drains keeps no connections
+    Given a platform whose routers keep connections
+    When 1 requests for /lookup/a are sent one after the other
+    And the router begins to drain
+    Then no connection is idle
+    When 1 requests for /lookup/a are sent one after the other
+    Then each got its own answer
+    And no connection is idle
+    And 2 connections to targets were opened for them
+
+  # Guards against the same where nothing drains.
+  Scenario: A router that is stopped at once closes its idle connections
+    Given a platform whose routers keep connections
+    When 1 requests for /lookup/a are sent one after the other
+    And the router is stopped at once
+    Then no connection is idle
+
+  # Guards against a failure of the check of the links, as a request ends meanwhile.
+  Scenario: A closed connection has no unacknowledged data
+    Given a connection that was closed by its own side
+    Then it has no unacknowledged data
 
   # Guards against streams that wait for a connection that brings nothing any more.
   Scenario: A stream over a kept connection that hangs goes on elsewhere
@@ -158,16 +263,33 @@
     Then that scripted target saw 2 connections
 
   # Guards against refusals by a target whose connections are all held by routers.
-  Scenario Outline: <routers> routers keep at most what a target accepts, and one each
+  Scenario Outline: <routers> routers keep at most half of what a target accepts
     Given targets that accept 1238 connections from <routers> routers
     Then each router keeps at most <idle> connections to each
 
     Examples:
       | routers | idle |
-      | 6       | 206  |
-      | 77      | 16   |
-      | 195     | 6    |
-      | 2100    | 1    |
+      | 6       | 103  |
+      | 77      | 8    |
+      | 195     | 3    |
+      | 2100    | 0    |
+
+  # Guards against the same while requests also open connections of their own.
+  Scenario: A new connection takes the place of an idle one at the bound
+    Given targets that accept 1238 connections from 195 routers
+    And 3 idle connections to a target, and 2 to another one
+    When 1 requests to it open a connection of their own
+    Then 4 connections are idle
+    When 3 requests to it open a connection of their own
+    Then 2 connections are idle
+
+  # Guards against the same as more routers start.
+  Scenario: Idle connections beyond the bound are closed as it becomes less
+    Given targets that accept 1238 connections from 195 routers
+    And 3 idle connections to a target, and 2 to another one
+    When 1 requests over kept connections to it run
+    And 300 routers share what targets accept
+    Then 3 connections are idle
 
   # Guards against requests without a descriptor, as idle connections hold them.
   Scenario: Idle connections leave the descriptors to requests
--- a/tests/steps/connection_steps.py
+++ b/tests/steps/connection_steps.py
@@ -1,35 +1,34 @@
 """Steps for connections to targets that are kept for requests."""
 
-import json
-import socket
-from collections.abc import Callable
+import time
 from contextlib import ExitStack
-from dataclasses import replace
 from types import SimpleNamespace
-from typing import Any, cast
+from typing import Any
 from unittest.mock import patch
 
 import gevent
+import gevent.socket
 from behave import given, then, when
 from behave.runner import Context
 
-from chervilstall.edge.connections import ConnectionSource, TargetConnections
+from chervilstall.edge.connections import TargetConnections
 from chervilstall.edge.server import EdgeServer
-from chervilstall.fleet.records import NO_LAYERS, Target, TargetReadiness
+from chervilstall.fleet.records import NO_LAYERS
 from chervilstall.fleet.view import FleetView
-from chervilstall.ids import RequestId, ServiceName, TargetId, ZoneName
-from chervilstall.platform.config import decode_configuration
+from chervilstall.ids import ServiceName, TargetId
 from chervilstall.platform.headers import NOT_RUN_STATUSES
 from chervilstall.settings.edge import ConnectionSettings, EdgeSettings, FeatureMode
 from chervilstall.settings.option import Address
 from chervilstall.standin.platform_fixtures import (
     build_configuration,
+    build_route,
     write_target_entry,
 )
 from chervilstall.target import idle_connections
-from chervilstall.target.idle_connections import TargetConnection
+from chervilstall.target.sending import has_unacknowledged
 from tests.steps.stream_steps import event_numbers
 from tests.support.agent_fleet import eventually
+from tests.support.kept_connections import open_source
 from tests.support.platform import ZONES, Platform, send
 from tests.support.platform_scenario import add_lookups, add_model, own_first
 from tests.support.router_harness import HOST
@@ -109,6 +108,15 @@
     )
 
 
+@given("routes of lookups whose limit of attempts is {count:d}")
+def limit_attempts(context: Context, count: int) -> None:
+    fields = {"max-attempts": count}
+    route = build_route("/lookup/", "idempotent", "lookups", **fields)
+    context.platform.write_config(build_configuration(2, routes=[route]))
+    view: FleetView = context.router.fleet_view
+    eventually(lambda: view.configuration and view.configuration.version == 2)
+
+
 @given("the check of idle connections misses what happens just after it")
 def blind_check(context: Context) -> None:
     patches = ExitStack()
@@ -119,6 +127,26 @@
     context.stoppables.append(SimpleNamespace(stop=patches.close))
 
 
+@given("two scripted targets of lookups that answer late as the next request comes")
+def start_two(context: Context) -> None:
+    start_scripted(context, Fault.LATE_ANSWER.value)
+    # So that requests at a time reach both.
+    context.target.answer_s = 0.05
+    context.second = ScriptedTarget("second", Fault.LATE_ANSWER, answer_s=0.05)
+    context.stoppables.append(context.second)
+    state = context.platform.store.state
+    address, zone = context.second.address, ZONES[0]
+    write_target_entry(state, "second", "lookups", address, zone, NO_LAYERS)
+    eventually(lambda: len(context.router.fleet_view.targets) == 2)
+
+
+@when("{count:d} requests for {path} reach both of them at a time")
+def send_to_both(context: Context, count: int, path: str) -> None:
+    gevent.joinall([gevent.spawn(_send, context, path) for _ in range(count)])
+    assert len(context.target.arrivals) == len(context.second.arrivals) == 1
+    assert len(context.router.connections.idle) == count
+
+
 @given("another target of lookups in the other zone")
 def add_other(context: Context) -> None:
     context.platform.add_target("other", "lookups", ZONES[1])
@@ -255,100 +283,20 @@
         eventually(lambda: view.targets.get(known.id) != known)
 
 
-def _source(
-    connections: TargetConnections, target: Target, request_id: str = "later"
-) -> ConnectionSource:
-    request = SimpleNamespace(
-        route=SimpleNamespace(is_retryable=True),
-        request_id=RequestId(request_id),
-        avoids_kept_connections=False,
-    )
-    return connections.source(cast(Any, request), target)
-
-
 @then("no idle connection to that target is used")
 def check_not_used(context: Context) -> None:
     connections: TargetConnections = context.router.connections
     present = context.router.fleet_view.targets.get(context.known.id, context.known)
     for target in (context.known, present):
-        assert _source(connections, target).take_kept() is None
+        assert open_source(connections, target).take_kept() is None
     connections.expire()
     assert not len(connections.idle)
 
 
-def _build_target(number: int, address: Address) -> Target:
-    return Target(
-        TargetId(f"t-{number}"),
-        0,
-        ServiceName("lookups"),
-        address,
-        ZoneName(ZONES[0]),
-        TargetReadiness.READY,
-        "card",
-        NO_LAYERS,
-        revision=1,
-    )
-
-
-def _build_connections(
-    connections_max: int, routers: int, requests_max: int = 1_000
-) -> TargetConnections:
-    service = {"name": "lookups", "max-connections": connections_max}
-    document = build_configuration(services=[service])
-    view = FleetView(drain_s=2.0)
-    view.apply_configuration(decode_configuration(json.dumps(document).encode()), 1)
-    return TargetConnections(view, lambda: routers, lambda: True, requests_max)
-
-
-@given("targets that accept {accepted:d} connections from {routers:d} routers")
-def set_bound(context: Context, accepted: int, routers: int) -> None:
-    context.connections = _build_connections(accepted, routers)
-
-
-@then("each router keeps at most {count:d} connections to each")
-def check_bound(context: Context, count: int) -> None:
-    connections: TargetConnections = context.connections
-    target = _build_target(0, Address(HOST, 1))
-    connections.fleet_view.update_target(target)
-    bound = connections.idle_max(target.address, target.incarnation)
-    assert bound == count, bound
-    other = replace(target.incarnation, started_at_ms=1)
-    assert connections.idle_max(target.address, other) == 0
-
-
-def _leave_idle(context: Context, target: Target, count: int) -> None:
-    connections: TargetConnections = context.connections
-    connections.fleet_view.update_target(target)
-    sources = [_source(connections, target, "earlier") for _ in range(count)]
-    for source in sources:
-        source.adopt(_fake_client(context.stoppables.append))
-    for source in sources:
-        assert source.keep(None)
-
-
-@given("{count:d} idle connections to a target, and {others:d} to another one")
-def leave_idle(context: Context, count: int, others: int) -> None:
-    _leave_idle(context, _build_target(1, Address(HOST, 1)), count)
-    _leave_idle(context, _build_target(2, Address(HOST, 2)), others)
-
-
-@when("a request over one of the 3 fails")
-def fail_over_kept(context: Context) -> None:
-    target = _build_target(1, Address(HOST, 1))
-    context.source = source = _source(context.connections, target)
-    assert source.take_kept() is not None
-    source.note_failure("no answer in time", was_kept=True)
-    source.close()
-    # A later one of the target, which has answered since then.
-    _leave_idle(context, target, 1)
-    assert len(context.connections.idle) == 3
-    assert source.take_kept() is None
-    context.connections.idle.drop(target.address)
-
-
-@then("the request takes no kept connection again")
-def check_avoided(context: Context) -> None:
-    assert context.source._request.avoids_kept_connections
+@then("that target isn't suspected")
+def check_sound(context: Context) -> None:
+    view: FleetView = context.router.fleet_view
+    assert not view.is_suspected(view.targets[TargetId(SCRIPTED)])
 
 
 @then("the second one is not said to have not run")
@@ -358,40 +306,33 @@
     assert response.status == 502, response
 
 
-@then("no kept connection is used for its service")
+@then("no kept connection is used for that target")
 def check_service(context: Context) -> None:
     target = context.router.fleet_view.targets[TargetId(SCRIPTED)]
     context.router.fleet_view.clear_suspicion(target)
-    assert not _source(context.router.connections, target).may_keep
-
+    assert not open_source(context.router.connections, target).may_keep
 
-@given("a router with {count:d} descriptors for connections to targets")
-def set_descriptors(context: Context, count: int) -> None:
-    context.connections = _build_connections(1238, 6, count)
 
+@when("the router begins to drain")
+def begin_drain(context: Context) -> None:
+    assert len(context.router.connections.idle) == 1
+    gevent.spawn(context.router.drain_and_stop, time.monotonic())
+    eventually(lambda: context.router.is_draining)
 
-@when("{count:d} targets have answered a request each")
-def answer_each(context: Context, count: int) -> None:
-    for number in range(count):
-        _leave_idle(context, _build_target(number, Address(HOST, number + 1)), 1)
 
-
-def _fake_client(add_stoppable: Callable[[Any], None]) -> Any:
-    ours, others = socket.socketpair()
-    add_stoppable(SimpleNamespace(stop=others.close))
-    return SimpleNamespace(
-        _connection_pool=SimpleNamespace(socket=ours), close=ours.close
-    )
+@when("the router is stopped at once")
+def stop_router(context: Context) -> None:
+    assert len(context.router.connections.idle) == 1
+    context.router.stop()
 
 
-@when("{count:d} requests run")
-def run_requests(context: Context, count: int) -> None:
-    context.connections.running = lambda: count
-    context.connections.expire()
+@given("a connection that was closed by its own side")
+def close_own(context: Context) -> None:
+    context.closed, others = gevent.socket.socketpair()
+    context.stoppables.append(SimpleNamespace(stop=others.close))
+    context.closed.close()
 
 
-@then("{count:d} connections are idle")
-def check_idle(context: Context, count: int) -> None:
-    idle = context.connections.idle
-    assert len(idle) == count, len(idle)
-    assert all(isinstance(each, TargetConnection) for each in idle._in_order)
+@then("it has no unacknowledged data")
+def check_acknowledged(context: Context) -> None:
+    assert not has_unacknowledged(context.closed)
--- a/tests/support/partly_cut_router.py
+++ b/tests/support/partly_cut_router.py
@@ -11,12 +11,8 @@
 from typing import Any, cast
 from unittest.mock import patch
 
-from chervilstall.edge.exchange import (
-    CONNECT_SETTINGS,
-    CompleteResponse,
-    ExchangeFailed,
-    ExchangeFailure,
-)
+from chervilstall.edge.exchange import CONNECT_SETTINGS, CompleteResponse
+from chervilstall.edge.exchange_failures import ExchangeFailed, ExchangeFailure
 from chervilstall.edge.limits.rate_limits import TargetRateLimiter
 from chervilstall.edge.plain_relay import PlainRelay, PlainTargetChooser
 from chervilstall.edge.reach import targets as reach_targets
@@ -138,7 +134,9 @@
     router: Any = None
     clock: Any = None
 
-    def _send(self, request: EdgeRequest, target: Target) -> CompleteResponse:
+    def _send(
+        self, request: EdgeRequest, target: Target, reached: int
+    ) -> CompleteResponse:
         request.sends += 1
         if target.address not in self.router.within_reach:
             # The links are examined beside a connect that is slow.
