Find parts that crash targets after the first events or later on a path

Cause: two events of an answer voided all evidence against its parts, only the first target of a path was examined after a crash, and any old answer that one router knew cleared each entry of a part for all routers.

Change: a second stage of evidence for answers with fewer than eight events over their path, at any target of it, with one crash more and 0.5 s between crashes. Streams with a part under quarantine are neither resumed nor led on. An answer of before the crashes refutes one entry at most. Reports that a router has heard are not evaluated again.

--- a/src/chervilstall/edge/assembly.py
+++ b/src/chervilstall/edge/assembly.py
@@ -52,7 +52,9 @@
         features.admits_by_room,
         server.metrics,
     )
+    server.stream_monitor.on_stage_lost = crash_guard.record_stage_lost
     rerouter = server.stream_monitor.rerouter
+    rerouter.is_refused = crash_guard.is_refused
     rerouter.record_pause = server.metrics.record_pause
     rerouter.spreads_moves = features.spreads_moves
     server.stream_monitor.stage_check.is_in_force = features.checks_stages
--- a/src/chervilstall/edge/crashes/observer.py
+++ b/src/chervilstall/edge/crashes/observer.py
@@ -1,5 +1,8 @@
 """Finds out whether a target that lost requests has crashed.
 
+The target is the first of a path, which closed the connection, or a later one, for
+which streams wait.
+
 A target that closes a connection may be full, or reset some requests while it serves
 others. It counts as crashed if it refuses connections just afterwards, or has started
 again by its entry.
@@ -34,7 +37,7 @@
 
 @dataclass
 class CrashObserver:
-    """Reports the crashes of targets that held requests without an answer.
+    """Reports the crashes of targets that held requests without a settled answer.
 
     `on_crash` is called with each crash, and again where more of the requests that it
     ended become known.
@@ -45,6 +48,9 @@
     _lost: dict[TargetIncarnation, dict[PartId, LostRequest]] = field(
         default_factory=dict
     )
+    _unsettled: dict[TargetIncarnation, dict[PartId, LostRequest]] = field(
+        default_factory=dict
+    )
     _crashed_at_s: dict[TargetIncarnation, float] = field(default_factory=dict)
     _examinations: dict[TargetIncarnation, gevent.Greenlet] = field(
         default_factory=dict
@@ -52,12 +58,27 @@
 
     def record_lost(self, target: Target, request: EdgeRequest) -> None:
         """Record that a target closed a request's connection before it had begun."""
+        self._record(self._lost, target, request)
+
+    def record_unsettled(self, target: Target, request: EdgeRequest) -> None:
+        """Record that a target has stopped to run a request before it had settled.
+
+        The target is a later one of the path, or the request's answer has begun.
+        """
+        self._record(self._unsettled, target, request)
+
+    def _record(
+        self,
+        lost_by_target: dict[TargetIncarnation, dict[PartId, LostRequest]],
+        target: Target,
+        request: EdgeRequest,
+    ) -> None:
         now_s = time.monotonic()
         # Of several copies of a request the one that was sent last is kept.
         copy = LostRequest(
-            request.digest, request.fields.prompt_parts, now_s - request.sent_at_s
+            request.digest, request.fields.prompt_parts, now_s - request.path_began_at_s
         )
-        lost = self._lost.setdefault(target.incarnation, {})
+        lost = lost_by_target.setdefault(target.incarnation, {})
         known = lost.get(copy.digest, copy)
         lost[copy.digest] = min(copy, known, key=lambda each: each.held_s)
         if target.incarnation in self._examinations:
@@ -77,7 +98,8 @@
             gevent.sleep(COLLECT_S)
             has_crashed = self._has_crashed(target)
         finally:
-            lost = self._lost.pop(target.incarnation)
+            lost = self._lost.pop(target.incarnation, {})
+            unsettled = self._unsettled.pop(target.incarnation, {})
             self._examinations.pop(target.incarnation, None)
         if not has_crashed:
             return
@@ -89,6 +111,7 @@
             "target crashed",
             target=target.id,
             parts=len(parts),
+            unsettled=len(unsettled),
             requests=list(lost)[:LOGGED_REQUESTS_MAX],
         )
         self.fleet_view.suspect(target, "crashed")
@@ -99,6 +122,7 @@
                 tuple(sorted(parts)),
                 age_s=time.monotonic() - crashed_at_s,
                 requests=tuple(lost.values())[:REPORTED_REQUESTS_MAX],
+                unsettled=tuple(unsettled.values())[:REPORTED_REQUESTS_MAX],
             )
         )
 
--- a/src/chervilstall/edge/crashes/sharing.py
+++ b/src/chervilstall/edge/crashes/sharing.py
@@ -64,7 +64,8 @@
     """Carries out what the quarantine asks for, and tells it what other routers shared.
 
     `_unshared` and `_shared` hold crashes that this router saw, with their monotonic
-    times, before and after they were written.
+    times, before and after they were written. `_heard` holds the contents of the
+    reports in the present entries of other routers.
     """
 
     quarantine: PromptQuarantine
@@ -73,6 +74,7 @@
     _stored: dict[str, _StoredEntry] = field(default_factory=dict)
     _unshared: list[tuple[float, CrashReport]] = field(default_factory=list)
     _shared: list[tuple[float, CrashReport]] = field(default_factory=list)
+    _heard: dict[str, frozenset[int]] = field(default_factory=dict)
     _is_writing_crashes: bool = False
     _has_read: bool = False
 
@@ -207,14 +209,21 @@
 
     def handle_crashes(self, entry: Entry) -> None:
         """Apply a changed entry below `CRASHES_PREFIX`."""
-        if entry.value is None or entry.key == CRASHES_PREFIX + self.registry.vm:
+        if entry.value is None:
+            self._heard.pop(entry.key, None)
+            return
+        if entry.key == CRASHES_PREFIX + self.registry.vm:
             return
         reports = decode_crashes(entry.value)
         if reports is None:
             log.warning("shared crashes not readable", key=entry.key)
             return
+        heard = self._heard.get(entry.key, frozenset())
+        # An entry is written again with each further crash of its router.
+        self._heard[entry.key] = frozenset(each.content for each in reports)
         for report in reports:
-            self.quarantine.record_crash(report)
+            if report.content not in heard:
+                self.quarantine.record_crash(report)
 
     def handle_entry(self, entry: Entry) -> None:
         """Apply a changed entry below `QUARANTINE_PREFIX`."""
--- a/src/chervilstall/edge/request.py
+++ b/src/chervilstall/edge/request.py
@@ -6,7 +6,7 @@
 from functools import cached_property
 
 from chervilstall.edge.peers.forwarding import Forwarding
-from chervilstall.fleet.records import Route, Service
+from chervilstall.fleet.records import Route, Service, TargetIncarnation
 from chervilstall.ids import PartId, RequestId, WorkspaceName
 from chervilstall.platform.headers import RequestFields
 from chervilstall.process_limits.memory import Holding
@@ -22,7 +22,9 @@
     ends, whichever comes first. `sends` counts every try, including those that reached
     no target. `has_reserved_retry` is true while a retry is reserved for the request in
     the budget. `has_begun` is true once a target has begun a stream and survived that,
-    and `targets_lost` counts those that closed its connection before.
+    and `targets_lost` counts those that closed its connection before. `path_events`
+    counts the events that came over the present path, on which the request is since
+    `path_began_at_s`, and `waits_for` is a later target of it that does not respond.
     `sent_at_s` is the monotonic time of the latest send,
     `queued_s` is the time from arrival to the first send, `first_event_s`
     from arrival to the first event of a stream, and `longest_gap_s` the longest time
@@ -49,6 +51,9 @@
     has_reserved_retry: bool = False
     has_begun: bool = False
     targets_lost: int = 0
+    path_events: int = 0
+    path_began_at_s: float = 0.0
+    waits_for: TargetIncarnation | None = None
     sent_at_s: float = 0.0
     queued_s: float | None = None
     first_event_s: float | None = None
@@ -128,9 +133,15 @@
         """Count a send; the first one sets `queued_s`."""
         self.sends += 1
         self.sent_at_s = time.monotonic()
+        self.record_path()
         if self.queued_s is None:
             self.queued_s = self.sent_at_s - self.arrived_at_s
 
+    def record_path(self) -> None:
+        """Record that the request is sent, or led, over another path."""
+        self.path_events = 0
+        self.path_began_at_s = time.monotonic()
+
     def record_gap(self, gap_s: float) -> None:
         """Update `longest_gap_s` with the time between two forwarded events."""
         self.longest_gap_s = max(gap_s, self.longest_gap_s or 0.0)
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -73,7 +73,8 @@
 
     `streams` holds the open exchanges by request ID. `on_silence` is called with the
     first target of a silent stream, and `on_no_retry` with a request whose stream has
-    begun and can't be resumed for want of a retry. `rerouter` leads streams around
+    begun and can't be resumed for want of a retry. `on_stage_lost` is called with each
+    request that waits for a later target of its path. `rerouter` leads streams around
     targets.
     """
 
@@ -85,6 +86,7 @@
     streams: dict[RequestId, LiveStream] = field(default_factory=dict)
     on_silence: Callable[[Target], None] = lambda target: None
     on_no_retry: Callable[[EdgeRequest], None] = lambda request: None
+    on_stage_lost: Callable[[EdgeRequest, Target], None] = lambda request, target: None
     _querying: set[TargetId] = field(default_factory=set)
     _queried_at_s: dict[TargetId, float] = field(default_factory=dict)
     _query_interval_s: dict[TargetId, float] = field(default_factory=dict)
@@ -334,15 +336,27 @@
             target = self.fleet_view.find_by_address(str(address))
             if target is None:
                 continue
+            self._record_stage_lost(target)
             reason = f"stalls requests sent through {first.id}"
             self.fleet_view.suspect(target, reason, kind=SuspicionKind.STALLING)
             self.rerouter.reroute_around(target)
 
     def _handle_refused(self, target: Target) -> None:
         """Lead streams around a target in the middle of a path that has crashed."""
+        self._record_stage_lost(target)
         self.fleet_view.suspect(target, "refuses connections")
         self.rerouter.reroute_around(target)
 
+    def _record_stage_lost(self, target: Target) -> None:
+        """Report the silent streams over a target, which may have crashed.
+
+        Those sent just now may have been sent after the crash.
+        """
+        for stream in list(self.streams.values()):
+            is_silent = stream.silence_s > EVENT_SILENCE_LIMIT_S
+            if is_silent and stream.passes_through(target):
+                self.on_stage_lost(stream.request, target)
+
     def _end_stalled(self, request_id: RequestId) -> None:
         """End a stalled stream's exchange so that the relay uses another path."""
         stream = self.streams.get(request_id)
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -341,7 +341,7 @@
             return event
         self._stream.record_event()
         if event is not None:
-            self.context.crash_guard.record_event(self.request, self._stream.events)
+            self.context.crash_guard.record_event(self.request)
         return event
 
     def _resume(self) -> None:
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -50,7 +50,8 @@
     exchange, so that it is resumed over another path, and returns whether it did.
     While `spreads_moves` returns true, streams leave draining targets one after the
     other, and those that `durations` expects to end before stay. `record_pause` is
-    called with the pause of each stream that was given another path, in seconds.
+    called with the pause of each stream that was given another path, in seconds. A
+    stream for which `is_refused` returns true is not led around a faulty target.
     """
 
     fleet_view: FleetView
@@ -63,6 +64,7 @@
     record_pause: Callable[[EdgeRequest, PauseCause, float], None] = (
         lambda request, cause, pause_s: None
     )
+    is_refused: Callable[[EdgeRequest], bool] = lambda request: False
     schedule: MoveSchedule = field(default_factory=MoveSchedule)
     _waiting: dict[RequestId, LiveStream] = field(default_factory=dict)
 
@@ -173,6 +175,9 @@
 
     def _reroute_once(self, stream: LiveStream, avoided: Target) -> None:
         is_leaving = not self.fleet_view.is_suspected(avoided)
+        if not is_leaving and self.is_refused(stream.request):
+            self.end_exchange(stream)
+            return
         path = self._path_around(stream, avoided)
         if path is None:
             if not is_leaving:
@@ -227,6 +232,7 @@
         if response.is_accepted:
             self.chooser.load.remove(stream.path, request.expected_tokens)
             stream.path = path
+            request.record_path()
             self.chooser.load.add(path, request.expected_tokens)
             is_fault = self.fleet_view.is_suspected(avoided)
             cause = PauseCause.FAULT if is_fault else PauseCause.DRAIN
--- a/src/chervilstall/quarantine/evidence.py
+++ b/src/chervilstall/quarantine/evidence.py
@@ -16,12 +16,6 @@
 """Limit on the parts of prompts whose answers are remembered, and on the requests."""
 
 EVIDENCE_VALID_S = 120.0
-SAME_CAUSE_S = 0.1
-"""Crashes that are closer together than this count as one.
-
-Targets that die at the same moment do so of something else than a prompt. Those that
-die one after the other of the repeats of one request may do so faster.
-"""
 
 
 @dataclass
@@ -50,9 +44,8 @@
         """Return the time of the latest crash."""
         return max(self.crashed_at_s.values())
 
-    @property
-    def crashes(self) -> int:
-        """Return the number of crashes, those of the same moment counted once.
+    def crashes(self, same_cause_s: float) -> int:
+        """Return the number of crashes, those within `same_cause_s` counted once.
 
         A target that got a request after another had crashed on it did not die together
         with that one.
@@ -61,7 +54,7 @@
         counted_at_s = float("-inf")
         for crash, at_s in sorted(self.crashed_at_s.items(), key=itemgetter(1)):
             sent_at_s = self.sent_at_s.get(crash, float("-inf"))
-            if at_s - counted_at_s >= SAME_CAUSE_S or sent_at_s >= counted_at_s:
+            if at_s - counted_at_s >= same_cause_s or sent_at_s >= counted_at_s:
                 count += 1
                 counted_at_s = at_s
         return count
@@ -83,9 +76,10 @@
 class EvidenceLog:
     """Evidence against parts, and the parts with which answers began lately.
 
-    A part that crashes targets crashes each one that begins an answer on it. One answer
-    that begins therefore voids all evidence against the request and the parts of its
-    prompt.
+    A log is of one stage of answers. A part that crashes targets at that stage crashes
+    each one that runs an answer on it. One answer that passes the stage, which is meant
+    by beginning here, therefore voids all evidence against the request and the parts of
+    its prompt.
     """
 
     evidence: dict[PartKey, PartEvidence] = field(default_factory=dict)
--- a/src/chervilstall/quarantine/prompts.py
+++ b/src/chervilstall/quarantine/prompts.py
@@ -2,10 +2,12 @@
 
 A part is put under quarantine after three crashes of targets that held a request with
 it and had not begun to answer that request, if no answer with the part has begun since
-the first of them while others have. Parts with which answers have begun before need
-more, and the crashes that a part under quarantine explains speak against no other. A
-part under quarantine at one service is put under quarantine at the others as well,
-except at those where answers with it have begun.
+the first of them while others have. Crashes after the first events of an answer, or of
+a later target of its path, are counted apart, and only answers that came further speak
+against these (`stages.py`). Parts with which answers have begun before need more, and
+the crashes that a part under quarantine explains speak against no other. A part under
+quarantine at one service is put under quarantine at the others as well, except at those
+where answers with it have begun.
 
 A request as a whole is one more part, which only its repeats share. Three crashes put
 it under quarantine if no repeat was answered since the first of them. Where it explains
@@ -22,15 +24,15 @@
 """
 
 import time
-import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field, replace
 
-from chervilstall.ids import PartId, ServiceName
+from chervilstall.ids import CrashId, PartId, ServiceName
 from chervilstall.quarantine.crash_times import CrashTimes
 from chervilstall.quarantine.evidence import EVIDENCE_VALID_S, EvidenceLog
 from chervilstall.quarantine.quarantined import QuarantinedPart
 from chervilstall.quarantine.records import (
+    AnswerStage,
     ClaimTrial,
     Clear,
     CrashReport,
@@ -39,29 +41,18 @@
     QuarantineAction,
     QuarantineEntry,
 )
+from chervilstall.quarantine.reports import with_known_parts
+from chervilstall.quarantine.stages import SUSPECT_CRASHES_MIN, StageEvidence
 
-CRASHES_MIN = 3
-SUSPECT_CRASHES_MIN = 2
-OTHERS_BEGUN_MIN = 3
-"""Answers without the part that must have begun meanwhile.
-
-Where nothing is answered at all, the cause is another one.
-"""
+ENFORCE_AFTER_S = 0.5
+"""Time after which an entry is in force unless a router knows that it is wrong."""
 
-FAMILIAR_BEGUN_MIN = 5
-"""Answers of a service after which a router knows the parts that are usual there.
+KNOWN_ENFORCE_AFTER_S = 2.0
+"""The same for parts with which answers have settled before.
 
-A part that never began is unusual then, and need not wait for other answers: there are
-none while it keeps all targets down.
+Most of them are harmless, and the router that knows may hear of the entry late.
 """
 
-KNOWN_CRASHES_MIN = 4
-KNOWN_OTHERS_BEGUN_MIN = 10
-"""The same for parts with which answers have begun before."""
-
-ENFORCE_AFTER_S = 0.5
-"""Time after which an entry is in force unless a router knows that it is wrong."""
-
 DELIVERY_MAX_S = 1.0
 """Time that an entry may need from its proposal to the other routers."""
 
@@ -71,7 +62,6 @@
 Routers that know of answers of another service with the part release it there before.
 """
 
-REPORTED_PARTS_MAX = 2_048
 SAME_PARTS_MAX = 8
 """Limit on the parts put under quarantine together; a caller may name any number."""
 
@@ -89,12 +79,16 @@
     """
 
     on_action: Callable[[QuarantineAction], None] = _ignore
-    log: EvidenceLog = field(default_factory=EvidenceLog)
+    _stages: dict[AnswerStage, StageEvidence] = field(
+        default_factory=lambda: {stage: StageEvidence(stage) for stage in AnswerStage}
+    )
     _crash_times: CrashTimes = field(default_factory=CrashTimes)
     _quarantined: dict[PartKey, QuarantinedPart] = field(default_factory=dict)
-    _often_crashed: set[PartKey] = field(default_factory=set)
     _crashed_services: dict[PartId, set[ServiceName]] = field(default_factory=dict)
 
+    def _log(self, stage: AnswerStage) -> EvidenceLog:
+        return self._stages[stage].log
+
     # Requests
 
     def refused_part(
@@ -131,150 +125,132 @@
 
     def is_suspect(self, service: ServiceName, parts: Iterable[PartId]) -> bool:
         """Return whether a request that lost its target should not be sent again."""
+        evidence = self._log(AnswerStage.BEGUN).evidence
         for part in parts:
-            known = self.log.evidence.get(PartKey(service, part))
+            known = evidence.get(PartKey(service, part))
             if known is None or known.was_begun:
                 continue
             if len(known.crashed_at_s) >= SUSPECT_CRASHES_MIN:
                 return True
         return False
 
-    def record_begun(self, service: ServiceName, parts: Iterable[PartId]) -> None:
-        """Record that a target has begun to answer a request with these parts.
+    def record_begun(
+        self,
+        service: ServiceName,
+        parts: Iterable[PartId],
+        stages: Collection[AnswerStage] = tuple(AnswerStage),
+    ) -> None:
+        """Record that an answer to a request with these parts has passed some stages.
 
-        One of them is the request as a whole.
+        One of the parts is the request as a whole.
         """
         keys = [PartKey(service, part) for part in parts]
-        self.log.add_begun(service, keys)
-        for key in keys:
-            if key in self._quarantined:
-                self._release(key)
-        self._quarantine_likeliest(
-            [key for key in self._often_crashed if key.service == service]
-        )
+        for stage in stages:
+            evidence = self._stages[stage]
+            evidence.log.add_begun(service, keys)
+            for key in keys:
+                known = self._quarantined.get(key)
+                if known is not None and known.entry.stage is stage:
+                    self._release(key)
+            self._quarantine_likeliest(evidence, evidence.often_crashed(service))
 
     def record_crash(self, report: CrashReport) -> None:
         """Record a crash that this router or another one saw."""
         report = self._crash_times.identify(report)
-        digests = (request.digest for request in report.requests)
-        parts = (*report.parts, *digests)
+        whole = report.at_stage(AnswerStage.SETTLED)
+        digests = (request.digest for request in whole.requests)
+        parts = (*whole.parts, *digests)
         if any(PartKey(report.service, part) in self._quarantined for part in parts):
-            self.log.explain([report.crash])
+            self._explain([report.crash])
             return
-        added = self.log.add_crash(report)
-        for key in added:
-            if len(self.log.evidence[key].crashed_at_s) >= CRASHES_MIN:
-                self._often_crashed.add(key)
-        self._quarantine_likeliest(added)
+        for stage, evidence in self._stages.items():
+            added = evidence.add_crash(report if stage is AnswerStage.BEGUN else whole)
+            self._quarantine_likeliest(evidence, added)
 
-    def with_begun_parts(self, report: CrashReport) -> CrashReport:
-        """Return a report of this router with what it knows of the crash and the parts.
-
-        Where callers named very many, those with which answers began are left out, and
-        then some that differ from crash to crash.
-        """
-
-        def has_begun(part: PartId) -> bool:
-            return self.log.has_begun(PartKey(report.service, part))
-
-        def rank(part: PartId) -> tuple[bool, int]:
-            return has_begun(part), zlib.crc32(f"{report.crash} {part}".encode())
+    def _explain(
+        self, crashes: Collection[CrashId], causes: Collection[PartId] = ()
+    ) -> None:
+        for evidence in self._stages.values():
+            evidence.log.explain(crashes, causes)
 
-        parts = tuple(sorted(report.parts, key=rank)[:REPORTED_PARTS_MAX])
-        return replace(
-            report,
-            crash=self._crash_times.name(report),
-            parts=parts,
-            begun_parts=tuple(filter(has_begun, parts)),
+    def with_begun_parts(self, report: CrashReport) -> CrashReport:
+        """Return a report with what this router knows of the crash and the parts."""
+        named = replace(report, crash=self._crash_times.name(report))
+        return with_known_parts(
+            named, self._log(AnswerStage.BEGUN), self._log(AnswerStage.SETTLED)
         )
 
-    def _quarantine_likeliest(self, keys: list[PartKey]) -> None:
-        """Put those parts under quarantine that explain the crashes best.
-
-        A request is preferred to the parts of its prompt that explain no more.
-        """
-        candidates = [key for key in keys if self._has_enough_evidence(key)]
-        while candidates:
-            best = max(candidates, key=self._rank)
-            crashes = set(self.log.evidence[best].crashed_at_s)
-            # Parts that always came together cannot be told apart.
-            same = [
-                key
-                for key in candidates
-                if self._rank(key) == self._rank(best)
-                and set(self.log.evidence[key].crashed_at_s) == crashes
-            ]
+    def _quarantine_likeliest(
+        self, evidence: StageEvidence, keys: Collection[PartKey]
+    ) -> None:
+        """Put those parts under quarantine that explain the crashes best."""
+        while True:
+            new = [key for key in keys if key not in self._quarantined]
+            same = evidence.likeliest(new)
+            if not same:
+                return
+            crashes = set(evidence.log.evidence[same[0]].crashed_at_s)
             for key in same[:SAME_PARTS_MAX]:
-                self._propose(key)
-            self.log.explain(crashes, {key.part for key in same})
-            candidates = [key for key in candidates if self._has_enough_evidence(key)]
-
-    def _rank(self, key: PartKey) -> tuple[bool, int, bool]:
-        known = self.log.evidence[key]
-        return not known.was_begun, len(known.crashed_at_s), key.is_request
-
-    def _has_enough_evidence(self, key: PartKey) -> bool:
-        known = self.log.evidence.get(key)
-        if known is None or key in self._quarantined:
-            return False
-        crashes_min, others_min = CRASHES_MIN, OTHERS_BEGUN_MIN
-        if known.was_begun:
-            crashes_min, others_min = KNOWN_CRASHES_MIN, KNOWN_OTHERS_BEGUN_MIN
-        if len(known.crashed_at_s) < crashes_min:
-            return False
-        if known.crashes < crashes_min:
-            return False
-        if key.is_request:
-            return True
-        if known.is_of_one_request:
-            return False
-        if not known.was_begun and self._is_familiar(key.service):
-            return True
-        return self.log.others_begun(key) >= others_min
+                self._propose(key, evidence)
+            self._explain(crashes, {key.part for key in same})
 
-    def _is_familiar(self, service: ServiceName) -> bool:
-        return self.log.begun_count(service) >= FAMILIAR_BEGUN_MIN
-
-    def _propose(self, key: PartKey) -> None:
-        known = self.log.evidence[key]
+    def _propose(self, key: PartKey, evidence: StageEvidence) -> None:
+        known = evidence.log.evidence[key]
         entry = QuarantineEntry(
             key,
             time.monotonic() - known.first_at_s,
             tuple(sorted(known.crashed_at_s)),
             not known.was_begun and not key.is_request,
+            stage=evidence.stage,
         )
         # Others must know this entry before those that are carried over from it.
         self.on_action(Propose(entry))
-        self._add(entry, ENFORCE_AFTER_S)
+        self._add(entry, self._delay_s(entry))
 
     def _carry_over(self, key: PartKey) -> None:
         """Put a part that crashes another service's targets under quarantine, too."""
-        if key in self._quarantined or self._is_harmless_here(key):
+        stage = self._crashing_stage(key.part)
+        if key in self._quarantined or self._is_harmless_here(key, stage):
             return
-        entry = QuarantineEntry(key, 0.0)
+        entry = QuarantineEntry(key, 0.0, stage=stage)
         self._add(entry, self._carried_delay_s(key.part))
         self.on_action(Propose(entry))
 
-    def _is_harmless_here(self, key: PartKey) -> bool:
+    def _is_harmless_here(self, key: PartKey, stage: AnswerStage) -> bool:
         """Return whether a quarantine at another service must not be carried over."""
         since_s = self._crashing_since_s(key.part) - ENFORCE_AFTER_S - DELIVERY_MAX_S
-        return self.log.has_begun(key) or self.log.voided_at_s(key) > since_s
+        log = self._log(stage)
+        return log.has_begun(key) or log.voided_at_s(key) > since_s
 
     def _crashing_since_s(self, part: PartId) -> float:
         """Return since when a part is kept away from a service that it crashed."""
-        services = self._crashed_services.get(part, set())
-        keys = [PartKey(service, part) for service in services]
-        times_s = [self._quarantined[key].in_force_at_s for key in keys]
+        times_s = [known.in_force_at_s for known in self._crashing_entries(part)]
         return min(times_s, default=float("-inf"))
 
-    def _carried_from(self, entry: QuarantineEntry) -> list[QuarantinedPart]:
-        """Return what is known of the services from which an entry was carried over."""
-        if not entry.is_carried_over:
-            return []
-        part = entry.key.part
+    def _crashing_stage(self, part: PartId) -> AnswerStage:
+        """Return the stage at which a part crashes targets of other services."""
+        stages = {known.entry.stage for known in self._crashing_entries(part)}
+        is_begun = AnswerStage.BEGUN in stages
+        return AnswerStage.BEGUN if is_begun else AnswerStage.SETTLED
+
+    def _crashing_entries(self, part: PartId) -> list[QuarantinedPart]:
+        """Return what is known of a part at the services that it crashed."""
         services = self._crashed_services.get(part, set())
         return [self._quarantined[PartKey(service, part)] for service in services]
 
+    def _carried_from(self, entry: QuarantineEntry) -> list[QuarantinedPart]:
+        """Return what is known of the services from which an entry was carried over."""
+        return self._crashing_entries(entry.key.part) if entry.is_carried_over else []
+
+    def _delay_s(self, entry: QuarantineEntry) -> float:
+        """Return the time until an entry that is not refuted is in force."""
+        if entry.is_carried_over:
+            return self._carried_delay_s(entry.key.part)
+        is_known = not entry.is_new and not entry.key.is_request
+        if is_known and entry.stage is AnswerStage.SETTLED:
+            return KNOWN_ENFORCE_AFTER_S
+        return ENFORCE_AFTER_S
+
     def _carried_delay_s(self, part: PartId) -> float:
         """Return the time until a quarantine at one service holds at others."""
         if part not in self._crashed_services:
@@ -301,16 +277,13 @@
         An entry that `is_old`, as one read at the start, is in force at once.
         """
         crashes = [self._crash_times.known_as(crash) for crash in entry.crashes]
-        self.log.explain(crashes, {entry.key.part})
+        self._explain(crashes, {entry.key.part})
         known = self._quarantined.get(entry.key)
         if known is None:
             if self._is_refuted(entry) and not is_old:
                 self._release(entry.key)
                 return
-            delay_s = ENFORCE_AFTER_S
-            if entry.is_carried_over:
-                delay_s = self._carried_delay_s(entry.key.part)
-            self._add(entry, 0.0 if is_old else delay_s)
+            self._add(entry, 0.0 if is_old else self._delay_s(entry))
             return
         now_s = time.monotonic()
         known.kept_at_s = now_s
@@ -320,13 +293,19 @@
             known.entry = replace(known.entry, trials=entry.trials)
 
     def _is_refuted(self, entry: QuarantineEntry) -> bool:
-        """Return whether this router knows of an answer that refutes an entry."""
+        """Return whether this router knows of an answer that refutes an entry.
+
+        An answer of before the crashes refutes one entry at most. A part that crashes
+        targets again after its release may have become harmful since that answer.
+        """
         if entry.is_carried_over:
-            return self._is_harmless_here(entry.key)
-        if entry.is_new:
-            return self.log.has_begun(entry.key)
+            return self._is_harmless_here(entry.key, entry.stage)
+        log = self._log(entry.stage)
+        begun_at_s = log.begun_at_s(entry.key)
+        if entry.is_new and begun_at_s > log.voided_at_s(entry.key):
+            return True
         first_at_s = time.monotonic() - entry.evidence_age_s - DELIVERY_MAX_S
-        return self.log.begun_at_s(entry.key) > first_at_s
+        return begun_at_s > first_at_s
 
     def _add(self, entry: QuarantineEntry, delay_s: float) -> None:
         now_s = time.monotonic()
@@ -340,13 +319,14 @@
         if key.is_request:
             # It is carried over once it is asked for at another service.
             return
-        for service in self.log.begun_services:
+        for service in self._log(AnswerStage.BEGUN).begun_services:
             self._carry_over(PartKey(service, key.part))
 
     def remove_entry(self, key: PartKey) -> None:
         """Set a part free, and void the evidence of before."""
         known = self._quarantined.pop(key, None)
-        self.log.void(key)
+        for evidence in self._stages.values():
+            evidence.log.void(key)
         if known is None or known.entry.is_carried_over:
             return
         services = self._crashed_services[key.part]
@@ -375,6 +355,11 @@
         """Return whether a part is under quarantine, or about to be."""
         return key in self._quarantined
 
+    def is_in_force(self, key: PartKey) -> bool:
+        """Return whether requests with a part are refused, but for trials."""
+        known = self._quarantined.get(key)
+        return known is not None and time.monotonic() >= known.in_force_at_s
+
     @property
     def entries(self) -> list[QuarantineEntry]:
         """Return the entries of all parts under quarantine."""
@@ -382,9 +367,9 @@
 
     def expire(self) -> None:
         """Drop what is past, and have entries kept that are still needed."""
-        self.log.expire()
+        for evidence in self._stages.values():
+            evidence.expire()
         self._crash_times.expire(EVIDENCE_VALID_S)
-        self._often_crashed &= self.log.evidence.keys()
         now_s = time.monotonic()
         for key, known in list(self._quarantined.items()):
             if known.is_past(now_s):
--- a/src/chervilstall/quarantine/refusal.py
+++ b/src/chervilstall/quarantine/refusal.py
@@ -15,11 +15,13 @@
     service: ServiceName,
     parts: Iterable[PartId],
     may_have_run: bool,
+    has_begun: bool = False,
 ) -> None:
     """Raise ChervilstallError for a request that may crash its next target.
 
     Where an earlier attempt `may_have_run`, the error does not say that the request did
-    not. Such a request is also refused if it may have crashed the earlier target.
+    not. Such a request is also refused if it may have crashed the earlier target and
+    its answer has not begun.
     """
     part = quarantine.refused_part(service, parts)
     if part is not None:
@@ -30,6 +32,6 @@
         raise ChervilstallError(
             ErrorKind.PROMPT_QUARANTINED, reason, QUARANTINE_RETRY_S
         )
-    if may_have_run and quarantine.is_suspect(service, parts):
+    if may_have_run and not has_begun and quarantine.is_suspect(service, parts):
         reason = "the request may have crashed its target"
         raise ChervilstallError(ErrorKind.OUTCOME_UNKNOWN, reason)
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -23,7 +23,11 @@
     UNFRAMED_BEHAVIOURS,
     Behaviour,
 )
-from chervilstall.standin.crashes import ResettableServer, shared_parts
+from chervilstall.standin.crashes import (
+    ResettableServer,
+    StreamPaths,
+    shared_parts,
+)
 from chervilstall.standin.target_log import Run, TargetLog
 from chervilstall.standin.unframed import end_answer, send_head
 from chervilstall.wsgi import (
@@ -56,7 +60,8 @@
     that names one of `crashing_parts`, or whose request target is one of
     `crashing_targets`, crashes this target, a stream after `events_before_crash`; the
     target listens again at the same address `restart_s` later, and calls `on_restart`,
-    for each start is registered anew.
+    for each start is registered anew. With `find_victim` the request crashes the target
+    that it returns for the request's id, and the stream waits for another path.
     """
 
     def __init__(self, name: str, address: Address) -> None:
@@ -80,6 +85,8 @@
         self.crashing_parts: frozenset[str] = frozenset()
         self.crashing_targets: frozenset[str] = frozenset()
         self.events_before_crash = 0
+        self.paths = StreamPaths()
+        self.find_victim: Callable[[str], PlatformTarget] | None = None
         self.restart_s = 3.2
         self.on_restart: Callable[[], None] = lambda: None
         self._restart: gevent.Greenlet | None = None
@@ -100,7 +107,12 @@
             self._restart.kill(block=False)
         self.server.kill_connections()
 
-    def _crash(self) -> None:
+    @property
+    def is_down(self) -> bool:
+        """Return whether the target has crashed and not started again."""
+        return bool(self.server.closed)
+
+    def crash(self) -> None:
         """Reset every connection and stop listening until the restart."""
         if self.server.closed:
             return
@@ -145,6 +157,8 @@
             stalled = [
                 {"id": run.request, "address": self.stalled_on} for run in self.log.runs
             ]
+        for request, address in self.paths.stalled.items():
+            stalled.append({"id": request, "address": address})
         return {
             "pace": 1.0,
             "busy": False,
@@ -164,6 +178,7 @@
         self.log.orders.append(order)
         if order["op"] == "repath":
             self.stalled_on = ""
+            self.paths.set(order["id"], order["path"])
             return json_response(200, {}).start(start_response)
         if order.get("expected", self.orders_begun) != self.orders_begun:
             return json_response(409, {}).start(start_response)
@@ -256,7 +271,7 @@
 
     def _close_and_crash(self, connection: Any) -> NoReturn:
         # Closes this connection first, so that it isn't reset.
-        gevent.spawn(self._crash)
+        gevent.spawn(self.crash)
         raise end_answer(connection)
 
     def _event_texts(self, run: Run) -> list[bytes]:
@@ -273,7 +288,7 @@
     ) -> Iterator[bytes]:
         gevent.sleep(self.answer_s)
         if self._is_crashing(run):
-            self._crash()
+            self.crash()
             raise ConnectionResetError(errno.ECONNRESET, "the target crashed")
         answer = f"answer to {run.request}".encode()
         response_headers = [
@@ -339,13 +354,14 @@
         if self.behaviour is Behaviour.STREAM_ANOTHER:
             response_headers[0] = ("Attempt-Id", "another")
         start_response(status_line(200), response_headers)
+        self.paths.set(run.request, run.headers["hop-count"])
         try:
             gevent.sleep(max(0.0, self.first_event_s - EVENT_INTERVAL_S))
             for index, event in enumerate(self._event_texts(run)):
                 gevent.sleep(EVENT_INTERVAL_S)
+                self.paths.wait(run.request)
                 if self._is_crashing(run) and index == self.events_before_crash:
-                    self._crash()
-                    raise ConnectionResetError(errno.ECONNRESET, "the target crashed")
+                    self._crash_on(run)
                 if index == self.events_before_fault:
                     self._pause_stream()
                 if index >= self.events_before_fault:
@@ -357,6 +373,17 @@
         except GeneratorExit:
             self.log.cancelled_streams += 1
             raise
+        finally:
+            self.paths.forget(run.request)
+
+    def _crash_on(self, run: Run) -> NoReturn:
+        """Crash on a request, or crash one target of its path after the other."""
+        if self.find_victim is None:
+            self.crash()
+            raise ConnectionResetError(errno.ECONNRESET, "the target crashed")
+        while True:
+            self.find_victim(run.request).crash()
+            self.paths.wait(run.request)
 
     def _is_crashing(self, run: Run) -> bool:
         names_crashing = bool(shared_parts(run.headers) & self.crashing_parts)
--- a/tests/edge/quarantine.feature
+++ b/tests/edge/quarantine.feature
@@ -9,14 +9,37 @@
     And at least 90 in 100 of the sound drafts after that are served whole
 
   # Guards against BUDGET: the first event of another target counts as an answer begun.
-  Scenario: A part that crashes targets after their first event is found, too
+  # Guards against BUDGET: some events of an answer count as proof that its parts are harmless.
+  Scenario Outline: A part that crashes targets after <events> events is found, too
     Given 3 routers and 6 first targets a zone for drafts that share parts
     And each first target crashes on one of these parts and is back after 1 second
-    And each first target sends one event before it crashes
+    And each first target sends <events> events before it crashes
     When drafts come at 24 a second for 10 seconds, 1 in 6 of them with that part
     Then at most 3 requests with it arrive later than 3 seconds after the fifth crash
     And at least 90 in 100 of the sound drafts after that are served whole
 
+    Examples:
+      | events |
+      | 1      |
+      | 2      |
+
+  # Guards against BUDGET: streams are led from a dead last target to the next, which crashes too.
+  Scenario: A part that crashes the last target of a path is found
+    Given 3 routers, 3 first and 6 last targets a zone for drafts that share parts
+    And each first target crashes on one of these parts and is back after 1 second
+    And it is the last target of a path that crashes
+    When drafts come at 24 a second for 10 seconds, 1 in 6 of them with that part
+    Then at most 3 requests with it arrive later than 3 seconds after the fifth crash
+    And at least 90 in 100 of the sound drafts after that are served whole
+
+  # Guards against LOST: sound parts are refused as streams wait for dead targets.
+  Scenario: Several targets that crash at once put no part under quarantine
+    Given 3 routers, 3 first and 6 last targets a zone for drafts that share parts
+    And streams wait for dead targets of their paths
+    And 2 first and 4 last targets of each zone crash after 2 seconds for 1 second
+    When drafts come at 24 a second for 6 seconds, none of them with a crashing part
+    Then no part was ever put under quarantine
+
   # Guards against BUDGET: the check before a send comes before the crash just seen counts.
   Scenario: A request that two targets crashed on is not sent to a third
     Given 1 routers and 6 first targets a zone for drafts that share parts
--- a/tests/edge/quarantine_decisions.feature
+++ b/tests/edge/quarantine_decisions.feature
@@ -110,3 +110,50 @@
     Then 3 seconds later "crashing" is refused at another service
     When another router claims the trial of "crashing" there and ends
     Then within 3600 seconds of requests another trial of "crashing" is asked for there
+
+  # Guards against BUDGET: one router's old answer frees a part everywhere, again and again.
+  Scenario: An answer of before the crashes releases one entry at most
+    Given a quarantine
+    When answers with "shared crashing" begin
+    And 5 seconds later another router puts "crashing" under quarantine for crashes of the last 2 seconds
+    Then "crashing" was released
+    When 5 seconds later another router puts "crashing" under quarantine for crashes of the last 2 seconds
+    Then 0.6 seconds later "crashing" is refused and "shared" is not
+
+  # Guards against LOST: a part stays refused although it is known to be harmless.
+  Scenario: An answer of after the crashes releases what another router found
+    Given a quarantine
+    When answers with "shared" begin
+    And 5 seconds later another router puts "rare" under quarantine for crashes of the last 2 seconds
+    And answers with "rare" begin
+    Then 0.6 seconds later "rare" is served
+
+  # Guards against BUDGET: the first events of an answer void the evidence of its own crash.
+  Scenario: A part that crashes targets after some events is found
+    Given a quarantine
+    When answers with "shared" settle
+    And targets crash on unsettled answers with "shared crashing" at 1, 2, 3 and 4 seconds
+    And answers with "crashing" begin without settling
+    And answers with "shared" settle
+    Then 0.6 seconds later "crashing" is refused and "shared" is not
+
+  # Guards against LOST: sound parts are refused as targets die of something else.
+  Scenario Outline: <what> puts no part of unsettled answers under quarantine
+    Given a quarantine
+    When answers with "shared" settle
+    And targets crash on unsettled answers with "shared rare" at <times> seconds
+    And answers with "<settled>" settle
+    Then 0.6 seconds later nothing is refused
+
+    Examples:
+      | what                                              | times                   | settled     |
+      | The death of four targets at once                 | 1, 1.01, 1.02 and 1.03  | shared      |
+      | The death of four targets at once, noticed late   | 1, 1.3, 1.7 and 1.9     | shared      |
+      | Three crashes one after the other                 | 1, 1.2, 2 and 3         | shared      |
+      | A part with which an answer settles               | 1, 2, 3 and 4           | shared rare |
+
+  # Guards against LOST: sound parts are refused while no answer shows another cause.
+  Scenario: Crashes before which no answer settled put no part under quarantine
+    Given a quarantine
+    When targets crash on unsettled answers with "shared rare" at 1, 2, 3 and 4 seconds
+    Then 0.6 seconds later nothing is refused
--- a/tests/steps/quarantine_decision_steps.py
+++ b/tests/steps/quarantine_decision_steps.py
@@ -6,11 +6,14 @@
 from behave.runner import Context
 
 from chervilstall.ids import CrashId, PartId, ServiceName
+from chervilstall.quarantine.identity import REQUEST_PREFIX
 from chervilstall.quarantine.prompts import PromptQuarantine
 from chervilstall.quarantine.records import (
+    AnswerStage,
     ClaimTrial,
     Clear,
     CrashReport,
+    LostRequest,
     PartKey,
     QuarantineAction,
     QuarantineEntry,
@@ -107,6 +110,43 @@
             run.quarantine.record_crash(CrashReport(crash, SERVICE, parts_of(text)))
 
 
+@when(
+    'targets crash on unsettled answers with "{text}" at {first_s:g}, {second_s:g}, '
+    "{third_s:g} and {fourth_s:g} seconds"
+)
+def crash_unsettled(
+    context: Context,
+    text: str,
+    first_s: float,
+    second_s: float,
+    third_s: float,
+    fourth_s: float,
+) -> None:
+    run = context.run
+    for at_s in (first_s, second_s, third_s, fourth_s):
+        run.clock.now_s = run.began_at_s + at_s
+        run.crashes += 1
+        digest = PartId(f"{REQUEST_PREFIX}{run.crashes}")
+        report = CrashReport(
+            CrashId(f"t{run.crashes}@0"),
+            SERVICE,
+            (),
+            unsettled=(LostRequest(digest, parts_of(text)),),
+        )
+        run.quarantine.record_crash(run.quarantine.with_begun_parts(report))
+
+
+@when('answers with "{text}" settle')
+def settle_answers(context: Context, text: str) -> None:
+    begin_answers(context, text)
+
+
+@when('answers with "{text}" begin without settling')
+def begin_unsettled(context: Context, text: str) -> None:
+    parts = parts_of(text)
+    context.run.quarantine.record_begun(SERVICE, parts, (AnswerStage.BEGUN,))
+
+
 @when('answers with "{text}" begin')
 def begin_answers(context: Context, text: str) -> None:
     for _ in range(BEGUN_ANSWERS):
@@ -125,6 +165,25 @@
     assert context.run.refused(taken) is None
 
 
+@when(
+    '{after_s:g} seconds later another router puts "{part}" under quarantine for '
+    "crashes of the last {age_s:g} seconds"
+)
+def quarantine_elsewhere(
+    context: Context, after_s: float, part: str, age_s: float
+) -> None:
+    context.run.clock.now_s += after_s
+    crashes = tuple(CrashId(f"elsewhere{number}@0") for number in range(3))
+    entry = QuarantineEntry(PartKey(SERVICE, PartId(part)), age_s, crashes)
+    context.run.quarantine.apply_entry(entry)
+
+
+@then('{after_s:g} seconds later "{text}" is served')
+def check_served(context: Context, after_s: float, text: str) -> None:
+    context.run.clock.now_s += after_s
+    assert context.run.refused(text) is None, context.run.actions
+
+
 @then("{after_s:g} seconds later nothing is refused")
 def check_nothing_refused(context: Context, after_s: float) -> None:
     context.run.clock.now_s += after_s
@@ -169,6 +228,11 @@
         run.quarantine.apply_entry(entry)
 
 
+@then('"{part}" was released')
+def check_released(context: Context, part: str) -> None:
+    assert Clear(PartKey(SERVICE, PartId(part))) in context.run.actions
+
+
 @then("nothing was released")
 def check_not_freed(context: Context) -> None:
     assert not [each for each in context.run.actions if isinstance(each, Clear)]
--- a/tests/steps/quarantine_steps.py
+++ b/tests/steps/quarantine_steps.py
@@ -2,17 +2,21 @@
 
 import http.client
 import random
+import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
 import gevent
 from behave import given, then, when
 from behave.runner import Context
 
 from chervilstall.fleet.records import LayerRange
+from chervilstall.quarantine.records import QuarantineAction
 from chervilstall.standin.crashes import shared_parts
 from chervilstall.standin.platform_fixtures import LAYERS, build_configuration
+from chervilstall.standin.platform_target import PlatformTarget
 from tests.support.agent_fleet import eventually
 from tests.support.platform import ZONES, Platform, send
 from tests.support.router_harness import Response
@@ -56,6 +60,14 @@
     "{count:d} routers and {firsts:d} first targets a zone for drafts that share parts"
 )
 def start_sharing_platform(context: Context, count: int, firsts: int) -> None:
+    start_platform(context, count, firsts, lasts=1)
+
+
+@given(
+    "{count:d} routers, {firsts:d} first and {lasts:d} last targets a zone for drafts "
+    "that share parts"
+)
+def start_platform(context: Context, count: int, firsts: int, lasts: int) -> None:
     context.platform = platform = Platform()
     context.stoppables.append(platform)
     platform.start()
@@ -64,8 +76,9 @@
             layers = LayerRange(0, LAYERS // 2)
             first = platform.add_target(f"a{number}-{zone}", "drafts", zone, layers)
             first.first_event_s = FIRST_EVENT_S
-        layers = LayerRange(LAYERS // 2, LAYERS)
-        platform.add_target(f"b-{zone}", "drafts", zone, layers)
+        for number in range(lasts):
+            layers = LayerRange(LAYERS // 2, LAYERS)
+            platform.add_target(f"b{number}-{zone}", "drafts", zone, layers)
     for number in range(count):
         platform.add_router(ZONES[number % len(ZONES)])
     for router in platform.routers:
@@ -82,10 +95,73 @@
         target.restart_s = restart_s
 
 
-@given("each first target sends one event before it crashes")
-def send_event_before_crash(context: Context) -> None:
+@given("each first target sends {count:d} events before it crashes")
+def send_events_before_crash(context: Context, count: int) -> None:
+    for target in context.platform.targets.values():
+        target.events_before_crash = count
+
+
+def find_target(context: Context, address: str) -> PlatformTarget | None:
+    """Return the target that has an address, or None."""
+    targets = context.platform.targets.values()
+    return next((each for each in targets if str(each.address) == address), None)
+
+
+@given("streams wait for dead targets of their paths")
+def let_streams_wait(context: Context) -> None:
+    def is_down(address: str) -> bool:
+        target = find_target(context, address)
+        return target is None or target.is_down
+
     for target in context.platform.targets.values():
-        target.events_before_crash = 1
+        target.paths.is_down = is_down
+
+
+@given("it is the last target of a path that crashes")
+def set_crashing_stage(context: Context) -> None:
+    let_streams_wait(context)
+
+    def find_last(first: PlatformTarget, request: str) -> PlatformTarget:
+        target = find_target(context, first.paths.address(request, -1))
+        assert target is not None
+        return target
+
+    for first in context.platform.targets.values():
+        first.find_victim = partial(find_last, first)
+
+
+@given(
+    "{firsts:d} first and {lasts:d} last targets of each zone crash after "
+    "{after_s:g} seconds for {restart_s:g} second"
+)
+def crash_at_once(
+    context: Context, firsts: int, lasts: int, after_s: float, restart_s: float
+) -> None:
+    targets = context.platform.targets
+    names = [
+        f"{kind}{number}-{zone}"
+        for zone in ZONES
+        for kind, count in (("a", firsts), ("b", lasts))
+        for number in range(count)
+    ]
+    for name in names:
+        targets[name].restart_s = restart_s
+        gevent.spawn_later(after_s, targets[name].crash)
+    context.quarantine_calls = calls = []
+    for router in context.platform.routers:
+        propose = router.quarantine.on_action
+
+        def record(action: QuarantineAction, propose: Callable = propose) -> None:
+            calls.append(action)
+            propose(action)
+
+        router.quarantine.on_action = record
+
+
+@then("no part was ever put under quarantine")
+def check_none_proposed(context: Context) -> None:
+    assert len(crashed_at_s(context)) >= len(ZONES), "too few targets crashed"
+    assert not context.quarantine_calls, context.quarantine_calls
 
 
 def prefix_hash(rng: random.Random, number: int, is_crashing: bool) -> str:
@@ -108,6 +184,14 @@
     return response.status == 200 and ids == expected
 
 
+@when(
+    "drafts come at {rate:d} a second for {duration_s:d} seconds, none of them with a "
+    "crashing part"
+)
+def ask_for_sound_drafts(context: Context, rate: int, duration_s: int) -> None:
+    ask_for_drafts(context, rate, duration_s, sys.maxsize)
+
+
 @when(
     "drafts come at {rate:d} a second for {duration_s:d} seconds, 1 in {share:d} of "
     "them with that part"
--- a/tests/support/quarantine_cases.py
+++ b/tests/support/quarantine_cases.py
@@ -153,6 +153,11 @@
             return {"crashing": (), "crashing_requests": (draw_crashing_request(rng),)}
         case "a crashing draft beside a crashing part":
             return {"crashing_requests": (draw_crashing_request(rng),)}
+        case "a part that strikes after some events":
+            return {"events_before_crash": rng.choice((1, 2, 3, 5, 7))}
+        case "a part that strikes after some events and other crashes":
+            changes = case_changes(rng, "other crashes beside it", targets, callers)
+            return {**changes, "events_before_crash": rng.choice((2, 5))}
         case "slow answers":
             return {"first_event_s": (0.5, 2.5)}
     return {}
--- a/tests/support/quarantine_fleet.py
+++ b/tests/support/quarantine_fleet.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from chervilstall.edge.crashes.guard import SETTLED_EVENTS
 from tests.support.clock import Clock
 from tests.support.quarantine_refusals import refused_sound_requests
 from tests.support.quarantine_router import (
@@ -32,6 +33,7 @@
     WARM_UP_S,
     PromptRequest,
     QuarantineCase,
+    crashing_parts,
     draw_request,
 )
 from tests.support.simulated_tasks import SimulatedTasks
@@ -251,7 +253,8 @@
             self._fail(relay.request)
             return
         relay.attempts += 1
-        relay.guarded.sent_at_s = self.clock.now_s
+        relay.guarded.sent_at_s = relay.guarded.path_began_at_s = self.clock.now_s
+        relay.guarded.path_events = 0
         self._sequence += 1
         record = self.entries.read(router.index, target)
         send = Send(self._sequence, relay, target, record)
@@ -320,7 +323,7 @@
             self._on_way(lambda: self._see_refusal(send))
             return
         target.running[send.number] = send
-        crashing = self._crashing_parts(relay.request)
+        crashing = crashing_parts(self.case, relay.request, self.now_s)
         if crashing:
             self.arrivals.append(
                 PartArrival(
@@ -334,18 +337,12 @@
         wait_s = self.rng.uniform(*self.case.first_event_s)
         self._in(wait_s, lambda: self._write_first_event(send))
 
-    def _crashing_parts(self, request: PromptRequest) -> frozenset[str]:
-        """Return the parts of a request that crash its targets now."""
-        if not self.case.sound_before or self.now_s < self.case.crashing_from_s:
-            return request.crashing
-        names = {part.name for part in self.case.crashing}
-        return request.crashing | names.intersection(request.parts)
-
     def _write_first_event(self, send: Send) -> None:
         if send.number not in send.target.running:
             return
-        crashing = self._crashing_parts(send.relay.request)
-        if crashing:
+        crashing = crashing_parts(self.case, send.relay.request, self.now_s)
+        events_before_crash = self.case.events_before_crash
+        if crashing and not events_before_crash:
             self._crash(send.target, crashing)
             return
         if not self.case.has_prompts:
@@ -354,14 +351,27 @@
             return
         self._write_event(send)
         interval_s = self.rng.uniform(*EVENT_INTERVAL_S)
-        self._in(interval_s, lambda: self._write_event(send))
+        if not crashing or events_before_crash > 1:
+            self._in(interval_s, lambda: self._write_event(send))
+        if crashing:
+            crash_in_s = events_before_crash * interval_s
+            self._in(crash_in_s, lambda: self._crash_on(send, crashing))
+            return
+        settled_in_s = (SETTLED_EVENTS - 1) * interval_s
+        self._in(settled_in_s, lambda: self._write_event(send, SETTLED_EVENTS - 2))
         self._in(self.rng.uniform(*ANSWER_S), lambda: self._end(send))
 
-    def _write_event(self, send: Send) -> None:
-        """Write an event, which is lost if a crash comes before it has arrived."""
+    def _crash_on(self, send: Send, crashing: frozenset[str]) -> None:
+        if send.number in send.target.running:
+            self._crash(send.target, crashing)
+
+    def _write_event(self, send: Send, count: int = 1) -> None:
+        """Write events, which are lost if a crash comes before they have arrived."""
 
         def receive() -> None:
-            if send.number in send.target.running:
+            if send.number not in send.target.running:
+                return
+            for _ in range(count):
                 self._receive_event(send)
 
         if send.number in send.target.running:
--- a/tests/support/quarantine_router.py
+++ b/tests/support/quarantine_router.py
@@ -86,6 +86,8 @@
     events_forwarded: int = 0
     has_begun: bool = False
     targets_lost: int = 0
+    path_events: int = 0
+    path_began_at_s: float = 0.0
 
 
 def guarded_request(request: PromptRequest, has_prompt: bool) -> GuardedRequest:
@@ -132,7 +134,7 @@
     def record_event(self, request: GuardedRequest) -> None:
         """Tell the guard of another event of an answer."""
         request.events_forwarded += 1
-        self.guard.record_event(cast(Any, request), request.events_forwarded)
+        self.guard.record_event(cast(Any, request))
 
     def record_end(self, request: GuardedRequest) -> None:
         """Tell the guard that an answer has ended."""
--- a/tests/support/quarantine_traffic.py
+++ b/tests/support/quarantine_traffic.py
@@ -65,7 +65,8 @@
     share `sound_before` of all requests names the first such part and is answered. With
     `moves_at_s` all requests are for the first service before it, then for the second.
     Without `has_prompts` requests name no parts, and their first event is the whole
-    answer. The share `popular` of all requests is one and the same sound one.
+    answer. The share `popular` of all requests is one and the same sound one. With
+    `events_before_crash` a crashing part strikes after so many events of one target.
     """
 
     routers: int
@@ -95,6 +96,7 @@
     has_prompts: bool = True
     popular: float = 0.0
     attempts_max: int = 2
+    events_before_crash: int = 0
 
 
 @dataclass(frozen=True)
@@ -189,3 +191,13 @@
     return PromptRequest(
         number, service, tuple(parts), crashing, names - crashing, digest_of(number)
     )
+
+
+def crashing_parts(
+    case: QuarantineCase, request: PromptRequest, now_s: float
+) -> frozenset[str]:
+    """Return the parts of a request that crash its targets now."""
+    if not case.sound_before or now_s < case.crashing_from_s:
+        return request.crashing
+    names = {part.name for part in case.crashing}
+    return request.crashing | names.intersection(request.parts)
