Write the summaries of all histograms by one function

Four modules repeated how the quantiles and the count of a histogram are written as series. summary_lines does it for all of them; the series are the same as before. In the wait of long prompts, the bound on decisions and the rule for the length of a wait are named for what they do.

--- a/src/chervilstall/edge/room/metrics.py
+++ b/src/chervilstall/edge/room/metrics.py
@@ -8,8 +8,8 @@
 
 from chervilstall.edge.room.service import ServiceRoom
 from chervilstall.ids import ServiceName, WorkspaceName
-from chervilstall.telemetry.edge_metrics import OTHER, QUANTILES
-from chervilstall.telemetry.metrics import new_histogram, record_seconds
+from chervilstall.telemetry.edge_metrics import OTHER
+from chervilstall.telemetry.metrics import new_histogram, record_seconds, summary_lines
 
 REFUSAL_SERIES_MAX = 2_000
 PRIORITIES_MAX = 32
@@ -60,12 +60,8 @@
             labels = f'reason="{reason}",priority="{priority}",workspace="{workspace}"'
             lines.append(f"{PREFIX}refusals_total{{{labels}}} {count}")
         for label, histogram in sorted(self._waits.items()):
-            for quantile in QUANTILES:
-                value_s = histogram.get_value_at_percentile(quantile * 100.0) / 1e6
-                labels = f'priority="{label}",quantile="{quantile:g}"'
-                lines.append(f"{PREFIX}wait_seconds{{{labels}}} {value_s:g}")
-            count = histogram.get_total_count()
-            lines.append(f'{PREFIX}wait_seconds_count{{priority="{label}"}} {count}')
+            labels = f'priority="{label}"'
+            lines += summary_lines(f"{PREFIX}wait_seconds", labels, histogram)
         return lines
 
 
--- a/src/chervilstall/edge/streams/pauses.py
+++ b/src/chervilstall/edge/streams/pauses.py
@@ -17,9 +17,8 @@
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.ids import RequestId
-from chervilstall.telemetry.metrics import new_histogram, record_seconds
+from chervilstall.telemetry.metrics import new_histogram, record_seconds, summary_lines
 
-QUANTILES = (0.5, 0.95, 0.99)
 RESUMED_WITHIN_S = 5.0
 """Time after which a stream that was ended is no longer expected to be resumed."""
 
@@ -141,10 +140,5 @@
         lines = [f"# TYPE {SERIES} summary"]
         for (cause, component), histogram in self._histograms.items():
             labels = f'cause="{cause.value}",component="{component.value}"'
-            for quantile in QUANTILES:
-                value_s = histogram.get_value_at_percentile(quantile * 100.0) / 1e6
-                lines.append(
-                    f'{SERIES}{{{labels},quantile="{quantile:g}"}} {value_s:g}'
-                )
-            lines.append(f"{SERIES}_count{{{labels}}} {histogram.get_total_count()}")
+            lines += summary_lines(SERIES, labels, histogram)
         return lines
--- a/src/chervilstall/edge/streams/prompt_wait.py
+++ b/src/chervilstall/edge/streams/prompt_wait.py
@@ -17,9 +17,8 @@
 from chervilstall.fleet.records import Pipeline
 from chervilstall.paths.choice import PathChooser
 from chervilstall.paths.records import Path, PathStage
-from chervilstall.telemetry.edge_metrics import QUANTILES
 from chervilstall.telemetry.events import EventLog
-from chervilstall.telemetry.metrics import new_histogram, record_seconds
+from chervilstall.telemetry.metrics import new_histogram, record_seconds, summary_lines
 
 log = EventLog("edge")
 
@@ -32,8 +31,8 @@
 MEAN_WEIGHT = 1.0 / 32.0
 """Weight of the latest prompt in the mean size."""
 
-LOOKS_MAX = 4
-"""How often a wait is decided anew at most, as each time takes a search for a path."""
+DECISIONS_MAX = 4
+"""Decisions on one wait at most, as each takes a search for a path."""
 
 
 @dataclass(eq=False)
@@ -87,16 +86,16 @@
         paths: StreamPaths,
     ) -> None:
         began_s = time.monotonic()
-        pauses = 0
+        has_waited = False
         while not request.has_caller_disconnected:
             path = paths.choose()
             pause_s = 0.0 if path is None else self.pause_s(waiting, pipeline, path)
             if path is None or pause_s <= 0.0:
                 break
             self._log_pause(request, waiting, path, pause_s)
-            pauses += 1
+            has_waited = True
             gevent.sleep(pause_s)
-        if pauses:
+        if has_waited:
             record_seconds(self.waits, time.monotonic() - began_s)
 
     def _log_pause(
@@ -141,9 +140,9 @@
     def pause_s(self, waiting: WaitingPrompt, pipeline: Pipeline, path: Path) -> float:
         """Return how long a prompt waits before it is decided on again, 0 to send it.
 
-        It waits while the prompts that are queued on its path take longer than its own,
-        until as much is left of them: the targets always have work. While a more urgent
-        one waits, it waits until nothing is left, so that the other goes first.
+        It waits until the prompts that are queued on its path take no longer than its
+        own, so that the targets always have work. While a more urgent prompt waits, it
+        waits until none is queued, so that the more urgent one is sent first.
         """
         left_s = waiting.until_s - time.monotonic()
         if left_s <= 0.0:
@@ -156,11 +155,11 @@
         )
         if excess_s <= 0.0:
             return 0.0
-        # With more than this queued, the prompt would only be later for its wait.
+        # The queue outlasts the longest wait, so a wait would only delay the prompt.
         if self.chooser.prefill_wait_s(pipeline, path, waiting.tokens) > left_s:
             return 0.0
-        look_s = (waiting.until_s - waiting.arrived_at_s) / LOOKS_MAX
-        return min(left_s, max(look_s, excess_s))
+        interval_s = (waiting.until_s - waiting.arrived_at_s) / DECISIONS_MAX
+        return min(left_s, max(interval_s, excess_s))
 
     def _known_backlog_s(self, stage: PathStage) -> float:
         """Return the time for the prompts at a stage that are known to be queued.
@@ -177,10 +176,4 @@
 
     def exposition(self) -> list[str]:
         """Return the lines of the series in the Prometheus text format."""
-        name = "chervilstall_prompt_wait_seconds"
-        lines = []
-        for quantile in QUANTILES:
-            value_s = self.waits.get_value_at_percentile(quantile * 100.0) / 1e6
-            lines.append(f'{name}{{quantile="{quantile:g}"}} {value_s:g}')
-        lines.append(f"{name}_count {self.waits.get_total_count()}")
-        return lines
+        return summary_lines("chervilstall_prompt_wait_seconds", "", self.waits)
--- a/src/chervilstall/telemetry/edge_metrics.py
+++ b/src/chervilstall/telemetry/edge_metrics.py
@@ -7,14 +7,13 @@
 
 from hdrh.histogram import HdrHistogram
 
-from chervilstall.telemetry.metrics import new_histogram, record_seconds
+from chervilstall.telemetry.metrics import new_histogram, record_seconds, summary_lines
 
 SERIES_MAX = 2_000
 HISTOGRAMS_MAX = 1_000
 """One histogram takes about 27 KB."""
 
 OTHER = "other"
-QUANTILES = (0.5, 0.95, 0.99)
 
 
 class RequestOutcome(Enum):
@@ -111,12 +110,5 @@
         lines.append("# TYPE chervilstall_latency_seconds summary")
         for (measure, workspace, route), histogram in sorted(self._histograms.items()):
             labels = f'measure="{measure}",workspace="{workspace}",route="{route}"'
-            for quantile in QUANTILES:
-                value_s = histogram.get_value_at_percentile(quantile * 100.0) / 1e6
-                quantile_labels = f'{labels},quantile="{quantile:g}"'
-                lines.append(
-                    f"chervilstall_latency_seconds{{{quantile_labels}}} {value_s:g}"
-                )
-            count = histogram.get_total_count()
-            lines.append(f"chervilstall_latency_seconds_count{{{labels}}} {count}")
+            lines += summary_lines("chervilstall_latency_seconds", labels, histogram)
         return "\n".join(lines) + "\n"
--- a/src/chervilstall/telemetry/metrics.py
+++ b/src/chervilstall/telemetry/metrics.py
@@ -49,6 +49,22 @@
     histogram.record_value(value_us)
 
 
+def summary_lines(name: str, labels: str, histogram: HdrHistogram) -> list[str]:
+    """Return the lines of a histogram in the Prometheus text exposition format.
+
+    `labels` are those of the series, such as `cause="drain",component="order"`, or "".
+    """
+    lines = []
+    prefix = f"{labels}," if labels else ""
+    for percentile in PERCENTILES:
+        value_s = histogram.get_value_at_percentile(percentile) / 1e6
+        quantile = f'quantile="{percentile / 100.0:g}"'
+        lines.append(f"{name}{{{prefix}{quantile}}} {value_s:g}")
+    count_labels = f"{{{labels}}}" if labels else ""
+    lines.append(f"{name}_count{count_labels} {histogram.get_total_count()}")
+    return lines
+
+
 class Metrics:
     """Counters, gauges and histograms of one process.
 
--- a/tests/steps/prompt_wait_steps.py
+++ b/tests/steps/prompt_wait_steps.py
@@ -13,7 +13,7 @@
 from chervilstall.edge.peers.forwarding import Forwarding
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.streams.prompt_wait import (
-    LOOKS_MAX,
+    DECISIONS_MAX,
     WAIT_SHARE,
     PromptWait,
     WaitingPrompt,
@@ -109,7 +109,7 @@
 @then("it waits until one of them is left")
 @then("it waits until none of them is left")
 def check_pause(context: Context) -> None:
-    assert LONG_S > WAIT_SHARE * OBJECTIVE_S / LOOKS_MAX
+    assert LONG_S > WAIT_SHARE * OBJECTIVE_S / DECISIONS_MAX
     assert abs(context.pause_s - LONG_S) < 1e-9, context.pause_s
 
 
