Make checks of stages and kept connections easier to read

One constant served as a wait and as an age, so each now has its own. The comparison of a silent target, the age of the targets' entries and the predicate for any target stand in functions of their own. Private names and comments use plain terms: SignsOfLife is StreamEventTimes, in event_times.py. Behaviour, log keys and series are unchanged.

--- a/src/chervilstall/edge/connections.py
+++ b/src/chervilstall/edge/connections.py
@@ -36,7 +36,7 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 """Time before the end that a target names, from which a connection isn't used.
 
-It covers the way of a request and a moment in which either process isn't run.
+It covers the network delay of a request and scheduling delays of both processes.
 """
 
 IDLE_PER_TARGET_MAX = 8
@@ -52,12 +52,14 @@
 """Share of the descriptors for requests at targets that idle connections may take."""
 
 HANG_FAILURES = (ExchangeFailure.CLOSED, ExchangeFailure.TIMEOUT)
-"""Failures of a kept connection before its answer that others may share."""
+"""Failures of a kept connection without an answer after which the idle ones to the same
+target are closed as well.
+"""
 
 UNNAMED_REFUSAL_S = 60.0
 """Time without kept connections to a target after its refusal that named no request.
 
-Over a kept connection it could be a late one of an earlier request.
+Over a kept connection, such a refusal could be a late one of an earlier request.
 """
 
 
@@ -66,7 +68,7 @@
 
     The end of the answer was stated, by a length or by chunks. After a refusal or an
     error the connection isn't used again: a server that answers early may not have read
-    all of the request, and take the rest for another one.
+    all of the request, and may take the rest for another one.
     """
     if not (head.matches_request and head.is_signed and 200 <= head.status < 300):
         return False
@@ -81,8 +83,10 @@
 
     `router_count` returns the number of routers that share the connections that a
     target accepts. `requests_max` is the number of descriptors for connections to
-    targets, of which `running` returns how many requests may take up. `is_stopping` is
-    true from the start of the router's drain on.
+    targets, and `running` returns the number of running requests, each of which may
+    need one. `opened` counts new connections and `reused` uses of kept ones; `in_use`
+    counts those of running exchanges by address. `is_stopping` is true from the start
+    of the router's drain on.
     """
 
     fleet_view: FleetView
@@ -95,7 +99,7 @@
     idle: IdleConnections = field(default_factory=IdleConnections)
     in_use: Counter[Address] = field(default_factory=Counter)
     is_stopping: bool = False
-    _unnamed_until_s: dict[TargetIncarnation, float] = field(default_factory=dict)
+    _distrusted_until_s: dict[TargetIncarnation, float] = field(default_factory=dict)
 
     def source(
         self, request: EdgeRequest, target: Target, attempts_left: int
@@ -130,7 +134,7 @@
             return False
         if target.address != address or target.state is not TargetReadiness.READY:
             return False
-        if self._unnamed_until_s.get(incarnation, 0.0) > time.monotonic():
+        if self._distrusted_until_s.get(incarnation, 0.0) > time.monotonic():
             return False
         return not self.fleet_view.is_suspected(target)
 
@@ -150,7 +154,7 @@
         return int(KEPT_SHARE * service.connections_max) // max(1, self.router_count())
 
     def idle_room(self, address: Address, incarnation: TargetIncarnation) -> int:
-        """Return how many idle connections to a target the requests to it leave."""
+        """Return how many idle connections may be kept beside those in use."""
         return self.idle_max(address, incarnation) - self.in_use[address]
 
     def make_room(self) -> None:
@@ -163,18 +167,18 @@
         if not self.keeps_any:
             return
         now_s, incarnation = time.monotonic(), target.incarnation
-        if self._unnamed_until_s.get(incarnation, 0.0) <= now_s:
+        if self._distrusted_until_s.get(incarnation, 0.0) <= now_s:
             log.info("connections not kept", target=target.id, why="unnamed refusal")
-        self._unnamed_until_s[incarnation] = now_s + UNNAMED_REFUSAL_S
+        self._distrusted_until_s[incarnation] = now_s + UNNAMED_REFUSAL_S
 
     def expire(self) -> None:
-        """Close idle connections that won't be used; called twice a second."""
+        """Close idle connections that can't be used any more; called twice a second."""
         self.idle.expire(self.idle_room)
         self.make_room()
         now_s = time.monotonic()
-        for incarnation, until_s in list(self._unnamed_until_s.items()):
+        for incarnation, until_s in list(self._distrusted_until_s.items()):
             if until_s <= now_s:
-                del self._unnamed_until_s[incarnation]
+                del self._distrusted_until_s[incarnation]
 
 
 class ConnectionSource:
@@ -289,7 +293,7 @@
         if idle_s <= 0.0 or not self.may_keep:
             return False
         address = connection.address
-        # The one that is given back counts as in use until then.
+        # This connection still counts as in use, so that `room` leaves a place for it.
         room = connections.idle_room(address, connection.incarnation)
         if connections.idle.count(address) > room:
             return False
--- a/src/chervilstall/edge/exchange.py
+++ b/src/chervilstall/edge/exchange.py
@@ -133,7 +133,7 @@
             slow_start.kill(block=False)
         self._heard_at_s = time.monotonic()
         head = read_response_head(self._response, request.request_id)
-        if head.status < 200 or not self._is_own(head):
+        if head.status < 200 or not self._answers_request(head):
             raise self._error(ExchangeFailure.MALFORMED)
         self._head = head
         return head
@@ -163,8 +163,8 @@
             request.method, request.target, body=request.body, headers=self.headers
         )
 
-    def _is_own(self, head: ResponseHead) -> bool:
-        """Return whether a response is one to this request.
+    def _answers_request(self, head: ResponseHead) -> bool:
+        """Return whether a response belongs to this request.
 
         Over a kept connection, a refusal that names no request may be a late one of an
         earlier request, while this one runs.
@@ -173,7 +173,7 @@
             return True
         if not head.is_not_executed:
             return False
-        # Of a misdirected request, another target at the address may know no ID.
+        # A misdirected request reached another target, which may not name the request.
         if self._source is not None and head.status != HTTP_MISDIRECTED:
             self._source.note_unnamed_refusal()
         return not self._is_reused
@@ -371,13 +371,13 @@
             # Otherwise both would refer to each other until a garbage collection.
             self._response.on_unread = None
             self._response.release()
-        may_keep, client = self._may_keep(), self._client
-        # What ends the exchange from now on must not end the next one.
+        may_keep, head, client = self._may_keep(), self._head, self._client
+        # A later abort of this exchange must not shut down the next one's connection.
         self._client = None
         if self._source is None:
             if client is not None:
                 client.close()
-        elif not (
-            may_keep and self._head and self._source.keep(self._head.keep_alive_s)
-        ):
+            return
+        is_kept = may_keep and head and self._source.keep(head.keep_alive_s)
+        if not is_kept:
             self._source.close()
--- a/src/chervilstall/edge/room/gate.py
+++ b/src/chervilstall/edge/room/gate.py
@@ -120,7 +120,7 @@
         `chooser` is a copy of the router's own one, with a snapshot of what others
         report. Whether there is a shortage is taken from the latest check.
         """
-        decides = self._may_decide(request) and (
+        decides = self._applies_to(request) and (
             self.shortage is None or self.shortage.was_present
         )
         if not decides:
@@ -198,11 +198,12 @@
         return queued.reservation
 
     def _decides(self, request: EdgeRequest) -> bool:
-        if not self._may_decide(request):
+        if not self._applies_to(request):
             return False
         return self.shortage is None or self.shortage.is_present()
 
-    def _may_decide(self, request: EdgeRequest) -> bool:
+    def _applies_to(self, request: EdgeRequest) -> bool:
+        """Return whether the gate decides on a request while there is a shortage."""
         if request.forwarding is not None or request.fields.last_event_id:
             return False
         if self.is_out_of_reach(request.service.name):
--- a/src/chervilstall/edge/streams/connect_allowance.py
+++ b/src/chervilstall/edge/streams/connect_allowance.py
@@ -17,7 +17,7 @@
 
 @dataclass
 class ConnectAllowance:
-    """A token bucket of checks; `targets` and `routers` return the fleet's numbers.
+    """A token bucket of checks; `targets` and `routers` return how many there are.
 
     Each router has an equal part of the checks that all targets may get.
     """
--- a/src/chervilstall/edge/streams/signs_of_life.py
+++ b/src/chervilstall/edge/streams/event_times.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.fleet.records import Target, TargetIncarnation
@@ -16,8 +17,18 @@
 """Age up to which one pass over all streams serves further calls."""
 
 
+class EventTimes(Protocol):
+    """When events came through targets; times are monotonic seconds."""
+
+    def has_event_since(self, target: Target, since_s: float) -> bool:
+        """Return whether an event came through a target since a time."""
+
+    def latest_at_s(self, target: Target) -> float:
+        """Return when the latest event came through a target."""
+
+
 @dataclass
-class SignsOfLife:
+class StreamEventTimes:
     """Finds the latest event that came through a target; times are monotonic.
 
     Events over an earlier path of a stream show nothing about its present one.
@@ -25,7 +36,7 @@
 
     streams: Mapping[RequestId, LiveStream]
     _latest_at_s: dict[TargetIncarnation, float] = field(default_factory=dict)
-    _summed_up_at_s: float = float("-inf")
+    _summarized_at_s: float = float("-inf")
 
     def has_event_since(self, target: Target, since_s: float) -> bool:
         """Return whether an event came over a path through a target since a time."""
@@ -37,14 +48,14 @@
         )
 
     def latest_at_s(self, target: Target) -> float:
-        """Return when the latest event came, as of the last 20 ms."""
+        """Return when the latest event came; the summary is at most 20 ms old."""
         now_s = time.monotonic()
-        if now_s - self._summed_up_at_s > SUMMARY_AGE_MAX_S:
-            self._summed_up_at_s = now_s
-            self._latest_at_s = self._sum_up()
+        if now_s - self._summarized_at_s > SUMMARY_AGE_MAX_S:
+            self._summarized_at_s = now_s
+            self._latest_at_s = self._summarize()
         return self._latest_at_s.get(target.incarnation, float("-inf"))
 
-    def _sum_up(self) -> dict[TargetIncarnation, float]:
+    def _summarize(self) -> dict[TargetIncarnation, float]:
         latest_at_s: dict[TargetIncarnation, float] = {}
         for stream in self.streams.values():
             if not stream.has_event_over_path:
--- a/src/chervilstall/edge/streams/live_stream.py
+++ b/src/chervilstall/edge/streams/live_stream.py
@@ -29,7 +29,6 @@
 GAP_WEIGHT = 0.2
 """Weight of the latest gap in the moving average."""
 
-
 CHECK_LIMIT_MIN_S = 0.07
 """Lower bound of the silence after which the stages of a stream are checked.
 
@@ -37,7 +36,7 @@
 """
 
 INTERVAL_DEVIATIONS = 5.0
-"""Mean deviations beyond the mean interval that are usual.
+"""Mean deviations by which usual intervals exceed the mean interval at most.
 
 Each exceptional interval costs a connect to every stage. Where prompts of others delay
 events at random, 3 deviations gave 1.8 of them in a stream of 46 events, 5 gave 0.45.
--- a/src/chervilstall/edge/streams/monitor.py
+++ b/src/chervilstall/edge/streams/monitor.py
@@ -18,9 +18,9 @@
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.silence_limits import EVENT_SILENCE_LIMIT_S
 from chervilstall.edge.streams.connect_allowance import ConnectAllowance
+from chervilstall.edge.streams.event_times import StreamEventTimes
 from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.edge.streams.rerouter import StreamRerouter
-from chervilstall.edge.streams.signs_of_life import SignsOfLife
 from chervilstall.edge.streams.slow_targets import SlowTargetDetector
 from chervilstall.edge.streams.stage_check import NeighbourSource, StageCheck
 from chervilstall.fleet.pruning import retain_keys
@@ -107,7 +107,7 @@
             lambda: len(self.fleet_view.targets), lambda: self.chooser.router_count
         )
         self.stage_check = StageCheck(
-            SignsOfLife(self.streams),
+            StreamEventTimes(self.streams),
             self._handle_refused,
             self._handle_dark,
             may_connect=allowance.take,
--- a/src/chervilstall/edge/streams/rerouter.py
+++ b/src/chervilstall/edge/streams/rerouter.py
@@ -151,7 +151,7 @@
             return None
         avoid = frozenset({avoided.id})
         if self.keeps_stages():
-            path = self._choose_around(stream, avoid | self._elsewhere(stream, avoided))
+            path = self._choose_around(stream, avoid | self._unneeded(stream, avoided))
             if path is not None:
                 return path
         return self._choose_around(stream, avoid)
@@ -164,8 +164,11 @@
         )
         return self.chooser.choose(stream.request.service, path_request)
 
-    def _elsewhere(self, stream: LiveStream, avoided: Target) -> frozenset[TargetId]:
-        """Return the targets off a path that hold none of the layers of one stage."""
+    def _unneeded(self, stream: LiveStream, avoided: Target) -> frozenset[TargetId]:
+        """Return the targets off the path that can't replace the avoided stages.
+
+        They hold none of the layers of these stages.
+        """
         kept = {stage.target.id for stage in stream.path.stages}
         lost = [
             stage.layers
--- a/src/chervilstall/edge/streams/stage_check.py
+++ b/src/chervilstall/edge/streams/stage_check.py
@@ -3,8 +3,9 @@
 A report shows a stalled request only some hundred milliseconds after it stalled, which
 is longer than callers accept between two events. A router that finds a stream silent
 therefore connects to the stages of its path. The system of a crashed target refuses at
-once. A target that lost power neither accepts nor refuses; it counts as lost if several
-connects to it get no answer, one of them after another target of its zone accepted.
+once. A target that lost power neither accepts nor refuses, which is called dark here.
+It counts as dark if several connects to it get no answer, one of them after another
+target of its zone accepted.
 """
 
 import random
@@ -12,11 +13,12 @@
 from collections.abc import Callable, Container, Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 import gevent
 from gevent.event import AsyncResult
 
+from chervilstall.edge.streams.event_times import EventTimes
 from chervilstall.edge.streams.live_stream import LiveStream
 from chervilstall.fleet.pruning import retain_keys
 from chervilstall.fleet.records import Target
@@ -54,18 +56,25 @@
 """
 
 COMPARE_TIMEOUT_S = 0.015
+"""Time in which a target has to accept to be compared with another one."""
+
 CHECK_S = ROUNDS_S + CONFIRM_S
 """Time without an answer from which a target may count as dark."""
 
 LATE_MAX_S = 0.03
 """Lateness of a check's timers from which the router may have missed an answer."""
 
-COMPARE_S = 0.005
-"""Wait for another stage to accept before other targets are probed to compare a
-refusing one; age up to which an accept serves several silent ones.
+ACCEPT_WAIT_S = 0.005
+"""Wait for the checks of other stages to be accepted, before connects are made only to
+compare a refusing stage.
 """
 
+ACCEPT_AGE_MAX_S = 0.005
+"""Age up to which an accept serves to compare a silent target."""
+
 COMPARED_MAX = 2
+"""Largest number of connects that are made to compare a target with others."""
+
 RECENT_EVENT_S = 0.1
 """Age up to which an event that came through a target makes a check needless."""
 
@@ -124,6 +133,10 @@
     return ()
 
 
+def _is_any(target: Target) -> bool:
+    return True
+
+
 @dataclass
 class NeighbourSource:
     """Finds targets to compare a silent one with."""
@@ -140,16 +153,6 @@
         return random.sample(found, len(found))
 
 
-class EventTimes(Protocol):
-    """What streams show about targets; times are monotonic seconds."""
-
-    def has_event_since(self, target: Target, since_s: float) -> bool:
-        """Return whether an event came through a target since a time."""
-
-    def latest_at_s(self, target: Target) -> float:
-        """Return when the latest event came through a target."""
-
-
 @dataclass
 class StageCheck:
     """Connects to the stages of silent streams while `is_in_force` returns true.
@@ -160,10 +163,10 @@
     of the same zone, as the link to the zone may be cut. A refusing first stage needs
     no check, since the connection to it ends.
 
-    `neighbours` returns more targets of a target's zone to compare with. `event_times`
-    tells of events that came through targets: such a target is neither dark, crashed
-    nor checked.
-    `may_connect` is asked before each check and bounds their number.
+    `neighbours` returns more targets of a target's zone to compare with. A target for
+    which `event_times` knows a recent event is not checked, and one through which an
+    event came during its check counts neither as dark nor as crashed. `may_connect` is
+    called before each check and bounds their number.
     """
 
     event_times: EventTimes
@@ -199,7 +202,7 @@
     def _is_cleared(self, target: Target, stream: LiveStream) -> bool:
         """Return whether an event shows that a target isn't why a stream is silent.
 
-        One that came after the stream's next event was due, or just now, does.
+        It does if it came after the stream's next event was due, and came lately.
         """
         due_at_s = stream.silent_since_s + (stream.interval.mean_s or EXPECTED_GAP_S)
         since_s = max(due_at_s, time.monotonic() - RECENT_EVENT_S)
@@ -246,9 +249,9 @@
         return ListenerState.SILENT
 
     def _judge_refusing(self, target: Target, path: Path, began_at_s: float) -> bool:
-        if self._accepted_since(began_at_s, target, lambda other: True) is None:
-            gevent.sleep(COMPARE_S)
-        compared = self._find_accepting(target, path, began_at_s, lambda other: True)
+        if self._accepted_since(began_at_s, target, _is_any) is None:
+            gevent.sleep(ACCEPT_WAIT_S)
+        compared = self._find_accepting(target, path, began_at_s, _is_any)
         if compared is None:
             log.info("stage refuses, as others do", target=target.id)
             return False
@@ -264,21 +267,8 @@
         self, connects: "_Connects", path: Path, began_at_s: float
     ) -> bool:
         target = connects.target
-        if self._was_late(target, began_at_s, ROUNDS_S):
-            return False
-        has_accept = self._accepted_since(began_at_s, target, lambda other: True)
-        silent = sum(at_s >= began_at_s for at_s in self._silent_at_s.values())
-        if silent >= SILENT_MAX and not has_accept:
-            log.info("stages silent, none accepts", target=target.id)
-            return False
-        compared = self._find_accepting(
-            target,
-            path,
-            time.monotonic() - COMPARE_S,
-            lambda other: other.zone == target.zone,
-        )
+        compared = self._compare_silent(target, path, began_at_s)
         if compared is None:
-            log.info("stage silent, as others are", target=target.id)
             return False
         confirm_at_s = time.monotonic()
         connects.start(1)
@@ -299,6 +289,30 @@
         self.on_dark(target)
         return True
 
+    def _compare_silent(
+        self, target: Target, path: Path, began_at_s: float
+    ) -> Target | None:
+        """Return a target that accepts while another one is silent.
+
+        It is None if all may be silent for a reason of the router's own.
+        """
+        if self._was_late(target, began_at_s, ROUNDS_S):
+            return None
+        has_accept = self._accepted_since(began_at_s, target, _is_any)
+        silent = sum(at_s >= began_at_s for at_s in self._silent_at_s.values())
+        if silent >= SILENT_MAX and not has_accept:
+            log.info("stages silent, none accepts", target=target.id)
+            return None
+        compared = self._find_accepting(
+            target,
+            path,
+            time.monotonic() - ACCEPT_AGE_MAX_S,
+            lambda other: other.zone == target.zone,
+        )
+        if compared is None:
+            log.info("stage silent, as others are", target=target.id)
+        return compared
+
     def _was_late(self, target: Target, began_at_s: float, wait_s: float) -> bool:
         """Return whether the router may have missed an answer in a wait."""
         late_s = time.monotonic() - began_at_s - wait_s
--- a/src/chervilstall/edge/where/admission.py
+++ b/src/chervilstall/edge/where/admission.py
@@ -47,7 +47,7 @@
     finds_target: Callable[[], bool]
 
     def answer(self) -> AdmissionAnswer:
-        """Return the first answer other than that the request is sent at once."""
+        """Return the answer of the first check that doesn't admit the request."""
         request = self.request
         try:
             self.app.check_drain(request.route, request.service, request.fields)
@@ -56,9 +56,14 @@
         if len(self.app.admitted) >= self.app.requests_max:
             reason = "no descriptor for a connection to a target"
             return refused(ChervilstallError(ErrorKind.OVERLOADED, reason))
-        return self._room() or self._quarantine() or self._targets() or ADMITTED
+        return (
+            self._check_room()
+            or self._check_quarantine()
+            or self._check_targets()
+            or ADMITTED
+        )
 
-    def _room(self) -> AdmissionAnswer | None:
+    def _check_room(self) -> AdmissionAnswer | None:
         gate = self.app.room_gate
         if gate is None or self.request.service.pipeline is None:
             return None
@@ -81,7 +86,7 @@
             retry_after_s=forecast.retry_after_s,
         )
 
-    def _quarantine(self) -> AdmissionAnswer | None:
+    def _check_quarantine(self) -> AdmissionAnswer | None:
         quarantine = self.app.stream_context.crash_guard.quarantine
         service = self.request.service.name
         for part in self.request.fields.prompt_parts:
@@ -94,7 +99,7 @@
             return refused(error)
         return None
 
-    def _targets(self) -> AdmissionAnswer | None:
+    def _check_targets(self) -> AdmissionAnswer | None:
         service = self.request.service
         reach = self.app.stream_context.target_reach
         if reach.is_out_of_reach(service.name):
--- a/src/chervilstall/edge/where/endpoint.py
+++ b/src/chervilstall/edge/where/endpoint.py
@@ -31,7 +31,7 @@
 
 @dataclass
 class WhereEndpoint:
-    """Answers one question at a time, as each takes as long as many choices."""
+    """Answers one question at a time, as each takes as long as many path choices."""
 
     app: EdgeApplication
     vm: VmId
--- a/src/chervilstall/edge/where/paths.py
+++ b/src/chervilstall/edge/where/paths.py
@@ -1,6 +1,5 @@
 """The ranked paths of a stream, or targets of a plain request, with their costs."""
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from functools import cached_property
@@ -13,6 +12,7 @@
 from chervilstall.edge.plain_relay import PlainTargetChooser
 from chervilstall.edge.request import EdgeRequest
 from chervilstall.edge.streams.paths import StreamPaths
+from chervilstall.edge.where.targets import entries_age_s
 from chervilstall.fleet.records import Target
 from chervilstall.ids import TargetId
 from chervilstall.paths.choice import JITTER_MAX, JITTER_MS, PathChooser
@@ -32,7 +32,6 @@
 CONFIGURATION = "configuration and accelerator type"
 OWN_LOAD = "this router's requests"
 ENTRIES = "entries of targets"
-
 SHORTAGES = "refusals seen by this router"
 REPORTS = "reports of targets"
 _FIXED_SOURCES = {
@@ -89,8 +88,8 @@
     def _cost_ms(self, path: Path) -> float:
         """Return the cost by which the search orders a path.
 
-        Its figures are those of the beginning unless a target has come since, so that
-        a search takes no longer than one choice.
+        Load and states of targets are read once for all paths, and again only for a
+        target that is new, so that a search takes no longer than one choice.
         """
         coster = self._search_coster
         if coster is None or not coster.is_known(path):
@@ -143,12 +142,8 @@
         return CostPart(name, round(part_ms, 4), MS, source, rounded_s)
 
     @cached_property
-    def _ages_s(self) -> dict[str, float]:
-        ages_s = {OWN_LOAD: 0.0}
-        complete_at_s = self.chooser.fleet_view.complete_at_s
-        if complete_at_s > float("-inf"):
-            ages_s[ENTRIES] = time.monotonic() - complete_at_s
-        return ages_s
+    def _ages_s(self) -> dict[str, float | None]:
+        return {OWN_LOAD: 0.0, ENTRIES: entries_age_s(self.chooser.fleet_view)}
 
     @cached_property
     def _load_source(self) -> tuple[str, float]:
@@ -179,16 +174,16 @@
         pipeline = self.request.service.pipeline
         assert pipeline is not None
         path_request = PathRequest(self.request.expected_tokens)
-        reached = 0
+        covered_end = 0
         missing: list[str] = []
         held = [
             (target.layers.first, target.layers.end)
             for target in self.chooser.candidates(self.request.service, path_request)
         ]
         for first, end in [*sorted(held), (pipeline.layers, pipeline.layers)]:
-            if first > reached:
-                missing.append(f"{reached}..{first}")
-            reached = max(reached, end)
+            if first > covered_end:
+                missing.append(f"{covered_end}..{first}")
+            covered_end = max(covered_end, end)
         return ", ".join(missing)
 
 
--- a/src/chervilstall/edge/where/targets.py
+++ b/src/chervilstall/edge/where/targets.py
@@ -17,6 +17,13 @@
 COSTS_MORE = "costs more"
 
 
+def entries_age_s(fleet_view: FleetView) -> float | None:
+    """Return the age of the targets' entries, None before the first reading."""
+    if fleet_view.complete_at_s == float("-inf"):
+        return None
+    return time.monotonic() - fleet_view.complete_at_s
+
+
 @dataclass
 class TargetExclusions:
     """Finds the excluded targets of a service.
@@ -52,7 +59,8 @@
 
     def _unusable(self, target: Target, is_model: bool) -> ExcludedTarget:
         if is_model and not len(target.layers):
-            return _excluded(target, "no layers", ALL, "it holds none", self._age_s)
+            age_s = entries_age_s(self.fleet_view)
+            return _excluded(target, "no layers", ALL, "it holds none", age_s)
         if self.fleet_view.is_suspected(target):
             return self._suspected(target, ALL)
         if target.state is TargetReadiness.DRAINING:
@@ -90,14 +98,6 @@
         age_s = now_s - limit.confirmed_at_s
         return _excluded(target, "rate limit", scope, detail, age_s)
 
-    @property
-    def _age_s(self) -> float | None:
-        """Return the age of the targets' entries, None before the first reading."""
-        complete_at_s = self.fleet_view.complete_at_s
-        if complete_at_s == float("-inf"):
-            return None
-        return time.monotonic() - complete_at_s
-
 
 def _excluded(
     target: Target,
--- a/src/chervilstall/target/idle_connections.py
+++ b/src/chervilstall/target/idle_connections.py
@@ -48,13 +48,13 @@
         self.client.close()
 
     def may_carry(self, request: RequestId) -> bool:
-        """Return whether an answer to an earlier request would be told by its ID."""
+        """Return whether a request has an ID that the connection hasn't carried."""
         return bool(request) and hash(request) not in self.requests
 
     def is_sound(self, incarnation: TargetIncarnation, now_s: float) -> bool:
         """Return whether the idle connection may be used for a request to a target.
 
-        It is readable if it was closed, or has bytes that belong to no request.
+        A readable connection was closed, or has bytes that belong to no request.
         """
         if self.incarnation != incarnation or now_s >= self.until_s:
             return False
@@ -62,9 +62,9 @@
 
 
 class IdleConnections:
-    """The idle connections of one process, those of an address in order of their use.
+    """The idle connections of one process, by address and in order of last use.
 
-    The one that was used last is taken first, so that surplus ones reach their time.
+    The one that was used last is taken first, so that surplus ones expire.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
@@ -115,7 +115,7 @@
             self._close(next(iter(self._in_order)))
 
     def limit_to(self, address: Address, count: int) -> None:
-        """Close those to an address that were used least lately beyond `count`."""
+        """Close the least recently used ones to an address beyond `count`."""
         connections = self._by_address.get(address, [])
         surplus = len(connections) - max(0, count)
         for connection in connections[: max(0, surplus)]:
@@ -131,11 +131,11 @@
         for connections in list(self._by_address.values()):
             newest = connections[-1]
             surplus = len(connections) - idle_max(newest.address, newest.incarnation)
-            for place, connection in enumerate(connections[:]):
-                is_late = now_s >= connection.until_s
-                is_other = connection.incarnation != newest.incarnation
+            for index, connection in enumerate(connections[:]):
+                is_expired = now_s >= connection.until_s
+                is_outdated = connection.incarnation != newest.incarnation
                 has_bytes = connection.socket.fileno() in readable
-                if place < surplus or is_late or is_other or has_bytes:
+                if index < surplus or is_expired or is_outdated or has_bytes:
                     self._close(connection)
 
     def _remove(self, connection: TargetConnection) -> None:
--- a/src/chervilstall/target/listener_probe.py
+++ b/src/chervilstall/target/listener_probe.py
@@ -1,4 +1,4 @@
-"""What connects show about the listener at an address."""
+"""Probes of the listener at an address by a connection attempt."""
 
 from enum import Enum
 
@@ -18,7 +18,7 @@
 
 
 def probe_listener(address: Address, timeout_s: float) -> ListenerState:
-    """Connect and close; an address without an answer in time is SILENT.
+    """Connect and close; an address that does not answer in time is SILENT.
 
     Any other error, such as a lack of descriptors, makes it UNKNOWN.
     """
--- a/src/chervilstall/target/sending.py
+++ b/src/chervilstall/target/sending.py
@@ -1,4 +1,4 @@
-"""What is known of the bytes of a request that were sent over a connection."""
+"""Whether bytes of a request were accepted for sending, and acknowledged."""
 
 import struct
 from fcntl import ioctl
@@ -16,6 +16,7 @@
     try:
         sent_bytes = sock.send(data)
     except TimeoutError:
+        # The deadline of an exchange raises it; it is an OSError as well.
         raise
     except OSError as error:
         raise NothingSent(str(error)) from error
