Take a connection that timed out while idle for one over which nothing was sent

The system's ETIMEDOUT is a TimeoutError as the deadline of an exchange is, and was taken for it: the request counted as sent and late.

--- a/src/chervilstall/target/sending.py
+++ b/src/chervilstall/target/sending.py
@@ -15,10 +15,10 @@
     """Send the first bytes of a request. Raises NothingSent if none were accepted."""
     try:
         sent_bytes = sock.send(data)
-    except TimeoutError:
-        # The deadline of an exchange raises it; it is an OSError as well.
-        raise
     except OSError as error:
+        if isinstance(error, TimeoutError) and error.errno is None:
+            # The deadline of the exchange, and not ETIMEDOUT of the connection.
+            raise
         raise NothingSent(str(error)) from error
     if sent_bytes < len(data):
         sock.sendall(memoryview(data)[sent_bytes:])
--- a/tests/edge/connections.feature
+++ b/tests/edge/connections.feature
@@ -63,6 +63,17 @@
       | does nothing wrong                         |
       | sends an interim answer before each answer |
 
+  # Guards against a connection that timed out while idle and is taken for a late answer.
+  Scenario Outline: A send that ends with <error> counts as <outcome>
+    When a send over a connection ends with <error>
+    Then it counts as <outcome>
+
+    Examples:
+      | error                | outcome      |
+      | ETIMEDOUT            | nothing sent |
+      | ECONNRESET           | nothing sent |
+      | an exceeded deadline | timed out    |
+
   # Guards against a retry for a request of which nothing can have reached the target.
   Scenario: A kept connection that fails before anything is sent is replaced in the same attempt
     Given a scripted target of lookups that resets the idle connection
