--- a/src/chervilstall/edge/where/paths.py
+++ b/src/chervilstall/edge/where/paths.py
@@ -175,7 +175,7 @@
         """Return the ranges of layers that no usable target holds, as text."""
         pipeline = self.request.service.pipeline
         assert pipeline is not None
-        reached = 0
+        covered_end = 0
         missing: list[str] = []
         held = [
             (target.layers.first, target.layers.end) for target in self._candidates()
