--- a/src/chervilstall/edge/where/targets.py
+++ b/src/chervilstall/edge/where/targets.py
@@ -62,9 +62,8 @@
 
     def _unusable(self, target: Target, is_model: bool) -> ExcludedTarget:
         if is_model and not len(target.layers):
-            return _excluded(
-                target, "no layers", SCOPE_ALL, "it holds none", self._entries_age_s
-            )
+            age_s = entries_age_s(self.fleet_view)
+            return _excluded(target, "no layers", SCOPE_ALL, "it holds none", age_s)
         if self.fleet_view.is_suspected(target):
             return self._suspected(target, SCOPE_ALL)
         if target.state is TargetReadiness.DRAINING:
@@ -102,14 +101,6 @@
         age_s = now_s - limit.confirmed_at_s
         return _excluded(target, "rate limit", scope, detail, age_s)
 
-    @property
-    def _entries_age_s(self) -> float | None:
-        """Return the age of the targets' entries, None before the first reading."""
-        complete_at_s = self.fleet_view.complete_at_s
-        if complete_at_s == float("-inf"):
-            return None
-        return time.monotonic() - complete_at_s
-
 
 def _excluded(
     target: Target,
