Admit by room, exchange load and guide paths in a shortage by default where streams are ranked

Deployments whose streams aren't ranked are served as before.

The configurations of the tests rank no streams, but for those of the exchange's scenario and one of requests, so that the default changes no other test.

--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -40,7 +40,7 @@
     """Section `admission`: admission to model services by free memory and priority."""
 
     mode: FeatureMode = option(
-        "Whether requests to model services are admitted by room.", FeatureMode.OFF
+        "Whether requests to model services are admitted by room.", FeatureMode.AUTO
     )
     reserve_share: float = option(
         "Part of the room that is kept free for the most urgent requests, as far as "
@@ -83,7 +83,7 @@
 
     mode: FeatureMode = option(
         "Whether routers tell each other the load they put on targets.",
-        FeatureMode.OFF,
+        FeatureMode.AUTO,
     )
     guides_paths: FeatureMode = option(
         "Whether load that other routers report counts in the choice of paths. `auto` "
