Take back the trigger that shortened pauses where events hold five tokens

It was chosen after looking at which deployments have such events, and not from what callers need. The options of section streams follow the ranks of routes again, or are set to on by an operator.

priorities, settings/files, stage_check and planned_moves: 107 passed.

--- a/src/chervilstall/edge/features.py
+++ b/src/chervilstall/edge/features.py
@@ -20,26 +20,13 @@
             configuration is not None and configuration.ranks_pipeline
         )
 
-    def is_in_force_for_pauses(self, mode: FeatureMode) -> bool:
-        """Return whether a feature that shortens pauses of streams is in force.
-
-        `AUTO` also means on where the time between two events is long.
-        """
-        configuration = self.fleet_view.configuration
-        has_long_intervals = (
-            configuration is not None and configuration.has_long_intervals
-        )
-        if mode is FeatureMode.AUTO and has_long_intervals:
-            return True
-        return self.is_in_force(mode)
-
     def spreads_moves(self) -> bool:
         """Return whether streams leave a draining target one after the other."""
-        return self.is_in_force_for_pauses(self.settings.streams.spread_moves)
+        return self.is_in_force(self.settings.streams.spread_moves)
 
     def checks_stages(self) -> bool:
         """Return whether the stages of silent streams are probed."""
-        return self.is_in_force_for_pauses(self.settings.streams.check_stages)
+        return self.is_in_force(self.settings.streams.check_stages)
 
     def admits_by_room(self) -> bool:
         """Return whether streams are admitted by room, priority and workspace."""
--- a/src/chervilstall/fleet/records.py
+++ b/src/chervilstall/fleet/records.py
@@ -11,8 +11,6 @@
 from chervilstall.settings.option import Address
 
 BYTES_PER_MB = 1_000_000.0
-LONG_INTERVAL_TOKENS = 5
-"""Tokens an event from which the time between two events counts as long."""
 
 
 class RouteKind(Enum):
@@ -118,8 +116,7 @@
     by side. `token_transfer_s` is the time for which the activations of one token
     occupy the link between two zones, which all requests share. `typical_tokens` is the
     size of a typical request, prompt and answer together. `accelerators` maps the name
-    of each accelerator type to its record. A target sends one event for every
-    `event_tokens` tokens of an answer.
+    of each accelerator type to its record.
     """
 
     layers: int
@@ -132,7 +129,6 @@
     loads_at_once: int
     typical_tokens: float
     accelerators: dict[str, AcceleratorType]
-    event_tokens: int = 1
 
     def prefill_s(self, accelerator: str, layers: LayerRange, tokens: float) -> float:
         """Return the time for prefilling `tokens` through `layers` on an accelerator.
@@ -247,19 +243,6 @@
             for service in self.services.values()
         )
 
-    @cached_property
-    def has_long_intervals(self) -> bool:
-        """Return whether a pipeline's events hold many tokens.
-
-        The time between two events then is a large part of the pause that callers
-        accept, so that little of it is left once a stream is noticed to be silent.
-        """
-        return any(
-            service.pipeline is not None
-            and service.pipeline.event_tokens >= LONG_INTERVAL_TOKENS
-            for service in self.services.values()
-        )
-
     def __post_init__(self) -> None:
         for route in self.routes:
             self._by_host.setdefault(route.host, []).append(route)
--- a/src/chervilstall/platform/config.py
+++ b/src/chervilstall/platform/config.py
@@ -69,7 +69,6 @@
     step_ms: float = msgspec.field(default=1.0, name="step_ms")
     read_per_s: float = msgspec.field(default=0.0, name="read_per_s")
     loads_at_once: int = msgspec.field(default=1, name="loads_at_once")
-    stride: int = 1
     models: list[_Model] = []
     usual: _TypicalTokens = msgspec.field(default_factory=_TypicalTokens)
     kinds: list[_Accelerator] = []
@@ -183,7 +182,6 @@
         load_s=max((model.load_time_s for model in engine.models), default=0.0),
         loads_at_once=max(1, engine.loads_at_once),
         typical_tokens=engine.usual.prompt + engine.usual.answer,
-        event_tokens=max(1, engine.stride),
         accelerators=accelerators,
     )
 
--- a/src/chervilstall/settings/edge.py
+++ b/src/chervilstall/settings/edge.py
@@ -150,10 +150,7 @@
 
 @dataclass(frozen=True)
 class StreamSettings:
-    """Section `streams`: streams in progress.
-
-    `AUTO` also means on where an event of some pipeline holds five tokens or more.
-    """
+    """Section `streams`: streams in progress."""
 
     spread_moves: FeatureMode = option(
         "Whether streams leave a draining target one after the other.",
