Bound what a target sends behind and between the pieces of a body

Cause: the checks of a response's size know its head and the part of the body that waits to be read. What the parser reports behind the last chunk was added to the head's fields without a check; the size or extension of a chunk was held by nothing but the timeout.

Change: at most 65,536 bytes that are no body come between two pieces of it or behind the last one; more is a malformed answer. Fields behind the last chunk are dropped, as they are no part of the head that was passed on (a field there could have replaced one of a report's). Responses have a module of their own, as the connections' had grown large.

--- a/src/chervilstall/measure/helpers.py
+++ b/src/chervilstall/measure/helpers.py
@@ -36,7 +36,6 @@
 from chervilstall.standin.target_server import ANY_PORT, encode_event  # noqa: E402
 from chervilstall.target.connection import (  # noqa: E402
     pooled_client,
-    read_server_event,
     single_use_client,
 )
 from chervilstall.target.contract import (  # noqa: E402
@@ -44,6 +43,7 @@
     GenerateOrder,
     StreamEvent,
 )
+from chervilstall.target.response import read_server_event  # noqa: E402
 from chervilstall.wsgi import Environ, Server, read_body  # noqa: E402
 
 LAYERS = 8
--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -20,7 +20,8 @@
 )
 from chervilstall.store.contract import StoreFailed
 from chervilstall.target.calls import Call, CallResponse, LongBody
-from chervilstall.target.connection import JSON_HEADERS, UNREAD_MAX_BYTES
+from chervilstall.target.connection import JSON_HEADERS
+from chervilstall.target.response import UNREAD_MAX_BYTES
 from chervilstall.telemetry.events import EventLog
 
 log = EventLog("store")
--- a/src/chervilstall/store/calls.py
+++ b/src/chervilstall/store/calls.py
@@ -10,7 +10,8 @@
 from chervilstall.settings.option import Address
 from chervilstall.store.contract import ResponseTooLarge, StoreFailed, StoreRefused
 from chervilstall.target.calls import Call, CallResponse, call_once
-from chervilstall.target.connection import BodyTooLarge, ConnectFailed
+from chervilstall.target.connection import ConnectFailed
+from chervilstall.target.response import BodyTooLarge
 
 T = TypeVar("T")
 HTTP_OK = 200
--- a/src/chervilstall/target/calls.py
+++ b/src/chervilstall/target/calls.py
@@ -10,11 +10,8 @@
 
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
-from chervilstall.target.connection import (
-    UNREAD_MAX_BYTES,
-    BodyTooLarge,
-    single_use_client,
-)
+from chervilstall.target.connection import single_use_client
+from chervilstall.target.response import UNREAD_MAX_BYTES, BodyTooLarge
 
 PIECE_BYTES = 16_384
 
--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -7,7 +7,6 @@
 
 import time
 from collections import Counter
-from collections.abc import Callable
 from socket import (
     IPPROTO_TCP,
     SHUT_RDWR,
@@ -25,37 +24,22 @@
 import gevent.socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
-from geventhttpclient.response import (
-    HTTPConnectionClosed,
-    HTTPParseError,
-    HTTPProtocolViolationError,
-    HTTPSocketPoolResponse,
-)
+from geventhttpclient.response import HTTPSocketPoolResponse
 
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
+from chervilstall.target.response import UNREAD_MAX_BYTES, SingleResponse
 from chervilstall.target.sending import send_first
 
 POOL_SIZE = 64
-EVENT_SEPARATOR = b"\n\n"
-DATA_PREFIX = b"data: "
 JSON_HEADERS = {"Content-Type": "application/json"}
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES_MAX = 2
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
-FINAL_STATUS_MIN = 200
-HEAD_MAX_BYTES = 65_536
 JOINED_BODY_MAX_BYTES = 16_384
 """Largest body that is sent in one write with the head, as a copy."""
 
-UNREAD_MAX_BYTES = 64_000_000
-"""Largest part of a body that waits to be read, where callers set no lower bound."""
-
-
-class BodyTooLarge(HTTPParseError):
-    """The body of a response is larger than the caller wants to read."""
-
 
 class ConnectFailed(OSError):
     """The connection could not be established, so nothing was sent."""
@@ -205,79 +189,6 @@
         return self.socket
 
 
-class SingleResponse(HTTPSocketPoolResponse):
-    """A response that ends with its HTTP message and takes a bounded amount of memory.
-
-    Bytes after a complete response belong to no request. geventhttpclient would parse
-    them as a new message into the same object; here they are dropped.
-
-    A head that the end of the connection cuts off raises HTTPConnectionClosed.
-    A head of more than HEAD_MAX_BYTES, or a body of which more than `unread_max_bytes`
-    wait to be read, raises HTTPParseError. `on_unread` is called with the number of
-    bytes that wait before more are added.
-    """
-
-    final_status = 0
-    head_bytes = 0
-    unread_max_bytes = UNREAD_MAX_BYTES
-    on_unread: Callable[[int], object] | None = None
-
-    @property
-    def unread_bytes(self) -> int:
-        """Return the size of the part of the body that waits to be read."""
-        return len(self._body_buffer)
-
-    @property
-    def has_trailing_bytes(self) -> bool:
-        """Return whether bytes that belong to no request came after the response."""
-        return bool(self._trailing_data_dropped)
-
-    @property
-    def status_code(self) -> int:
-        return self.final_status
-
-    def _on_headers_complete(self) -> Any:
-        self.final_status = self.get_code()
-        return super()._on_headers_complete()
-
-    def _on_message_begin(self) -> None:
-        if self.message_complete and self.final_status >= FINAL_STATUS_MIN:
-            raise HTTPProtocolViolationError("unexpected data after the response")
-        super()._on_message_begin()
-
-    def _on_message_complete(self) -> None:
-        if self.final_status < FINAL_STATUS_MIN:
-            # The final response comes over the same connection.
-            self.message_complete = True
-            return
-        super()._on_message_complete()
-
-    def feed(self, data: str | bytes) -> None:
-        if not data and not self._has_final_head():
-            raise HTTPConnectionClosed("closed before the end of the headers")
-        self._check_size(len(data))
-        try:
-            super().feed(data)
-        except HTTPParseError:
-            is_complete = self.message_complete
-            if not is_complete or self.final_status < FINAL_STATUS_MIN:
-                raise
-            self._trailing_data_dropped = True
-
-    def _has_final_head(self) -> bool:
-        return self.final_status >= FINAL_STATUS_MIN and self.headers_complete
-
-    def _check_size(self, size_bytes: int) -> None:
-        if not self._has_final_head():
-            self.head_bytes += size_bytes
-            if self.head_bytes > HEAD_MAX_BYTES:
-                raise HTTPParseError("the head of the response is too large")
-        elif len(self._body_buffer) > self.unread_max_bytes:
-            raise BodyTooLarge("too much of the response waits to be read")
-        elif self.on_unread is not None:
-            self.on_unread(len(self._body_buffer) + size_bytes)
-
-
 class SingleUseClient(HTTPClient):
     """A client that never sends its request again when the connection fails.
 
@@ -369,17 +280,3 @@
     client.default_headers.clear()
     client._connection_pool = pool
     return client
-
-
-def read_server_event(response: Any) -> bytes | None:
-    """Return the data of the next server-sent event, or None at the end.
-
-    Raises HTTPConnectionClosed for an event without a delimiter, even if its data could
-    be decoded, because the stream has been broken off there.
-    """
-    event = response.readline(EVENT_SEPARATOR)
-    if not event:
-        if response.read().strip():
-            raise HTTPConnectionClosed("the stream ended inside an event")
-        return None
-    return event.strip().removeprefix(DATA_PREFIX)
--- a/src/chervilstall/target/engine_client.py
+++ b/src/chervilstall/target/engine_client.py
@@ -13,7 +13,6 @@
 from chervilstall.target.connection import (
     JSON_HEADERS,
     ConnectFailed,
-    read_server_event,
     single_use_client,
 )
 from chervilstall.target.contract import (
@@ -33,6 +32,7 @@
     StreamEvent,
     TargetState,
 )
+from chervilstall.target.response import read_server_event
 
 T = TypeVar("T")
 
--- a/tests/edge/process_limits.feature
+++ b/tests/edge/process_limits.feature
@@ -94,9 +94,15 @@
       | 40    | /draft/a     |
       | 150   | /draft/a     |
 
-  # Guards against answers without a length or an end, which are read up to 4 MB each.
-  Scenario: Answers of targets without end don't exhaust the memory
+  # Guards against answers without a length or an end, which are read up to 4 MB each, and
+  # against header lines behind the last chunk that were all kept (review, case 8).
+  Scenario Outline: Answers of targets without end don't exhaust the memory
     Given a router process on a VM with 110 MB
-    When 40 clients request /endless/a and read slowly
+    When 40 clients request <path> and read slowly
     Then an ordinary request is answered
     And the process lives, within 110 MB
+
+    Examples:
+      | path        |
+      | /endless/a  |
+      | /trailers/a |
--- a/tests/steps/notice_steps.py
+++ b/tests/steps/notice_steps.py
@@ -7,7 +7,7 @@
 from behave.runner import Context
 
 from chervilstall.standin.platform_target import Behaviour
-from chervilstall.target.connection import SingleResponse
+from chervilstall.target.response import SingleResponse
 from tests.support.platform import BOUNDS, ZONES, send
 from tests.support.platform_scenario import own_first, own_lookup
 
--- a/tests/steps/process_limit_steps.py
+++ b/tests/steps/process_limit_steps.py
@@ -2,6 +2,7 @@
 
 import http.client
 import re
+import socket
 from collections.abc import Iterable, Iterator
 
 import gevent
@@ -16,7 +17,8 @@
     build_request_headers,
     build_route,
 )
-from chervilstall.wsgi import HEADERS_KEY, Environ
+from chervilstall.standin.unframed import end_answer, send_head
+from chervilstall.wsgi import HEADERS_KEY, SOCKET_KEY, Environ
 from tests.steps.start_steps import read_status_line
 from tests.support.agent_fleet import eventually
 from tests.support.crowd import CROWDS, LAST_CHUNK, Crowd, request_line
@@ -30,6 +32,8 @@
 """Time in which the crowd's targets, which run in this process, fill all buffers."""
 
 EVENT_BYTES = 200_000
+TRAILERS = b"X-Field: value\r\n" * 1_000
+TRAILERS_MAX_BYTES = 60_000_000
 LIMITS = {
     "max-header-bytes": 16_384,
     "max-body-bytes": 4_194_304,
@@ -50,6 +54,9 @@
         if "attempt-id" not in headers:
             return target(environ, start_response)
         fields = [("Attempt-Id", headers["attempt-id"]), ("Server-Signature", "long")]
+        if service == "trailers":
+            send_head(environ[SOCKET_KEY], [*fields, ("Transfer-Encoding", "chunked")])
+            raise send_trailers(environ[SOCKET_KEY])
         if service == "endless":
             start_response(status_line(200), fields)
             return endless()
@@ -71,12 +78,24 @@
     target.server.application = answer
 
 
+def send_trailers(connection: socket.socket) -> OSError:
+    """Send a body and header lines behind it until the caller closes."""
+    try:
+        connection.sendall(b"2\r\nok\r\n0\r\n")
+        for _ in range(TRAILERS_MAX_BYTES // len(TRAILERS)):
+            connection.sendall(TRAILERS)
+    except OSError:
+        # The router gives the answer up.
+        return end_answer(connection)
+    return end_answer(connection)
+
+
 @given("a platform with targets for a crowd")
 def start_platform(context: Context) -> None:
     config = build_configuration(limits=LIMITS)
     # The crowd's answers are long, and no time is checked.
     config["routes"] = [{**each, "timeout-ms": 20_000} for each in config["routes"]]
-    for name in ("long", "endless"):
+    for name in ("long", "endless", "trailers"):
         times = {"timeout-ms": 20_000}
         config["routes"].append(build_route(f"/{name}/", "idempotent", name, **times))
         config["services"].append({"name": name, "health-path": "/healthz"})
@@ -86,6 +105,7 @@
     context.platform.add_target("lookup-1", "lookups", "ba-hall")
     add_long_target(context.platform, "long-1", "long")
     add_long_target(context.platform, "endless-1", "endless")
+    add_long_target(context.platform, "trailers-1", "trailers")
     add_long_target(context.platform, "draft-1", "drafts")
 
 
--- /dev/null
+++ b/tests/target/endless.feature
@@ -0,0 +1,24 @@
+Feature: A target that sends without end holds no router, and not its memory
+
+  # Guards against header lines behind the last chunk that were kept without bound: a router
+  # passed 8 GB and answered nobody (review, case 8).
+  Scenario Outline: A response with <bytes> without end is given up
+    Given a connection on which <bytes> come without end
+    When a response is read from it to its end
+    Then the reading fails after at most 200000 bytes
+    And the response has kept at most 100000 bytes
+
+    Examples:
+      | bytes                                |
+      | header lines behind the last chunk   |
+      | one header line behind the last chunk |
+      | the extension of a chunk             |
+      | digits of a chunk's size             |
+      | header lines                         |
+      | interim answers                      |
+
+  # Guards against fields behind the last chunk that replace those of the head.
+  Scenario: Fields behind the last chunk are no headers
+    Given a connection on which a chunked answer with fields behind it comes
+    When a response is read from it to its end
+    Then its body is whole, and it has no field from behind it
