Give the event loop back between two reads of a peer that never lets a task wait

Cause: a read of a gevent socket waits only where there are no bytes. A task that finds some each time never gives the event loop back.

Change: what reads bytes of a peer owns a Turn. After a millisecond without a wait it lets the event loop look at all sockets and timers once. It stands in the two places that all reading goes through, `SingleResponse.feed` and the reader of a listener's connection, and before each request, since many fit into one read.

After: at most 0.05 s of computing for another task's turn, each timeout ends its reading.

--- a/src/chervilstall/target/response.py
+++ b/src/chervilstall/target/response.py
@@ -10,6 +10,8 @@
     HTTPSocketPoolResponse,
 )
 
+from chervilstall.turns import Turn
+
 EVENT_SEPARATOR = b"\n\n"
 DATA_PREFIX = b"data: "
 FINAL_STATUS_MIN = 200
@@ -36,6 +38,8 @@
     wait to be read, or more than FRAMING_MAX_BYTES of a chunk's size or of the fields
     behind the last chunk raise HTTPParseError. Those fields are dropped. `on_unread` is
     called with the number of bytes that wait before more are added.
+
+    Reading gives way to other tasks also where the bytes never let it wait.
     """
 
     final_status = 0
@@ -44,6 +48,11 @@
     unread_max_bytes = UNREAD_MAX_BYTES
     on_unread: Callable[[int], object] | None = None
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        # The base class reads the head as it is constructed.
+        self._turn = Turn()
+        super().__init__(*arguments, **options)
+
     @property
     def unread_bytes(self) -> int:
         """Return the size of the part of the body that waits to be read."""
@@ -97,8 +106,11 @@
             if not is_complete or self.final_status < FINAL_STATUS_MIN:
                 raise
             self._trailing_data_dropped = True
-        if not self.message_complete and self.framing_bytes > FRAMING_MAX_BYTES:
+        if self.message_complete:
+            return
+        if self.framing_bytes > FRAMING_MAX_BYTES:
             raise HTTPParseError("too much of the response is no body")
+        self._turn.give_way()
 
     def _has_final_head(self) -> bool:
         return self.final_status >= FINAL_STATUS_MIN and self.headers_complete
@@ -112,7 +124,7 @@
         self.framing_bytes += size_bytes
         if len(self._body_buffer) > self.unread_max_bytes:
             raise BodyTooLarge("too much of the response waits to be read")
-        elif self.on_unread is not None:
+        if self.on_unread is not None:
             self.on_unread(len(self._body_buffer) + size_bytes)
 
 
--- a/src/chervilstall/wsgi_handler.py
+++ b/src/chervilstall/wsgi_handler.py
@@ -5,6 +5,7 @@
 limits on heads while it reads them, and responds to malformed requests in JSON.
 """
 
+import io
 import struct
 import time
 from collections.abc import Callable, Iterable
@@ -31,6 +32,7 @@
 )
 from chervilstall.process_limits.connections import Silence, SilentConnection
 from chervilstall.telemetry.events import EventLog
+from chervilstall.turns import Turn, YieldingReader
 from chervilstall.wsgi_head import HeaderTimeout, HeadReader, HeadTooLarge
 from chervilstall.wsgi_input import UndrainedInput
 
@@ -65,17 +67,25 @@
 class Handler(WSGIHandler):
     """Connection handler with TCP_NODELAY, a header deadline and JSON errors.
 
-    One task serves one connection. The server that owns the handler provides the
-    deadlines and the response to malformed requests. A connection whose request body
-    was not read completely is closed after the response.
+    One task serves one connection, and gives way to others also where its peer's bytes
+    never let it wait. The server that owns the handler provides the deadlines and the
+    response to malformed requests. A connection whose request body was not read
+    completely is closed after the response.
     """
 
+    rfile: io.BufferedReader
     wsgi_input: UndrainedInput
     _head: HeadReader
     _head_until_s = 0.0
     _write_buffer: bytearray | None = None
     _has_read_request = False
 
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self._turn = Turn()
+        raw_stream = YieldingReader(self.rfile.detach(), self._turn)
+        self.rfile = io.BufferedReader(raw_stream)
+
     def log_request(self) -> None:
         """Log nothing; components write logs of their own."""
 
@@ -101,6 +111,8 @@
     def read_requestline(self) -> str:
         if self.server.is_closing_idle and self._has_read_request:
             return ""
+        # Many requests may wait in the buffer, which no read takes from the socket.
+        self._turn.give_way()
         if not self._has_next_request():
             return ""
         self._has_read_request = True
@@ -269,6 +281,7 @@
                 self.socket.shutdown(SHUT_WR)
                 remaining_bytes = LINGER_BYTES
                 while remaining_bytes > 0:
+                    self._turn.give_way()
                     received_bytes = len(self.socket.recv(LINGER_READ_BYTES))
                     if not received_bytes:
                         return
--- /dev/null
+++ b/tests/edge/endless.feature
@@ -0,0 +1,15 @@
+Feature: A client that sends without end holds no listener
+
+  # Guards against a task whose socket always has bytes, which never gives the event loop back
+  # (review, case 9, and the trial with refused requests one behind the other).
+  Scenario Outline: A client that sends <bytes> lets other connections be served
+    Given a listener with a client that sends <bytes> all the time
+    When other requests are sent to the listener
+    Then no other task waits longer than 0.05 s of computing for its turn
+    And each of them is answered
+
+    Examples:
+      | bytes                                            |
+      | requests one behind the other                    |
+      | a body in chunks of one byte                     |
+      | header lines behind the last chunk of a body     |
--- a/tests/target/endless.feature
+++ b/tests/target/endless.feature
@@ -22,3 +22,17 @@
     Given a connection on which a chunked answer with fields behind it comes
     When a response is read from it to its end
     Then its body is whole, and it has no field from behind it
+
+  # Guards against a task whose socket always has bytes, so that no timeout expires and no
+  # other task runs for as long as a target sends (review, cases 7 and 8).
+  Scenario Outline: A timeout ends the reading of <bytes> without end, and others run meanwhile
+    Given a connection on which <bytes> come without end
+    When a response is read from it for 0.3 seconds
+    Then the timeout ends the reading
+    And no other task waits longer than 0.05 s of computing for its turn
+
+    Examples:
+      | bytes                   |
+      | chunks of one byte      |
+      | the same event          |
+      | a body without a length |
