--- a/tests/edge/endless.feature
+++ b/tests/edge/endless.feature
@@ -13,3 +13,9 @@
       | requests one behind the other                    |
       | a body in chunks of one byte                     |
       | header lines behind the last chunk of a body     |
+
+  # Guards against header lines behind the last chunk of a body that are read without a bound.
+  Scenario: Header lines without end behind the last chunk of a body end the request
+    Given a listener with a client that sends header lines behind the last chunk of a body all the time
+    When the client has sent 2000000 bytes or was closed
+    Then its connection was closed before that
