Find prompts that crash engines in the middle of answers on the product's interface

Cause: two tokens of an answer, even one each of two engines that crashed, cleared the prompt, and failures after that were not looked at.

Evidence: three of the four rows of gateway/quarantine failed before (16 to 22 crashes at the end, among the last 10 prompts as well); the row without a token passed.

Change: the relay tells the guard of every failure and every end of an answer, and the quarantine decides by the same two stages. Tokens count for one engine at a time. A stream with such a prompt is not resumed and ends with "stream_broken".

--- a/src/chervilstall/edge/crashes/observer.py
+++ b/src/chervilstall/edge/crashes/observer.py
@@ -17,6 +17,7 @@
 from chervilstall.fleet.view import FleetView
 from chervilstall.ids import CrashId, PartId, RequestId
 from chervilstall.quarantine.records import CrashReport, LostRequest
+from chervilstall.quarantine.stages import LATER_CRASHES_MIN
 from chervilstall.target.listener_probe import refuses_connections
 from chervilstall.telemetry.events import EventLog
 
@@ -31,9 +32,6 @@
 VERDICT_WAIT_S = COLLECT_S + CONNECT_TIMEOUT_S
 """Time until it is known of every target that a request lost whether it crashed."""
 
-LATER_CRASHES_MIN = 2
-"""Crashes from which a request in the middle of its answer may be their cause."""
-
 VERDICT_VALID_S = 1.5
 """Time in which a target that has crashed is not examined again."""
 
--- a/src/chervilstall/quarantine/stages.py
+++ b/src/chervilstall/quarantine/stages.py
@@ -13,6 +13,9 @@
 from chervilstall.quarantine.evidence import EvidenceLog
 from chervilstall.quarantine.records import CrashReport, PartKey, Stage
 
+LATER_CRASHES_MIN = 2
+"""Crashes from which a request in the middle of its answer may be their cause."""
+
 
 @dataclass(frozen=True)
 class StageRules:
--- a/src/chervilstall/standin/engine.py
+++ b/src/chervilstall/standin/engine.py
@@ -53,7 +53,8 @@
     `kv_positions` holds the position that the KV state of each attempt has reached,
     `exported_positions` that of each exported handle, and `progress` the next position
     of each attempt that this engine heads. A prompt with `crashing_text`, if any, kills
-    the engine before its first token, for `restart_s`; `crashes` counts these.
+    the engine after `tokens_before_crash` of an attempt, for `restart_s`; `crashes`
+    counts these.
     """
 
     target: TargetId
@@ -62,6 +63,7 @@
     faults: FaultInjector = field(default_factory=FaultInjector)
     is_dead: bool = False
     crashing_text: str = ""
+    tokens_before_crash: int = 0
     restart_s: float = 0.4
     crashes: int = 0
     in_flight: int = 0
--- a/src/chervilstall/standin/fabric.py
+++ b/src/chervilstall/standin/fabric.py
@@ -103,9 +103,7 @@
         if head.faults.trigger(FaultKind.DIE_AFTER_ACCEPT):
             self.kill(head)
             raise CloseConnection
-        if head.crashing_text and head.crashing_text in order.prompt:
-            self._crash(head)
-            raise CloseConnection
+        is_crashing = bool(head.crashing_text) and head.crashing_text in order.prompt
         if self.records_layer_runs:
             self.ledger.prompts[order.request] = order.prompt
             self.ledger.start_positions[key] = order.position
@@ -113,6 +111,10 @@
         for position in range(order.position, order.max_tokens):
             if key in head.cancelled:
                 return
+            sent = position - order.position
+            if is_crashing and sent == head.tokens_before_crash:
+                self._crash(head)
+                raise CloseConnection
             self._apply_faults(head, position)
             self._run_layers(order, stages, position)
             head.progress[key] = position + 1
--- a/src/chervilstall/stream/relay.py
+++ b/src/chervilstall/stream/relay.py
@@ -32,7 +32,11 @@
 from chervilstall.settings.documents import RequestClass
 from chervilstall.settings.processes import RetrySettings
 from chervilstall.stream.decision import Decision, decide, final_error
-from chervilstall.stream.prompt_guard import BEGUN_TOKENS, PromptGuard
+from chervilstall.stream.prompt_guard import (
+    BEGUN_TOKENS,
+    PromptGuard,
+    guarded_prompt,
+)
 from chervilstall.target.contract import (
     AttemptFailed,
     AttemptProgress,
@@ -112,6 +116,9 @@
         self.context = context
         self.request = request
         self.explanation = explanation
+        self.prompt = guarded_prompt(
+            request.request, request.capability, request.prefixes
+        )
         self.delivered: list[str] = []
         self.finish_reason = ""
         self._attempt = 0
@@ -246,30 +253,28 @@
                 self._cancel(order)
 
     def _check_prompt(self) -> None:
-        request = self.request
-        if len(self.delivered) < BEGUN_TOKENS:
-            self.context.prompt_guard.check(
-                request.capability, request.prefixes, self._may_have_run
-            )
-
-    def _record_begun(self) -> None:
-        request = self.request
-        self.context.prompt_guard.record_begun(request.capability, request.prefixes)
+        try:
+            self.context.prompt_guard.check(self.prompt, self._may_have_run)
+        except ChervilstallError as error:
+            if not self.prompt.has_begun:
+                raise
+            raise ChervilstallError(ErrorKind.STREAM_BROKEN, error.message) from error
 
     def _read_tokens(
         self, stream: EngineStream, reservation: ChainReservation
     ) -> Iterator[str]:
+        delivered_before = len(self.delivered)
         while True:
             event = stream.next_event()
             if event.kind is EventKind.TOKEN:
                 self.delivered.append(event.token)
-                if len(self.delivered) == BEGUN_TOKENS:
-                    self._record_begun()
+                # What another engine sent before it crashed doesn't count.
+                if len(self.delivered) == delivered_before + BEGUN_TOKENS:
+                    self.context.prompt_guard.record_begun(self.prompt)
                 yield event.token
             elif event.kind is EventKind.END:
                 self.finish_reason = event.finish
-                if len(self.delivered) < BEGUN_TOKENS:
-                    self._record_begun()
+                self.context.prompt_guard.record_end(self.prompt)
                 self.context.counters.dropped_events += getattr(
                     stream, "dropped_events", 0
                 )
@@ -311,10 +316,7 @@
     ) -> None:
         if failure.cause is FailureCause.DEADLINE:
             return
-        if len(self.delivered) < BEGUN_TOKENS:
-            self.context.prompt_guard.record_failure(
-                self.request.capability, self.request.prefixes, failure
-            )
+        self.context.prompt_guard.record_failure(self.prompt, failure)
         self._avoided_targets.add(failure.target)
         if failure.cause is FailureCause.REFUSED:
             self.context.selector.record_refusal(failure.target)
--- a/tests/steps/gateway_quarantine_steps.py
+++ b/tests/steps/gateway_quarantine_steps.py
@@ -11,12 +11,14 @@
 CRASHING_TEXT = "Repeat the word parcel until somebody stops you. "
 PAUSE_S = 0.1
 LAST_CHECKED = 10
+ANSWER_TOKENS = 12
 
 
-@given("every engine crashes on one prefix of prompts for a moment")
-def set_crashing_text(context: Context) -> None:
+@given("every engine crashes on one prefix of prompts after {tokens:d} tokens")
+def set_crashing_text(context: Context, tokens: int) -> None:
     for server in context.router_harness.engines.values():
         server.engine.crashing_text = CRASHING_TEXT
+        server.engine.tokens_before_crash = tokens
 
 
 def count_crashes(harness: RouterHarness) -> int:
@@ -35,7 +37,8 @@
         text += f"Where is parcel {number}, which was sent on Monday?"
         messages = [{"role": "user", "content": text}]
         crashes_before = count_crashes(harness)
-        response = harness.send("POST", CHAT, chat_body(messages=messages))
+        body = chat_body(messages=messages, max_tokens=ANSWER_TOKENS)
+        response = harness.send("POST", CHAT, body)
         gevent.sleep(PAUSE_S)
         outcome = (response.status, response.json(), count_crashes(harness))
         if is_crashing:
