Take an entry that names no start for one of the start that is known

Cause: without that field an entry is read as of the start 0. That is right where each start has an id of its own and no entry names one. Beside a start that was named it looked like a restart, which revokes what was said before.

Evidence: the rows "names no start any more" failed before, 2 of 2.

Change: such an entry belongs to the start that the target named last, present or gone.

--- a/src/chervilstall/fleet/statements.py
+++ b/src/chervilstall/fleet/statements.py
@@ -92,6 +92,7 @@
     pauses: dict[TargetIncarnation, Pause] = field(default_factory=dict)
     gone: dict[TargetIncarnation, Gone] = field(default_factory=dict)
     _present: dict[TargetId, TargetIncarnation] = field(default_factory=dict)
+    _gone_last: dict[TargetId, TargetIncarnation] = field(default_factory=dict)
     # The values are unused; the keys are in the order of departure.
     _departed: dict[TargetIncarnation, None] = field(default_factory=dict)
 
@@ -107,6 +108,7 @@
         `since_s` is the earliest monotonic time at which the entry may have changed.
         The result is None for an entry from before its incarnation was gone.
         """
+        target = self._with_start(target)
         incarnation = target.incarnation
         present = self._present.get(target.id)
         if self._is_outdated(target, present):
@@ -131,6 +133,18 @@
             target = replace(target, state=TargetReadiness.DRAINING)
         return target
 
+    def _with_start(self, target: Target) -> Target:
+        """Return a target with the start that it named before, where it names none.
+
+        Such an entry has another writer, or has lost fields. No restart shows in it.
+        """
+        if target.started_at_ms:
+            return target
+        known = self._present.get(target.id) or self._gone_last.get(target.id)
+        if known is None:
+            return target
+        return replace(target, started_at_ms=known.started_at_ms)
+
     def _is_outdated(self, target: Target, present: TargetIncarnation | None) -> bool:
         """Return whether an entry was written before its incarnation was gone."""
         gone = self.gone.get(target.incarnation)
@@ -158,8 +172,12 @@
         if leaving is None and known is not None:
             leaving = known.leaving
         self.gone[incarnation] = Gone(time.monotonic(), heartbeats, leaving)
+        self._gone_last[incarnation.target_id] = incarnation
         if len(self.gone) > GONE_MAX:
-            del self.gone[next(iter(self.gone))]
+            oldest = next(iter(self.gone))
+            del self.gone[oldest]
+            if self._gone_last.get(oldest.target_id) == oldest:
+                del self._gone_last[oldest.target_id]
         if any(incarnation in kind for kind in self._said):
             self._keep_departed(incarnation)
 
--- a/tests/fleet/statements.feature
+++ b/tests/fleet/statements.feature
@@ -47,6 +47,8 @@
       | its entry comes back ready and then draining                                 |
       | its entry comes back while all entries are read anew                         |
       | its entry comes back with the revision that it had                           |
+      | its entry changes and names no start any more                                |
+      | its entry comes back and names no start any more                             |
 
   # Guards against an answer that is not taken up because the entry expired before it came.
   Scenario: An answer that says so after the entry has expired counts
--- a/tests/steps/statement_steps.py
+++ b/tests/steps/statement_steps.py
@@ -180,6 +180,21 @@
     context.fleet_view.update_target(context.target)
 
 
+@when("its entry changes and names no start any more")
+def lose_start(context: Context) -> None:
+    say_leaving(context, "answer")
+    advance(context, PAST_DRAIN_S)
+    write_entry(context, started_at_ms=0)
+
+
+@when("its entry comes back and names no start any more")
+def return_without_start(context: Context) -> None:
+    say_leaving(context, "answer")
+    context.fleet_view.remove_target(context.target.id)
+    advance(context, PAST_DRAIN_S)
+    write_entry(context, started_at_ms=0)
+
+
 def return_from_copy(context: Context, entry: Target) -> None:
     """Let the store lose some seconds, with an entry as it was at revision 1."""
     fleet_view: FleetView = context.fleet_view
