Take an answer whose status is none of HTTP for no answer

One with 000, 099 or 0 was taken for an interim answer, so that the caller waited until its timeout for the one behind it (504).

Cause: a status was taken as a number. All below 200 counted as interim, all others as final.

Change: a response whose status isn't from 100 to 599 is malformed, in the one class by which every client of targets, routers and stores reads: an idempotent request goes on to another target, for others the outcome is unknown at once (502).

--- a/src/chervilstall/target/response.py
+++ b/src/chervilstall/target/response.py
@@ -14,6 +14,9 @@
 
 EVENT_SEPARATOR = b"\n\n"
 DATA_PREFIX = b"data: "
+STATUSES = range(100, 600)
+"""All that HTTP knows; a client can't tell what another one means (RFC 9110, 15)."""
+
 FINAL_STATUS_MIN = 200
 HEAD_MAX_BYTES = 65_536
 FRAMING_MAX_BYTES = 65_536
@@ -33,7 +36,8 @@
     Bytes after a complete response belong to no request. geventhttpclient would parse
     them as a new message into the same object; here they are dropped.
 
-    A head that the end of the connection cuts off raises HTTPConnectionClosed.
+    A head that the end of the connection cuts off raises HTTPConnectionClosed, one
+    whose status isn't one of HTTP raises HTTPParseError.
     A head of more than HEAD_MAX_BYTES, a body of which more than `unread_max_bytes`
     wait to be read, or more than FRAMING_MAX_BYTES of a chunk's size or of the fields
     behind the last chunk raise HTTPParseError. Those fields are dropped. `on_unread` is
@@ -68,7 +72,10 @@
         return self.final_status
 
     def _on_headers_complete(self) -> Any:
-        self.final_status = self.get_code()
+        status = self.get_code()
+        if status not in STATUSES:
+            raise HTTPProtocolViolationError(f"{status} is no status")
+        self.final_status = status
         return super()._on_headers_complete()
 
     def _on_header_field(self, string: str) -> None:
