Bound what the product's interface reads of a service's answer or an engine's event

For calls that are sent once, and for events of engines, the bound was 64 MB each.

Cause: calls that may be repeated were read by the library's own class, without any of the bounds that `SingleResponse` has; the others had the default.

Change: all clients of targets read by the same class. The client with pooled connections repeats a request itself, over another connection, where one that was used before ends without a response. Answers of services take 16 MB at most, unread events of an engine 131,072 bytes, twice the largest event.

--- a/src/chervilstall/target/connection.py
+++ b/src/chervilstall/target/connection.py
@@ -1,12 +1,11 @@
 """HTTP connections to targets, with bounded age and without hidden retries.
 
-geventhttpclient repeats some requests by itself when a pooled connection turns out to
-be closed. A request that may not be repeated is therefore sent over a connection of
-its own, from a pool that opens a single socket.
+A client with pooled connections repeats a request when a connection turns out to be
+closed. One that may not be repeated is therefore sent over a connection of its own,
+from a pool that opens a single socket.
 """
 
 import time
-from collections import Counter
 from socket import (
     IPPROTO_TCP,
     SHUT_RDWR,
@@ -24,7 +23,7 @@
 import gevent.socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
-from geventhttpclient.response import HTTPSocketPoolResponse
+from geventhttpclient.response import HTTPConnectionClosed
 
 from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
@@ -70,56 +69,38 @@
         super().__init__(**arguments)
         self.age_max_s = age_max_s
         self._opened_at_s: dict[int, float] = {}
-        self.handed_out: Counter[gevent.Greenlet] = Counter()
+        self._used: set[int] = set()
 
     def after_connect(self, sock: gevent.socket.socket) -> None:
         tune_socket(sock)
         self._opened_at_s[sock.fileno()] = time.monotonic()
+        self._used.discard(sock.fileno())
 
     def get_socket(self) -> gevent.socket.socket:
         try:
             sock = super().get_socket()
         except OSError as error:
             raise ConnectFailed(str(error)) from error
-        self.handed_out[gevent.getcurrent()] += 1
         return sock
 
+    def was_used(self, sock: gevent.socket.socket) -> bool:
+        """Return whether a connection has carried a whole response before."""
+        return sock.fileno() in self._used
+
     def return_socket(self, sock: gevent.socket.socket) -> None:
         opened_at_s = self._opened_at_s.get(sock.fileno(), 0.0)
         if time.monotonic() - opened_at_s > self.age_max_s:
             self.release_socket(sock)
             return
+        self._used.add(sock.fileno())
         super().return_socket(sock)
 
     def release_socket(self, sock: gevent.socket.socket) -> None:
         self._opened_at_s.pop(sock.fileno(), None)
+        self._used.discard(sock.fileno())
         super().release_socket(sock)
 
 
-class PooledClient(HTTPClient):
-    """A client with pooled connections that does not hide that it sent a request.
-
-    geventhttpclient sends some requests again over a new connection. If that one can't
-    be established, the request may have run all the same: this raises
-    ConnectionResetError, not ConnectFailed.
-    """
-
-    def request(self, *arguments: Any, **options: Any) -> HTTPSocketPoolResponse:
-        """Send a request and return its response once the headers are complete."""
-        pool: Any = self._connection_pool
-        handed_out = pool.handed_out
-        task = gevent.getcurrent()
-        handed_out.pop(task, None)
-        try:
-            return super().request(*arguments, **options)
-        except ConnectFailed as error:
-            if task not in handed_out:
-                raise
-            raise ConnectionResetError("closed before a response") from error
-        finally:
-            handed_out.pop(task, None)
-
-
 class SingleUsePool(AgeLimitedPool):
     """A pool that opens one connection and refuses to open a second.
 
@@ -178,8 +159,6 @@
 
     def return_socket(self, sock: gevent.socket.socket) -> None:
         super().return_socket(sock)
-        # Otherwise the pool would keep the task of its first request in memory.
-        self.handed_out.clear()
         self.is_reusable = True
 
     def get_socket(self) -> gevent.socket.socket:
@@ -189,32 +168,37 @@
         return self.socket
 
 
-class SingleUseClient(HTTPClient):
-    """A client that never sends its request again when the connection fails.
+class BoundedClient(HTTPClient):
+    """A client whose responses take a bounded amount of time and memory.
 
-    `unread_max_bytes` is that of its response.
+    `unread_max_bytes` is that of its responses.
     """
 
     unread_max_bytes = UNREAD_MAX_BYTES
 
-    def request(
+    def _exchange(
         self,
+        sock: gevent.socket.socket,
         method: str,
         request_uri: str,
-        body: Any = b"",
-        headers: Any = None,
+        body: Any,
+        headers: Any,
     ) -> SingleResponse:
         """Send a request and return its response once the headers are complete.
 
         Raises NothingSent if no byte of the request was accepted for sending.
         """
-        head = self._build_request(method, request_uri, body=body, headers=headers)
-        sock = self._connection_pool.get_socket()
-        if len(body) > JOINED_BODY_MAX_BYTES:
-            send_first(sock, head.encode("latin-1"))
-            sock.sendall(body)
-        else:
-            send_first(sock, head.encode("latin-1") + body)
+        request = self._build_request(method, request_uri, body=body, headers=headers)
+        head = request.encode("latin-1")
+        try:
+            if len(body) > JOINED_BODY_MAX_BYTES:
+                send_first(sock, head)
+                sock.sendall(body)
+            else:
+                send_first(sock, head + body)
+        except BaseException:
+            self._connection_pool.release_socket(sock)
+            raise
         response = SingleResponse(
             sock, self._connection_pool, block_size=self.block_size, method=method
         )
@@ -222,6 +206,61 @@
         return response
 
 
+class SingleUseClient(BoundedClient):
+    """A client that never sends its request again when the connection fails."""
+
+    def request(
+        self,
+        method: str,
+        request_uri: str,
+        body: Any = b"",
+        headers: Any = None,
+    ) -> SingleResponse:
+        """Send a request and return its response once the headers are complete.
+
+        Raises NothingSent if no byte of the request was accepted for sending.
+        """
+        sock = self._connection_pool.get_socket()
+        return self._exchange(sock, method, request_uri, body, headers)
+
+
+class PooledClient(BoundedClient):
+    """A client with pooled connections, for requests that may be repeated.
+
+    A request over a connection that was used before, and that ends without a response,
+    is sent again over another one.
+    """
+
+    def request(
+        self,
+        method: str,
+        request_uri: str,
+        body: Any = b"",
+        headers: Any = None,
+    ) -> SingleResponse:
+        """Send a request and return its response once the headers are complete.
+
+        Raises ConnectFailed only where nothing was sent: if a connection for sending it
+        again can't be established, the request may have run all the same.
+        """
+        pool: Any = self._connection_pool
+        was_sent = False
+        while True:
+            try:
+                sock = pool.get_socket()
+            except ConnectFailed as error:
+                if not was_sent:
+                    raise
+                raise ConnectionResetError("closed before a response") from error
+            is_reused = pool.was_used(sock)
+            was_sent = True
+            try:
+                return self._exchange(sock, method, request_uri, body, headers)
+            except (HTTPConnectionClosed, ConnectionError):
+                if not is_reused:
+                    raise
+
+
 def pool_arguments(
     address: Address, settings: TargetSettings, network_timeout_s: float
 ) -> dict[str, Any]:
@@ -238,10 +277,14 @@
 
 
 def pooled_client(
-    address: Address, settings: TargetSettings, network_timeout_s: float
+    address: Address,
+    settings: TargetSettings,
+    network_timeout_s: float,
+    unread_max_bytes: int = UNREAD_MAX_BYTES,
 ) -> HTTPClient:
     """Return a client with pooled connections, for requests that may be repeated."""
     client = PooledClient(address.host, address.port, disable_ipv6=True)
+    client.unread_max_bytes = unread_max_bytes
     client._connection_pool = AgeLimitedPool(
         settings.connection_age_max_s,
         size=POOL_SIZE,
--- a/src/chervilstall/target/engine_client.py
+++ b/src/chervilstall/target/engine_client.py
@@ -37,6 +37,9 @@
 T = TypeVar("T")
 
 EVENT_MAX_BYTES = 65_536
+UNREAD_EVENTS_MAX_BYTES = 2 * EVENT_MAX_BYTES
+"""Largest part of a stream that waits for the end of an event."""
+
 LENGTH_FINISH = "length"
 HTTP_OK = 200
 HTTP_REFUSED = 503
@@ -74,7 +77,10 @@
         self.next_position = order.position
         self._target = order.route[0].target
         self._client = single_use_client(
-            order.route[0].address, settings, settings.first_event_timeout_s
+            order.route[0].address,
+            settings,
+            settings.first_event_timeout_s,
+            UNREAD_EVENTS_MAX_BYTES,
         )
         self._response: Any = self._open()
 
--- a/src/chervilstall/target/service_client.py
+++ b/src/chervilstall/target/service_client.py
@@ -23,6 +23,7 @@
     ServiceCall,
     ServiceResponse,
 )
+from chervilstall.target.response import BodyTooLarge
 
 RESPONSE_MAX_BYTES = 16_000_000
 CLIENTS_MAX = 1_000
@@ -96,6 +97,8 @@
         except TimeoutError as error:
             self._discard_client(address)
             raise AttemptFailed(FailureCause.SILENT, progress, target) from error
+        except BodyTooLarge as error:
+            raise AttemptFailed(FailureCause.BAD_ANSWER, progress, target) from error
         except (OSError, HTTPParseError) as error:
             raise AttemptFailed(FailureCause.CLOSED, progress, target) from error
         except gevent.Timeout as expired:
@@ -146,11 +149,15 @@
         self, address: Address, repeatable: bool, timeout_s: float
     ) -> HTTPClient:
         if not repeatable:
-            return single_use_client(address, self.settings, timeout_s)
+            return single_use_client(
+                address, self.settings, timeout_s, RESPONSE_MAX_BYTES
+            )
         client = self._clients.get(address)
         if client is None:
             timeout_s = self.settings.service_timeout_s
-            client = pooled_client(address, self.settings, timeout_s)
+            client = pooled_client(
+                address, self.settings, timeout_s, RESPONSE_MAX_BYTES
+            )
             self._clients[address] = client
         self._clients.move_to_end(address)
         if len(self._clients) > CLIENTS_MAX:
--- a/tests/steps/target_unframed_steps.py
+++ b/tests/steps/target_unframed_steps.py
@@ -167,10 +167,9 @@
     assert (context.load is not None) == (result == "there"), context.load
 
 
-@when("a stream of {tokens:d} tokens is read from it")
-def read_stream(context: Context, tokens: int) -> None:
-    address = context.unframed.address
-    order = GenerateOrder(
+def order_to(address: Address, tokens: int = 4) -> GenerateOrder:
+    """Return an order for a number of tokens from one target."""
+    return GenerateOrder(
         RequestId("r1"),
         AttemptNumber(1),
         "assistant",
@@ -181,6 +180,11 @@
         Priority.STANDARD,
         (Hop(TARGET, address.host, address.port, 0, 12),),
     )
+
+
+@when("a stream of {tokens:d} tokens is read from it")
+def read_stream(context: Context, tokens: int) -> None:
+    order = order_to(context.unframed.address, tokens)
     context.tokens = []
     context.failure = None
     client = HttpEngineClient(TargetSettings())
--- a/tests/target/endless.feature
+++ b/tests/target/endless.feature
@@ -36,3 +36,16 @@
       | chunks of one byte      |
       | the same event          |
       | a body without a length |
+
+  # Guards against answers of services that are held whole, however long, before their size is
+  # checked, and against events without an end.
+  Scenario Outline: <what> of a target that sends without end is given up
+    Given a target whose answer has no end
+    When <what> is asked for without an end
+    Then it fails, and the target could send at most <size_mb> MB
+
+    Examples:
+      | what                    | size_mb |
+      | a repeatable call       | 30      |
+      | a call sent once        | 30      |
+      | an event of a stream    | 5       |
