--- a/src/chervilstall/settings/reference.py
+++ b/src/chervilstall/settings/reference.py
@@ -10,6 +10,51 @@
 from chervilstall.settings.ini import option_specs
 from chervilstall.settings.option import describe_type
 from chervilstall.settings.processes import ROUTER_SECTIONS
+from chervilstall.target.engine_client import UNREAD_EVENTS_MAX_BYTES
+from chervilstall.target.response import FRAMING_MAX_BYTES, HEAD_MAX_BYTES
+from chervilstall.target.service_client import RESPONSE_MAX_BYTES
+from chervilstall.turns import TURN_MAX_S
+from chervilstall.wsgi_input import TRAILER_LINES_MAX
+
+BOUNDS = (
+    (
+        "target.response.HEAD_MAX_BYTES",
+        "bytes",
+        HEAD_MAX_BYTES,
+        "The head of a response, interim ones included.",
+    ),
+    (
+        "target.response.FRAMING_MAX_BYTES",
+        "bytes",
+        FRAMING_MAX_BYTES,
+        "What is no body between two pieces of a body, or behind the last one.",
+    ),
+    (
+        "target.service_client.RESPONSE_MAX_BYTES",
+        "bytes",
+        RESPONSE_MAX_BYTES,
+        "The body of a service's answer, on the product's interface.",
+    ),
+    (
+        "target.engine_client.UNREAD_EVENTS_MAX_BYTES",
+        "bytes",
+        UNREAD_EVENTS_MAX_BYTES,
+        "What waits of an engine's stream for the end of an event.",
+    ),
+    (
+        "wsgi_input.TRAILER_LINES_MAX",
+        "lines",
+        TRAILER_LINES_MAX,
+        "Header lines behind the last chunk of a request.",
+    ),
+    (
+        "turns.TURN_MAX_S",
+        "s",
+        TURN_MAX_S,
+        "Time for which bytes of one peer are handled before others get a turn.",
+    ),
+)
+"""Bounds on what peers send, each with its unit and meaning."""
 
 TABLE_HEAD = (
     "| option | type | unit | default | bounds | meaning |\n|---|---|---|---|---|---|"
@@ -60,6 +105,14 @@
     return "\n".join(rows)
 
 
+def bounds_table() -> str:
+    """Return the Markdown table of the bounds on what peers send."""
+    lines = ["| constant | unit | value | bound on |", "|---|---|---|---|"]
+    for name, unit, value, meaning in BOUNDS:
+        lines.append(f"| `{name}` | {unit} | {value} | {meaning} |")
+    return "\n".join(lines)
+
+
 def reference_page() -> str:
     """Return the reference page as Markdown."""
     parts = [
@@ -87,6 +140,7 @@
     for kind in DOCUMENT_KINDS:
         parts.append(f"### `{kind.pattern}`: section [{kind.section}]")
         parts.append(section_table(kind.cls))
+    parts += ["## Bounds that are no options", bounds_table()]
     return "\n\n".join(parts)
 
 
