--- a/src/chervilstall/quarantine/evidence.py
+++ b/src/chervilstall/quarantine/evidence.py
@@ -28,16 +28,15 @@
 class PartEvidence:
     """The crashes that speak against one part, with their monotonic times.
 
-    `begun_before` is how many answers of the service had begun when the first of them
-    became known. `was_begun` says that answers with the part have begun before.
-    `sent_at_s` is when the target got the latest copy of a whole request. `holders` are
-    the digests of the requests that held a part of prompts, or the copies of a whole
-    request.
+    `passed_before` is how many answers of the service had passed as the first of them
+    became known, and `has_passed_before` is true if any with the part had. `sent_at_s`
+    is when the target got the latest copy of a whole request. `holders` are the digests
+    of the requests that held a part of prompts, or the copies of a whole request.
     """
 
-    begun_before: int
+    passed_before: int
     crashed_at_s: dict[CrashId, float] = field(default_factory=dict)
-    was_begun: bool = False
+    has_passed_before: bool = False
     sent_at_s: dict[CrashId, float] = field(default_factory=dict)
     holders: dict[CrashId, set[str]] = field(default_factory=dict)
 
@@ -85,19 +84,18 @@
 
 @dataclass
 class EvidenceLog:
-    """Evidence against parts, and the parts with which answers began lately.
+    """Evidence of one stage, and the parts with which answers passed it lately.
 
     A part that crashes targets crashes each one that begins an answer on it. One answer
     that begins therefore voids all evidence against the request and the parts of its
-    prompt. In the evidence of a later `stage`, an answer counts as begun when it has
-    passed that.
+    prompt. To pass the later `stage`, it has to end.
     """
 
     stage: Stage = Stage.BEGUN
     evidence: dict[PartKey, PartEvidence] = field(default_factory=dict)
-    _begun_counts: Counter[ServiceName] = field(default_factory=Counter)
+    _passed_counts: Counter[ServiceName] = field(default_factory=Counter)
     _explained_at_s: dict[CrashId, float] = field(default_factory=dict)
-    _begun_at_s: OrderedDict[PartKey, float] = field(default_factory=OrderedDict)
+    _passed_at_s: OrderedDict[PartKey, float] = field(default_factory=OrderedDict)
     _answered_at_s: OrderedDict[PartKey, float] = field(default_factory=OrderedDict)
     _voided_at_s: OrderedDict[PartKey, float] = field(default_factory=OrderedDict)
 
@@ -112,8 +110,8 @@
             known = self._evidence_since(key, at_s)
             if known is None:
                 continue
-            if part in report.begun_parts or self.has_begun(key):
-                known.was_begun = True
+            if part in report.begun_parts or self.has_passed(key):
+                known.has_passed_before = True
             holders = known.holders.setdefault(report.crash, set())
             holders.update(report.holders(part))
             if report.crash not in known.crashed_at_s:
@@ -136,57 +134,57 @@
 
     def _evidence_since(self, key: PartKey, at_s: float) -> PartEvidence | None:
         """Return the evidence against a part, None if a crash at `at_s` is not any."""
-        if max(self.begun_at_s(key), self.voided_at_s(key)) >= at_s:
+        if max(self.passed_at_s(key), self.voided_at_s(key)) >= at_s:
             return None
         known = self.evidence.get(key)
         if known is None:
-            begun_before = self._begun_counts[key.service]
-            known = self.evidence[key] = PartEvidence(begun_before)
+            passed_before = self._passed_counts[key.service]
+            known = self.evidence[key] = PartEvidence(passed_before)
         return known
 
-    def add_begun(self, service: ServiceName, keys: Iterable[PartKey]) -> None:
-        """Add an answer that began; `keys` are its request and its prompt's parts."""
-        self._begun_counts[service] += 1
+    def add_passed(self, service: ServiceName, keys: Iterable[PartKey]) -> None:
+        """Add an answer that passed; `keys` are its request and its prompt's parts."""
+        self._passed_counts[service] += 1
         for key in keys:
             self.evidence.pop(key, None)
-            _remember(self._begun_times_s(key), key)
+            _remember(self._passed_times_s(key), key)
 
-    def _begun_times_s(self, key: PartKey) -> OrderedDict[PartKey, float]:
+    def _passed_times_s(self, key: PartKey) -> OrderedDict[PartKey, float]:
         """Return the times of answers; the many requests don't push out parts."""
-        return self._answered_at_s if key.is_request else self._begun_at_s
+        return self._answered_at_s if key.is_request else self._passed_at_s
 
     def void(self, key: PartKey) -> None:
         """Drop all evidence against a part that dates from before now."""
         self.evidence.pop(key, None)
         _remember(self._voided_at_s, key)
 
-    def begun_count(self, service: ServiceName) -> int:
-        """Return how many answers of a service have begun since the start."""
-        return self._begun_counts[service]
+    def passed_count(self, service: ServiceName) -> int:
+        """Return how many answers of a service have passed since the start."""
+        return self._passed_counts[service]
 
-    def others_begun(self, key: PartKey) -> int:
-        """Return how many answers began since the first crash against a part.
+    def others_passed(self, key: PartKey) -> int:
+        """Return how many answers passed since the first crash against a part.
 
         None of them had the part, since one with it would have voided the evidence.
         """
-        return self._begun_counts[key.service] - self.evidence[key].begun_before
+        return self._passed_counts[key.service] - self.evidence[key].passed_before
 
-    def begun_at_s(self, key: PartKey) -> float:
-        """Return when the latest answer with a part began, as a monotonic time."""
-        return self._begun_times_s(key).get(key, float("-inf"))
+    def passed_at_s(self, key: PartKey) -> float:
+        """Return when the latest answer with a part passed, as a monotonic time."""
+        return self._passed_times_s(key).get(key, float("-inf"))
 
-    def has_begun(self, key: PartKey) -> bool:
-        """Return whether an answer with a part is known to have begun."""
-        return key in self._begun_times_s(key)
+    def has_passed(self, key: PartKey) -> bool:
+        """Return whether an answer with a part is known to have passed."""
+        return key in self._passed_times_s(key)
 
     def voided_at_s(self, key: PartKey) -> float:
         """Return when the evidence against a part was dropped, as a monotonic time."""
         return self._voided_at_s.get(key, float("-inf"))
 
     @property
-    def begun_services(self) -> list[ServiceName]:
-        """Return the services of which answers have begun since the start."""
-        return list(self._begun_counts)
+    def passed_services(self) -> list[ServiceName]:
+        """Return the services of which answers have passed since the start."""
+        return list(self._passed_counts)
 
     def explain(
         self, crashes: Collection[CrashId], causes: Collection[PartId] = ()
--- a/src/chervilstall/quarantine/prompts.py
+++ b/src/chervilstall/quarantine/prompts.py
@@ -129,7 +129,7 @@
         """Return whether a request that lost its target should not be sent again."""
         for part in parts:
             known = self._log(Stage.BEGUN).evidence.get(PartKey(service, part))
-            if known is None or known.was_begun:
+            if known is None or known.has_passed_before:
                 continue
             if len(known.crashed_at_s) >= SUSPECT_CRASHES_MIN:
                 return True
@@ -203,7 +203,7 @@
         """
 
         def has_passed(stage: Stage, part: PartId) -> bool:
-            return self._log(stage).has_begun(PartKey(report.service, part, stage))
+            return self._log(stage).has_passed(PartKey(report.service, part, stage))
 
         named = replace(report, crash=self._crash_times.name(report))
         return with_known_parts(named, has_passed)
@@ -223,7 +223,7 @@
             key,
             time.monotonic() - known.first_at_s,
             tuple(sorted(known.crashed_at_s)),
-            not known.was_begun and not key.is_request,
+            not known.has_passed_before and not key.is_request,
         )
         # Others must know this entry before those that are carried over from it.
         self.on_action(Propose(entry))
@@ -241,7 +241,7 @@
         """Return whether a quarantine at another service must not be carried over."""
         log = self._log(key.stage)
         since_s = self._crashing_since_s(key) - ENFORCE_AFTER_S - DELIVERY_MAX_S
-        return log.has_begun(key) or log.voided_at_s(key) > since_s
+        return log.has_passed(key) or log.voided_at_s(key) > since_s
 
     def _crashed_keys(self, key: PartKey) -> list[PartKey]:
         """Return the part's keys at the services that it crashed."""
@@ -310,9 +310,9 @@
             return self._is_harmless_here(entry.key)
         log = self._log(entry.key.stage)
         if entry.is_new:
-            return log.has_begun(entry.key)
+            return log.has_passed(entry.key)
         first_at_s = time.monotonic() - entry.evidence_age_s - DELIVERY_MAX_S
-        return log.begun_at_s(entry.key) > first_at_s
+        return log.passed_at_s(entry.key) > first_at_s
 
     def _add(self, entry: QuarantineEntry, delay_s: float) -> None:
         now_s = time.monotonic()
@@ -327,7 +327,7 @@
         if key.is_request:
             # It is carried over once it is asked for at another service.
             return
-        for service in self._log(Stage.BEGUN).begun_services:
+        for service in self._log(Stage.BEGUN).passed_services:
             self._carry_over(replace(key, service=service))
 
     def remove_entry(self, key: PartKey) -> None:
--- a/src/chervilstall/quarantine/stages.py
+++ b/src/chervilstall/quarantine/stages.py
@@ -93,7 +93,7 @@
 
     def add_passed(self, service: ServiceName, keys: Iterable[PartKey]) -> None:
         """Add an answer that has passed the stage, with its request and its parts."""
-        self.log.add_begun(service, keys)
+        self.log.add_passed(service, keys)
 
     def often_crashed(self, service: ServiceName | None = None) -> list[PartKey]:
         """Return the parts, of one service or all, that other answers may decide on."""
@@ -122,7 +122,7 @@
 
     def _rank(self, key: PartKey) -> tuple[bool, int, bool]:
         known = self.log.evidence[key]
-        return not known.was_begun, len(known.crashed_at_s), key.is_request
+        return not known.has_passed_before, len(known.crashed_at_s), key.is_request
 
     def _has_enough_evidence(self, key: PartKey) -> bool:
         known = self.log.evidence.get(key)
@@ -133,7 +133,7 @@
         crashes_min, others_min = self.rules.crashes_min, self.rules.others_min
         if key.is_request:
             crashes_min = self.rules.request_crashes_min
-        elif known.was_begun:
+        elif known.has_passed_before:
             if self.rules.known_crashes_min is None:
                 return False
             crashes_min = self.rules.known_crashes_min
@@ -144,14 +144,14 @@
             return True
         if known.is_of_one_request:
             return False
-        if not known.was_begun and self._is_familiar(key.service):
+        if not known.has_passed_before and self._is_familiar(key.service):
             return True
-        return self.log.others_begun(key) >= others_min
+        return self.log.others_passed(key) >= others_min
 
     def _is_familiar(self, service: ServiceName) -> bool:
         familiar_min = self.rules.familiar_min
         return familiar_min is not None and (
-            self.log.begun_count(service) >= familiar_min
+            self.log.passed_count(service) >= familiar_min
         )
 
     def expire(self) -> None:
