Log crashes of targets that answers were in the middle of, and tell them from earlier ones

A report of such a crash was logged nowhere, so that a `part under quarantine stage=ended` could not be followed to its requests. And where a target's entry names no start, a crash of some time ago made a later lost connection to it count as a crash; only one at the time of the loss counts now.

--- a/src/chervilstall/edge/crashes/observer.py
+++ b/src/chervilstall/edge/crashes/observer.py
@@ -89,7 +89,7 @@
         One report of a crash names all requests that were collected meanwhile.
         """
         for each in request.lost_targets.values():
-            if not self._is_crashed(each.target):
+            if not self._has_crashed_then(each):
                 self._start_examination(each.target, each.lost_at_s)
         if not self._later:
             gevent.spawn_later(VERDICT_WAIT_S, self._report_later)
@@ -101,8 +101,10 @@
         crashed: dict[TargetIncarnation, Target] = {}
         lost: dict[TargetIncarnation, dict[RequestId, LostRequest]] = {}
         for request in collected:
-            targets = [each.target for each in request.lost_targets.values()]
-            targets = [each for each in targets if self._is_crashed(each)]
+            lost_targets = request.lost_targets.values()
+            targets = [
+                each.target for each in lost_targets if self._has_crashed_then(each)
+            ]
             if len(targets) < LATER_CRASHES_MIN:
                 continue
             copy = LostRequest(
@@ -113,6 +115,12 @@
                 lost.setdefault(target.incarnation, {})[copy.copy] = copy
         for incarnation, target in crashed.items():
             requests = tuple(lost[incarnation].values())[:REPORTED_REQUESTS_MAX]
+            log.warning(
+                "target crashed",
+                target=target.id,
+                in_answers=len(requests),
+                requests=[each.digest for each in requests[:LOGGED_REQUESTS_MAX]],
+            )
             age_s = time.monotonic() - self._crashed_at_s[incarnation]
             self.on_crash(
                 CrashReport(
@@ -124,8 +132,10 @@
                 )
             )
 
-    def _is_crashed(self, target: Target) -> bool:
-        return target.incarnation in self._crashed_at_s
+    def _has_crashed_then(self, lost: LostTarget) -> bool:
+        """Return whether a target is known to have crashed as a request lost it."""
+        crashed_at_s = self._crashed_at_s.get(lost.target.incarnation, float("-inf"))
+        return lost.lost_at_s - crashed_at_s <= VERDICT_VALID_S
 
     def await_verdict(self, target: Target, timeout_s: float) -> None:
         """Wait until it is known whether a target that lost a request has crashed."""
