Count what a listener reads, not what its client could send

Cause: the check was wrong. It counted what the client's sendall took, and the buffers of both sockets take megabytes before the listener's process is run. Trace, the listener's thread held for 0 to 0.5 s after the connect: sent 60,070 to 2,880,070 bytes, of which the listener had read 8,192 to 8,262 each time. It is no fault of the product: the bound of 100 lines held in each run.

Change: the check is stricter. It counts what the listener reads (100 lines of 16 bytes and one buffer, 16,384 bytes at most; megabytes were allowed) and asks that the client saw its connection closed, not that it sent little. A timeout of the client doesn't count as closed any more.

--- a/tests/edge/endless.feature
+++ b/tests/edge/endless.feature
@@ -14,8 +14,10 @@
       | a body in chunks of one byte                     |
       | header lines behind the last chunk of a body     |
 
-  # Guards against header lines behind the last chunk of a body that are read without a bound.
+  # Guards against header lines behind the last chunk of a body that are read without a bound:
+  # 100 lines of 16 bytes are allowed, and what the listener's buffer takes ahead.
   Scenario: Header lines without end behind the last chunk of a body end the request
     Given a listener with a client that sends header lines behind the last chunk of a body all the time
-    When the client has sent 2000000 bytes or was closed
+    When the client has sent for its 2 seconds or was closed
     Then its connection was closed before that
+    And the listener has read at most 16384 bytes of it
--- a/tests/steps/endless_steps.py
+++ b/tests/steps/endless_steps.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+from dataclasses import dataclass
 
 import gevent
 from behave import given, then, when
@@ -17,11 +18,12 @@
 from chervilstall.target.contract import AttemptFailed, ServiceCall
 from chervilstall.target.engine_client import HttpEngineClient
 from chervilstall.target.service_client import HttpServiceClient
-from chervilstall.wsgi import Environ, Server, read_body
+from chervilstall.wsgi import Environ, read_body
 from tests.steps.target_unframed_steps import order_to
 from tests.support.endless import (
     ANSWERS,
     OK,
+    CountingServer,
     EndlessSocket,
     TurnWatch,
     kept_bytes,
@@ -41,6 +43,14 @@
 native_socket = get_original("socket", "socket")
 
 
+@dataclass
+class Sending:
+    """What became of a client that sends for `SEND_S`."""
+
+    sent_bytes: int = 0
+    was_closed: bool = False
+
+
 @given("a connection on which {name} come without end")
 @given("a connection on which {name} comes")
 def open_endless(context: Context, name: str) -> None:
@@ -110,7 +120,7 @@
 
 @given("a listener with a client that sends {name} all the time")
 def start_listener(context: Context, name: str) -> None:
-    context.server = Server(ANY_PORT, _answer)
+    context.server = CountingServer(ANY_PORT, _answer)
     context.server.start()
     context.sent = gevent.get_hub().threadpool.spawn(
         _send_all_the_time, context.server.bound_address, name
@@ -122,27 +132,26 @@
     return HttpResponse(404, b"{}").start(start_response)
 
 
-def _send_all_the_time(address: tuple[str, int], name: str) -> int:
-    """Send in a thread of its own, and return how much until the end."""
-    sent_bytes = 0
+def _send_all_the_time(address: Address, name: str) -> Sending:
+    """Send in a thread of its own, and return how that ended."""
+    sending = Sending()
     until_s = time.monotonic() + SEND_S
     with native_socket(socket.AF_INET, socket.SOCK_STREAM) as connection:
-        connection.settimeout(SEND_S)
+        connection.settimeout(ASK_S)
         connection.connect((address.host, address.port))
         try:
             for piece in request_pieces(name):
                 connection.sendall(piece)
-                sent_bytes += len(piece)
+                sending.sent_bytes += len(piece)
                 if time.monotonic() > until_s:
                     break
                 # The answers would fill the buffers, and the listener would wait.
                 connection.setblocking(False)
                 _drop_answers(connection)
-                connection.settimeout(SEND_S)
-        except OSError:
-            # The listener has closed the connection, which it is allowed to.
-            return sent_bytes
-    return sent_bytes
+                connection.settimeout(ASK_S)
+        except ConnectionError:
+            sending.was_closed = True
+    return sending
 
 
 def _drop_answers(connection: socket.socket) -> None:
@@ -174,16 +183,21 @@
     assert set(context.lines) == {b"HTTP/1.1 404 Not Found"}, context.lines
 
 
-@when("the client has sent {count:d} bytes or was closed")
-def await_sent(context: Context, count: int) -> None:
-    context.sent_bytes = context.sent.get()
-    context.count = count
+@when("the client has sent for its 2 seconds or was closed")
+def await_sent(context: Context) -> None:
+    context.sending = context.sent.get()
     context.server.kill_connections()
 
 
 @then("its connection was closed before that")
 def check_closed(context: Context) -> None:
-    assert context.sent_bytes < context.count, context.sent_bytes
+    assert context.sending.was_closed, context.sending
+
+
+@then("the listener has read at most {count:d} bytes of it")
+def check_read(context: Context, count: int) -> None:
+    read_bytes = context.server.read_bytes
+    assert 0 < read_bytes <= count, (read_bytes, context.sending)
 
 
 @given("a target whose answer has no end")
--- a/tests/support/endless.py
+++ b/tests/support/endless.py
@@ -1,5 +1,6 @@
 """Connections on which bytes come without end, so that nobody has to wait for them."""
 
+import io
 import itertools
 import time
 from collections.abc import Callable, Iterator
@@ -10,6 +11,8 @@
 
 from chervilstall.target.response import SingleResponse
 from chervilstall.turns import await_turn
+from chervilstall.wsgi import Server
+from chervilstall.wsgi_handler import Handler
 
 SENT_MAX_BYTES = 20_000_000
 """What comes at most, so that a test of code without a bound ends."""
@@ -140,3 +143,42 @@
     yield first
     while True:
         yield repeated * (PIECE_BYTES // len(repeated))
+
+
+class CountingReader(io.RawIOBase):
+    """A raw stream that counts in its server what is read of all connections."""
+
+    def __init__(self, stream: io.RawIOBase, server: "CountingServer") -> None:
+        super().__init__()
+        self._stream = stream
+        self._server = server
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer: memoryview) -> int | None:  # type: ignore[override]
+        """Read into a buffer and count."""
+        count = self._stream.readinto(buffer)
+        self._server.read_bytes += count or 0
+        return count
+
+
+class CountingHandler(Handler):
+    """The handler of the product, over a reader that counts."""
+
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        reader = CountingReader(self.rfile.detach(), self.server)
+        self.rfile = io.BufferedReader(reader)
+
+
+class CountingServer(Server):
+    """A listener that tells how many bytes it has read.
+
+    What a client could send doesn't tell that: the buffers of both sockets take
+    megabytes before the listener's process is run.
+    """
+
+    handler_class = CountingHandler
+    read_bytes = 0
