Bound an answer of the store whose length isn't told before

Cause: answers that may take long (lists, entries and watches of the store, all calls to the agents' store) are read in pieces into one buffer. The bound on the body was compared with the length in the head alone, and with what waits unread, which the pieces keep small; an answer in chunks or without a length had no bound at all, and no time limit either while pieces came. A watch that asks for 1 MB at most took any size in chunks for the same reason.

Change: the sum of the pieces is compared with the bound, in one place (target/calls).

--- a/src/chervilstall/settings/reference.py
+++ b/src/chervilstall/settings/reference.py
@@ -11,7 +11,11 @@
 from chervilstall.settings.option import describe_type
 from chervilstall.settings.processes import ROUTER_SECTIONS
 from chervilstall.target.engine_client import UNREAD_EVENTS_MAX_BYTES
-from chervilstall.target.response import FRAMING_MAX_BYTES, HEAD_MAX_BYTES
+from chervilstall.target.response import (
+    FRAMING_MAX_BYTES,
+    HEAD_MAX_BYTES,
+    UNREAD_MAX_BYTES,
+)
 from chervilstall.target.service_client import RESPONSE_MAX_BYTES
 from chervilstall.turns import TURN_MAX_S
 from chervilstall.wsgi_input import TRAILER_LINES_MAX
@@ -29,6 +33,12 @@
         FRAMING_MAX_BYTES,
         "What is no body between two pieces of a body, or behind the last one.",
     ),
+    (
+        "target.response.UNREAD_MAX_BYTES",
+        "bytes",
+        UNREAD_MAX_BYTES,
+        "An answer of the store.",
+    ),
     (
         "target.service_client.RESPONSE_MAX_BYTES",
         "bytes",
--- a/src/chervilstall/target/calls.py
+++ b/src/chervilstall/target/calls.py
@@ -89,7 +89,7 @@
             raise BodyTooLarge(f"the body has {response.content_length} bytes")
         content = b"" if call.long_body is not None else response.read()
     if call.long_body is not None:
-        content = _read_pieces(response, call.long_body)
+        content = _read_pieces(response, call.long_body, call.body_max_bytes)
     fields = {name.lower(): str(value) for name, value in response.headers}
     return CallResponse(
         response.status_code,
@@ -101,12 +101,17 @@
     )
 
 
-def _read_pieces(response: HTTPSocketPoolResponse, long_body: LongBody) -> bytes:
+def _read_pieces(
+    response: HTTPSocketPoolResponse, long_body: LongBody, size_max_bytes: int
+) -> bytes:
+    """Read a body whose length need not be known. Raises BodyTooLarge."""
     content = bytearray()
     while True:
         with gevent.Timeout(long_body.stall_timeout_s, TimeoutError):
             piece = response.read(PIECE_BYTES)
         long_body.on_piece()
         content += piece
+        if len(content) > size_max_bytes:
+            raise BodyTooLarge(f"the body has more than {size_max_bytes} bytes")
         if not piece:
             return bytes(content)
--- a/tests/steps/endless_steps.py
+++ b/tests/steps/endless_steps.py
@@ -8,21 +8,13 @@
 from behave import given, then, when
 from behave.runner import Context
 from gevent.monkey import get_original
-from gevent.server import StreamServer
 from geventhttpclient.response import HTTPParseError
 
 from chervilstall.http_response import HttpResponse, StartResponse
-from chervilstall.ids import AttemptNumber, RequestId, TargetId
-from chervilstall.settings.connections import TargetSettings
 from chervilstall.settings.option import Address
-from chervilstall.target.contract import AttemptFailed, ServiceCall
-from chervilstall.target.engine_client import HttpEngineClient
-from chervilstall.target.service_client import HttpServiceClient
 from chervilstall.wsgi import Environ, read_body
-from tests.steps.target_unframed_steps import order_to
 from tests.support.endless import (
     ANSWERS,
-    OK,
     CountingServer,
     EndlessSocket,
     TurnWatch,
@@ -31,11 +23,9 @@
     request_pieces,
 )
 from tests.support.platform import open_connection
-from tests.support.router_harness import ANY_PORT, HOST
+from tests.support.router_harness import ANY_PORT
 
 READ_BYTES = 16_384
-PIECE = b"x" * 65_536
-ENDLESS_MAX_BYTES = 100_000_000
 ASK_S = 10.0
 SEND_S = 2.0
 OTHER_REQUESTS = 20
@@ -198,53 +188,3 @@
 def check_read(context: Context, count: int) -> None:
     read_bytes = context.server.read_bytes
     assert 0 < read_bytes <= count, (read_bytes, context.sending)
-
-
-@given("a target whose answer has no end")
-def start_endless_target(context: Context) -> None:
-    context.sent_bytes = 0
-
-    def handle(connection: socket.socket, address: object) -> None:
-        connection.recv(READ_BYTES)
-        try:
-            connection.sendall(OK + b"\r\n")
-            while context.sent_bytes < ENDLESS_MAX_BYTES:
-                connection.sendall(PIECE)
-                context.sent_bytes += len(PIECE)
-        except OSError:
-            # The client has given up, as it should.
-            return
-        connection.close()
-
-    context.server = StreamServer((HOST, 0), handle)
-    context.server.start()
-    context.stoppables.append(context.server)
-
-
-@when("{what} is asked for without an end")
-def ask_endless(context: Context, what: str) -> None:
-    address = Address(HOST, context.server.server_port)
-    context.error = None
-    try:
-        if what == "an event of a stream":
-            HttpEngineClient(TargetSettings()).generate(
-                order_to(address), time.monotonic() + ASK_S
-            ).next_event()
-            return
-        HttpServiceClient(TargetSettings(service_timeout_s=ASK_S)).call(
-            TargetId("endless"),
-            address,
-            ServiceCall("GET", "/thing", (), b""),
-            RequestId("r1"),
-            AttemptNumber(1),
-            what == "a repeatable call",
-            ASK_S,
-        )
-    except AttemptFailed as error:
-        context.error = error
-
-
-@then("it fails, and the target could send at most {size_mb:d} MB")
-def check_sent(context: Context, size_mb: int) -> None:
-    assert context.error is not None
-    assert context.sent_bytes <= size_mb * 1_000_000, context.sent_bytes
--- a/tests/target/endless.feature
+++ b/tests/target/endless.feature
@@ -37,15 +37,27 @@
       | the same event          |
       | a body without a length |
 
-  # Guards against answers of services that are held whole, however long, before their size is
-  # checked, and against events without an end.
-  Scenario Outline: <what> of a target that sends without end is given up
-    Given a target whose answer has no end
+  # Guards against answers that are held whole, however long, before their size is checked,
+  # and against events without an end. The bound on a body is passed by what both sockets hold.
+  Scenario Outline: <what> without an end, <framing>, is given up
+    Given a process whose answer has no end, <framing>
     When <what> is asked for without an end
-    Then it fails, and the target could send at most <size_mb> MB
+    Then it fails, and the process could send at most <size_mb> MB
 
     Examples:
-      | what                    | size_mb |
-      | a repeatable call       | 30      |
-      | a call sent once        | 30      |
-      | an event of a stream    | 5       |
+      | what                                        | framing          | size_mb |
+      | a repeatable call                           | without a length | 30      |
+      | a call sent once                            | without a length | 30      |
+      | an event of a stream                        | without a length | 5       |
+      | a response, from a target or another router | without a length | 14      |
+      | a response, from a target or another router | in chunks        | 14      |
+      | a target's report                           | without a length | 10      |
+      | a target's report                           | in chunks        | 10      |
+      | the response to an order                    | in chunks        | 10      |
+      | another router's report                     | in chunks        | 10      |
+      | a list of the store                         | without a length | 75      |
+      | a list of the store                         | in chunks        | 75      |
+      | an entry of the store                       | in chunks        | 75      |
+      | changes of 1 MB                             | in chunks        | 10      |
+      | a key of the store                          | in chunks        | 75      |
+      | a key of the agents' store                  | in chunks        | 75      |
