Bound a list of the store that has pages without end

Cause: a list was read page by page for as long as the store named another one. A page that ends at the key after which it should begin was asked for again and again, and new pages were kept without a bound on their sum.

Change: a page that ends where the one before ended fails the list, and a list of more than 64 MB is too large; both are failures of the store's call, which is repeated as after any other. A page has 500 items or 1 MB (PROTOCOL), so 7,300 servers and one configuration come to under 10 MB (estimated from the sizes in PROTOCOL, not measured). After: the same page is given up after 2, new pages after 64 MB.

--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -18,7 +18,7 @@
     decode_body,
     require_ok,
 )
-from chervilstall.store.contract import StoreFailed
+from chervilstall.store.contract import ResponseTooLarge, StoreFailed
 from chervilstall.target.calls import Call, CallResponse, LongBody
 from chervilstall.target.connection import JSON_HEADERS
 from chervilstall.target.response import UNREAD_MAX_BYTES
@@ -32,6 +32,9 @@
 STALL_TIMEOUT_S = 2.0
 """Longest wait for the next piece of a long response."""
 
+LIST_MAX_BYTES = 64_000_000
+"""Size of a list on the wire, all pages together."""
+
 ERA_DIGITS_MAX = 18
 """Digits of an era that are read; a longer number is no count of returns."""
 
@@ -155,7 +158,8 @@
     def list_entries(self, prefix: str) -> EntryBatch:
         """Return the entries whose keys start with a prefix.
 
-        The revision is that of the first page.
+        The revision is that of the first page. Raises StoreFailed for pages that begin
+        again where they began, and ResponseTooLarge for more than LIST_MAX_BYTES.
         """
         found: list[Entry] = []
         first: CallResponse | None = None
@@ -172,7 +176,12 @@
             found.extend(_entry(item) for item in page.items)
             if not page.has_more or not page.items:
                 break
-            query["after"] = page.items[-1].key
+            last_key = page.items[-1].key
+            if last_key == query.get("after"):
+                raise StoreFailed(f"the page after {last_key[:40]!r} ends there again")
+            if size_bytes > LIST_MAX_BYTES:
+                raise ResponseTooLarge(f"the list has more than {LIST_MAX_BYTES} bytes")
+            query["after"] = last_key
         return EntryBatch(
             tuple(found), revision, first.sent_at_s, first.responded_at_s, size_bytes
         )
--- a/src/chervilstall/settings/reference.py
+++ b/src/chervilstall/settings/reference.py
@@ -4,6 +4,7 @@
 import enum
 from typing import Any
 
+from chervilstall.platform.kv import LIST_MAX_BYTES
 from chervilstall.settings.agents import AGENT_SECTIONS, PLANNER_SECTIONS
 from chervilstall.settings.documents import DOCUMENT_KINDS
 from chervilstall.settings.edge import EDGE_SECTIONS
@@ -39,6 +40,12 @@
         UNREAD_MAX_BYTES,
         "An answer of the store.",
     ),
+    (
+        "platform.kv.LIST_MAX_BYTES",
+        "bytes",
+        LIST_MAX_BYTES,
+        "A list of the store, all pages together.",
+    ),
     (
         "target.service_client.RESPONSE_MAX_BYTES",
         "bytes",
--- a/tests/steps/endless_answer_steps.py
+++ b/tests/steps/endless_answer_steps.py
@@ -1,11 +1,14 @@
 """Steps for answers without end, at each place where one is read."""
 
+import base64
 import dataclasses
+import itertools
 import socket
 import time
 from collections.abc import Callable
 
 import gevent
+import msgspec
 from behave import given, then, when
 from behave.runner import Context
 from gevent.server import StreamServer
@@ -13,6 +16,7 @@
 from chervilstall.edge.exchange import Exchange, ExchangeFailed
 from chervilstall.edge.peers import reach_report
 from chervilstall.fleet.records import NO_LAYERS
+from chervilstall.http_response import HttpResponse, StartResponse
 from chervilstall.ids import AttemptNumber, RequestId, TargetId, VmId
 from chervilstall.platform import protocol, targets
 from chervilstall.platform.headers import Headers
@@ -29,14 +33,16 @@
 from chervilstall.target.contract import AttemptFailed, ServiceCall
 from chervilstall.target.engine_client import HttpEngineClient
 from chervilstall.target.service_client import HttpServiceClient
+from chervilstall.wsgi import Environ, Server
 from tests.steps.target_unframed_steps import order_to
 from tests.support.endless import CHUNKED, OK
 from tests.support.model_targets import SERVICE, make_target
-from tests.support.router_harness import HOST
+from tests.support.router_harness import ANY_PORT, HOST
 from tests.support.stream_requests import make_request
 
 READ_BYTES = 16_384
 PIECE_BYTES = 65_536
+PAGE_BYTES = 1_000_000
 ENDLESS_MAX_BYTES = 100_000_000
 ASK_S = 10.0
 HISTORY_S = 20.0
@@ -165,3 +171,23 @@
 def check_sent(context: Context, size_mb: int) -> None:
     assert context.error is not None, context.sent_bytes
     assert context.sent_bytes <= size_mb * 1_000_000, context.sent_bytes
+
+
+@given("a store whose list has {pages} without end")
+def start_endless_list(context: Context, pages: str) -> None:
+    context.sent_bytes = 0
+    value = base64.b64encode(bytes(PAGE_BYTES // 4 * 3)).decode()
+    numbers = itertools.count() if pages == "new pages" else itertools.repeat(0)
+
+    def answer(environ: Environ, start_response: StartResponse) -> list[bytes]:
+        item = {"key": f"servers/{next(numbers):09}", "value": value, "revision": 1}
+        body = msgspec.json.encode({"items": [item], "has-more": True, "at": 1})
+        if context.sent_bytes > ENDLESS_MAX_BYTES:
+            body = b"{}"
+        context.sent_bytes += len(body)
+        return HttpResponse(200, body).start(start_response)
+
+    context.server = Server(ANY_PORT, answer)
+    context.server.start()
+    context.stoppables.append(context.server)
+    context.server_port = context.server.bound_address.port
--- a/tests/target/endless.feature
+++ b/tests/target/endless.feature
@@ -61,3 +61,14 @@
       | changes of 1 MB                             | in chunks        | 10      |
       | a key of the store                          | in chunks        | 75      |
       | a key of the agents' store                  | in chunks        | 75      |
+
+  # Guards against a list that is read page by page for as long as its store names another one.
+  Scenario Outline: A list of the store with <pages> without end is given up
+    Given a store whose list has <pages> without end
+    When a list of the store is asked for without an end
+    Then it fails, and the process could send at most <size_mb> MB
+
+    Examples:
+      | pages         | size_mb |
+      | the same page | 3       |
+      | new pages     | 66      |
