Count events that a target repeats as silence of its stream

Cause: an event that isn't later than the last one is dropped, but it was recorded as a sign of life before that. The monitor, which ends a stream that is silent for 1.2 s, never saw one.

Evidence: edge/streams, three new rows (a target repeats the first, fourth or ninth of ten events every 10 ms). Before: events 1, 1 to 4 and 1 to 9 arrived, three of three rows red. After: 1 to 10 once and in order, within the 2 s after which callers leave a silent stream (PROTOCOL).

Change: StreamRelay records only later events, in the one place that reads them. Events have increasing ids (PROTOCOL), so nothing that is allowed counts as silence; a target that repeats a few and goes on is still used. tests: edge/streams 46 of 46.

--- a/src/chervilstall/edge/streams/events.py
+++ b/src/chervilstall/edge/streams/events.py
@@ -41,12 +41,15 @@
         """Return the cursor of a caller who names the event to resume after."""
         return EventCursor(int(text) if text.isascii() and text.isdecimal() else None)
 
+    def is_later(self, event: bytes) -> bool:
+        """Return whether an event comes after all that were passed on."""
+        return self.number is None or event_number(event) > self.number
+
     def advance(self, event: bytes) -> bool:
         """Record an event; return whether it is a later one than all before."""
-        number = event_number(event)
-        if self.number is not None and number <= self.number:
+        if not self.is_later(event):
             return False
-        self.number = number
+        self.number = event_number(event)
         return True
 
     @property
--- a/src/chervilstall/edge/streams/relay.py
+++ b/src/chervilstall/edge/streams/relay.py
@@ -339,6 +339,9 @@
             raise ExchangeFailed(ExchangeFailure.MALFORMED, was_sent=True)
         if self._stream is None:
             return event
+        if event is not None and not self.cursor.is_later(event):
+            # A target that repeats events gets no further: the stream counts as silent.
+            return event
         self._stream.record_event()
         if event is not None:
             self.context.crash_guard.record_event(self.request, self._stream.events)
--- a/src/chervilstall/standin/behaviours.py
+++ b/src/chervilstall/standin/behaviours.py
@@ -25,6 +25,7 @@
     ERROR_TEXT = "write an error's text into the stream"
     ERROR_HEAD = "write an error's head into the stream"
     ERROR_EVENT = "write an error into the stream as an event without an id"
+    REPEAT_EVENT = "repeat an event without end"
     STREAM_UNSIGNED = "stream without a signature"
     STREAM_ANOTHER = "stream for another request"
     UNFRAMED = "answer without a length"
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -354,10 +354,18 @@
                     yield STREAM_ERRORS.get(self.behaviour, b"") + event
                     continue
                 yield event
+                # A fault before the first event has none to repeat.
+                if index + 1 == max(self.events_before_fault, 1):
+                    yield from self._repeat_event(event)
         except GeneratorExit:
             self.log.cancelled_streams += 1
             raise
 
+    def _repeat_event(self, event: bytes) -> Iterator[bytes]:
+        while self.behaviour is Behaviour.REPEAT_EVENT:
+            gevent.sleep(EVENT_INTERVAL_S)
+            yield event
+
     def _is_crashing(self, run: Run) -> bool:
         names_crashing = bool(shared_parts(run.headers) & self.crashing_parts)
         return names_crashing or run.target in self.crashing_targets
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -35,6 +35,20 @@
       | write an error's head into the stream                  | 4      |
       | write an error into the stream as an event without an id | 4    |
 
+  # Guards against a stream that counts as alive until its deadline while it gets no further.
+  Scenario Outline: A stream whose targets repeat an event without end is resumed
+    Given a platform with a model in parts in both zones
+    And the first targets of the own zone would repeat an event without end after <events> events
+    When a draft of 10 events is asked for
+    Then the events 1 to 10 arrive once and in order
+    And it came sooner than its caller leaves, which is after a gap of 2 seconds
+
+    Examples:
+      | events |
+      | 1      |
+      | 4      |
+      | 9      |
+
   # Guards against the same from the next target, once the stream has begun.
   Scenario Outline: A stream that broke off gets nothing from a next target that would <fault>
     Given a platform with a model in parts in both zones
--- a/tests/steps/stream_steps.py
+++ b/tests/steps/stream_steps.py
@@ -14,7 +14,16 @@
 
 @when("a draft of {events:d} events is asked for")
 def ask_for_draft(context: Context, events: int) -> None:
+    began_at_s = time.monotonic()
     send_draft(context, events)
+    context.took_s = time.monotonic() - began_at_s
+
+
+@then(
+    "it came sooner than its caller leaves, which is after a gap of {gap_s:d} seconds"
+)
+def check_duration(context: Context, gap_s: int) -> None:
+    assert context.took_s < gap_s, context.took_s
 
 
 @when("a draft of {events:d} events and {prompt:d} prompt tokens is asked for")
