Leave an engine that repeats events without end

The caller of a stream whose engine repeats a token, its acceptance or an event of another attempt got nothing more, not even an error at its deadline.

Cause: events that get an attempt no further are dropped in a loop that looked at no clock, and each of them renewed the read timeout, at which alone the deadline was looked at. A repeated acceptance went through to the relay as if it were the first one.

Change: an engine that sends nothing but dropped events for as long as it may be silent counts as silent, and only the first acceptance is one.

--- a/src/chervilstall/standin/fabric.py
+++ b/src/chervilstall/standin/fabric.py
@@ -25,6 +25,7 @@
 
 HANG_S = 3_600.0
 """Sleep of a fault that never answers; far above the timeouts of callers."""
+REPEAT_PAUSE_S = 0.01
 OTHER_REQUEST = RequestId("0" * 32)
 
 
@@ -44,6 +45,13 @@
     """Raised where a fault closes the connection."""
 
 
+def _repeat(event: StreamEvent) -> Iterator[StreamEvent]:
+    """Yield an event until the connection is closed."""
+    while True:
+        gevent.sleep(REPEAT_PAUSE_S)
+        yield event
+
+
 @dataclass
 class Fabric:
     """The stand-in engines and the links between them.
@@ -99,7 +107,10 @@
     ) -> Iterator[StreamEvent]:
         key = (order.request, order.attempt)
         head.progress[key] = order.position
-        yield StreamEvent(order.request, order.attempt, EventKind.ACCEPTED)
+        accepted = StreamEvent(order.request, order.attempt, EventKind.ACCEPTED)
+        yield accepted
+        if head.faults.trigger(FaultKind.REPEATED_ACCEPT):
+            yield from _repeat(accepted)
         if head.faults.trigger(FaultKind.DIE_AFTER_ACCEPT):
             self.kill(head)
             raise CloseConnection
@@ -161,7 +172,11 @@
             yield replace(event, token="x" * 100_000)
         if head.faults.trigger(FaultKind.OUT_OF_ORDER, position):
             yield replace(event, position=position + 1, token="early ")
+        if head.faults.trigger(FaultKind.REPEATED_OLD_ATTEMPT, position):
+            yield from _repeat(replace(event, attempt=order.attempt - 1, token="old "))
         yield event
+        if head.faults.trigger(FaultKind.REPEATED_TOKEN, position):
+            yield from _repeat(event)
         if head.faults.trigger(FaultKind.DUPLICATE_TOKEN, position):
             yield replace(event, token="again ")
 
--- a/src/chervilstall/target/engine_client.py
+++ b/src/chervilstall/target/engine_client.py
@@ -54,7 +54,8 @@
     """Events of one attempt, read from its own connection.
 
     Events of another request or attempt are skipped and counted in `dropped_events`.
-    Token positions are checked: a repeated token is dropped, a gap fails the attempt.
+    Token positions are checked: a repeated token or acceptance is dropped, too, and a
+    gap fails the attempt.
 
     A read timeout alone does not tell a slow engine from a broken connection.
     Therefore, the engine is then asked for its progress over a new connection. The
@@ -108,19 +109,36 @@
         return response
 
     def next_event(self) -> StreamEvent:
-        """Return the next event of this attempt. Raises AttemptFailed."""
+        """Return the next event of this attempt. Raises AttemptFailed.
+
+        An engine that sends nothing else for as long as it may be silent counts as
+        silent.
+        """
+        dropped_since_s: float | None = None
         while True:
             event = self._read_event()
-            if not self._is_expected(event):
-                self.dropped_events += 1
-                continue
-            return self._advance(event)
+            if self._is_expected(event):
+                return self._advance(event)
+            self.dropped_events += 1
+            now_s = time.monotonic()
+            if dropped_since_s is None:
+                dropped_since_s = now_s
+            if now_s - dropped_since_s > self._silence_max_s:
+                raise self._failure(FailureCause.SILENT)
+
+    @property
+    def _silence_max_s(self) -> float:
+        if self.progress is AttemptProgress.SENT:
+            return self.settings.first_event_timeout_s
+        return self.settings.silence_timeout_s
 
     def _is_expected(self, event: StreamEvent) -> bool:
         if event.request != self.order.request:
             return False
         if event.attempt != self.order.attempt:
             return False
+        if event.kind is EventKind.ACCEPTED:
+            return self.progress is AttemptProgress.SENT
         if event.kind is EventKind.TOKEN and event.position < self.next_position:
             return False
         return True
--- a/tests/steps/target_steps.py
+++ b/tests/steps/target_steps.py
@@ -27,6 +27,7 @@
     FaultKind.SILENT_BEFORE_ACCEPT,
     FaultKind.DIE_BEFORE_ACCEPT,
     FaultKind.DIE_AFTER_ACCEPT,
+    FaultKind.REPEATED_ACCEPT,
 )
 HOLD = {"row": "C", "seat": 14}
 HOLD_BODY = json.dumps(HOLD).encode()
--- a/tests/target/hostile.feature
+++ b/tests/target/hostile.feature
@@ -23,6 +23,21 @@
       | die_before_accept    |
       | die_after_accept     |
 
+  # Guards against a caller that is held, past its deadline too, while an engine repeats what
+  # gets its stream no further.
+  Scenario Outline: A stream survives an engine that repeats an event without end: <fault>
+    Given a router and stand-in targets
+    When every engine has the fault "<fault>" at position 3 once
+    And the caller streams 8 tokens from "assistant"
+    Then the stream is complete and correct
+    And the ledgers show no breach
+
+    Examples:
+      | fault                |
+      | repeated_accept      |
+      | repeated_token       |
+      | repeated_old_attempt |
+
   # Guards against ORDER and MIXED: an error's text or head in the middle of a stream.
   Scenario Outline: A stream into which an engine writes an error holds nothing of it: <fault>
     Given a router and stand-in targets
