Let the soak's targets answer without end, oddly, and crash in answers

They have a mix of their own (`--mix endless`, a third of the faults), so that the seeds of the other mixes draw what they drew before. A new invariant: each answer has a status of HTTP.

The stand-in writes odd answers in a module of its own now, standin/odd_answers.

--- a/src/chervilstall/commands/measure.py
+++ b/src/chervilstall/commands/measure.py
@@ -110,7 +110,10 @@
     ] = 1
     seconds: Annotated[float, cappa.Arg(long=True, help="Seconds with faults.")] = 20.0
     mix: Annotated[
-        FaultMix, cappa.Arg(long=True, help="Faults: random, cuts, shutdowns or both.")
+        FaultMix,
+        cappa.Arg(
+            long=True, help="Faults: random, cuts, endless, shutdowns, or both kinds."
+        ),
     ] = FaultMix.RANDOM
     routers: Annotated[int, cappa.Arg(long=True, help="Router processes.")] = 4
     callers: Annotated[int, cappa.Arg(long=True, help="Callers per router.")] = 3
--- a/src/chervilstall/soak/faults.py
+++ b/src/chervilstall/soak/faults.py
@@ -30,6 +30,14 @@
     Behaviour.ANSWER_WRONG_REQUEST,
     Behaviour.BREAK_STREAM,
 )
+ENDLESS_BEHAVIOURS = (
+    Behaviour.ENDLESS_HEAD,
+    Behaviour.ENDLESS_BODY,
+    Behaviour.ENDLESS_TRAILERS,
+    Behaviour.REPEAT_EVENT,
+    Behaviour.ODD_STATUS,
+    Behaviour.CRASH_IN_ANSWER,
+)
 
 
 class SoakFaultKind(Enum):
@@ -50,14 +58,21 @@
     STORE_SLOW = "let the store be slow"
     STORE_FORGETS = "let the store forget its history"
     TARGET_FAULTY = "let a target behave oddly"
+    TARGET_ENDLESS = "let a target answer without end, oddly, or crash in an answer"
     TARGET_LEAVES = "let a target leave and come back"
     CONFIGURATION = "change the configuration"
 
 
-RANDOM_KINDS = tuple(kind for kind in SoakFaultKind if kind.name != "ROUTER_CUT")
+MIXED_IN_KINDS = frozenset({SoakFaultKind.ROUTER_CUT, SoakFaultKind.TARGET_ENDLESS})
+"""Kinds that a mix of their own has. Runs without it draw as they did before them."""
+
+RANDOM_KINDS = tuple(kind for kind in SoakFaultKind if kind not in MIXED_IN_KINDS)
 CUT_KINDS = (*RANDOM_KINDS, *[SoakFaultKind.ROUTER_CUT] * 8)
 """Kinds of a run in which a third of the faults cut a router off from all targets."""
 
+ENDLESS_KINDS = (*RANDOM_KINDS, *[SoakFaultKind.TARGET_ENDLESS] * 8)
+"""Kinds of a run in which a third of the faults let a target answer without end."""
+
 
 @dataclass
 class InjectedFault:
@@ -122,7 +137,11 @@
             case SoakFaultKind.RELOAD:
                 return self._reload_router(self.rng.choice(self.fleet.routers))
             case SoakFaultKind.TARGET_FAULTY:
-                return self._make_target_faulty(self.rng.choice(self.fleet.targets))
+                target = self.rng.choice(self.fleet.targets)
+                return self._make_target_faulty(target, FAULTY_BEHAVIOURS)
+            case SoakFaultKind.TARGET_ENDLESS:
+                target = self.rng.choice(self.fleet.targets)
+                return self._make_target_faulty(target, ENDLESS_BEHAVIOURS)
             case SoakFaultKind.TARGET_LEAVES:
                 return self._drain_and_return(self.rng.choice(self.fleet.targets))
             case SoakFaultKind.CONFIGURATION:
@@ -236,9 +255,11 @@
 
     # Targets
 
-    def _make_target_faulty(self, target: SoakTarget) -> str:
+    def _make_target_faulty(
+        self, target: SoakTarget, behaviours: tuple[Behaviour, ...]
+    ) -> str:
         target.server.events_before_fault = self.rng.randint(0, 20)
-        target.server.behaviour = self.rng.choice(FAULTY_BEHAVIOURS)
+        target.server.behaviour = self.rng.choice(behaviours)
         return self._wait_then_end(target.name, lambda: self._restore_target(target))
 
     @staticmethod
--- a/src/chervilstall/soak/invariants.py
+++ b/src/chervilstall/soak/invariants.py
@@ -28,6 +28,9 @@
 )
 """Faults that must not interrupt any request."""
 
+STATUSES = range(100, 600)
+"""Statuses of HTTP; a request without an answer has the status 0."""
+
 SETTLE_S = 1.5
 """Time after a fault in which its effects may still be seen."""
 
@@ -69,6 +72,8 @@
 
 def _check_response(sent: SentRequest, targets: list[str]) -> list[Violation]:
     found: list[tuple[str, str]] = []
+    if sent.status and sent.status not in STATUSES:
+        found.append(("each answer has a status of HTTP", str(sent.status)))
     if sent.kind is RequestKind.NON_IDEMPOTENT:
         found += _check_executions(sent, targets)
     if sent.kind.is_stream:
--- a/src/chervilstall/soak/run.py
+++ b/src/chervilstall/soak/run.py
@@ -12,7 +12,12 @@
 
 import gevent
 
-from chervilstall.soak.faults import CUT_KINDS, RANDOM_KINDS, FaultInjector
+from chervilstall.soak.faults import (
+    CUT_KINDS,
+    ENDLESS_KINDS,
+    RANDOM_KINDS,
+    FaultInjector,
+)
 from chervilstall.soak.fleet import GRACE_S, SoakFleet
 from chervilstall.soak.invariants import (
     Violation,
@@ -85,10 +90,15 @@
 
     RANDOM = "random"
     CUTS = "cuts"
+    ENDLESS = "endless"
     SHUTDOWNS = "shutdowns"
     BOTH = "both"
 
 
+KINDS = {FaultMix.CUTS: CUT_KINDS, FaultMix.ENDLESS: ENDLESS_KINDS}
+"""Kinds of faults of the mixes that have others than the random ones."""
+
+
 @dataclass(frozen=True)
 class SoakOptions:
     """What one run of the soak test injects, and on how many routers.
@@ -139,7 +149,7 @@
         load = _build_load(fleet, options)
         load.start(options.callers_per_router * options.routers)
         shutdowns = ShutdownInjector(rng)
-        kinds = CUT_KINDS if options.mix is FaultMix.CUTS else RANDOM_KINDS
+        kinds = KINDS.get(options.mix, RANDOM_KINDS)
         injector = FaultInjector(fleet, rng, shutdowns, kinds)
         _inject(injector, load, options)
         faults_ended_at_s = time.monotonic()
--- a/src/chervilstall/standin/platform_target.py
+++ b/src/chervilstall/standin/platform_target.py
@@ -24,6 +24,7 @@
     Behaviour,
 )
 from chervilstall.standin.crashes import ResettableServer, shared_parts
+from chervilstall.standin.odd_answers import ODD_BEHAVIOURS, send_odd_answer
 from chervilstall.standin.target_log import Run, TargetLog
 from chervilstall.standin.unframed import end_answer, send_head
 from chervilstall.wsgi import (
@@ -38,7 +39,6 @@
 SILENCE_S = 60.0
 """Sleep of a request to an unresponsive target."""
 SERVER_SIGNATURE = "stand-in.1"
-ENDLESS_CHUNK = b"X" * 16_384
 CALL_PATHS = frozenset({"/chervilstall/report", "/chervilstall/order", "/healthz"})
 
 
@@ -191,8 +191,8 @@
         path = environ[REQUEST_TARGET_KEY]
         run = Run(request, method, path, headers, body, time.monotonic())
         self.log.runs.append(run)
-        if self.behaviour in (Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY):
-            self._send_without_end(run, environ[SOCKET_KEY])
+        if self.behaviour in ODD_BEHAVIOURS:
+            self._send_oddly(run, environ[SOCKET_KEY])
         if self.behaviour in UNFRAMED_BEHAVIOURS:
             self._send_unframed(run, environ[SOCKET_KEY])
         if "hop-count" in headers and self.behaviour is not Behaviour.FAIL:
@@ -200,19 +200,11 @@
             return
         yield from self._answer(run, environ, start_response)
 
-    def _send_without_end(self, run: Run, connection: Any) -> None:
-        head = b"HTTP/1.1 200 OK\r\n"
-        if self.behaviour is Behaviour.ENDLESS_BODY:
-            fields = (
-                f"Attempt-Id: {run.request}",
-                f"Server-Signature: {SERVER_SIGNATURE}",
-                "Content-Type: text/event-stream",
-            )
-            head += "\r\n".join((*fields, "", "")).encode()
-        connection.sendall(head)
-        while True:
-            # Raises once the caller has closed.
-            connection.sendall(ENDLESS_CHUNK)
+    def _send_oddly(self, run: Run, connection: Any) -> NoReturn:
+        fields = [("Attempt-Id", run.request), ("Server-Signature", SERVER_SIGNATURE)]
+        if "hop-count" in run.headers:
+            fields.append(("Content-Type", "text/event-stream"))
+        send_odd_answer(connection, self.behaviour, fields)
 
     def _send_unframed(self, run: Run, connection: Any) -> NoReturn:
         fields = [
@@ -298,6 +290,11 @@
                 raise BrokenPipeError(
                     errno.EPIPE, "response truncated by an injected fault"
                 )
+            case Behaviour.CRASH_IN_ANSWER:
+                start_response(status_line(200), response_headers)
+                yield answer[:4]
+                self._crash()
+                raise ConnectionResetError(errno.ECONNRESET, "the target crashed")
             case Behaviour.ANSWER_TWICE:
                 response = b"HTTP/1.1 200 OK\r\n" + b"".join(
                     f"{name}: {value}\r\n".encode() for name, value in response_headers
@@ -386,6 +383,9 @@
         match self.behaviour:
             case Behaviour.BREAK_STREAM:
                 raise BrokenPipeError(errno.EPIPE, "stream closed by an injected fault")
+            case Behaviour.CRASH_IN_ANSWER:
+                self._crash()
+                raise ConnectionResetError(errno.ECONNRESET, "the target crashed")
             case Behaviour.STALL_STREAM:
                 while self.stalled_on:
                     gevent.sleep(EVENT_INTERVAL_S)
--- a/tests/edge/streams.feature
+++ b/tests/edge/streams.feature
@@ -256,6 +256,7 @@
     And it read less than 1 MB
 
     Examples:
-      | behaviour               |
-      | send a head without end |
-      | send a body without end |
+      | behaviour                                          |
+      | send a head without end                            |
+      | send a body without end                            |
+      | send header lines behind the last chunk without end |
--- a/tests/soak/invariants.feature
+++ b/tests/soak/invariants.feature
@@ -14,6 +14,7 @@
       | a retried non-idempotent request         | non_idempotent | 200    | answer to r1     | 2     | fails   |
       | a refused request that was not executed  | non_idempotent | 503    | refused          | 0     | passes  |
       | a refused request that was executed      | non_idempotent | 503    | refused          | 1     | fails   |
+      | an answer with a status that isn't one   | idempotent     | 600    | odd              | 1     | fails   |
       | an unknown outcome                       | non_idempotent | 502    | unknown          | 1     | passes  |
       | a complete stream                        | stream         | 200    | events 1 2 3     | 1     | passes  |
       | a complete response without the last event | stream       | 200    | events 1 2       | 1     | fails   |
@@ -58,3 +59,9 @@
   Scenario: A short run in which routers are cut off from all targets violates no invariant
     When the soak test cuts routers off with seed 26 for 6 seconds
     Then it sent requests, injected faults and found no violation
+
+  # Guards against LOST, FAULT and MIXED: answers without end, with an odd status, or cut by a
+  # crash in their middle, while routers and the store fail, too.
+  Scenario: A short run in which targets answer without end or oddly violates no invariant
+    When the soak test lets targets answer without end with seed 52 for 10 seconds
+    Then it sent requests, injected faults and found no violation
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -147,6 +147,14 @@
     context.report = run_soak(seed, SoakOptions(duration_s, FaultMix.CUTS))
 
 
+@when(
+    "the soak test lets targets answer without end with seed {seed:d} for "
+    "{duration_s:d} seconds"
+)
+def run_endless(context: Context, seed: int, duration_s: int) -> None:
+    context.report = run_soak(seed, SoakOptions(duration_s, FaultMix.ENDLESS))
+
+
 @when("the soak test runs with seed {seed:d} for {duration_s:d} seconds")
 def run_seed(context: Context, seed: int, duration_s: int) -> None:
     context.report = run_soak(seed, SoakOptions(duration_s))
