--- a/src/chervilstall/platform/kv.py
+++ b/src/chervilstall/platform/kv.py
@@ -158,8 +158,8 @@
     def list_entries(self, prefix: str) -> EntryBatch:
         """Return the entries whose keys start with a prefix.
 
-        The revision is that of the first page. Raises StoreFailed for pages that begin
-        again where they began, and ResponseTooLarge for more than LIST_MAX_BYTES.
+        The revision is that of the first page. Raises StoreFailed for a page that ends
+        where the one before ended, and ResponseTooLarge for more than LIST_MAX_BYTES.
         """
         found: list[Entry] = []
         first: CallResponse | None = None
@@ -178,7 +178,7 @@
                 break
             last_key = page.items[-1].key
             if last_key == query.get("after"):
-                raise StoreFailed(f"the page after {last_key[:40]!r} ends there again")
+                raise StoreFailed(f"the page after {last_key[:40]!r} ends with it, too")
             if size_bytes > LIST_MAX_BYTES:
                 raise ResponseTooLarge(f"the list has more than {LIST_MAX_BYTES} bytes")
             query["after"] = last_key
